--- /dev/null
+++ b/src/configchange.cpp
@@ -0,0 +1,108 @@
+#include "configchange.h"
+
+#include "safeguards.h"
+
+#include <algorithm>
+
+namespace json = boost::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t RememberedChanges = 256;
+
+} // namespace
+
+std::string encodeStored(const StoredConfiguration &stored)
+{
+    json::object out;
+    out["text"] = stored.text;
+    json::array changes;
+    for (const std::string &id : stored.changes)
+        changes.emplace_back(id);
+    out["changes"] = std::move(changes);
+    return json::serialize(out);
+}
+
+Result<StoredConfiguration> decodeStored(const std::string &value, Revision revision)
+{
+    BOOST_LEAF_ASSIGN(const json::value parsed, parseJson(value));
+    StoredConfiguration stored;
+    stored.revision = revision;
+    FieldReader reader(parsed, "stored");
+    reader.required("text", stored.text);
+    for (const std::pair<const json::value *, std::string> &element : reader.elements("changes", true)) {
+        if (element.first->is_string())
+            stored.changes.emplace_back(element.first->as_string());
+    }
+    if (const FieldError *error = reader.finish())
+        return boost::leaf::new_error(*error);
+    return stored;
+}
+
+ConfigurationChange::ConfigurationChange(std::string id, std::string text, std::optional<Revision> base,
+                                         TimeMs deadline)
+    : id_(std::move(id)), text_(std::move(text)), base_(base), deadline_(deadline)
+{ }
+
+void ConfigurationChange::end(Verdict verdict, Revision revision)
+{
+    verdict_ = verdict;
+    revision_ = revision;
+    step_ = Step::Done;
+}
+
+void ConfigurationChange::onRead(const StoredConfiguration &stored)
+{
+    // Step 1. Is it there already? Covers the answer that was lost after the write took effect, also when
+    // others have written since: the id stays in the list.
+    if (std::find(stored.changes.begin(), stored.changes.end(), id_) != stored.changes.end()) {
+        revision_ = stored.revision;
+        step_ = Step::Confirm;
+        return;
+    }
+    // Step 2. The first reading fixes the base; from then on any other revision means that somebody won.
+    if (!base_)
+        base_ = stored.revision;
+    if (stored.revision != *base_)
+        return end(Verdict::Conflict, stored.revision);
+    next_ = {*base_, text_, stored.changes};
+    next_.changes.push_back(id_);
+    if (next_.changes.size() > RememberedChanges)
+        next_.changes.erase(next_.changes.begin());
+    step_ = Step::Write;
+}
+
+void ConfigurationChange::onReadFailed(TimeMs now)
+{
+    if (now >= deadline_)
+        end(Verdict::Unsettled, {});
+}
+
+// Failure: the answer to the write is lost, and the write itself may still be on its way. Reading the old
+// revision proves nothing then. The same compare-and-swap is repeated until it has an answer: whichever copy
+// comes second fails on the revision, so the change is written at most once.
+void ConfigurationChange::onWritten(Write outcome, Revision revision, TimeMs now)
+{
+    if (outcome == Write::Held) {
+        revision_ = revision;
+        step_ = Step::Confirm;
+    } else if (!isOn(Safeguard::ReadBackLostAnswer)) {
+        end(Verdict::Conflict, revision);
+    } else if (outcome == Write::Lost && now >= deadline_) {
+        end(Verdict::Unsettled, {});
+    } else {
+        step_ = Step::Read;
+    }
+}
+
+void ConfigurationChange::onConfirm(bool confirmed, TimeMs now)
+{
+    if (confirmed)
+        end(Verdict::Accepted, revision_);
+    else if (now >= deadline_)
+        end(Verdict::Unconfirmed, revision_);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,95 @@
+#include "daemon.h"
+
+namespace cranberry {
+
+namespace {
+
+// A message for an earlier life of this daemon is answered with NotHere and goes no further: the register and
+// the grants of that life are gone, and acting for it would break at-most-once.
+void onPeer(World &world, const PeerInbound &event)
+{
+    if (event.to && event.to != world.self()) {
+        world.counters.add(Counter::MisdirectedMessages);
+        sendTo(world, event.from, NotHere{event.to});
+        return;
+    }
+    struct Handler {
+        World &world;
+        Incarnation from;
+
+        void operator()(const Gossip &m) const { onGossip(world, from, m); }
+        void operator()(const ConfigurationHave &m) const { onConfigurationHave(world, from, m); }
+        void operator()(const ConfigurationPush &m) const
+        {
+            onConfiguration(world, m.revision, m.text);
+            sendTo(world, from, ConfigurationHave{world.revision});
+        }
+        void operator()(const OnceQuestion &m) const { onOnceQuestion(world, from, m); }
+        void operator()(const OnceReply &m) const { onOnceReply(world, m); }
+        void operator()(const RequestCopy &m) const { onRequestCopy(world, from, m); }
+        void operator()(const CopyAck &m) const { onCopyAck(world, from, m); }
+        void operator()(const WitnessDrop &m) const { world.witnessed.erase(m.request); }
+        void operator()(const Fetch &m) const { onFetch(world, from, m); }
+        void operator()(const FetchReply &m) const { onFetchReply(world, from, m); }
+        void operator()(const RegisterTransfer &m) const { onRegisterTransfer(world, from, m); }
+        void operator()(const RegisterTransferAck &) const { onRegisterTransferAck(world, from); }
+        void operator()(const NotHere &m) const { onNotHere(world, m); }
+    };
+    std::visit(Handler{world, event.from}, event.message);
+}
+
+void onTick(World &world)
+{
+    tickGossip(world);
+    tickRequests(world);
+    tickWitness(world);
+    tickDrain(world);
+}
+
+struct EventHandler {
+    World &world;
+
+    void operator()(const Tick &) const { onTick(world); }
+    void operator()(const CallerSubmit &e) const { onCallerSubmit(world, e); }
+    void operator()(const CallerResume &e) const { onCallerResume(world, e); }
+    void operator()(const CallerGone &e) const { onCallerGone(world, e); }
+    void operator()(const CallerEntries &e) const { onCallerEntries(world, e); }
+    void operator()(const EndpointData &e) const { onEndpointData(world, e); }
+    void operator()(const EndpointEnd &e) const { onEndpointEnd(world, e); }
+    void operator()(const EndpointFailed &e) const { onEndpointFailed(world, e); }
+    void operator()(const PeerInbound &e) const { onPeer(world, e); }
+    void operator()(const ConfigurationSeen &e) const
+    {
+        world.platformRead = true;
+        onConfiguration(world, e.revision, e.text);
+    }
+    void operator()(const PlatformSilent &) const { }
+    void operator()(const LeavingSeen &e) const
+    {
+        if (e.instance == world.members.self().instance)
+            startDrain(world, e.notice);
+        else
+            addMark(world, {MarkKind::EndpointLeaving, e.instance, {}, {}}, e.notice);
+    }
+    void operator()(const DrainRequested &e) const { startDrain(world, e.notice); }
+    void operator()(const PlatformOnceReply &e) const { onPlatformOnceReply(world, e); }
+};
+
+} // namespace
+
+void sendTo(World &world, Incarnation to, PeerMessage message)
+{
+    const Member *member = world.members.find(to);
+    if (member)
+        world.out.push_back(SendPeer{to, member->info.peerAddress, std::move(message)});
+}
+
+const std::vector<Action> &Daemon::step(TimeMs now, const Event &event)
+{
+    world_.now = now;
+    world_.out.clear();
+    std::visit(EventHandler{world_}, event);
+    return world_.out;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/dispatch.cpp
@@ -0,0 +1,261 @@
+#include "safeguards.h"
+#include "world.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+constexpr uint32_t MaxTries = 6;
+constexpr double ServiceMsWeight = 0.05;
+constexpr int64_t PercentOfNoticeToStay = 60;
+
+Request *findByAttempt(World &world, AttemptId attempt)
+{
+    auto found = world.attempts.find(attempt);
+    if (found == world.attempts.end())
+        return nullptr;
+    auto request = world.requests.find(found->second);
+    return request == world.requests.end() ? nullptr : &request->second;
+}
+
+void closeAttempt(World &world, Request &request)
+{
+    world.attempts.erase(request.attempt);
+    world.endpoints.finished(request.endpoint, request.workTokens);
+    request.attempt = {};
+}
+
+// Starts one attempt on the chosen endpoint. The engine goes on from the text generated so far.
+void startAttempt(World &world, Request &request, const Service &service, uint32_t index,
+                  const RoutingQuestion &question)
+{
+    const Endpoint &endpoint = world.endpoints.at(index).endpoint;
+    world.endpoints.started(index, question);
+    request.once.dispatched();
+    request.phase = RequestPhase::Running;
+    request.attempt = {world.nextAttempt++};
+    request.endpoint = endpoint.name;
+    request.askedAt = world.now;
+    request.moveAt.reset();
+    world.attempts[request.attempt] = request.id;
+    if (!request.text.empty())
+        world.counters.add(Counter::RecomputedTokens,
+                           predictedTokens(request.spec->prompt) + request.generatedTokens);
+    world.out.push_back(StartAttempt{request.attempt, endpoint.name, endpoint.address, service.kind,
+                                     request.spec, request.text, request.generatedTokens,
+                                     service.progressTimeout});
+}
+
+// True if the request left the queue.
+bool tryDispatch(World &world, Request &request)
+{
+    if (request.phase != RequestPhase::Queued || !request.once.mayDispatch())
+        return true;
+    const Service *service = world.configuration->findService(request.spec->service);
+    if (!service) {
+        giveUp(world, request, {Outcome::NotRun, RefusalReason::UnknownService, DurationMs{0}});
+        return true;
+    }
+    const RoutingQuestion question{*service, world.configuration->weights,
+                                   PrefixIndex::blockHashes(request.spec->prompt), request.workTokens,
+                                   request.avoid};
+    const std::optional<uint32_t> index
+        = world.endpoints.choose(question, world.marks, world.now, world.random);
+    if (!index)
+        return false;
+    startAttempt(world, request, *service, *index, question);
+    return true;
+}
+
+Outcome outcomeOf(const Request &request)
+{
+    return request.maybeRan || request.attempt.value ? Outcome::Unknown : Outcome::NotRun;
+}
+
+void retryLater(World &world, Request &request, RetryReason reason)
+{
+    world.counters.add(reason);
+    const bool free = reason == RetryReason::EndpointLeaving;
+    if (!free && (++request.tries >= MaxTries || !world.retries.take()))
+        return giveUp(world, request,
+                      {outcomeOf(request), RefusalReason::RetriesExhausted, backoffCeiling(MaxTries)});
+    request.phase = RequestPhase::Waiting;
+    const uint64_t ceiling = static_cast<uint64_t>(backoffCeiling(request.tries).count);
+    request.retryAt
+        = free ? world.now : world.now + DurationMs{static_cast<int64_t>(world.random.below(ceiling))};
+}
+
+RetryReason reasonOf(FailurePhase phase)
+{
+    switch (phase) {
+    case FailurePhase::NotSent:
+        return RetryReason::ConnectFailed;
+    case FailurePhase::SaidNotRun:
+        return RetryReason::SaidNotRun;
+    case FailurePhase::Silent:
+        return RetryReason::SilentStream;
+    case FailurePhase::AfterSend:
+        break;
+    }
+    return RetryReason::BrokenStream;
+}
+
+} // namespace
+
+// Classes share the queue: interactive work goes in front of batch work that has waited less than its ageing
+// time, so that batch is delayed and never starved.
+void enqueue(World &world, Request &request)
+{
+    constexpr DurationMs BatchAgeing{2000};
+    request.phase = RequestPhase::Queued;
+    auto place = world.queue.end();
+    if (request.spec->workClass == WorkClass::Interactive) {
+        place = std::find_if(world.queue.begin(), world.queue.end(), [&world](const RequestId &id) {
+            auto found = world.requests.find(id);
+            return found != world.requests.end() && found->second.spec->workClass == WorkClass::Batch
+                && world.now - found->second.arrivedAt < BatchAgeing;
+        });
+    }
+    world.queue.insert(place, request.id);
+}
+
+void runQueue(World &world)
+{
+    if (!world.configuration)
+        return;
+    std::deque<RequestId> waiting;
+    waiting.swap(world.queue);
+    while (!waiting.empty()) {
+        const RequestId id = waiting.front();
+        waiting.pop_front();
+        auto found = world.requests.find(id);
+        if (found != world.requests.end() && !tryDispatch(world, found->second))
+            world.queue.push_back(id);
+    }
+}
+
+void cancelAttempt(World &world, Request &request)
+{
+    if (!request.attempt.value)
+        return;
+    world.out.push_back(CancelAttempt{request.attempt});
+    request.maybeRan = true;
+    closeAttempt(world, request);
+}
+
+void onEndpointData(World &world, const EndpointData &event)
+{
+    Request *request = findByAttempt(world, event.attempt);
+    if (!request)
+        return;
+    request->text += event.text;
+    request->generatedTokens += event.tokens;
+    deliver(world, *request);
+}
+
+void onEndpointEnd(World &world, const EndpointEnd &event)
+{
+    Request *request = findByAttempt(world, event.attempt);
+    if (!request)
+        return;
+    const double took = static_cast<double>((world.now - request->askedAt).count);
+    world.serviceMs += ServiceMsWeight * (took - world.serviceMs);
+    world.endpoints.succeeded(request->endpoint);
+    world.retries.succeeded();
+    world.counters.add(Counter::CachedTokens, event.cachedTokens);
+    closeAttempt(world, *request);
+
+    request->phase = RequestPhase::Ended;
+    request->endedAt = world.now;
+    request->end = {event.status, event.contentType, event.finishReason, request->text.size(),
+                    digestOf(request->text)};
+    noteFinished(world, *request);
+    acceptIfSafe(world, *request);
+    deliver(world, *request);
+    if (request->witness)
+        sendTo(world, request->witness, WitnessDrop{request->id});
+    runQueue(world);
+}
+
+// Failure: the connection breaks after the request left. Symptom of a resend: the clerk files two versions.
+// Only a proof that nothing ran (no byte left, or the endpoint's own word) allows another attempt of work
+// that is not idempotent; everything else ends as "unknown", at once.
+void onEndpointFailed(World &world, const EndpointFailed &event)
+{
+    Request *request = findByAttempt(world, event.attempt);
+    if (!request)
+        return;
+    const bool proved = event.phase == FailurePhase::NotSent || event.phase == FailurePhase::SaidNotRun;
+    world.endpoints.failed(request->endpoint, world.now);
+    closeAttempt(world, *request);
+    request->avoid = request->endpoint;
+    if (proved) {
+        request->once.provedNotRun();
+    } else {
+        request->maybeRan = true;
+    }
+    const bool mayRepeat = request->spec->idempotent || proved || !isOn(Safeguard::NoResendAfterSend);
+    if (!mayRepeat) {
+        request->once.giveUp();
+        conclude(world, *request, {Outcome::Unknown, RefusalReason::EndpointFailed, DurationMs{0}});
+    } else {
+        if (!proved && !request->spec->idempotent)
+            request->once.provedNotRun(); // Reached only with the safeguard taken out.
+        retryLater(world, *request, reasonOf(event.phase));
+    }
+    runQueue(world);
+}
+
+// An endpoint is told to leave. Idempotent work stays for most of the notice, since what ends by itself costs
+// nothing, and then goes on elsewhere from the text so far; a call that must not be repeated is left to
+// finish.
+void moveOffEndpoint(World &world, const InstanceName &instance, DurationMs notice)
+{
+    for (std::pair<const RequestId, Request> &entry : world.requests) {
+        Request &request = entry.second;
+        if (request.phase != RequestPhase::Running || !request.spec->idempotent)
+            continue;
+        const std::optional<uint32_t> index = world.endpoints.find(request.endpoint);
+        if (index && world.endpoints.at(*index).endpoint.instance == instance)
+            request.moveAt = world.now + notice * PercentOfNoticeToStay / 100;
+    }
+}
+
+void tickRequests(World &world)
+{
+    // Step 1. Each open request: its register, its backoff, its endpoint's notice, its deadline.
+    std::vector<RequestId> ids;
+    ids.reserve(world.requests.size());
+    for (const std::pair<const RequestId, Request> &entry : world.requests)
+        ids.push_back(entry.first);
+    for (const RequestId &id : ids) {
+        auto found = world.requests.find(id);
+        if (found == world.requests.end())
+            continue;
+        Request &request = found->second;
+        if (!request.isOpen()) {
+            if (request.listeners.empty() && world.now - request.endedAt > world.answerKeep)
+                world.requests.erase(found);
+            continue;
+        }
+        if (request.phase == RequestPhase::Moving)
+            continue;
+        if (world.now >= request.deadlineAt && request.once.phase() != OnceAttempt::Phase::Refusing) {
+            giveUp(world, request, {outcomeOf(request), RefusalReason::DeadlinePassed, DurationMs{0}});
+            continue;
+        }
+        tickOnce(world, request);
+        if (request.phase == RequestPhase::Waiting && world.now >= request.retryAt) {
+            enqueue(world, request);
+        } else if (request.phase == RequestPhase::Running && request.moveAt && world.now >= *request.moveAt) {
+            cancelAttempt(world, request);
+            retryLater(world, request, RetryReason::EndpointLeaving);
+        }
+    }
+    // Step 2. Whatever became free or due.
+    runQueue(world);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/drain.cpp
@@ -0,0 +1,172 @@
+#include "safeguards.h"
+#include "world.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+constexpr int64_t PercentOfNoticeToStay = 40;
+constexpr DurationMs LastWords{300}; ///< Kept free at the end of a notice for final answers.
+constexpr DurationMs SuccessorPatience{500};
+constexpr DurationMs CopyPatience{150};
+constexpr DurationMs QuietBeforeStop{800}; ///< For the marks to spread.
+
+// The successor is chosen afresh while none has confirmed the register; afterwards only if it is gone.
+bool chooseSuccessor(World &world)
+{
+    std::vector<const Member *> others;
+    std::vector<const Member *> sameDomain;
+    for (const Member *member : world.members.alive()) {
+        const bool leaving
+            = world.marks.isLeaving(member->info.incarnation) || world.marks.isLeaving(member->info.instance);
+        if (leaving || member->info.incarnation == world.drain.successor)
+            continue;
+        const bool same = member->info.failureDomain == world.members.self().failureDomain;
+        (same ? sameDomain : others).push_back(member);
+    }
+    const std::vector<const Member *> &pool = others.empty() ? sameDomain : others;
+    if (pool.empty())
+        return false;
+    world.drain.successor = pool[world.random.below(pool.size())]->info.incarnation;
+    return true;
+}
+
+void moveRegister(World &world)
+{
+    Drain &drain = world.drain;
+    if (drain.registerMoved)
+        return;
+    const bool due = !drain.successor || world.now - drain.successorAskedAt > SuccessorPatience;
+    if (!due || !chooseSuccessor(world))
+        return;
+    drain.successorAskedAt = world.now;
+    sendTo(world, drain.successor, RegisterTransfer{world.onceRegister.seal()});
+}
+
+bool mustMove(const Request &request)
+{
+    if (request.phase == RequestPhase::Ended)
+        return !request.delivered;
+    return request.phase < RequestPhase::Moving && request.once.mayMove();
+}
+
+// Moves what this daemon can't finish. The grant of keyed work moves at its register, when the successor asks
+// there; from here on this daemon never dispatches it.
+void handOver(World &world)
+{
+    for (std::pair<const RequestId, Request> &entry : world.requests) {
+        Request &request = entry.second;
+        const bool running = request.phase == RequestPhase::Running;
+        if (running && request.spec->idempotent)
+            request.once.provedNotRun();
+        if (mustMove(request) && request.phase != RequestPhase::Ended) {
+            cancelAttempt(world, request);
+            request.once.move();
+            request.phase = RequestPhase::Moving;
+            sendHandover(world, request, world.drain.successor);
+        } else if (mustMove(request) || request.phase == RequestPhase::Moving) {
+            if (world.now - request.askedAt > CopyPatience)
+                sendHandover(world, request, world.drain.successor);
+        }
+    }
+    const Member *successor = world.members.find(world.drain.successor);
+    for (const std::pair<const CallerId, Follower> &entry : world.followers) {
+        if (successor)
+            world.out.push_back(
+                CallerMoved{entry.first, entry.second.request, successor->info.callerAddress});
+    }
+    if (successor)
+        world.followers.clear();
+}
+
+bool hasOpenWork(const World &world)
+{
+    const bool open = std::any_of(world.requests.begin(), world.requests.end(),
+                                  [](const std::pair<const RequestId, Request> &entry) {
+                                      return entry.second.isOpen() || mustMove(entry.second);
+                                  });
+    return open || !world.followers.empty();
+}
+
+// The notice is over. What is still open here is dispatched work that must not be repeated, or has no
+// successor: its callers get the honest last word now, not a broken connection.
+void lastWords(World &world)
+{
+    std::vector<RequestId> open;
+    for (const std::pair<const RequestId, Request> &entry : world.requests) {
+        if (entry.second.isOpen())
+            open.push_back(entry.first);
+    }
+    for (const RequestId &id : open)
+        conclude(world, world.requests.at(id), {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
+}
+
+void stop(World &world)
+{
+    if (world.drain.stopped)
+        return;
+    world.drain.stopped = true;
+    world.out.push_back(Stopped{});
+}
+
+} // namespace
+
+void startDrain(World &world, std::optional<DurationMs> notice)
+{
+    Drain &drain = world.drain;
+    const TimeMs endsAt
+        = world.now + (notice ? std::max(DurationMs{0}, *notice - LastWords) : world.drainLimit);
+    if (drain.active && endsAt >= drain.endsAt)
+        return;
+    if (!drain.active)
+        drain.startedAt = world.now;
+    drain.active = true;
+    drain.planned = !notice;
+    drain.endsAt = endsAt;
+    drain.handoverAt = notice ? world.now + *notice * PercentOfNoticeToStay / 100 : endsAt;
+    drain.quietSince = world.now;
+    addMark(world, {MarkKind::DaemonLeaving, {}, world.self(), {}}, {});
+    moveRegister(world);
+}
+
+void tickDrain(World &world)
+{
+    Drain &drain = world.drain;
+    if (!drain.active || drain.stopped)
+        return;
+    moveRegister(world);
+    if (drain.registerMoved && !world.members.isAlive(drain.successor))
+        chooseSuccessor(world); // For requests only: the register's way is written once.
+    if (world.now >= drain.handoverAt && drain.successor && isOn(Safeguard::HandoverOnReclaim))
+        handOver(world);
+
+    const bool alone = world.members.aliveCount() == 0;
+    if (hasOpenWork(world) || (!drain.registerMoved && !alone))
+        drain.quietSince = world.now;
+    if (world.now >= drain.endsAt)
+        lastWords(world);
+    if (world.now >= drain.endsAt || world.now - drain.quietSince >= QuietBeforeStop)
+        stop(world);
+}
+
+void onRegisterTransfer(World &world, Incarnation from, const RegisterTransfer &transfer)
+{
+    if (world.onceRegister.isSealed())
+        return; // Can't hand on what comes after the seal: no answer, and the sender chooses another.
+    world.onceRegister.adopt(transfer.sessions);
+    sendTo(world, from, RegisterTransferAck{});
+}
+
+void onRegisterTransferAck(World &world, Incarnation from)
+{
+    Drain &drain = world.drain;
+    if (!drain.active || drain.registerMoved || from != drain.successor)
+        return;
+    drain.registerMoved = true;
+    world.onceRegister.moveTo(from);
+    addMark(world, {MarkKind::DaemonMoved, {}, world.self(), from}, {});
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/fields.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "types.h"
+
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+template <typename T>
+using Result = boost::leaf::result<T>;
+
+/// Names the field that was wrong, as a path such as services[2].endpoints[0].slots, and says why.
+struct FieldError {
+    std::string path;
+    std::string message;
+};
+
+std::string toText(const FieldError &error);
+
+/// Reads the fields of one JSON object into an aggregate. Keeps the first error; finish() also reports
+/// fields that no one asked for, so that a misspelt name is never ignored.
+class FieldReader
+{
+public:
+    FieldReader(const boost::json::value &value, std::string path);
+
+    void required(const char *name, std::string &out);
+    void required(const char *name, Address &out);
+    template <typename Tag>
+    void required(const char *name, Name<Tag> &out)
+    {
+        required(name, out.value);
+    }
+    void optional(const char *name, bool &out);
+    void optional(const char *name, std::string &out);
+    void optional(const char *name, Address &out);
+    void optional(const char *name, DurationMs &out); ///< Milliseconds, from 1 to a day.
+    void optional(const char *name, uint32_t &out, uint32_t least, uint32_t most);
+    void optional(const char *name, double &out, double least, double most);
+
+    /// Array elements with their paths; empty if the field is absent and not required.
+    std::vector<std::pair<const boost::json::value *, std::string>> elements(const char *name,
+                                                                             bool isRequired);
+
+    void fail(const std::string &name, std::string message); ///< An error of meaning, on field `name`.
+    void adopt(const FieldError &error); ///< An error found in a nested object.
+    void markKnown(const char *name) { known_.insert(name); } ///< Read by another function.
+    bool ok() const { return !failed_; }
+    const std::string &path() const { return path_; }
+    const FieldError *finish(); ///< The first error, or nullptr.
+
+private:
+    const boost::json::value *find(const char *name, bool isRequired);
+    std::string pathOf(const std::string &name) const;
+
+    const boost::json::object *object_ = nullptr;
+    std::string path_;
+    std::set<std::string> known_;
+    FieldError error_;
+    bool failed_ = false;
+};
+
+/// Parses text as JSON; the error names the line.
+Result<boost::json::value> parseJson(const std::string &text);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/adminapi.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "configchange.h"
+#include "httpserver.h"
+
+#include <list>
+
+namespace cranberry {
+
+class Server;
+
+/// The operators' interface over HTTP, behind cranberryctl; also metrics, health and readiness.
+class AdminApi
+{
+public:
+    explicit AdminApi(Server &server) : server_(server) { }
+
+    void onRequest(const HttpExchangePtr &exchange);
+    void tick(); ///< Moves changes on that wait for confirmation.
+
+private:
+    struct Running; ///< A change of configuration on its way.
+    using RunningPtr = std::shared_ptr<Running>;
+
+    void getConfiguration(const HttpExchangePtr &exchange);
+    void diff(const HttpExchangePtr &exchange);
+    void putConfiguration(const HttpExchangePtr &exchange, const HttpTarget &target);
+    void getChange(const HttpExchangePtr &exchange, const std::string &id);
+    void getStatus(const HttpExchangePtr &exchange);
+    void getRequests(const HttpExchangePtr &exchange);
+    void drain(const HttpExchangePtr &exchange, const HttpTarget &target);
+    void advance(const RunningPtr &running);
+    void finish(const RunningPtr &running);
+
+    Server &server_;
+    std::list<RunningPtr> confirming_;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/callerapi.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "httpserver.h"
+#include "latency.h"
+#include "messages.h"
+
+#include <map>
+
+namespace cranberry {
+
+/// The callers' interface over HTTP (docs/CALLERS.md): turns requests into events and actions into responses.
+class CallerApi
+{
+public:
+    using Sink = std::function<void(Event)>;
+    using Clock = std::function<TimeMs()>;
+
+    CallerApi(Sink sink, Clock clock);
+
+    void onRequest(const HttpExchangePtr &exchange);
+
+    void handle(const CallerAccepted &action);
+    void handle(const CallerData &action);
+    void handle(const CallerEnd &action);
+    void handle(const CallerRefused &action);
+    void handle(const CallerMoved &action);
+    void handle(const CallerElsewhere &action);
+    void handle(const EntriesAnswer &action);
+
+    /// A comment to each stream that was idle for a while, so that callers notice a silent connection.
+    void tick();
+
+    const LatencyHistograms &latencies() const { return latencies_; }
+    size_t openCallers() const { return callers_.size(); }
+
+private:
+    struct Caller {
+        CallerId id;
+        HttpExchangePtr exchange;
+        bool stream = false;
+        bool streaming = false; ///< The response head is out.
+        std::string requestId;
+        std::string text; ///< What has come so far; only kept for callers that don't stream.
+        TimeMs arrivedAt;
+        TimeMs lastWrite;
+        bool gotText = false;
+    };
+
+    void submitChat(const HttpExchangePtr &exchange);
+    void submitPlain(const HttpExchangePtr &exchange, const std::string &path);
+    void resume(const HttpExchangePtr &exchange, const HttpTarget &target);
+    void entries(const HttpExchangePtr &exchange, const HttpTarget &target);
+    Caller &open(const HttpExchangePtr &exchange, bool stream);
+    Caller *find(CallerId id);
+    void beginStream(Caller &caller);
+    void close(CallerId id);
+
+    Sink sink_;
+    Clock clock_;
+    std::map<CallerId, Caller> callers_;
+    uint64_t nextCaller_ = 1;
+    LatencyHistograms latencies_;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/httpclient.cpp
@@ -0,0 +1,291 @@
+#include "httpclient.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t MaxIdlePerAddress = 64;
+constexpr std::chrono::seconds IdleLimit{3}; ///< Well below any server's own.
+constexpr size_t ReadBytes = 16U << 10;
+
+using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+
+struct IdleConnection {
+    StreamPtr stream;
+    std::chrono::steady_clock::time_point since;
+};
+
+std::chrono::milliseconds toChrono(DurationMs duration)
+{
+    return std::chrono::milliseconds(duration.count);
+}
+
+class ClientCall;
+
+} // namespace
+
+struct HttpClient::State {
+    explicit State(asio::io_context &io) : io(io) { }
+
+    StreamPtr takeIdle(const Address &address);
+    void keep(const Address &address, StreamPtr stream);
+
+    asio::io_context &io;
+    std::map<Address, std::vector<IdleConnection>> idle;
+    std::map<uint64_t, std::shared_ptr<ClientCall>> calls;
+    uint64_t next = 1;
+};
+
+namespace {
+
+/// One request on one connection.
+class ClientCall : public std::enable_shared_from_this<ClientCall>
+{
+public:
+    using Keep = std::function<void(StreamPtr)>;
+
+    ClientCall(HttpCall call, HttpCallbacks callbacks, std::function<void()> onGone, Keep keep)
+        : call_(std::move(call)), callbacks_(std::move(callbacks)), onGone_(std::move(onGone)),
+          keep_(std::move(keep))
+    {
+        message_.version(11);
+        message_.method_string(call_.request.method);
+        message_.target(call_.request.target);
+        message_.set(http::field::host, toText(call_.address));
+        for (const HttpHeader &header : call_.request.headers)
+            message_.set(header.name, header.value);
+        message_.body() = std::move(call_.request.body);
+        message_.prepare_payload();
+        parser_.body_limit(boost::none);
+        chunk_.resize(ReadBytes);
+    }
+
+    void startOn(StreamPtr kept)
+    {
+        stream_ = std::move(kept);
+        write();
+    }
+
+    void connect(asio::io_context &io)
+    {
+        stream_ = std::make_unique<beast::tcp_stream>(io);
+        beast::error_code code;
+        const asio::ip::address ip = asio::ip::make_address(call_.address.host, code);
+        if (code) {
+            asio::post(io, [self = shared_from_this()] { self->done(HttpFailure::NotSent); });
+            return;
+        }
+        stream_->expires_after(toChrono(call_.connectTimeout));
+        stream_->async_connect(
+            tcp::endpoint(ip, call_.address.port),
+            [self = shared_from_this()](beast::error_code error) { self->onConnected(error); });
+    }
+
+    void cancel()
+    {
+        gone_ = true;
+        callbacks_ = {};
+        if (stream_)
+            stream_->close();
+    }
+
+private:
+    void onConnected(beast::error_code code)
+    {
+        if (gone_)
+            return;
+        if (code)
+            return done(HttpFailure::NotSent);
+        beast::error_code ignored;
+        stream_->socket().set_option(tcp::no_delay(true), ignored);
+        write();
+    }
+
+    void write()
+    {
+        stream_->expires_after(toChrono(call_.progressTimeout));
+        http::async_write(*stream_, message_, [self = shared_from_this()](beast::error_code code, size_t) {
+            if (!self->gone_ && code)
+                return self->done(HttpFailure::Broken);
+            if (!self->gone_)
+                self->readHead();
+        });
+    }
+
+    void readHead()
+    {
+        stream_->expires_after(toChrono(call_.progressTimeout));
+        http::async_read_header(*stream_, buffer_, parser_,
+                                [self = shared_from_this()](beast::error_code code, size_t) {
+                                    if (!self->gone_)
+                                        self->onHead(code);
+                                });
+    }
+
+    void onHead(beast::error_code code)
+    {
+        if (code)
+            return done(failureOf(code));
+        HttpHeaders headers;
+        for (const http::fields::value_type &field : parser_.get())
+            headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        if (callbacks_.onHead)
+            callbacks_.onHead(static_cast<int>(parser_.get().result_int()), headers);
+        if (!gone_)
+            readBody();
+    }
+
+    void readBody()
+    {
+        if (parser_.is_done())
+            return whole();
+        parser_.get().body().data = chunk_.data();
+        parser_.get().body().size = chunk_.size();
+        stream_->expires_after(toChrono(call_.progressTimeout));
+        http::async_read_some(*stream_, buffer_, parser_,
+                              [self = shared_from_this()](beast::error_code code, size_t) {
+                                  if (!self->gone_)
+                                      self->onBody(code);
+                              });
+    }
+
+    void onBody(beast::error_code code)
+    {
+        const size_t size = chunk_.size() - parser_.get().body().size;
+        if (size > 0 && callbacks_.onData)
+            callbacks_.onData(chunk_.data(), size);
+        if (gone_)
+            return;
+        if (code && code != http::error::need_buffer)
+            return done(failureOf(code));
+        readBody();
+    }
+
+    static HttpFailure failureOf(beast::error_code code)
+    {
+        return code == beast::error::timeout ? HttpFailure::Silent : HttpFailure::Broken;
+    }
+
+    void whole()
+    {
+        if (parser_.get().keep_alive())
+            keep_(std::move(stream_));
+        done(HttpFailure::None);
+    }
+
+    void done(HttpFailure failure)
+    {
+        if (gone_)
+            return;
+        gone_ = true;
+        const HttpCallbacks callbacks = std::move(callbacks_);
+        onGone_();
+        if (callbacks.onDone)
+            callbacks.onDone(failure);
+    }
+
+    HttpCall call_;
+    HttpCallbacks callbacks_;
+    std::function<void()> onGone_;
+    Keep keep_;
+    StreamPtr stream_;
+    http::request<http::string_body> message_;
+    http::response_parser<http::buffer_body> parser_;
+    beast::flat_buffer buffer_;
+    std::vector<char> chunk_;
+    bool gone_ = false;
+};
+
+} // namespace
+
+StreamPtr HttpClient::State::takeIdle(const Address &address)
+{
+    std::vector<IdleConnection> &kept = idle[address];
+    while (!kept.empty()) {
+        IdleConnection last = std::move(kept.back());
+        kept.pop_back();
+        beast::error_code code;
+        const bool quiet = last.stream->socket().available(code) == 0 && !code;
+        if (quiet && std::chrono::steady_clock::now() - last.since < IdleLimit)
+            return std::move(last.stream);
+    }
+    return nullptr;
+}
+
+void HttpClient::State::keep(const Address &address, StreamPtr stream)
+{
+    std::vector<IdleConnection> &kept = idle[address];
+    stream->expires_never();
+    if (kept.size() < MaxIdlePerAddress)
+        kept.push_back({std::move(stream), std::chrono::steady_clock::now()});
+}
+
+HttpClient::HttpClient(asio::io_context &io) : state_(std::make_shared<State>(io)) { }
+
+HttpClient::~HttpClient()
+{
+    for (const std::pair<const uint64_t, std::shared_ptr<ClientCall>> &entry : state_->calls)
+        entry.second->cancel();
+}
+
+uint64_t HttpClient::start(HttpCall call, HttpCallbacks callbacks)
+{
+    const uint64_t id = state_->next++;
+    const Address address = call.address;
+    const bool fresh = call.freshConnection;
+    std::weak_ptr<State> weak = state_;
+    std::shared_ptr<ClientCall> running = std::make_shared<ClientCall>(
+        std::move(call), std::move(callbacks),
+        [weak, id] {
+            if (std::shared_ptr<State> state = weak.lock())
+                state->calls.erase(id);
+        },
+        [weak, address](StreamPtr stream) {
+            if (std::shared_ptr<State> state = weak.lock())
+                state->keep(address, std::move(stream));
+        });
+    state_->calls[id] = running;
+    StreamPtr kept = fresh ? nullptr : state_->takeIdle(address);
+    if (kept)
+        running->startOn(std::move(kept));
+    else
+        running->connect(state_->io);
+    return id;
+}
+
+void HttpClient::cancel(uint64_t call)
+{
+    auto found = state_->calls.find(call);
+    if (found == state_->calls.end())
+        return;
+    const std::shared_ptr<ClientCall> running = found->second;
+    state_->calls.erase(found);
+    running->cancel();
+}
+
+void HttpClient::fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone)
+{
+    std::shared_ptr<HttpResponse> response = std::make_shared<HttpResponse>();
+    HttpCallbacks callbacks;
+    callbacks.onHead = [response](int status, const HttpHeaders &headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    callbacks.onData = [response](const char *data, size_t size) { response->body.append(data, size); };
+    callbacks.onDone = [response, onDone = std::move(onDone)](HttpFailure failure) {
+        response->failure = failure;
+        onDone(*response);
+    };
+    start(std::move(call), std::move(callbacks));
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/httpserver.cpp
@@ -0,0 +1,307 @@
+#include "httpserver.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace cranberry {
+
+namespace {
+
+constexpr std::chrono::seconds WriteTimeout{20};
+
+template <typename Buffers>
+void append(std::string &out, const Buffers &buffers)
+{
+    for (auto it = asio::buffer_sequence_begin(buffers); it != asio::buffer_sequence_end(buffers); ++it) {
+        const asio::const_buffer buffer(*it);
+        out.append(static_cast<const char *>(buffer.data()), buffer.size());
+    }
+}
+
+// Serialises a whole message, or only its header for a chunked one, with Beast's serializer.
+template <typename Body>
+std::string serialised(http::response<Body> &message, bool headerOnly)
+{
+    std::string out;
+    http::response_serializer<Body> serializer(message);
+    serializer.split(headerOnly);
+    beast::error_code code;
+    while (!code && !(headerOnly ? serializer.is_header_done() : serializer.is_done())) {
+        size_t used = 0;
+        serializer.next(code, [&out, &used](beast::error_code &, const auto &buffers) {
+            append(out, buffers);
+            used = beast::buffer_bytes(buffers);
+        });
+        serializer.consume(used);
+    }
+    return out;
+}
+
+} // namespace
+
+struct HttpServer::Listener : std::enable_shared_from_this<HttpServer::Listener> {
+    Listener(asio::io_context &io, const HttpServerLimits &limits, HttpHandler handler)
+        : io(io), acceptor(io), limits(limits), handler(std::move(handler))
+    { }
+
+    void listen(const Address &address)
+    {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        accept();
+    }
+    void accept();
+
+    asio::io_context &io;
+    tcp::acceptor acceptor;
+    HttpServerLimits limits;
+    HttpHandler handler;
+    HttpServerCounters counters;
+};
+
+namespace {
+
+using ListenerPtr = std::shared_ptr<void>;
+
+} // namespace
+
+/// One connection; serves its requests one after the other.
+class HttpConnection : public HttpExchange, public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(tcp::socket socket, const HttpServerLimits &limits, const HttpHandler &handler,
+                   HttpServerCounters &counters, ListenerPtr keepAlive)
+        : stream_(std::move(socket)), limits_(limits), handler_(handler), counters_(counters),
+          keepAlive_(std::move(keepAlive))
+    {
+        beast::error_code ignored;
+        stream_.socket().set_option(tcp::no_delay(true), ignored);
+    }
+
+    void readNext()
+    {
+        parser_.emplace();
+        parser_->header_limit(limits_.maxHeaderBytes);
+        parser_->body_limit(limits_.maxBodyBytes);
+        stream_.expires_after(std::chrono::milliseconds(limits_.readTimeout.count));
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](beast::error_code code, size_t) { self->onRead(code); });
+    }
+
+    const HttpRequest &request() const override { return request_; }
+
+    void respond(int status, const HttpHeaders &headers, const std::string &body) override
+    {
+        http::response<http::string_body> message{static_cast<http::status>(status), 11};
+        setHeaders(message, headers);
+        message.body() = body;
+        message.prepare_payload();
+        out_ += serialised(message, false);
+        finish();
+    }
+
+    void beginStream(int status, const HttpHeaders &headers) override
+    {
+        http::response<http::empty_body> message{static_cast<http::status>(status), 11};
+        setHeaders(message, headers);
+        message.chunked(true);
+        out_ += serialised(message, true);
+        chunked_ = true;
+        flush();
+    }
+
+    void write(const std::string &data) override
+    {
+        if (closed_ || data.empty())
+            return;
+        append(out_, http::make_chunk(asio::buffer(data)));
+        flush();
+    }
+
+    void finish() override
+    {
+        if (closed_)
+            return;
+        if (chunked_)
+            append(out_, http::make_chunk_last());
+        finished_ = true;
+        flush();
+    }
+
+    void abort() override { close(); }
+    void onClosed(std::function<void()> callback) override { onClosed_ = std::move(callback); }
+    size_t pendingBytes() const override { return out_.size() + writing_.size(); }
+
+private:
+    template <typename Message>
+    void setHeaders(Message &message, const HttpHeaders &headers)
+    {
+        for (const HttpHeader &header : headers)
+            message.set(header.name, header.value);
+        message.keep_alive(keepAliveAsked_);
+    }
+
+    void onRead(beast::error_code code)
+    {
+        if (code == http::error::body_limit || code == http::error::header_limit) {
+            ++counters_.tooLarge;
+            return refuse(code == http::error::body_limit ? 413 : 431, "too large");
+        }
+        if (code == beast::error::timeout)
+            ++counters_.timeouts;
+        else if (code && code != http::error::end_of_stream
+                 && code.category() == http::make_error_code(http::error::bad_method).category()) {
+            ++counters_.badRequests;
+            return refuse(400, "malformed HTTP: " + code.message());
+        }
+        if (code)
+            return close();
+        http::request<http::string_body> message = parser_->release();
+        request_ = {};
+        request_.method = std::string(message.method_string());
+        request_.target = std::string(message.target());
+        for (const http::fields::value_type &field : message)
+            request_.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        request_.body = std::move(message.body());
+        keepAliveAsked_ = message.keep_alive();
+        finished_ = false;
+        chunked_ = false;
+        stream_.expires_never();
+        watchClose();
+        handler_(shared_from_this());
+    }
+
+    void refuse(int status, const std::string &why)
+    {
+        keepAliveAsked_ = false;
+        finished_ = false;
+        respond(status, {{"Content-Type", "application/json"}},
+                "{\"outcome\":\"notRun\",\"reason\":\"badRequest\",\"message\":\"" + why + "\"}");
+    }
+
+    // The caller's going away is seen as a readable socket without data.
+    void watchClose()
+    {
+        stream_.socket().async_wait(tcp::socket::wait_read,
+                                    [self = shared_from_this()](beast::error_code code) {
+                                        if (code || self->finished_ || self->closed_)
+                                            return;
+                                        beast::error_code ignored;
+                                        if (self->stream_.socket().available(ignored) == 0)
+                                            self->close();
+                                    });
+    }
+
+    void flush()
+    {
+        if (busy_ || closed_ || out_.empty())
+            return;
+        busy_ = true;
+        writing_.swap(out_);
+        stream_.expires_after(WriteTimeout);
+        asio::async_write(
+            stream_, asio::buffer(writing_),
+            [self = shared_from_this()](beast::error_code code, size_t) { self->onWritten(code); });
+    }
+
+    void onWritten(beast::error_code code)
+    {
+        busy_ = false;
+        writing_.clear();
+        if (code)
+            return close();
+        if (!out_.empty())
+            return flush();
+        if (!finished_) {
+            stream_.expires_never();
+            return;
+        }
+        onClosed_ = nullptr;
+        beast::error_code ignored;
+        stream_.socket().cancel(ignored);
+        if (keepAliveAsked_)
+            readNext();
+        else
+            close();
+    }
+
+    void close()
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        beast::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        stream_.close();
+        const std::function<void()> callback = std::move(onClosed_);
+        onClosed_ = nullptr;
+        if (callback)
+            callback();
+    }
+
+    beast::tcp_stream stream_;
+    HttpServerLimits limits_;
+    const HttpHandler &handler_;
+    HttpServerCounters &counters_;
+    ListenerPtr keepAlive_; ///< Owner of the two references above.
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    HttpRequest request_;
+    std::string out_;
+    std::string writing_;
+    std::function<void()> onClosed_;
+    bool busy_ = false;
+    bool closed_ = false;
+    bool finished_ = false;
+    bool chunked_ = false;
+    bool keepAliveAsked_ = true;
+};
+
+void HttpServer::Listener::accept()
+{
+    acceptor.async_accept(io, [self = shared_from_this()](beast::error_code code, tcp::socket socket) {
+        if (code == asio::error::operation_aborted)
+            return;
+        if (!code) {
+            ++self->counters.connections;
+            std::make_shared<HttpConnection>(std::move(socket), self->limits, self->handler, self->counters,
+                                             self)
+                ->readNext();
+        }
+        self->accept();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context &io, const Address &address, const HttpServerLimits &limits,
+                       HttpHandler handler)
+    : listener_(std::make_shared<Listener>(io, limits, std::move(handler)))
+{
+    listener_->listen(address);
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+const HttpServerCounters &HttpServer::counters() const
+{
+    return listener_->counters;
+}
+
+void HttpServer::stopAccepting()
+{
+    beast::error_code ignored;
+    listener_->acceptor.close(ignored);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/httptypes.cpp
@@ -0,0 +1,54 @@
+#include "httptypes.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+
+namespace cranberry {
+
+namespace {
+
+std::string percentDecoded(const std::string &text)
+{
+    std::string out;
+    for (size_t i = 0; i < text.size(); ++i) {
+        unsigned int code = 0;
+        const bool escaped = text[i] == '%' && i + 2 < text.size();
+        if (escaped && std::from_chars(&text[i + 1], &text[i + 1] + 2, code, 16).ptr == &text[i + 1] + 2) {
+            out += static_cast<char>(code);
+            i += 2;
+        } else {
+            out += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::string headerOf(const HttpHeaders &headers, const std::string &name)
+{
+    for (const HttpHeader &header : headers) {
+        if (boost::algorithm::iequals(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+HttpTarget parseTarget(const std::string &target)
+{
+    HttpTarget out;
+    const size_t question = target.find('?');
+    out.path = target.substr(0, question);
+    size_t start = question;
+    while (start != std::string::npos) {
+        const size_t end = target.find('&', start + 1);
+        const std::string field = target.substr(start + 1, end == std::string::npos ? end : end - start - 1);
+        const size_t equals = field.find('=');
+        const std::string value = equals == std::string::npos ? "" : field.substr(equals + 1);
+        out.query.push_back({percentDecoded(field.substr(0, equals)), percentDecoded(value)});
+        start = end;
+    }
+    return out;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/peerlink.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "peercodec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+/// Carries peer messages by gRPC, one unary call each. Nothing is repeated here: the core does that.
+class PeerLink
+{
+public:
+    using Receiver = std::function<void(PeerInbound)>;
+
+    /// Listens on `address`; messages arrive on the io_context's thread. Empty on failure to listen.
+    static std::unique_ptr<PeerLink> open(boost::asio::io_context &io, const Address &address,
+                                          Incarnation self, Receiver receiver);
+    ~PeerLink();
+
+    void send(const SendPeer &message);
+    uint64_t bytesSent() const;
+
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+private:
+    struct State;
+    explicit PeerLink(std::shared_ptr<State> state) : state_(std::move(state)) { }
+    std::shared_ptr<State> state_;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/platform.cpp
@@ -0,0 +1,323 @@
+#include "platform.h"
+
+#include "logging.h"
+
+#include <openssl/evp.h>
+
+namespace json = boost::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr const char *ConfigurationKey = "/cranberry/configuration";
+constexpr const char *OncePrefix = "/cranberry/once/";
+constexpr DurationMs CallTimeout{1500};
+constexpr DurationMs ReadInterval{3000}; ///< Stands behind the watch, which can go silent.
+constexpr DurationMs WatchTimeout{15000};
+constexpr DurationMs WatchPause{500};
+constexpr DurationMs NoticeInterval{400};
+constexpr uint32_t MaxOnceTries = 8;
+
+std::string toBase64(const std::string &text)
+{
+    std::string out(4 * ((text.size() + 2) / 3), '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                    reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    return out;
+}
+
+std::string fromBase64(const std::string &text)
+{
+    std::string out(3 * (text.size() / 4), '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                     reinterpret_cast<const unsigned char *>(text.data()),
+                                     static_cast<int>(text.size()));
+    size_t padding = 0;
+    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
+        ++padding;
+    out.resize(size < 0 ? 0 : static_cast<size_t>(size) - padding);
+    return out;
+}
+
+// The interface writes 64-bit numbers as strings.
+uint64_t numberAt(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    if (!field)
+        return 0;
+    if (field->is_string())
+        return std::strtoull(field->as_string().c_str(), nullptr, 10);
+    return field->is_number() ? field->to_number<uint64_t>() : 0;
+}
+
+std::string textAt(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    return field && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+const json::value *firstOf(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    const json::array *array = field ? field->if_array() : nullptr;
+    return array && !array->empty() ? &array->front() : nullptr;
+}
+
+json::value parsedOrNull(const std::string &text)
+{
+    json::error_code code;
+    json::value value = json::parse(text, code);
+    return code ? json::value() : value;
+}
+
+std::string encodeRecord(const OnceRecord &record)
+{
+    return json::serialize(json::object{{"state", static_cast<int>(record.state)},
+                                        {"refusedThrough", record.refusedThrough},
+                                        {"holder", std::to_string(record.holder.value)},
+                                        {"request", toText(record.request)}});
+}
+
+OnceRecord decodeRecord(const std::string &text)
+{
+    OnceRecord record;
+    const json::value value = parsedOrNull(text);
+    record.state = static_cast<OnceState>(std::min<uint64_t>(numberAt(value, "state"), 2));
+    record.refusedThrough = static_cast<uint32_t>(numberAt(value, "refusedThrough"));
+    record.holder = {numberAt(value, "holder")};
+    record.request = requestIdFromText(textAt(value, "request")).value_or(RequestId{});
+    return record;
+}
+
+} // namespace
+
+Platform::Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink)
+    : io_(io), http_(http), address_(address), sink_(std::move(sink))
+{ }
+
+void Platform::start()
+{
+    readLoop();
+    watch();
+    noticeLoop();
+}
+
+void Platform::after(DurationMs wait, std::function<void()> action)
+{
+    std::shared_ptr<boost::asio::steady_timer> timer
+        = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(wait.count));
+    timer->async_wait([timer, weak = std::weak_ptr<bool>(alive_),
+                       action = std::move(action)](const boost::system::error_code &code) {
+        if (!code && weak.lock())
+            action();
+    });
+}
+
+void Platform::post(const std::string &target, std::string body,
+                    std::function<void(const HttpResponse &)> onDone)
+{
+    HttpCall call;
+    call.address = address_;
+    call.request = {"POST", target, {{"Content-Type", "application/json"}}, std::move(body)};
+    call.progressTimeout = CallTimeout;
+    http_.fetch(
+        std::move(call),
+        [this, weak = std::weak_ptr<bool>(alive_), onDone = std::move(onDone)](const HttpResponse &response) {
+            if (!weak.lock())
+                return;
+            const bool ok = response.failure == HttpFailure::None && response.status == 200;
+            failures_ += ok ? 0 : 1;
+            if (ok != reachable_) {
+                reachable_ = ok;
+                logChange(ok ? "platformReachable" : "platformSilent", "address={}", toText(address_));
+            }
+            onDone(response);
+        });
+}
+
+void Platform::range(const std::string &key, std::function<void(const Value &)> onDone)
+{
+    ++reads_;
+    post("/v3/kv/range", json::serialize(json::object{{"key", toBase64(key)}}),
+         [onDone = std::move(onDone)](const HttpResponse &response) {
+             Value value;
+             const json::value body = parsedOrNull(response.body);
+             value.known
+                 = response.failure == HttpFailure::None && response.status == 200 && body.is_object();
+             if (const json::value *found = firstOf(body, "kvs")) {
+                 value.text = fromBase64(textAt(*found, "value"));
+                 value.modRevision = numberAt(*found, "mod_revision");
+             }
+             onDone(value);
+         });
+}
+
+void Platform::compareAndSwap(const std::string &key, uint64_t modRevision, const std::string &value,
+                              std::function<void(ConfigurationChange::Write, Revision)> onDone)
+{
+    ++writes_;
+    const json::object compare{{"key", toBase64(key)},
+                               {"target", "MOD"},
+                               {"result", "EQUAL"},
+                               {"mod_revision", std::to_string(modRevision)}};
+    const json::object put{{"request_put", json::object{{"key", toBase64(key)}, {"value", toBase64(value)}}}};
+    const json::object body{{"compare", json::array{compare}}, {"success", json::array{put}}};
+    post("/v3/kv/txn", json::serialize(body), [onDone = std::move(onDone)](const HttpResponse &response) {
+        // No byte left, or the service's own refusal: surely not written. Everything else may have been.
+        if (response.failure == HttpFailure::NotSent)
+            return onDone(ConfigurationChange::Write::Failed, {});
+        const json::value answer = parsedOrNull(response.body);
+        if (response.failure != HttpFailure::None || response.status != 200 || !answer.is_object())
+            return onDone(ConfigurationChange::Write::Lost, {});
+        const json::value *succeeded = answer.as_object().if_contains("succeeded");
+        const json::value *header = answer.as_object().if_contains("header");
+        const bool held = succeeded && succeeded->is_bool() && succeeded->as_bool();
+        onDone(held ? ConfigurationChange::Write::Held : ConfigurationChange::Write::Failed,
+               {header ? numberAt(*header, "revision") : 0});
+    });
+}
+
+void Platform::readConfiguration(std::function<void(std::optional<StoredConfiguration>)> onDone)
+{
+    range(ConfigurationKey, [onDone = std::move(onDone)](const Value &value) {
+        if (!value.known)
+            return onDone(std::nullopt);
+        StoredConfiguration stored;
+        if (value.modRevision != 0) {
+            const bool readable = boost::leaf::try_handle_all(
+                [&]() -> Result<bool> {
+                    BOOST_LEAF_ASSIGN(stored, decodeStored(value.text, {value.modRevision}));
+                    return true;
+                },
+                [] { return false; });
+            if (!readable)
+                return onDone(std::nullopt);
+        }
+        onDone(stored);
+    });
+}
+
+void Platform::writeConfiguration(const StoredConfiguration &stored,
+                                  std::function<void(ConfigurationChange::Write, Revision)> onDone)
+{
+    compareAndSwap(ConfigurationKey, stored.revision.value, encodeStored(stored), std::move(onDone));
+}
+
+void Platform::readLoop()
+{
+    readConfiguration([this](const std::optional<StoredConfiguration> &stored) {
+        if (stored && stored->revision.value != 0)
+            sink_(ConfigurationSeen{stored->revision, stored->text});
+        else if (!stored)
+            sink_(PlatformSilent{});
+        after(stored ? ReadInterval : WatchPause, [this] { readLoop(); });
+    });
+}
+
+// A watch only hastens the next reading: what it says is never taken over itself, so a gap in it costs time
+// and nothing else. It is opened anew when it has been silent for long.
+void Platform::watch()
+{
+    ++reads_;
+    HttpCall call;
+    call.address = address_;
+    const json::object create{{"create_request", json::object{{"key", toBase64(ConfigurationKey)}}}};
+    call.request = {"POST", "/v3/watch", {{"Content-Type", "application/json"}}, json::serialize(create)};
+    call.progressTimeout = WatchTimeout;
+    HttpCallbacks callbacks;
+    std::weak_ptr<bool> weak = alive_;
+    callbacks.onData = [this, weak](const char *data, size_t size) {
+        if (weak.lock())
+            onWatchData(data, size);
+    };
+    callbacks.onDone = [this, weak](HttpFailure) {
+        if (!weak.lock())
+            return;
+        watchBuffer_.clear();
+        after(WatchPause, [this] { watch(); });
+    };
+    http_.start(std::move(call), std::move(callbacks));
+}
+
+void Platform::onWatchData(const char *data, size_t size)
+{
+    watchBuffer_.append(data, size);
+    const size_t end = watchBuffer_.rfind('\n');
+    if (end == std::string::npos)
+        return;
+    const bool changed = watchBuffer_.find("\"events\"") < end;
+    watchBuffer_.erase(0, end + 1);
+    if (!changed)
+        return;
+    readConfiguration([this](const std::optional<StoredConfiguration> &stored) {
+        if (stored && stored->revision.value != 0)
+            sink_(ConfigurationSeen{stored->revision, stored->text});
+    });
+}
+
+void Platform::noticeLoop()
+{
+    HttpCall call;
+    call.address = address_;
+    call.request = {"GET", "/cloud/instances", {}, ""};
+    call.progressTimeout = CallTimeout;
+    http_.fetch(std::move(call), [this, weak = std::weak_ptr<bool>(alive_)](const HttpResponse &response) {
+        if (!weak.lock())
+            return;
+        if (response.failure == HttpFailure::None && response.status == 200)
+            onNotices(response.body);
+        after(NoticeInterval, [this] { noticeLoop(); });
+    });
+}
+
+void Platform::onNotices(const std::string &body)
+{
+    const json::value parsed = parsedOrNull(body);
+    const json::object *object = parsed.if_object();
+    const json::value *instances = object ? object->if_contains("instances") : nullptr;
+    if (!instances || !instances->is_array())
+        return;
+    for (const json::value &instance : instances->as_array()) {
+        const std::string name = textAt(instance, "name");
+        if (textAt(instance, "state") != "leaving" || noticesSeen_.contains(name))
+            continue;
+        const DurationMs notice{static_cast<int64_t>(numberAt(instance, "noticeMs"))};
+        noticesSeen_[name] = notice;
+        logChange("instanceLeaving", "instance={} noticeMs={}", name, notice.count);
+        sink_(LeavingSeen{{name}, notice});
+    }
+}
+
+void Platform::ask(const OnceQuestion &question, Incarnation asker)
+{
+    askAgain(question, asker, 0);
+}
+
+// Read, apply the register's rule, compare-and-swap. A lost answer is read again: the rule gives the same
+// verdict to the same request, so a write that took effect is recognised.
+void Platform::askAgain(const OnceQuestion &question, Incarnation asker, uint32_t tries)
+{
+    const std::string key = OncePrefix + question.key.bare;
+    range(key, [this, question, asker, key, tries](const Value &value) {
+        const PlatformOnceReply silent{{question.request, question.action, {}}, false};
+        if (!value.known || tries >= MaxOnceTries)
+            return sink_(silent);
+        OnceRecord record = value.modRevision ? decodeRecord(value.text) : OnceRecord{};
+        const OnceRecord before = record;
+        const OnceAnswer answer = applyOnce(record, question, asker);
+        if (record == before)
+            return sink_(PlatformOnceReply{{question.request, question.action, answer}, true});
+        compareAndSwap(key, value.modRevision, encodeRecord(record),
+                       [this, question, asker, answer, tries](ConfigurationChange::Write outcome, Revision) {
+                           if (outcome != ConfigurationChange::Write::Held)
+                               return askAgain(question, asker, tries + 1);
+                           sink_(PlatformOnceReply{{question.request, question.action, answer}, true});
+                       });
+    });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/platform.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "configchange.h"
+#include "httpclient.h"
+#include "messages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+
+namespace cranberry {
+
+/// The platform's key-value service through etcd's published v3 JSON interface (range, txn, watch), and the
+/// cloud's list of instances. Another platform replaces this file.
+class Platform
+{
+public:
+    using Sink = std::function<void(Event)>;
+
+    Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink);
+
+    /// Reads and watches the configuration, and polls the cloud's notices, until the object goes.
+    void start();
+
+    void readConfiguration(std::function<void(std::optional<StoredConfiguration>)> onDone);
+    /// Compare-and-swap on `stored.revision`.
+    void writeConfiguration(const StoredConfiguration &stored,
+                            std::function<void(ConfigurationChange::Write, Revision)> onDone);
+    /// Applies the question to the record of a bare key by compare-and-swap.
+    void ask(const OnceQuestion &question, Incarnation asker);
+
+    uint64_t reads() const { return reads_; }
+    uint64_t writes() const { return writes_; }
+    uint64_t failures() const { return failures_; }
+
+private:
+    struct Value {
+        bool known = false; ///< False: the service did not answer.
+        std::string text;
+        uint64_t modRevision = 0;
+    };
+
+    void range(const std::string &key, std::function<void(const Value &)> onDone);
+    void compareAndSwap(const std::string &key, uint64_t modRevision, const std::string &value,
+                        std::function<void(ConfigurationChange::Write, Revision)> onDone);
+    void post(const std::string &target, std::string body, std::function<void(const HttpResponse &)> onDone);
+    void readLoop();
+    void watch();
+    void onWatchData(const char *data, size_t size);
+    void noticeLoop();
+    void onNotices(const std::string &body);
+    void askAgain(const OnceQuestion &question, Incarnation asker, uint32_t tries);
+    void after(DurationMs wait, std::function<void()> action);
+
+    boost::asio::io_context &io_;
+    HttpClient &http_;
+    Address address_;
+    Sink sink_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::string watchBuffer_;
+    std::map<std::string, DurationMs> noticesSeen_;
+    bool reachable_ = false;
+    uint64_t reads_ = 0;
+    uint64_t writes_ = 0;
+    uint64_t failures_ = 0;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/server.cpp
@@ -0,0 +1,197 @@
+#include "server.h"
+
+#include "adminapi.h"
+#include "logging.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <openssl/rand.h>
+
+namespace cranberry {
+
+namespace {
+
+constexpr uint64_t TicksPerKeepAlive = 10;
+
+uint64_t randomNumber()
+{
+    uint64_t value = 0;
+    while (value == 0) {
+        if (RAND_bytes(reinterpret_cast<unsigned char *>(&value), sizeof(value)) != 1)
+            std::abort();
+    }
+    return value;
+}
+
+Identity identityOf(const Settings &settings)
+{
+    Identity identity;
+    identity.member = {{randomNumber()},
+                       settings.instance,
+                       settings.failureDomain,
+                       settings.callerAddress,
+                       settings.peerAddress,
+                       1,
+                       {0}};
+    identity.seeds = settings.peers;
+    identity.entryKeep = settings.entryKeep;
+    identity.answerKeep = settings.answerKeep;
+    identity.drainLimit = settings.drainLimit;
+    identity.seed = randomNumber();
+    return identity;
+}
+
+} // namespace
+
+Server::Server(Settings settings)
+    : settings_(std::move(settings)), timer_(io_), signals_(io_, SIGTERM, SIGINT),
+      daemon_(identityOf(settings_)), http_(io_),
+      platform_(io_, http_, settings_.platformAddress, [this](Event event) { post(std::move(event)); }),
+      endpoints_(http_, [this](Event event) { post(std::move(event)); }),
+      callers_([this](Event event) { post(std::move(event)); }, [this] { return now(); })
+{ }
+
+Server::~Server() = default;
+
+TimeMs Server::now() const
+{
+    const std::chrono::steady_clock::duration since = std::chrono::steady_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+}
+
+// Events that come up while actions are performed wait for their turn, so that the core is never entered
+// twice.
+void Server::post(Event event)
+{
+    pending_.push_back(std::move(event));
+    if (stepping_)
+        return;
+    stepping_ = true;
+    while (!pending_.empty()) {
+        const Event next = std::move(pending_.front());
+        pending_.pop_front();
+        const std::vector<Action> actions = daemon_.step(now(), next);
+        for (const Action &action : actions)
+            perform(action);
+    }
+    stepping_ = false;
+}
+
+void Server::perform(const Action &action)
+{
+    struct Performer {
+        Server &server;
+
+        void operator()(const SendPeer &a) const { server.peers_->send(a); }
+        void operator()(const StartAttempt &a) const { server.endpoints_.start(a); }
+        void operator()(const CancelAttempt &a) const { server.endpoints_.cancel(a.attempt); }
+        void operator()(const AskPlatform &a) const
+        {
+            server.platform_.ask(a.question, server.daemon_.world().self());
+        }
+        void operator()(const ConfigurationInForce &a) const
+        {
+            logChange("configurationInForce", "instance={} revision={}", server.settings_.instance.value,
+                      a.revision.value);
+        }
+        void operator()(const Stopped &) const { server.stop(); }
+        void operator()(const CallerAccepted &a) const { server.callers_.handle(a); }
+        void operator()(const CallerData &a) const { server.callers_.handle(a); }
+        void operator()(const CallerEnd &a) const { server.callers_.handle(a); }
+        void operator()(const CallerRefused &a) const { server.callers_.handle(a); }
+        void operator()(const CallerMoved &a) const { server.callers_.handle(a); }
+        void operator()(const CallerElsewhere &a) const { server.callers_.handle(a); }
+        void operator()(const EntriesAnswer &a) const { server.callers_.handle(a); }
+    };
+    std::visit(Performer{*this}, action);
+}
+
+void Server::tick()
+{
+    timer_.expires_after(std::chrono::milliseconds(TickInterval.count));
+    timer_.async_wait([this](const boost::system::error_code &code) {
+        if (code)
+            return;
+        post(Tick{});
+        if (++ticks_ % TicksPerKeepAlive == 0)
+            callers_.tick();
+        admin_->tick();
+        tick();
+    });
+}
+
+// The first signal drains; a second one is taken as "at once".
+void Server::onSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &code, int) {
+        if (code)
+            return;
+        if (daemon_.world().drain.active)
+            return stop();
+        logChange("draining", "instance={} planned=true", settings_.instance.value);
+        post(DrainRequested{});
+        onSignal();
+    });
+}
+
+void Server::stop()
+{
+    logChange("stopped", "instance={}", settings_.instance.value);
+    // A moment for the last bytes that are already written to sockets.
+    std::shared_ptr<boost::asio::steady_timer> timer
+        = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(50));
+    timer->async_wait([this, timer](const boost::system::error_code &) { io_.stop(); });
+}
+
+std::string Server::metrics() const
+{
+    const World &world = daemon_.world();
+    std::string out = prometheusText(world.counters) + callers_.latencies().prometheusText();
+    const HttpServerCounters &http = callerServer_->counters();
+    out += fmt::format("cranberry_http_connections_total {}\ncranberry_http_bad_requests_total {}\n"
+                       "cranberry_http_too_large_total {}\ncranberry_http_timeouts_total {}\n",
+                       http.connections, http.badRequests, http.tooLarge, http.timeouts);
+    out += fmt::format("cranberry_platform_reads_total {}\ncranberry_platform_writes_total {}\n"
+                       "cranberry_platform_failures_total {}\ncranberry_peer_bytes_sent_total {}\n",
+                       platform_.reads(), platform_.writes(), platform_.failures(), peers_->bytesSent());
+    out += fmt::format("cranberry_requests_held {}\ncranberry_queue {}\ncranberry_members_alive {}\n"
+                       "cranberry_witnessed {}\ncranberry_register_records {}\ncranberry_marks {}\n"
+                       "cranberry_revision {}\n",
+                       world.requests.size(), world.queue.size(), world.members.aliveCount(),
+                       world.witnessed.size(), world.onceRegister.recordCount(), world.marks.size(),
+                       world.revision.value);
+    return out;
+}
+
+int Server::run()
+{
+    peers_ = PeerLink::open(io_, settings_.peerAddress, daemon_.world().self(),
+                            [this](PeerInbound message) { post(std::move(message)); });
+    if (!peers_) {
+        logChange("cannotListen", "peerAddress={}", toText(settings_.peerAddress));
+        return 1;
+    }
+    HttpServerLimits limits;
+    limits.maxBodyBytes = settings_.maxBodyBytes;
+    admin_ = std::make_unique<AdminApi>(*this);
+    try {
+        callerServer_
+            = std::make_unique<HttpServer>(io_, settings_.callerAddress, limits,
+                                           [this](const HttpExchangePtr &e) { callers_.onRequest(e); });
+        adminServer_ = std::make_unique<HttpServer>(
+            io_, settings_.adminAddress, limits, [this](const HttpExchangePtr &e) { admin_->onRequest(e); });
+    } catch (const boost::system::system_error &error) {
+        logChange("cannotListen", "error=\"{}\"", error.what());
+        return 1;
+    }
+    logChange("started", "instance={} failureDomain={} incarnation={:016x} callers={}",
+              settings_.instance.value, settings_.failureDomain.value, daemon_.world().self().value,
+              toText(settings_.callerAddress));
+    platform_.start();
+    onSignal();
+    tick();
+    io_.run();
+    return 0;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/io/server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "callerapi.h"
+#include "daemon.h"
+#include "endpointlink.h"
+#include "peerlink.h"
+#include "platform.h"
+#include "settings.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <deque>
+
+namespace cranberry {
+
+/// One running cranberryd: the core with its adapters on one thread.
+class Server
+{
+public:
+    explicit Server(Settings settings);
+    ~Server();
+
+    /// Serves until drained; returns the process's exit code.
+    int run();
+
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+private:
+    friend class AdminApi;
+
+    TimeMs now() const;
+    void post(Event event);
+    void perform(const Action &action);
+    void tick();
+    void onSignal();
+    std::string metrics() const;
+    void stop();
+
+    Settings settings_;
+    boost::asio::io_context io_;
+    boost::asio::steady_timer timer_;
+    boost::asio::signal_set signals_;
+    Daemon daemon_;
+    HttpClient http_;
+    Platform platform_;
+    EndpointLink endpoints_;
+    CallerApi callers_;
+    std::unique_ptr<PeerLink> peers_;
+    std::unique_ptr<HttpServer> callerServer_;
+    std::unique_ptr<HttpServer> adminServer_;
+    std::unique_ptr<class AdminApi> admin_;
+    std::deque<Event> pending_;
+    bool stepping_ = false;
+    uint64_t ticks_ = 0;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/onceregister.cpp
@@ -0,0 +1,149 @@
+#include "onceregister.h"
+
+#include "safeguards.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t MaxSessions = 4096;
+constexpr size_t MaxRecordsPerSession = 256;
+
+OnceAnswer heldElsewhere(const OnceRecord &record)
+{
+    return {OnceVerdict::HeldElsewhere, record.holder, record.request};
+}
+
+OnceAnswer acquireOnce(OnceRecord &record, const OnceQuestion &question, Incarnation asker)
+{
+    // Step 1. A refused attempt stays refused. Failure: a duplicate waits in a paused entry and asks after
+    // the caller was told "not run". The written mark is enough, since every grant passes this line.
+    if (question.attempt <= record.refusedThrough)
+        return {OnceVerdict::Refused, {}, {}};
+
+    // Step 2. First come: grant.
+    if (record.state == OnceState::Absent) {
+        record.state = OnceState::Granted;
+        record.holder = asker;
+        record.request = question.request;
+        return {OnceVerdict::Granted, asker, question.request};
+    }
+
+    // Step 3. A repeated question of the holder, or a handover by the holder. A handover named by anyone
+    // but the present holder is a late duplicate of an earlier move, and must not bring a grant back.
+    const bool same = record.state == OnceState::Granted && record.request == question.request;
+    if (same && record.holder == asker)
+        return {OnceVerdict::Granted, asker, question.request};
+    const bool byHolder = record.holder == question.movedFrom || !isOn(Safeguard::MoveOnlyFromHolder);
+    if (same && question.movedFrom && byHolder) {
+        record.holder = asker;
+        return {OnceVerdict::Granted, asker, question.request};
+    }
+    return heldElsewhere(record);
+}
+
+OnceAnswer refuseOnce(OnceRecord &record, const OnceQuestion &question, Incarnation asker)
+{
+    const bool own
+        = record.state == OnceState::Granted && record.request == question.request && record.holder == asker;
+    if (record.state != OnceState::Absent && !own)
+        return heldElsewhere(record);
+    if (isOn(Safeguard::RefusalIsWritten))
+        record.refusedThrough = std::max(record.refusedThrough, question.attempt);
+    record.state = OnceState::Absent;
+    return {OnceVerdict::Refused, {}, {}};
+}
+
+} // namespace
+
+OnceAnswer applyOnce(OnceRecord &record, const OnceQuestion &question, Incarnation asker)
+{
+    switch (question.action) {
+    case OnceAction::Acquire:
+        return acquireOnce(record, question, asker);
+    case OnceAction::Refuse:
+        return refuseOnce(record, question, asker);
+    case OnceAction::Finish:
+        break;
+    }
+    if (record.state == OnceState::Granted && record.request == question.request)
+        record.state = OnceState::Done;
+    return heldElsewhere(record);
+}
+
+// A session that is forgotten to make room is never served again: its number is not given out twice, so
+// its keys are "unknown" for good and can't be granted a second time.
+uint64_t OnceRegister::openSession()
+{
+    const uint64_t number = nextSession_++;
+    if (sessions_.size() >= MaxSessions)
+        sessions_.erase(sessions_.begin());
+    sessions_[{self_.value, number}] = {self_, number, 0, {}};
+    return number;
+}
+
+OnceSession *OnceRegister::findSession(const OnceKey &key)
+{
+    auto found = sessions_.find({key.registrar.value, key.session});
+    return found == sessions_.end() ? nullptr : &found->second;
+}
+
+void OnceRegister::forgetOldest(OnceSession &session)
+{
+    while (session.records.size() > MaxRecordsPerSession) {
+        session.floor = std::max(session.floor, session.records.begin()->first);
+        session.records.erase(session.records.begin());
+    }
+}
+
+OnceAnswer OnceRegister::answer(const OnceQuestion &question, Incarnation asker)
+{
+    // A register that moved answers for nothing. Failure: it is paused while its successor already grants,
+    // wakes and grants the same key. Being sealed before the table leaves is enough, because the seal is
+    // never lifted and asks for no clock.
+    if (isSealed() && isOn(Safeguard::SealBeforeMove))
+        return {OnceVerdict::Sealed, successor_, {}};
+    OnceSession *session = findSession(question.key);
+    if (!session || question.key.sequence <= session->floor)
+        return {OnceVerdict::Unknown, {}, {}};
+    const OnceAnswer out = applyOnce(session->records[question.key.sequence], question, asker);
+    forgetOldest(*session);
+    return out;
+}
+
+std::vector<OnceSession> OnceRegister::seal()
+{
+    sealed_ = true;
+    std::vector<OnceSession> out;
+    out.reserve(sessions_.size());
+    for (const std::pair<const std::pair<uint64_t, uint64_t>, OnceSession> &entry : sessions_)
+        out.push_back(entry.second);
+    return out;
+}
+
+// Until the successor confirmed, nobody is told where to ask. Failure: the table goes to one daemon whose
+// confirmation is lost, then to another, and both are asked. Naming one only after its confirmation, and only
+// once, is enough: an unconfirmed copy is never asked.
+void OnceRegister::moveTo(Incarnation successor)
+{
+    if (!successor_)
+        successor_ = successor;
+}
+
+void OnceRegister::adopt(const std::vector<OnceSession> &sessions)
+{
+    for (const OnceSession &session : sessions)
+        sessions_.try_emplace({session.registrar.value, session.number}, session);
+}
+
+size_t OnceRegister::recordCount() const
+{
+    size_t count = 0;
+    for (const std::pair<const std::pair<uint64_t, uint64_t>, OnceSession> &entry : sessions_)
+        count += entry.second.records.size();
+    return count;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/request.cpp
@@ -0,0 +1,27 @@
+#include "request.h"
+
+#include "safeguards.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+// Failure: the owner dies, the witness runs the request again, and a caller with half of the first text reads
+// on in the second. Symptom: a whole that no engine ever wrote. Cutting at the earliest branch after the
+// caller's lineage is enough, since runs share their text up to the branch by construction; lineages are
+// random numbers, so two daemons that both take over never share one.
+uint64_t commonOffset(const std::vector<Branch> &branches, uint64_t lineage, uint64_t offset)
+{
+    if (!isOn(Safeguard::CutAtBranch))
+        return offset;
+    auto known = std::find_if(branches.begin(), branches.end(),
+                              [lineage](const Branch &branch) { return branch.lineage == lineage; });
+    if (known == branches.end() && lineage != 0)
+        return 0;
+    auto next = known == branches.end() ? branches.begin() : known + 1;
+    for (; next != branches.end(); ++next)
+        offset = std::min(offset, next->offset);
+    return offset;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/safeguards.cpp
@@ -0,0 +1,28 @@
+#include "safeguards.h"
+
+#ifdef CRANBERRY_SAFEGUARD_SWITCHES
+
+#include <array>
+#include <cstddef>
+
+namespace cranberry {
+
+namespace {
+
+std::array<bool, static_cast<std::size_t>(Safeguard::Count)> removed = {};
+
+} // namespace
+
+bool isOn(Safeguard safeguard)
+{
+    return !removed[static_cast<std::size_t>(safeguard)];
+}
+
+void setSafeguard(Safeguard safeguard, bool on)
+{
+    removed[static_cast<std::size_t>(safeguard)] = !on;
+}
+
+} // namespace cranberry
+
+#endif
--- /dev/null
+++ b/src/submit.cpp
@@ -0,0 +1,297 @@
+#include "safeguards.h"
+#include "world.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace cranberry {
+
+namespace {
+
+constexpr DurationMs DefaultDeadline{120000};
+constexpr DurationMs MaxQueueWait{5000};
+constexpr size_t EntriesPerAnswer = 3;
+constexpr DurationMs NotReadyRetry{500};
+constexpr DurationMs NoEndpointRetry{1000};
+constexpr uint32_t DefaultMaxTokens = 256;
+
+struct Admission {
+    bool admitted = true;
+    Refusal refusal;
+};
+
+Admission refused(RefusalReason reason, DurationMs retryAfter)
+{
+    return {false, {Outcome::NotRun, reason, retryAfter}};
+}
+
+bool dependenciesHaveSlots(const World &world, const Service &service)
+{
+    return std::all_of(service.dependsOn.begin(), service.dependsOn.end(), [&world](const ServiceName &name) {
+        return world.endpoints.usableSlots(name, world.marks) > 0;
+    });
+}
+
+// Predicted wait behind what this daemon has queued and running for the service.
+DurationMs predictedWait(const World &world, const ServiceName &service, uint32_t slots)
+{
+    const uint32_t running = world.endpoints.running(service);
+    const size_t ahead = world.queue.size() + running;
+    if (ahead < slots)
+        return {0};
+    const double turns = static_cast<double>(ahead - slots + 1) / slots;
+    return {static_cast<int64_t>(turns * world.serviceMs)};
+}
+
+Admission admit(World &world, const RequestSpec &spec, uint64_t work)
+{
+    if (!isReady(world))
+        return refused(RefusalReason::NotReady, NotReadyRetry);
+    const Organisation *organisation = world.configuration->findOrganisation(spec.organisation);
+    if (!organisation)
+        return refused(RefusalReason::UnknownOrganisation, {0});
+    const Service *service = world.configuration->findService(spec.service);
+    if (!service)
+        return refused(RefusalReason::UnknownService, {0});
+    const uint32_t slots = world.endpoints.usableSlots(service->name, world.marks);
+    if (slots == 0)
+        return refused(RefusalReason::NoEndpoint, NoEndpointRetry);
+    if (!dependenciesHaveSlots(world, *service))
+        return refused(RefusalReason::DependencyShort, NoEndpointRetry);
+    const DurationMs wait = predictedWait(world, service->name, slots);
+    const DurationMs patience
+        = spec.deadline.count > 0 ? std::min(spec.deadline, MaxQueueWait) : MaxQueueWait;
+    if (wait > patience)
+        return refused(RefusalReason::Overloaded, wait - patience / 2);
+    const std::optional<DurationMs> limited
+        = world.limits.take(*organisation, work, world.members.aliveCount() + 1, world.now);
+    if (limited)
+        return refused(RefusalReason::OrganisationLimit, *limited);
+    return {};
+}
+
+uint64_t rendezvous(Incarnation member, const OrganisationName &organisation)
+{
+    return XXH3_64bits_withSeed(organisation.value.data(), organisation.value.size(), member.value);
+}
+
+// The service's declared trait decides where the caller left no mark.
+bool treatAsIdempotent(const World &world, const RequestSpec &spec)
+{
+    const Service *service = world.configuration ? world.configuration->findService(spec.service) : nullptr;
+    return spec.idempotent && (!service || service->idempotent);
+}
+
+} // namespace
+
+// A daemon that starts in an outage of the service serves once peers of two failure domains, or all there
+// are, have told their revisions and it holds the highest of them.
+bool isReady(const World &world)
+{
+    if (!world.configuration)
+        return false;
+    if (world.platformRead)
+        return true;
+    const std::vector<const Member *> alive = world.members.alive();
+    const bool holdsHighest = std::all_of(alive.begin(), alive.end(), [&world](const Member *member) {
+        return member->info.revision <= world.revision;
+    });
+    return holdsHighest && world.members.otherDomains() >= 2;
+}
+
+// Rendezvous hashing gives an organisation the same few entries from whichever daemon it asks; entries that
+// leave are stepped over, and each further entry is taken from a failure domain not used yet if there is one.
+std::vector<Address> entriesFor(const World &world, const OrganisationName &organisation)
+{
+    std::vector<std::pair<uint64_t, const MemberInfo *>> ranked;
+    if (!world.drain.active)
+        ranked.emplace_back(rendezvous(world.self(), organisation), &world.members.self());
+    for (const Member *member : world.members.alive()) {
+        if (!world.marks.isLeaving(member->info.incarnation) && !world.marks.isLeaving(member->info.instance))
+            ranked.emplace_back(rendezvous(member->info.incarnation, organisation), &member->info);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<Address> out;
+    std::vector<FailureDomainName> used;
+    for (const bool onlyNewDomains : {true, false}) {
+        for (const std::pair<uint64_t, const MemberInfo *> &entry : ranked) {
+            const MemberInfo &info = *entry.second;
+            const bool known = std::find(used.begin(), used.end(), info.failureDomain) != used.end();
+            const bool taken = std::find(out.begin(), out.end(), info.callerAddress) != out.end();
+            if (out.size() == EntriesPerAnswer || taken || (onlyNewDomains && known))
+                continue;
+            out.push_back(info.callerAddress);
+            used.push_back(info.failureDomain);
+        }
+    }
+    return out;
+}
+
+void onCallerEntries(World &world, const CallerEntries &event)
+{
+    EntriesAnswer answer{event.caller, entriesFor(world, event.organisation), world.entryKeep, {}};
+    if (event.wantsSession && !world.drain.active) {
+        answer.session.registrar = world.self();
+        answer.session.session = world.onceRegister.openSession();
+    }
+    world.out.push_back(answer);
+}
+
+void refuseCaller(World &world, CallerId caller, const Refusal &refusal)
+{
+    world.counters.add(refusal.reason);
+    world.out.push_back(CallerRefused{caller, refusal, {}});
+}
+
+void onCallerSubmit(World &world, const CallerSubmit &event)
+{
+    world.counters.add(Counter::Submitted);
+
+    // Step 1. A leaving daemon takes nothing on, and says nothing about the work: it points elsewhere.
+    if (world.drain.active) {
+        world.counters.add(Counter::SentElsewhere);
+        world.out.push_back(CallerElsewhere{event.caller, entriesFor(world, event.spec.organisation)});
+        return;
+    }
+
+    // Step 2. Give it a name and look whether there is room.
+    const uint64_t work = predictedTokens(event.spec.prompt)
+        + (event.spec.maxTokens ? event.spec.maxTokens : DefaultMaxTokens);
+    const Admission admission = admit(world, event.spec, work);
+    if (!admission.admitted && !event.spec.key.isSet())
+        return refuseCaller(world, event.caller, admission.refusal);
+
+    RequestSpec spec = event.spec;
+    spec.idempotent = treatAsIdempotent(world, spec) && !spec.key.isSet();
+    if (spec.deadline.count <= 0)
+        spec.deadline = DefaultDeadline;
+    Request request;
+    request.id = {world.self(), world.nextRequest++, {}};
+    request.spec = std::make_shared<const RequestSpec>(std::move(spec));
+    request.arrivedAt = world.now;
+    request.deadlineAt = world.now + request.spec->deadline;
+    request.workTokens = work;
+    request.listeners.push_back({event.caller, 0, false});
+    Request &stored = world.requests.try_emplace(request.id, std::move(request)).first->second;
+
+    // Step 3. Refused keyed work goes through its register, since it may be running elsewhere.
+    if (!admission.admitted)
+        return giveUp(world, stored, admission.refusal);
+
+    // Step 4. Copy to the witness, and on to the register or the queue; neither waits for the other.
+    const RequestId id = stored.id;
+    askWitness(world, stored);
+    if (stored.spec->key.isSet()) {
+        stored.once.ask();
+        if (!isOn(Safeguard::RegisterBeforeDispatch))
+            enqueue(world, stored);
+        askRegister(world, stored);
+    } else {
+        enqueue(world, stored);
+    }
+    runQueue(world);
+    auto found = world.requests.find(id);
+    if (found != world.requests.end())
+        acceptIfSafe(world, found->second);
+}
+
+// Failure: the entry dies right after it told the caller "accepted". Symptom: nobody knows the request. The
+// copy at a daemon of another failure domain is enough against one death or one lost domain.
+void acceptIfSafe(World &world, Request &request)
+{
+    if (!request.witnessed && request.isOpen() && isOn(Safeguard::WitnessBeforeAccept))
+        return;
+    bool first = false;
+    for (Listener &listener : request.listeners) {
+        if (listener.accepted)
+            continue;
+        listener.accepted = true;
+        first = true;
+        world.out.push_back(CallerAccepted{listener.caller, request.id});
+    }
+    if (first) {
+        world.counters.add(Counter::Accepted);
+        deliver(world, request);
+    }
+}
+
+void deliver(World &world, Request &request)
+{
+    const bool ended = request.phase == RequestPhase::Ended;
+    for (Listener &listener : request.listeners) {
+        if (!listener.accepted)
+            continue;
+        if (listener.sent < request.text.size()) {
+            world.out.push_back(CallerData{listener.caller, listener.sent, request.lineage(),
+                                           request.text.substr(listener.sent)});
+            listener.sent = request.text.size();
+        }
+        if (ended)
+            world.out.push_back(CallerEnd{listener.caller, request.end});
+    }
+    if (ended) {
+        world.counters.add(Counter::AnsweredWhole, request.listeners.size());
+        request.delivered = request.delivered || !request.listeners.empty();
+        request.listeners.clear();
+    }
+}
+
+void giveUp(World &world, Request &request, const Refusal &refusal)
+{
+    // "Not run" for a key is the register's word. Failure: the caller is told "not run" while a duplicate
+    // waits in a paused entry, and runs later. Writing the refusal first is enough: each grant reads it.
+    cancelAttempt(world, request);
+    const bool needsRegister = refusal.outcome == Outcome::NotRun && !request.once.mayRefuseAtOnce();
+    if (!needsRegister || !isOn(Safeguard::RefusalIsWritten))
+        return conclude(world, request, refusal);
+    request.pendingRefusal = refusal;
+    request.once.refuse();
+    request.asks = 0;
+    askRegister(world, request);
+}
+
+void conclude(World &world, Request &request, const Refusal &refusal)
+{
+    cancelAttempt(world, request);
+    request.phase = RequestPhase::Given;
+    request.refusal = refusal;
+    request.endedAt = world.now;
+    const std::vector<Listener> listeners = std::move(request.listeners);
+    request.listeners.clear();
+    for (const Listener &listener : listeners)
+        refuseCaller(world, listener.caller, refusal);
+    if (request.witness)
+        sendTo(world, request.witness, WitnessDrop{request.id});
+}
+
+void onCallerResume(World &world, const CallerResume &event)
+{
+    world.counters.add(Counter::Resumed);
+    auto found = world.requests.find(event.request);
+    if (found == world.requests.end())
+        return follow(world, event.caller, event.request, event.offset, event.lineage, true);
+    Request &request = found->second;
+    if (request.phase == RequestPhase::Moved)
+        return follow(world, event.caller, request.id, event.offset, event.lineage, true);
+    if (request.phase == RequestPhase::Given)
+        return refuseCaller(world, event.caller, request.refusal);
+
+    Listener listener{event.caller, 0, false};
+    listener.sent = std::min<uint64_t>(commonOffset(request.branches, event.lineage, event.offset),
+                                       request.text.size());
+    request.listeners.push_back(listener);
+    acceptIfSafe(world, request);
+}
+
+// A caller that goes away does not end its request: it may come back and read on. What nobody asks for is
+// dropped with its deadline.
+void onCallerGone(World &world, const CallerGone &event)
+{
+    world.followers.erase(event.caller);
+    for (std::pair<const RequestId, Request> &entry : world.requests) {
+        std::erase_if(entry.second.listeners,
+                      [&event](const Listener &listener) { return listener.caller == event.caller; });
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/standins/plainservice.cpp
@@ -0,0 +1,53 @@
+// Stand-in for a plain service beside the engines: answers look-ups, and runs calls that must not be
+// repeated. Each run of a call is one line in its log, so that a checker can count them. Faults: down,
+// silent, slowMs, full (answers 503 "not run"), workMs, dropAnswers (the next N calls run and the connection
+// is cut).
+
+#include "standin.h"
+
+#include <fmt/format.h>
+
+namespace standin {
+
+namespace {
+
+class PlainService
+{
+public:
+    explicit PlainService(Standin &standin) : standin_(standin) { }
+
+    void onRequest(const HttpExchangePtr &exchange)
+    {
+        if (standin_.fault("full"))
+            return exchange->respond(503, {{"X-Not-Run", "true"}}, "{\"error\":\"full\"}");
+        const std::string body = exchange->request().body;
+        standin_.log(fmt::format("run method={} target={} body={}", exchange->request().method,
+                                 exchange->request().target, body));
+        standin_.after(standin_.fault("workMs") ? standin_.fault("workMs") : 1, [this, exchange, body] {
+            if (dropped_ < standin_.fault("dropAnswers")) {
+                ++dropped_;
+                return exchange->abort();
+            }
+            respondJson(exchange, 200,
+                        boost::json::object{{"done", exchange->request().target}, {"echo", body}});
+        });
+    }
+
+private:
+    Standin &standin_;
+    int64_t dropped_ = 0;
+};
+
+} // namespace
+
+} // namespace standin
+
+int main(int argc, const char **argv)
+{
+    standin::Standin standin("standin-plainservice", argc, argv);
+    if (!standin.ok())
+        return standin.exitCode();
+    standin::PlainService service(standin);
+    standin.serve([&service](const standin::HttpExchangePtr &exchange) { service.onRequest(exchange); });
+    return 0;
+}
--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "commandline.h"
+#include "httpserver.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <map>
+
+namespace standin {
+
+using cranberry::HttpExchangePtr;
+
+/// What all stand-ins share: one thread, an HTTP server, a log of lines, and faults that are set while it
+/// runs.
+class Standin
+{
+public:
+    Standin(const char *program, int argc, const char **argv);
+
+    /// False if the program is to end with exitCode().
+    bool ok() const { return ok_; }
+    int exitCode() const { return exitCode_; }
+    void serve(cranberry::HttpHandler handler); ///< Until SIGTERM or SIGINT.
+
+    boost::asio::io_context &io() { return io_; }
+    const std::string &name() const { return name_; }
+    void log(const std::string &line); ///< Appends to the file of --log; the checker reads it.
+    int64_t nowMs() const;
+    void after(int64_t ms, std::function<void()> action);
+
+    /// A fault's value, 0 if not set. Set by POST /fault?name=N&value=V.
+    int64_t fault(const std::string &name) const;
+
+private:
+    void onRequest(const HttpExchangePtr &exchange);
+
+    boost::asio::io_context io_;
+    std::string name_;
+    std::string listen_;
+    std::string logFile_;
+    std::map<std::string, int64_t> faults_;
+    cranberry::HttpHandler handler_;
+    bool ok_ = false;
+    int exitCode_ = 0;
+};
+
+boost::json::value parsed(const std::string &text);
+void respondJson(const HttpExchangePtr &exchange, int status, const boost::json::value &body);
+
+} // namespace standin
--- /dev/null
+++ b/tools/caller.cpp
@@ -0,0 +1,278 @@
+#include "caller.h"
+
+#include "tokens.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace json = boost::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr uint32_t MaxFailures = 40;
+constexpr DurationMs FailurePause{150};
+
+json::value parsed(const std::string &text)
+{
+    json::error_code code;
+    json::value value = json::parse(text, code);
+    return code ? json::value(json::object()) : value;
+}
+
+std::string textAt(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    return field && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+int64_t numberAt(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    return field && field->is_number() ? field->to_number<int64_t>() : 0;
+}
+
+Address addressOf(const std::string &location)
+{
+    constexpr size_t SchemeSize = 7; // "http://"
+    const std::string rest = location.size() > SchemeSize ? location.substr(SchemeSize) : "";
+    return addressFromText(rest.substr(0, rest.find('/'))).value_or(Address{});
+}
+
+} // namespace
+
+const char *toText(JobOutcome outcome)
+{
+    constexpr std::array<const char *, 5> Names = {"whole", "wrong", "notRun", "unknown", "gaveUp"};
+    return Names[static_cast<size_t>(outcome)];
+}
+
+CallerClient::CallerClient(boost::asio::io_context &io, HttpClient &http, std::vector<Address> entries,
+                           Job job, Done done)
+    : io_(io), http_(http), entries_(std::move(entries)), job_(std::move(job)), done_(std::move(done))
+{ }
+
+int64_t CallerClient::nowMs() const
+{
+    const std::chrono::steady_clock::duration now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+void CallerClient::start()
+{
+    startedAt_ = nowMs();
+    entryIndex_ = job_.number % entries_.size();
+    submit();
+}
+
+const Address &CallerClient::nextEntry()
+{
+    return entries_[entryIndex_++ % entries_.size()];
+}
+
+void CallerClient::submit()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Organisation", job_.organisation},
+                       {"X-Deadline-Ms", std::to_string(job_.deadline.count)},
+                       {"X-Attempt", std::to_string(attempt_)}};
+    if (!job_.key.empty())
+        request.headers.push_back({"Idempotency-Key", job_.key});
+    if (!job_.session.empty())
+        request.headers.push_back({"X-Session", job_.session});
+    if (job_.nonIdempotent)
+        request.headers.push_back({"X-Non-Idempotent", "true"});
+    if (job_.chat) {
+        request.target = "/v1/chat/completions";
+        const json::object message{{"role", "user"}, {"content", job_.prompt}};
+        request.body = json::serialize(
+            json::object{{"model", job_.service}, {"stream", true}, {"messages", json::array{message}}});
+    } else {
+        request.target = "/v1/services/" + job_.service + job_.path;
+        request.body = job_.prompt;
+    }
+    begin(nextEntry(), std::move(request));
+}
+
+void CallerClient::resume(const Address &entry)
+{
+    ++result_.resumes;
+    HttpRequest request;
+    request.target = "/v1/requests/" + result_.requestId;
+    if (job_.chat)
+        request.headers = {{"Accept", "text/event-stream"}, {"Last-Event-ID", lastEventId_}};
+    begin(entry, std::move(request));
+}
+
+void CallerClient::begin(const Address &entry, HttpRequest request)
+{
+    ++result_.connections;
+    entry_ = entry;
+    status_ = 0;
+    body_.clear();
+    buffer_.clear();
+    movedTo_.clear();
+    errorBody_.clear();
+    sawEnd_ = false;
+    sawDone_ = false;
+    HttpCall call;
+    call.address = entry;
+    call.request = std::move(request);
+    call.progressTimeout = {job_.chat ? 4000 : 12000};
+    call.freshConnection = true;
+    HttpCallbacks callbacks;
+    callbacks.onHead = [self = shared_from_this()](int status, const HttpHeaders &headers) {
+        self->onHead(status, headers);
+    };
+    callbacks.onData
+        = [self = shared_from_this()](const char *data, size_t size) { self->onData(data, size); };
+    callbacks.onDone = [self = shared_from_this()](HttpFailure failure) { self->onDone(failure); };
+    http_.start(std::move(call), std::move(callbacks));
+}
+
+void CallerClient::onHead(int status, const HttpHeaders &headers)
+{
+    status_ = status;
+    headers_ = headers;
+    const std::string id = headerOf(headers, "X-Request-Id");
+    if (!id.empty())
+        result_.requestId = id;
+}
+
+void CallerClient::onData(const char *data, size_t size)
+{
+    const bool stream = headerOf(headers_, "Content-Type").starts_with("text/event-stream");
+    if (!stream) {
+        body_.append(data, size);
+        return;
+    }
+    buffer_.append(data, size);
+    for (size_t end = buffer_.find("\n\n"); end != std::string::npos; end = buffer_.find("\n\n")) {
+        const std::string event = buffer_.substr(0, end);
+        buffer_.erase(0, end + 2);
+        onEvent(event);
+    }
+}
+
+// The caller's rule: cut what is held to the event's offset, then append.
+void CallerClient::onEvent(const std::string &event)
+{
+    const size_t data = event.find("data: ");
+    if (data == std::string::npos)
+        return;
+    const std::string payload = event.substr(data + 6);
+    if (payload == "[DONE]") {
+        sawDone_ = true;
+        return;
+    }
+    const json::value value = parsed(payload);
+    if (value.as_object().contains("moved")) {
+        movedTo_ = textAt(value.at("moved"), "location");
+        return;
+    }
+    if (value.as_object().contains("error")) {
+        errorBody_ = json::serialize(value.at("error"));
+        return;
+    }
+    if (value.as_object().contains("answer")) {
+        digest_ = textAt(value.at("answer"), "digest");
+        length_ = static_cast<uint64_t>(numberAt(value.at("answer"), "length"));
+        sawEnd_ = true;
+        return;
+    }
+    if (result_.text.empty() && result_.firstToken.count == 0)
+        result_.firstToken = {std::max<int64_t>(1, nowMs() - startedAt_)};
+    const uint64_t offset = static_cast<uint64_t>(numberAt(value, "offset"));
+    result_.text.resize(std::min<size_t>(result_.text.size(), offset));
+    result_.text += textAt(value.at("choices").as_array().front().at("delta"), "content");
+    if (event.starts_with("id: "))
+        lastEventId_ = event.substr(4, event.find('\n') - 4);
+}
+
+void CallerClient::onDone(HttpFailure failure)
+{
+    if (finished_)
+        return;
+    const bool hasId = !result_.requestId.empty();
+
+    // Step 1. Sent elsewhere, or moved.
+    if (failure == HttpFailure::None && (status_ == 307 || status_ == 303 || !movedTo_.empty())) {
+        ++result_.moves;
+        const Address target = addressOf(movedTo_.empty() ? headerOf(headers_, "Location") : movedTo_);
+        if (status_ == 307)
+            return again({1}, [self = shared_from_this()] { self->submit(); });
+        return again({1}, [self = shared_from_this(), target] { self->resume(target); });
+    }
+    // Step 2. A final word, or the whole.
+    if (failure == HttpFailure::None && (status_ >= 400 || !errorBody_.empty()))
+        return onRefused();
+    if (failure == HttpFailure::None && status_ == 200 && (!job_.chat || sawDone_))
+        return judge();
+    // Step 3. A broken or silent connection: read on by id, or send again what may be repeated.
+    if (++failures_ > MaxFailures)
+        return finish(JobOutcome::GaveUp, "connections");
+    if (hasId)
+        return again(FailurePause, [self = shared_from_this()] { self->resume(self->nextEntry()); });
+    if (job_.nonIdempotent && job_.key.empty() && failure != HttpFailure::NotSent)
+        return finish(JobOutcome::Unknown, "connectionBrokenWithoutKey");
+    again(FailurePause, [self = shared_from_this()] { self->submit(); });
+}
+
+void CallerClient::onRefused()
+{
+    const json::value refusal = parsed(errorBody_.empty() ? body_ : errorBody_);
+    const std::string outcome = textAt(refusal, "outcome");
+    const std::string reason = textAt(refusal, "reason");
+    ++result_.refusals;
+    if (outcome != "notRun")
+        return finish(JobOutcome::Unknown, reason);
+    const int64_t wait = numberAt(refusal, "retryAfterMs");
+    const bool inTime = nowMs() - startedAt_ + wait < job_.deadline.count;
+    if (wait <= 0 || !inTime || result_.refusals > MaxFailures)
+        return finish(JobOutcome::NotRun, reason);
+    ++attempt_;
+    again({wait}, [self = shared_from_this()] { self->submit(); });
+}
+
+void CallerClient::judge()
+{
+    if (!job_.chat) {
+        result_.text = body_;
+        digest_ = headerOf(headers_, "X-Answer-Digest");
+        length_ = std::strtoull(headerOf(headers_, "X-Answer-Length").c_str(), nullptr, 10);
+        sawEnd_ = true;
+    }
+    const std::string digest = fmt::format("{:016x}", digestOf(result_.text));
+    if (!sawEnd_ || length_ != result_.text.size() || digest != digest_)
+        return finish(JobOutcome::Wrong, "digest");
+    const bool own = job_.chat ? result_.text == standin::answerOf(job_.prompt + "\n", job_.expectedTokens)
+                               : result_.text.find(job_.prompt) != std::string::npos;
+    finish(own ? JobOutcome::Whole : JobOutcome::Wrong, own ? "" : "anotherAnswer");
+}
+
+void CallerClient::finish(JobOutcome outcome, const std::string &reason)
+{
+    finished_ = true;
+    result_.outcome = outcome;
+    result_.reason = reason;
+    result_.entry = entry_;
+    result_.total = {nowMs() - startedAt_};
+    done_(job_, result_);
+}
+
+void CallerClient::again(DurationMs wait, std::function<void()> action)
+{
+    if (nowMs() - startedAt_ > job_.deadline.count + 5000)
+        return finish(JobOutcome::GaveUp, "deadline");
+    std::shared_ptr<boost::asio::steady_timer> timer
+        = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(wait.count));
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &) { action(); });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/tools/caller.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "httpclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <set>
+
+namespace cranberry {
+
+/// One piece of work as a caller has it.
+struct Job {
+    uint64_t number = 0;
+    bool chat = true;
+    std::string organisation;
+    std::string service;
+    std::string prompt; ///< Chat: the message. Plain: the body.
+    std::string path; ///< Plain only.
+    uint32_t expectedTokens = 0; ///< Chat: length of the stand-in's answer, for the check.
+    bool nonIdempotent = false;
+    std::string key; ///< Idempotency-Key; with a session a number.
+    std::string session;
+    DurationMs deadline{60000};
+};
+
+enum class JobOutcome : uint8_t { Whole, Wrong, NotRun, Unknown, GaveUp };
+
+struct JobResult {
+    JobOutcome outcome = JobOutcome::GaveUp;
+    std::string reason;
+    std::string requestId;
+    std::string text;
+    uint32_t connections = 0;
+    uint32_t resumes = 0;
+    uint32_t moves = 0;
+    uint32_t refusals = 0;
+    DurationMs firstToken;
+    DurationMs total;
+    Address entry; ///< The last one used.
+};
+
+const char *toText(JobOutcome outcome);
+
+/// A caller as docs/CALLERS.md describes it: asks for entries, sends, follows moves, resumes after broken
+/// connections, comes back after the time it was told, and checks the whole answer.
+class CallerClient : public std::enable_shared_from_this<CallerClient>
+{
+public:
+    using Done = std::function<void(const Job &, const JobResult &)>;
+
+    CallerClient(boost::asio::io_context &io, HttpClient &http, std::vector<Address> entries, Job job,
+                 Done done);
+    void start();
+
+private:
+    void submit();
+    void resume(const Address &entry);
+    void begin(const Address &entry, HttpRequest request);
+    void onHead(int status, const HttpHeaders &headers);
+    void onData(const char *data, size_t size);
+    void onEvent(const std::string &event);
+    void onDone(HttpFailure failure);
+    void onRefused();
+    void judge();
+    void finish(JobOutcome outcome, const std::string &reason);
+    void again(DurationMs wait, std::function<void()> action);
+    const Address &nextEntry();
+    int64_t nowMs() const;
+
+    boost::asio::io_context &io_;
+    HttpClient &http_;
+    std::vector<Address> entries_;
+    Job job_;
+    Done done_;
+    JobResult result_;
+    Address entry_;
+    size_t entryIndex_ = 0;
+    uint32_t attempt_ = 1;
+    uint32_t failures_ = 0;
+    int64_t startedAt_ = 0;
+    bool finished_ = false;
+
+    int status_ = 0;
+    HttpHeaders headers_;
+    std::string body_;
+    std::string buffer_;
+    std::string lastEventId_;
+    std::string digest_;
+    uint64_t length_ = 0;
+    bool sawEnd_ = false;
+    bool sawDone_ = false;
+    std::string movedTo_;
+    std::string errorBody_;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/tools/cranberryctl.cpp
@@ -0,0 +1,154 @@
+#include "commandline.h"
+#include "httpclient.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <openssl/rand.h>
+
+namespace json = boost::json;
+
+namespace cranberry {
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitConflict = 3;
+constexpr int ExitUnsettled = 4;
+
+/// Options of all commands.
+struct Options {
+    std::string daemon;
+    std::string base;
+    std::string change;
+    int noticeMs = 0;
+};
+
+HttpResponse callDaemon(const Options &options, const std::string &method, const std::string &target,
+                        const std::string &body)
+{
+    boost::asio::io_context io;
+    HttpClient client(io);
+    HttpResponse out;
+    HttpCall call;
+    call.address = addressFromText(options.daemon).value_or(Address{});
+    call.request = {method, target, {{"Content-Type", "application/json"}}, body};
+    call.progressTimeout = {15000};
+    call.freshConnection = true;
+    client.fetch(std::move(call), [&out](const HttpResponse &response) { out = response; });
+    io.run();
+    return out;
+}
+
+std::string randomChangeId()
+{
+    uint64_t value = 0;
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(&value), sizeof(value)) != 1)
+        std::abort();
+    return fmt::format("{:016x}", value);
+}
+
+// Prints the daemon's answer; 0 if it is one.
+int show(const HttpResponse &response)
+{
+    if (response.failure != HttpFailure::None) {
+        fmt::print(stderr, "cranberryctl: the daemon did not answer\n");
+        return ExitFailed;
+    }
+    fmt::print("{}\n", response.body);
+    return response.status < 300 ? 0 : ExitFailed;
+}
+
+std::string fieldOf(const HttpResponse &response, const char *name)
+{
+    json::error_code code;
+    const json::value value = json::parse(response.body, code);
+    const json::object *object = code ? nullptr : value.if_object();
+    const json::value *field = object ? object->if_contains(name) : nullptr;
+    return field && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+// Never ends in "maybe" without saying how to settle it.
+int apply(const CommandLine &line, const Options &options)
+{
+    if (line.arguments().size() != 2)
+        return line.fail("apply needs one FILE");
+    const std::optional<std::string> text = readFile(line.arguments()[1]);
+    if (!text)
+        return line.fail("can't read " + line.arguments()[1]);
+    const std::string id = options.change.empty() ? randomChangeId() : options.change;
+    std::string target = "/admin/configuration?change=" + id;
+    if (!options.base.empty())
+        target += "&base=" + options.base;
+    const HttpResponse response = callDaemon(options, "PUT", target, *text);
+    if (response.failure != HttpFailure::None || response.status == 504) {
+        fmt::print(stderr, "cranberryctl: not settled; ask again with: cranberryctl change {}\n", id);
+        return ExitUnsettled;
+    }
+    show(response);
+    if (response.status == 409)
+        return ExitConflict;
+    return response.status < 300 ? 0 : ExitFailed;
+}
+
+int diff(const CommandLine &line, const Options &options)
+{
+    if (line.arguments().size() != 2)
+        return line.fail("diff needs one FILE");
+    const std::optional<std::string> text = readFile(line.arguments()[1]);
+    if (!text)
+        return line.fail("can't read " + line.arguments()[1]);
+    const HttpResponse response = callDaemon(options, "POST", "/admin/diff", *text);
+    if (response.failure != HttpFailure::None)
+        return show(response);
+    fmt::print("{}", response.body);
+    return response.status == 200 ? 0 : ExitFailed;
+}
+
+int get(const Options &options)
+{
+    const HttpResponse response = callDaemon(options, "GET", "/admin/configuration", "");
+    if (response.failure != HttpFailure::None)
+        return show(response);
+    fmt::print("{}", fieldOf(response, "text"));
+    return 0;
+}
+
+int run(int argc, const char **argv)
+{
+    Options options;
+    CommandLine line("cranberryctl",
+                     "[OPTION...] apply FILE | diff FILE | get | status | requests | drain | change ID");
+    line.addText("daemon", 'd', options.daemon, "admin address of any daemon (required)", "IP:PORT");
+    line.addText("base", 'b', options.base, "apply: the revision that was edited", "REVISION");
+    line.addText("change", 'i', options.change, "apply: id of this change, to repeat it safely", "ID");
+    line.addNumber("notice-ms", 'n', options.noticeMs, "drain: milliseconds until the instance goes");
+    if (!line.parse(argc, argv))
+        return line.exitCode();
+    if (!addressFromText(options.daemon))
+        return line.fail("--daemon must be IP:PORT");
+    const std::string command = line.arguments().empty() ? "" : line.arguments().front();
+    if (command == "apply")
+        return apply(line, options);
+    if (command == "diff")
+        return diff(line, options);
+    if (command == "get")
+        return get(options);
+    if (command == "status" || command == "requests")
+        return show(callDaemon(options, "GET", "/admin/" + command, ""));
+    if (command == "change" && line.arguments().size() == 2)
+        return show(callDaemon(options, "GET", "/admin/changes/" + line.arguments()[1], ""));
+    if (command == "drain") {
+        const std::string notice = options.noticeMs > 0 ? fmt::format("?noticeMs={}", options.noticeMs) : "";
+        return show(callDaemon(options, "POST", "/admin/drain" + notice, ""));
+    }
+    return line.fail("unknown command; see --help");
+}
+
+} // namespace
+
+} // namespace cranberry
+
+int main(int argc, const char **argv)
+{
+    return cranberry::run(argc, argv);
+}
