--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -205,10 +205,10 @@
         configuration.services.push_back(parseService(reader, *element.first, element.second));
     for (const std::pair<const json::value *, std::string> &element : reader.elements("organisations", true))
         configuration.organisations.push_back(parseOrganisation(reader, *element.first, element.second));
-    static const json::value NoWeights = json::object();
+    const json::value noWeights = json::object();
     const json::object *object = value.if_object();
     const json::value *weights = object ? object->if_contains("weights") : nullptr;
-    configuration.weights = parseWeights(reader, weights ? *weights : NoWeights, "weights");
+    configuration.weights = parseWeights(reader, weights ? *weights : noWeights, "weights");
 
     // Step 3. What the fields mean together.
     checkUnique(reader, configuration.services, "services");
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -9,7 +9,9 @@
 
 constexpr uint32_t MaxTries = 6;
 constexpr double ServiceMsWeight = 0.05;
+constexpr DurationMs WitnessLinger{5000};
 constexpr int64_t PercentOfNoticeToStay = 60;
+constexpr DurationMs BatchAgeing{2000};
 
 Request *findByAttempt(World &world, AttemptId attempt)
 {
@@ -33,7 +35,8 @@
 {
     const Endpoint &endpoint = world.endpoints.at(index).endpoint;
     world.endpoints.started(index, question);
-    request.once.dispatched();
+    if (!request.spec->idempotent)
+        request.once.dispatched();
     request.phase = RequestPhase::Running;
     request.attempt = {world.nextAttempt++};
     request.endpoint = endpoint.name;
@@ -51,7 +54,8 @@
 // True if the request left the queue.
 bool tryDispatch(World &world, Request &request)
 {
-    if (request.phase != RequestPhase::Queued || !request.once.mayDispatch())
+    const bool mayDispatch = request.spec->idempotent || request.once.mayDispatch();
+    if (request.phase != RequestPhase::Queued || !mayDispatch)
         return true;
     const Service *service = world.configuration->findService(request.spec->service);
     if (!service) {
@@ -87,6 +91,16 @@
         = free ? world.now : world.now + DurationMs{static_cast<int64_t>(world.random.below(ceiling))};
 }
 
+// The witness keeps its copy for a while after the end. Failure: the daemon dies with the answer on its way
+// to the caller, who asks for it elsewhere and finds no one who knows the request.
+void tickClosed(World &world, Request &request)
+{
+    if (request.witnessDropped || !request.witness || world.now - request.endedAt < WitnessLinger)
+        return;
+    request.witnessDropped = true;
+    sendTo(world, request.witness, WitnessDrop{request.id});
+}
+
 RetryReason reasonOf(FailurePhase phase)
 {
     switch (phase) {
@@ -108,7 +122,6 @@
 // time, so that batch is delayed and never starved.
 void enqueue(World &world, Request &request)
 {
-    constexpr DurationMs BatchAgeing{2000};
     request.phase = RequestPhase::Queued;
     auto place = world.queue.end();
     if (request.spec->workClass == WorkClass::Interactive) {
@@ -174,8 +187,6 @@
     noteFinished(world, *request);
     acceptIfSafe(world, *request);
     deliver(world, *request);
-    if (request->witness)
-        sendTo(world, request->witness, WitnessDrop{request->id});
     runQueue(world);
 }
 
@@ -236,6 +247,7 @@
             continue;
         Request &request = found->second;
         if (!request.isOpen()) {
+            tickClosed(world, request);
             if (request.listeners.empty() && world.now - request.endedAt > world.answerKeep)
                 world.requests.erase(found);
             continue;
--- a/src/drain.cpp
+++ b/src/drain.cpp
@@ -49,7 +49,7 @@
 {
     if (request.phase == RequestPhase::Ended)
         return !request.delivered;
-    return request.phase < RequestPhase::Moving && request.once.mayMove();
+    return request.phase < RequestPhase::Moving && (request.spec->idempotent || request.once.mayMove());
 }
 
 // Moves what this daemon can't finish. The grant of keyed work moves at its register, when the successor asks
@@ -58,9 +58,6 @@
 {
     for (std::pair<const RequestId, Request> &entry : world.requests) {
         Request &request = entry.second;
-        const bool running = request.phase == RequestPhase::Running;
-        if (running && request.spec->idempotent)
-            request.once.provedNotRun();
         if (mustMove(request) && request.phase != RequestPhase::Ended) {
             cancelAttempt(world, request);
             request.once.move();
@@ -137,7 +134,8 @@
     if (!drain.active || drain.stopped)
         return;
     moveRegister(world);
-    if (drain.registerMoved && !world.members.isAlive(drain.successor))
+    const bool leaving = world.marks.isLeaving(drain.successor);
+    if (drain.registerMoved && (leaving || !world.members.isAlive(drain.successor)))
         chooseSuccessor(world); // For requests only: the register's way is written once.
     if (world.now >= drain.handoverAt && drain.successor && isOn(Safeguard::HandoverOnReclaim))
         handOver(world);
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -28,8 +28,9 @@
 
 void tickGossip(World &world)
 {
-    if (world.now.count % GossipInterval.count >= 20)
+    if (world.now < world.gossipAt)
         return;
+    world.gossipAt = world.now + GossipInterval;
     world.members.tick(world.now);
     const std::vector<Mark> hot = world.marks.takeHot(MarksPerGossip);
     for (const std::pair<Incarnation, Address> &target : world.members.targets(world.random))
--- a/src/io/server.cpp
+++ b/src/io/server.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr uint64_t TicksPerKeepAlive = 10;
+constexpr DurationMs StopGrace{50};
 
 uint64_t randomNumber()
 {
@@ -137,9 +138,11 @@
 void Server::stop()
 {
     logChange("stopped", "instance={}", settings_.instance.value);
-    // A moment for the last bytes that are already written to sockets.
+    // No new connections; a moment for requests that are already on open ones, which are sent elsewhere, and
+    // for the last bytes on their way out.
+    callerServer_->stopAccepting();
     std::shared_ptr<boost::asio::steady_timer> timer
-        = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(50));
+        = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(StopGrace.count));
     timer->async_wait([this, timer](const boost::system::error_code &) { io_.stop(); });
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -115,6 +115,7 @@
     AnswerEnd end;
     Refusal refusal;
     Incarnation owner; ///< With OwnedBy.
+    RequestId request; ///< With OwnedBy: the request to read on in; another one if the key was held by it.
 };
 
 struct RegisterTransfer {
--- a/src/once.cpp
+++ b/src/once.cpp
@@ -45,7 +45,9 @@
         return endUnknown(world, request, RefusalReason::OwnerGone);
     const std::vector<Listener> listeners = std::move(request.listeners);
     request.listeners.clear();
-    request.phase = RequestPhase::Given;
+    request.phase = RequestPhase::Moved;
+    request.successor = answer.holder;
+    request.heldBy = answer.request;
     request.endedAt = world.now;
     for (const Listener &listener : listeners) {
         RequestId holder = answer.request;
--- a/src/peercodec.cpp
+++ b/src/peercodec.cpp
@@ -293,6 +293,7 @@
     to.mutable_refusal()->set_reason(static_cast<uint32_t>(m.refusal.reason));
     to.mutable_refusal()->set_retry_after_ms(m.refusal.retryAfter.count);
     to.set_owner(m.owner.value);
+    put(*to.mutable_request(), m.request);
 }
 
 PeerMessage get(const wire::FetchReply &from)
@@ -309,6 +310,7 @@
     to.refusal.reason = enumFrom(from.refusal().reason(), last, RefusalReason::OwnerGone);
     to.refusal.retryAfter = {from.refusal().retry_after_ms()};
     to.owner = {from.owner()};
+    to.request = get(from.request());
     return to;
 }
 
--- a/src/request.h
+++ b/src/request.h
@@ -62,6 +62,8 @@
     TimeMs endedAt;
     bool delivered = false; ///< Some caller was handed the whole answer.
     Incarnation successor; ///< With Moved.
+    RequestId heldBy; ///< With Moved: the request whose answer is this one's too.
+    bool witnessDropped = false;
     std::vector<Listener> listeners;
 
     bool isOpen() const { return phase < RequestPhase::Moved; }
--- a/src/submit.cpp
+++ b/src/submit.cpp
@@ -272,7 +272,7 @@
         return follow(world, event.caller, event.request, event.offset, event.lineage, true);
     Request &request = found->second;
     if (request.phase == RequestPhase::Moved)
-        return follow(world, event.caller, request.id, event.offset, event.lineage, true);
+        return follow(world, event.caller, request.heldBy, event.offset, event.lineage, true);
     if (request.phase == RequestPhase::Given)
         return refuseCaller(world, event.caller, request.refusal);
 
--- a/src/types.h
+++ b/src/types.h
@@ -168,8 +168,8 @@
 
 /// A refusal or a final "unknown", with the time after which it is worth asking again.
 struct Refusal {
-    Outcome outcome = Outcome::NotRun;
-    RefusalReason reason = RefusalReason::NotReady;
+    Outcome outcome = Outcome::Unknown; ///< "Not run" is only ever said on purpose.
+    RefusalReason reason = RefusalReason::OwnerGone;
     DurationMs retryAfter;
 };
 
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -88,28 +88,6 @@
     refuseCaller(world, caller, refusal);
 }
 
-// The owner does not answer: ask the witness to take over, or say honestly that nobody knows.
-void turnToWitness(World &world, CallerId caller)
-{
-    Follower &follower = world.followers.at(caller);
-    const Incarnation witness = world.marks.resolve(follower.request.witness);
-    follower.claim = true;
-    follower.misses = 0;
-    follower.asking = witness;
-    if (!witness || (witness != world.self() && !world.members.isAlive(witness)))
-        return endFollower(world, caller, {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
-    if (witness != world.self())
-        return sendFetch(world, follower);
-    const Fetch fetch{follower.tag, follower.request, follower.offset, follower.lineage, true};
-    const Follower copy = follower;
-    onFetch(world, world.self(), fetch);
-    auto found = world.requests.find(copy.request);
-    if (found == world.requests.end())
-        return endFollower(world, caller, {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
-    world.followers.erase(caller);
-    onCallerResume(world, {caller, copy.request, copy.offset, copy.lineage});
-}
-
 FetchReply replyFor(const Request &request, const Fetch &fetch)
 {
     FetchReply reply;
@@ -117,6 +95,7 @@
     if (request.phase == RequestPhase::Moved) {
         reply.state = FetchState::OwnedBy;
         reply.owner = request.successor;
+        reply.request = request.heldBy;
         return reply;
     }
     if (request.phase == RequestPhase::Given) {
@@ -147,6 +126,7 @@
     if (owner != world.self() && world.members.isAlive(owner)) {
         reply.state = FetchState::OwnedBy;
         reply.owner = owner;
+        reply.request = fetch.request;
         return reply;
     }
     const RequestCopy copy = record->second.copy;
@@ -161,6 +141,27 @@
     return replyFor(world.requests.at(fetch.request), fetch);
 }
 
+// The owner does not answer: ask the witness to take over, or say honestly that nobody knows.
+void turnToWitness(World &world, CallerId caller)
+{
+    Follower &follower = world.followers.at(caller);
+    const Incarnation witness = world.marks.resolve(follower.request.witness);
+    follower.claim = true;
+    follower.misses = 0;
+    follower.asking = witness;
+    if (!witness || (witness != world.self() && !world.members.isAlive(witness)))
+        return endFollower(world, caller, {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
+    if (witness != world.self())
+        return sendFetch(world, follower);
+    follower.tag = world.nextTag++;
+    const Fetch fetch{follower.tag, follower.request, follower.offset, follower.lineage, true};
+    const FetchReply reply = replyAsWitness(world, fetch);
+    if (!world.requests.contains(fetch.request))
+        return onFetchReply(world, world.self(), reply);
+    world.followers.erase(caller);
+    onCallerResume(world, {caller, fetch.request, fetch.offset, fetch.lineage});
+}
+
 void tickFollower(World &world, CallerId caller)
 {
     Follower &follower = world.followers.at(caller);
@@ -243,6 +244,7 @@
         return;
     request.phase = RequestPhase::Moved;
     request.successor = from;
+    request.heldBy = request.id;
     request.endedAt = world.now;
     world.counters.add(Counter::HandedOver);
     const Member *successor = world.members.find(from);
@@ -266,12 +268,11 @@
     if (!accepted)
         world.out.push_back(CallerAccepted{caller, request});
     world.followers[caller].accepted = true;
-    if (follower.asking == world.self())
-        turnToWitness(world, caller);
-    else if (!world.members.isAlive(follower.asking))
-        turnToWitness(world, caller);
-    else
+    const bool askable = follower.asking != world.self() && world.members.isAlive(follower.asking);
+    if (askable)
         sendFetch(world, world.followers[caller]);
+    else
+        turnToWitness(world, caller);
 }
 
 void onFetch(World &world, Incarnation from, const Fetch &fetch)
@@ -313,6 +314,7 @@
         endFollower(world, caller, reply.refusal);
         break;
     case FetchState::OwnedBy:
+        follower.request = reply.request;
         if (reply.owner == world.self()) {
             const Follower copy = follower;
             world.followers.erase(found);
--- a/src/world.h
+++ b/src/world.h
@@ -60,6 +60,7 @@
 
     Membership members;
     MarkTable marks;
+    TimeMs gossipAt; ///< Next round.
     uint64_t marksUnequal = 0; ///< Rounds in which a peer's marks differed.
 
     ConfigurationPtr configuration;
