Membership by probes and refutable suspicions; few watchers for each failure domain

Cause: the slopes showed that heartbeats spread by samples come later than the suspicion from 128 daemons on. Weighed: longer suspicion (detection time grows with the fleet), larger samples (over 18 KB/s), probes as in SWIM (constant cost; only changes are passed on).

The service is read by two daemons of each failure domain.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -38,6 +38,9 @@
     std::visit(Handler{world, event.from}, event.message);
 }
 
+constexpr DurationMs PauseNoticed{1000}; ///< Ticks come each 20 ms.
+constexpr DurationMs RefreshTime{300};
+
 void onTick(World &world)
 {
     tickGossip(world);
@@ -66,10 +69,7 @@
     void operator()(const PlatformSilent &) const { }
     void operator()(const LeavingSeen &e) const
     {
-        if (e.instance == world.members.self().instance)
-            startDrain(world, e.notice);
-        else
-            addMark(world, {MarkKind::EndpointLeaving, e.instance, {}, {}}, e.notice);
+        addMark(world, {MarkKind::EndpointLeaving, e.instance, {}, {}}, e.notice);
     }
     void operator()(const DrainRequested &e) const { startDrain(world, e.notice); }
     void operator()(const PlatformOnceReply &e) const { onPlatformOnceReply(world, e); }
@@ -86,6 +86,13 @@
 
 std::vector<Action> Daemon::step(TimeMs now, const Event &event)
 {
+    // Failure: this process was frozen, wakes, and hands its queue to endpoints that were told to leave
+    // meanwhile. It sees its own pause as a gap between steps, asks around at once, and starts nothing until
+    // answers can be there.
+    if (world_.now.count != 0 && now - world_.now > PauseNoticed) {
+        world_.holdUntil = now + RefreshTime;
+        world_.gossipAt = now;
+    }
     world_.now = now;
     std::visit(EventHandler{world_}, event);
     return std::exchange(world_.out, {});
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -136,7 +136,7 @@
 
 void runQueue(World &world)
 {
-    if (!world.configuration)
+    if (!world.configuration || world.now < world.holdUntil)
         return;
     std::deque<RequestId> waiting;
     waiting.swap(world.queue);
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -12,16 +12,21 @@
 constexpr uint64_t RoundsUntilFullMarks = 15;
 constexpr DurationMs MarkedEndpointNotice{1500}; ///< Assumed notice where the mark came from a peer.
 constexpr size_t ConfirmingDomains = 2;
+constexpr size_t WatchersPerDomain = 2;
+constexpr size_t PushesPerChange = 3;
+constexpr uint64_t FirstRounds = 10; ///< In which the whole list of members is asked for.
 
-void sendGossip(World &world, Incarnation to, const Address &address, const std::vector<Mark> &marks)
+Gossip makeGossip(World &world)
 {
     Gossip gossip;
-    gossip.members = world.members.sample(world.random);
-    gossip.marks = marks;
+    gossip.sender = world.members.self();
+    gossip.members = world.members.news(world.random);
+    gossip.suspicions = world.members.suspicions();
+    gossip.marks = world.marks.takeHot(MarksPerGossip, world.now);
     gossip.markDigest = world.marks.digest();
     gossip.wantsMarks = world.marksUnequal > RoundsUntilFullMarks;
-    world.counters.add(Counter::GossipSent);
-    world.out.push_back(SendPeer{to, address, std::move(gossip)});
+    gossip.wantsMembers = world.gossipRounds < FirstRounds;
+    return gossip;
 }
 
 } // namespace
@@ -32,39 +37,63 @@
         return;
     world.gossipAt = world.now + GossipInterval;
     world.members.tick(world.now);
-    const std::vector<Mark> hot = world.marks.takeHot(MarksPerGossip);
-    for (const std::pair<Incarnation, Address> &target : world.members.targets(world.random))
-        sendGossip(world, target.first, target.second, hot);
+    for (const std::pair<Incarnation, Address> &target : world.members.targets(world.random, world.now)) {
+        world.counters.add(Counter::GossipSent);
+        world.out.push_back(SendPeer{target.first, target.second, makeGossip(world)});
+    }
+    ++world.gossipRounds;
 }
 
 void onGossip(World &world, Incarnation from, const Gossip &gossip)
 {
-    world.members.merge(gossip.members, world.now, world.counters);
-    for (const Mark &mark : gossip.marks)
-        addMark(world, mark, MarkedEndpointNotice);
-
-    // Marks travel a bounded number of times, so a daemon can miss one for good. The digests tell, and after
-    // a few rounds the whole set is asked for.
+    // Step 1. The sender lives; the rest is hearsay.
+    world.members.heardFrom(gossip.sender, world.now, world.counters);
+    for (const MemberInfo &info : gossip.members)
+        world.members.merge(info, world.now, world.counters);
+    for (const Suspicion &suspicion : gossip.suspicions)
+        world.members.suspect(suspicion, world.now);
+    for (const MarkNews &news : gossip.marks)
+        addMark(world, news.mark, news.notice.count > 0 ? news.notice : MarkedEndpointNotice);
+
+    // Step 2. Marks travel a bounded number of times, so a daemon can miss one for good. The digests tell,
+    // and after a few rounds the whole set is asked for.
     if (gossip.markDigest == world.marks.digest())
         world.marksUnequal = 0;
     else
         ++world.marksUnequal;
-    const Member *sender = world.members.find(from);
-    if (gossip.wantsMarks && sender)
-        sendGossip(world, from, sender->info.peerAddress, world.marks.all());
 
-    if (sender && sender->info.revision > world.revision)
+    // Step 3. A probe is answered, with all that was asked for.
+    if (gossip.sender.revision > world.revision)
         sendTo(world, from, ConfigurationHave{world.revision});
+    if (gossip.isReply)
+        return;
+    Gossip reply = makeGossip(world);
+    reply.isReply = true;
+    if (gossip.wantsMarks)
+        reply.marks = world.marks.all(world.now);
+    if (gossip.wantsMembers)
+        reply.members = world.members.everyone();
+    world.counters.add(Counter::GossipSent);
+    sendTo(world, from, std::move(reply));
 }
 
+// A mark also tells a daemon of its own instance's notice: only a few daemons of each failure domain ask the
+// cloud.
 void addMark(World &world, const Mark &mark, DurationMs notice)
 {
-    if (!world.marks.add(mark))
+    if (!world.marks.add(mark, world.now + notice) || mark.kind != MarkKind::EndpointLeaving)
         return;
-    if (mark.kind == MarkKind::EndpointLeaving)
+    if (mark.instance == world.members.self().instance)
+        startDrain(world, notice);
+    else
         moveOffEndpoint(world, mark.instance, notice);
 }
 
+bool isWatcher(const World &world)
+{
+    return world.members.isAmongLowestOfDomain(WatchersPerDomain);
+}
+
 // Failure: a daemon that was cut off comes back and spreads what it last saw; or two reads of the service
 // overtake each other. Symptom: an accepted change disappears for some. Taking only higher revisions is
 // enough, because the service numbers them in the order in which they were accepted.
@@ -76,6 +105,7 @@
         world.counters.add(Counter::StaleConfiguration);
         return;
     }
+    const bool grew = revision > world.revision;
     ConfigurationPtr parsed;
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
@@ -95,21 +125,15 @@
     world.out.push_back(ConfigurationInForce{revision});
 
     // Told to a few at once rather than at the next round: they confirm, and pass it on themselves.
-    for (const std::pair<Incarnation, Address> &target : world.members.targets(world.random)) {
-        if (target.first)
-            sendTo(world, target.first, ConfigurationPush{revision, text});
-    }
+    if (!grew)
+        return;
+    for (const Member *member : world.members.someAlive(PushesPerChange, world.random))
+        sendTo(world, member->info.incarnation, ConfigurationPush{revision, text});
 }
 
 void onConfigurationHave(World &world, Incarnation from, const ConfigurationHave &have)
 {
-    const Member *member = world.members.find(from);
-    if (member && have.revision > member->info.revision) {
-        MemberInfo info = member->info;
-        info.revision = have.revision;
-        info.heartbeat += 1;
-        world.members.merge({info}, world.now, world.counters);
-    }
+    world.members.heardRevision(from, have.revision);
     if (world.revision > have.revision)
         sendTo(world, from, ConfigurationPush{world.revision, world.configurationText});
     else if (have.revision > world.revision)
--- a/src/io/callerapi.cpp
+++ b/src/io/callerapi.cpp
@@ -162,13 +162,15 @@
     return fmt::format("{:016x}", digest);
 }
 
-// The hot path of the relay: written out by hand, since building a JSON tree for each token took a third of its time.
+// The hot path of the relay: written out by hand, since building a JSON tree for each token took a third of
+// its time.
 std::string chunkEvent(const std::string &requestId, const CallerData &data)
 {
-    return fmt::format("id: {:x}:{}\ndata: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"offset\":{},"
-                       "\"choices\":[{{\"index\":0,\"delta\":{{\"content\":{}}},\"finish_reason\":null}}]}}\n\n",
-                       data.lineage, data.offset + data.text.size(), requestId, data.offset,
-                       json::serialize(json::string_view(data.text)));
+    return fmt::format(
+        "id: {:x}:{}\ndata: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"offset\":{},"
+        "\"choices\":[{{\"index\":0,\"delta\":{{\"content\":{}}},\"finish_reason\":null}}]}}\n\n",
+        data.lineage, data.offset + data.text.size(), requestId, data.offset,
+        json::serialize(json::string_view(data.text)));
 }
 
 std::string endEvents(const std::string &requestId, const AnswerEnd &end)
--- a/src/io/platform.cpp
+++ b/src/io/platform.cpp
@@ -95,8 +95,9 @@
 
 } // namespace
 
-Platform::Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink)
-    : io_(io), http_(http), address_(address), sink_(std::move(sink))
+Platform::Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink,
+                   std::function<bool()> isWatcher)
+    : io_(io), http_(http), address_(address), sink_(std::move(sink)), isWatcher_(std::move(isWatcher))
 { }
 
 void Platform::start()
@@ -207,9 +208,13 @@
     compareAndSwap(ConfigurationKey, stored.revision.value, encodeStored(stored), std::move(onDone));
 }
 
+// Every daemon reads once at its start; after that only the watchers do, and the others hear it from them.
 void Platform::readLoop()
 {
+    if (hasRead_ && !isWatcher_())
+        return after(ReadInterval, [this] { readLoop(); });
     readConfiguration([this](const std::optional<StoredConfiguration> &stored) {
+        hasRead_ = hasRead_ || (stored && stored->revision.value != 0);
         if (stored && stored->revision.value != 0)
             sink_(ConfigurationSeen{stored->revision, stored->text});
         else if (!stored)
@@ -222,6 +227,8 @@
 // and nothing else. It is opened anew when it has been silent for long.
 void Platform::watch()
 {
+    if (!isWatcher_())
+        return after(ReadInterval, [this] { watch(); });
     ++reads_;
     HttpCall call;
     call.address = address_;
@@ -261,6 +268,8 @@
 
 void Platform::noticeLoop()
 {
+    if (!isWatcher_())
+        return after(NoticeInterval, [this] { noticeLoop(); });
     HttpCall call;
     call.address = address_;
     call.request = {"GET", "/cloud/instances", {}, ""};
--- a/src/io/platform.h
+++ b/src/io/platform.h
@@ -16,7 +16,9 @@
 public:
     using Sink = std::function<void(Event)>;
 
-    Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink);
+    /// `isWatcher` tells whether this daemon is to read for the others too.
+    Platform(boost::asio::io_context &io, HttpClient &http, const Address &address, Sink sink,
+             std::function<bool()> isWatcher);
 
     /// Reads and watches the configuration, and polls the cloud's notices, until the object goes.
     void start();
@@ -55,6 +57,8 @@
     HttpClient &http_;
     Address address_;
     Sink sink_;
+    std::function<bool()> isWatcher_;
+    bool hasRead_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string watchBuffer_;
     std::map<std::string, DurationMs> noticesSeen_;
--- a/src/io/server.cpp
+++ b/src/io/server.cpp
@@ -47,7 +47,9 @@
 Server::Server(Settings settings)
     : settings_(std::move(settings)), timer_(io_), signals_(io_, SIGTERM, SIGINT),
       daemon_(identityOf(settings_)), http_(io_),
-      platform_(io_, http_, settings_.platformAddress, [this](Event event) { post(std::move(event)); }),
+      platform_(
+          io_, http_, settings_.platformAddress, [this](Event event) { post(std::move(event)); },
+          [this] { return isWatcher(daemon_.world()); }),
       endpoints_(http_, [this](Event event) { post(std::move(event)); }),
       callers_([this](Event event) { post(std::move(event)); }, [this] { return now(); })
 { }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-constexpr size_t GossipFanout = 3;
-constexpr size_t GossipSample = 12;
-constexpr DurationMs SuspectAfter{2500};
-constexpr DurationMs ForgetAfter{60000};
-constexpr uint32_t MarkSendings = 24; ///< About fanout times log2 of 890 daemons, doubled for losses.
+constexpr size_t Probes = 2; ///< In each round.
+constexpr size_t RandomMembers = 2;
+constexpr size_t MostNews = 12;
+constexpr DurationMs AnswerPatience{500};
+constexpr DurationMs RefutationPatience{1500}; ///< From suspicion to "gone": two ways through the fleet.
+constexpr DurationMs ForgetAfter{600000};
+constexpr uint32_t NewsSendings = 24; ///< About twice log2 of 890 daemons, doubled for losses.
+constexpr uint64_t RoundsPerSeed = 50;
+constexpr uint64_t FirstSeedRounds = 10; ///< Groups that start together must not close before they have met.
+constexpr uint64_t RoundsPerSuspected = 5;
 
 uint64_t hashOf(const Mark &mark)
 {
@@ -20,23 +25,80 @@
     return XXH3_64bits_withSeed(mark.instance.value.data(), mark.instance.value.size(), seed);
 }
 
+// `count` of them at random, or all if there are fewer.
+template <typename T>
+std::vector<T *> pick(std::vector<T *> from, size_t count, Random &random)
+{
+    std::vector<T *> out;
+    while (out.size() < count && !from.empty()) {
+        const size_t index = random.below(from.size());
+        out.push_back(from[index]);
+        from[index] = from.back();
+        from.pop_back();
+    }
+    return out;
+}
+
 } // namespace
 
-void Membership::merge(const std::vector<MemberInfo> &members, TimeMs now, Counters &counters)
+void Membership::heardFrom(const MemberInfo &sender, TimeMs now, Counters &counters)
 {
-    for (const MemberInfo &info : members) {
-        if (info.incarnation == self_.incarnation || !info.incarnation)
-            continue;
-        auto found = members_.try_emplace(info.incarnation, Member{info, now, false, false});
-        Member &member = found.first->second;
-        if (found.second || info.heartbeat <= member.info.heartbeat)
-            continue;
-        if (member.suspected)
-            counters.add(Counter::FalseSuspicion);
-        member.info = info;
-        member.lastAdvance = now;
-        member.suspected = false;
+    if (sender.incarnation == self_.incarnation || !sender.incarnation)
+        return;
+    merge(sender, now, counters);
+    Member &member = members_.at(sender.incarnation);
+    if (member.suspectedAt.count != 0 && !isUp(member))
+        counters.add(Counter::FalseSuspicion);
+    member.probedAt = {};
+    member.suspectedAt = {};
+    heardRevision(sender.incarnation, sender.revision);
+}
+
+void Membership::heardRevision(Incarnation from, Revision revision)
+{
+    auto found = members_.find(from);
+    if (found != members_.end())
+        found->second.info.revision = std::max(found->second.info.revision, revision);
+}
+
+void Membership::merge(const MemberInfo &info, TimeMs now, Counters &counters)
+{
+    if (info.incarnation == self_.incarnation || !info.incarnation)
+        return;
+    auto found = members_.try_emplace(info.incarnation, Member{info, {}, {}, false, NewsSendings, 0});
+    Member &member = found.first->second;
+    if (found.second || info.version <= member.info.version)
+        return;
+    if (member.suspectedAt.count != 0 && !isUp(member))
+        counters.add(Counter::FalseSuspicion);
+    const Revision revision = std::max(member.info.revision, info.revision);
+    member.info = info;
+    member.info.revision = revision;
+    member.suspectedAt = {};
+    member.newsSendings = NewsSendings;
+    now_ = now;
+}
+
+// Failure: a daemon is frozen or cut off for a moment and everybody gives it up. It sees the suspicion with
+// the next message that reaches it, and raises its version, which outbids the suspicion wherever the two
+// meet.
+void Membership::suspect(const Suspicion &suspicion, TimeMs now)
+{
+    if (suspicion.incarnation == self_.incarnation) {
+        if (suspicion.version >= self_.version) {
+            self_.version = suspicion.version + 1;
+            selfSendings_ = NewsSendings;
+        }
+        return;
     }
+    auto found = members_.find(suspicion.incarnation);
+    if (found == members_.end() || suspicion.version < found->second.info.version)
+        return;
+    Member &member = found->second;
+    if (member.suspectedAt.count != 0)
+        return;
+    member.suspectedAt = now;
+    member.suspicionSendings = NewsSendings;
 }
 
 void Membership::markGone(Incarnation incarnation)
@@ -48,11 +110,17 @@
 
 void Membership::tick(TimeMs now)
 {
-    ++self_.heartbeat;
-    for (std::pair<const Incarnation, Member> &entry : members_)
-        entry.second.suspected = now - entry.second.lastAdvance > SuspectAfter;
+    now_ = now;
+    for (std::pair<const Incarnation, Member> &entry : members_) {
+        Member &member = entry.second;
+        if (member.probedAt.count == 0 || now - member.probedAt < AnswerPatience)
+            continue;
+        member.probedAt = {};
+        suspect({entry.first, member.info.version}, now);
+    }
+    // Kept for long after they are gone, so that what others still pass on does not bring them back.
     std::erase_if(members_, [now](const std::pair<const Incarnation, Member> &entry) {
-        return now - entry.second.lastAdvance > ForgetAfter;
+        return entry.second.suspectedAt.count != 0 && now - entry.second.suspectedAt > ForgetAfter;
     });
 }
 
@@ -62,19 +130,26 @@
     return found == members_.end() ? nullptr : &found->second;
 }
 
+bool Membership::isUp(const Member &member) const
+{
+    const bool suspected = member.suspectedAt.count != 0 && now_ - member.suspectedAt > RefutationPatience;
+    return !member.gone && !suspected;
+}
+
 bool Membership::isAlive(Incarnation incarnation) const
 {
     if (incarnation == self_.incarnation)
         return true;
     const Member *member = find(incarnation);
-    return member && !member->gone && !member->suspected;
+    return member && isUp(*member);
 }
 
 std::vector<const Member *> Membership::alive() const
 {
     std::vector<const Member *> out;
+    out.reserve(members_.size());
     for (const std::pair<const Incarnation, Member> &entry : members_) {
-        if (!entry.second.gone && !entry.second.suspected)
+        if (isUp(entry.second))
             out.push_back(&entry.second);
     }
     return out;
@@ -85,32 +160,83 @@
     return alive().size();
 }
 
-// Besides live members, one seed is tried each round: after a cut both sides have forgotten each other, and
-// only an address from the settings can bring them together again.
-std::vector<std::pair<Incarnation, Address>> Membership::targets(Random &random) const
+std::vector<const Member *> Membership::someAlive(size_t count, Random &random) const
+{
+    return pick(alive(), count, random);
+}
+
+// Suspected members are probed too, now and then: after a cut both sides have given each other up, and
+// somebody has to ask again. A seed is for the case that this daemon knows nobody, or that two groups have
+// never met.
+std::vector<std::pair<Incarnation, Address>> Membership::targets(Random &random, TimeMs now)
 {
     std::vector<std::pair<Incarnation, Address>> out;
-    std::vector<const Member *> live = alive();
-    for (size_t i = 0; i < GossipFanout && !live.empty(); ++i) {
-        const size_t pick = random.below(live.size());
-        out.emplace_back(live[pick]->info.incarnation, live[pick]->info.peerAddress);
-        live.erase(live.begin() + static_cast<int64_t>(pick));
+    std::vector<Member *> live;
+    std::vector<Member *> suspected;
+    for (std::pair<const Incarnation, Member> &entry : members_) {
+        if (isUp(entry.second))
+            live.push_back(&entry.second);
+        else if (!entry.second.gone)
+            suspected.push_back(&entry.second);
     }
-    if (!seeds_.empty()) {
+    for (Member *member : pick(std::move(live), Probes, random)) {
+        if (member->probedAt.count == 0)
+            member->probedAt = now;
+        out.emplace_back(member->info.incarnation, member->info.peerAddress);
+    }
+    if (!suspected.empty() && round_ % RoundsPerSuspected == 0) {
+        const Member &member = *suspected[random.below(suspected.size())];
+        out.emplace_back(member.info.incarnation, member.info.peerAddress);
+    }
+    const bool isNew = round_ < FirstSeedRounds;
+    const bool needsSeed
+        = out.empty() || isNew || round_ % RoundsPerSeed == self_.incarnation.value % RoundsPerSeed;
+    if (needsSeed && !seeds_.empty()) {
         const Address &seed = seeds_[random.below(seeds_.size())];
         if (seed != self_.peerAddress)
             out.emplace_back(Incarnation{}, seed);
     }
+    ++round_;
+    return out;
+}
+
+std::vector<MemberInfo> Membership::news(Random &random)
+{
+    std::vector<MemberInfo> out;
+    std::vector<const Member *> live;
+    for (std::pair<const Incarnation, Member> &entry : members_) {
+        Member &member = entry.second;
+        if (!isUp(member))
+            continue;
+        live.push_back(&member);
+        if (member.newsSendings > 0 && out.size() < MostNews) {
+            --member.newsSendings;
+            out.push_back(member.info);
+        }
+    }
+    for (size_t i = 0; i < std::min(RandomMembers, live.size()); ++i)
+        out.push_back(live[random.below(live.size())]->info);
     return out;
 }
 
-std::vector<MemberInfo> Membership::sample(Random &random) const
+std::vector<MemberInfo> Membership::everyone() const
 {
-    std::vector<MemberInfo> out = {self_};
-    const std::vector<const Member *> live = alive();
-    const size_t start = random.below(live.size());
-    for (size_t i = 0; i < std::min(live.size(), GossipSample); ++i)
-        out.push_back(live[(start + i) % live.size()]->info);
+    std::vector<MemberInfo> out;
+    for (const Member *member : alive())
+        out.push_back(member->info);
+    return out;
+}
+
+std::vector<Suspicion> Membership::suspicions()
+{
+    std::vector<Suspicion> out;
+    for (std::pair<const Incarnation, Member> &entry : members_) {
+        Member &member = entry.second;
+        if (member.suspectedAt.count == 0 || member.suspicionSendings == 0 || out.size() == MostNews)
+            continue;
+        --member.suspicionSendings;
+        out.push_back({entry.first, member.info.version});
+    }
     return out;
 }
 
@@ -129,12 +255,22 @@
     return domainsWithRevision({0});
 }
 
-bool MarkTable::add(const Mark &mark)
+bool Membership::isAmongLowestOfDomain(size_t count) const
+{
+    size_t lower = 0;
+    for (const Member *member : alive()) {
+        if (member->info.failureDomain == self_.failureDomain && member->info.incarnation < self_.incarnation)
+            ++lower;
+    }
+    return lower < count;
+}
+
+bool MarkTable::add(const Mark &mark, TimeMs noticeEndsAt)
 {
     // A "moved" mark is written once by the daemon that moved; a second one for it would be forged.
     if (mark.kind == MarkKind::DaemonMoved && !moved_.try_emplace(mark.subject, mark.successor).second)
         return false;
-    if (!marks_.try_emplace(mark, MarkSendings).second)
+    if (!marks_.try_emplace(mark, State{NewsSendings, noticeEndsAt}).second)
         return false;
     digest_ ^= hashOf(mark);
     return true;
@@ -161,25 +297,25 @@
     return incarnation;
 }
 
-std::vector<Mark> MarkTable::takeHot(size_t most)
+std::vector<MarkNews> MarkTable::takeHot(size_t most, TimeMs now)
 {
-    std::vector<Mark> out;
-    for (std::pair<const Mark, uint32_t> &entry : marks_) {
-        if (entry.second == 0)
+    std::vector<MarkNews> out;
+    for (std::pair<const Mark, State> &entry : marks_) {
+        if (entry.second.sendings == 0)
             continue;
-        --entry.second;
-        out.push_back(entry.first);
+        --entry.second.sendings;
+        out.push_back({entry.first, std::max(DurationMs{0}, entry.second.noticeEndsAt - now)});
         if (out.size() == most)
             break;
     }
     return out;
 }
 
-std::vector<Mark> MarkTable::all() const
+std::vector<MarkNews> MarkTable::all(TimeMs now) const
 {
-    std::vector<Mark> out;
-    for (const std::pair<const Mark, uint32_t> &entry : marks_)
-        out.push_back(entry.first);
+    std::vector<MarkNews> out;
+    for (const std::pair<const Mark, State> &entry : marks_)
+        out.push_back({entry.first, std::max(DurationMs{0}, entry.second.noticeEndsAt - now)});
     return out;
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -27,25 +27,45 @@
     friend bool operator==(const Mark &, const Mark &) = default;
 };
 
-/// One daemon as the others know it. `heartbeat` is its own counter: it only grows, and a copy that stands
-/// still for long is a daemon that is gone or cut off.
+/// A mark on its way, with what is left of the notice that came with it (0: none is known).
+struct MarkNews {
+    Mark mark;
+    DurationMs notice;
+};
+
+/// One daemon as the others know it. Only the daemon itself raises `version`, to answer a suspicion, and the
+/// highest one wins. `revision` is exact only where it comes from the daemon itself.
 struct MemberInfo {
     Incarnation incarnation;
     InstanceName instance;
     FailureDomainName failureDomain;
     Address callerAddress;
     Address peerAddress;
-    uint64_t heartbeat = 0;
+    uint64_t version = 1;
     Revision revision; ///< Configuration in force there.
 
     friend bool operator==(const MemberInfo &, const MemberInfo &) = default;
 };
 
+/// "I asked this daemon and heard nothing." It answers by raising its version above this one.
+struct Suspicion {
+    Incarnation incarnation;
+    uint64_t version = 0;
+
+    friend std::strong_ordering operator<=>(const Suspicion &, const Suspicion &) = default;
+    friend bool operator==(const Suspicion &, const Suspicion &) = default;
+};
+
+/// A probe and its answer, which carry news along.
 struct Gossip {
-    std::vector<MemberInfo> members; ///< The sender first.
-    std::vector<Mark> marks;
+    bool isReply = false;
+    MemberInfo sender;
+    std::vector<MemberInfo> members; ///< News, and a few at random.
+    std::vector<Suspicion> suspicions;
+    std::vector<MarkNews> marks;
     uint64_t markDigest = 0;
     bool wantsMarks = false; ///< Digests differ for long: send all.
+    bool wantsMembers = false; ///< Just started: send all.
 };
 
 /// "I have this revision": who has a newer one pushes it; who waits for confirmations counts it.
--- a/src/once.cpp
+++ b/src/once.cpp
@@ -135,7 +135,7 @@
         return;
     const Incarnation registrar = world.marks.resolve(request.spec->key.registrar);
     const Member *member = world.members.find(registrar);
-    const bool gone = !request.spec->key.isBare() && registrar != world.self() && (!member || member->gone);
+    const bool gone = !request.spec->key.isBare() && registrar != world.self() && member && member->gone;
     if (gone)
         endUnknown(world, request, RefusalReason::KeyUnknown);
     else if (request.asks >= MaxAsks)
--- a/src/peercodec.cpp
+++ b/src/peercodec.cpp
@@ -130,51 +130,72 @@
 
 // ---- Messages: one put for each kind, and one get ----
 
+void put(wire::Member &to, const MemberInfo &info)
+{
+    to.set_incarnation(info.incarnation.value);
+    to.set_instance(info.instance.value);
+    to.set_failure_domain(info.failureDomain.value);
+    put(*to.mutable_caller_address(), info.callerAddress);
+    put(*to.mutable_peer_address(), info.peerAddress);
+    to.set_version(info.version);
+    to.set_revision(info.revision.value);
+}
+
+MemberInfo get(const wire::Member &from)
+{
+    return {{from.incarnation()},     {from.instance()}, {from.failure_domain()}, get(from.caller_address()),
+            get(from.peer_address()), from.version(),    {from.revision()}};
+}
+
 void put(wire::Envelope &out, const Gossip &m)
 {
     wire::Gossip &to = *out.mutable_gossip();
-    for (const MemberInfo &info : m.members) {
-        wire::Member &member = *to.add_members();
-        member.set_incarnation(info.incarnation.value);
-        member.set_instance(info.instance.value);
-        member.set_failure_domain(info.failureDomain.value);
-        put(*member.mutable_caller_address(), info.callerAddress);
-        put(*member.mutable_peer_address(), info.peerAddress);
-        member.set_heartbeat(info.heartbeat);
-        member.set_revision(info.revision.value);
+    to.set_is_reply(m.isReply);
+    put(*to.add_members(), m.sender);
+    for (const MemberInfo &info : m.members)
+        put(*to.add_members(), info);
+    for (const Suspicion &suspicion : m.suspicions) {
+        wire::Suspicion &wireSuspicion = *to.add_suspicions();
+        wireSuspicion.set_incarnation(suspicion.incarnation.value);
+        wireSuspicion.set_version(suspicion.version);
     }
-    for (const Mark &mark : m.marks) {
+    for (const MarkNews &news : m.marks) {
         wire::Mark &wireMark = *to.add_marks();
-        wireMark.set_kind(static_cast<uint32_t>(mark.kind));
-        wireMark.set_instance(mark.instance.value);
-        wireMark.set_subject(mark.subject.value);
-        wireMark.set_successor(mark.successor.value);
+        wireMark.set_kind(static_cast<uint32_t>(news.mark.kind));
+        wireMark.set_instance(news.mark.instance.value);
+        wireMark.set_subject(news.mark.subject.value);
+        wireMark.set_successor(news.mark.successor.value);
+        wireMark.set_notice_ms(news.notice.count);
     }
     to.set_mark_digest(m.markDigest);
     to.set_wants_marks(m.wantsMarks);
+    to.set_wants_members(m.wantsMembers);
 }
 
 PeerMessage get(const wire::Gossip &from)
 {
     Gossip to;
-    for (const wire::Member &member : from.members()) {
-        to.members.push_back({{member.incarnation()},
-                              {member.instance()},
-                              {member.failure_domain()},
-                              get(member.caller_address()),
-                              get(member.peer_address()),
-                              member.heartbeat(),
-                              {member.revision()}});
+    to.isReply = from.is_reply();
+    for (int i = 0; i < from.members_size(); ++i) {
+        if (i == 0)
+            to.sender = get(from.members(i));
+        else
+            to.members.push_back(get(from.members(i)));
     }
+    for (const wire::Suspicion &suspicion : from.suspicions())
+        to.suspicions.push_back({{suspicion.incarnation()}, suspicion.version()});
     for (const wire::Mark &mark : from.marks()) {
+        // A kind this version does not know is left out; its daemon asks for what it misses.
         if (mark.kind() <= static_cast<uint32_t>(MarkKind::DaemonMoved))
-            to.marks.push_back({static_cast<MarkKind>(mark.kind()),
-                                {mark.instance()},
-                                {mark.subject()},
-                                {mark.successor()}});
+            to.marks.push_back({{static_cast<MarkKind>(mark.kind()),
+                                 {mark.instance()},
+                                 {mark.subject()},
+                                 {mark.successor()}},
+                                {mark.notice_ms()}});
     }
     to.markDigest = from.mark_digest();
     to.wantsMarks = from.wants_marks();
+    to.wantsMembers = from.wants_members();
     return to;
 }
 
--- a/src/world.h
+++ b/src/world.h
@@ -62,7 +62,9 @@
 
     Membership members;
     MarkTable marks;
+    TimeMs holdUntil; ///< No new attempts before this: the process was paused.
     TimeMs gossipAt; ///< Next round.
+    uint64_t gossipRounds = 0;
     uint64_t marksUnequal = 0; ///< Rounds in which a peer's marks differed.
 
     ConfigurationPtr configuration;
@@ -148,6 +150,8 @@
 void addMark(World &world, const Mark &mark, DurationMs notice);
 void onConfiguration(World &world, Revision revision, const std::string &text);
 void onConfigurationHave(World &world, Incarnation from, const ConfigurationHave &have);
+/// True if this daemon is one of the few of its failure domain that read the platform for all.
+bool isWatcher(const World &world);
 /// True if daemons in enough other failure domains hold `revision`.
 bool isConfirmed(const World &world, Revision revision);
 
--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -54,7 +54,8 @@
     double spread = 0;
     for (const Point &point : points)
         spread = std::max(spread, std::abs(point.value - base - slope * point.size));
-    fmt::print("slope | {} | {:.4g} {} each, base {:.4g}, spread {:.2g} |{}\n", name, slope, unit, base, spread, values);
+    fmt::print("slope | {} | {:.4g} {} each, base {:.4g}, spread {:.2g} |{}\n", name, slope, unit, base,
+               spread, values);
 }
 
 std::string configurationText(size_t endpoints)
@@ -84,8 +85,13 @@
             seeds.push_back(peerAddress(i));
         for (size_t i = 0; i < count; ++i) {
             Identity identity;
-            identity.member = {{1000 + i}, {fmt::format("entry-{}", i)}, {fmt::format("d{}", i % 22)},
-                               {"10.1.0.1", 1}, peerAddress(i), 1, {0}};
+            identity.member = {{1000 + i},
+                               {fmt::format("entry-{}", i)},
+                               {fmt::format("d{}", i % 22)},
+                               {"10.1.0.1", 1},
+                               peerAddress(i),
+                               1,
+                               {0}};
             identity.seeds = seeds;
             identity.seed = 77 + i;
             daemons_.push_back(std::make_unique<Daemon>(identity));
@@ -210,7 +216,8 @@
             known = std::min<uint64_t>(known, cluster.world(i).members.aliveCount());
 
         cluster.step(0, ConfigurationSeen{{5}, configurationText(16)});
-        const int64_t force = cluster.timeUntilAll([](const World &world) { return world.revision >= Revision{5}; }, {20000});
+        const int64_t force
+            = cluster.timeUntilAll([](const World &world) { return world.revision >= Revision{5}; }, {20000});
         cluster.step(1, LeavingSeen{{"i-00000001"}, DurationMs{4000}});
         const int64_t mark = cluster.timeUntilAll(
             [](const World &world) { return world.marks.isLeaving(InstanceName{"i-00000001"}); }, {20000});
@@ -220,7 +227,8 @@
         uint64_t wrong = 0;
         for (size_t i = 0; i < count; ++i)
             wrong += cluster.world(i).counters.of(Counter::FalseSuspicion);
-        fmt::print("daemons {} | least known {} | messages {:.1f}/s | in force everywhere {} ms | mark everywhere {} ms | "
+        fmt::print("daemons {} | least known {} | messages {:.1f}/s | in force everywhere {} ms | mark "
+                   "everywhere {} ms | "
                    "death seen by all {} ms | false suspicions {}\n",
                    count, known, cluster.messages() / size / Seconds, force, mark, gone, wrong);
     }
@@ -262,8 +270,11 @@
         for (int i = 0; i < 400; ++i) {
             const std::string prompt = fmt::format("{:04}", i % 50) + std::string(4000, 'p');
             const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
-            RoutingQuestion question{configuration.services[0], configuration.weights,
-                                     PrefixIndex::blockHashes(prompt), predictedTokens(prompt), {}};
+            RoutingQuestion question{configuration.services[0],
+                                     configuration.weights,
+                                     PrefixIndex::blockHashes(prompt),
+                                     predictedTokens(prompt),
+                                     {}};
             const std::optional<uint32_t> index = table.choose(question, marks, TimeMs{1}, random);
             took.push_back(microsSince(start));
             table.started(*index, question);
@@ -271,8 +282,8 @@
         }
         std::sort(took.begin(), took.end());
         mean.push_back({static_cast<double>(count), took[took.size() / 2]});
-        fmt::print("choice among {} endpoints | p50 {:.1f} us | p99 {:.1f} us\n", count, took[took.size() / 2],
-                   took[took.size() * 99 / 100]);
+        fmt::print("choice among {} endpoints | p50 {:.1f} us | p99 {:.1f} us\n", count,
+                   took[took.size() / 2], took[took.size() * 99 / 100]);
     }
     printSlope("choice of an endpoint, p50 us, by endpoints", "us", mean);
 }
@@ -294,7 +305,8 @@
             registry.answer(question, {2});
         }
         time.push_back({static_cast<double>(count), microsSince(start) / static_cast<double>(count)});
-        heap.push_back({static_cast<double>(registry.recordCount()), static_cast<double>(heapBytes() - before)});
+        heap.push_back(
+            {static_cast<double>(registry.recordCount()), static_cast<double>(heapBytes() - before)});
     }
     printSlope("register, heap B, by records (20 to a session)", "B", heap);
     printSlope("register, us a question, by records", "us", time);
@@ -351,11 +363,16 @@
     std::string decisions;
     for (uint64_t i = 0; i < 20000; ++i) {
         if (i == 5000)
-            marks.add({MarkKind::EndpointLeaving, {"i-00000007"}, {}, {}});
-        const std::string prompt = fmt::format("{:06}", random.below(300)) + std::string(random.below(6000), 'p');
-        const RoutingQuestion question{configuration.services[0], configuration.weights,
-                                       PrefixIndex::blockHashes(prompt), predictedTokens(prompt), {}};
-        const std::optional<uint32_t> index = table.choose(question, marks, TimeMs{static_cast<int64_t>(i)}, random);
+            marks.add({MarkKind::EndpointLeaving, {"i-00000007"}, {}, {}}, TimeMs{0});
+        const std::string prompt
+            = fmt::format("{:06}", random.below(300)) + std::string(random.below(6000), 'p');
+        const RoutingQuestion question{configuration.services[0],
+                                       configuration.weights,
+                                       PrefixIndex::blockHashes(prompt),
+                                       predictedTokens(prompt),
+                                       {}};
+        const std::optional<uint32_t> index
+            = table.choose(question, marks, TimeMs{static_cast<int64_t>(i)}, random);
         if (index)
             table.started(*index, question);
         if (index && i % 3 != 0)
