--- a/src/drain.cpp
+++ b/src/drain.cpp
@@ -16,20 +16,10 @@
 // The successor is chosen afresh while none has confirmed the register; afterwards only if it is gone.
 bool chooseSuccessor(World &world)
 {
-    std::vector<const Member *> others;
-    std::vector<const Member *> sameDomain;
-    for (const Member *member : world.members.alive()) {
-        const bool leaving
-            = world.marks.isLeaving(member->info.incarnation) || world.marks.isLeaving(member->info.instance);
-        if (leaving || member->info.incarnation == world.drain.successor)
-            continue;
-        const bool same = member->info.failureDomain == world.members.self().failureDomain;
-        (same ? sameDomain : others).push_back(member);
-    }
-    const std::vector<const Member *> &pool = others.empty() ? sameDomain : others;
-    if (pool.empty())
+    const Member *successor = pickElsewhere(world, world.drain.successor);
+    if (!successor)
         return false;
-    world.drain.successor = pool[world.random.below(pool.size())]->info.incarnation;
+    world.drain.successor = successor->info.incarnation;
     world.drain.successorChosenAt = world.now;
     return true;
 }
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -89,6 +89,22 @@
         moveOffEndpoint(world, mark.instance, notice);
 }
 
+const Member *pickElsewhere(World &world, Incarnation except)
+{
+    std::vector<const Member *> others;
+    std::vector<const Member *> sameDomain;
+    for (const Member *member : world.members.alive()) {
+        const bool leaving
+            = world.marks.isLeaving(member->info.incarnation) || world.marks.isLeaving(member->info.instance);
+        if (leaving || member->info.incarnation == except)
+            continue;
+        const bool same = member->info.failureDomain == world.members.self().failureDomain;
+        (same ? sameDomain : others).push_back(member);
+    }
+    const std::vector<const Member *> &pool = others.empty() ? sameDomain : others;
+    return pool.empty() ? nullptr : pool[world.random.below(pool.size())];
+}
+
 bool isWatcher(const World &world)
 {
     return world.members.isAmongLowestOfDomain(WatchersPerDomain);
--- /dev/null
+++ b/src/io/jsonread.cpp
@@ -0,0 +1,38 @@
+#include "jsonread.h"
+
+namespace json = boost::json;
+
+namespace cranberry {
+
+namespace {
+
+const json::value *fieldOf(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    return object ? object->if_contains(name) : nullptr;
+}
+
+} // namespace
+
+json::value parsedOrNull(const std::string &text)
+{
+    json::error_code code;
+    json::value value = json::parse(text, code);
+    return code ? json::value() : value;
+}
+
+std::string textAt(const json::value &value, const char *name)
+{
+    const json::value *field = fieldOf(value, name);
+    return field && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+uint64_t numberAt(const json::value &value, const char *name)
+{
+    const json::value *field = fieldOf(value, name);
+    if (field && field->is_string())
+        return std::strtoull(field->as_string().c_str(), nullptr, 10);
+    return field && field->is_number() ? field->to_number<uint64_t>() : 0;
+}
+
+} // namespace cranberry
--- a/src/io/platform.cpp
+++ b/src/io/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform.h"
 
+#include "jsonread.h"
 #include "logging.h"
 
 #include <openssl/evp.h>
@@ -40,25 +41,6 @@
     return out;
 }
 
-// The interface writes 64-bit numbers as strings.
-uint64_t numberAt(const json::value &value, const char *name)
-{
-    const json::object *object = value.if_object();
-    const json::value *field = object ? object->if_contains(name) : nullptr;
-    if (!field)
-        return 0;
-    if (field->is_string())
-        return std::strtoull(field->as_string().c_str(), nullptr, 10);
-    return field->is_number() ? field->to_number<uint64_t>() : 0;
-}
-
-std::string textAt(const json::value &value, const char *name)
-{
-    const json::object *object = value.if_object();
-    const json::value *field = object ? object->if_contains(name) : nullptr;
-    return field && field->is_string() ? std::string(field->as_string()) : std::string();
-}
-
 const json::value *firstOf(const json::value &value, const char *name)
 {
     const json::object *object = value.if_object();
@@ -67,13 +49,6 @@
     return array && !array->empty() ? &array->front() : nullptr;
 }
 
-json::value parsedOrNull(const std::string &text)
-{
-    json::error_code code;
-    json::value value = json::parse(text, code);
-    return code ? json::value() : value;
-}
-
 std::string encodeRecord(const OnceRecord &record)
 {
     return json::serialize(json::object{{"state", static_cast<int>(record.state)},
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -15,21 +15,6 @@
 constexpr size_t FetchBytes = 256U << 10;
 constexpr DurationMs WitnessKeep{600000};
 
-// A live member that does not leave; of another failure domain if there is one.
-const Member *chooseWitness(World &world)
-{
-    std::vector<const Member *> others;
-    std::vector<const Member *> sameDomain;
-    for (const Member *member : world.members.alive()) {
-        if (world.marks.isLeaving(member->info.incarnation))
-            continue;
-        const bool same = member->info.failureDomain == world.members.self().failureDomain;
-        (same ? sameDomain : others).push_back(member);
-    }
-    const std::vector<const Member *> &pool = others.empty() ? sameDomain : others;
-    return pool.empty() ? nullptr : pool[world.random.below(pool.size())];
-}
-
 // The owner itself as long as it lives: it keeps its open requests while it drains, also after its register
 // moved.
 Incarnation ownerNow(const World &world, Incarnation owner)
@@ -198,7 +183,7 @@
     const Member *witness
         = request.witnessAsks == 0 && named != world.self() ? world.members.find(named) : nullptr;
     if (!witness || !world.members.isAlive(named))
-        witness = chooseWitness(world);
+        witness = pickElsewhere(world, {});
     ++request.witnessAsks;
     request.witnessAskedAt = world.now;
     if (!witness) {
--- a/src/world.h
+++ b/src/world.h
@@ -150,6 +150,9 @@
 void addMark(World &world, const Mark &mark, DurationMs notice);
 void onConfiguration(World &world, Revision revision, const std::string &text);
 void onConfigurationHave(World &world, Incarnation from, const ConfigurationHave &have);
+/// A live member that does not leave, other than `except`; of another failure domain if there is one, else
+/// nullptr.
+const Member *pickElsewhere(World &world, Incarnation except);
 /// True if this daemon is one of the few of its failure domain that read the platform for all.
 bool isWatcher(const World &world);
 /// True if daemons in enough other failure domains hold `revision`.
--- a/tools/caller.cpp
+++ b/tools/caller.cpp
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include "jsonread.h"
 #include "tokens.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -17,23 +18,8 @@
 
 json::value parsed(const std::string &text)
 {
-    json::error_code code;
-    json::value value = json::parse(text, code);
-    return code ? json::value(json::object()) : value;
-}
-
-std::string textAt(const json::value &value, const char *name)
-{
-    const json::object *object = value.if_object();
-    const json::value *field = object ? object->if_contains(name) : nullptr;
-    return field && field->is_string() ? std::string(field->as_string()) : std::string();
-}
-
-int64_t numberAt(const json::value &value, const char *name)
-{
-    const json::object *object = value.if_object();
-    const json::value *field = object ? object->if_contains(name) : nullptr;
-    return field && field->is_number() ? field->to_number<int64_t>() : 0;
+    json::value value = parsedOrNull(text);
+    return value.is_object() ? value : json::value(json::object());
 }
 
 Address addressOf(const std::string &location)
@@ -182,13 +168,13 @@
     }
     if (value.as_object().contains("answer")) {
         digest_ = textAt(value.at("answer"), "digest");
-        length_ = static_cast<uint64_t>(numberAt(value.at("answer"), "length"));
+        length_ = numberAt(value.at("answer"), "length");
         sawEnd_ = true;
         return;
     }
     if (result_.text.empty() && result_.firstToken.count == 0)
         result_.firstToken = {std::max<int64_t>(1, nowMs() - startedAt_)};
-    const uint64_t offset = static_cast<uint64_t>(numberAt(value, "offset"));
+    const uint64_t offset = numberAt(value, "offset");
     result_.text.resize(std::min<size_t>(result_.text.size(), offset));
     result_.text += textAt(value.at("choices").as_array().front().at("delta"), "content");
     if (event.starts_with("id: "))
@@ -232,7 +218,7 @@
     ++result_.refusals;
     if (outcome != "notRun")
         return finish(JobOutcome::Unknown, reason);
-    const int64_t wait = numberAt(refusal, "retryAfterMs");
+    const int64_t wait = static_cast<int64_t>(numberAt(refusal, "retryAfterMs"));
     const bool inTime = nowMs() - startedAt_ + wait < job_.deadline.count;
     if (wait <= 0 || !inTime || result_.refusals > MaxFailures)
         return finish(JobOutcome::NotRun, reason);
--- a/tools/cranberryctl.cpp
+++ b/tools/cranberryctl.cpp
@@ -1,12 +1,10 @@
 #include "commandline.h"
 #include "httpclient.h"
+#include "jsonread.h"
 
-#include <boost/json.hpp>
 #include <fmt/format.h>
 #include <openssl/rand.h>
 
-namespace json = boost::json;
-
 namespace cranberry {
 
 namespace {
@@ -58,15 +56,6 @@
     return response.status < 300 ? 0 : ExitFailed;
 }
 
-std::string fieldOf(const HttpResponse &response, const char *name)
-{
-    json::error_code code;
-    const json::value value = json::parse(response.body, code);
-    const json::object *object = code ? nullptr : value.if_object();
-    const json::value *field = object ? object->if_contains(name) : nullptr;
-    return field && field->is_string() ? std::string(field->as_string()) : std::string();
-}
-
 // Never ends in "maybe" without saying how to settle it.
 int apply(const CommandLine &line, const Options &options)
 {
@@ -109,7 +98,7 @@
     const HttpResponse response = callDaemon(options, "GET", "/admin/configuration", "");
     if (response.failure != HttpFailure::None)
         return show(response);
-    fmt::print("{}", fieldOf(response, "text"));
+    fmt::print("{}", textAt(parsedOrNull(response.body), "text"));
     return 0;
 }
 
