--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -28,6 +28,7 @@
     copy.purpose = purpose;
     copy.request = request.id;
     copy.spec = *request.spec;
+    copy.spec.prompt.clear(); // It stands in the body too: half of the copy's bytes.
     copy.spec.deadline = std::max(DurationMs{1}, request.deadlineAt - world.now);
     copy.branches = request.branches;
     return copy;
@@ -39,10 +40,13 @@
 {
     Request request;
     request.id = copy.request;
-    request.spec = std::make_shared<const RequestSpec>(copy.spec);
+    RequestSpec spec = copy.spec;
+    if (spec.prompt.empty())
+        spec.prompt = spec.body;
+    request.spec = std::make_shared<const RequestSpec>(std::move(spec));
     request.arrivedAt = world.now;
     request.deadlineAt = world.now + copy.spec.deadline;
-    request.workTokens = predictedTokens(copy.spec.prompt) + copy.spec.maxTokens;
+    request.workTokens = predictedTokens(request.spec->prompt) + copy.spec.maxTokens;
     request.text = copy.text;
     request.generatedTokens = copy.generatedTokens;
     request.branches = copy.branches;
--- a/tests/matrix_test.cpp
+++ b/tests/matrix_test.cpp
@@ -90,9 +90,13 @@
 // over all steps.
 TEST_CASE("a leaving endpoint gets no new work after its mark has spread")
 {
-    std::vector<int64_t> last;
-    for (uint64_t at = 0; at < 240; at += 4)
-        last.push_back(run(scenarios()[4], Fault::ReclaimEndpoint, at, Seed + at).lastWorkAfterNotice.count);
+    constexpr uint64_t Runs = 60;
+    constexpr uint64_t StepsApart = 4;
+    std::vector<int64_t> last(Runs);
+    for (uint64_t i = 0; i < Runs; ++i) {
+        const uint64_t at = i * StepsApart;
+        last[i] = run(scenarios()[4], Fault::ReclaimEndpoint, at, Seed + at).lastWorkAfterNotice.count;
+    }
     std::sort(last.begin(), last.end());
     fmt::print("leaving | runs {} | p50 {} ms | p99 {} ms | max {} ms\n", last.size(), last[last.size() / 2],
                last[last.size() * 99 / 100], last.back());
--- a/tests/safeguards_test.cpp
+++ b/tests/safeguards_test.cpp
@@ -131,7 +131,7 @@
         }
         return most;
     };
-    constexpr uint64_t Asked = 3 * 260;
+    constexpr uint64_t Asked = 780; // Three streams of 260 tokens.
     const uint64_t with = mostTokens();
     const Without without(Safeguard::HandoverOnReclaim);
     const uint64_t again = mostTokens();
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const char *const Text
+constexpr const char *GoodText
     = R"({"failureDomains":["leioa","deusto"],"organisations":[{"name":"diputacion"}],"services":[
   {"name":"redactor","kind":"model","dependsOn":["portal"],
    "endpoints":[{"name":"r1","instance":"i1","failureDomain":"leioa","address":"127.0.0.1:9001","slots":2}]},
@@ -21,7 +21,7 @@
 
 std::string replaced(const std::string &what, const std::string &with)
 {
-    std::string text = Text;
+    std::string text = GoodText;
     return text.replace(text.find(what), what.size(), with);
 }
 
@@ -46,7 +46,7 @@
 
 TEST_CASE("a configuration that is wrong names the field")
 {
-    CHECK(configurationOutcome(Text) == "ok");
+    CHECK(configurationOutcome(GoodText) == "ok");
     CHECK(configurationOutcome(replaced("\"slots\":2", "\"slot\":2"))
           == "services[0].endpoints[0].slot: is not a known field");
     CHECK(configurationOutcome(replaced("\"slots\":2", "\"slots\":\"2\""))
@@ -87,10 +87,11 @@
 
 TEST_CASE("a diff names each field that changed")
 {
-    const std::vector<std::string> lines = diffConfigurations(Text, replaced("\"slots\":2", "\"slots\":3"));
+    const std::vector<std::string> lines
+        = diffConfigurations(GoodText, replaced("\"slots\":2", "\"slots\":3"));
     REQUIRE(lines.size() == 1);
     CHECK(lines.front() == "services[0].endpoints[0].slots: 2 -> 3");
-    CHECK(diffConfigurations(Text, Text).empty());
+    CHECK(diffConfigurations(GoodText, GoodText).empty());
 }
 
 TEST_CASE("ids and addresses are read back as they were written")
