--- a/tests/matrix_test.cpp
+++ b/tests/matrix_test.cpp
@@ -112,10 +112,11 @@
     std::string example;
     for (int i = 0; i < 400; ++i) {
         const Scenario &scenario = scenarios()[random.below(scenarios().size())];
-        std::vector<FaultAt> faults;
-        for (int k = 0; k < 2; ++k)
-            faults.push_back({static_cast<Fault>(1 + random.below(static_cast<uint64_t>(Fault::Count) - 1)),
-                              random.below(60)});
+        std::vector<FaultAt> faults(2);
+        for (FaultAt &fault : faults) {
+            fault.fault = static_cast<Fault>(1 + random.below(static_cast<uint64_t>(Fault::Count) - 1));
+            fault.at = random.below(60);
+        }
         const Report report = run(scenario, faults, Seed + i);
         report.breaches.empty() ? ++cell.held : ++cell.failed;
         if (!report.breaches.empty())
