--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -27,7 +27,10 @@
 declare -A pids
 run_dir=""
 
+# One run at a time on a machine: the ports are fixed. A second one waits.
 begin_run() {
+    exec 9>"${TMPDIR:-/tmp}/cranberrygate-run.lock"
+    flock -w 300 9 || { echo "another run holds the ports" >&2; return 1; }
     run_dir=$(mktemp -d)
     trap end_run EXIT
 }
@@ -44,7 +47,7 @@
 start() { # NAME COMMAND...
     local name=$1
     shift
-    "$@" >"$run_dir/$name.out" 2>&1 &
+    "$@" >"$run_dir/$name.out" 2>&1 9>&- &
     pids[$name]=$!
     disown "${pids[$name]}"
 }
