--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -10,7 +10,7 @@
 
 constexpr int Requests = 6000;
 constexpr int AtOnce = 24;
-const Address ServerAddress{"127.0.0.1", 16999};
+const Address serverAddress{"127.0.0.1", 16999};
 
 } // namespace
 
@@ -21,7 +21,7 @@
 {
     boost::asio::io_context io;
     int closed = 0;
-    HttpServer server(io, ServerAddress, {}, [&io, &closed](const HttpExchangePtr &exchange) {
+    HttpServer server(io, serverAddress, {}, [&io, &closed](const HttpExchangePtr &exchange) {
         exchange->onClosed([&closed] { ++closed; });
         std::shared_ptr<boost::asio::steady_timer> timer
             = std::make_shared<boost::asio::steady_timer>(io, std::chrono::milliseconds(1));
@@ -37,7 +37,7 @@
             return;
         ++started;
         HttpCall call;
-        call.address = ServerAddress;
+        call.address = serverAddress;
         call.freshConnection = true;
         client.fetch(std::move(call), [&](const HttpResponse &response) {
             whole += response.failure == HttpFailure::None && response.body == "ok" ? 1 : 0;
