--- a/src/drain.cpp
+++ b/src/drain.cpp
@@ -160,10 +160,7 @@
         = world.now + (notice ? std::max(DurationMs{0}, *notice - LastWords) : world.drainLimit);
     if (drain.active && endsAt >= drain.endsAt)
         return;
-    if (!drain.active)
-        drain.startedAt = world.now;
     drain.active = true;
-    drain.planned = !notice;
     drain.endsAt = endsAt;
     drain.handoverAt = notice ? world.now + *notice * PercentOfNoticeToStay / 100 : endsAt;
     drain.quietSince = world.now;
--- a/src/messages.h
+++ b/src/messages.h
@@ -287,7 +287,6 @@
 struct CallerRefused {
     CallerId caller;
     Refusal refusal;
-    std::vector<Address> elsewhere;
 };
 
 struct CallerMoved { ///< The request goes on at another entry.
--- a/src/submit.cpp
+++ b/src/submit.cpp
@@ -144,7 +144,7 @@
 void refuseCaller(World &world, CallerId caller, const Refusal &refusal)
 {
     world.counters.add(refusal.reason);
-    world.out.push_back(CallerRefused{caller, refusal, {}});
+    world.out.push_back(CallerRefused{caller, refusal});
 }
 
 void onCallerSubmit(World &world, const CallerSubmit &event)
--- a/src/world.h
+++ b/src/world.h
@@ -30,8 +30,6 @@
 /// A running drain of this daemon.
 struct Drain {
     bool active = false;
-    bool planned = true; ///< No notice: open requests are finished here.
-    TimeMs startedAt;
     TimeMs handoverAt; ///< From here on open requests move to the successor.
     TimeMs endsAt;
     Incarnation successor;
