Usage reports, orders of engines by measured demand, tests of the gateway's core

Now one holder, elected by a leased key whose revision is the fencing token, reports each window from counts stored before they are sent, and orders reclaimable engines, spread over the failure domains, for the highest demand of the last half minute. Also: a leaving daemon starts no stream after 3 s, and a refusal that an endpoint did not state is not passed on.

--- /dev/null
+++ b/src/gateway/enginesizing.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gateway/decisionlog.h"
+#include "gateway/dutycalls.h"
+#include "gateway/endpointfleet.h"
+#include "gateway/storesync.h"
+
+#include <utility>
+#include <deque>
+#include <map>
+
+namespace cranberry {
+
+/// Engines wanted in one failure domain.
+struct DomainPlan {
+    FailureDomainName failureDomain;
+    uint32_t onDemand = 0;
+    uint32_t reclaimable = 0;
+};
+
+/// What there is in one failure domain.
+struct DomainStock {
+    uint32_t onDemand = 0; ///< Ready, not leaving.
+    uint32_t reclaimable = 0;
+    bool reclaimableShort = false; ///< None could be had lately.
+};
+
+/// How many engines each failure domain gets, for a demand. Without a network or a clock, for tests.
+///
+/// Reclaimable engines are taken where they are cheaper. A failure domain's reclaimable ones may go all at
+/// once, so they are spread over all domains, and the rest must carry the demand without the fullest domain.
+std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
+                                    const ServiceDemand &demand,
+                                    const std::map<FailureDomainName, DomainStock> &stock);
+
+/// Orders engines in the name of the duty's holder.
+class EngineSizing
+{
+public:
+    explicit EngineSizing(DecisionLog &log) : log_(log) { }
+
+    void tick(const Leadership &leadership, const EndpointFleet &fleet, const std::map<ServiceName, ServiceDemand> &demand,
+              const ServingConfigurationPtr &configuration, TimeMs now);
+    void onReply(uint64_t id, DutyOutcome outcome, TimeMs now);
+    std::vector<DutyCall> takeCalls() { return std::exchange(calls_, {}); }
+
+private:
+    struct Subject {
+        ServiceName service;
+        FailureDomainName failureDomain;
+        bool reclaimable = false;
+        friend std::strong_ordering operator<=>(const Subject &, const Subject &) = default;
+    };
+    struct Ordered {
+        uint32_t count = 0;
+        bool confirmed = false;
+        TimeMs nextAt;
+        TimeMs shortUntil; ///< None could be had: not asked again before.
+    };
+    struct DemandHistory {
+        std::deque<std::pair<TimeMs, ServiceDemand>> samples;
+    };
+
+    ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
+    void order(const Subject &subject, uint32_t count, const Leadership &leadership, TimeMs now);
+
+    DecisionLog &log_;
+    std::map<ServiceName, DemandHistory> history_;
+    std::map<Subject, Ordered> ordered_;
+    std::map<uint64_t, Subject> open_;
+    std::vector<DutyCall> calls_;
+    uint64_t nextCall_ = 1;
+    uint64_t lastToken_ = 0;
+    TimeMs nextAt_;
+};
+
+} // namespace cranberry
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
+#include <utility>
 
 namespace cranberry {
 
@@ -20,10 +22,16 @@
 /// What callers are told when no better figure is known; spread, so that they don't come back together.
 constexpr DurationMs DefaultRetryAfter{400};
 constexpr uint64_t RetryAfterSpreadMs = 400;
+/// Another daemon can serve at once.
+constexpr DurationMs ElsewhereRetryAfter{50};
 constexpr size_t MostHeldBody = 8U << 20; ///< Larger answers are passed on as they come.
 
-constexpr int Ok = 200;
+/// Callers that still come this long after a daemon began to leave hold an old entry answer. A stream that
+/// starts then might not end before the process does.
+constexpr DurationMs LastStreamsAfterLeaving{3000};
+
 constexpr int FirstServerError = 500;
+constexpr std::array PromisesNotRun = {408, 421, 429, 503};
 
 uint64_t messageTokens(const CallerRequest &request)
 {
@@ -52,7 +60,7 @@
 
 bool Gateway::isReady(TimeMs now) const
 {
-    return !leaving_ && fleet_.known() && isFresh(now, settings_.revokeBound - RevokeMargin);
+    return !leavingSince_ && fleet_.known() && isFresh(now, settings_.revokeBound - RevokeMargin);
 }
 
 // What a configuration says of a request: the route, the key, and how long the caller can be served. Run again
@@ -69,6 +77,9 @@
         return certain ? OwnAnswer{404, GatewayRefusal::UnknownRoute, {}}
                        : OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter};
     }
+    if (leavingSince_ && exchange.route->kind == RouteKind::Streaming && exchange.sends == 0
+        && now - *leavingSince_ > LastStreamsAfterLeaving)
+        return OwnAnswer{503, GatewayRefusal::Leaving, ElsewhereRetryAfter};
     exchange.priority = exchange.route->priority;
     exchange.timeoutAt = exchange.arrivedAt + exchange.route->timeout;
     exchange.callerWaitsUntil = exchange.arrivedAt + request.deadline.value_or(exchange.route->timeout);
@@ -207,6 +218,8 @@
     exchange.splitter.clear();
     attempts_[exchange.attempt] = exchange.caller;
     fleet_.started(choice, question, now);
+    if (question.engine)
+        demand_.prefill(exchange.service, choice.prefillTokens);
     counters_.add(GatewayCount::Attempts);
 
     SendAttempt order;
@@ -420,6 +433,11 @@
     }
     if (exchange.phase == ExchangePhase::Streaming)
         return streamBroke(exchange, now);
+    // These promise the caller that nothing ran. The endpoint did not state that, so it is not passed on.
+    if (std::find(PromisesNotRun.begin(), PromisesNotRun.end(), exchange.head.status) != PromisesNotRun.end()) {
+        exchange.mayHaveRun = true;
+        return giveUp(exchange, GatewayRefusal::EndpointBroken, now);
+    }
     counters_.add(GatewayCount::AnswersPassed);
     log(failed ? LogWeight::Failure : LogWeight::Ordinary, "answered", exchange,
         {{"status", exchange.head.status}, {"after_ms", (now - exchange.arrivedAt).count}});
@@ -611,9 +629,14 @@
 {
     PeerReport out;
     out.instance = settings_.instance;
-    out.leaving = leaving_;
+    out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
     out.sequence = ++reports_;
+    std::map<ServiceName, uint32_t> running;
+    for (const std::pair<const CallerId, Exchange> &entry : exchanges_)
+        ++running[entry.second.service];
+    demand_.sample(running, now);
+    out.demands = demand_.values();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet_.all()) {
         if (entry.second.running > 0)
             out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
@@ -627,6 +650,21 @@
     return out;
 }
 
+std::map<ServiceName, ServiceDemand> Gateway::demand(TimeMs now) const
+{
+    std::map<ServiceName, ServiceDemand> sums;
+    std::vector<ServiceDemand> all = peers_.demandSums(now);
+    for (const ServiceDemand &own : demand_.values())
+        all.push_back(own);
+    for (const ServiceDemand &each : all) {
+        ServiceDemand &sum = sums[each.service];
+        sum.service = each.service;
+        sum.prefillTokensPerSecond += each.prefillTokensPerSecond;
+        sum.running += each.running;
+    }
+    return sums;
+}
+
 std::vector<Address> Gateway::callerAddresses(const Address &own, TimeMs now) const
 {
     std::vector<Address> out = peers_.readyAddresses(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/decisionlog.h"
+#include "gateway/demandmeter.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaycounters.h"
 #include "gateway/peertable.h"
@@ -9,6 +10,7 @@
 #include "gateway/usagewindows.h"
 #include "random.h"
 
+#include <utility>
 #include <map>
 
 namespace cranberry {
@@ -49,7 +51,7 @@
     void onPeerReport(const PeerReport &report, TimeMs now);
 
     void tick(TimeMs now);
-    void startLeaving() { leaving_ = true; }
+    void startLeaving(TimeMs now) { leavingSince_ = now; }
 
     std::vector<GatewayAction> takeActions() { return std::exchange(actions_, {}); }
 
@@ -58,6 +60,8 @@
     bool isIdle() const { return exchanges_.empty(); }
     /// What is told to the other daemons; the caller fills in identity and time of day.
     PeerReport report(TimeMs now);
+    /// Demand on each service's engines, of all daemons that are heard.
+    std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
     std::vector<Address> callerAddresses(const Address &own, TimeMs now) const;
 
     const GatewayCounters &counters() const { return counters_; }
@@ -114,13 +118,14 @@
 
     ServingConfigurationPtr configuration_;
     TimeMs confirmedAt_; ///< The configuration was the newest at or after this time.
-    bool leaving_ = false;
+    std::optional<TimeMs> leavingSince_;
 
     EndpointFleet fleet_;
     PeerTable peers_;
     Quotas quotas_;
     RepeatBudget repeats_;
     UsageWindows usage_;
+    DemandMeter demand_;
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRefusal::Count)> RefusalNames
     = {"no_configuration", "stale_configuration", "bad_request",  "unknown_route",   "unknown_key", "over_limit",
-       "no_endpoint",      "overloaded",          "not_executed", "endpoint_broken", "timed_out",   "too_large"};
+       "no_endpoint",      "overloaded",          "not_executed", "endpoint_broken", "timed_out",   "leaving"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames
     = {"connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -20,7 +20,7 @@
     NotExecuted, ///< Every endpoint asked stated that it did not run the request.
     EndpointBroken, ///< The outcome at the endpoint is unknown.
     TimedOut,
-    TooLarge, ///< More than any endpoint can hold.
+    Leaving, ///< This daemon is about to stop.
     Count
 };
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -5,6 +5,7 @@
 #include "gateway/storecalls.h"
 #include "random.h"
 
+#include <utility>
 #include <map>
 
 namespace cranberry {
--- /dev/null
+++ b/src/gateway/usageduty.cpp
@@ -0,0 +1,157 @@
+#include "gateway/usageduty.h"
+
+#include "fields.h"
+
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+namespace json = boost::json;
+
+/// After a window's end its last requests are still being counted and told to the other daemons: a plain call
+/// is counted when its answer begins, a report of counts is sent five times a second.
+constexpr DurationMs GatherTime{1200};
+constexpr DurationMs CallTimeout{1500};
+constexpr DurationMs RetryPause{400};
+/// Stored windows are deleted when they are this many windows old: nobody can report them any more.
+constexpr int64_t WindowsKept = 12;
+
+std::string keyOf(int64_t window)
+{
+    return fmt::format("usage-{}", window);
+}
+
+std::string textOf(const std::map<OrganisationName, uint64_t> &counts)
+{
+    json::object out;
+    for (const std::pair<const OrganisationName, uint64_t> &count : counts)
+        out[count.first.value] = count.second;
+    return json::serialize(out);
+}
+
+std::optional<std::map<OrganisationName, uint64_t>> countsFromText(const std::string &text)
+{
+    json::error_code code;
+    const json::value value = json::parse(text, code);
+    if (code || !value.is_object())
+        return std::nullopt;
+    std::map<OrganisationName, uint64_t> counts;
+    for (const json::key_value_pair &field : value.as_object()) {
+        if (!field.value().is_number())
+            return std::nullopt;
+        counts[OrganisationName{std::string(field.key())}] = field.value().to_number<uint64_t>();
+    }
+    return counts;
+}
+
+} // namespace
+
+void UsageDuty::tick(const Leadership &leadership, const UsageWindows &windows, const PeerTable &peers,
+                     const ServingConfigurationPtr &configuration, TimeMs now)
+{
+    if (!leadership.held || !configuration) {
+        // Whatever is under way may be finished by a successor from what the store holds.
+        windows_.clear();
+        calls_.clear();
+        return;
+    }
+    const int64_t first = windows.windowAt(now - due_);
+    windows_.erase(windows_.begin(), windows_.lower_bound(first));
+    for (int64_t number = first; windows.endOf(number) + GatherTime <= now; ++number) {
+        Window &window = windows_[number];
+        if (now < window.nextAt)
+            continue;
+        if (window.step == Step::Count) {
+            for (const ServedOrganisation &organisation : configuration->organisations)
+                window.counts[organisation.name] = 0;
+            const auto own = windows.counts().find(number);
+            if (own != windows.counts().end()) {
+                for (const std::pair<const OrganisationName, uint64_t> &count : own->second)
+                    window.counts[count.first] += count.second;
+            }
+            for (const std::pair<const OrganisationName, uint64_t> &count : peers.windowSums(number))
+                window.counts[count.first] += count.second;
+            write(number, window, now);
+        } else if (window.step == Step::Writing) {
+            write(number, window, now);
+        } else if (window.step == Step::Send || window.step == Step::Sending) {
+            send(number, window, leadership, now);
+        }
+    }
+}
+
+void UsageDuty::write(int64_t number, Window &window, TimeMs now)
+{
+    window.step = Step::Writing;
+    window.nextAt = now + CallTimeout + RetryPause;
+    StoreCall call;
+    call.id = nextCall_++;
+    call.verb = StoreVerb::Write;
+    call.conditions.push_back({StoreSpace::Archive, keyOf(number), 0});
+    call.puts.push_back({StoreSpace::Archive, keyOf(number), textOf(window.counts), 0});
+    call.deletes.push_back({StoreSpace::Archive, keyOf(number - WindowsKept)});
+    call.timeout = CallTimeout;
+    calls_[call.id] = number;
+    storeCalls_.push_back(std::move(call));
+}
+
+void UsageDuty::send(int64_t number, Window &window, const Leadership &leadership, TimeMs now)
+{
+    window.step = Step::Sending;
+    window.nextAt = now + CallTimeout + RetryPause;
+    DutyCall call;
+    call.id = nextCall_++;
+    call.fencingToken = leadership.fencingToken;
+    call.timeout = std::min(CallTimeout, leadership.validUntil - now);
+    call.usage = UsageReport{number, window.counts};
+    calls_[call.id] = number;
+    dutyCalls_.push_back(std::move(call));
+}
+
+void UsageDuty::onStoreReply(const StoreReply &reply, TimeMs now)
+{
+    const auto call = calls_.find(reply.id);
+    if (call == calls_.end())
+        return;
+    const auto found = windows_.find(call->second);
+    calls_.erase(call);
+    if (found == windows_.end() || found->second.step != Step::Writing)
+        return;
+    Window &window = found->second;
+    window.nextAt = now + RetryPause;
+    if (reply.outcome == StoreOutcome::Done) {
+        window.step = Step::Send;
+        window.nextAt = now;
+    } else if (reply.outcome == StoreOutcome::Conflict && !reply.items.empty()) {
+        // Somebody has written the window before, perhaps this daemon with a lost reply: that is what counts.
+        const std::optional<std::map<OrganisationName, uint64_t>> stored = countsFromText(reply.items.front().value);
+        if (!stored) {
+            log_.write(LogWeight::Failure, "usage_unreadable", {{"window", found->first}});
+            return;
+        }
+        window.counts = *stored;
+        window.step = Step::Send;
+        window.nextAt = now;
+    }
+}
+
+void UsageDuty::onDutyReply(uint64_t id, DutyOutcome outcome, TimeMs now)
+{
+    const auto call = calls_.find(id);
+    if (call == calls_.end())
+        return;
+    const auto found = windows_.find(call->second);
+    calls_.erase(call);
+    if (found == windows_.end() || found->second.step != Step::Sending)
+        return;
+    found->second.nextAt = now + RetryPause;
+    if (outcome != DutyOutcome::Done)
+        return;
+    found->second.step = Step::Done;
+    log_.write(LogWeight::State, "usage_reported",
+               {{"window", found->first}, {"counts", textOf(found->second.counts)}});
+}
+
+} // namespace cranberry
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -22,7 +22,9 @@
     DurationMs stopGrace{8000}; ///< From SIGTERM to SIGKILL.
     DurationMs usageWindow{5000};
     DurationMs usageDue{10000}; ///< A window's report is due this long after its end.
-    DurationMs entryKeep{2000}; ///< How long callers may keep the entry answer.
+    /// How long callers may keep the entry answer. Some keep it three times as long, and a stopping daemon must
+    /// see the last of them well before its grace ends.
+    DurationMs entryKeep{1000};
     double repeatRatio = 0.2; ///< Repeats for each request of a service, over all daemons.
     double repeatSlack = 10;
     DurationMs repeatWindow{10000};
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -1,13 +1,16 @@
 #include "io/gatewayserver.h"
 
+#include "gateway/enginesizing.h"
 #include "gateway/gateway.h"
 #include "gateway/peerreportcodec.h"
 #include "gateway/storesync.h"
+#include "gateway/usageduty.h"
 #include "io/clocksource.h"
 #include "io/httpclient.h"
 #include "io/httpserver.h"
 #include "io/latency.h"
 #include "io/logsink.h"
+#include "platform/duties.h"
 #include "platform/requests.h"
 #include "platform/storecodec.h"
 
@@ -76,8 +79,13 @@
 
     // The store.
     void runStoreCalls();
+    void callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply);
     void takeNews();
 
+    // Duties of which one daemon at a time is the holder.
+    void runDuties();
+    void callDuty(const DutyCall &order, std::function<void(DutyOutcome)> onReply);
+
     // The other daemons.
     void openPeerSocket();
     void receive();
@@ -93,9 +101,12 @@
     LogSink log;
     Gateway gateway;
     StoreSync sync;
+    UsageDuty usageDuty;
+    EngineSizing engineSizing;
     platform::StoreCodec storeCodec;
     HttpClient endpoints;
     HttpClient store;
+    HttpClient duties;
     LatencyHistograms latency;
     std::unique_ptr<HttpServer> callerServer;
     std::vector<std::unique_ptr<HttpServer>> otherServers;
@@ -146,7 +157,7 @@
 GatewayServer::State::State(GatewayDaemonSettings given)
     : settings(std::move(given)), incarnation{randomSeed()}, log(settings.instance.value, wallNowMs),
       gateway(coreSettings(settings, randomSeed()), log), sync(syncSettings(settings, incarnation, randomSeed()), log),
-      storeCodec(log), endpoints(io), store(io)
+      usageDuty(settings.usageDue, log), engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
 { }
 
 // ---- Callers ----
@@ -295,23 +306,69 @@
 
 // ---- Store ----
 
+void GatewayServer::State::callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply)
+{
+    HttpCall call;
+    call.address = settings.storeAddress;
+    call.request = platform::StoreCodec::encode(order);
+    call.connectTimeout = std::min(ConnectTimeout, order.timeout);
+    call.progressTimeout = order.timeout;
+    call.totalTimeout = order.timeout;
+    store.fetch(std::move(call), [this, order, onReply = std::move(onReply)](const HttpResponse &response) {
+        const bool whole = response.failure == HttpFailure::None;
+        onReply(storeCodec.decode(order, whole ? response.status : 0, response.body));
+    });
+}
+
 void GatewayServer::State::runStoreCalls()
 {
     for (const StoreCall &order : sync.takeCalls()) {
-        HttpCall call;
-        call.address = settings.storeAddress;
-        call.request = platform::StoreCodec::encode(order);
-        call.connectTimeout = std::min(ConnectTimeout, order.timeout);
-        call.progressTimeout = order.timeout;
-        store.fetch(std::move(call), [this, order](const HttpResponse &response) {
-            const bool whole = response.failure == HttpFailure::None;
-            sync.onReply(storeCodec.decode(order, whole ? response.status : 0, response.body), steadyNow());
+        callStore(order, [this](const StoreReply &reply) {
+            sync.onReply(reply, steadyNow());
             takeNews();
             runStoreCalls();
         });
     }
 }
 
+// ---- Duties ----
+
+void GatewayServer::State::callDuty(const DutyCall &order, std::function<void(DutyOutcome)> onReply)
+{
+    HttpCall call;
+    call.address = settings.dutyAddress;
+    call.request = platform::encodeDuty(order, settings.instance);
+    call.connectTimeout = std::min(ConnectTimeout, order.timeout);
+    call.progressTimeout = order.timeout;
+    call.totalTimeout = order.timeout;
+    call.resetWhenGivenUp = true;
+    duties.fetch(std::move(call), [onReply = std::move(onReply)](const HttpResponse &response) {
+        onReply(platform::decodeDutyStatus(response.failure == HttpFailure::None ? response.status : 0));
+    });
+}
+
+void GatewayServer::State::runDuties()
+{
+    if (settings.dutyAddress.port == 0)
+        return;
+    const TimeMs now = steadyNow();
+    const Leadership leadership = sync.leadership(now);
+    usageDuty.tick(leadership, gateway.usage(), gateway.peers(), gateway.configuration(), now);
+    engineSizing.tick(leadership, gateway.fleet(), gateway.demand(now), gateway.configuration(), now);
+    for (const StoreCall &order : usageDuty.takeStoreCalls())
+        callStore(order, [this](const StoreReply &reply) { usageDuty.onStoreReply(reply, steadyNow()); });
+    for (const DutyCall &order : usageDuty.takeDutyCalls()) {
+        callDuty(order, [this, id = order.id](DutyOutcome outcome) {
+            usageDuty.onDutyReply(id, outcome, steadyNow());
+        });
+    }
+    for (const DutyCall &order : engineSizing.takeCalls()) {
+        callDuty(order, [this, id = order.id](DutyOutcome outcome) {
+            engineSizing.onReply(id, outcome, steadyNow());
+        });
+    }
+}
+
 void GatewayServer::State::takeNews()
 {
     const TimeMs now = steadyNow();
@@ -388,6 +445,7 @@
     runStoreCalls();
     gateway.tick(now);
     runActions();
+    runDuties();
     if (now >= reportAt) {
         reportAt = now + ReportPace;
         sendReports();
@@ -413,7 +471,7 @@
     stopping = true;
     stopStartedAt = steadyNow();
     log.write(LogWeight::State, "stopping", {{"open_requests", callers.size()}});
-    gateway.startLeaving();
+    gateway.startLeaving(stopStartedAt);
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
     callerServer->closeAfterResponses();
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <map>
+#include <optional>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -86,6 +87,8 @@
         message_.body() = std::move(call_.request.body);
         message_.prepare_payload();
         parser_.body_limit(boost::none);
+        if (call_.totalTimeout.count > 0)
+            endsAt_ = std::chrono::steady_clock::now() + toChrono(call_.totalTimeout);
         chunk_.resize(ReadBytes);
     }
 
@@ -104,7 +107,7 @@
             asio::post(io, [self = shared_from_this()] { self->done(HttpFailure::NotSent); });
             return;
         }
-        stream_->expires_after(toChrono(call_.connectTimeout));
+        expireAfter(call_.connectTimeout);
         stream_->async_connect(
             tcp::endpoint(ip, call_.address.port),
             [self = shared_from_this()](beast::error_code error) { self->onConnected(error); });
@@ -114,11 +117,27 @@
     {
         gone_ = true;
         callbacks_ = {};
-        if (stream_)
-            stream_->close();
+        giveUp();
     }
 
 private:
+    void expireAfter(DurationMs timeout)
+    {
+        const std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now() + toChrono(timeout);
+        stream_->expires_at(endsAt_ ? std::min(at, *endsAt_) : at);
+    }
+
+    // Also ends a write that is still under way.
+    void giveUp()
+    {
+        if (!stream_)
+            return;
+        beast::error_code ignored;
+        if (call_.resetWhenGivenUp)
+            stream_->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        stream_->close();
+    }
+
     void onConnected(beast::error_code code)
     {
         if (gone_)
@@ -131,7 +150,7 @@
 
     void write()
     {
-        stream_->expires_after(toChrono(call_.progressTimeout));
+        expireAfter(call_.progressTimeout);
         http::async_write(*stream_, message_, [self = shared_from_this()](beast::error_code code, size_t) {
             self->written_ = !code;
         });
@@ -142,7 +161,7 @@
 
     void readHead()
     {
-        stream_->expires_after(toChrono(call_.progressTimeout));
+        expireAfter(call_.progressTimeout);
         http::async_read_header(*stream_, buffer_, parser_,
                                 [self = shared_from_this()](beast::error_code code, size_t) {
                                     if (!self->gone_)
@@ -170,7 +189,7 @@
             return whole();
         parser_.get().body().data = chunk_.data();
         parser_.get().body().size = chunk_.size();
-        stream_->expires_after(toChrono(call_.progressTimeout));
+        expireAfter(call_.progressTimeout);
         http::async_read_some(*stream_, buffer_, parser_,
                               [self = shared_from_this()](beast::error_code code, size_t) {
                                   if (!self->gone_)
@@ -208,8 +227,7 @@
         if (gone_)
             return;
         gone_ = true;
-        if (stream_)
-            stream_->close(); // Ends a write that is still under way.
+        giveUp();
         const HttpCallbacks callbacks = std::move(callbacks_);
         onGone_();
         if (callbacks.onDone)
@@ -225,6 +243,7 @@
     http::response_parser<http::buffer_body> parser_;
     beast::flat_buffer buffer_;
     std::vector<char> chunk_;
+    std::optional<std::chrono::steady_clock::time_point> endsAt_;
     std::chrono::milliseconds idleLimit_ = DefaultIdleLimit;
     bool written_ = false;
     bool gone_ = false;
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -23,6 +23,10 @@
     /// Never on a kept connection. Those may have been closed at the far end already, and then the failure
     /// can't be told from one after the request was read.
     bool freshConnection = false;
+    DurationMs totalTimeout{0}; ///< For all of the call; 0: none.
+    /// Resets the connection when the call is given up: a plain close would leave bytes on their way that may
+    /// still arrive seconds later.
+    bool resetWhenGivenUp = false;
 };
 
 struct HttpCallbacks {
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,334 @@
+#include "gatewayfixture.h"
+
+using namespace cranberry;
+
+namespace {
+
+constexpr const char *Model = "/review/1";
+constexpr const char *PlainStream = "/draft/1";
+constexpr const char *Order = "/order/1";
+constexpr const char *LookUp = "/lookup/1";
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayFixture, "a plain call is passed on and its answer returned")
+{
+    const CallerId caller = request(Order);
+    REQUIRE(sent.size() == 1);
+    CHECK(lastSent().organisation.value == "a");
+    CHECK(lastSent().remaining.count == 1500);
+    head(lastSent().attempt, 200, false);
+    data(lastSent().attempt, "whole");
+    CHECK(statusOf(caller) == 0);
+    end(lastSent().attempt);
+    CHECK(statusOf(caller) == 200);
+    CHECK(answers[caller].body == "whole");
+    CHECK(gateway.isIdle());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "unknown routes and keys are final only while the configuration is fresh")
+{
+    // A caller uses a route or a key that was just added. This daemon was cut off from the store and does not
+    // know it yet. "404" or "401" would be wrong and final; "503, come back" is true.
+    CHECK(statusOf(request("/unknown/1")) == 404);
+    CHECK(statusOf(request(Order, "no such key")) == 401);
+    storeReachable = false;
+    pass({2000});
+    CHECK(statusOf(request("/unknown/1")) == 503);
+    CHECK(statusOf(request(Order, "no such key")) == 503);
+    CHECK(sent.empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a daemon cut off from the store stops serving keys before one may be dead")
+{
+    // A key is removed while this daemon can't read the store. Its callers go on using the key. Five seconds
+    // after the removal no request with it may run anywhere, so the daemon refuses all keys before that.
+    storeReachable = false;
+    pass({4000});
+    request(Order);
+    CHECK(sent.size() == 1);
+    pass({800});
+    const CallerId late = request(Order);
+    CHECK(sent.size() == 1);
+    CHECK(statusOf(late) == 503);
+    CHECK(!headerOfAnswer(late, "Retry-After").empty());
+    CHECK_FALSE(gateway.isReady(now));
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a key removed while its request is queued is not used")
+{
+    // All places of the plain service are taken, the request waits. Its key is removed meanwhile. When a place
+    // gets free, the request is judged again and refused.
+    std::vector<CallerId> running;
+    for (int i = 0; i < 4; ++i)
+        running.push_back(request(Order));
+    const CallerId waiting = request(Order);
+    REQUIRE(sent.size() == 4);
+    std::shared_ptr<ServingConfiguration> next = makeConfiguration(2);
+    next->organisations[0].keys = {"key-b"};
+    configure(next);
+    head(sent[0].attempt, 200, false);
+    end(sent[0].attempt);
+    CHECK(sent.size() == 4);
+    CHECK(statusOf(waiting) == 401);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an older configuration never replaces a newer one")
+{
+    // Reads overlap: an answer with the older version arrives after the newer one. The route that the newer
+    // one added stays.
+    std::shared_ptr<ServingConfiguration> next = makeConfiguration(5);
+    next->routes[3].prefix = "/added/";
+    configure(next);
+    std::shared_ptr<ServingConfiguration> old = makeConfiguration(4);
+    old->index();
+    gateway.onConfiguration({old, now}, now);
+    request("/added/1");
+    CHECK(sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a call that must not be repeated is sent once, and its outcome is unknown")
+{
+    // The endpoint's connection breaks after the request was written: it may have run. The caller gets 502,
+    // which promises nothing, and the request goes nowhere else.
+    const CallerId caller = request(Order);
+    broken(lastSent().attempt);
+    CHECK(sent.size() == 1);
+    CHECK(statusOf(caller) == 502);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a call that was not run goes to another endpoint, whatever its kind")
+{
+    const CallerId caller = request(Order);
+    const EndpointId first = lastSent().endpoint;
+    head(lastSent().attempt, 503, false, true);
+    REQUIRE(sent.size() == 2);
+    CHECK(lastSent().endpoint != first);
+    head(lastSent().attempt, 503, false, true);
+    CHECK(statusOf(caller) == 503);
+    CHECK(!headerOfAnswer(caller, "Retry-After").empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "not run is never said after an attempt that may have run")
+{
+    // The first endpoint breaks off an idempotent call, the second states that it did not run it. The first one
+    // may have run it: the answer must not promise otherwise.
+    const CallerId caller = request(LookUp);
+    broken(lastSent().attempt);
+    REQUIRE(sent.size() == 2);
+    head(lastSent().attempt, 503, false, true);
+    CHECK(statusOf(caller) == 502);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a refusal that the endpoint did not state to be one is not passed on")
+{
+    // An endpoint answers 503 without stating that the call was not run. Passed on, it would promise that.
+    const CallerId caller = request(Order);
+    head(lastSent().attempt, 503, false);
+    end(lastSent().attempt);
+    CHECK(statusOf(caller) == 502);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an answer that belongs to another request is not passed on")
+{
+    // A late answer to an earlier request arrives where this one's is due.
+    const CallerId caller = request(Order);
+    AttemptHead head;
+    head.attempt = lastSent().attempt;
+    head.status = 200;
+    head.ownAnswer = false;
+    gateway.onHead(head, now);
+    drainActions();
+    CHECK(statusOf(caller) == 502);
+    CHECK(cancelled.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an idempotent call is repeated at another endpoint")
+{
+    const CallerId caller = request(LookUp);
+    const EndpointId first = lastSent().endpoint;
+    head(lastSent().attempt, 200, false);
+    data(lastSent().attempt, "half");
+    broken(lastSent().attempt);
+    REQUIRE(sent.size() == 2);
+    CHECK(lastSent().endpoint != first);
+    head(lastSent().attempt, 200, false);
+    data(lastSent().attempt, "whole");
+    end(lastSent().attempt);
+    CHECK(statusOf(caller) == 200);
+    CHECK(answers[caller].body == "whole");
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a connection that was never had costs no attempt")
+{
+    const CallerId caller = request(Order);
+    broken(lastSent().attempt, false);
+    REQUIRE(sent.size() == 2);
+    broken(lastSent().attempt, false);
+    CHECK(statusOf(caller) == 503);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a stream is passed on by whole events")
+{
+    const CallerId caller = request(PlainStream);
+    head(lastSent().attempt, 200, true);
+    data(lastSent().attempt, "id: 1\ndata: a");
+    CHECK(streamed[caller].empty());
+    data(lastSent().attempt, "\n\nid: 2\n");
+    CHECK(streamed[caller] == "id: 1\ndata: a\n\n");
+    data(lastSent().attempt, "data: b\n\n");
+    end(lastSent().attempt);
+    CHECK(streamed[caller] == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(streamEnds[caller]);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a stream that stops in the middle of an event must not look complete")
+{
+    // The endpoint ends its answer cleanly, but in the middle of an event. The caller must see a broken stream.
+    const CallerId caller = request(PlainStream);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 3);
+    data(lastSent().attempt, "id: 4\nda");
+    end(lastSent().attempt);
+    REQUIRE(streamEnds.contains(caller));
+    CHECK_FALSE(streamEnds[caller]);
+    CHECK(sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a resumable stream goes on at another endpoint without gap or repetition")
+{
+    const CallerId caller = request(Model);
+    const EndpointId first = lastSent().endpoint;
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 3);
+    broken(lastSent().attempt);
+    REQUIRE(sent.size() == 2);
+    CHECK(lastSent().endpoint != first);
+    CHECK(lastSent().resumeAfter == 3);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 4, 5);
+    end(lastSent().attempt);
+    CHECK(streamEnds[caller]);
+    CHECK(streamed[caller].find("id: 5") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a resumed stream that leaves an event out is cut off")
+{
+    // The second endpoint goes on one event too late. Passing that on would join two pieces that don't belong
+    // together; the caller must see a broken stream instead.
+    const CallerId caller = request(Model);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 3);
+    broken(lastSent().attempt);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 5, 5);
+    REQUIRE(streamEnds.contains(caller));
+    CHECK_FALSE(streamEnds[caller]);
+    CHECK(streamed[caller].find("id: 5") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a caller that leaves takes its work along")
+{
+    const CallerId running = request(Order);
+    gateway.onCallerGone({running}, now);
+    drainActions();
+    CHECK(cancelled.size() == 1);
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    gateway.onCallerGone({waiting}, now);
+    head(sent[1].attempt, 200, false);
+    end(sent[1].attempt);
+    CHECK(sent.size() == 5);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an endpoint that leaves gets no new work")
+{
+    endpoints[3].leaving = true;
+    listEndpoints();
+    for (int i = 0; i < 3; ++i)
+        request(Order);
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[0].endpoint.value == "p2");
+    CHECK(sent[1].endpoint.value == "p2");
+    // An older word that it is ready does not bring it back.
+    endpoints[3].leaving = false;
+    listEndpoints();
+    CHECK(sent.size() == 2);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "entries that lapsed with the store serve until they had time to come back")
+{
+    // The store was away; when it is back, its list is empty, since all entries lapsed meanwhile. The endpoints
+    // are alive. They go on serving for about two seconds; what is missing after that is gone.
+    storeReachable = false;
+    pass({3000});
+    const std::vector<EndpointEntry> alive = std::exchange(endpoints, {});
+    storeReachable = true;
+    pass({500});
+    request(Order);
+    CHECK(sent.size() == 1);
+    endpoints = {alive[0]};
+    pass({2500});
+    CHECK(statusOf(request(Order)) == 503);
+    request(Model);
+    CHECK(lastSent().endpoint.value == "m1");
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an entry missing from an uninterrupted list is gone at once")
+{
+    endpoints.erase(endpoints.begin() + 3);
+    listEndpoints();
+    request(Order);
+    CHECK(lastSent().endpoint.value == "p2");
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "the final answer is there when the route's time is over")
+{
+    const CallerId sentCaller = request(Order);
+    for (int i = 0; i < 3; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    pass({1500});
+    CHECK(statusOf(sentCaller) == 504);
+    CHECK(statusOf(waiting) == 503);
+    CHECK(cancelled.size() == 4);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a leaving daemon serves on, but starts no stream that it could not finish")
+{
+    // The daemon is told to stop. Callers that still come are served; three seconds later a new stream is
+    // refused with "not run, elsewhere now", since it could be cut by the end of the process.
+    gateway.startLeaving(now);
+    CHECK_FALSE(gateway.isReady(now));
+    request(Model);
+    CHECK(sent.size() == 1);
+    pass({3100});
+    const CallerId late = request(Model);
+    CHECK(statusOf(late) == 503);
+    CHECK(headerOfAnswer(late, "Retry-After") == "0.05");
+    request(LookUp);
+    CHECK(sent.size() == 2);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "requests of one shared prompt go to one endpoint, and spill when it is busy")
+{
+    CallerRequest shared = makeRequest(Model);
+    shared.promptTokens = 17000;
+    shared.parts = {{"manual", 13000}, {"own", 4000}};
+    request(shared);
+    const EndpointId home = lastSent().endpoint;
+    for (int i = 0; i < 2; ++i) {
+        shared.id = "next-" + std::to_string(i);
+        request(shared);
+        CHECK(lastSent().endpoint == home);
+    }
+    bool spilled = false;
+    for (int i = 0; i < 10; ++i) {
+        shared.id = "more-" + std::to_string(i);
+        shared.parts.back().id = "own-" + std::to_string(i);
+        request(shared);
+        spilled = spilled || lastSent().endpoint != home;
+    }
+    CHECK(spilled);
+}
--- /dev/null
+++ b/tests/gatewayfixture.cpp
@@ -0,0 +1,210 @@
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+constexpr DurationMs Step{25};
+constexpr int64_t ReadEveryMs = 500;
+
+GatewaySettings testSettings()
+{
+    GatewaySettings settings;
+    settings.instance.value = "entry-1";
+    settings.failureDomain.value = "north";
+    settings.repeats = {0.2, 40, {10000}};
+    settings.seed = 7;
+    return settings;
+}
+
+Route makeRoute(const std::string &name, RouteKind kind, const std::string &service, DurationMs timeout)
+{
+    Route route;
+    route.name = name;
+    route.host = "portal.example";
+    route.prefix = "/" + name + "/";
+    route.kind = kind;
+    route.targets.push_back({ServiceName{service}, 1});
+    route.timeout = timeout;
+    route.latencyTarget = {1000};
+    route.attempts = 2;
+    return route;
+}
+
+EndpointEntry makeEndpoint(const std::string &id, const std::string &service, const std::string &domain, uint16_t port)
+{
+    EndpointEntry entry;
+    entry.id.value = id;
+    entry.service.value = service;
+    entry.address = {"10.0.0.1", port};
+    entry.failureDomain.value = domain;
+    entry.slots = service == "model" ? 64 : 2;
+    return entry;
+}
+
+} // namespace
+
+size_t RecordingLog::count(const std::string &event) const
+{
+    return static_cast<size_t>(std::count_if(lines.begin(), lines.end(), [&event](const boost::json::object &line) {
+        return line.at("event").as_string() == event;
+    }));
+}
+
+GatewayFixture::GatewayFixture() : gateway(testSettings(), log)
+{
+    endpoints = {makeEndpoint("m1", "model", "north", 1), makeEndpoint("m2", "model", "south", 2),
+                 makeEndpoint("m3", "model", "west", 3), makeEndpoint("p1", "plain", "north", 4),
+                 makeEndpoint("p2", "plain", "south", 5)};
+    configure(makeConfiguration(1));
+    listEndpoints();
+}
+
+std::shared_ptr<ServingConfiguration> GatewayFixture::makeConfiguration(uint64_t version) const
+{
+    std::shared_ptr<ServingConfiguration> out = std::make_shared<ServingConfiguration>();
+    out->version = version;
+    out->routes = {makeRoute("review", RouteKind::Streaming, "model", {12000}),
+                   makeRoute("draft", RouteKind::Streaming, "model", {12000}),
+                   makeRoute("order", RouteKind::NonIdempotent, "plain", {1500}),
+                   makeRoute("lookup", RouteKind::Idempotent, "plain", {1500})};
+    out->routes[0].resumable = true;
+    ServedService model;
+    model.name.value = "model";
+    model.engine = EngineFigures{64, 500'000, 3};
+    ServedService plain;
+    plain.name.value = "plain";
+    out->services = {model, plain};
+    ServedOrganisation organisation;
+    organisation.name.value = "a";
+    organisation.keys = {"key-a"};
+    out->organisations = {organisation};
+    return out;
+}
+
+void GatewayFixture::configure(const std::shared_ptr<ServingConfiguration> &given)
+{
+    configuration = given;
+    configuration->index();
+    gateway.onConfiguration({configuration, now}, now);
+    drainActions();
+}
+
+void GatewayFixture::listEndpoints()
+{
+    gateway.onEndpoints({endpoints, now}, now);
+    drainActions();
+}
+
+void GatewayFixture::pass(DurationMs duration)
+{
+    const TimeMs until = now + duration;
+    while (now < until) {
+        now = now + Step;
+        if (storeReachable && now.count % ReadEveryMs == 0) {
+            gateway.onConfiguration({configuration, now}, now);
+            gateway.onEndpoints({endpoints, now}, now);
+        }
+        gateway.tick(now);
+        drainActions();
+    }
+}
+
+CallerRequest GatewayFixture::makeRequest(const std::string &path) const
+{
+    CallerRequest request;
+    request.id = fmt::format("request-{}", nextCaller_);
+    request.method = "POST";
+    request.target = path;
+    request.path = path;
+    request.host = "portal.example";
+    request.key = "key-a";
+    request.deadline = DurationMs{12000};
+    request.promptTokens = 1000;
+    request.outputTokens = 100;
+    request.statesTokens = true;
+    return request;
+}
+
+CallerId GatewayFixture::request(const std::string &path, const std::string &key)
+{
+    CallerRequest request = makeRequest(path);
+    request.key = key;
+    return this->request(request);
+}
+
+CallerId GatewayFixture::request(const CallerRequest &request)
+{
+    const CallerId caller{nextCaller_++};
+    gateway.onRequest({caller, std::make_shared<CallerRequest>(request)}, now);
+    drainActions();
+    return caller;
+}
+
+void GatewayFixture::head(AttemptId attempt, int status, bool eventStream, bool notExecuted)
+{
+    AttemptHead head;
+    head.attempt = attempt;
+    head.status = status;
+    head.eventStream = eventStream;
+    head.notExecuted = notExecuted;
+    gateway.onHead(head, now);
+    drainActions();
+}
+
+void GatewayFixture::events(AttemptId attempt, uint64_t first, uint64_t last)
+{
+    for (uint64_t id = first; id <= last; ++id)
+        data(attempt, fmt::format("id: {}\ndata: {}\n\n", id, id));
+}
+
+void GatewayFixture::data(AttemptId attempt, const std::string &bytes)
+{
+    gateway.onData({attempt, bytes}, now);
+    drainActions();
+}
+
+void GatewayFixture::end(AttemptId attempt)
+{
+    gateway.onEnd({attempt}, now);
+    drainActions();
+}
+
+void GatewayFixture::broken(AttemptId attempt, bool sentAny)
+{
+    gateway.onBroken({attempt, sentAny}, now);
+    drainActions();
+}
+
+int GatewayFixture::statusOf(CallerId caller) const
+{
+    const auto found = answers.find(caller);
+    return found == answers.end() ? 0 : found->second.status;
+}
+
+std::string GatewayFixture::headerOfAnswer(CallerId caller, const std::string &name) const
+{
+    const auto found = answers.find(caller);
+    return found == answers.end() ? std::string() : headerOf(found->second.headers, name);
+}
+
+void GatewayFixture::drainActions()
+{
+    for (const GatewayAction &action : gateway.takeActions()) {
+        if (const AnswerCaller *answer = std::get_if<AnswerCaller>(&action))
+            answers[answer->caller] = *answer;
+        else if (const CallerStreamData *streamData = std::get_if<CallerStreamData>(&action))
+            streamed[streamData->caller] += streamData->bytes;
+        else if (const EndCallerStream *streamEnd = std::get_if<EndCallerStream>(&action))
+            streamEnds[streamEnd->caller] = streamEnd->whole;
+        else if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
+            sent.push_back(*attempt);
+        else if (const CancelSent *cancel = std::get_if<CancelSent>(&action))
+            cancelled.push_back(cancel->attempt);
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/tests/gatewayfixture.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "gateway/gateway.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// Keeps the decisions, so that a test can ask why.
+class RecordingLog : public DecisionLog
+{
+public:
+    void write(LogWeight, const char *event, boost::json::object fields) override
+    {
+        fields["event"] = event;
+        lines.push_back(std::move(fields));
+    }
+    size_t count(const std::string &event) const;
+
+    std::vector<boost::json::object> lines;
+};
+
+/// A gateway with one model service (three engines) and one plain service (two endpoints), in virtual time.
+///
+/// Routes: /review/ streams and can be resumed, /draft/ streams and can't, /order/ is not idempotent,
+/// /lookup/ is. The key "key-a" belongs to organisation "a".
+class GatewayFixture
+{
+public:
+    GatewayFixture();
+
+    std::shared_ptr<ServingConfiguration> makeConfiguration(uint64_t version) const;
+    void configure(const std::shared_ptr<ServingConfiguration> &configuration);
+    void listEndpoints();
+    /// Lets time pass: confirms configuration and endpoints each half second, as the store does, unless cut off.
+    void pass(DurationMs duration);
+
+    CallerId request(const std::string &path, const std::string &key = "key-a");
+    CallerId request(const CallerRequest &request);
+    CallerRequest makeRequest(const std::string &path) const;
+
+    // What endpoints do with the newest attempt, or with a given one.
+    void head(AttemptId attempt, int status, bool eventStream, bool notExecuted = false);
+    void events(AttemptId attempt, uint64_t first, uint64_t last);
+    void data(AttemptId attempt, const std::string &bytes);
+    void end(AttemptId attempt);
+    void broken(AttemptId attempt, bool sent = true);
+
+    // What came out.
+    std::vector<SendAttempt> sent;
+    std::vector<AttemptId> cancelled;
+    std::map<CallerId, AnswerCaller> answers;
+    std::map<CallerId, std::string> streamed;
+    std::map<CallerId, bool> streamEnds; ///< True: whole.
+
+    const SendAttempt &lastSent() const { return sent.back(); }
+    int statusOf(CallerId caller) const;
+    std::string headerOfAnswer(CallerId caller, const std::string &name) const;
+    void drainActions();
+
+    RecordingLog log;
+    TimeMs now{100'000};
+    Gateway gateway;
+    std::vector<EndpointEntry> endpoints;
+    std::shared_ptr<ServingConfiguration> configuration;
+    bool storeReachable = true;
+
+private:
+    uint64_t nextCaller_ = 1;
+};
+
+} // namespace cranberry
