--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,7 @@
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance), usage_(settings.usageWindow)
 {
     repeats_.setLimits(settings.repeats);
+    quotas_.setTolerance(settings.quotaTolerance);
 }
 
 // ---- Judging ----
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
     DurationMs revokeBound{5000}; ///< A removed key is dead everywhere after this.
     DurationMs configurationBound{2000}; ///< A configuration is in force everywhere after this.
     RepeatLimits repeats;
+    QuotaTolerance quotaTolerance;
     DurationMs usageWindow{5000};
     uint64_t seed = 1;
 };
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -8,7 +8,8 @@
 
 /// A peer that is silent for this long is not counted on: five reports in a row are missing.
 constexpr DurationMs PeerSilence{1200};
-/// A new daemon gets this long to be heard before callers are kept away from it.
+/// Limits react sooner: what a silent peer uses is not seen, and both sides of a partition would use it all.
+constexpr DurationMs PeerSilenceForLimits{650};
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{60000}; ///< Usage windows of a peer that is gone are still needed for a while.
 
@@ -47,10 +48,10 @@
     return true;
 }
 
-const PeerTable::Peer *PeerTable::heard(const MemberEntry &member, TimeMs now) const
+const PeerTable::Peer *PeerTable::heard(const MemberEntry &member, TimeMs now, DurationMs within) const
 {
     const auto found = peers_.find(member.incarnation);
-    return found != peers_.end() && now - found->second.heardAt < PeerSilence ? &found->second : nullptr;
+    return found != peers_.end() && now - found->second.heardAt < within ? &found->second : nullptr;
 }
 
 size_t PeerTable::memberCount() const
@@ -65,7 +66,7 @@
 {
     size_t heardCount = 1;
     for (const MemberEntry &member : members_)
-        heardCount += member.instance != self_ && heard(member, now) ? 1 : 0;
+        heardCount += member.instance != self_ && heard(member, now, PeerSilenceForLimits) ? 1 : 0;
     return {static_cast<double>(heardCount) / static_cast<double>(memberCount())};
 }
 
@@ -110,7 +111,7 @@
     for (const MemberEntry &member : members_) {
         if (member.instance == self_)
             continue;
-        const Peer *peer = heard(member, now);
+        const Peer *peer = heard(member, now, PeerSilence);
         if (peer && peer->report.ready && !peer->report.leaving)
             out.push_back(member.callerAddress);
     }
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -49,7 +49,7 @@
         std::map<OrganisationName, double> uses;
         std::map<int64_t, std::map<OrganisationName, uint64_t>> windows;
     };
-    const Peer *heard(const MemberEntry &member, TimeMs now) const;
+    const Peer *heard(const MemberEntry &member, TimeMs now, DurationMs within) const;
 
     InstanceName self_;
     std::vector<MemberEntry> members_;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -10,6 +10,11 @@
 /// Debt is bounded, in seconds of the rate, so that one report out of line can't shut an organisation out.
 constexpr double MostDebtSeconds = 8;
 
+/// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so a bucket of
+/// the bare burst refuses organisations that stay far below their limit in the mean. The rest covers what the
+/// daemons use between two of their reports.
+constexpr double UsedTolerance = 0.5;
+
 } // namespace
 
 // A request larger than the burst may start on a full bucket: otherwise it could never run.
@@ -17,11 +22,12 @@
 {
     if (organisation.ratePerSecond <= 0)
         return std::nullopt;
-    const double rate = organisation.ratePerSecond * scope.share;
-    const double burst = std::max(organisation.burst, 1.0);
+    const double over = 1 + UsedTolerance * tolerance_.over;
+    const double rate = organisation.ratePerSecond * over * scope.share;
+    const double burst = std::max((organisation.burst * over + UsedTolerance * tolerance_.slack) * scope.share, 1.0);
     Bucket &bucket = buckets_[organisation.name];
     if (!bucket.started) {
-        bucket.level = burst * scope.share;
+        bucket.level = burst;
         bucket.started = true;
     } else {
         const double seconds = static_cast<double>((now - bucket.filledAt).count) / 1000.0;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -6,6 +6,13 @@
 
 namespace cranberry {
 
+/// How far the operators let an organisation's use go beyond its limit before they call it broken. In any window
+/// it may use (rate x window + burst) x (1 + over) + slack.
+struct QuotaTolerance {
+    double over = 0;
+    double slack = 0; ///< In the limit's own unit.
+};
+
 /// How much of each limit this daemon may use alone: 1 while it hears all other daemons.
 struct QuotaScope {
     double share = 1; ///< Heard daemons, itself included, of all that are known.
@@ -19,6 +26,7 @@
 class Quotas
 {
 public:
+    void setTolerance(const QuotaTolerance &tolerance) { tolerance_ = tolerance; }
     /// Takes `units` and returns nothing, or leaves them and returns when they will be there.
     std::optional<DurationMs> take(const ServedOrganisation &organisation, double units, QuotaScope scope, TimeMs now);
     /// Gives back what was taken for a request that did not run.
@@ -35,6 +43,7 @@
         TimeMs filledAt;
         bool started = false;
     };
+    QuotaTolerance tolerance_;
     std::map<OrganisationName, Bucket> buckets_;
     std::map<OrganisationName, double> ownUse_;
 };
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -32,6 +32,8 @@
     settings.repeatWindow.count = static_cast<int64_t>(seconds * 1000);
     reader.optional("entryKeepMs", settings.entryKeep);
     reader.optional("repeatRatio", settings.repeatRatio, 0, 10);
+    reader.optional("quotaOver", settings.quotaOver, 0, 10);
+    reader.optional("quotaSlack", settings.quotaSlack, 0, 1e12);
     reader.optional("repeatSlack", settings.repeatSlack, 0, 1e6);
     if (const FieldError *error = reader.finish())
         return boost::leaf::new_error(*error);
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -28,6 +28,8 @@
     double repeatRatio = 0.2; ///< Repeats for each request of a service, over all daemons.
     double repeatSlack = 10;
     DurationMs repeatWindow{10000};
+    double quotaOver = 0; ///< Tolerated above an organisation's limit, as a share of it.
+    double quotaSlack = 0; ///< Tolerated besides, in the limit's unit.
 };
 
 Result<GatewayDaemonSettings> parseGatewaySettings(const std::string &text);
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -138,6 +138,7 @@
     out.failureDomain = given.failureDomain;
     out.revokeBound = given.revokeBound;
     out.repeats = {given.repeatRatio, given.repeatSlack, given.repeatWindow};
+    out.quotaTolerance = {given.quotaOver, given.quotaSlack};
     out.usageWindow = given.usageWindow;
     out.seed = seed;
     return out;
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -63,6 +63,26 @@
     CHECK_FALSE(quotas.take(organisation, 100, {}, {4200}));
 }
 
+TEST_CASE("large prompts of an organisation far below its limit are not refused")
+{
+    // Every four seconds two prompts of 1,000 tokens, against a limit of 1,000 a second with a burst of 1,000: in
+    // the mean 500 a second. The operators tolerate 2,000 tokens beyond the limit, so none needs to be refused.
+    Quotas quotas;
+    quotas.setTolerance({0.1, 2000});
+    const ServedOrganisation organisation = makeOrganisation();
+    int refused = 0;
+    for (int64_t ms = 0; ms < 40000; ms += 4000) {
+        refused += quotas.take(organisation, 1000, {}, {ms}) ? 1 : 0;
+        refused += quotas.take(organisation, 1000, {}, {ms + 1}) ? 1 : 0;
+    }
+    CHECK(refused == 0);
+    // And pressed without pause it stays within what is tolerated in any window.
+    double used = 0;
+    for (int64_t ms = 60000; ms < 68000; ms += 10)
+        used += quotas.take(organisation, 50, {}, {ms}) ? 0 : 50;
+    CHECK(used <= (1000 * 8 + 1000) * 1.1 + 2000);
+}
+
 TEST_CASE("what other daemons use is taken from the bucket, what did not run is given back")
 {
     Quotas quotas;
@@ -91,6 +111,21 @@
     CHECK(used > 7000);
 }
 
+TEST_CASE("a partition does not start with a full bucket on each side")
+{
+    // The limit was not used for a while, so every daemon's bucket is full. Then each daemon hears only itself,
+    // and callers press on all four. Together they may use one burst, not four.
+    const ServedOrganisation organisation = makeOrganisation();
+    double used = 0;
+    for (int daemon = 0; daemon < 4; ++daemon) {
+        Quotas quotas;
+        CHECK_FALSE(quotas.take(organisation, 0, {1}, {0}));
+        for (int64_t ms = 10000; ms < 10100; ms += 10)
+            used += quotas.take(organisation, 50, {0.25}, {ms}) ? 0 : 50;
+    }
+    CHECK(used <= 1100);
+}
+
 TEST_CASE("requests that state no tokens count by the configured weight")
 {
     ServedOrganisation organisation = makeOrganisation();
