Engines: scarcity is remembered; limits: large use is told at once

Cause of the engines' price: engines on demand were ordered and dropped by turns while reclaimable ones could not be had, since an order that asked for what was there counted as good news. Scarcity now lasts until the last short failure domain got what was ordered. At the first start of the whole system the election does not wait for an earlier holder. Cause of use beyond a limit: daemons knew of each other's use 225 ms late.

--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cranberry {
 
@@ -13,6 +14,10 @@
 constexpr double UsedPart = 0.4;
 /// Requests that one engine runs side by side without lengthening its steps too much.
 constexpr double RunningPart = 0.35;
+/// The least there is of a service: one may be lost at any time.
+constexpr uint32_t LeastEngines = 2;
+constexpr uint32_t LeastEachDomain = 2;
+constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut work.
 constexpr DurationMs PeakMemory{30000};
 constexpr DurationMs PlanPace{500};
@@ -21,7 +26,9 @@
 constexpr DurationMs CallTimeout{1500};
 constexpr DurationMs RetryPause{700};
 /// "None available" is asked again after this.
-constexpr DurationMs ShortagePause{2000};
+constexpr DurationMs ShortagePause{1500};
+/// So long after the last such answer a domain counts as short.
+constexpr DurationMs ShortageMemory{4000};
 
 uint32_t enginesFor(const ServiceDemand &demand, const EngineFigures &engine)
 {
@@ -32,42 +39,82 @@
 
 } // namespace
 
+namespace {
+
+// Domains by price, cheapest first; those without a price are last.
+std::vector<size_t> byPrice(const ScalingBounds &bounds, const std::vector<DomainPlan> &plan)
+{
+    std::vector<size_t> order(plan.size());
+    for (size_t i = 0; i < order.size(); ++i)
+        order[i] = i;
+    const auto priceOf = [&](size_t i) {
+        const auto found = bounds.prices.find(plan[i].failureDomain);
+        return found == bounds.prices.end() ? std::numeric_limits<double>::max() : found->second;
+    };
+    std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) { return priceOf(a) < priceOf(b); });
+    return order;
+}
+
+} // namespace
+
 std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
                                     const ServiceDemand &demand,
-                                    const std::map<FailureDomainName, DomainStock> &stock)
+                                    const std::map<FailureDomainName, DomainStock> &stock, bool scarce)
 {
+    // Step 1. What the demand needs, and what each domain holds of it.
     std::vector<DomainPlan> plan;
     const uint32_t domains = static_cast<uint32_t>(stock.size());
     if (domains == 0)
         return plan;
-    const uint32_t needed = std::max<uint32_t>(enginesFor(demand, engine), 1);
+    const uint32_t most = std::max(bounds.most, 1U);
+    const uint32_t needed = std::clamp(enginesFor(demand, engine), LeastEngines, most * domains);
     const bool cheap = bounds.reclaimablePrice < 1;
-    // Enough for the demand when one domain's engines are gone.
     const uint32_t spread = domains > 1 ? (needed + domains - 2) / (domains - 1) : needed;
-    const uint32_t each = std::clamp(std::max(spread, 2U), std::max(bounds.least, 1U), std::max(bounds.most, 1U));
-    uint32_t ready = 0;
-    for (const std::pair<const FailureDomainName, DomainStock> &entry : stock)
-        ready += entry.second.reclaimable;
+    const uint32_t each = std::clamp(std::max(spread, LeastEachDomain), std::max(bounds.least, 1U), most);
+    uint32_t readyReclaimable = 0;
+    uint32_t readyOnDemand = 0;
+    uint32_t coming = 0;
     for (const std::pair<const FailureDomainName, DomainStock> &entry : stock) {
-        DomainPlan domain;
-        domain.failureDomain = entry.first;
+        plan.push_back({entry.first, 0, 0});
+        readyReclaimable += entry.second.reclaimable;
+        readyOnDemand += entry.second.onDemand;
+        coming += entry.second.coming;
+    }
+    const std::vector<size_t> cheapest = byPrice(bounds, plan);
+
+    // Step 2. Reclaimable ones: the same in each domain; what a short domain lacks goes to the others.
+    uint32_t missing = 0;
+    for (DomainPlan &domain : plan) {
+        const DomainStock &have = stock.at(domain.failureDomain);
         domain.reclaimable = cheap ? each : 0;
-        // Until enough reclaimable ones serve, those on demand stay. Where none can be had, they fill up.
-        const uint32_t missing = each - std::min(each, entry.second.reclaimable);
-        if (!cheap)
-            domain.onDemand = each;
-        else if (ready < needed)
-            domain.onDemand = std::min(entry.second.onDemand, bounds.most - std::min(bounds.most, each));
-        if (cheap && entry.second.reclaimableShort && ready < needed)
-            domain.onDemand = std::max(domain.onDemand, std::min(missing, bounds.most - std::min(bounds.most, entry.second.reclaimable)));
-        plan.push_back(domain);
+        if (have.reclaimableShort)
+            missing += each - std::min(each, have.reclaimable);
+    }
+    for (size_t i : cheapest) {
+        if (!cheap || scarce || stock.at(plan[i].failureDomain).reclaimableShort)
+            continue;
+        const uint32_t more = std::min(missing, most - std::min(most, plan[i].reclaimable));
+        plan[i].reclaimable += more;
+        missing -= more;
+    }
+
+    // Step 3. On demand: all that is needed where there are no cheaper ones to be had, else none. Those that
+    // are there stay until the others carry the demand; before there is any, that they come is enough.
+    const bool idle = demand.running < IdleRunning;
+    uint32_t onDemand = scarce || !cheap ? needed : 0;
+    if (onDemand == 0 && readyReclaimable + (idle ? coming : 0) < needed)
+        onDemand = std::min(readyOnDemand, needed);
+    for (size_t i : cheapest) {
+        const uint32_t room = most - std::min(most, cheap ? stock.at(plan[i].failureDomain).reclaimable : 0);
+        plan[i].onDemand = std::min(onDemand, std::max(room, cheap ? 0U : most));
+        onDemand -= plan[i].onDemand;
     }
     return plan;
 }
 
 ServiceDemand EngineSizing::peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now)
 {
-    std::deque<std::pair<TimeMs, ServiceDemand>> &samples = history_[service].samples;
+    std::deque<std::pair<TimeMs, ServiceDemand>> &samples = services_[service].samples;
     samples.emplace_back(now, demand);
     while (now - samples.front().first > PeakMemory)
         samples.pop_front();
@@ -90,7 +137,8 @@
         lastToken_ = leadership.fencingToken;
         ordered_.clear();
         open_.clear();
-        history_.clear();
+        services_.clear();
+        reclaimSeen_.clear();
     }
     if (now < nextAt_)
         return;
@@ -98,28 +146,64 @@
     for (const ServedService &service : configuration->services) {
         if (!service.scaling || !service.engine)
             continue;
-        std::map<FailureDomainName, DomainStock> stock;
-        for (const std::pair<const FailureDomainName, double> &price : service.scaling->prices)
-            stock[price.first] = {};
-        for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet.all()) {
-            const EndpointEntry &endpoint = entry.second.entry;
-            if (endpoint.service != service.name || endpoint.leaving || entry.second.gone)
-                continue;
-            DomainStock &domain = stock[endpoint.failureDomain];
-            ++(endpoint.reclaimable ? domain.reclaimable : domain.onDemand);
-        }
-        for (std::pair<const FailureDomainName, DomainStock> &entry : stock)
-            entry.second.reclaimableShort = now < ordered_[{service.name, entry.first, true}].shortUntil;
+        const std::map<FailureDomainName, DomainStock> stock = takeStock(service, fleet, now);
         const auto asked = demand.find(service.name);
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
-        for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, peak, stock)) {
+        const bool scarce = services_[service.name].scarce;
+        for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, peak, stock, scarce)) {
             order({service.name, domain.failureDomain, true}, domain.reclaimable, leadership, now);
             order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
         }
     }
 }
 
+// What there is and what is short. Scarcity lasts until the last short domain got what was ordered: a domain
+// that holds all it was ordered says nothing about whether there are more.
+std::map<FailureDomainName, DomainStock> EngineSizing::takeStock(const ServedService &service, const EndpointFleet &fleet,
+                                                                 TimeMs now)
+{
+    std::map<FailureDomainName, DomainStock> stock;
+    for (const std::pair<const FailureDomainName, double> &price : service.scaling->prices)
+        stock[price.first] = {};
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet.all()) {
+        const EndpointEntry &endpoint = entry.second.entry;
+        if (endpoint.service != service.name)
+            continue;
+        if (endpoint.leaving || entry.second.gone) {
+            // A reclaim shows first as engines that leave unasked: ask for others at once.
+            if (endpoint.reclaimable && reclaimSeen_.insert(entry.first).second)
+                askAgain(service.name);
+            continue;
+        }
+        DomainStock &domain = stock[endpoint.failureDomain];
+        ++(endpoint.reclaimable ? domain.reclaimable : domain.onDemand);
+    }
+    size_t shortDomains = 0;
+    for (std::pair<const FailureDomainName, DomainStock> &entry : stock) {
+        const Ordered &ordered = ordered_[{service.name, entry.first, true}];
+        entry.second.reclaimableShort = now < ordered.shortUntil;
+        shortDomains += entry.second.reclaimableShort ? 1 : 0;
+        if (ordered.confirmed && ordered.count > entry.second.reclaimable)
+            entry.second.coming = ordered.count - entry.second.reclaimable;
+    }
+    bool &scarce = services_[service.name].scarce;
+    const bool before = scarce;
+    scarce = shortDomains == stock.size() || (scarce && shortDomains > 0);
+    if (scarce != before)
+        log_.write(LogWeight::State, scarce ? "reclaimable_scarce" : "reclaimable_there_again",
+                   {{"service", service.name.value}, {"short_domains", shortDomains}});
+    return stock;
+}
+
+void EngineSizing::askAgain(const ServiceName &service)
+{
+    for (std::pair<const Subject, Ordered> &entry : ordered_) {
+        if (entry.first.service == service && entry.first.reclaimable)
+            entry.second.confirmed = false;
+    }
+}
+
 void EngineSizing::order(const Subject &subject, uint32_t count, const Leadership &leadership, TimeMs now)
 {
     Ordered &ordered = ordered_[subject];
@@ -155,7 +239,7 @@
     ordered.confirmed = outcome == DutyOutcome::Done;
     ordered.nextAt = now + (ordered.confirmed ? DurationMs{0} : RetryPause);
     if (outcome == DutyOutcome::NoneAvailable) {
-        ordered.shortUntil = now + ShortagePause * 2;
+        ordered.shortUntil = now + ShortageMemory;
         ordered.nextAt = now + ShortagePause;
         log_.write(LogWeight::State, "engines_unavailable",
                    {{"service", found->second.service.value}, {"failure_domain", found->second.failureDomain.value}});
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -22,16 +22,20 @@
 struct DomainStock {
     uint32_t onDemand = 0; ///< Ready, not leaving.
     uint32_t reclaimable = 0;
+    uint32_t coming = 0; ///< Reclaimable ones that were ordered and accepted, and are not there yet.
     bool reclaimableShort = false; ///< None could be had lately.
 };
 
 /// How many engines each failure domain gets, for a demand. Without a network or a clock, for tests.
 ///
 /// Reclaimable engines are taken where they are cheaper. A failure domain's reclaimable ones may go all at
-/// once, so they are spread over all domains, and the rest must carry the demand without the fullest domain.
+/// once, so they are spread over all domains, and the rest must carry the demand without one domain. Where none
+/// can be had, other domains get more. Where none can be had anywhere, the next reclaim may come before new
+/// ones do: then engines on demand, in the cheapest domains, carry the demand alone.
+/// `scarce`: reclaimable ones can't be had in any domain.
 std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
                                     const ServiceDemand &demand,
-                                    const std::map<FailureDomainName, DomainStock> &stock);
+                                    const std::map<FailureDomainName, DomainStock> &stock, bool scarce);
 
 /// Orders engines in the name of the duty's holder.
 class EngineSizing
@@ -57,17 +61,21 @@
         TimeMs nextAt;
         TimeMs shortUntil; ///< None could be had: not asked again before.
     };
-    struct DemandHistory {
+    struct ServiceState {
         std::deque<std::pair<TimeMs, ServiceDemand>> samples;
+        bool scarce = false;
     };
+    std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
+    void askAgain(const ServiceName &service);
     void order(const Subject &subject, uint32_t count, const Leadership &leadership, TimeMs now);
 
     DecisionLog &log_;
-    std::map<ServiceName, DemandHistory> history_;
+    std::map<ServiceName, ServiceState> services_;
     std::map<Subject, Ordered> ordered_;
     std::map<uint64_t, Subject> open_;
+    std::set<EndpointId> reclaimSeen_; ///< Reclaimable engines that leave, each noticed once.
     std::vector<DutyCall> calls_;
     uint64_t nextCall_ = 1;
     uint64_t lastToken_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -642,6 +642,7 @@
         if (entry.second.running > 0)
             out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
     }
+    quotas_.reported();
     for (const std::pair<const OrganisationName, double> &use : quotas_.ownUse())
         out.uses.push_back({use.first, use.second});
     for (const std::pair<const int64_t, std::map<OrganisationName, uint64_t>> &window : usage_.counts()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,7 @@
     bool isIdle() const { return exchanges_.empty(); }
     /// What is told to the other daemons; the caller fills in identity and time of day.
     PeerReport report(TimeMs now);
+    bool reportIsDue() const { return quotas_.reportIsDue(); }
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
     std::vector<Address> callerAddresses(const Address &own, TimeMs now) const;
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -31,8 +31,8 @@
         return false;
     for (const OrganisationUse &use : report.uses) {
         double &before = peer.uses[use.organisation];
-        // Use before we first heard of this daemon was taken from buckets that we did not keep.
-        if (!isNew)
+        // What it used while it was not heard came out of its own share of the limit, not out of ours.
+        if (!isNew && now - peer.heardAt < PeerSilenceForLimits)
             quotas.usedElsewhere(use.organisation, use.units - before);
         before = use.units;
     }
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -15,6 +15,10 @@
 /// daemons use between two of their reports.
 constexpr double UsedTolerance = 0.5;
 
+/// Own use, in seconds of the rate, that the others may not know of. All daemons together may use that much too
+/// much in the first moment of a rush.
+constexpr double UnreportedSeconds = 0.05;
+
 } // namespace
 
 // A request larger than the burst may start on a full bucket: otherwise it could never run.
@@ -39,6 +43,8 @@
     if (bucket.level < needed)
         return DurationMs{static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / rate))};
     bucket.level -= units;
+    bucket.unreported += units;
+    reportIsDue_ = reportIsDue_ || bucket.unreported > UnreportedSeconds * organisation.ratePerSecond;
     ownUse_[organisation.name] += units;
     return std::nullopt;
 }
@@ -49,6 +55,13 @@
     buckets_[organisation].level += units;
 }
 
+void Quotas::reported()
+{
+    reportIsDue_ = false;
+    for (std::pair<const OrganisationName, Bucket> &entry : buckets_)
+        entry.second.unreported = 0;
+}
+
 void Quotas::usedElsewhere(const OrganisationName &organisation, double units)
 {
     buckets_[organisation].level -= units;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -34,6 +34,10 @@
     /// Use reported by another daemon since its report before.
     void usedElsewhere(const OrganisationName &organisation, double units);
 
+    /// True if so much was taken since the last report that the other daemons should hear of it soon.
+    bool reportIsDue() const { return reportIsDue_; }
+    void reported();
+
     /// Own use since the start of the process, less what was given back.
     const std::map<OrganisationName, double> &ownUse() const { return ownUse_; }
 
@@ -41,11 +45,13 @@
     struct Bucket {
         double level = 0;
         TimeMs filledAt;
+        double unreported = 0;
         bool started = false;
     };
     QuotaTolerance tolerance_;
     std::map<OrganisationName, Bucket> buckets_;
     std::map<OrganisationName, double> ownUse_;
+    bool reportIsDue_ = false;
 };
 
 /// What a request counts against its organisation's limit.
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -104,7 +104,7 @@
         started_ = true;
         startedAt_ = now;
         // An earlier life of this daemon may have led until just now: wait out its lease.
-        standAt_ = now + settings_.leaseTime + StandMargin;
+        standAt_ = settings_.firstStart ? now : now + settings_.leaseTime + StandMargin;
     }
     if (now >= sharedAt_ && !tooManyOpen(Purpose::ReadShared)) {
         sharedAt_ = now + SharedPace;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -20,6 +20,7 @@
 struct StoreSyncSettings {
     MemberEntry self;
     DurationMs leaseTime{3000};
+    bool firstStart = false; ///< The whole system starts for the first time: nobody led before.
     uint64_t seed = 1;
 };
 
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -16,6 +16,7 @@
     reader.required("storeAddress", settings.storeAddress);
     reader.optional("dutyAddress", settings.dutyAddress);
     reader.optional("metricsPort", settings.metricsPort, 0, 65535);
+    reader.optional("firstStart", settings.firstStart);
     reader.optional("revokeBoundMs", settings.revokeBound);
     reader.optional("leaseMs", settings.leaseTime);
     double seconds = static_cast<double>(settings.stopGrace.count) / 1000;
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -17,6 +17,7 @@
     Address dutyAddress; ///< Receiver of usage reports and orders.
     uint32_t metricsPort = 0; ///< 0: no metrics are served.
 
+    bool firstStart = false; ///< The whole system starts for the first time.
     DurationMs revokeBound{5000}; ///< A removed key is dead everywhere after this.
     DurationMs leaseTime{3000}; ///< Of a duty's holder.
     DurationMs stopGrace{8000}; ///< From SIGTERM to SIGKILL.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -149,6 +149,7 @@
     StoreSyncSettings out;
     out.self = {given.instance, incarnation, given.failureDomain, given.callerAddress, given.peerAddress};
     out.leaseTime = given.leaseTime;
+    out.firstStart = given.firstStart;
     out.seed = seed;
     return out;
 }
@@ -447,7 +448,7 @@
     gateway.tick(now);
     runActions();
     runDuties();
-    if (now >= reportAt) {
+    if (now >= reportAt || gateway.reportIsDue()) {
         reportAt = now + ReportPace;
         sendReports();
     }
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -126,6 +126,51 @@
     CHECK(used <= 1100);
 }
 
+TEST_CASE("daemons under one rush stay near the limit, since large use is told at once")
+{
+    // One organisation rushes at six daemons in the same moment. Each takes from its own bucket and tells the
+    // others when it used more than a little; a report arrives one step later.
+    const ServedOrganisation organisation = makeOrganisation();
+    std::vector<Quotas> daemons(6);
+    std::vector<double> told(6);
+    double used = 0;
+    for (int64_t ms = 0; ms < 8000; ms += 25) {
+        for (Quotas &daemon : daemons)
+            used += daemon.take(organisation, 25, {}, {ms}) ? 0 : 25;
+        for (size_t i = 0; i < daemons.size(); ++i) {
+            if (!daemons[i].reportIsDue() && ms % 200 != 0)
+                continue;
+            daemons[i].reported();
+            const auto own = daemons[i].ownUse().find(organisation.name);
+            const double now = own == daemons[i].ownUse().end() ? 0 : own->second;
+            for (size_t j = 0; j < daemons.size(); ++j) {
+                if (j != i)
+                    daemons[j].usedElsewhere(organisation.name, now - told[i]);
+            }
+            told[i] = now;
+        }
+    }
+    CHECK(used <= 9000 + 400);
+    CHECK(used >= 8500);
+}
+
+TEST_CASE("use while a daemon was not heard is not counted when it is heard again")
+{
+    // Two daemons are cut apart for ten seconds; each keeps to its share. When they hear each other again, what
+    // the other used meanwhile must not shut the organisation out here.
+    PeerTable peers({"entry-1"});
+    Quotas quotas;
+    const ServedOrganisation organisation = makeOrganisation();
+    CHECK_FALSE(quotas.take(organisation, 0, {}, {0}));
+    PeerReport report = makeReport(2, 1);
+    report.uses = {{organisation.name, 100}};
+    peers.take(report, quotas, {0});
+    report.sequence = 2;
+    report.uses = {{organisation.name, 5100}};
+    peers.take(report, quotas, {10000});
+    CHECK_FALSE(quotas.take(organisation, 900, {}, {10000}));
+}
+
 TEST_CASE("requests that state no tokens count by the configured weight")
 {
     ServedOrganisation organisation = makeOrganisation();
