Limits: a daemon that starts, or is heard again, takes over what is left

Cause: a restarted daemon began with full buckets, although the others had used them up; under a rush of one organisation that gave up to a burst too much.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -236,6 +236,9 @@
     log(LogWeight::Ordinary, "send", exchange,
         {{"attempt", exchange.attempt.value},
          {"service", exchange.service.value},
+         {"organisation", exchange.organisation.value},
+         {"units", exchange.quotaUnits},
+         {"limit_share", peers_.quotaScope(now).share},
          {"wait_ms", choice.waitMs},
          {"prefill_tokens", choice.prefillTokens},
          {"running", endpoint.running},
@@ -643,8 +646,7 @@
             out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
     }
     quotas_.reported();
-    for (const std::pair<const OrganisationName, double> &use : quotas_.ownUse())
-        out.uses.push_back({use.first, use.second});
+    out.uses = quotas_.uses(now);
     for (const std::pair<const int64_t, std::map<OrganisationName, uint64_t>> &window : usage_.counts()) {
         for (const std::pair<const OrganisationName, uint64_t> &count : window.second)
             out.windows.push_back({window.first, count.first, count.second});
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -80,6 +80,7 @@
 struct OrganisationUse {
     OrganisationName organisation;
     double units = 0;
+    double left = 0; ///< In the sender's bucket.
 };
 
 /// Requests of one organisation that began to run in one window.
--- a/src/gateway/peerreportcodec.cpp
+++ b/src/gateway/peerreportcodec.cpp
@@ -18,7 +18,7 @@
             rows.push_back({load.id.value, load.running, load.prefillTokens});
     } else if (name == "uses") {
         for (const OrganisationUse &use : report.uses)
-            rows.push_back({use.organisation.value, use.units});
+            rows.push_back({use.organisation.value, use.units, use.left});
     } else if (name == "windows") {
         for (const WindowCount &count : report.windows)
             rows.push_back({count.window, count.organisation.value, count.count});
@@ -57,8 +57,9 @@
             {EndpointId{text(load[0])}, load[1].to_number<uint32_t>(), load[2].to_number<uint64_t>()});
     }
     for (const json::value &value : object.at("uses").as_array()) {
-        const json::array &use = row(value, 2);
-        report.uses.push_back({OrganisationName{text(use[0])}, use[1].to_number<double>()});
+        const json::array &use = row(value, 3);
+        report.uses.push_back(
+            {OrganisationName{text(use[0])}, use[1].to_number<double>(), use[2].to_number<double>()});
     }
     for (const json::value &value : object.at("windows").as_array()) {
         const json::array &count = row(value, 3);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -29,11 +29,14 @@
     Peer &peer = peers_[report.incarnation];
     if (!isNew && report.sequence <= peer.report.sequence)
         return false;
+    // What a daemon used while it was not heard came out of its own share of the limit, not out of ours.
+    const bool wasHeard = !isNew && now - peer.heardAt < PeerSilenceForLimits;
     for (const OrganisationUse &use : report.uses) {
         double &before = peer.uses[use.organisation];
-        // What it used while it was not heard came out of its own share of the limit, not out of ours.
-        if (!isNew && now - peer.heardAt < PeerSilenceForLimits)
+        if (wasHeard)
             quotas.usedElsewhere(use.organisation, use.units - before);
+        else
+            quotas.adopt(use.organisation, use.left);
         before = use.units;
     }
     for (const WindowCount &count : report.windows) {
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -30,31 +30,56 @@
     const double rate = organisation.ratePerSecond * over * scope.share;
     const double burst = std::max((organisation.burst * over + UsedTolerance * tolerance_.slack) * scope.share, 1.0);
     Bucket &bucket = buckets_[organisation.name];
-    if (!bucket.started) {
-        bucket.level = burst;
-        bucket.started = true;
-    } else {
-        const double seconds = static_cast<double>((now - bucket.filledAt).count) / 1000.0;
-        bucket.level = std::min(burst, bucket.level + rate * seconds);
-    }
+    if (bucket.started)
+        bucket.level = std::min(burst, bucket.levelAt(now));
+    else
+        bucket.level = std::min(burst, bucket.adopted.value_or(burst));
+    bucket.started = true;
     bucket.filledAt = now;
+    bucket.ratePerSecond = rate;
+    bucket.burst = burst;
     bucket.level = std::max(bucket.level, -MostDebtSeconds * organisation.ratePerSecond);
     const double needed = std::min(units, burst);
     if (bucket.level < needed)
         return DurationMs{static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / rate))};
     bucket.level -= units;
+    bucket.used += units;
     bucket.unreported += units;
     reportIsDue_ = reportIsDue_ || bucket.unreported > UnreportedSeconds * organisation.ratePerSecond;
-    ownUse_[organisation.name] += units;
     return std::nullopt;
 }
 
+double Quotas::Bucket::levelAt(TimeMs now) const
+{
+    const double seconds = static_cast<double>((now - filledAt).count) / 1000.0;
+    return std::min(burst, level + ratePerSecond * seconds);
+}
+
 void Quotas::giveBack(const OrganisationName &organisation, double units)
 {
-    ownUse_[organisation] -= units;
+    buckets_[organisation].used -= units;
     buckets_[organisation].level += units;
 }
 
+void Quotas::adopt(const OrganisationName &organisation, double level)
+{
+    Bucket &bucket = buckets_[organisation];
+    if (bucket.started)
+        bucket.level = std::min(bucket.level, level);
+    else
+        bucket.adopted = std::min(bucket.adopted.value_or(level), level);
+}
+
+std::vector<OrganisationUse> Quotas::uses(TimeMs now) const
+{
+    std::vector<OrganisationUse> out;
+    for (const std::pair<const OrganisationName, Bucket> &entry : buckets_) {
+        if (entry.second.started)
+            out.push_back({entry.first, entry.second.used, entry.second.levelAt(now)});
+    }
+    return out;
+}
+
 void Quotas::reported()
 {
     reportIsDue_ = false;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/serving.h"
+#include "gateway/gatewayevents.h"
 
 #include <map>
 
@@ -38,19 +38,28 @@
     bool reportIsDue() const { return reportIsDue_; }
     void reported();
 
-    /// Own use since the start of the process, less what was given back.
-    const std::map<OrganisationName, double> &ownUse() const { return ownUse_; }
+    /// What another daemon has left, when it is heard for the first time, or again: a daemon that was not there
+    /// has a fuller bucket than all the others.
+    void adopt(const OrganisationName &organisation, double level);
+
+    /// Own use since the start of the process, less what was given back, and what is left in each bucket.
+    std::vector<OrganisationUse> uses(TimeMs now) const;
 
 private:
     struct Bucket {
         double level = 0;
+        double ratePerSecond = 0;
+        double burst = 0;
         TimeMs filledAt;
+        double used = 0; ///< Own, since the start.
         double unreported = 0;
         bool started = false;
+        std::optional<double> adopted; ///< Level of another daemon, until this bucket is used.
+
+        double levelAt(TimeMs now) const;
     };
     QuotaTolerance tolerance_;
     std::map<OrganisationName, Bucket> buckets_;
-    std::map<OrganisationName, double> ownUse_;
     bool reportIsDue_ = false;
 };
 
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -92,7 +92,7 @@
     CHECK(quotas.take(organisation, 100, {}, {0}));
     quotas.giveBack(organisation.name, 100);
     CHECK_FALSE(quotas.take(organisation, 100, {}, {0}));
-    CHECK(quotas.ownUse().at(organisation.name) == 100);
+    CHECK(quotas.uses({0}).at(0).units == 100);
 }
 
 TEST_CASE("both sides of a partition together stay within a limit")
@@ -141,8 +141,8 @@
             if (!daemons[i].reportIsDue() && ms % 200 != 0)
                 continue;
             daemons[i].reported();
-            const auto own = daemons[i].ownUse().find(organisation.name);
-            const double now = own == daemons[i].ownUse().end() ? 0 : own->second;
+            const std::vector<OrganisationUse> own = daemons[i].uses({ms});
+            const double now = own.empty() ? 0 : own[0].units;
             for (size_t j = 0; j < daemons.size(); ++j) {
                 if (j != i)
                     daemons[j].usedElsewhere(organisation.name, now - told[i]);
@@ -154,6 +154,20 @@
     CHECK(used >= 8500);
 }
 
+TEST_CASE("a restarted daemon does not start with a full bucket")
+{
+    // An organisation has used up its burst. A daemon is killed and starts again; callers turn to it at once.
+    // Its first word from the others tells what is left.
+    PeerTable peers({"entry-1"});
+    Quotas quotas;
+    const ServedOrganisation organisation = makeOrganisation();
+    PeerReport report = makeReport(2, 1);
+    report.uses = {{organisation.name, 5000, 30}};
+    peers.take(report, quotas, {0});
+    CHECK(quotas.take(organisation, 100, {}, {0}));
+    CHECK_FALSE(quotas.take(organisation, 20, {}, {0}));
+}
+
 TEST_CASE("use while a daemon was not heard is not counted when it is heard again")
 {
     // Two daemons are cut apart for ten seconds; each keeps to its share. When they hear each other again, what
@@ -163,10 +177,10 @@
     const ServedOrganisation organisation = makeOrganisation();
     CHECK_FALSE(quotas.take(organisation, 0, {}, {0}));
     PeerReport report = makeReport(2, 1);
-    report.uses = {{organisation.name, 100}};
+    report.uses = {{organisation.name, 100, 1000}};
     peers.take(report, quotas, {0});
     report.sequence = 2;
-    report.uses = {{organisation.name, 5100}};
+    report.uses = {{organisation.name, 5100, 900}};
     peers.take(report, quotas, {10000});
     CHECK_FALSE(quotas.take(organisation, 900, {}, {10000}));
 }
@@ -206,14 +220,14 @@
     const ServedOrganisation organisation = makeOrganisation();
     CHECK_FALSE(quotas.take(organisation, 0, {}, {0}));
     PeerReport report = makeReport(2, 1);
-    report.uses = {{organisation.name, 100}};
+    report.uses = {{organisation.name, 100, 1000}};
     CHECK(peers.take(report, quotas, {0}));
     report.sequence = 3;
-    report.uses = {{organisation.name, 900}};
+    report.uses = {{organisation.name, 900, 1000}};
     CHECK(peers.take(report, quotas, {0}));
     CHECK_FALSE(peers.take(report, quotas, {0}));
     report.sequence = 2;
-    report.uses = {{organisation.name, 500}};
+    report.uses = {{organisation.name, 500, 1000}};
     CHECK_FALSE(peers.take(report, quotas, {0}));
     CHECK(quotas.take(organisation, 300, {}, {0}));
     CHECK_FALSE(quotas.take(organisation, 200, {}, {0}));
@@ -265,7 +279,7 @@
     report.instance.value = "entry-\"2\"";
     report.wallMs = 1'700'000'000'000;
     report.loads = {{{"i-1"}, 3, 4000}};
-    report.uses = {{{"a"}, 1.5}};
+    report.uses = {{{"a"}, 1.5, 2.5}};
     report.windows = {{7, {"a"}, 12}};
     report.demands = {{{"model"}, 100.5, 2}};
     const std::optional<PeerReport> read = decodeReport(encodeReport(report));
