--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -636,6 +636,7 @@
     out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
     out.sequence = ++reports_;
+    out.heard = peers_.heardCount(now);
     std::map<ServiceName, uint32_t> running;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_)
         ++running[entry.second.service];
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -104,6 +104,7 @@
     bool leaving = false;
     bool ready = false;
     uint64_t sequence = 0;
+    uint32_t heard = 1; ///< Daemons that share the levels in `uses`, the sender included.
     int64_t wallMs = 0; ///< Time of day at the sender.
     std::vector<EndpointLoad> loads;
     std::vector<OrganisationUse> uses;
--- a/src/gateway/peerreportcodec.cpp
+++ b/src/gateway/peerreportcodec.cpp
@@ -50,6 +50,7 @@
     report.leaving = object.at("leaving").as_bool();
     report.ready = object.at("ready").as_bool();
     report.sequence = object.at("sequence").to_number<uint64_t>();
+    report.heard = object.at("heard").to_number<uint32_t>();
     report.wallMs = object.at("wallMs").to_number<int64_t>();
     for (const json::value &value : object.at("loads").as_array()) {
         const json::array &load = row(value, 3);
@@ -83,6 +84,7 @@
                                         {"leaving", report.leaving},
                                         {"ready", report.ready},
                                         {"sequence", report.sequence},
+                                        {"heard", report.heard},
                                         {"wallMs", report.wallMs},
                                         {"loads", rowsOf(report, "loads")},
                                         {"uses", rowsOf(report, "uses")},
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -36,7 +36,7 @@
         if (wasHeard)
             quotas.usedElsewhere(use.organisation, use.units - before);
         else
-            quotas.adopt(use.organisation, use.left);
+            quotas.join(use.organisation, use.left / std::max<uint32_t>(report.heard, 1));
         before = use.units;
     }
     for (const WindowCount &count : report.windows) {
@@ -65,12 +65,18 @@
     return members_.size() + (listsSelf ? 0 : 1);
 }
 
-QuotaScope PeerTable::quotaScope(TimeMs now) const
+uint32_t PeerTable::heardCount(TimeMs now) const
 {
-    size_t heardCount = 1;
+    uint32_t count = 1;
     for (const MemberEntry &member : members_)
-        heardCount += member.instance != self_ && heard(member, now, PeerSilenceForLimits) ? 1 : 0;
-    return {static_cast<double>(heardCount) / static_cast<double>(memberCount())};
+        count += member.instance != self_ && heard(member, now, PeerSilenceForLimits) ? 1 : 0;
+    return count;
+}
+
+QuotaScope PeerTable::quotaScope(TimeMs now) const
+{
+    const double daemons = static_cast<double>(memberCount());
+    return {static_cast<double>(heardCount(now)) / daemons, 1 / daemons};
 }
 
 std::map<EndpointId, EndpointLoad> PeerTable::loadSums(TimeMs now) const
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -31,6 +31,8 @@
     const std::vector<MemberEntry> &members() const { return members_; }
     /// Daemons that are listed, this one included; at least 1.
     size_t memberCount() const;
+    /// Listed daemons that are heard, this one included.
+    uint32_t heardCount(TimeMs now) const;
     QuotaScope quotaScope(TimeMs now) const;
     std::map<EndpointId, EndpointLoad> loadSums(TimeMs now) const;
     std::vector<ServiceDemand> demandSums(TimeMs now) const;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cranberry {
 
@@ -28,18 +29,20 @@
         return std::nullopt;
     const double over = 1 + UsedTolerance * tolerance_.over;
     const double rate = organisation.ratePerSecond * over * scope.share;
-    const double burst = std::max((organisation.burst * over + UsedTolerance * tolerance_.slack) * scope.share, 1.0);
+    const double wholeBurst = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0);
+    const double burst = wholeBurst * scope.share;
     Bucket &bucket = buckets_[organisation.name];
-    if (bucket.started)
-        bucket.level = std::min(burst, bucket.levelAt(now));
-    else
-        bucket.level = std::min(burst, bucket.adopted.value_or(burst));
+    double level = bucket.started ? bucket.levelAt(now) : wholeBurst * scope.ownShare;
+    if (bucket.started && scope.share < bucket.share && level > 0)
+        level *= scope.share / bucket.share; // Those that left took their part along.
+    bucket.level = std::min(burst, level + std::exchange(bucket.joined, 0));
+    bucket.share = scope.share;
     bucket.started = true;
     bucket.filledAt = now;
     bucket.ratePerSecond = rate;
     bucket.burst = burst;
     bucket.level = std::max(bucket.level, -MostDebtSeconds * organisation.ratePerSecond);
-    const double needed = std::min(units, burst);
+    const double needed = std::min(units, wholeBurst);
     if (bucket.level < needed)
         return DurationMs{static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / rate))};
     bucket.level -= units;
@@ -61,13 +64,9 @@
     buckets_[organisation].level += units;
 }
 
-void Quotas::adopt(const OrganisationName &organisation, double level)
+void Quotas::join(const OrganisationName &organisation, double level)
 {
-    Bucket &bucket = buckets_[organisation];
-    if (bucket.started)
-        bucket.level = std::min(bucket.level, level);
-    else
-        bucket.adopted = std::min(bucket.adopted.value_or(level), level);
+    buckets_[organisation].joined += level;
 }
 
 std::vector<OrganisationUse> Quotas::uses(TimeMs now) const
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -16,13 +16,17 @@
 /// How much of each limit this daemon may use alone: 1 while it hears all other daemons.
 struct QuotaScope {
     double share = 1; ///< Heard daemons, itself included, of all that are known.
+    double ownShare = 1; ///< This daemon alone.
 };
 
 /// Limits of the organisations over all daemons: one bucket for each, from which every daemon's use is taken.
 ///
 /// Each daemon takes its own use at once and that of the others when it hears of it. What they use in between
-/// is made up for by a level below zero. A daemon that doesn't hear all others fills its bucket by the share
-/// of daemons that it does hear, so that the parts of a partition together stay within the limit.
+/// is made up for by a level below zero.
+///
+/// Daemons that hear each other share one level. Where they are cut apart, or one starts, each part has its
+/// share of the rate, the burst and the level; where parts meet again, their levels add up. So the sum over all
+/// parts is the same as if there had been no cut.
 class Quotas
 {
 public:
@@ -38,9 +42,8 @@
     bool reportIsDue() const { return reportIsDue_; }
     void reported();
 
-    /// What another daemon has left, when it is heard for the first time, or again: a daemon that was not there
-    /// has a fuller bucket than all the others.
-    void adopt(const OrganisationName &organisation, double level);
+    /// A daemon is heard for the first time, or again, and brings its own part of a level along.
+    void join(const OrganisationName &organisation, double level);
 
     /// Own use since the start of the process, less what was given back, and what is left in each bucket.
     std::vector<OrganisationUse> uses(TimeMs now) const;
@@ -54,7 +57,8 @@
         double used = 0; ///< Own, since the start.
         double unreported = 0;
         bool started = false;
-        std::optional<double> adopted; ///< Level of another daemon, until this bucket is used.
+        double share = 1; ///< Of the daemons, when the bucket was filled last.
+        double joined = 0; ///< Brought along by others since.
 
         double levelAt(TimeMs now) const;
     };
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -104,8 +104,8 @@
     Quotas right;
     double used = 0;
     for (int64_t ms = 0; ms < 8000; ms += 10) {
-        used += left.take(organisation, 50, {0.5}, {ms}) ? 0 : 50;
-        used += right.take(organisation, 50, {0.5}, {ms}) ? 0 : 50;
+        used += left.take(organisation, 50, {0.5, 0.25}, {ms}) ? 0 : 50;
+        used += right.take(organisation, 50, {0.5, 0.25}, {ms}) ? 0 : 50;
     }
     CHECK(used <= 1000 + 8 * 1000);
     CHECK(used > 7000);
@@ -154,18 +154,41 @@
     CHECK(used >= 8500);
 }
 
-TEST_CASE("a restarted daemon does not start with a full bucket")
+TEST_CASE("a restarted daemon does not bring a full bucket along")
 {
-    // An organisation has used up its burst. A daemon is killed and starts again; callers turn to it at once.
-    // Its first word from the others tells what is left.
+    // An organisation has used up its burst. One of four daemons is killed and starts again; callers turn to it
+    // at once. It may use its own fourth of the burst and what the others have left, no more.
     PeerTable peers({"entry-1"});
+    peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3),
+                      makeMember("entry-4", 4)});
     Quotas quotas;
     const ServedOrganisation organisation = makeOrganisation();
-    PeerReport report = makeReport(2, 1);
-    report.uses = {{organisation.name, 5000, 30}};
-    peers.take(report, quotas, {0});
-    CHECK(quotas.take(organisation, 100, {}, {0}));
-    CHECK_FALSE(quotas.take(organisation, 20, {}, {0}));
+    for (uint64_t i = 2; i <= 4; ++i) {
+        PeerReport report = makeReport(i, 1);
+        report.heard = 3;
+        report.uses = {{organisation.name, 5000, 30}};
+        peers.take(report, quotas, {0});
+    }
+    CHECK(quotas.take(organisation, 300, peers.quotaScope({0}), {0}));
+    CHECK_FALSE(quotas.take(organisation, 270, peers.quotaScope({0}), {0}));
+}
+
+TEST_CASE("when all daemons start again, an organisation has its whole burst")
+{
+    // All daemons were killed and start in the same moment; each knows only itself and has a fourth of the
+    // burst. As they hear each other, the fourths add up: a request larger than one of them runs.
+    const ServedOrganisation organisation = makeOrganisation();
+    PeerTable peers({"entry-1"});
+    peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3),
+                      makeMember("entry-4", 4)});
+    Quotas quotas;
+    CHECK(quotas.take(organisation, 251, peers.quotaScope({0}), {0}));
+    for (uint64_t i = 2; i <= 4; ++i) {
+        PeerReport report = makeReport(i, 1);
+        report.uses = {{organisation.name, 0, 250}};
+        peers.take(report, quotas, {0});
+    }
+    CHECK_FALSE(quotas.take(organisation, 1000, peers.quotaScope({0}), {0}));
 }
 
 TEST_CASE("use while a daemon was not heard is not counted when it is heard again")
@@ -218,9 +241,9 @@
     peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2)});
     Quotas quotas;
     const ServedOrganisation organisation = makeOrganisation();
-    CHECK_FALSE(quotas.take(organisation, 0, {}, {0}));
+    CHECK_FALSE(quotas.take(organisation, 0, peers.quotaScope({0}), {0}));
     PeerReport report = makeReport(2, 1);
-    report.uses = {{organisation.name, 100, 1000}};
+    report.uses = {{organisation.name, 100, 500}};
     CHECK(peers.take(report, quotas, {0}));
     report.sequence = 3;
     report.uses = {{organisation.name, 900, 1000}};
@@ -229,8 +252,8 @@
     report.sequence = 2;
     report.uses = {{organisation.name, 500, 1000}};
     CHECK_FALSE(peers.take(report, quotas, {0}));
-    CHECK(quotas.take(organisation, 300, {}, {0}));
-    CHECK_FALSE(quotas.take(organisation, 200, {}, {0}));
+    CHECK(quotas.take(organisation, 300, peers.quotaScope({0}), {0}));
+    CHECK_FALSE(quotas.take(organisation, 200, peers.quotaScope({0}), {0}));
 }
 
 TEST_CASE("peers: the scope of limits follows who is heard, and callers are sent to ready daemons alone")
