--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -17,6 +17,12 @@
 /// The least there is of a service: one may be lost at any time.
 constexpr uint32_t LeastEngines = 2;
 constexpr uint32_t LeastEachDomain = 2;
+/// With this part of the engines wanted the demand is still carried, with longer queues.
+constexpr double TightPart = 0.7;
+/// So long engines are kept as they were found, for a demand that is not known yet.
+constexpr DurationMs LearningTime{15000};
+/// A list without any engine is not believed in the first moments.
+constexpr DurationMs FirstListTime{4000};
 constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut work.
 constexpr DurationMs PeakMemory{30000};
@@ -58,8 +64,8 @@
 } // namespace
 
 std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
-                                    const ServiceDemand &demand,
-                                    const std::map<FailureDomainName, DomainStock> &stock, bool scarce)
+                                    const SizingQuestion &question,
+                                    const std::map<FailureDomainName, DomainStock> &stock)
 {
     // Step 1. What the demand needs, and what each domain holds of it.
     std::vector<DomainPlan> plan;
@@ -67,18 +73,21 @@
     if (domains == 0)
         return plan;
     const uint32_t most = std::max(bounds.most, 1U);
-    const uint32_t needed = std::clamp(enginesFor(demand, engine), LeastEngines, most * domains);
+    const uint32_t needed = std::clamp(enginesFor(question.demand, engine), LeastEngines, most * domains);
     const bool cheap = bounds.reclaimablePrice < 1;
     const uint32_t spread = domains > 1 ? (needed + domains - 2) / (domains - 1) : needed;
-    const uint32_t each = std::clamp(std::max(spread, LeastEachDomain), std::max(bounds.least, 1U), most);
+    const uint32_t knownEach = (question.known + domains - 1) / domains;
+    const uint32_t each = std::clamp(std::max({spread, LeastEachDomain, knownEach}), std::max(bounds.least, 1U), most);
     uint32_t readyReclaimable = 0;
     uint32_t readyOnDemand = 0;
     uint32_t coming = 0;
+    uint32_t fullestDomain = 0;
     for (const std::pair<const FailureDomainName, DomainStock> &entry : stock) {
         plan.push_back({entry.first, 0, 0});
         readyReclaimable += entry.second.reclaimable;
         readyOnDemand += entry.second.onDemand;
         coming += entry.second.coming;
+        fullestDomain = std::max(fullestDomain, entry.second.reclaimable);
     }
     const std::vector<size_t> cheapest = byPrice(bounds, plan);
 
@@ -91,19 +100,27 @@
             missing += each - std::min(each, have.reclaimable);
     }
     for (size_t i : cheapest) {
-        if (!cheap || scarce || stock.at(plan[i].failureDomain).reclaimableShort)
+        if (!cheap || question.scarce || stock.at(plan[i].failureDomain).reclaimableShort)
             continue;
         const uint32_t more = std::min(missing, most - std::min(most, plan[i].reclaimable));
         plan[i].reclaimable += more;
         missing -= more;
     }
 
-    // Step 3. On demand: all that is needed where there are no cheaper ones to be had, else none. Those that
-    // are there stay until the others carry the demand; before there is any, that they come is enough.
-    const bool idle = demand.running < IdleRunning;
-    uint32_t onDemand = scarce || !cheap ? needed : 0;
-    if (onDemand == 0 && readyReclaimable + (idle ? coming : 0) < needed)
+    // Step 3. On demand: all that is needed where there are no cheaper ones; where those are scarce, what would
+    // be missing after the next reclaim. Else those that are there stay until the others carry the demand;
+    // before there is any, that the others come is enough.
+    const bool idle = question.demand.running < IdleRunning;
+    uint32_t onDemand = 0;
+    if (!cheap) {
+        onDemand = needed;
+    } else if (question.scarce) {
+        const uint32_t tight = static_cast<uint32_t>(std::ceil(needed * TightPart));
+        const uint32_t remaining = readyReclaimable - fullestDomain;
+        onDemand = tight - std::min(tight, remaining);
+    } else if (readyReclaimable + (idle ? coming : 0) < needed) {
         onDemand = std::min(readyOnDemand, needed);
+    }
     for (size_t i : cheapest) {
         const uint32_t room = most - std::min(most, cheap ? stock.at(plan[i].failureDomain).reclaimable : 0);
         plan[i].onDemand = std::min(onDemand, std::max(room, cheap ? 0U : most));
@@ -139,6 +156,7 @@
         open_.clear();
         services_.clear();
         reclaimSeen_.clear();
+        ledSince_ = now;
     }
     if (now < nextAt_)
         return;
@@ -150,8 +168,22 @@
         const auto asked = demand.find(service.name);
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
-        const bool scarce = services_[service.name].scarce;
-        for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, peak, stock, scarce)) {
+        ServiceState &state = services_[service.name];
+        uint32_t ready = 0;
+        for (const std::pair<const FailureDomainName, DomainStock> &entry : stock)
+            ready += entry.second.onDemand + entry.second.reclaimable;
+        if (ready == 0 && now - ledSince_ < FirstListTime)
+            continue;
+        if (state.stockAtStart == 0)
+            state.stockAtStart = ready;
+        if (!state.demandSince && peak.running > IdleRunning)
+            state.demandSince = now;
+        SizingQuestion question;
+        question.demand = peak;
+        question.scarce = state.scarce;
+        if (!state.demandSince || now - *state.demandSince < LearningTime)
+            question.known = state.stockAtStart;
+        for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, question, stock)) {
             order({service.name, domain.failureDomain, true}, domain.reclaimable, leadership, now);
             order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
         }
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -26,16 +26,22 @@
     bool reclaimableShort = false; ///< None could be had lately.
 };
 
+/// What engines are planned for.
+struct SizingQuestion {
+    ServiceDemand demand;
+    uint32_t known = 0; ///< Engines that were enough before; counts until the demand has been seen for a while.
+    bool scarce = false; ///< Reclaimable ones can't be had in any domain.
+};
+
 /// How many engines each failure domain gets, for a demand. Without a network or a clock, for tests.
 ///
 /// Reclaimable engines are taken where they are cheaper. A failure domain's reclaimable ones may go all at
 /// once, so they are spread over all domains, and the rest must carry the demand without one domain. Where none
 /// can be had, other domains get more. Where none can be had anywhere, the next reclaim may come before new
-/// ones do: then engines on demand, in the cheapest domains, carry the demand alone.
-/// `scarce`: reclaimable ones can't be had in any domain.
+/// ones do: then engines on demand, in the cheapest domains, make up for one domain more.
 std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
-                                    const ServiceDemand &demand,
-                                    const std::map<FailureDomainName, DomainStock> &stock, bool scarce);
+                                    const SizingQuestion &question,
+                                    const std::map<FailureDomainName, DomainStock> &stock);
 
 /// Orders engines in the name of the duty's holder.
 class EngineSizing
@@ -64,6 +70,8 @@
     struct ServiceState {
         std::deque<std::pair<TimeMs, ServiceDemand>> samples;
         bool scarce = false;
+        uint32_t stockAtStart = 0; ///< Engines when this daemon began to lead.
+        std::optional<TimeMs> demandSince; ///< First seen.
     };
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
 
@@ -80,6 +88,7 @@
     uint64_t nextCall_ = 1;
     uint64_t lastToken_ = 0;
     TimeMs nextAt_;
+    TimeMs ledSince_;
 };
 
 } // namespace cranberry
