Silent engines: no new work, resumable streams leave them

Cause: an engine that goes dark keeps its place in the list for three heartbeats; new streams went there and waited (p99 of the first event 3 s while two of eight engines were dark). All streams of an engine pausing for 0.7 s is taken as the sign; a daemon that stood still itself is told apart by the gap between its ticks.

--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -17,6 +17,11 @@
 /// short enough that one lost connection does not take an endpoint out.
 constexpr DurationMs FirstAvoidance{250};
 constexpr uint32_t MaxAvoidanceDoublings = 4;
+/// Streams of an engine bring events every few tens of milliseconds, and prompts are read in pieces between
+/// them. When all streams of an engine pause for so long, it is down or out of reach.
+constexpr DurationMs SilenceOfStreams{700};
+/// A gap between two ticks that shows that this process stood still itself.
+constexpr DurationMs StandstillGap{250};
 /// Weight of the newest outcome in the moving mean: about the last ten attempts count.
 constexpr double FailureWeight = 0.1;
 /// Reading speed that a placement assumes; only the ratio to the penalties below matters.
@@ -94,6 +99,9 @@
 // have lapsed with the store and come back. It serves as a last choice until that time is over.
 void EndpointFleet::tick(TimeMs now)
 {
+    if (now - tickedAt_ > StandstillGap)
+        wokeAt_ = now;
+    tickedAt_ = now;
     const bool inGrace = now - regainedAt_ < RelistGrace && regainedAt_.count > 0;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         entry.second.gone = !entry.second.listed && !inGrace;
@@ -103,6 +111,17 @@
     });
 }
 
+bool EndpointFleet::isSilent(const FleetEndpoint &endpoint, TimeMs now) const
+{
+    return endpoint.streaming > 0 && now - std::max(endpoint.heardAt, wokeAt_) > SilenceOfStreams;
+}
+
+bool EndpointFleet::isSilent(const EndpointId &id, TimeMs now) const
+{
+    const FleetEndpoint *endpoint = find(id);
+    return endpoint && isSilent(*endpoint, now);
+}
+
 bool EndpointFleet::mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question) const
 {
     return endpoint.entry.service == question.service && !endpoint.entry.leaving && !endpoint.gone && !endpoint.avoidedForGood
@@ -126,7 +145,7 @@
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!mayTake(entry.second, question))
             continue;
-        anyAwake = anyAwake || entry.second.avoidUntil <= now;
+        anyAwake = anyAwake || (entry.second.avoidUntil <= now && !isSilent(entry.second, now));
         const uint64_t weight = rendezvousWeight(key, entry.first);
         if (!key.empty() && (!home || weight > homeWeight)) {
             home = &entry.second;
@@ -140,7 +159,7 @@
         if (!mayTake(endpoint, question))
             continue;
         result.problem = PlacementProblem::AllBusy;
-        if (!hasRoom(endpoint, question) || (anyAwake && endpoint.avoidUntil > now))
+        if (!hasRoom(endpoint, question) || (anyAwake && (endpoint.avoidUntil > now || isSilent(endpoint, now))))
             continue;
         PlacementChoice choice;
         choice.endpoint = entry.first;
@@ -195,11 +214,28 @@
         found->second.prefillTokens -= std::min(found->second.prefillTokens, prefillTokens);
 }
 
-void EndpointFleet::finished(const EndpointId &id)
+void EndpointFleet::streamBegan(const EndpointId &id)
 {
     const auto found = endpoints_.find(id);
-    if (found != endpoints_.end() && found->second.running > 0)
-        --found->second.running;
+    if (found != endpoints_.end())
+        ++found->second.streaming;
+}
+
+void EndpointFleet::heard(const EndpointId &id, TimeMs now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end())
+        found->second.heardAt = now;
+}
+
+void EndpointFleet::finished(const EndpointId &id, bool wasStreaming)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    FleetEndpoint &endpoint = found->second;
+    endpoint.running -= std::min(endpoint.running, 1U);
+    endpoint.streaming -= std::min(endpoint.streaming, wasStreaming ? 1U : 0U);
 }
 
 void EndpointFleet::succeeded(const EndpointId &id)
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -21,6 +21,9 @@
     uint32_t peersRunning = 0;
     uint64_t peersPrefillTokens = 0;
 
+    uint32_t streaming = 0; ///< Own attempts that have had their first event.
+    TimeMs heardAt; ///< Last byte on any own attempt, or when the first of them got its first event.
+
     double failureShare = 0; ///< Moving mean over recent attempts, 0 to 1.
     uint32_t failuresInRow = 0;
     TimeMs avoidUntil;
@@ -63,7 +66,11 @@
 
     void started(const PlacementChoice &choice, const PlacementQuestion &question, TimeMs now);
     void firstByte(const EndpointId &id, uint64_t prefillTokens);
-    void finished(const EndpointId &id);
+    void streamBegan(const EndpointId &id);
+    void heard(const EndpointId &id, TimeMs now);
+    void finished(const EndpointId &id, bool wasStreaming);
+    /// True if streams run there and none of them has brought a byte for long.
+    bool isSilent(const EndpointId &id, TimeMs now) const;
     void succeeded(const EndpointId &id);
     void failed(const EndpointId &id, TimeMs now);
     void wrongInstance(const EndpointId &id);
@@ -76,11 +83,14 @@
     bool known() const { return known_; }
 
 private:
+    bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
     bool mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question) const;
     static bool hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question);
 
     std::map<EndpointId, FleetEndpoint> endpoints_;
     TimeMs listedAt_;
+    TimeMs tickedAt_;
+    TimeMs wokeAt_; ///< This process did not run before; what others sent meanwhile is still to be read.
     TimeMs regainedAt_; ///< End of the last interruption of the list.
     bool known_ = false;
 };
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -21,8 +21,8 @@
 constexpr double TightPart = 0.7;
 /// So long engines are kept as they were found, for a demand that is not known yet.
 constexpr DurationMs LearningTime{15000};
-/// A list without any engine is not believed in the first moments.
-constexpr DurationMs FirstListTime{4000};
+/// A new holder looks at the list for so long before it orders: at the start entries come one by one.
+constexpr DurationMs FirstListTime{1500};
 constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut work.
 constexpr DurationMs PeakMemory{30000};
@@ -172,10 +172,10 @@
         uint32_t ready = 0;
         for (const std::pair<const FailureDomainName, DomainStock> &entry : stock)
             ready += entry.second.onDemand + entry.second.reclaimable;
-        if (ready == 0 && now - ledSince_ < FirstListTime)
+        if (now - ledSince_ < FirstListTime) {
+            state.stockAtStart = std::max(state.stockAtStart, ready);
             continue;
-        if (state.stockAtStart == 0)
-            state.stockAtStart = ready;
+        }
         if (!state.demandSince && peak.running > IdleRunning)
             state.demandSince = now;
         SizingQuestion question;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,13 +36,13 @@
     AttemptId attempt;
     EndpointId endpoint;
     TimeMs sentAt;
+    bool streaming = false; ///< This attempt has brought its first event.
     uint64_t prefillTokens = 0; ///< Still counted at the endpoint.
     AttemptHead head;
     std::string body; ///< Of an answer that is held until it is whole.
     EventSplitter splitter;
     std::optional<uint64_t> lastEvent; ///< Passed on, or held by the caller from before.
     std::optional<uint64_t> eventStep; ///< Between the ids of two events in a row.
-    bool resumed = false;
 };
 
 } // namespace cranberry
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -295,7 +295,7 @@
 void Gateway::detach(Exchange &exchange)
 {
     fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
-    fleet_.finished(exchange.endpoint);
+    fleet_.finished(exchange.endpoint, std::exchange(exchange.streaming, false));
     exchange.prefillTokens = 0;
     attempts_.erase(exchange.attempt);
     exchange.attempt = {};
@@ -362,6 +362,7 @@
         }
         return;
     }
+    fleet_.heard(exchange->endpoint, now);
     exchange->splitter.append(event.bytes);
     if (!passEvents(*exchange, now)) {
         actions_.emplace_back(CancelSent{event.attempt});
@@ -395,8 +396,11 @@
         actions_.emplace_back(BeginCallerStream{exchange.caller, exchange.head.status, exchange.head.headers});
         log(LogWeight::Ordinary, "first_event", exchange, {{"after_ms", (now - exchange.arrivedAt).count}});
     }
-    fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
-    exchange.prefillTokens = 0;
+    if (!std::exchange(exchange.streaming, true)) {
+        fleet_.streamBegan(exchange.endpoint);
+        fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
+        exchange.prefillTokens = 0;
+    }
     actions_.emplace_back(CallerStreamData{exchange.caller, std::move(bytes)});
     return inOrder;
 }
@@ -678,9 +682,26 @@
     return out;
 }
 
+// Streams that may go on elsewhere leave an endpoint that fell silent; the others wait, it may come back.
+void Gateway::leaveSilentEndpoints(TimeMs now)
+{
+    std::vector<AttemptId> silent;
+    for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
+        const Exchange &exchange = exchanges_.at(entry.second);
+        if (exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts
+            && fleet_.isSilent(exchange.endpoint, now))
+            silent.push_back(entry.first);
+    }
+    for (AttemptId attempt : silent) {
+        actions_.emplace_back(CancelSent{attempt});
+        onBroken({attempt, true}, now);
+    }
+}
+
 void Gateway::tick(TimeMs now)
 {
     fleet_.tick(now);
+    leaveSilentEndpoints(now);
     fleet_.setPeersLoad(peers_.loadSums(now));
     std::vector<CallerId> late;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -101,6 +101,7 @@
     void onRejected(Exchange &exchange, TimeMs now);
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
+    void leaveSilentEndpoints(TimeMs now);
     void streamBroke(Exchange &exchange, TimeMs now);
     void noteStarted(Exchange &exchange, TimeMs at);
 
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -37,7 +37,9 @@
 constexpr DurationMs StopMargin{700};
 /// An idle daemon stays this long after its stop, for callers that still hold its address.
 constexpr DurationMs LeastStopTime{5500};
-constexpr DurationMs ConnectTimeout{900};
+/// Endpoints and the store accept within a few milliseconds; one that doesn't is down or out of reach, and
+/// nothing was sent yet. Longer than a lost packet of a slow network would need at the first repetition is of no use.
+constexpr DurationMs ConnectTimeout{350};
 /// Silence of an endpoint never ends an attempt: its time-out does, in the core. This is only a backstop.
 constexpr DurationMs AttemptBackstop{3'600'000};
 /// A caller that takes none of this many bytes is gone.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -332,3 +332,52 @@
     }
     CHECK(spilled);
 }
+
+TEST_CASE_FIXTURE(GatewayFixture, "an engine that falls silent gets no new work, and resumable streams leave it")
+{
+    // An engine goes dark in the middle of its streams: no reset, nothing. The caller of a resumable stream sees
+    // a pause and then the rest from another engine; one that can't be resumed waits, since the engine may be back.
+    const CallerId resumable = request(Model);
+    const EndpointId dark = lastSent().endpoint;
+    const AttemptId first = lastSent().attempt;
+    head(first, 200, true);
+    events(first, 1, 2);
+    CallerId fixed;
+    AttemptId fixedAttempt;
+    while (fixedAttempt.value == 0) {
+        fixed = request(PlainStream);
+        if (lastSent().endpoint == dark)
+            fixedAttempt = lastSent().attempt;
+    }
+    head(fixedAttempt, 200, true);
+    events(fixedAttempt, 1, 1);
+    const size_t before = sent.size();
+    pass({600});
+    CHECK(sent.size() == before);
+    pass({200});
+    REQUIRE(sent.size() == before + 1);
+    CHECK(lastSent().endpoint != dark);
+    CHECK(lastSent().resumeAfter == 2);
+    CHECK_FALSE(streamEnds.contains(fixed));
+    for (int i = 0; i < 6; ++i) {
+        request(Model);
+        CHECK(lastSent().endpoint != dark);
+    }
+    events(fixedAttempt, 2, 2);
+    end(fixedAttempt);
+    CHECK(streamEnds[fixed]);
+    CHECK_FALSE(streamEnds.contains(resumable));
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a daemon that stood still itself does not take its engines for silent")
+{
+    // The instance is suspended for three seconds. The engines' events wait in its sockets; they are read only
+    // after the first tick. Streams must not be moved for that.
+    request(Model);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 2);
+    pass({100});
+    now = now + DurationMs{3000};
+    pass({300});
+    CHECK(sent.size() == 1);
+}
