Runs on leaving engines go on elsewhere with their memory

Cause: a reclaim gives two to three seconds, longer streams were cut, and those that can't be resumed were lost. Streams that would not end in time are stopped, their memory is copied, and the same run goes on at the target.

--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -20,6 +20,8 @@
 /// Streams of an engine bring events every few tens of milliseconds, and prompts are read in pieces between
 /// them. When all streams of an engine pause for so long, it is down or out of reach.
 constexpr DurationMs SilenceOfStreams{700};
+/// A notice may have stood in the list for so long before it was read.
+constexpr DurationMs NoticeAge{500};
 /// A gap between two ticks that shows that this process stood still itself.
 constexpr DurationMs StandstillGap{250};
 /// Weight of the newest outcome in the moving mean: about the last ten attempts count.
@@ -85,6 +87,8 @@
         const bool wasLeaving = endpoint.entry.leaving;
         endpoint.entry = entry;
         endpoint.entry.leaving = entry.leaving || wasLeaving; // Never taken back.
+        if (endpoint.entry.leaving && !endpoint.leavesAt)
+            endpoint.leavesAt = read.askedAt - NoticeAge + entry.leavesAfter.value_or(drainTime_);
         endpoint.listed = true;
         endpoint.listedAt = read.askedAt;
     }
@@ -105,6 +109,8 @@
     const bool inGrace = now - regainedAt_ < RelistGrace && regainedAt_.count > 0;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         entry.second.gone = !entry.second.listed && !inGrace;
+        if (entry.second.gone && !entry.second.leavesAt)
+            entry.second.leavesAt = now - NoticeAge + drainTime_;
     }
     std::erase_if(endpoints_, [](const std::pair<const EndpointId, FleetEndpoint> &entry) {
         return entry.second.gone && entry.second.running == 0;
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -14,6 +14,7 @@
     TimeMs listedAt; ///< The list named it at or after this time.
     bool listed = true; ///< Named by the newest list.
     bool gone = false; ///< Missing there for so long that it is taken for gone.
+    std::optional<TimeMs> leavesAt; ///< Expected end of a leaving one.
     bool avoidedForGood = false; ///< Another endpoint answered at its address.
 
     uint32_t running = 0; ///< Own attempts.
@@ -58,6 +59,8 @@
 class EndpointFleet
 {
 public:
+    /// Leaving endpoints serve on for so long at least, if they state nothing else.
+    void setDrainTime(DurationMs time) { drainTime_ = time; }
     /// Takes a whole list. Entries that are missing after an interruption of the list get a grace time.
     void take(const EndpointsRead &read, TimeMs now);
     void tick(TimeMs now);
@@ -89,6 +92,7 @@
 
     std::map<EndpointId, FleetEndpoint> endpoints_;
     TimeMs listedAt_;
+    DurationMs drainTime_{2000};
     TimeMs tickedAt_;
     TimeMs wokeAt_; ///< This process did not run before; what others sent meanwhile is still to be read.
     TimeMs regainedAt_; ///< End of the last interruption of the list.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,15 @@
     Streaming ///< The caller has the head of the answer.
 };
 
+/// A run on its way from an engine that leaves to another one.
+struct RunMove {
+    EndpointId target;
+    Address source;
+    TimeMs startedAt;
+    bool sourceClosed = false; ///< The stream has ended there, as it does when the run stops.
+    std::optional<std::string> handle; ///< The memory has arrived.
+};
+
 /// One request of a caller, from its arrival to its final answer.
 struct Exchange {
     CallerId caller;
@@ -42,6 +51,11 @@
     std::string body; ///< Of an answer that is held until it is whole.
     EventSplitter splitter;
     std::optional<uint64_t> lastEvent; ///< Passed on, or held by the caller from before.
+    TimeMs firstEventAt; ///< Of this attempt.
+    uint64_t eventsHere = 0; ///< In this attempt.
+    uint64_t events = 0; ///< In all attempts.
+    std::optional<RunMove> move;
+    uint32_t moveTries = 0;
     std::optional<uint64_t> eventStep; ///< Between the ids of two events in a row.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,6 +50,7 @@
 {
     repeats_.setLimits(settings.repeats);
     quotas_.setTolerance(settings.quotaTolerance);
+    fleet_.setDrainTime(settings.drainTime);
 }
 
 // ---- Judging ----
@@ -206,7 +207,8 @@
     return true;
 }
 
-void Gateway::send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now)
+void Gateway::send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now,
+                   const std::optional<RunMemory> &memory)
 {
     const FleetEndpoint &endpoint = *fleet_.find(choice.endpoint);
     exchange.attempt = {nextAttempt_++};
@@ -217,6 +219,7 @@
     exchange.tried.insert(choice.endpoint);
     exchange.body.clear();
     exchange.splitter.clear();
+    exchange.eventsHere = 0;
     attempts_[exchange.attempt] = exchange.caller;
     fleet_.started(choice, question, now);
     if (question.engine)
@@ -233,6 +236,7 @@
     if (question.engine)
         order.urgency = std::min<uint32_t>(exchange.priority, 9);
     order.resumeAfter = exchange.lastEvent;
+    order.memory = memory;
     log(LogWeight::Ordinary, "send", exchange,
         {{"attempt", exchange.attempt.value},
          {"service", exchange.service.value},
@@ -294,6 +298,7 @@
 // Ends the bookkeeping of the open attempt.
 void Gateway::detach(Exchange &exchange)
 {
+    exchange.move.reset();
     fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
     fleet_.finished(exchange.endpoint, std::exchange(exchange.streaming, false));
     exchange.prefillTokens = 0;
@@ -387,6 +392,8 @@
         if (event->id)
             exchange.lastEvent = event->id;
         bytes += event->text;
+        ++exchange.events;
+        ++exchange.eventsHere;
     }
     if (bytes.empty())
         return inOrder;
@@ -397,6 +404,7 @@
         log(LogWeight::Ordinary, "first_event", exchange, {{"after_ms", (now - exchange.arrivedAt).count}});
     }
     if (!std::exchange(exchange.streaming, true)) {
+        exchange.firstEventAt = now;
         fleet_.streamBegan(exchange.endpoint);
         fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
         exchange.prefillTokens = 0;
@@ -412,6 +420,11 @@
         return;
     if (!exchange->head.eventStream)
         return passWholeAnswer(*exchange, now);
+    // A run that was stopped for its move ends its stream without the last event; it goes on elsewhere.
+    if (exchange->move && exchange->move->handle) {
+        exchange->move->sourceClosed = true;
+        return goOnAtTarget(*exchange, now);
+    }
     if (exchange->splitter.holdsPartial() || exchange->phase != ExchangePhase::Streaming)
         return onBroken({event.attempt, true}, now);
     fleet_.succeeded(exchange->endpoint);
@@ -460,6 +473,12 @@
     Exchange *exchange = byAttempt(event.attempt);
     if (!exchange)
         return;
+    if (exchange->move && event.sent) {
+        exchange->move->sourceClosed = true;
+        if (exchange->move->handle)
+            goOnAtTarget(*exchange, now);
+        return;
+    }
     log(LogWeight::Failure, "attempt_broken", *exchange,
         {{"attempt", event.attempt.value}, {"sent", event.sent}, {"after_ms", (now - exchange->sentAt).count}});
     fleet_.failed(exchange->endpoint, now);
@@ -702,6 +721,7 @@
 {
     fleet_.tick(now);
     leaveSilentEndpoints(now);
+    moveRunsAway(now);
     fleet_.setPeersLoad(peers_.loadSums(now));
     std::vector<CallerId> late;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
     RepeatLimits repeats;
     QuotaTolerance quotaTolerance;
     DurationMs usageWindow{5000};
+    DurationMs drainTime{2000}; ///< A leaving endpoint serves on for so long at least.
     uint64_t seed = 1;
 };
 
@@ -44,6 +45,7 @@
     void onData(const AttemptData &event, TimeMs now);
     void onEnd(const AttemptEnd &event, TimeMs now);
     void onBroken(const AttemptBroken &event, TimeMs now);
+    void onRunMoved(const RunMoved &event, TimeMs now);
 
     // The store and the other daemons.
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
@@ -89,7 +91,8 @@
     // Sending.
     void dispatch(Exchange &exchange, TimeMs now);
     bool trySend(Exchange &exchange, TimeMs now);
-    void send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now);
+    void send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now,
+              const std::optional<RunMemory> &memory = std::nullopt);
     PlacementQuestion questionOf(const Exchange &exchange) const;
     void runQueue(TimeMs now);
     DurationMs retryAfter();
@@ -102,6 +105,13 @@
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
     void leaveSilentEndpoints(TimeMs now);
+
+    // Runs on leaving engines (runmoves.cpp).
+    void moveRunsAway(TimeMs now);
+    bool isWorthMoving(const Exchange &exchange, TimeMs now) const;
+    void startMove(Exchange &exchange, TimeMs now);
+    void goOnAtTarget(Exchange &exchange, TimeMs now);
+    void moveFailed(Exchange &exchange, TimeMs now);
     void streamBroke(Exchange &exchange, TimeMs now);
     void noteStarted(Exchange &exchange, TimeMs at);
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -53,6 +53,21 @@
     AttemptId attempt;
 };
 
+/// What came of an order to move a run's memory to another engine.
+enum class MoveOutcome : uint8_t {
+    Moved, ///< The run has stopped, its memory is at the target.
+    NoSuchRun, ///< It has not begun, or is over.
+    NoRoom, ///< It has stopped, its memory is still where it was.
+    Refused, ///< Another move is under way.
+    NoReply
+};
+
+struct RunMoved {
+    AttemptId attempt; ///< Of the run that was to be moved.
+    MoveOutcome outcome = MoveOutcome::NoReply;
+    std::string handle; ///< Names the memory, once.
+};
+
 struct AttemptBroken {
     AttemptId attempt;
     bool sent = true; ///< False: no byte left this process.
@@ -138,6 +153,21 @@
     bool whole = false; ///< False: the connection is closed without the end mark.
 };
 
+/// Memory of a stopped run, for the request that goes on from it.
+struct RunMemory {
+    Address source;
+    std::string handle;
+};
+
+/// Stop a run and copy its memory to another engine.
+struct MoveRun {
+    AttemptId attempt;
+    Address source;
+    Address target;
+    std::string requestId;
+    DurationMs timeout;
+};
+
 /// Send a request to an endpoint.
 struct SendAttempt {
     AttemptId attempt;
@@ -148,6 +178,7 @@
     OrganisationName organisation; ///< Empty: the route needs no key.
     std::optional<uint32_t> urgency; ///< 0 (first) to 9, for engines.
     std::optional<uint64_t> resumeAfter;
+    std::optional<RunMemory> memory; ///< Go on from here.
 };
 
 struct CancelSent {
@@ -155,6 +186,6 @@
 };
 
 using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
-                                   SendAttempt, CancelSent>;
+                                   SendAttempt, CancelSent, MoveRun>;
 
 } // namespace cranberry
--- /dev/null
+++ b/src/gateway/runmoves.cpp
@@ -0,0 +1,124 @@
+#include "gateway/gateway.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Left for the move itself and the rest of what is under way.
+constexpr DurationMs MoveMargin{500};
+/// A copy of one run takes milliseconds; those of a whole engine queue behind each other.
+constexpr DurationMs MoveTimeout{1200};
+/// After the reply the stopped stream's last bytes are still to come.
+constexpr DurationMs LastBytesTime{150};
+constexpr uint32_t MostMoves = 2; ///< Of one request.
+/// Pace of a stream of which only the first event has been seen.
+constexpr double UnknownEventMs = 60;
+
+} // namespace
+
+// Streams on an engine that leaves before they end are stopped there, and go on at another engine from the memory
+// that was copied. That counts as the same run, so it is allowed for streams that can't be resumed, too.
+void Gateway::moveRunsAway(TimeMs now)
+{
+    std::vector<CallerId> toMove;
+    std::vector<CallerId> late;
+    for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
+        const Exchange &exchange = exchanges_.at(entry.second);
+        if (!exchange.move && isWorthMoving(exchange, now))
+            toMove.push_back(entry.second);
+        if (exchange.move && exchange.move->handle && now - exchange.move->startedAt > MoveTimeout + LastBytesTime)
+            late.push_back(entry.second);
+    }
+    for (CallerId id : toMove)
+        startMove(exchanges_.at(id), now);
+    for (CallerId id : late)
+        goOnAtTarget(exchanges_.at(id), now);
+}
+
+bool Gateway::isWorthMoving(const Exchange &exchange, TimeMs now) const
+{
+    if (!exchange.streaming || exchange.moveTries >= MostMoves)
+        return false;
+    const FleetEndpoint *endpoint = fleet_.find(exchange.endpoint);
+    if (!endpoint || !endpoint->leavesAt)
+        return false;
+    const ServedService *service = exchange.configuration->findService(exchange.service);
+    if (!service || !service->engine || !service->engine->movesRuns)
+        return false;
+    const uint64_t perEvent = std::max(service->engine->tokensPerEvent, 1U);
+    const uint64_t expected = (exchange.request->outputTokens + perEvent - 1) / perEvent;
+    const double left = static_cast<double>(expected - std::min(expected, exchange.events));
+    const double eventMs = exchange.eventsHere < 2
+        ? UnknownEventMs
+        : static_cast<double>((now - exchange.firstEventAt).count) / static_cast<double>(exchange.eventsHere - 1);
+    const DurationMs rest{static_cast<int64_t>(left * eventMs)};
+    return now + rest + MoveMargin > *endpoint->leavesAt;
+}
+
+void Gateway::startMove(Exchange &exchange, TimeMs now)
+{
+    ++exchange.moveTries;
+    PlacementQuestion question = questionOf(exchange);
+    question.tried = {exchange.endpoint};
+    const PlacementResult result = fleet_.choose(question, now);
+    const FleetEndpoint *source = fleet_.find(exchange.endpoint);
+    const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
+    if (!source || !target || !repeats_.take(exchange.service, peers_.memberCount(), now))
+        return;
+    RunMove move;
+    move.target = result.choice->endpoint;
+    move.source = source->entry.address;
+    move.startedAt = now;
+    exchange.move = move;
+    log(LogWeight::Failure, "move", exchange,
+        {{"attempt", exchange.attempt.value},
+         {"target", move.target.value},
+         {"events", exchange.events},
+         {"leaves_in_ms", (*source->leavesAt - now).count}});
+    actions_.emplace_back(MoveRun{exchange.attempt, move.source, target->entry.address, exchange.request->id, MoveTimeout});
+}
+
+void Gateway::onRunMoved(const RunMoved &event, TimeMs now)
+{
+    Exchange *exchange = byAttempt(event.attempt);
+    if (!exchange || !exchange->move)
+        return;
+    RunMove &move = *exchange->move;
+    if (event.outcome != MoveOutcome::Moved) {
+        log(LogWeight::Failure, "move_failed", *exchange,
+            {{"outcome", static_cast<int>(event.outcome)}, {"source_closed", move.sourceClosed}});
+        return moveFailed(*exchange, now);
+    }
+    move.handle = event.handle;
+    if (move.sourceClosed)
+        goOnAtTarget(*exchange, now);
+}
+
+// The run may have stopped without its memory having arrived anywhere: then its stream has ended, and what can
+// be resumed is. If it still runs, nothing has happened.
+void Gateway::moveFailed(Exchange &exchange, TimeMs now)
+{
+    const bool closed = exchange.move->sourceClosed;
+    exchange.move.reset();
+    if (closed)
+        onBroken({exchange.attempt, true}, now);
+}
+
+void Gateway::goOnAtTarget(Exchange &exchange, TimeMs now)
+{
+    const RunMove move = *exchange.move;
+    const AttemptId before = exchange.attempt;
+    actions_.emplace_back(CancelSent{before});
+    detach(exchange);
+    const FleetEndpoint *target = fleet_.find(move.target);
+    if (!target) {
+        exchange.mayHaveRun = true;
+        return streamBroke(exchange, now);
+    }
+    counters_.add(GatewayRetry::Moved);
+    PlacementChoice choice;
+    choice.endpoint = move.target;
+    send(exchange, questionOf(exchange), choice, now, RunMemory{move.source, *move.handle});
+}
+
+} // namespace cranberry
--- a/src/gateway/serving.h
+++ b/src/gateway/serving.h
@@ -44,6 +44,7 @@
     uint32_t slots = 64; ///< Requests in one batch.
     uint64_t cacheTokens = 0; ///< Memory for running requests and cached parts, in tokens.
     uint32_t tokensPerEvent = 1;
+    bool movesRuns = false; ///< The memory of a run can be moved to another engine, where it goes on.
 };
 
 /// Bounds of the orders for a service's engines in one failure domain.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -78,6 +78,7 @@
     void run(EndCallerStream &action);
     void run(SendAttempt &action);
     void run(CancelSent &action);
+    void run(MoveRun &action);
 
     // The store.
     void runStoreCalls();
@@ -142,6 +143,7 @@
     out.repeats = {given.repeatRatio, given.repeatSlack, given.repeatWindow};
     out.quotaTolerance = {given.quotaOver, given.quotaSlack};
     out.usageWindow = given.usageWindow;
+    out.drainTime = given.drainTime;
     out.seed = seed;
     return out;
 }
@@ -308,6 +310,21 @@
     calls.erase(found);
 }
 
+void GatewayServer::State::run(MoveRun &action)
+{
+    HttpCall call;
+    call.address = action.source;
+    call.request = platform::encodeMove(action);
+    call.connectTimeout = ConnectTimeout;
+    call.progressTimeout = action.timeout;
+    call.totalTimeout = action.timeout;
+    endpoints.fetch(std::move(call), [this, attempt = action.attempt](const HttpResponse &response) {
+        const bool whole = response.failure == HttpFailure::None;
+        gateway.onRunMoved(platform::decodeMove(attempt, whole ? response.status : 0, response.body), steadyNow());
+        runActions();
+    });
+}
+
 // ---- Store ----
 
 void GatewayServer::State::callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply)
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -204,6 +204,8 @@
             sent.push_back(*attempt);
         else if (const CancelSent *cancel = std::get_if<CancelSent>(&action))
             cancelled.push_back(cancel->attempt);
+        else if (const MoveRun *move = std::get_if<MoveRun>(&action))
+            moves.push_back(*move);
     }
 }
 
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -51,6 +51,7 @@
     // What came out.
     std::vector<SendAttempt> sent;
     std::vector<AttemptId> cancelled;
+    std::vector<MoveRun> moves;
     std::map<CallerId, AnswerCaller> answers;
     std::map<CallerId, std::string> streamed;
     std::map<CallerId, bool> streamEnds; ///< True: whole.
