--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -14,7 +14,7 @@
 /// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so a bucket of
 /// the bare burst refuses organisations that stay far below their limit in the mean. The rest covers what the
 /// daemons use between two of their reports.
-constexpr double UsedTolerance = 0.5;
+constexpr double UsedTolerance = 0.6;
 
 /// Own use, in seconds of the rate, that the others may not know of. All daemons together may use that much too
 /// much in the first moment of a rush.
