--- a/src/gateway/demandmeter.cpp
+++ b/src/gateway/demandmeter.cpp
@@ -26,7 +26,8 @@
     for (std::pair<const ServiceName, ServiceDemand> &entry : means_) {
         ServiceDemand &mean = entry.second;
         const auto current = running.find(entry.first);
-        mean.prefillTokensPerSecond += weight * (pending_[entry.first] / seconds - mean.prefillTokensPerSecond);
+        mean.prefillTokensPerSecond
+            += weight * (pending_[entry.first] / seconds - mean.prefillTokensPerSecond);
         mean.running += weight * ((current == running.end() ? 0 : current->second) - mean.running);
     }
     pending_.clear();
--- a/src/gateway/demandmeter.h
+++ b/src/gateway/demandmeter.h
@@ -10,7 +10,10 @@
 class DemandMeter
 {
 public:
-    void prefill(const ServiceName &service, uint64_t tokens) { pending_[service] += static_cast<double>(tokens); }
+    void prefill(const ServiceName &service, uint64_t tokens)
+    {
+        pending_[service] += static_cast<double>(tokens);
+    }
     /// Call at a steady pace; `running` are the requests at endpoints or waiting for one now.
     void sample(const std::map<ServiceName, uint32_t> &running, TimeMs now);
     std::vector<ServiceDemand> values() const;
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -130,8 +130,8 @@
 
 bool EndpointFleet::mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question) const
 {
-    return endpoint.entry.service == question.service && !endpoint.entry.leaving && !endpoint.gone && !endpoint.avoidedForGood
-        && !question.tried.contains(endpoint.entry.id);
+    return endpoint.entry.service == question.service && !endpoint.entry.leaving && !endpoint.gone
+        && !endpoint.avoidedForGood && !question.tried.contains(endpoint.entry.id);
 }
 
 bool EndpointFleet::hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question)
@@ -165,7 +165,8 @@
         if (!mayTake(endpoint, question))
             continue;
         result.problem = PlacementProblem::AllBusy;
-        if (!hasRoom(endpoint, question) || (anyAwake && (endpoint.avoidUntil > now || isSilent(endpoint, now))))
+        if (!hasRoom(endpoint, question)
+            || (anyAwake && (endpoint.avoidUntil > now || isSilent(endpoint, now))))
             continue;
         PlacementChoice choice;
         choice.endpoint = entry.first;
@@ -176,7 +177,8 @@
             if (&endpoint == home)
                 cached = std::max(cached, sharedTokens(*question.request));
             choice.prefillTokens = total - std::min(cached, total - 1);
-            choice.waitMs = static_cast<double>(endpoint.prefillTokens + endpoint.peersPrefillTokens) / PrefillTokensPerMs;
+            choice.waitMs = static_cast<double>(endpoint.prefillTokens + endpoint.peersPrefillTokens)
+                / PrefillTokensPerMs;
             cost = choice.waitMs + static_cast<double>(choice.prefillTokens) / PrefillTokensPerMs
                 + RunningPenaltyMs * (endpoint.running + endpoint.peersRunning);
         } else {
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -24,7 +24,8 @@
 /// A new holder looks at the list for so long before it orders: at the start entries come one by one.
 constexpr DurationMs FirstListTime{1500};
 constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
-/// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut work.
+/// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
+/// work.
 constexpr DurationMs PeakMemory{30000};
 constexpr DurationMs PlanPace{500};
 /// An order that is in force is said again now and then: the receiver may have lost it.
@@ -77,7 +78,8 @@
     const bool cheap = bounds.reclaimablePrice < 1;
     const uint32_t spread = domains > 1 ? (needed + domains - 2) / (domains - 1) : needed;
     const uint32_t knownEach = (question.known + domains - 1) / domains;
-    const uint32_t each = std::clamp(std::max({spread, LeastEachDomain, knownEach}), std::max(bounds.least, 1U), most);
+    const uint32_t each
+        = std::clamp(std::max({spread, LeastEachDomain, knownEach}), std::max(bounds.least, 1U), most);
     uint32_t readyReclaimable = 0;
     uint32_t readyOnDemand = 0;
     uint32_t coming = 0;
@@ -107,9 +109,9 @@
         missing -= more;
     }
 
-    // Step 3. On demand: all that is needed where there are no cheaper ones; where those are scarce, what would
-    // be missing after the next reclaim. Else those that are there stay until the others carry the demand;
-    // before there is any, that the others come is enough.
+    // Step 3. On demand: all that is needed where there are no cheaper ones; where those are scarce, what
+    // would be missing after the next reclaim. Else those that are there stay until the others carry the
+    // demand; before there is any, that the others come is enough.
     const bool idle = question.demand.running < IdleRunning;
     uint32_t onDemand = 0;
     if (!cheap) {
@@ -137,7 +139,8 @@
         samples.pop_front();
     ServiceDemand peak;
     for (const std::pair<TimeMs, ServiceDemand> &sample : samples) {
-        peak.prefillTokensPerSecond = std::max(peak.prefillTokensPerSecond, sample.second.prefillTokensPerSecond);
+        peak.prefillTokensPerSecond
+            = std::max(peak.prefillTokensPerSecond, sample.second.prefillTokensPerSecond);
         peak.running = std::max(peak.running, sample.second.running);
     }
     return peak;
@@ -192,8 +195,8 @@
 
 // What there is and what is short. Scarcity lasts until the last short domain got what was ordered: a domain
 // that holds all it was ordered says nothing about whether there are more.
-std::map<FailureDomainName, DomainStock> EngineSizing::takeStock(const ServedService &service, const EndpointFleet &fleet,
-                                                                 TimeMs now)
+std::map<FailureDomainName, DomainStock> EngineSizing::takeStock(const ServedService &service,
+                                                                 const EndpointFleet &fleet, TimeMs now)
 {
     std::map<FailureDomainName, DomainStock> stock;
     for (const std::pair<const FailureDomainName, double> &price : service.scaling->prices)
@@ -274,7 +277,8 @@
         ordered.shortUntil = now + ShortageMemory;
         ordered.nextAt = now + ShortagePause;
         log_.write(LogWeight::State, "engines_unavailable",
-                   {{"service", found->second.service.value}, {"failure_domain", found->second.failureDomain.value}});
+                   {{"service", found->second.service.value},
+                    {"failure_domain", found->second.failureDomain.value}});
     }
     open_.erase(found);
 }
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -5,9 +5,9 @@
 #include "gateway/endpointfleet.h"
 #include "gateway/storesync.h"
 
-#include <utility>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace cranberry {
 
@@ -29,16 +29,17 @@
 /// What engines are planned for.
 struct SizingQuestion {
     ServiceDemand demand;
-    uint32_t known = 0; ///< Engines that were enough before; counts until the demand has been seen for a while.
+    uint32_t known
+        = 0; ///< Engines that were enough before; counts until the demand has been seen for a while.
     bool scarce = false; ///< Reclaimable ones can't be had in any domain.
 };
 
 /// How many engines each failure domain gets, for a demand. Without a network or a clock, for tests.
 ///
 /// Reclaimable engines are taken where they are cheaper. A failure domain's reclaimable ones may go all at
-/// once, so they are spread over all domains, and the rest must carry the demand without one domain. Where none
-/// can be had, other domains get more. Where none can be had anywhere, the next reclaim may come before new
-/// ones do: then engines on demand, in the cheapest domains, make up for one domain more.
+/// once, so they are spread over all domains, and the rest must carry the demand without one domain. Where
+/// none can be had, other domains get more. Where none can be had anywhere, the next reclaim may come before
+/// new ones do: then engines on demand, in the cheapest domains, make up for one domain more.
 std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
                                     const SizingQuestion &question,
                                     const std::map<FailureDomainName, DomainStock> &stock);
@@ -49,7 +50,8 @@
 public:
     explicit EngineSizing(DecisionLog &log) : log_(log) { }
 
-    void tick(const Leadership &leadership, const EndpointFleet &fleet, const std::map<ServiceName, ServiceDemand> &demand,
+    void tick(const Leadership &leadership, const EndpointFleet &fleet,
+              const std::map<ServiceName, ServiceDemand> &demand,
               const ServingConfigurationPtr &configuration, TimeMs now);
     void onReply(uint64_t id, DutyOutcome outcome, TimeMs now);
     std::vector<DutyCall> takeCalls() { return std::exchange(calls_, {}); }
@@ -73,7 +75,8 @@
         uint32_t stockAtStart = 0; ///< Engines when this daemon began to lead.
         std::optional<TimeMs> demandSince; ///< First seen.
     };
-    std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
+    std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
+                                                       const EndpointFleet &fleet, TimeMs now);
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
     void askAgain(const ServiceName &service);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,7 +15,8 @@
 constexpr DurationMs RevokeMargin{250};
 /// A refusal "no such route" or "no such key" is only final while the configuration is this fresh at most.
 constexpr DurationMs CertainAge{1500};
-/// Sends to endpoints that stated they did not run the request don't use up the route's attempts, but end somewhere.
+/// Sends to endpoints that stated they did not run the request don't use up the route's attempts, but end
+/// somewhere.
 constexpr uint32_t MostRejections = 2;
 /// With less time than this left, an attempt can't be answered any more.
 constexpr DurationMs LeastUsefulTime{20};
@@ -46,7 +47,8 @@
 } // namespace
 
 Gateway::Gateway(const GatewaySettings &settings, DecisionLog &log)
-    : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance), usage_(settings.usageWindow)
+    : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
+      usage_(settings.usageWindow)
 {
     repeats_.setLimits(settings.repeats);
     quotas_.setTolerance(settings.quotaTolerance);
@@ -65,8 +67,8 @@
     return !leavingSince_ && fleet_.known() && isFresh(now, settings_.revokeBound - RevokeMargin);
 }
 
-// What a configuration says of a request: the route, the key, and how long the caller can be served. Run again
-// when the request leaves the queue, so that a route or key removed meanwhile is not used.
+// What a configuration says of a request: the route, the key, and how long the caller can be served. Run
+// again when the request leaves the queue, so that a route or key removed meanwhile is not used.
 std::optional<Gateway::OwnAnswer> Gateway::judge(Exchange &exchange, TimeMs now) const
 {
     if (!configuration_ || !fleet_.known())
@@ -89,7 +91,8 @@
         return std::nullopt;
     if (!isFresh(now, settings_.revokeBound - RevokeMargin))
         return OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter};
-    const ServedOrganisation *organisation = request.key.empty() ? nullptr : configuration_->findByKey(request.key);
+    const ServedOrganisation *organisation
+        = request.key.empty() ? nullptr : configuration_->findByKey(request.key);
     if (!organisation) {
         return certain ? OwnAnswer{401, GatewayRefusal::UnknownKey, {}}
                        : OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter};
@@ -101,11 +104,13 @@
 
 std::optional<Gateway::OwnAnswer> Gateway::takeQuota(Exchange &exchange, TimeMs now)
 {
-    const ServedOrganisation *organisation
-        = exchange.organisation.value.empty() ? nullptr : exchange.configuration->findByKey(exchange.request->key);
+    const ServedOrganisation *organisation = exchange.organisation.value.empty()
+        ? nullptr
+        : exchange.configuration->findByKey(exchange.request->key);
     if (!organisation)
         return std::nullopt;
-    const double units = quotaUnits(*organisation, exchange.request->statesTokens, messageTokens(*exchange.request));
+    const double units
+        = quotaUnits(*organisation, exchange.request->statesTokens, messageTokens(*exchange.request));
     const std::optional<DurationMs> wait = quotas_.take(*organisation, units, peers_.quotaScope(now), now);
     if (!wait) {
         exchange.quotaUnits = units;
@@ -207,15 +212,16 @@
     return true;
 }
 
-void Gateway::send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now,
-                   const std::optional<RunMemory> &memory)
+void Gateway::send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice,
+                   TimeMs now, const std::optional<RunMemory> &memory)
 {
     const FleetEndpoint &endpoint = *fleet_.find(choice.endpoint);
     exchange.attempt = {nextAttempt_++};
     exchange.endpoint = choice.endpoint;
     exchange.sentAt = now;
     exchange.prefillTokens = choice.prefillTokens;
-    exchange.phase = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
+    exchange.phase
+        = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
     exchange.tried.insert(choice.endpoint);
     exchange.body.clear();
     exchange.splitter.clear();
@@ -346,7 +352,8 @@
         fleet_.failed(exchange.endpoint, now);
     detach(exchange);
     ++exchange.rejections;
-    const GatewayRetry reason = exchange.head.wrongInstance ? GatewayRetry::WrongInstance : GatewayRetry::NotExecuted;
+    const GatewayRetry reason
+        = exchange.head.wrongInstance ? GatewayRetry::WrongInstance : GatewayRetry::NotExecuted;
     if (exchange.rejections <= MostRejections && repeat(exchange, reason, now))
         return;
     if (exchange.phase == ExchangePhase::Streaming)
@@ -400,7 +407,8 @@
     if (exchange.phase != ExchangePhase::Streaming) {
         exchange.phase = ExchangePhase::Streaming;
         noteStarted(exchange, now);
-        actions_.emplace_back(BeginCallerStream{exchange.caller, exchange.head.status, exchange.head.headers});
+        actions_.emplace_back(
+            BeginCallerStream{exchange.caller, exchange.head.status, exchange.head.headers});
         log(LogWeight::Ordinary, "first_event", exchange, {{"after_ms", (now - exchange.arrivedAt).count}});
     }
     if (!std::exchange(exchange.streaming, true)) {
@@ -455,7 +463,8 @@
     if (exchange.phase == ExchangePhase::Streaming)
         return streamBroke(exchange, now);
     // These promise the caller that nothing ran. The endpoint did not state that, so it is not passed on.
-    if (std::find(PromisesNotRun.begin(), PromisesNotRun.end(), exchange.head.status) != PromisesNotRun.end()) {
+    if (std::find(PromisesNotRun.begin(), PromisesNotRun.end(), exchange.head.status)
+        != PromisesNotRun.end()) {
         exchange.mayHaveRun = true;
         return giveUp(exchange, GatewayRefusal::EndpointBroken, now);
     }
@@ -480,7 +489,9 @@
         return;
     }
     log(LogWeight::Failure, "attempt_broken", *exchange,
-        {{"attempt", event.attempt.value}, {"sent", event.sent}, {"after_ms", (now - exchange->sentAt).count}});
+        {{"attempt", event.attempt.value},
+         {"sent", event.sent},
+         {"after_ms", (now - exchange->sentAt).count}});
     fleet_.failed(exchange->endpoint, now);
     detach(*exchange);
     if (!event.sent) {
@@ -489,8 +500,8 @@
     } else {
         exchange->mayHaveRun = true;
         ++exchange->sends;
-        const GatewayRetry reason
-            = exchange->phase == ExchangePhase::Streaming ? GatewayRetry::StreamResumed : GatewayRetry::Broken;
+        const GatewayRetry reason = exchange->phase == ExchangePhase::Streaming ? GatewayRetry::StreamResumed
+                                                                                : GatewayRetry::Broken;
         if (mayRepeat(*exchange) && repeat(*exchange, reason, now))
             return;
     }
@@ -518,7 +529,8 @@
     const PlacementResult result = fleet_.choose(question, now);
     if (!result.choice)
         return false;
-    if (reason != GatewayRetry::ConnectFailed && !repeats_.take(exchange.service, peers_.memberCount(), now)) {
+    if (reason != GatewayRetry::ConnectFailed
+        && !repeats_.take(exchange.service, peers_.memberCount(), now)) {
         counters_.add(GatewayCount::RetriesDenied);
         log(LogWeight::Failure, "repeat_denied", exchange, {{"reason", toText(reason)}});
         return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,8 +10,8 @@
 #include "gateway/usagewindows.h"
 #include "random.h"
 
-#include <utility>
 #include <map>
+#include <utility>
 
 namespace cranberry {
 
@@ -91,8 +91,8 @@
     // Sending.
     void dispatch(Exchange &exchange, TimeMs now);
     bool trySend(Exchange &exchange, TimeMs now);
-    void send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice, TimeMs now,
-              const std::optional<RunMemory> &memory = std::nullopt);
+    void send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice,
+              TimeMs now, const std::optional<RunMemory> &memory = std::nullopt);
     PlacementQuestion questionOf(const Exchange &exchange) const;
     void runQueue(TimeMs now);
     DurationMs retryAfter();
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-constexpr std::array<const char *, static_cast<size_t>(GatewayRefusal::Count)> RefusalNames
-    = {"no_configuration", "stale_configuration", "bad_request",  "unknown_route",   "unknown_key", "over_limit",
-       "no_endpoint",      "overloaded",          "not_executed", "endpoint_broken", "timed_out",   "leaving"};
+constexpr std::array<const char *, static_cast<size_t>(GatewayRefusal::Count)> RefusalNames = {
+    "no_configuration", "stale_configuration", "bad_request",  "unknown_route",   "unknown_key", "over_limit",
+    "no_endpoint",      "overloaded",          "not_executed", "endpoint_broken", "timed_out",   "leaving"};
 
-constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames
-    = {"connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
+constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames = {
+    "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayCount::Count)> CountNames
     = {"requests",     "attempts",       "answers_passed", "streams_whole", "streams_broken",
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -25,7 +25,16 @@
 };
 
 /// Why a request was sent to another endpoint. One counter each.
-enum class GatewayRetry : uint8_t { ConnectFailed, NotExecuted, WrongInstance, Broken, ServerError, StreamResumed, Moved, Count };
+enum class GatewayRetry : uint8_t {
+    ConnectFailed,
+    NotExecuted,
+    WrongInstance,
+    Broken,
+    ServerError,
+    StreamResumed,
+    Moved,
+    Count
+};
 
 enum class GatewayCount : uint8_t {
     Requests,
--- a/src/gateway/peerreportcodec.cpp
+++ b/src/gateway/peerreportcodec.cpp
@@ -64,8 +64,8 @@
     }
     for (const json::value &value : object.at("windows").as_array()) {
         const json::array &count = row(value, 3);
-        report.windows.push_back(
-            {count[0].to_number<int64_t>(), OrganisationName{text(count[1])}, count[2].to_number<uint64_t>()});
+        report.windows.push_back({count[0].to_number<int64_t>(), OrganisationName{text(count[1])},
+                                  count[2].to_number<uint64_t>()});
     }
     for (const json::value &value : object.at("demands").as_array()) {
         const json::array &demand = row(value, 3);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -11,7 +11,8 @@
 /// Limits react sooner: what a silent peer uses is not seen, and both sides of a partition would use it all.
 constexpr DurationMs PeerSilenceForLimits{650};
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
-constexpr DurationMs PeerMemory{60000}; ///< Usage windows of a peer that is gone are still needed for a while.
+constexpr DurationMs PeerMemory{
+    60000}; ///< Usage windows of a peer that is gone are still needed for a while.
 
 } // namespace
 
@@ -109,6 +110,7 @@
         }
     }
     std::vector<ServiceDemand> out;
+    out.reserve(sums.size());
     for (const std::pair<const ServiceName, ServiceDemand> &entry : sums)
         out.push_back(entry.second);
     return out;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -11,19 +11,20 @@
 /// Debt is bounded, in seconds of the rate, so that one report out of line can't shut an organisation out.
 constexpr double MostDebtSeconds = 8;
 
-/// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so a bucket of
-/// the bare burst refuses organisations that stay far below their limit in the mean. The rest covers what the
-/// daemons use between two of their reports.
+/// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so a bucket
+/// of the bare burst refuses organisations that stay far below their limit in the mean. The rest covers what
+/// the daemons use between two of their reports.
 constexpr double UsedTolerance = 0.6;
 
-/// Own use, in seconds of the rate, that the others may not know of. All daemons together may use that much too
-/// much in the first moment of a rush.
+/// Own use, in seconds of the rate, that the others may not know of. All daemons together may use that much
+/// too much in the first moment of a rush.
 constexpr double UnreportedSeconds = 0.05;
 
 } // namespace
 
 // A request larger than the burst may start on a full bucket: otherwise it could never run.
-std::optional<DurationMs> Quotas::take(const ServedOrganisation &organisation, double units, QuotaScope scope, TimeMs now)
+std::optional<DurationMs> Quotas::take(const ServedOrganisation &organisation, double units, QuotaScope scope,
+                                       TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
         return std::nullopt;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -6,8 +6,8 @@
 
 namespace cranberry {
 
-/// How far the operators let an organisation's use go beyond its limit before they call it broken. In any window
-/// it may use (rate x window + burst) x (1 + over) + slack.
+/// How far the operators let an organisation's use go beyond its limit before they call it broken. In any
+/// window it may use (rate x window + burst) x (1 + over) + slack.
 struct QuotaTolerance {
     double over = 0;
     double slack = 0; ///< In the limit's own unit.
@@ -25,14 +25,15 @@
 /// is made up for by a level below zero.
 ///
 /// Daemons that hear each other share one level. Where they are cut apart, or one starts, each part has its
-/// share of the rate, the burst and the level; where parts meet again, their levels add up. So the sum over all
-/// parts is the same as if there had been no cut.
+/// share of the rate, the burst and the level; where parts meet again, their levels add up. So the sum over
+/// all parts is the same as if there had been no cut.
 class Quotas
 {
 public:
     void setTolerance(const QuotaTolerance &tolerance) { tolerance_ = tolerance; }
     /// Takes `units` and returns nothing, or leaves them and returns when they will be there.
-    std::optional<DurationMs> take(const ServedOrganisation &organisation, double units, QuotaScope scope, TimeMs now);
+    std::optional<DurationMs> take(const ServedOrganisation &organisation, double units, QuotaScope scope,
+                                   TimeMs now);
     /// Gives back what was taken for a request that did not run.
     void giveBack(const OrganisationName &organisation, double units);
     /// Use reported by another daemon since its report before.
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-// Streams on an engine that leaves before they end are stopped there, and go on at another engine from the memory
-// that was copied. That counts as the same run, so it is allowed for streams that can't be resumed, too.
+// Streams on an engine that leaves before they end are stopped there, and go on at another engine from the
+// memory that was copied. That counts as the same run, so it is allowed for streams that can't be resumed,
+// too.
 void Gateway::moveRunsAway(TimeMs now)
 {
     std::vector<CallerId> toMove;
@@ -26,7 +27,8 @@
         const Exchange &exchange = exchanges_.at(entry.second);
         if (!exchange.move && isWorthMoving(exchange, now))
             toMove.push_back(entry.second);
-        if (exchange.move && exchange.move->handle && now - exchange.move->startedAt > MoveTimeout + LastBytesTime)
+        if (exchange.move && exchange.move->handle
+            && now - exchange.move->startedAt > MoveTimeout + LastBytesTime)
             late.push_back(entry.second);
     }
     for (CallerId id : toMove)
@@ -48,9 +50,9 @@
     const uint64_t perEvent = std::max(service->engine->tokensPerEvent, 1U);
     const uint64_t expected = (exchange.request->outputTokens + perEvent - 1) / perEvent;
     const double left = static_cast<double>(expected - std::min(expected, exchange.events));
-    const double eventMs = exchange.eventsHere < 2
-        ? UnknownEventMs
-        : static_cast<double>((now - exchange.firstEventAt).count) / static_cast<double>(exchange.eventsHere - 1);
+    const double eventMs = exchange.eventsHere < 2 ? UnknownEventMs
+                                                   : static_cast<double>((now - exchange.firstEventAt).count)
+            / static_cast<double>(exchange.eventsHere - 1);
     const DurationMs rest{static_cast<int64_t>(left * eventMs)};
     return now + rest + MoveMargin > *endpoint->leavesAt;
 }
@@ -75,7 +77,8 @@
          {"target", move.target.value},
          {"events", exchange.events},
          {"leaves_in_ms", (*source->leavesAt - now).count}});
-    actions_.emplace_back(MoveRun{exchange.attempt, move.source, target->entry.address, exchange.request->id, MoveTimeout});
+    actions_.emplace_back(
+        MoveRun{exchange.attempt, move.source, target->entry.address, exchange.request->id, MoveTimeout});
 }
 
 void Gateway::onRunMoved(const RunMoved &event, TimeMs now)
@@ -94,8 +97,8 @@
         goOnAtTarget(*exchange, now);
 }
 
-// The run may have stopped without its memory having arrived anywhere: then its stream has ended, and what can
-// be resumed is. If it still runs, nothing has happened.
+// The run may have stopped without its memory having arrived anywhere: then its stream has ended, and what
+// can be resumed is. If it still runs, nothing has happened.
 void Gateway::moveFailed(Exchange &exchange, TimeMs now)
 {
     const bool closed = exchange.move->sourceClosed;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -137,7 +137,8 @@
     registerAt_ = now + RetryPause;
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.puts.push_back({StoreSpace::Shared, MemberPrefix + settings_.self.instance.value, memberText(settings_.self), lease_});
+    call.puts.push_back({StoreSpace::Shared, MemberPrefix + settings_.self.instance.value,
+                         memberText(settings_.self), lease_});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Register, now, now, {}, lease_}, now);
 }
@@ -215,7 +216,8 @@
     open.pages.insert(open.pages.end(), reply.items.begin(), reply.items.end());
     const bool shared = open.purpose == Purpose::ReadShared;
     if (!reply.nextPage.empty())
-        return readSpace(shared ? StoreSpace::Shared : StoreSpace::Endpoints, std::move(open), reply.nextPage, now);
+        return readSpace(shared ? StoreSpace::Shared : StoreSpace::Endpoints, std::move(open), reply.nextPage,
+                         now);
     // Reads overlap: what an older question found must not replace what a newer one found.
     TimeMs &newest = shared ? newestShared_ : newestEndpoints_;
     if (open.readStartedAt < newest)
@@ -259,7 +261,8 @@
     if (staleView && lease_ == leaderLease_ && open.readStartedAt + WriteTimeout > now)
         return;
     if (leaderIsSelf_ && !leaderIsSelf) {
-        log_.write(LogWeight::State, "leadership_lost", {{"why", "another entry"}, {"revision", leaderRevision}});
+        log_.write(LogWeight::State, "leadership_lost",
+                   {{"why", "another entry"}, {"revision", leaderRevision}});
         standAt_ = now + settings_.leaseTime + StandMargin;
     }
     if (leaderIsSelf && !leaderIsSelf_)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -5,8 +5,8 @@
 #include "gateway/storecalls.h"
 #include "random.h"
 
-#include <utility>
 #include <map>
+#include <utility>
 
 namespace cranberry {
 
@@ -24,8 +24,8 @@
     uint64_t seed = 1;
 };
 
-/// Keeps this daemon in step with the store: reads configuration, members and endpoints at a steady pace, holds
-/// a lease for its own entry, and stands for the leadership of the duties.
+/// Keeps this daemon in step with the store: reads configuration, members and endpoints at a steady pace,
+/// holds a lease for its own entry, and stands for the leadership of the duties.
 ///
 /// Reads overlap: one that hangs on a silent connection does not hold up the next. Freshness is counted from
 /// when a question was sent, since the store may have answered at any time after that.
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -126,7 +126,8 @@
         window.nextAt = now;
     } else if (reply.outcome == StoreOutcome::Conflict && !reply.items.empty()) {
         // Somebody has written the window before, perhaps this daemon with a lost reply: that is what counts.
-        const std::optional<std::map<OrganisationName, uint64_t>> stored = countsFromText(reply.items.front().value);
+        const std::optional<std::map<OrganisationName, uint64_t>> stored
+            = countsFromText(reply.items.front().value);
         if (!stored) {
             log_.write(LogWeight::Failure, "usage_unreadable", {{"window", found->first}});
             return;
--- a/src/gateway/usageduty.h
+++ b/src/gateway/usageduty.h
@@ -7,8 +7,8 @@
 #include "gateway/storesync.h"
 #include "gateway/usagewindows.h"
 
-#include <utility>
 #include <map>
+#include <utility>
 
 namespace cranberry {
 
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -23,8 +23,8 @@
     DurationMs stopGrace{8000}; ///< From SIGTERM to SIGKILL.
     DurationMs usageWindow{5000};
     DurationMs usageDue{10000}; ///< A window's report is due this long after its end.
-    /// How long callers may keep the entry answer. Some keep it three times as long, and a stopping daemon must
-    /// see the last of them well before its grace ends.
+    /// How long callers may keep the entry answer. Some keep it three times as long, and a stopping daemon
+    /// must see the last of them well before its grace ends.
     DurationMs entryKeep{1000};
     DurationMs drainTime{2000}; ///< A leaving endpoint serves on for so long at least.
     double repeatRatio = 0.2; ///< Repeats for each request of a service, over all daemons.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -38,7 +38,8 @@
 /// An idle daemon stays this long after its stop, for callers that still hold its address.
 constexpr DurationMs LeastStopTime{5500};
 /// Endpoints and the store accept within a few milliseconds; one that doesn't is down or out of reach, and
-/// nothing was sent yet. Longer than a lost packet of a slow network would need at the first repetition is of no use.
+/// nothing was sent yet. Longer than a lost packet of a slow network would need at the first repetition is of
+/// no use.
 constexpr DurationMs ConnectTimeout{350};
 /// Silence of an endpoint never ends an attempt: its time-out does, in the core. This is only a backstop.
 constexpr DurationMs AttemptBackstop{3'600'000};
@@ -162,8 +163,9 @@
 
 GatewayServer::State::State(GatewayDaemonSettings given)
     : settings(std::move(given)), incarnation{randomSeed()}, log(settings.instance.value, wallNowMs),
-      gateway(coreSettings(settings, randomSeed()), log), sync(syncSettings(settings, incarnation, randomSeed()), log),
-      usageDuty(settings.usageDue, log), engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
+      gateway(coreSettings(settings, randomSeed()), log),
+      sync(syncSettings(settings, incarnation, randomSeed()), log), usageDuty(settings.usageDue, log),
+      engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
 { }
 
 // ---- Callers ----
@@ -189,7 +191,8 @@
         [&](const FieldError &error) {
             log.write(LogWeight::Failure, "bad_request", {{"error", toText(error)}});
             exchange->respond(400, {{"Content-Type", "application/json"}},
-                              boost::json::serialize(boost::json::object{{"reason", "bad_request"}, {"error", toText(error)}}));
+                              boost::json::serialize(
+                                  boost::json::object{{"reason", "bad_request"}, {"error", toText(error)}}));
         },
         [&] { exchange->respond(400, {}, ""); });
     runActions();
@@ -200,8 +203,9 @@
     const std::vector<Address> addresses = gateway.callerAddresses(settings.callerAddress, steadyNow());
     if (addresses.empty())
         return exchange->respond(503, {}, "");
-    exchange->respond(200, {{"Content-Type", "application/json"}},
-                      platform::encodeEntryAnswer(addresses, std::max<int64_t>(settings.entryKeep.count / 1000, 1)));
+    exchange->respond(
+        200, {{"Content-Type", "application/json"}},
+        platform::encodeEntryAnswer(addresses, std::max<int64_t>(settings.entryKeep.count / 1000, 1)));
 }
 
 void GatewayServer::State::onReadyQuestion(const HttpExchangePtr &exchange)
@@ -320,7 +324,8 @@
     call.totalTimeout = action.timeout;
     endpoints.fetch(std::move(call), [this, attempt = action.attempt](const HttpResponse &response) {
         const bool whole = response.failure == HttpFailure::None;
-        gateway.onRunMoved(platform::decodeMove(attempt, whole ? response.status : 0, response.body), steadyNow());
+        gateway.onRunMoved(platform::decodeMove(attempt, whole ? response.status : 0, response.body),
+                           steadyNow());
         runActions();
     });
 }
@@ -511,7 +516,9 @@
     io.stop();
 }
 
-GatewayServer::GatewayServer(GatewayDaemonSettings settings) : state_(std::make_unique<State>(std::move(settings))) { }
+GatewayServer::GatewayServer(GatewayDaemonSettings settings)
+    : state_(std::make_unique<State>(std::move(settings)))
+{ }
 
 GatewayServer::~GatewayServer() = default;
 
@@ -521,8 +528,9 @@
     const GatewayDaemonSettings &settings = state.settings;
     const HttpServerLimits limits;
     try {
-        state.callerServer = std::make_unique<HttpServer>(
-            state.io, settings.callerAddress, limits, [&state](const HttpExchangePtr &each) { state.onCaller(each); });
+        state.callerServer
+            = std::make_unique<HttpServer>(state.io, settings.callerAddress, limits,
+                                           [&state](const HttpExchangePtr &each) { state.onCaller(each); });
         state.otherServers.push_back(std::make_unique<HttpServer>(
             state.io, settings.readinessAddress, limits,
             [&state](const HttpExchangePtr &each) { state.onReadyQuestion(each); }));
@@ -540,8 +548,9 @@
         state.log.flush();
         return 1;
     }
-    state.log.write(LogWeight::State, "started",
-                    {{"failure_domain", settings.failureDomain.value}, {"incarnation", state.incarnation.value}});
+    state.log.write(
+        LogWeight::State, "started",
+        {{"failure_domain", settings.failureDomain.value}, {"incarnation", state.incarnation.value}});
     state.signals.add(SIGTERM);
     state.signals.add(SIGINT);
     state.signals.async_wait([&state](boost::system::error_code code, int) {
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -21,7 +21,8 @@
 /// connection and destroy a response that is still on its way.
 constexpr std::chrono::seconds LingerTimeout{1};
 constexpr size_t ReadBytes = 4U << 10;
-constexpr int ListenBacklog = 1024; ///< A full queue drops connection attempts, which come again after a second.
+constexpr int ListenBacklog
+    = 1024; ///< A full queue drops connection attempts, which come again after a second.
 
 template <typename Buffers>
 void append(std::string &out, const Buffers &buffers)
@@ -192,7 +193,7 @@
             return refuse(408, "the request took too long to arrive");
         }
         if (code && code != http::error::end_of_stream
-                 && code.category() == http::make_error_code(http::error::bad_method).category()) {
+            && code.category() == http::make_error_code(http::error::bad_method).category()) {
             ++counters_.badRequests;
             return refuse(400, "malformed HTTP: " + code.message());
         }
--- a/src/io/logsink.cpp
+++ b/src/io/logsink.cpp
@@ -18,7 +18,9 @@
 
 } // namespace
 
-LogSink::LogSink(std::string instance, WallClock clock) : instance_(std::move(instance)), clock_(std::move(clock)) { }
+LogSink::LogSink(std::string instance, WallClock clock)
+    : instance_(std::move(instance)), clock_(std::move(clock))
+{ }
 
 bool LogSink::admit(LogWeight weight, int64_t nowMs)
 {
--- /dev/null
+++ b/tests/duties_test.cpp
@@ -0,0 +1,281 @@
+#include "fakestore.h"
+#include "gateway/storesync.h"
+#include "gateway/usageduty.h"
+#include "gatewayfixture.h"
+
+#include <fmt/format.h>
+#include <memory>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr DurationMs Step{20};
+constexpr DurationMs LeaseTime{3000};
+
+/// What the receiver of duties accepted, in order.
+struct AcceptedCall {
+    size_t daemon = 0;
+    uint64_t token = 0;
+    TimeMs at;
+};
+
+/// Several daemons at one store, in virtual time. A frozen daemon does not run; what was sent to it waits.
+class DutyWorld
+{
+public:
+    explicit DutyWorld(uint64_t seed, size_t daemons = 3) : store(seed), random(seed)
+    {
+        configuration = std::make_shared<ServingConfiguration>();
+        configuration->version = 1;
+        ServedOrganisation organisation;
+        organisation.name.value = "a";
+        configuration->organisations = {organisation};
+        configuration->index();
+        store.putConfiguration(configuration);
+        for (size_t i = 0; i < daemons; ++i)
+            start(i);
+    }
+
+    void start(size_t i)
+    {
+        const std::string name = fmt::format("entry-{}", i);
+        StoreSyncSettings settings;
+        settings.self = {{name}, {random.next() >> 1U}, {"north"}, {"10.0.0.1", 80}, {"10.0.0.1", 90}};
+        settings.leaseTime = LeaseTime;
+        settings.seed = random.next();
+        if (daemons.size() <= i)
+            daemons.resize(i + 1);
+        daemons[i] = std::make_unique<OneDaemon>(settings, log);
+    }
+
+    void pass(DurationMs duration)
+    {
+        const TimeMs until = now + duration;
+        while (now < until) {
+            now = now + Step;
+            for (size_t i = 0; i < daemons.size(); ++i)
+                runDaemon(i);
+            for (std::pair<size_t, StoreReply> &reply : store.replies(now))
+                daemons[reply.first]->inbox.push_back(std::move(reply.second));
+            check();
+        }
+    }
+
+    std::optional<size_t> holder() const
+    {
+        for (size_t i = 0; i < daemons.size(); ++i) {
+            if (daemons[i]->sync.leadership(now).held)
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    void freeze(size_t i, DurationMs duration) { daemons[i]->frozenUntil = now + duration; }
+
+    FakeStore store;
+    Random random;
+    RecordingLog log;
+    std::shared_ptr<ServingConfiguration> configuration;
+    TimeMs now{1'000'000};
+    std::vector<AcceptedCall> accepted;
+    std::map<int64_t, std::set<std::string>> reports; ///< Different contents sent for a window.
+    uint64_t loseDutyReplyPercent = 0;
+
+private:
+    struct OneDaemon {
+        OneDaemon(const StoreSyncSettings &settings, DecisionLog &log)
+            : sync(settings, log), duty({10000}, log), usage({5000}), peers(settings.self.instance)
+        { }
+        StoreSync sync;
+        UsageDuty duty;
+        UsageWindows usage;
+        PeerTable peers;
+        std::vector<StoreReply> inbox;
+        std::map<uint64_t, bool> dutyStoreCalls;
+        TimeMs frozenUntil;
+    };
+
+    void runDaemon(size_t i)
+    {
+        OneDaemon &daemon = *daemons[i];
+        if (now < daemon.frozenUntil)
+            return;
+        for (const StoreReply &reply : std::exchange(daemon.inbox, {})) {
+            // Calls of the duty carry ids of their own; here they are told apart by a high bit.
+            if ((reply.id & DutyBit) != 0) {
+                StoreReply own = reply;
+                own.id &= ~DutyBit;
+                daemon.duty.onStoreReply(own, now);
+            } else {
+                daemon.sync.onReply(reply, now);
+            }
+        }
+        daemon.sync.tick(now);
+        daemon.sync.takeNews();
+        if (random.below(10) == 0)
+            daemon.usage.count({"a"}, now);
+        const Leadership leadership = daemon.sync.leadership(now);
+        daemon.duty.tick(leadership, daemon.usage, daemon.peers, configuration, now);
+        for (const StoreCall &call : daemon.sync.takeCalls())
+            store.submit(i, call, now);
+        for (StoreCall call : daemon.duty.takeStoreCalls()) {
+            call.id |= DutyBit;
+            store.submit(i, call, now);
+        }
+        for (const DutyCall &call : daemon.duty.takeDutyCalls()) {
+            accepted.push_back({i, call.fencingToken, now});
+            reports[call.usage->window].insert(fmt::format("{}", call.usage->counts.begin()->second));
+            if (random.below(100) >= loseDutyReplyPercent)
+                daemon.duty.onDutyReply(call.id, DutyOutcome::Done, now);
+        }
+    }
+
+    // The promises, at every step.
+    void check()
+    {
+        size_t holders = 0;
+        for (const std::unique_ptr<OneDaemon> &daemon : daemons)
+            holders += now >= daemon->frozenUntil && daemon->sync.leadership(now).held ? 1 : 0;
+        REQUIRE(holders <= 1);
+    }
+
+    static constexpr uint64_t DutyBit = uint64_t{1} << 40U;
+    std::vector<std::unique_ptr<OneDaemon>> daemons;
+};
+
+// Tokens never go down, two daemons never share one, and nobody acts again within a lease after somebody
+// else.
+void checkAccepted(const std::vector<AcceptedCall> &accepted)
+{
+    std::map<uint64_t, size_t> daemonOfToken;
+    std::map<size_t, TimeMs> lastAct;
+    for (size_t i = 0; i < accepted.size(); ++i) {
+        const AcceptedCall &call = accepted[i];
+        REQUIRE((i == 0 || call.token >= accepted[i - 1].token));
+        REQUIRE(daemonOfToken.try_emplace(call.token, call.daemon).first->second == call.daemon);
+        if (i > 0 && accepted[i - 1].daemon != call.daemon && lastAct.contains(call.daemon))
+            REQUIRE(call.at - lastAct.at(call.daemon) >= LeaseTime);
+        lastAct[call.daemon] = call.at;
+    }
+}
+
+} // namespace
+
+TEST_CASE("one daemon holds the duties, and another one soon after it is killed")
+{
+    DutyWorld world(1);
+    world.pass({6000});
+    const std::optional<size_t> first = world.holder();
+    REQUIRE(first);
+    world.start(*first);
+    world.pass({6000});
+    REQUIRE(world.holder());
+    CHECK(*world.holder() != *first);
+}
+
+TEST_CASE("a holder that was suspended does not act on its old lease")
+{
+    // The holder's instance sleeps for ten seconds; its lease lapses and another daemon takes over. When it
+    // wakes up, nothing has told it yet. By its own clock, which counts the sleep, its time is over.
+    DutyWorld world(2);
+    world.pass({6000});
+    const std::optional<size_t> first = world.holder();
+    REQUIRE(first);
+    world.freeze(*first, {10000});
+    world.pass({9980});
+    REQUIRE(world.holder());
+    CHECK(*world.holder() != *first);
+    world.pass({2000});
+    CHECK(*world.holder() != *first);
+    checkAccepted(world.accepted);
+}
+
+TEST_CASE("a holder cut off from the store stops before its lease can lapse")
+{
+    DutyWorld world(3);
+    world.pass({6000});
+    const std::optional<size_t> first = world.holder();
+    REQUIRE(first);
+    world.store.refusedClients = {*first};
+    world.pass({2400});
+    CHECK(world.holder() != first);
+    world.pass({5000});
+    CHECK(world.holder());
+    checkAccepted(world.accepted);
+}
+
+TEST_CASE("an outage of the store ends the duties and gives them back, whether leases lapse or not")
+{
+    for (const bool lapse : {false, true}) {
+        DutyWorld world(4);
+        world.pass({6000});
+        world.store.faults.down = true;
+        world.store.faults.leasesLapseWhileDown = lapse;
+        world.pass({5000});
+        CHECK_FALSE(world.holder());
+        world.store.faults.down = false;
+        world.pass({9000});
+        CHECK(world.holder());
+        checkAccepted(world.accepted);
+    }
+}
+
+TEST_CASE("a usage report whose reply was lost is sent again with the same counts")
+{
+    // The receiver took the report, the reply was lost. Meanwhile more requests were counted for the window.
+    // What is sent again must be the very same, or the receiver has two reports for one window.
+    DutyWorld world(5);
+    world.loseDutyReplyPercent = 70;
+    world.pass({40000});
+    CHECK(world.reports.size() >= 4);
+    for (const std::pair<const int64_t, std::set<std::string>> &report : world.reports)
+        CHECK(report.second.size() == 1);
+}
+
+TEST_CASE("windows that were reported are deleted from the store after a while")
+{
+    DutyWorld world(6);
+    world.pass({150000});
+    CHECK(world.store.keyCount(StoreSpace::Archive) <= 14);
+}
+
+TEST_CASE("under random faults there is one holder, tokens grow, and no window has two reports")
+{
+    // Replies lost, calls carried out seconds late, outages with and without lapsing leases, refused daemons,
+    // frozen and killed ones, in any order and at the same time.
+    size_t acts = 0;
+    for (uint64_t seed = 1; seed <= 150; ++seed) {
+        CAPTURE(seed);
+        DutyWorld world(seed);
+        world.loseDutyReplyPercent = 20;
+        for (int round = 0; round < 12; ++round) {
+            world.store.faults = {};
+            world.store.refusedClients.clear();
+            const uint64_t fault = world.random.below(8);
+            const size_t daemon = world.random.below(3);
+            if (fault == 0)
+                world.store.faults.down = true;
+            if (fault == 1)
+                world.store.faults.down = world.store.faults.leasesLapseWhileDown = true;
+            if (fault == 2)
+                world.store.faults.loseReplyPercent = 40;
+            if (fault == 3)
+                world.store.faults.latePercent = 40;
+            if (fault == 4)
+                world.store.refusedClients = {daemon};
+            if (fault == 5)
+                world.freeze(daemon, {static_cast<int64_t>(500 + world.random.below(8000))});
+            if (fault == 6)
+                world.start(daemon);
+            if (fault == 7)
+                world.store.faults.delay = {static_cast<int64_t>(world.random.below(1500))};
+            world.pass({static_cast<int64_t>(500 + world.random.below(7000))});
+        }
+        checkAccepted(world.accepted);
+        for (const std::pair<const int64_t, std::set<std::string>> &report : world.reports)
+            REQUIRE(report.second.size() == 1);
+        acts += world.accepted.size();
+    }
+    CHECK(acts > 500);
+}
--- /dev/null
+++ b/tests/fakestore.cpp
@@ -0,0 +1,199 @@
+#include "fakestore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberry {
+
+namespace {
+
+constexpr uint64_t MostLateMs = 6000;
+
+} // namespace
+
+void FakeStore::put(StoreSpace space, const std::string &key, const std::string &value)
+{
+    items_[{space, key}] = {value, ++revision_, 0};
+}
+
+void FakeStore::remove(StoreSpace space, const std::string &key)
+{
+    items_.erase({space, key});
+    ++revision_;
+}
+
+std::optional<std::string> FakeStore::valueOf(StoreSpace space, const std::string &key) const
+{
+    const auto found = items_.find({space, key});
+    return found == items_.end() ? std::nullopt : std::optional<std::string>(found->second.value);
+}
+
+size_t FakeStore::keyCount(StoreSpace space) const
+{
+    return static_cast<size_t>(
+        std::count_if(items_.begin(), items_.end(), [space](const std::pair<const Key, Item> &entry) {
+            return entry.first.first == space;
+        }));
+}
+
+void FakeStore::submit(size_t client, const StoreCall &call, TimeMs now)
+{
+    Pending pending{now + faults.delay, client, call, true, true, now + call.timeout};
+    const bool refused
+        = std::find(refusedClients.begin(), refusedClients.end(), client) != refusedClients.end();
+    if (faults.down || refused || random_.below(100) < faults.losePercent) {
+        pending.execute = pending.answer = false;
+    } else if (random_.below(100) < faults.latePercent) {
+        pending.at = now + DurationMs{static_cast<int64_t>(random_.below(MostLateMs))};
+        pending.answer = false;
+    } else if (random_.below(100) < faults.loseReplyPercent) {
+        pending.answer = false;
+    }
+    pending_.push_back(std::move(pending));
+}
+
+std::vector<std::pair<size_t, StoreReply>> FakeStore::replies(TimeMs now)
+{
+    std::vector<std::pair<size_t, StoreReply>> out;
+    if (faults.down && !faults.leasesLapseWhileDown) {
+        for (std::pair<const uint64_t, Lease> &lease : leases_)
+            lease.second.endsAt = lease.second.endsAt + (now - lastNow_);
+    }
+    lastNow_ = now;
+    endLeases(now);
+    std::deque<Pending> still;
+    for (Pending &pending : std::exchange(pending_, {})) {
+        if (pending.execute && pending.at <= now && !faults.down) {
+            pending.execute = false;
+            StoreReply reply = execute(pending.call, now);
+            reply.id = pending.call.id;
+            if (pending.answer && now < pending.givenUpAt) {
+                out.emplace_back(pending.client, std::move(reply));
+                continue;
+            }
+        }
+        if (now >= pending.givenUpAt && pending.givenUpAt.count != 0) {
+            StoreReply none;
+            none.id = pending.call.id;
+            out.emplace_back(pending.client, none);
+            pending.givenUpAt = {};
+        }
+        if (pending.execute || pending.givenUpAt.count != 0)
+            still.push_back(std::move(pending));
+    }
+    pending_ = std::move(still);
+    return out;
+}
+
+void FakeStore::endLeases(TimeMs now)
+{
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (lease->second.endsAt > now) {
+            ++lease;
+            continue;
+        }
+        const uint64_t id = lease->first;
+        if (std::erase_if(items_,
+                          [id](const std::pair<const Key, Item> &entry) { return entry.second.lease == id; }))
+            ++revision_;
+        lease = leases_.erase(lease);
+    }
+}
+
+StoreReply FakeStore::execute(const StoreCall &call, TimeMs now)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Done;
+    switch (call.verb) {
+    case StoreVerb::List:
+        return list(call);
+    case StoreVerb::Write:
+        return write(call);
+    case StoreVerb::GrantLease:
+        reply.lease = nextLease_++;
+        reply.leaseTime = call.leaseTime;
+        leases_[reply.lease] = {call.leaseTime, now + call.leaseTime};
+        return reply;
+    case StoreVerb::RenewLease: {
+        const auto found = leases_.find(call.lease);
+        if (found == leases_.end()) {
+            reply.outcome = StoreOutcome::NotFound;
+            return reply;
+        }
+        found->second.endsAt = now + found->second.time;
+        reply.leaseTime = found->second.time;
+        return reply;
+    }
+    case StoreVerb::EndLease: {
+        const auto found = leases_.find(call.lease);
+        if (found != leases_.end())
+            found->second.endsAt = now;
+        endLeases(now);
+        return reply;
+    }
+    }
+    return reply;
+}
+
+StoreItem FakeStore::itemOf(const Key &key) const
+{
+    StoreItem out;
+    out.space = key.first;
+    out.key = key.second;
+    const auto found = items_.find(key);
+    if (found != items_.end()) {
+        out.value = found->second.value;
+        out.revision = found->second.revision;
+        out.lease = found->second.lease;
+    }
+    return out;
+}
+
+StoreReply FakeStore::list(const StoreCall &call) const
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Done;
+    if (call.space == StoreSpace::Shared && configuration_) {
+        StoreItem item;
+        item.isConfiguration = true;
+        item.configuration = configuration_;
+        reply.items.push_back(std::move(item));
+    }
+    for (const std::pair<const Key, Item> &entry : items_) {
+        if (entry.first.first == call.space)
+            reply.items.push_back(itemOf(entry.first));
+    }
+    return reply;
+}
+
+StoreReply FakeStore::write(const StoreCall &call)
+{
+    StoreReply reply;
+    bool holds = true;
+    for (const StoreCondition &condition : call.conditions) {
+        const StoreItem item = itemOf({condition.space, condition.key});
+        reply.items.push_back(item);
+        holds = holds && item.revision == condition.revision;
+    }
+    if (!holds) {
+        reply.outcome = StoreOutcome::Conflict;
+        return reply;
+    }
+    for (const StorePut &put : call.puts) {
+        if (put.lease != 0 && !leases_.contains(put.lease)) {
+            reply.outcome = StoreOutcome::NotFound;
+            return reply;
+        }
+    }
+    ++revision_;
+    for (const StorePut &put : call.puts)
+        items_[{put.space, put.key}] = {put.value, revision_, put.lease};
+    for (const StoreKey &key : call.deletes)
+        items_.erase({key.space, key.key});
+    reply.items.clear();
+    reply.outcome = StoreOutcome::Done;
+    reply.revision = revision_;
+    return reply;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/tests/fakestore.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gateway/storecalls.h"
+#include "random.h"
+
+#include <deque>
+#include <map>
+
+namespace cranberry {
+
+/// What the store does wrong, by chance or by order.
+struct StoreFaults {
+    bool down = false; ///< No call is carried out, none is answered.
+    bool leasesLapseWhileDown = false; ///< Else they stand still.
+    uint64_t loseReplyPercent = 0; ///< Carried out, not answered.
+    uint64_t latePercent = 0; ///< Carried out seconds later, not answered.
+    uint64_t losePercent = 0; ///< Neither.
+    DurationMs delay{4};
+};
+
+/// The platform's store in virtual time: keys with revisions, leases, conditional writes.
+class FakeStore
+{
+public:
+    explicit FakeStore(uint64_t seed) : random_(seed) { }
+
+    void put(StoreSpace space, const std::string &key, const std::string &value);
+    void putConfiguration(const ServingConfigurationPtr &configuration) { configuration_ = configuration; }
+    void remove(StoreSpace space, const std::string &key);
+    std::optional<std::string> valueOf(StoreSpace space, const std::string &key) const;
+    size_t keyCount(StoreSpace space) const;
+
+    /// Takes a call of `client`; its reply comes out of `replies` after the delay, unless a fault eats it.
+    void submit(size_t client, const StoreCall &call, TimeMs now);
+    /// Carries out what is due. Calls without a reply end as such at their time-out.
+    std::vector<std::pair<size_t, StoreReply>> replies(TimeMs now);
+
+    StoreFaults faults;
+    std::vector<size_t> refusedClients; ///< Get no answer, while others are served.
+
+private:
+    struct Item {
+        std::string value;
+        uint64_t revision = 0;
+        uint64_t lease = 0;
+    };
+    struct Lease {
+        DurationMs time;
+        TimeMs endsAt;
+    };
+    struct Pending {
+        TimeMs at;
+        size_t client = 0;
+        StoreCall call;
+        bool execute = true;
+        bool answer = true;
+        TimeMs givenUpAt; ///< The client hears "no reply" then.
+    };
+    using Key = std::pair<StoreSpace, std::string>;
+
+    StoreReply execute(const StoreCall &call, TimeMs now);
+    StoreReply write(const StoreCall &call);
+    StoreReply list(const StoreCall &call) const;
+    StoreItem itemOf(const Key &key) const;
+    void endLeases(TimeMs now);
+
+    Random random_;
+    std::map<Key, Item> items_;
+    std::map<uint64_t, Lease> leases_;
+    ServingConfigurationPtr configuration_;
+    std::deque<Pending> pending_;
+    uint64_t revision_ = 0;
+    uint64_t nextLease_ = 1;
+    TimeMs lastNow_;
+};
+
+} // namespace cranberry
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -57,11 +57,10 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a key removed while its request is queued is not used")
 {
-    // All places of the plain service are taken, the request waits. Its key is removed meanwhile. When a place
-    // gets free, the request is judged again and refused.
-    std::vector<CallerId> running;
+    // All places of the plain service are taken, the request waits. Its key is removed meanwhile. When a
+    // place gets free, the request is judged again and refused.
     for (int i = 0; i < 4; ++i)
-        running.push_back(request(Order));
+        request(Order);
     const CallerId waiting = request(Order);
     REQUIRE(sent.size() == 4);
     std::shared_ptr<ServingConfiguration> next = makeConfiguration(2);
@@ -111,8 +110,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "not run is never said after an attempt that may have run")
 {
-    // The first endpoint breaks off an idempotent call, the second states that it did not run it. The first one
-    // may have run it: the answer must not promise otherwise.
+    // The first endpoint breaks off an idempotent call, the second states that it did not run it. The first
+    // one may have run it: the answer must not promise otherwise.
     const CallerId caller = request(LookUp);
     broken(lastSent().attempt);
     REQUIRE(sent.size() == 2);
@@ -184,7 +183,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a stream that stops in the middle of an event must not look complete")
 {
-    // The endpoint ends its answer cleanly, but in the middle of an event. The caller must see a broken stream.
+    // The endpoint ends its answer cleanly, but in the middle of an event. The caller must see a broken
+    // stream.
     const CallerId caller = request(PlainStream);
     head(lastSent().attempt, 200, true);
     events(lastSent().attempt, 1, 3);
@@ -259,8 +259,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "entries that lapsed with the store serve until they had time to come back")
 {
-    // The store was away; when it is back, its list is empty, since all entries lapsed meanwhile. The endpoints
-    // are alive. They go on serving for about two seconds; what is missing after that is gone.
+    // The store was away; when it is back, its list is empty, since all entries lapsed meanwhile. The
+    // endpoints are alive. They go on serving for about two seconds; what is missing after that is gone.
     storeReachable = false;
     pass({3000});
     const std::vector<EndpointEntry> alive = std::exchange(endpoints, {});
@@ -311,7 +311,8 @@
     CHECK(sent.size() == 2);
 }
 
-TEST_CASE_FIXTURE(GatewayFixture, "requests of one shared prompt go to one endpoint, and spill when it is busy")
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "requests of one shared prompt go to one endpoint, and spill when it is busy")
 {
     CallerRequest shared = makeRequest(Model);
     shared.promptTokens = 17000;
@@ -333,10 +334,12 @@
     CHECK(spilled);
 }
 
-TEST_CASE_FIXTURE(GatewayFixture, "an engine that falls silent gets no new work, and resumable streams leave it")
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "an engine that falls silent gets no new work, and resumable streams leave it")
 {
-    // An engine goes dark in the middle of its streams: no reset, nothing. The caller of a resumable stream sees
-    // a pause and then the rest from another engine; one that can't be resumed waits, since the engine may be back.
+    // An engine goes dark in the middle of its streams: no reset, nothing. The caller of a resumable stream
+    // sees a pause and then the rest from another engine; one that can't be resumed waits, since the engine
+    // may be back.
     const CallerId resumable = request(Model);
     const EndpointId dark = lastSent().endpoint;
     const AttemptId first = lastSent().attempt;
@@ -371,8 +374,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a daemon that stood still itself does not take its engines for silent")
 {
-    // The instance is suspended for three seconds. The engines' events wait in its sockets; they are read only
-    // after the first tick. Streams must not be moved for that.
+    // The instance is suspended for three seconds. The engines' events wait in its sockets; they are read
+    // only after the first tick. Streams must not be moved for that.
     request(Model);
     head(lastSent().attempt, 200, true);
     events(lastSent().attempt, 1, 2);
@@ -419,8 +422,9 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a stream that can't be resumed survives the reclaim of its engine")
 {
-    // The engine's failure domain is taken back; the stream would last longer than the notice. Its run is stopped
-    // and its memory copied to another engine, where the same run goes on. The caller sees one whole stream.
+    // The engine's failure domain is taken back; the stream would last longer than the notice. Its run is
+    // stopped and its memory copied to another engine, where the same run goes on. The caller sees one whole
+    // stream.
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
     REQUIRE(moves.size() == 1);
     CHECK(moves[0].attempt == stream.attempt);
@@ -454,8 +458,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a move without reply loses a stream that has stopped, and no other")
 {
-    // The reply to the move is lost. If the stream goes on, nothing has happened. If it has ended, the run has
-    // stopped and its memory can't be named: the caller sees a broken stream, and nothing runs twice.
+    // The reply to the move is lost. If the stream goes on, nothing has happened. If it has ended, the run
+    // has stopped and its memory can't be named: the caller sees a broken stream, and nothing runs twice.
     const LeavingStream going = startLeavingStream(*this, PlainStream);
     gateway.onRunMoved({going.attempt, MoveOutcome::NoReply, {}}, now);
     events(going.attempt, 4, 5);
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -34,7 +34,8 @@
     return route;
 }
 
-EndpointEntry makeEndpoint(const std::string &id, const std::string &service, const std::string &domain, uint16_t port)
+EndpointEntry makeEndpoint(const std::string &id, const std::string &service, const std::string &domain,
+                           uint16_t port)
 {
     EndpointEntry entry;
     entry.id.value = id;
@@ -49,9 +50,10 @@
 
 size_t RecordingLog::count(const std::string &event) const
 {
-    return static_cast<size_t>(std::count_if(lines.begin(), lines.end(), [&event](const boost::json::object &line) {
-        return line.at("event").as_string() == event;
-    }));
+    return static_cast<size_t>(
+        std::count_if(lines.begin(), lines.end(), [&event](const boost::json::object &line) {
+            return line.at("event").as_string() == event;
+        }));
 }
 
 GatewayFixture::GatewayFixture() : gateway(testSettings(), log)
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -34,7 +34,8 @@
     std::shared_ptr<ServingConfiguration> makeConfiguration(uint64_t version) const;
     void configure(const std::shared_ptr<ServingConfiguration> &configuration);
     void listEndpoints();
-    /// Lets time pass: confirms configuration and endpoints each half second, as the store does, unless cut off.
+    /// Lets time pass: confirms configuration and endpoints each half second, as the store does, unless cut
+    /// off.
     void pass(DurationMs duration);
 
     CallerId request(const std::string &path, const std::string &key = "key-a");
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -65,8 +65,9 @@
 
 TEST_CASE("large prompts of an organisation far below its limit are not refused")
 {
-    // Every four seconds two prompts of 1,000 tokens, against a limit of 1,000 a second with a burst of 1,000: in
-    // the mean 500 a second. The operators tolerate 2,000 tokens beyond the limit, so none needs to be refused.
+    // Every four seconds two prompts of 1,000 tokens, against a limit of 1,000 a second with a burst of
+    // 1,000: in the mean 500 a second. The operators tolerate 2,000 tokens beyond the limit, so none needs to
+    // be refused.
     Quotas quotas;
     quotas.setTolerance({0.1, 2000});
     const ServedOrganisation organisation = makeOrganisation();
@@ -113,8 +114,8 @@
 
 TEST_CASE("a partition does not start with a full bucket on each side")
 {
-    // The limit was not used for a while, so every daemon's bucket is full. Then each daemon hears only itself,
-    // and callers press on all four. Together they may use one burst, not four.
+    // The limit was not used for a while, so every daemon's bucket is full. Then each daemon hears only
+    // itself, and callers press on all four. Together they may use one burst, not four.
     const ServedOrganisation organisation = makeOrganisation();
     double used = 0;
     for (int daemon = 0; daemon < 4; ++daemon) {
@@ -156,8 +157,8 @@
 
 TEST_CASE("a restarted daemon does not bring a full bucket along")
 {
-    // An organisation has used up its burst. One of four daemons is killed and starts again; callers turn to it
-    // at once. It may use its own fourth of the burst and what the others have left, no more.
+    // An organisation has used up its burst. One of four daemons is killed and starts again; callers turn to
+    // it at once. It may use its own fourth of the burst and what the others have left, no more.
     PeerTable peers({"entry-1"});
     peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3),
                       makeMember("entry-4", 4)});
@@ -193,8 +194,8 @@
 
 TEST_CASE("use while a daemon was not heard is not counted when it is heard again")
 {
-    // Two daemons are cut apart for ten seconds; each keeps to its share. When they hear each other again, what
-    // the other used meanwhile must not shut the organisation out here.
+    // Two daemons are cut apart for ten seconds; each keeps to its share. When they hear each other again,
+    // what the other used meanwhile must not shut the organisation out here.
     PeerTable peers({"entry-1"});
     Quotas quotas;
     const ServedOrganisation organisation = makeOrganisation();
@@ -225,7 +226,7 @@
     budget.setLimits({0.2, 40, {10000}});
     const ServiceName service{"plain"};
     for (int i = 0; i < 100; ++i)
-        budget.request(service, {i * 10});
+        budget.request(service, {int64_t{10} * i});
     int taken = 0;
     for (int i = 0; i < 100; ++i)
         taken += budget.take(service, 8, {1000}) ? 1 : 0;
@@ -236,7 +237,8 @@
 
 TEST_CASE("peers: doubled and late reports change nothing, lost ones are made up for")
 {
-    // Datagrams may be doubled, reordered or lost. Use counters are cumulative, so the next report says it all.
+    // Datagrams may be doubled, reordered or lost. Use counters are cumulative, so the next report says it
+    // all.
     PeerTable peers({"entry-1"});
     peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2)});
     Quotas quotas;
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,298 @@
+#include "platform/documents.h"
+#include "platform/duties.h"
+#include "platform/requests.h"
+#include "platform/storecodec.h"
+
+#include "gatewayfixture.h"
+#include "gatewaysettings.h"
+
+using namespace cranberry;
+
+namespace {
+
+HttpRequest makeHttp(HttpHeaders extra = {})
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/lohu930/2f?x=1";
+    request.headers = {{"Host", "ficu95.example"}, {"X-Request-Id", "9c41"}};
+    request.headers.insert(request.headers.end(), extra.begin(), extra.end());
+    request.body = "body";
+    return request;
+}
+
+// The field that is named wrong, or nothing.
+std::string wrongField(const HttpRequest &request)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(platform::decodeRequest(request));
+            return std::string();
+        },
+        [](const FieldError &error) { return error.path; }, [] { return std::string("?"); });
+}
+
+// What `parse` returns, or nothing and the error's text in `wrong`.
+template <typename Parse>
+auto valueOf(Parse parse, std::string *wrong = nullptr) -> std::optional<std::decay_t<decltype(*parse())>>
+{
+    using Value = std::decay_t<decltype(*parse())>;
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<Value>> {
+            BOOST_LEAF_ASSIGN(Value value, parse());
+            return std::optional<Value>(std::move(value));
+        },
+        [&](const FieldError &error) {
+            if (wrong)
+                *wrong = toText(error);
+            return std::optional<Value>();
+        },
+        [] { return std::optional<Value>(); });
+}
+
+std::optional<CallerRequestPtr> decoded(const HttpRequest &request)
+{
+    return valueOf([&] { return platform::decodeRequest(request); });
+}
+
+std::optional<ServingConfigurationPtr> configurationFrom(const std::string &text,
+                                                         std::string *wrong = nullptr)
+{
+    return valueOf([&] { return platform::decodeConfiguration(text); }, wrong);
+}
+
+std::optional<GatewayDaemonSettings> settingsFrom(const std::string &text, std::string *wrong = nullptr)
+{
+    return valueOf([&] { return parseGatewaySettings(text); }, wrong);
+}
+
+constexpr const char *ConfigurationText = R"({"Version":7,"Routes":[
+  {"Name":"r1","Host":"h","Prefix":"/a/","Kind":"streaming","TimeoutMs":12000,"TargetLatencyMs":1200,"Priority":1,
+   "TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"Attempts":1,"CanResume":true,"GapTargetMs":500},
+  {"Name":"r2","Host":"h","Prefix":"/a/b/","Kind":"idempotent","Service":"s2","Attempts":2,"Anonymous":true}],
+ "Services":[{"Name":"s1","MaxConnections":370,"Engine":{"Slots":64,"KvCapacityTokens":536091,"Moves":true,"Stride":3},
+   "Scaling":{"Min":1,"Max":6,"BootDelayS":4.5,"SpotPrice":0.15,"ZonePrices":{"leioa":1.0,"deusto":1.25}}},{"Name":"s2"}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1,"Unit":"token_stream","PlainTokens":200,"RatePerS":184580,"Burst":1000}],
+ "Unknown":{"later":1}})";
+
+} // namespace
+
+TEST_CASE("a caller's request is decoded, and what the gateway owns is not taken from it")
+{
+    const std::optional<CallerRequestPtr> request
+        = decoded(makeHttp({{"Authorization", "Bearer secret"},
+                            {"X-Deadline-Ms", "1500"},
+                            {"X-Token-Count", "1460,80"},
+                            {"X-Prompt-Prefix", "5c1e:800,91bd:410"},
+                            {"Last-Event-Id", "12"},
+                            {"X-Tenant", "somebody else"},
+                            {"Kv-From", "10.0.0.1:1/x"},
+                            {"X-Hold", "h"},
+                            {"Connection", "close, X-Private"},
+                            {"X-Private", "1"},
+                            {"Accept", "text/plain"}}));
+    REQUIRE(request);
+    const CallerRequest &out = **request;
+    CHECK(out.path == "/lohu930/2f");
+    CHECK(out.target == "/lohu930/2f?x=1");
+    CHECK(out.key == "secret");
+    CHECK(out.deadline->count == 1500);
+    CHECK(out.promptTokens == 1460);
+    CHECK(out.outputTokens == 80);
+    CHECK(out.parts.size() == 2);
+    CHECK(out.resumeAfter == 12);
+    for (const char *name :
+         {"Authorization", "X-Tenant", "Kv-From", "X-Hold", "Connection", "X-Private", "X-Deadline-Ms"})
+        CHECK_MESSAGE(headerOf(out.forwarded, name).empty(), name);
+    CHECK(headerOf(out.forwarded, "Accept") == "text/plain");
+    CHECK(headerOf(out.forwarded, "X-Token-Count") == "1460,80");
+}
+
+TEST_CASE("a malformed request is refused with the header that is wrong")
+{
+    CHECK(wrongField(makeHttp()).empty());
+    CHECK(wrongField(makeHttp({{"host", "other.example"}})) == "host");
+    CHECK(wrongField(makeHttp({{"X-Request-Id", "again"}})) == "X-Request-Id");
+    CHECK(wrongField(makeHttp({{"X-Deadline-Ms", "soon"}})) == "X-Deadline-Ms");
+    CHECK(wrongField(makeHttp({{"X-Token-Count", "12"}})) == "X-Token-Count");
+    CHECK(wrongField(makeHttp({{"X-Token-Count", "12,-4"}})) == "X-Token-Count");
+    CHECK(wrongField(makeHttp({{"X-Prompt-Prefix", "abc"}})) == "X-Prompt-Prefix");
+    CHECK(wrongField(makeHttp({{"Last-Event-Id", "x"}})) == "Last-Event-Id");
+    HttpRequest noId = makeHttp();
+    noId.headers.pop_back();
+    CHECK(wrongField(noId) == "X-Request-Id");
+}
+
+TEST_CASE("an attempt carries what the gateway sets")
+{
+    SendAttempt order;
+    order.request = *decoded(makeHttp({{"X-Deadline-Ms", "9000"}}));
+    order.endpoint.value = "i-7";
+    order.remaining = {400};
+    order.organisation.value = "t";
+    order.urgency = 2;
+    order.resumeAfter = 12;
+    order.memory = RunMemory{{"10.0.0.2", 8080}, "h9"};
+    const HttpRequest out = platform::encodeAttempt(order);
+    CHECK(headerOf(out.headers, "X-Deadline-Ms") == "400");
+    CHECK(headerOf(out.headers, "X-Expect-Instance") == "i-7");
+    CHECK(headerOf(out.headers, "X-Tenant") == "t");
+    CHECK(headerOf(out.headers, "X-Request-Priority") == "2");
+    CHECK(headerOf(out.headers, "Last-Event-Id") == "12");
+    CHECK(headerOf(out.headers, "Kv-From") == "10.0.0.2:8080/h9");
+    CHECK(out.body == "body");
+}
+
+TEST_CASE("a server's head says what became of the request")
+{
+    const CallerRequestPtr request = *decoded(makeHttp());
+    AttemptHead head = platform::decodeHead({1}, *request, 503, {{"X-Not-Executed", "1"}});
+    CHECK(head.notExecuted);
+    CHECK(head.ownAnswer);
+    head = platform::decodeHead({1}, *request, 421, {});
+    CHECK(head.wrongInstance);
+    head = platform::decodeHead({1}, *request, 200,
+                                {{"X-Request-Id", "9c41"}, {"Content-Type", "text/event-stream"}});
+    CHECK(head.eventStream);
+    CHECK(head.ownAnswer);
+    head = platform::decodeHead({1}, *request, 200, {{"X-Request-Id", "other"}});
+    CHECK_FALSE(head.ownAnswer);
+    head = platform::decodeHead({1}, *request, 200, {});
+    CHECK_FALSE(head.ownAnswer);
+}
+
+TEST_CASE("the configuration is read; fields that come later are ignored")
+{
+    const std::optional<ServingConfigurationPtr> read = configurationFrom(ConfigurationText);
+    REQUIRE(read);
+    const ServingConfiguration &configuration = **read;
+    CHECK(configuration.version == 7);
+    const Route *route = configuration.findRoute("h", "/a/x");
+    REQUIRE(route);
+    CHECK(route->kind == RouteKind::Streaming);
+    CHECK(route->targets.size() == 2);
+    CHECK(route->resumable);
+    CHECK(configuration.findRoute("h", "/a/b/x")->name == "r2");
+    CHECK_FALSE(configuration.findRoute("h", "/other/"));
+    CHECK_FALSE(configuration.findRoute("g", "/a/x"));
+    CHECK(configuration.findByKey("k2")->ratePerSecond == 184580);
+    const ServedService *service = configuration.findService({"s1"});
+    CHECK(service->engine->movesRuns);
+    CHECK(service->scaling->bootDelay.count == 4500);
+    CHECK(service->scaling->prices.at({"deusto"}) == 1.25);
+    CHECK(configuration.limits.idleTimeout.count == 15000);
+}
+
+TEST_CASE("a configuration that can't be read names the field and changes nothing")
+{
+    std::string wrong;
+    std::string text = ConfigurationText;
+    text.replace(text.find("\"streaming\""), 11, "\"sometimes\"");
+    CHECK_FALSE(configurationFrom(text, &wrong));
+    CHECK(wrong == "Routes[0].Kind: is not a known kind");
+    CHECK_FALSE(configurationFrom("{\"Routes\":[", &wrong));
+
+    // Through the store's codec: the unreadable one does not count as a configuration, and does not confirm
+    // the one before either.
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::List;
+    const std::string body
+        = R"({"Items":[{"Key":"op/config","Value":"eyJWIjoxfQ==","Revision":9}],"Truncated":false})";
+    const StoreReply reply = codec.decode(call, 200, body);
+    REQUIRE(reply.items.size() == 1);
+    CHECK_FALSE(reply.items[0].isConfiguration);
+    CHECK(log.count("configuration_unreadable") == 1);
+    codec.decode(call, 200, body);
+    CHECK(log.count("configuration_unreadable") == 1);
+}
+
+TEST_CASE("the store's calls and replies")
+{
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::Write;
+    call.conditions.push_back({StoreSpace::Shared, "leader", 0});
+    call.puts.push_back({StoreSpace::Shared, "leader", "node-1", 77});
+    const HttpRequest request = platform::StoreCodec::encode(call);
+    CHECK(request.target == "/kv-txn");
+    CHECK(request.body.find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
+    CHECK(request.body.find("\"Key\":\"own/leader\"") != std::string::npos);
+    const StoreReply conflict = codec.decode(
+        call, 412, R"({"Items":[{"Key":"own/leader","Value":"bm9kZS0x","Revision":412,"Lease":77}]})");
+    CHECK(conflict.outcome == StoreOutcome::Conflict);
+    CHECK(conflict.items[0].key == "leader");
+    CHECK(conflict.items[0].value == "node-1");
+    CHECK(codec.decode(call, 200, R"({"Revision":413})").revision == 413);
+    CHECK(codec.decode(call, 404, "").outcome == StoreOutcome::NotFound);
+    CHECK(codec.decode(call, 503, "").outcome == StoreOutcome::Refused);
+    CHECK(codec.decode(call, 429, "").outcome == StoreOutcome::Refused);
+    CHECK(codec.decode(call, 0, "").outcome == StoreOutcome::NoReply);
+
+    call = {};
+    call.verb = StoreVerb::List;
+    call.space = StoreSpace::Endpoints;
+    CHECK(platform::StoreCodec::encode(call).target == "/kv-range?Prefix=servers/");
+    const StoreReply list = codec.decode(
+        call, 200,
+        R"({"Items":[{"Key":"servers/i-7","Value":"eyJTZXJ2aWNlIjoicyIsIkFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsIlpvbmUiOiJ6IiwiU2xvdHMiOjY0LCJTdGF0ZSI6ImRyYWluaW5nIiwibGVhdmVzX21zIjoyMDAwfQ==","Revision":5},
+           {"Key":"servers/i-8","Value":"e30=","Revision":6}],"Truncated":true})");
+    REQUIRE(list.items.size() == 2);
+    REQUIRE(list.items[0].endpoint);
+    CHECK(list.items[0].endpoint->leaving);
+    CHECK(list.items[0].endpoint->leavesAfter->count == 2000);
+    CHECK_FALSE(list.items[1].endpoint);
+    CHECK(list.nextPage == "servers/i-8");
+    CHECK(codec.decode(call, 200, "not json").outcome == StoreOutcome::NoReply);
+}
+
+TEST_CASE("duties and moves on the wire")
+{
+    DutyCall call;
+    call.fencingToken = 12;
+    call.usage = UsageReport{353, {{{"a"}, 412}}};
+    HttpRequest request = platform::encodeDuty(call, {"front-1"});
+    CHECK(request.target == "/usage");
+    CHECK(headerOf(request.headers, "X-Fence-Token") == "12");
+    CHECK(request.body == R"({"WindowId":353,"Counts":{"a":412}})");
+    call.usage.reset();
+    call.order = EngineOrder{{"s"}, {"z"}, 6, true};
+    request = platform::encodeDuty(call, {"front-1"});
+    CHECK(request.target == "/scale");
+    CHECK(request.body == R"({"Service":"s","Zone":"z","DesiredCount":6,"Spot":true})");
+    CHECK(platform::decodeDutyStatus(409) == DutyOutcome::NoneAvailable);
+    CHECK(platform::decodeDutyStatus(0) == DutyOutcome::NoReply);
+
+    CHECK(platform::decodeMove({1}, 200, R"({"Handle":"h","Created":5})").outcome == MoveOutcome::Moved);
+    CHECK(platform::decodeMove({1}, 200, R"({"Handle":17})").handle == "17");
+    CHECK(platform::decodeMove({1}, 200, "{}").outcome == MoveOutcome::NoReply);
+    CHECK(platform::decodeMove({1}, 404, "").outcome == MoveOutcome::NoSuchRun);
+    CHECK(platform::decodeMove({1}, 503, R"({"Handle":"h"})").outcome == MoveOutcome::NoRoom);
+}
+
+TEST_CASE("settings: a field that is missing, wrong or unknown is named")
+{
+    const std::string good = R"({"instance":"f","failureDomain":"z","callerAddress":"10.0.0.1:1",
+        "readinessAddress":"10.0.0.1:2","entryAddress":"10.0.0.1:3","peerAddress":"10.0.0.1:4",
+        "storeAddress":"10.0.0.2:1","dutyAddress":"","revokeBoundMs":5000,"stopGraceSeconds":8})";
+    std::string wrong;
+    const std::optional<GatewayDaemonSettings> settings = settingsFrom(good, &wrong);
+    REQUIRE_MESSAGE(settings, wrong);
+    CHECK(settings->stopGrace.count == 8000);
+    CHECK(settings->dutyAddress.port == 0);
+    std::string text = good;
+    text.replace(text.find("\"failureDomain\":\"z\","), 20, "");
+    CHECK_FALSE(settingsFrom(text, &wrong));
+    CHECK(wrong == "failureDomain: is missing");
+    text = good;
+    text.replace(text.find("5000"), 4, "\"x\"");
+    CHECK_FALSE(settingsFrom(text, &wrong));
+    CHECK(wrong == "revokeBoundMs: must be a number");
+    text = good;
+    text.replace(text.find("stopGraceSeconds"), 16, "stopGraceSecond");
+    CHECK_FALSE(settingsFrom(text, &wrong));
+    CHECK(wrong == "stopGraceSecond: is not a known field");
+}
