Three daemons read the store, the others ask them

A daemon that asks takes over an age, counted from when it sent its question, and reads itself where the views differ or nobody answers. Reports between daemons stretch with their number, usage counts are told less often.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 /// starts then might not end before the process does.
 constexpr DurationMs LastStreamsAfterLeaving{3000};
 
+/// Usage counts are told this often; the duty waits a little longer than that after a window's end.
+constexpr DurationMs WindowsPace{400};
+
 constexpr int FirstServerError = 500;
 constexpr std::array PromisesNotRun = {408, 421, 429, 503};
 
@@ -683,9 +686,14 @@
     }
     quotas_.reported();
     out.uses = quotas_.uses(now);
-    for (const std::pair<const int64_t, std::map<OrganisationName, uint64_t>> &window : usage_.counts()) {
-        for (const std::pair<const OrganisationName, uint64_t> &count : window.second)
-            out.windows.push_back({window.first, count.first, count.second});
+    // The newest windows only, and not each time: the holder of the duty needs them a second after their end.
+    if (now >= windowsToldAt_) {
+        windowsToldAt_ = now + WindowsPace;
+        const int64_t oldest = usage_.windowAt(now) - 1;
+        for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
+            for (const std::pair<const OrganisationName, uint64_t> &count : window->second)
+                out.windows.push_back({window->first, count.first, count.second});
+        }
     }
     return out;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -145,6 +145,7 @@
     std::vector<CallerId> queue_; ///< Most urgent first, then by arrival.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
+    TimeMs windowsToldAt_;
     std::vector<GatewayAction> actions_;
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -127,6 +127,25 @@
     std::vector<ServiceDemand> demands;
 };
 
+/// "How fresh is what you know of the store?" Asked instead of reading there.
+struct FreshnessQuestion {
+    Incarnation from;
+    uint64_t number = 0;
+    uint64_t endpointsDigest = 0; ///< Of the list that the asker has.
+};
+
+/// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at which
+/// it sent the question, so that no delay on the way makes anything look fresher than it was.
+struct FreshnessAnswer {
+    uint64_t number = 0;
+    DurationMs sharedAge; ///< Of the configuration, the members and the leader.
+    uint64_t sharedDigest = 0;
+    DurationMs endpointsAge;
+    uint64_t endpointsDigest = 0;
+    bool hasEndpoints = false; ///< The list follows, since the asker's differs.
+    std::vector<EndpointEntry> endpoints;
+};
+
 // ---- Out of the gateway ----
 
 /// A complete answer of the gateway itself or of an endpoint.
--- /dev/null
+++ b/src/gateway/peerdatagrams.cpp
@@ -0,0 +1,193 @@
+#include "gateway/peerdatagrams.h"
+
+#include <boost/json.hpp>
+
+namespace cranberry {
+
+namespace {
+
+namespace json = boost::json;
+
+/// Rows are arrays, not objects: a report goes to every daemon several times a second.
+json::array rowsOf(const PeerReport &report, const char *which)
+{
+    json::array rows;
+    const std::string_view name(which);
+    if (name == "loads") {
+        for (const EndpointLoad &load : report.loads)
+            rows.push_back({load.id.value, load.running, load.prefillTokens});
+    } else if (name == "uses") {
+        for (const OrganisationUse &use : report.uses)
+            rows.push_back({use.organisation.value, use.units, use.left});
+    } else if (name == "windows") {
+        for (const WindowCount &count : report.windows)
+            rows.push_back({count.window, count.organisation.value, count.count});
+    } else {
+        for (const ServiceDemand &demand : report.demands)
+            rows.push_back({demand.service.value, demand.prefillTokensPerSecond, demand.running});
+    }
+    return rows;
+}
+
+std::string text(const json::value &value)
+{
+    return std::string(value.as_string());
+}
+
+const json::array &row(const json::value &value, size_t size)
+{
+    const json::array &out = value.as_array();
+    if (out.size() < size)
+        throw boost::system::system_error(json::make_error_code(json::error::incomplete));
+    return out;
+}
+
+PeerReport decodedReport(const json::object &object)
+{
+    PeerReport report;
+    report.incarnation.value = object.at("id").to_number<uint64_t>();
+    report.instance.value = text(object.at("instance"));
+    report.leaving = object.at("leaving").as_bool();
+    report.ready = object.at("ready").as_bool();
+    report.sequence = object.at("sequence").to_number<uint64_t>();
+    report.heard = object.at("heard").to_number<uint32_t>();
+    report.wallMs = object.at("wallMs").to_number<int64_t>();
+    for (const json::value &value : object.at("loads").as_array()) {
+        const json::array &load = row(value, 3);
+        report.loads.push_back(
+            {EndpointId{text(load[0])}, load[1].to_number<uint32_t>(), load[2].to_number<uint64_t>()});
+    }
+    for (const json::value &value : object.at("uses").as_array()) {
+        const json::array &use = row(value, 3);
+        report.uses.push_back(
+            {OrganisationName{text(use[0])}, use[1].to_number<double>(), use[2].to_number<double>()});
+    }
+    for (const json::value &value : object.at("windows").as_array()) {
+        const json::array &count = row(value, 3);
+        report.windows.push_back({count[0].to_number<int64_t>(), OrganisationName{text(count[1])},
+                                  count[2].to_number<uint64_t>()});
+    }
+    for (const json::value &value : object.at("demands").as_array()) {
+        const json::array &demand = row(value, 3);
+        report.demands.push_back(
+            {ServiceName{text(demand[0])}, demand[1].to_number<double>(), demand[2].to_number<double>()});
+    }
+    return report;
+}
+
+json::object encoded(const PeerReport &report)
+{
+    return {{"kind", "report"},
+            {"id", report.incarnation.value},
+            {"instance", report.instance.value},
+            {"leaving", report.leaving},
+            {"ready", report.ready},
+            {"sequence", report.sequence},
+            {"heard", report.heard},
+            {"wallMs", report.wallMs},
+            {"loads", rowsOf(report, "loads")},
+            {"uses", rowsOf(report, "uses")},
+            {"windows", rowsOf(report, "windows")},
+            {"demands", rowsOf(report, "demands")}};
+}
+
+json::object encoded(const FreshnessQuestion &question)
+{
+    return {{"kind", "question"},
+            {"id", question.from.value},
+            {"number", question.number},
+            {"endpointsDigest", question.endpointsDigest}};
+}
+
+FreshnessQuestion decodedQuestion(const json::object &object)
+{
+    FreshnessQuestion question;
+    question.from.value = object.at("id").to_number<uint64_t>();
+    question.number = object.at("number").to_number<uint64_t>();
+    question.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    return question;
+}
+
+json::object encoded(const FreshnessAnswer &answer)
+{
+    json::object out{{"kind", "answer"},
+                     {"number", answer.number},
+                     {"sharedAgeMs", answer.sharedAge.count},
+                     {"sharedDigest", answer.sharedDigest},
+                     {"endpointsAgeMs", answer.endpointsAge.count},
+                     {"endpointsDigest", answer.endpointsDigest}};
+    if (!answer.hasEndpoints)
+        return out;
+    json::array rows;
+    for (const EndpointEntry &entry : answer.endpoints) {
+        rows.push_back({entry.id.value, entry.service.value, toText(entry.address), entry.failureDomain.value,
+                        entry.slots, entry.leaving, entry.reclaimable,
+                        entry.leavesAfter ? entry.leavesAfter->count : -1});
+    }
+    out["endpoints"] = std::move(rows);
+    return out;
+}
+
+FreshnessAnswer decodedAnswer(const json::object &object)
+{
+    FreshnessAnswer answer;
+    answer.number = object.at("number").to_number<uint64_t>();
+    answer.sharedAge.count = object.at("sharedAgeMs").to_number<int64_t>();
+    answer.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
+    answer.endpointsAge.count = object.at("endpointsAgeMs").to_number<int64_t>();
+    answer.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    const json::value *rows = object.if_contains("endpoints");
+    answer.hasEndpoints = rows != nullptr;
+    if (!rows)
+        return answer;
+    for (const json::value &value : rows->as_array()) {
+        const json::array &fields = row(value, 8);
+        EndpointEntry entry;
+        entry.id.value = text(fields[0]);
+        entry.service.value = text(fields[1]);
+        entry.address = addressFromText(text(fields[2])).value_or(Address{});
+        entry.failureDomain.value = text(fields[3]);
+        entry.slots = fields[4].to_number<uint32_t>();
+        entry.leaving = fields[5].as_bool();
+        entry.reclaimable = fields[6].as_bool();
+        if (fields[7].to_number<int64_t>() >= 0)
+            entry.leavesAfter = DurationMs{fields[7].to_number<int64_t>()};
+        answer.endpoints.push_back(std::move(entry));
+    }
+    return answer;
+}
+
+std::optional<PeerDatagram> decoded(const json::object &object)
+{
+    const std::string kind = text(object.at("kind"));
+    if (kind == "report")
+        return decodedReport(object);
+    if (kind == "question")
+        return decodedQuestion(object);
+    if (kind == "answer")
+        return decodedAnswer(object);
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeDatagram(const PeerDatagram &datagram)
+{
+    return json::serialize(std::visit([](const auto &each) { return encoded(each); }, datagram));
+}
+
+// The JSON library reports a missing or wrong field by exception; it ends here and becomes "no datagram".
+std::optional<PeerDatagram> decodeDatagram(std::string_view text)
+{
+    json::error_code code;
+    const json::value value = json::parse(text, code);
+    if (code || !value.is_object())
+        return std::nullopt;
+    try {
+        return decoded(value.as_object());
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace cranberry
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -6,16 +6,58 @@
 
 namespace {
 
-/// A peer that is silent for this long is not counted on: five reports in a row are missing.
-constexpr DurationMs PeerSilence{1200};
+/// Reports go to all daemons: their pace stretches with the number of daemons, so that a daemon sends and reads
+/// about eighty a second at most.
+constexpr DurationMs ShortestReportPace{200};
+constexpr DurationMs ReportPacePerDaemon{12};
+/// A peer that is silent for so many reports is not counted on.
+constexpr int64_t SilentReports = 6;
 /// Limits react sooner: what a silent peer uses is not seen, and both sides of a partition would use it all.
-constexpr DurationMs PeerSilenceForLimits{650};
+constexpr int64_t SilentReportsForLimits = 3;
+/// Daemons that read the store for all; each of the others asks one of them.
+constexpr size_t Readers = 3;
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{
     60000}; ///< Usage windows of a peer that is gone are still needed for a while.
 
 } // namespace
 
+DurationMs PeerTable::reportPace() const
+{
+    return std::max(ShortestReportPace, ReportPacePerDaemon * static_cast<int64_t>(memberCount()));
+}
+
+// Half a pace more: reports wait for a tick, and take their way.
+DurationMs PeerTable::silence() const
+{
+    return reportPace() * SilentReports + reportPace() / 2;
+}
+
+DurationMs PeerTable::silenceForLimits() const
+{
+    return reportPace() * SilentReportsForLimits + reportPace() / 2;
+}
+
+// The first few of those that are heard, in an order that all share. Views may differ for a moment: then there
+// is a reader more or less. The others spread over them by their own names.
+std::optional<Address> PeerTable::readerToAsk(TimeMs now) const
+{
+    std::vector<const MemberEntry *> readers;
+    for (const MemberEntry &member : members_) {
+        const Peer *peer = heard(member, now, silence());
+        if (member.instance == self_ || (peer && peer->report.ready && !peer->report.leaving))
+            readers.push_back(&member);
+    }
+    std::sort(readers.begin(), readers.end(),
+              [](const MemberEntry *a, const MemberEntry *b) { return a->incarnation < b->incarnation; });
+    readers.resize(std::min(readers.size(), Readers));
+    const bool readsItself = std::any_of(readers.begin(), readers.end(),
+                                         [this](const MemberEntry *reader) { return reader->instance == self_; });
+    if (readers.empty() || readsItself)
+        return std::nullopt;
+    return readers[std::hash<std::string>()(self_.value) % readers.size()]->peerAddress;
+}
+
 void PeerTable::setMembers(std::vector<MemberEntry> members)
 {
     members_ = std::move(members);
@@ -31,7 +73,7 @@
     if (!isNew && report.sequence <= peer.report.sequence)
         return false;
     // What a daemon used while it was not heard came out of its own share of the limit, not out of ours.
-    const bool wasHeard = !isNew && now - peer.heardAt < PeerSilenceForLimits;
+    const bool wasHeard = !isNew && now - peer.heardAt < silenceForLimits();
     for (const OrganisationUse &use : report.uses) {
         double &before = peer.uses[use.organisation];
         if (wasHeard)
@@ -70,7 +112,7 @@
 {
     uint32_t count = 1;
     for (const MemberEntry &member : members_)
-        count += member.instance != self_ && heard(member, now, PeerSilenceForLimits) ? 1 : 0;
+        count += member.instance != self_ && heard(member, now, silenceForLimits()) ? 1 : 0;
     return count;
 }
 
@@ -84,7 +126,7 @@
 {
     std::map<EndpointId, EndpointLoad> sums;
     for (const std::pair<const Incarnation, Peer> &entry : peers_) {
-        if (now - entry.second.heardAt >= PeerSilence)
+        if (now - entry.second.heardAt >= silence())
             continue;
         for (const EndpointLoad &load : entry.second.report.loads) {
             EndpointLoad &sum = sums[load.id];
@@ -100,7 +142,7 @@
 {
     std::map<ServiceName, ServiceDemand> sums;
     for (const std::pair<const Incarnation, Peer> &entry : peers_) {
-        if (now - entry.second.heardAt >= PeerSilence)
+        if (now - entry.second.heardAt >= silence())
             continue;
         for (const ServiceDemand &demand : entry.second.report.demands) {
             ServiceDemand &sum = sums[demand.service];
@@ -122,7 +164,7 @@
     for (const MemberEntry &member : members_) {
         if (member.instance == self_)
             continue;
-        const Peer *peer = heard(member, now, PeerSilence);
+        const Peer *peer = heard(member, now, silence());
         if (peer && peer->report.ready && !peer->report.leaving)
             out.push_back(member.callerAddress);
     }
@@ -146,7 +188,7 @@
 {
     std::vector<int64_t> offsets{ownOffset};
     for (const std::pair<const Incarnation, Peer> &entry : peers_) {
-        if (now - entry.second.heardAt < PeerSilence)
+        if (now - entry.second.heardAt < silence())
             offsets.push_back(entry.second.wallOffset);
     }
     const auto middle = offsets.begin() + static_cast<int64_t>(offsets.size() / 2);
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -29,6 +29,10 @@
     bool take(const PeerReport &report, Quotas &quotas, TimeMs now);
 
     const std::vector<MemberEntry> &members() const { return members_; }
+    /// Time between two reports of a daemon; longer with many daemons, since each tells all others.
+    DurationMs reportPace() const;
+    /// Whom to ask about the store instead of reading; nothing if this daemon is one of the few that read.
+    std::optional<Address> readerToAsk(TimeMs now) const;
     /// Daemons that are listed, this one included; at least 1.
     size_t memberCount() const;
     /// Listed daemons that are heard, this one included.
@@ -51,6 +55,8 @@
         std::map<OrganisationName, double> uses;
         std::map<int64_t, std::map<OrganisationName, uint64_t>> windows;
     };
+    DurationMs silence() const;
+    DurationMs silenceForLimits() const;
     const Peer *heard(const MemberEntry &member, TimeMs now, DurationMs within) const;
 
     InstanceName self_;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -3,6 +3,7 @@
 #include "fields.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace cranberry {
 
@@ -15,6 +16,11 @@
 constexpr DurationMs SharedPace{600};
 /// Pace of reading the endpoints: a leaving one must get no new work two seconds after it said so.
 constexpr DurationMs EndpointsPace{700};
+/// Pace of asking another daemon. Its own view is up to a read's pace old when it answers.
+constexpr DurationMs AskPace{300};
+/// A view older than this is renewed by reading, whatever the other daemon says.
+constexpr DurationMs OldestBorrowed{1300};
+constexpr size_t MostOpenQuestions = 16;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
 /// Reads of one kind under way at once: they overlap while the store is slow, but don't pile up.
@@ -106,11 +112,15 @@
         // An earlier life of this daemon may have led until just now: wait out its lease.
         standAt_ = settings_.firstStart ? now : now + settings_.leaseTime + StandMargin;
     }
-    if (now >= sharedAt_ && !tooManyOpen(Purpose::ReadShared)) {
+    if (source_ && now >= askAt_)
+        ask(now);
+    const bool sharedIsOld = !source_ || now - newestShared_ > OldestBorrowed;
+    const bool endpointsAreOld = !source_ || now - newestEndpoints_ > OldestBorrowed;
+    if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
         sharedAt_ = now + SharedPace;
         readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
     }
-    if (now >= endpointsAt_ && !tooManyOpen(Purpose::ReadEndpoints)) {
+    if (now >= endpointsAt_ && endpointsAreOld && !tooManyOpen(Purpose::ReadEndpoints)) {
         endpointsAt_ = now + EndpointsPace;
         readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
     }
@@ -226,19 +236,23 @@
     if (shared)
         takeShared(open, now);
     else
-        takeEndpoints(open);
+        takeEndpoints(open, now);
 }
 
 void StoreSync::takeShared(const OpenCall &open, TimeMs now)
 {
     std::vector<MemberEntry> members;
     bool sawConfiguration = false;
+    std::string digested;
     uint64_t leaderRevision = 0;
     uint64_t leaderLease = 0;
     bool leaderIsSelf = false;
     for (const StoreItem &item : open.pages) {
+        digested += item.isConfiguration ? fmt::format("{};", item.configuration->version)
+                                         : fmt::format("{}={};", item.key, item.value);
         if (item.isConfiguration) {
             sawConfiguration = true;
+            configuration_ = item.configuration;
             news_.configurations.push_back({item.configuration, open.readStartedAt});
         } else if (item.key == LeaderKey) {
             leaderRevision = item.revision;
@@ -253,6 +267,7 @@
                 log_.write(LogWeight::Failure, "member_unreadable", {{"key", item.key}});
         }
     }
+    sharedDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
     if (!sawConfiguration)
         log_.write(LogWeight::Ordinary, "no_configuration", {});
     news_.members = std::move(members);
@@ -272,17 +287,84 @@
     leaderIsSelf_ = leaderIsSelf;
 }
 
-void StoreSync::takeEndpoints(const OpenCall &open)
+void StoreSync::takeEndpoints(const OpenCall &open, TimeMs)
 {
-    EndpointsRead read;
-    read.askedAt = open.readStartedAt;
+    std::vector<EndpointEntry> entries;
     for (const StoreItem &item : open.pages) {
         if (item.endpoint)
-            read.entries.push_back(*item.endpoint);
+            entries.push_back(*item.endpoint);
         else
             log_.write(LogWeight::Failure, "endpoint_unreadable", {{"key", item.key}});
     }
-    news_.endpoints.push_back(std::move(read));
+    takeEndpointList(std::move(entries), open.readStartedAt);
+}
+
+void StoreSync::takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt)
+{
+    std::string digested;
+    for (const EndpointEntry &entry : entries)
+        digested += fmt::format("{} {} {};", entry.id.value, toText(entry.address), entry.leaving);
+    endpointsDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
+    endpoints_ = entries;
+    news_.endpoints.push_back({std::move(entries), askedAt});
+}
+
+// ---- Asking instead of reading ----
+
+void StoreSync::ask(TimeMs now)
+{
+    askAt_ = now + AskPace;
+    while (questions_.size() >= MostOpenQuestions)
+        questions_.erase(questions_.begin());
+    questions_[nextQuestion_] = now;
+    outgoing_.push_back({*source_, FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_}});
+    ++nextQuestion_;
+}
+
+void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
+{
+    if (newestShared_.count == 0 || newestEndpoints_.count == 0)
+        return;
+    FreshnessAnswer answer;
+    answer.number = question.number;
+    answer.sharedAge = now - newestShared_;
+    answer.sharedDigest = sharedDigest_;
+    answer.endpointsAge = now - newestEndpoints_;
+    answer.endpointsDigest = endpointsDigest_;
+    answer.hasEndpoints = question.endpointsDigest != endpointsDigest_;
+    if (answer.hasEndpoints)
+        answer.endpoints = endpoints_;
+    outgoing_.push_back({from, std::move(answer)});
+}
+
+// "Was so" is counted from when the question was sent, less the age at the answerer: late answers, also those
+// that waited while this process stood still, claim nothing that was not true then.
+void StoreSync::onAnswer(const FreshnessAnswer &answer, TimeMs now)
+{
+    const auto found = questions_.find(answer.number);
+    if (found == questions_.end())
+        return;
+    const TimeMs askedAt = found->second;
+    questions_.erase(found);
+    const TimeMs sharedAt = askedAt - answer.sharedAge;
+    if (answer.sharedDigest != sharedDigest_) {
+        // Something changed, here or there: the store tells what.
+        if (sharedAt > newestShared_ && !tooManyOpen(Purpose::ReadShared))
+            readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
+    } else if (sharedAt > newestShared_ && configuration_) {
+        newestShared_ = sharedAt;
+        news_.configurations.push_back({configuration_, sharedAt});
+    }
+    const TimeMs endpointsAt = askedAt - answer.endpointsAge;
+    if (endpointsAt <= newestEndpoints_)
+        return;
+    if (answer.hasEndpoints) {
+        newestEndpoints_ = endpointsAt;
+        takeEndpointList(answer.endpoints, endpointsAt);
+    } else if (answer.endpointsDigest == endpointsDigest_) {
+        newestEndpoints_ = endpointsAt;
+        news_.endpoints.push_back({endpoints_, endpointsAt});
+    }
 }
 
 void StoreSync::onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -27,6 +27,9 @@
 /// Keeps this daemon in step with the store: reads configuration, members and endpoints at a steady pace,
 /// holds a lease for its own entry, and stands for the leadership of the duties.
 ///
+/// Only a few daemons read all the time. The others ask one of them how fresh its view is, and read themselves
+/// where it differs from theirs, or where nobody answers. So the store's load does not grow with the daemons.
+///
 /// Reads overlap: one that hangs on a silent connection does not hold up the next. Freshness is counted from
 /// when a question was sent, since the store may have answered at any time after that.
 class StoreSync
@@ -43,6 +46,18 @@
 
     void tick(TimeMs now);
     void onReply(const StoreReply &reply, TimeMs now);
+    /// Whom to ask instead of reading; nothing: this daemon reads itself.
+    void setSource(const std::optional<Address> &source) { source_ = source; }
+    void onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now);
+    void onAnswer(const FreshnessAnswer &answer, TimeMs now);
+
+    /// A question or an answer to be sent to another daemon.
+    struct Outgoing {
+        Address to;
+        std::variant<FreshnessQuestion, FreshnessAnswer> message;
+    };
+    std::vector<Outgoing> takeOutgoing() { return std::exchange(outgoing_, {}); }
+
     std::vector<StoreCall> takeCalls() { return std::exchange(calls_, {}); }
     News takeNews() { return std::exchange(news_, {}); }
 
@@ -68,11 +83,13 @@
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
     void takeShared(const OpenCall &open, TimeMs now);
-    void takeEndpoints(const OpenCall &open);
+    void takeEndpoints(const OpenCall &open, TimeMs now);
+    void takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt);
     void onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now);
     void loseLease(TimeMs now, const char *why);
     void registerSelf(TimeMs now);
     void stand(TimeMs now);
+    void ask(TimeMs now);
     void noteStoreState(bool answered, TimeMs now);
     std::string ownLeaderValue() const;
 
@@ -89,10 +106,20 @@
     bool leaving_ = false;
     TimeMs sharedAt_; ///< Next read.
     TimeMs endpointsAt_;
-    TimeMs newestShared_; ///< Send time of the newest read that was taken.
+    TimeMs newestShared_; ///< What is known was so in the store at or after this time.
     TimeMs newestEndpoints_;
     bool storeAnswers_ = false;
 
+    std::optional<Address> source_;
+    TimeMs askAt_;
+    std::map<uint64_t, TimeMs> questions_; ///< Open ones, with the time of sending.
+    uint64_t nextQuestion_ = 1;
+    std::vector<Outgoing> outgoing_;
+    ServingConfigurationPtr configuration_; ///< Of the newest read.
+    uint64_t sharedDigest_ = 0;
+    std::vector<EndpointEntry> endpoints_;
+    uint64_t endpointsDigest_ = 0;
+
     uint64_t lease_ = 0;
     TimeMs leaseValidUntil_; ///< On our clock, counted from when the renewal was sent.
     TimeMs renewAt_;
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/enginesizing.h"
 #include "gateway/gateway.h"
-#include "gateway/peerreportcodec.h"
+#include "gateway/peerdatagrams.h"
 #include "gateway/storesync.h"
 #include "gateway/usageduty.h"
 #include "io/clocksource.h"
@@ -30,8 +30,8 @@
 
 /// Resolution of time-outs and of the queue; finer costs wake-ups.
 constexpr DurationMs TickPace{25};
-/// Reports to the other daemons: loads and limits are this old at most.
-constexpr DurationMs ReportPace{200};
+/// Reports that can't wait come this often at most between two regular ones.
+constexpr int64_t DueReportsPerPace = 8;
 constexpr DurationMs LogPace{200};
 /// A stopping daemon leaves this long before it would be killed.
 constexpr DurationMs StopMargin{700};
@@ -93,6 +93,9 @@
     // The other daemons.
     void openPeerSocket();
     void receive();
+    void onDatagram(std::string_view text);
+    void sendDatagram(const Address &to, const std::string &text);
+    void sendOutgoing();
     void sendReports();
 
     void tick();
@@ -127,6 +130,7 @@
     asio::steady_timer timer{io};
     asio::signal_set signals{io};
     TimeMs reportAt;
+    TimeMs reportedAt;
     TimeMs flushAt;
     bool stopping = false;
     TimeMs stopStartedAt;
@@ -429,17 +433,48 @@
 
 void GatewayServer::State::receive()
 {
-    peerSocket.async_receive_from(
-        asio::buffer(datagram), peerSender, [this](boost::system::error_code code, size_t size) {
-            if (code == asio::error::operation_aborted)
-                return;
-            if (!code) {
-                std::optional<PeerReport> report = decodeReport({datagram.data(), size});
-                if (report && report->incarnation != incarnation)
-                    gateway.onPeerReport(*report, steadyNow());
-            }
-            receive();
-        });
+    peerSocket.async_receive_from(asio::buffer(datagram), peerSender,
+                                  [this](boost::system::error_code code, size_t size) {
+                                      if (code == asio::error::operation_aborted)
+                                          return;
+                                      if (!code)
+                                          onDatagram({datagram.data(), size});
+                                      receive();
+                                  });
+}
+
+void GatewayServer::State::onDatagram(std::string_view text)
+{
+    const std::optional<PeerDatagram> read = decodeDatagram(text);
+    if (!read)
+        return;
+    const TimeMs now = steadyNow();
+    if (const PeerReport *report = std::get_if<PeerReport>(&*read)) {
+        if (report->incarnation != incarnation)
+            gateway.onPeerReport(*report, now);
+    } else if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&*read)) {
+        sync.onQuestion(*question, {peerSender.address().to_string(), peerSender.port()}, now);
+        sendOutgoing();
+    } else if (const FreshnessAnswer *answer = std::get_if<FreshnessAnswer>(&*read)) {
+        sync.onAnswer(*answer, now);
+        takeNews();
+        runStoreCalls();
+    }
+}
+
+// Datagrams may be lost, also here when the socket is full: each is made up for by a later one.
+void GatewayServer::State::sendDatagram(const Address &to, const std::string &text)
+{
+    boost::system::error_code ignored;
+    const asio::ip::address ip = asio::ip::make_address(to.host, ignored);
+    if (!ignored)
+        peerSocket.send_to(asio::buffer(text), udp::endpoint(ip, to.port), 0, ignored);
+}
+
+void GatewayServer::State::sendOutgoing()
+{
+    for (const StoreSync::Outgoing &outgoing : sync.takeOutgoing())
+        sendDatagram(outgoing.to, std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
 }
 
 // Reports may be lost: the next one says all of it again.
@@ -451,14 +486,10 @@
     PeerReport report = gateway.report(now);
     report.incarnation = incarnation;
     report.wallMs = wallNowMs();
-    const std::string text = encodeReport(report);
+    const std::string text = encodeDatagram(report);
     for (const MemberEntry &member : gateway.peers().members()) {
-        if (member.instance == settings.instance)
-            continue;
-        boost::system::error_code ignored;
-        const asio::ip::address ip = asio::ip::make_address(member.peerAddress.host, ignored);
-        if (!ignored)
-            peerSocket.send_to(asio::buffer(text), udp::endpoint(ip, member.peerAddress.port), 0, ignored);
+        if (member.instance != settings.instance)
+            sendDatagram(member.peerAddress, text);
     }
 }
 
@@ -467,13 +498,17 @@
 void GatewayServer::State::tick()
 {
     const TimeMs now = steadyNow();
+    sync.setSource(gateway.peers().readerToAsk(now));
     sync.tick(now);
+    sendOutgoing();
     runStoreCalls();
     gateway.tick(now);
     runActions();
     runDuties();
-    if (now >= reportAt || gateway.reportIsDue()) {
-        reportAt = now + ReportPace;
+    const DurationMs pace = gateway.peers().reportPace();
+    if (now >= reportAt || (gateway.reportIsDue() && now - reportedAt >= pace / DueReportsPerPace)) {
+        reportedAt = now;
+        reportAt = now + pace;
         sendReports();
     }
     if (now >= flushAt) {
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -279,3 +279,121 @@
     }
     CHECK(acts > 500);
 }
+
+namespace {
+
+/// Two daemons: the first reads the store, the second asks it. The first one's answers can be held back.
+class AskingWorld
+{
+public:
+    AskingWorld() : store(9)
+    {
+        configuration = std::make_shared<ServingConfiguration>();
+        configuration->version = 1;
+        store.putConfiguration(configuration);
+        for (uint64_t i = 0; i < 2; ++i) {
+            StoreSyncSettings settings;
+            settings.self = {{fmt::format("entry-{}", i)}, {i + 1}, {"north"}, {"10.0.0.1", 80}, addresses[i]};
+            settings.seed = i;
+            syncs.push_back(std::make_unique<StoreSync>(settings, log));
+        }
+        syncs[1]->setSource(addresses[0]);
+    }
+
+    void pass(DurationMs duration)
+    {
+        const TimeMs until = now + duration;
+        while (now < until) {
+            now = now + Step;
+            for (size_t i = 0; i < syncs.size(); ++i) {
+                if (i == 0 && readerStops)
+                    continue;
+                syncs[i]->tick(now);
+                for (const StoreCall &call : syncs[i]->takeCalls()) {
+                    store.submit(i, call, now);
+                    reads[i] += call.verb == StoreVerb::List ? 1 : 0;
+                }
+                for (const StoreSync::Outgoing &outgoing : syncs[i]->takeOutgoing())
+                    deliver(outgoing);
+            }
+            for (std::pair<size_t, StoreReply> &reply : store.replies(now))
+                syncs[reply.first]->onReply(reply.second, now);
+            for (const ConfigurationRead &read : syncs[1]->takeNews().configurations) {
+                version = read.configuration->version;
+                confirmedAt = std::max(confirmedAt, read.askedAt);
+            }
+        }
+    }
+
+    FakeStore store;
+    RecordingLog log;
+    std::shared_ptr<ServingConfiguration> configuration;
+    TimeMs now{1'000'000};
+    bool readerStops = false;
+    bool holdAnswers = false;
+    std::vector<FreshnessAnswer> held;
+    std::vector<std::unique_ptr<StoreSync>> syncs;
+    size_t reads[2] = {};
+    uint64_t version = 0;
+    TimeMs confirmedAt;
+
+private:
+    void deliver(const StoreSync::Outgoing &outgoing)
+    {
+        if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&outgoing.message)) {
+            if (!readerStops)
+                syncs[0]->onQuestion(*question, addresses[1], now);
+        } else if (holdAnswers) {
+            held.push_back(std::get<FreshnessAnswer>(outgoing.message));
+        } else {
+            syncs[1]->onAnswer(std::get<FreshnessAnswer>(outgoing.message), now);
+        }
+    }
+
+    const Address addresses[2] = {{"10.0.0.1", 91}, {"10.0.0.2", 92}};
+};
+
+} // namespace
+
+TEST_CASE("a daemon that asks another one hardly reads, and sees changes in time")
+{
+    AskingWorld world;
+    world.pass({5000});
+    const size_t before = world.reads[1];
+    world.pass({10000});
+    CHECK(world.reads[1] - before <= 4);
+    CHECK(world.now - world.confirmedAt < DurationMs{1300});
+    world.configuration = std::make_shared<ServingConfiguration>();
+    world.configuration->version = 2;
+    world.store.putConfiguration(world.configuration);
+    world.pass({1400});
+    CHECK(world.version == 2);
+}
+
+TEST_CASE("a daemon whose source falls silent reads the store itself")
+{
+    AskingWorld world;
+    world.pass({5000});
+    world.readerStops = true;
+    for (int i = 0; i < 20; ++i) {
+        world.pass({500});
+        CHECK(world.now - world.confirmedAt < DurationMs{2200});
+    }
+}
+
+TEST_CASE("an answer that was held up makes nothing look fresher than it was")
+{
+    // The asker stands still for four seconds; the answer waits in its socket. Its configuration was removed
+    // meanwhile. Read after waking up, the answer must count from when the question was sent.
+    AskingWorld world;
+    world.pass({5000});
+    world.holdAnswers = true;
+    world.pass({400});
+    REQUIRE(!world.held.empty());
+    const TimeMs sentBefore = world.now;
+    world.now = world.now + DurationMs{4000};
+    for (const FreshnessAnswer &answer : world.held)
+        world.syncs[1]->onAnswer(answer, world.now);
+    for (const ConfigurationRead &read : world.syncs[1]->takeNews().configurations)
+        CHECK(read.askedAt <= sentBefore);
+}
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -1,5 +1,5 @@
 #include "gateway/eventstream.h"
-#include "gateway/peerreportcodec.h"
+#include "gateway/peerdatagrams.h"
 #include "gateway/peertable.h"
 #include "gateway/quotas.h"
 #include "gateway/repeatbudget.h"
@@ -298,7 +298,7 @@
     CHECK(usage.endOf(200).count == 5000);
 }
 
-TEST_CASE("a peer's report survives its way, and what is no report is dropped")
+TEST_CASE("a peer's report survives its way, and what is no datagram is dropped")
 {
     PeerReport report = makeReport(9, 4);
     report.instance.value = "entry-\"2\"";
@@ -307,19 +307,44 @@
     report.uses = {{{"a"}, 1.5, 2.5}};
     report.windows = {{7, {"a"}, 12}};
     report.demands = {{{"model"}, 100.5, 2}};
-    const std::optional<PeerReport> read = decodeReport(encodeReport(report));
-    REQUIRE(read);
-    CHECK(read->instance == report.instance);
-    CHECK(read->wallMs == report.wallMs);
-    CHECK(read->loads[0].prefillTokens == 4000);
-    CHECK(read->uses[0].units == 1.5);
-    CHECK(read->windows[0].count == 12);
-    CHECK(read->demands[0].prefillTokensPerSecond == 100.5);
-    for (const char *text : {"", "{", "[]", "{}", "{\"id\":\"x\"}", "\xff\xfe"})
-        CHECK_FALSE(decodeReport(text));
-    std::string cut = encodeReport(report);
+    const std::optional<PeerDatagram> datagram = decodeDatagram(encodeDatagram(report));
+    REQUIRE(datagram);
+    const PeerReport &read = std::get<PeerReport>(*datagram);
+    CHECK(read.instance == report.instance);
+    CHECK(read.wallMs == report.wallMs);
+    CHECK(read.loads[0].prefillTokens == 4000);
+    CHECK(read.uses[0].left == 2.5);
+    CHECK(read.windows[0].count == 12);
+    CHECK(read.demands[0].prefillTokensPerSecond == 100.5);
+    for (const char *text : {"", "{", "[]", "{}", "{\"kind\":\"report\"}", "{\"kind\":1}", "\xff\xfe"})
+        CHECK_FALSE(decodeDatagram(text));
+    std::string cut = encodeDatagram(report);
     cut.resize(cut.size() - 5);
-    CHECK_FALSE(decodeReport(cut));
+    CHECK_FALSE(decodeDatagram(cut));
+}
+
+TEST_CASE("questions and answers about freshness survive their way")
+{
+    const FreshnessQuestion question{{77}, 5, 1234567890123456789ULL};
+    const std::optional<PeerDatagram> asked = decodeDatagram(encodeDatagram(question));
+    REQUIRE(asked);
+    CHECK(std::get<FreshnessQuestion>(*asked).endpointsDigest == question.endpointsDigest);
+    FreshnessAnswer answer;
+    answer.number = 5;
+    answer.sharedAge = {300};
+    answer.hasEndpoints = true;
+    EndpointEntry entry;
+    entry.id.value = "i-1";
+    entry.address = {"10.0.0.1", 80};
+    entry.leaving = true;
+    entry.leavesAfter = DurationMs{2000};
+    answer.endpoints = {entry};
+    const std::optional<PeerDatagram> answered = decodeDatagram(encodeDatagram(answer));
+    REQUIRE(answered);
+    const FreshnessAnswer &read = std::get<FreshnessAnswer>(*answered);
+    CHECK(read.sharedAge.count == 300);
+    REQUIRE(read.endpoints.size() == 1);
+    CHECK(read.endpoints[0].leavesAfter->count == 2000);
 }
 
 TEST_CASE("events are cut by blank lines, whatever the line ends")
