A moved run that its target does not take is not run anew

Ruled out: a resend after a broken connection (the kind can't be resumed, and none was logged). Now any repeat asks whether an earlier attempt may have run. The test failed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,11 @@
     return request.promptTokens + request.outputTokens;
 }
 
+bool isRepeatable(const Route &route)
+{
+    return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.resumable);
+}
+
 std::string secondsText(DurationMs duration)
 {
     return fmt::format("{:.2f}", static_cast<double>(duration.count) / 1000.0);
@@ -516,16 +521,15 @@
 // Whether a request that may have run may run once more.
 bool Gateway::mayRepeat(const Exchange &exchange) const
 {
-    if (exchange.sends >= exchange.route->attempts)
-        return false;
-    if (exchange.route->kind == RouteKind::Streaming)
-        return exchange.route->resumable;
-    return exchange.route->kind == RouteKind::Idempotent;
+    return exchange.sends < exchange.route->attempts && isRepeatable(*exchange.route);
 }
 
 // One more send, if the time, the budget of all daemons and an endpoint are there.
 bool Gateway::repeat(Exchange &exchange, GatewayRetry reason, TimeMs now)
 {
+    // Also after a statement that the last attempt did not run it: an earlier one may have.
+    if (exchange.mayHaveRun && !isRepeatable(*exchange.route))
+        return false;
     if (std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now < LeastUsefulTime)
         return false;
     const PlacementQuestion question = questionOf(exchange);
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -113,11 +113,9 @@
     const AttemptId before = exchange.attempt;
     actions_.emplace_back(CancelSent{before});
     detach(exchange);
-    const FleetEndpoint *target = fleet_.find(move.target);
-    if (!target) {
-        exchange.mayHaveRun = true;
+    exchange.mayHaveRun = true;
+    if (!fleet_.find(move.target))
         return streamBroke(exchange, now);
-    }
     counters_.add(GatewayRetry::Moved);
     PlacementChoice choice;
     choice.endpoint = move.target;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -475,6 +475,26 @@
     CHECK(sent.size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "a moved run that its target does not take is not run anew")
+{
+    // The run was stopped and its memory copied. At the target's address another instance answers that it did not
+    // run the request. But the request has run, at the source: sent to a third engine it would run twice.
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    broken(stream.attempt);
+    gateway.onRunMoved({stream.attempt, MoveOutcome::Moved, "h1"}, now);
+    drainActions();
+    REQUIRE(sent.size() == 2);
+    AttemptHead head;
+    head.attempt = lastSent().attempt;
+    head.status = 421;
+    head.wrongInstance = true;
+    gateway.onHead(head, now);
+    drainActions();
+    CHECK(sent.size() == 2);
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK_FALSE(streamEnds[stream.caller]);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a stream that ends in time stays where it is")
 {
     // Four events are left at 20 ms each; the engine serves for two seconds more.
