Limits: the buckets of all organisations are kept from the start

A bucket began with an organisation's first request, and what the others had used before that was forgotten. Ruled out: the share of the daemons heard (1.0 on all).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -635,6 +635,7 @@
                 {"routes", event.configuration->routes.size()},
                 {"age_ms", (now - event.askedAt).count}});
     configuration_ = event.configuration;
+    refillQuotas(now);
     counters_.add(GatewayCount::ConfigurationsTaken);
     runQueue(now);
 }
@@ -671,6 +672,15 @@
         fleet_.setPeersLoad(peers_.loadSums(now));
 }
 
+void Gateway::refillQuotas(TimeMs now)
+{
+    if (!configuration_)
+        return;
+    const QuotaScope scope = peers_.quotaScope(now);
+    for (const ServedOrganisation &organisation : configuration_->organisations)
+        quotas_.refill(organisation, scope, now);
+}
+
 PeerReport Gateway::report(TimeMs now)
 {
     PeerReport out;
@@ -688,6 +698,7 @@
         if (entry.second.running > 0)
             out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
     }
+    refillQuotas(now);
     quotas_.reported();
     out.uses = quotas_.uses(now);
     // The newest windows only, and not each time: the holder of the duty needs them a second after their end.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,7 @@
     // Judging a request: once when it is read, again when it leaves the queue.
     std::optional<OwnAnswer> judge(Exchange &exchange, TimeMs now) const;
     bool isFresh(TimeMs now, DurationMs bound) const;
+    void refillQuotas(TimeMs now);
     std::optional<OwnAnswer> takeQuota(Exchange &exchange, TimeMs now);
     ServiceName pickService(const Exchange &exchange) const;
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -134,8 +134,8 @@
     uint64_t endpointsDigest = 0; ///< Of the list that the asker has.
 };
 
-/// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at which
-/// it sent the question, so that no delay on the way makes anything look fresher than it was.
+/// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at
+/// which it sent the question, so that no delay on the way makes anything look fresher than it was.
 struct FreshnessAnswer {
     uint64_t number = 0;
     DurationMs sharedAge; ///< Of the configuration, the members and the leader.
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Reports go to all daemons: their pace stretches with the number of daemons, so that a daemon sends and reads
-/// about eighty a second at most.
+/// Reports go to all daemons: their pace stretches with the number of daemons, so that a daemon sends and
+/// reads about eighty a second at most.
 constexpr DurationMs ShortestReportPace{200};
 constexpr DurationMs ReportPacePerDaemon{12};
 /// A peer that is silent for so many reports is not counted on.
@@ -38,8 +38,8 @@
     return reportPace() * SilentReportsForLimits + reportPace() / 2;
 }
 
-// The first few of those that are heard, in an order that all share. Views may differ for a moment: then there
-// is a reader more or less. The others spread over them by their own names.
+// The first few of those that are heard, in an order that all share. Views may differ for a moment: then
+// there is a reader more or less. The others spread over them by their own names.
 std::optional<Address> PeerTable::readerToAsk(TimeMs now) const
 {
     std::vector<const MemberEntry *> readers;
@@ -51,8 +51,9 @@
     std::sort(readers.begin(), readers.end(),
               [](const MemberEntry *a, const MemberEntry *b) { return a->incarnation < b->incarnation; });
     readers.resize(std::min(readers.size(), Readers));
-    const bool readsItself = std::any_of(readers.begin(), readers.end(),
-                                         [this](const MemberEntry *reader) { return reader->instance == self_; });
+    const bool readsItself = std::any_of(readers.begin(), readers.end(), [this](const MemberEntry *reader) {
+        return reader->instance == self_;
+    });
     if (readers.empty() || readsItself)
         return std::nullopt;
     return readers[std::hash<std::string>()(self_.value) % readers.size()]->peerAddress;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -22,30 +22,37 @@
 
 } // namespace
 
-// A request larger than the burst may start on a full bucket: otherwise it could never run.
-std::optional<DurationMs> Quotas::take(const ServedOrganisation &organisation, double units, QuotaScope scope,
-                                       TimeMs now)
+void Quotas::refill(const ServedOrganisation &organisation, QuotaScope scope, TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
-        return std::nullopt;
+        return;
     const double over = 1 + UsedTolerance * tolerance_.over;
-    const double rate = organisation.ratePerSecond * over * scope.share;
-    const double wholeBurst = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0);
-    const double burst = wholeBurst * scope.share;
     Bucket &bucket = buckets_[organisation.name];
-    double level = bucket.started ? bucket.levelAt(now) : wholeBurst * scope.ownShare;
+    bucket.wholeBurst = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0);
+    double level = bucket.started ? bucket.levelAt(now) : bucket.wholeBurst * scope.ownShare;
     if (bucket.started && scope.share < bucket.share && level > 0)
         level *= scope.share / bucket.share; // Those that left took their part along.
-    bucket.level = std::min(burst, level + std::exchange(bucket.joined, 0));
+    bucket.burst = bucket.wholeBurst * scope.share;
+    bucket.ratePerSecond = organisation.ratePerSecond * over * scope.share;
+    bucket.level = std::min(bucket.burst, level + std::exchange(bucket.joined, 0));
+    bucket.level = std::max(bucket.level, -MostDebtSeconds * organisation.ratePerSecond);
     bucket.share = scope.share;
     bucket.started = true;
     bucket.filledAt = now;
-    bucket.ratePerSecond = rate;
-    bucket.burst = burst;
-    bucket.level = std::max(bucket.level, -MostDebtSeconds * organisation.ratePerSecond);
-    const double needed = std::min(units, wholeBurst);
+}
+
+// A request larger than the burst may start on a full bucket: otherwise it could never run.
+std::optional<DurationMs> Quotas::take(const ServedOrganisation &organisation, double units, QuotaScope scope,
+                                       TimeMs now)
+{
+    if (organisation.ratePerSecond <= 0)
+        return std::nullopt;
+    refill(organisation, scope, now);
+    Bucket &bucket = buckets_[organisation.name];
+    const double needed = std::min(units, bucket.wholeBurst);
     if (bucket.level < needed)
-        return DurationMs{static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / rate))};
+        return DurationMs{
+            static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / bucket.ratePerSecond))};
     bucket.level -= units;
     bucket.used += units;
     bucket.unreported += units;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -31,6 +31,9 @@
 {
 public:
     void setTolerance(const QuotaTolerance &tolerance) { tolerance_ = tolerance; }
+    /// Brings an organisation's bucket up to date. To be called for all of them at a steady pace: a bucket
+    /// that starts only with its first request would not know what the others used before.
+    void refill(const ServedOrganisation &organisation, QuotaScope scope, TimeMs now);
     /// Takes `units` and returns nothing, or leaves them and returns when they will be there.
     std::optional<DurationMs> take(const ServedOrganisation &organisation, double units, QuotaScope scope,
                                    TimeMs now);
@@ -54,6 +57,7 @@
         double level = 0;
         double ratePerSecond = 0;
         double burst = 0;
+        double wholeBurst = 0; ///< Of all daemons together.
         TimeMs filledAt;
         double used = 0; ///< Own, since the start.
         double unreported = 0;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -317,7 +317,8 @@
     while (questions_.size() >= MostOpenQuestions)
         questions_.erase(questions_.begin());
     questions_[nextQuestion_] = now;
-    outgoing_.push_back({*source_, FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_}});
+    outgoing_.push_back(
+        {*source_, FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_}});
     ++nextQuestion_;
 }
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -27,8 +27,9 @@
 /// Keeps this daemon in step with the store: reads configuration, members and endpoints at a steady pace,
 /// holds a lease for its own entry, and stands for the leadership of the duties.
 ///
-/// Only a few daemons read all the time. The others ask one of them how fresh its view is, and read themselves
-/// where it differs from theirs, or where nobody answers. So the store's load does not grow with the daemons.
+/// Only a few daemons read all the time. The others ask one of them how fresh its view is, and read
+/// themselves where it differs from theirs, or where nobody answers. So the store's load does not grow with
+/// the daemons.
 ///
 /// Reads overlap: one that hangs on a silent connection does not hold up the next. Freshness is counted from
 /// when a question was sent, since the store may have answered at any time after that.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -477,8 +477,8 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a moved run that its target does not take is not run anew")
 {
-    // The run was stopped and its memory copied. At the target's address another instance answers that it did not
-    // run the request. But the request has run, at the source: sent to a third engine it would run twice.
+    // The run was stopped and its memory copied. At the target's address another instance answers that it did
+    // not run the request. But the request has run, at the source: sent to a third engine it would run twice.
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
     broken(stream.attempt);
     gateway.onRunMoved({stream.attempt, MoveOutcome::Moved, "h1"}, now);
@@ -513,3 +513,26 @@
     pass({100});
     CHECK(moves.empty());
 }
+
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "what the others used before this daemon's first request of an organisation counts")
+{
+    // An organisation used up its limit at the other daemons. Then its callers turn to this one, which has
+    // not seen a request of it before.
+    std::shared_ptr<ServingConfiguration> limited = makeConfiguration(2);
+    limited->organisations[0].ratePerSecond = 1;
+    limited->organisations[0].burst = 10;
+    configure(limited);
+    gateway.onMembers({{{"entry-1"}, {1}, {"north"}, {}, {}}, {{"entry-2"}, {2}, {"south"}, {}, {}}});
+    gateway.report(now); // Made several times a second; it keeps the buckets up to date.
+    PeerReport report;
+    report.incarnation.value = 2;
+    report.sequence = 1;
+    report.uses = {{{"a"}, 0, 5}};
+    gateway.onPeerReport(report, now);
+    report.sequence = 2;
+    report.uses = {{{"a"}, 9, 1}};
+    gateway.onPeerReport(report, now);
+    CHECK(statusOf(request(Order)) == 0);
+    CHECK(statusOf(request(Order)) == 429);
+}
