--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -20,6 +20,9 @@
 /// Streams of an engine bring events every few tens of milliseconds, and prompts are read in pieces between
 /// them. When all streams of an engine pause for so long, it is down or out of reach.
 constexpr DurationMs SilenceOfStreams{700};
+/// With a list older than this, engines are asked themselves whether they leave, at this pace.
+constexpr DurationMs ListTooOld{1800};
+constexpr DurationMs ProbePace{600};
 /// A notice may have stood in the list for so long before it was read.
 constexpr DurationMs NoticeAge{500};
 /// A gap between two ticks that shows that this process stood still itself.
@@ -274,6 +277,31 @@
         found->second.avoidedForGood = true;
 }
 
+void EndpointFleet::leaves(const EndpointId &id, DurationMs after, TimeMs now)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || found->second.entry.leaving)
+        return;
+    found->second.entry.leaving = true;
+    found->second.leavesAt = now + after;
+}
+
+// While the store is away the list says nothing of a reclaim, and streams would be cut that can be moved.
+std::vector<EndpointEntry> EndpointFleet::dueProbes(TimeMs now)
+{
+    std::vector<EndpointEntry> due;
+    if (!known_ || now - listedAt_ < ListTooOld)
+        return due;
+    for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        FleetEndpoint &endpoint = entry.second;
+        if (endpoint.streaming == 0 || endpoint.entry.leaving || now - endpoint.probedAt < ProbePace)
+            continue;
+        endpoint.probedAt = now;
+        due.push_back(endpoint.entry);
+    }
+    return due;
+}
+
 void EndpointFleet::setPeersLoad(const std::map<EndpointId, EndpointLoad> &sums)
 {
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -23,6 +23,7 @@
     uint64_t peersPrefillTokens = 0;
 
     uint32_t streaming = 0; ///< Own attempts that have had their first event.
+    TimeMs probedAt;
     TimeMs heardAt; ///< Last byte on any own attempt, or when the first of them got its first event.
 
     double failureShare = 0; ///< Moving mean over recent attempts, 0 to 1.
@@ -77,8 +78,13 @@
     void succeeded(const EndpointId &id);
     void failed(const EndpointId &id, TimeMs now);
     void wrongInstance(const EndpointId &id);
+    /// The endpoint itself says that it leaves.
+    void leaves(const EndpointId &id, DurationMs after, TimeMs now);
     void setPeersLoad(const std::map<EndpointId, EndpointLoad> &sums);
 
+    /// Engines with own streams that are due to be asked for their state, since the list is old.
+    std::vector<EndpointEntry> dueProbes(TimeMs now);
+
     const FleetEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
     /// The newest list was true at or after this time.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -756,6 +756,7 @@
 {
     fleet_.tick(now);
     leaveSilentEndpoints(now);
+    probeEngines(now);
     moveRunsAway(now);
     fleet_.setPeersLoad(peers_.loadSums(now));
     std::vector<CallerId> late;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
     void onEnd(const AttemptEnd &event, TimeMs now);
     void onBroken(const AttemptBroken &event, TimeMs now);
     void onRunMoved(const RunMoved &event, TimeMs now);
+    void onEngineProbed(const EngineProbed &event, TimeMs now);
 
     // The store and the other daemons.
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
@@ -108,6 +109,7 @@
     void leaveSilentEndpoints(TimeMs now);
 
     // Runs on leaving engines (runmoves.cpp).
+    void probeEngines(TimeMs now);
     void moveRunsAway(TimeMs now);
     bool isWorthMoving(const Exchange &exchange, TimeMs now) const;
     void startMove(Exchange &exchange, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -68,6 +68,14 @@
     std::string handle; ///< Names the memory, once.
 };
 
+/// What an engine says of itself.
+struct EngineProbed {
+    EndpointId endpoint;
+    bool answered = false;
+    bool leaving = false;
+    std::optional<DurationMs> leavesAfter;
+};
+
 struct AttemptBroken {
     AttemptId attempt;
     bool sent = true; ///< False: no byte left this process.
@@ -187,6 +195,13 @@
     DurationMs timeout;
 };
 
+/// Ask an engine for its state.
+struct ProbeEngine {
+    EndpointId endpoint;
+    Address address;
+    DurationMs timeout;
+};
+
 /// Send a request to an endpoint.
 struct SendAttempt {
     AttemptId attempt;
@@ -205,6 +220,6 @@
 };
 
 using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
-                                   SendAttempt, CancelSent, MoveRun>;
+                                   SendAttempt, CancelSent, MoveRun, ProbeEngine>;
 
 } // namespace cranberry
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -8,14 +8,37 @@
 constexpr DurationMs MoveMargin{500};
 /// A copy of one run takes milliseconds; those of a whole engine queue behind each other.
 constexpr DurationMs MoveTimeout{1200};
+/// An engine answers from memory; a later answer is of no use for a notice of seconds.
+constexpr DurationMs ProbeTimeout{500};
 /// After the reply the stopped stream's last bytes are still to come.
 constexpr DurationMs LastBytesTime{150};
-constexpr uint32_t MostMoves = 2; ///< Of one request.
+constexpr size_t MostMoves = 4; ///< Tries for one request, each at another target.
 /// Pace of a stream of which only the first event has been seen.
 constexpr double UnknownEventMs = 60;
 
 } // namespace
 
+void Gateway::probeEngines(TimeMs now)
+{
+    for (const EndpointEntry &entry : fleet_.dueProbes(now)) {
+        const ServedService *service = configuration_ ? configuration_->findService(entry.service) : nullptr;
+        if (service && service->engine)
+            actions_.emplace_back(ProbeEngine{entry.id, entry.address, ProbeTimeout});
+    }
+}
+
+void Gateway::onEngineProbed(const EngineProbed &event, TimeMs now)
+{
+    if (!event.answered || !event.leaving)
+        return;
+    const DurationMs after = event.leavesAfter.value_or(settings_.drainTime);
+    log_.write(LogWeight::State, "engine_says_it_leaves",
+               {{"endpoint", event.endpoint.value},
+                {"leaves_in_ms", after.count},
+                {"list_age_ms", (now - fleet_.listedAt()).count}});
+    fleet_.leaves(event.endpoint, after, now);
+}
+
 // Streams on an engine that leaves before they end are stopped there, and go on at another engine from the
 // memory that was copied. That counts as the same run, so it is allowed for streams that can't be resumed,
 // too.
@@ -39,7 +62,7 @@
 
 bool Gateway::isWorthMoving(const Exchange &exchange, TimeMs now) const
 {
-    if (!exchange.streaming || exchange.moveTries >= MostMoves)
+    if (!exchange.streaming || exchange.moveTargets.size() >= MostMoves)
         return false;
     const FleetEndpoint *endpoint = fleet_.find(exchange.endpoint);
     if (!endpoint || !endpoint->leavesAt)
@@ -59,9 +82,9 @@
 
 void Gateway::startMove(Exchange &exchange, TimeMs now)
 {
-    ++exchange.moveTries;
     PlacementQuestion question = questionOf(exchange);
-    question.tried = {exchange.endpoint};
+    question.tried = exchange.moveTargets;
+    question.tried.insert(exchange.endpoint);
     const PlacementResult result = fleet_.choose(question, now);
     const FleetEndpoint *source = fleet_.find(exchange.endpoint);
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
@@ -69,6 +92,7 @@
         return;
     RunMove move;
     move.target = result.choice->endpoint;
+    exchange.moveTargets.insert(move.target);
     move.source = source->entry.address;
     move.startedAt = now;
     exchange.move = move;
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -80,6 +80,10 @@
     void run(SendAttempt &action);
     void run(CancelSent &action);
     void run(MoveRun &action);
+    void run(ProbeEngine &action);
+
+    void callEndpoint(const Address &address, HttpRequest request, DurationMs timeout,
+                      std::function<void(int status, const std::string &body)> onReply);
 
     // The store.
     void runStoreCalls();
@@ -318,22 +322,38 @@
     calls.erase(found);
 }
 
-void GatewayServer::State::run(MoveRun &action)
+// A short call to an endpoint beside its requests.
+void GatewayServer::State::callEndpoint(const Address &address, HttpRequest request, DurationMs timeout,
+                                        std::function<void(int status, const std::string &body)> onReply)
 {
     HttpCall call;
-    call.address = action.source;
-    call.request = platform::encodeMove(action);
-    call.connectTimeout = ConnectTimeout;
-    call.progressTimeout = action.timeout;
-    call.totalTimeout = action.timeout;
-    endpoints.fetch(std::move(call), [this, attempt = action.attempt](const HttpResponse &response) {
-        const bool whole = response.failure == HttpFailure::None;
-        gateway.onRunMoved(platform::decodeMove(attempt, whole ? response.status : 0, response.body),
-                           steadyNow());
+    call.address = address;
+    call.request = std::move(request);
+    call.connectTimeout = std::min(ConnectTimeout, timeout);
+    call.progressTimeout = timeout;
+    call.totalTimeout = timeout;
+    endpoints.fetch(std::move(call), [this, onReply = std::move(onReply)](const HttpResponse &response) {
+        onReply(response.failure == HttpFailure::None ? response.status : 0, response.body);
         runActions();
     });
 }
 
+void GatewayServer::State::run(MoveRun &action)
+{
+    callEndpoint(action.source, platform::encodeMove(action), action.timeout,
+                 [this, attempt = action.attempt](int status, const std::string &body) {
+                     gateway.onRunMoved(platform::decodeMove(attempt, status, body), steadyNow());
+                 });
+}
+
+void GatewayServer::State::run(ProbeEngine &action)
+{
+    callEndpoint(action.address, platform::encodeProbe(), action.timeout,
+                 [this, endpoint = action.endpoint](int status, const std::string &body) {
+                     gateway.onEngineProbed(platform::decodeProbe(endpoint, status, body), steadyNow());
+                 });
+}
+
 // ---- Store ----
 
 void GatewayServer::State::callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply)
@@ -474,7 +494,8 @@
 void GatewayServer::State::sendOutgoing()
 {
     for (const StoreSync::Outgoing &outgoing : sync.takeOutgoing())
-        sendDatagram(outgoing.to, std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
+        sendDatagram(outgoing.to,
+                     std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
 }
 
 // Reports may be lost: the next one says all of it again.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -475,6 +475,41 @@
     CHECK(sent.size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "a reclaim during an outage of the store is learned from the engine")
+{
+    // The store is down when a failure domain gets its notice, so the list stays as it was. The stream's
+    // engine is asked for its state, says that it leaves, and the stream is moved in time.
+    configuration->services[0].engine->movesRuns = true;
+    CallerRequest request = makeRequest(PlainStream);
+    request.outputTokens = 600;
+    this->request(request);
+    const AttemptId attempt = lastSent().attempt;
+    head(attempt, 200, true);
+    uint64_t id = 1;
+    storeReachable = false;
+    for (int i = 0; i < 40; ++i, ++id) {
+        events(attempt, id, id);
+        pass({50});
+    }
+    REQUIRE(!probes.empty());
+    CHECK(probes[0].endpoint == lastSent().endpoint);
+    CHECK(moves.empty());
+    gateway.onEngineProbed({lastSent().endpoint, true, true, DurationMs{1500}}, now);
+    events(attempt, id, id);
+    pass({25});
+    CHECK(moves.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a move that finds no room tries another engine")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    gateway.onRunMoved({stream.attempt, MoveOutcome::NoRoom, "h1"}, now);
+    events(stream.attempt, 4, 4);
+    pass({25});
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[1].target != moves[0].target);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a moved run that its target does not take is not run anew")
 {
     // The run was stopped and its memory copied. At the target's address another instance answers that it did
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -208,6 +208,8 @@
             cancelled.push_back(cancel->attempt);
         else if (const MoveRun *move = std::get_if<MoveRun>(&action))
             moves.push_back(*move);
+        else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
+            probes.push_back(*probe);
     }
 }
 
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -53,6 +53,7 @@
     std::vector<SendAttempt> sent;
     std::vector<AttemptId> cancelled;
     std::vector<MoveRun> moves;
+    std::vector<ProbeEngine> probes;
     std::map<CallerId, AnswerCaller> answers;
     std::map<CallerId, std::string> streamed;
     std::map<CallerId, bool> streamEnds; ///< True: whole.
