Stand-in of the platform as a process, and the gateway tested as processes before it

Cases: calm, stop, kill, store away, at most once, cut streams, bad input, unread standard output. Found and mended: a caller with a slow header got a closed connection instead of 408, since the stream's expiry closes the socket.

--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -268,8 +268,9 @@
         }
     }
     sharedDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
-    if (!sawConfiguration)
-        log_.write(LogWeight::Ordinary, "no_configuration", {});
+    if (sawConfiguration != sawConfiguration_)
+        log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
+    sawConfiguration_ = sawConfiguration;
     news_.members = std::move(members);
     // A read that was asked before our own win can't have seen it.
     const bool staleView = leaderIsSelf_ && leaderRevision < leaderRevision_;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -110,6 +110,7 @@
     TimeMs newestShared_; ///< What is known was so in the store at or after this time.
     TimeMs newestEndpoints_;
     bool storeAnswers_ = false;
+    bool sawConfiguration_ = true; ///< In the newest read; its absence is news.
 
     std::optional<Address> source_;
     TimeMs askAt_;
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "socketoptions.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -83,7 +84,8 @@
 {
 public:
     HttpConnection(tcp::socket socket, std::shared_ptr<HttpServer::Listener> listener)
-        : stream_(std::move(socket)), listener_(std::move(listener)), counters_(listener_->counters)
+        : stream_(std::move(socket)), readTimer_(stream_.get_executor()), listener_(std::move(listener)),
+          counters_(listener_->counters)
     {
         ++counters_.open;
         setSocketOptions(stream_.socket().native_handle());
@@ -157,7 +159,7 @@
     // The header and the body each have the read timeout, so that a long body is not cut by a slow header.
     void readRequest()
     {
-        stream_.expires_after(std::chrono::milliseconds(listener_->limits.readTimeout.count));
+        startReadTimer();
         http::async_read_header(stream_, buffer_, *parser_,
                                 [self = shared_from_this()](beast::error_code code, size_t) {
                                     if (code || self->parser_->is_done())
@@ -168,11 +170,25 @@
 
     void readBody()
     {
-        stream_.expires_after(std::chrono::milliseconds(listener_->limits.readTimeout.count));
+        startReadTimer();
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code code, size_t) { self->onRead(code); });
     }
 
+    // The stream's own expiry would close the socket, and the caller could not be told why.
+    void startReadTimer()
+    {
+        stream_.expires_never();
+        readTimedOut_ = false;
+        readTimer_.expires_after(std::chrono::milliseconds(listener_->limits.readTimeout.count));
+        readTimer_.async_wait([self = shared_from_this()](beast::error_code code) {
+            if (code)
+                return;
+            self->readTimedOut_ = true;
+            self->stream_.cancel();
+        });
+    }
+
     template <typename Message>
     void setHeaders(Message &message, const HttpHeaders &headers)
     {
@@ -188,7 +204,8 @@
             ++counters_.tooLarge;
             return refuse(code == http::error::body_limit ? 413 : 431, "too large");
         }
-        if (code == beast::error::timeout) {
+        readTimer_.cancel();
+        if (code && readTimedOut_) {
             ++counters_.timeouts;
             return refuse(408, "the request took too long to arrive");
         }
@@ -296,6 +313,8 @@
     }
 
     beast::tcp_stream stream_;
+    asio::steady_timer readTimer_;
+    bool readTimedOut_ = false;
     std::shared_ptr<HttpServer::Listener> listener_;
     HttpServerCounters &counters_; ///< Of the listener.
     beast::flat_buffer buffer_;
--- a/src/io/logsink.cpp
+++ b/src/io/logsink.cpp
@@ -44,10 +44,10 @@
 
 void LogSink::append(const char *event, boost::json::object &&fields, int64_t nowMs)
 {
-    fields["time_ms"] = nowMs;
-    fields["instance"] = instance_;
-    fields["event"] = event;
-    pending_ += boost::json::serialize(fields);
+    boost::json::object line{{"time_ms", nowMs}, {"instance", instance_}, {"event", event}};
+    for (boost::json::key_value_pair &field : fields)
+        line.emplace(field.key(), std::move(field.value()));
+    pending_ += boost::json::serialize(line);
     pending_ += '\n';
 }
 
--- /dev/null
+++ b/standins/deployment.cpp
@@ -0,0 +1,215 @@
+// Stand-in for a whole deployment on the users' platform: its store, three engines, two plain services and
+// the receiver of duties, in one process. The store and the duties are at --listen; endpoint N is N ports
+// above.
+//
+// Faults of the store: down, silent, slowMs (all of the store and the duties), loseReplies (the next N writes
+// are carried out and not answered). Faults of all endpoints: tokens, tokenMs (a stream's length and pace),
+// workMs, full (answers "not executed"), dropAnswers (the next N calls run and their connections are cut),
+// cutAfter (the next stream ends in the middle of an event after N events). POST /configure takes the
+// operator's configuration; POST /leave?endpoint=ID&ms=N announces that an endpoint leaves.
+
+#include "standin.h"
+#include "storestate.h"
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+namespace json = boost::json;
+using cranberry::headerOf;
+
+namespace standin {
+
+namespace {
+
+constexpr int EndpointCount = 5;
+constexpr int FirstPlain = 3; ///< Endpoints before this one are engines.
+constexpr int64_t BeatMs = 500;
+
+std::string base64(const std::string &text)
+{
+    std::string out(4 * ((text.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                     reinterpret_cast<const unsigned char *>(text.data()),
+                                     static_cast<int>(text.size()));
+    out.resize(static_cast<size_t>(size));
+    return out;
+}
+
+int64_t either(int64_t value, int64_t otherwise)
+{
+    return value > 0 ? value : otherwise;
+}
+
+class Deployment
+{
+public:
+    Deployment(Standin &standin, const cranberry::Address &base) : standin_(standin), base_(base)
+    {
+        for (int i = 0; i < EndpointCount; ++i) {
+            const cranberry::Address address{base.host, static_cast<uint16_t>(base.port + 1 + i)};
+            servers_.push_back(std::make_unique<cranberry::HttpServer>(
+                standin.io(), address, cranberry::HttpServerLimits{},
+                [this, i](const HttpExchangePtr &exchange) { onEndpoint(i, exchange); }));
+        }
+        beat();
+    }
+
+    void onStore(const HttpExchangePtr &exchange)
+    {
+        const cranberry::HttpRequest &request = exchange->request();
+        const cranberry::HttpTarget target = cranberry::parseTarget(request.target);
+        const json::value body = parsed(request.body);
+        const std::string last = target.path.substr(target.path.rfind('/') + 1);
+        const uint64_t number = std::strtoull(last.c_str(), nullptr, 10);
+        if (target.path == "/kv-range")
+            return answer(exchange,
+                          store_.list(headerOf(target.query, "Prefix"), headerOf(target.query, "After"),
+                                      standin_.nowMs()));
+        if (target.path == "/kv-txn")
+            return write(exchange, body.as_object());
+        if (target.path == "/kv-lease")
+            return answer(exchange, store_.grant(body.at("TtlMs").to_number<int64_t>(), standin_.nowMs()));
+        if (target.path.starts_with("/kv-keep/"))
+            return answer(exchange, store_.renew(number, standin_.nowMs()));
+        if (target.path.starts_with("/kv-lease-end/"))
+            return answer(exchange, store_.end(number));
+        if (target.path == "/usage" || target.path == "/scale") {
+            standin_.log(fmt::format("duty {} holder={} token={} {}", target.path,
+                                     headerOf(request.headers, "X-Duty-Holder"),
+                                     headerOf(request.headers, "X-Fence-Token"), request.body));
+            return exchange->respond(200, {}, "");
+        }
+        if (target.path == "/configure") {
+            store_.put("op/config", base64(request.body));
+            return exchange->respond(200, {}, "");
+        }
+        if (target.path == "/leave") {
+            leaving_[headerOf(target.query, "endpoint")]
+                = standin_.nowMs() + std::strtoll(headerOf(target.query, "ms").c_str(), nullptr, 10);
+            publish();
+            return exchange->respond(200, {}, "");
+        }
+        exchange->respond(404, {}, "");
+    }
+
+private:
+    static void answer(const HttpExchangePtr &exchange, const StoreAnswer &reply)
+    {
+        respondJson(exchange, reply.status, reply.body);
+    }
+
+    void write(const HttpExchangePtr &exchange, const json::object &body)
+    {
+        const StoreAnswer reply = store_.write(body, standin_.nowMs());
+        if (lostReplies_ < standin_.fault("loseReplies")) {
+            ++lostReplies_;
+            return exchange->abort();
+        }
+        answer(exchange, reply);
+    }
+
+    static std::string idOf(int index) { return fmt::format("i-{}", index); }
+    static bool isEngine(int index) { return index < FirstPlain; }
+
+    void beat()
+    {
+        publish();
+        standin_.after(BeatMs, [this] { beat(); });
+    }
+
+    void publish()
+    {
+        for (int i = 0; i < EndpointCount; ++i) {
+            const auto leaving = leaving_.find(idOf(i));
+            json::object entry{{"Service", isEngine(i) ? "svc-model" : "svc-plain"},
+                               {"Address", fmt::format("{}:{}", base_.host, base_.port + 1 + i)},
+                               {"Zone", fmt::format("zone-{}", i % 2)},
+                               {"Slots", isEngine(i) ? 64 : 6},
+                               {"State", leaving == leaving_.end() ? "ready" : "draining"},
+                               {"Seq", ++sequence_}};
+            if (leaving != leaving_.end())
+                entry["leaves_ms"] = std::max<int64_t>(leaving->second - standin_.nowMs(), 0);
+            store_.put("servers/" + idOf(i), base64(json::serialize(entry)));
+        }
+    }
+
+    void onEndpoint(int index, const HttpExchangePtr &exchange)
+    {
+        const cranberry::HttpRequest &request = exchange->request();
+        const std::string id = headerOf(request.headers, "X-Request-Id");
+        const std::string expected = headerOf(request.headers, "X-Expect-Instance");
+        if (!expected.empty() && expected != idOf(index))
+            return exchange->respond(421, {{"X-Instance-Id", idOf(index)}}, "");
+        if (id.empty())
+            return exchange->respond(400, {{"X-Not-Executed", "1"}}, "");
+        if (standin_.fault("full"))
+            return exchange->respond(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
+        standin_.log(fmt::format("run id={} endpoint={} organisation={} key={} deadline={} after={} body={}",
+                                 id, idOf(index), headerOf(request.headers, "X-Tenant"),
+                                 headerOf(request.headers, "Authorization"),
+                                 headerOf(request.headers, "X-Deadline-Ms"),
+                                 headerOf(request.headers, "Last-Event-Id"), request.body.size()));
+        const cranberry::HttpHeaders headers{{"X-Request-Id", id},
+                                             {"X-Server-Stamp", "stamp-" + idOf(index)}};
+        if (isEngine(index))
+            return stream(exchange, headers);
+        standin_.after(either(standin_.fault("workMs"), 5), [this, exchange, headers, id] {
+            if (dropped_ < standin_.fault("dropAnswers")) {
+                ++dropped_;
+                return exchange->abort();
+            }
+            exchange->respond(200, headers, "answer to " + id);
+        });
+    }
+
+    void stream(const HttpExchangePtr &exchange, cranberry::HttpHeaders headers)
+    {
+        headers.push_back({"Content-Type", "text/event-stream"});
+        const std::string after = headerOf(exchange->request().headers, "Last-Event-Id");
+        std::shared_ptr<bool> gone = std::make_shared<bool>(false);
+        exchange->onClosed([gone] { *gone = true; });
+        exchange->beginStream(200, headers);
+        next(exchange, gone, std::strtoll(after.c_str(), nullptr, 10) + 1);
+    }
+
+    void next(const HttpExchangePtr &exchange, const std::shared_ptr<bool> &gone, int64_t id)
+    {
+        standin_.after(either(standin_.fault("tokenMs"), 5), [this, exchange, gone, id] {
+            if (*gone)
+                return;
+            if (standin_.fault("cutAfter") > 0 && id > standin_.fault("cutAfter") && !wasCut_) {
+                wasCut_ = true;
+                exchange->write(fmt::format("id: {}\nda", id));
+                return standin_.after(20, [exchange] { exchange->abort(); });
+            }
+            exchange->write(fmt::format("id: {}\ndata: token {}\n\n", id, id));
+            if (id >= either(standin_.fault("tokens"), 10))
+                return exchange->finish();
+            next(exchange, gone, id + 1);
+        });
+    }
+
+    Standin &standin_;
+    cranberry::Address base_;
+    StoreState store_;
+    std::vector<std::unique_ptr<cranberry::HttpServer>> servers_;
+    std::map<std::string, int64_t> leaving_;
+    uint64_t sequence_ = 0;
+    int64_t lostReplies_ = 0;
+    int64_t dropped_ = 0;
+    bool wasCut_ = false;
+};
+
+} // namespace
+
+} // namespace standin
+
+int main(int argc, const char **argv)
+{
+    standin::Standin standin("standin-deployment", argc, argv);
+    if (!standin.ok())
+        return standin.exitCode();
+    standin::Deployment deployment(standin, standin.address());
+    standin.serve([&deployment](const standin::HttpExchangePtr &exchange) { deployment.onStore(exchange); });
+    return 0;
+}
--- a/standins/standin.cpp
+++ b/standins/standin.cpp
@@ -22,6 +22,11 @@
     }
 }
 
+cranberry::Address Standin::address() const
+{
+    return cranberry::addressFromText(listen_).value_or(cranberry::Address{});
+}
+
 void Standin::serve(cranberry::HttpHandler handler)
 {
     handler_ = std::move(handler);
@@ -29,7 +34,7 @@
     limits.maxBodyBytes = 16U << 20;
     limits.readTimeout = {60000};
     limits.idleTimeout = {60000};
-    cranberry::HttpServer server(io_, *cranberry::addressFromText(listen_), limits,
+    cranberry::HttpServer server(io_, address(), limits,
                                  [this](const HttpExchangePtr &exchange) { onRequest(exchange); });
     boost::asio::signal_set signals(io_, SIGTERM, SIGINT);
     signals.async_wait([this](const boost::system::error_code &, int) { io_.stop(); });
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -26,6 +26,7 @@
 
     boost::asio::io_context &io() { return io_; }
     const std::string &name() const { return name_; }
+    cranberry::Address address() const; ///< Of --listen.
     void log(const std::string &line); ///< Appends to the file of --log; the checker reads it.
     int64_t nowMs() const;
     void after(int64_t ms, std::function<void()> action);
--- /dev/null
+++ b/tests/gateway_process_test.sh
@@ -0,0 +1,233 @@
+#!/usr/bin/env bash
+# The gateway as real processes before a stand-in of the platform: three daemons, one deployment. Judged by what
+# callers get and by what the endpoints log. Usage: gateway_process_test.sh CASE
+set -euo pipefail
+source "$(dirname "$0")/../scripts/lib.sh"
+
+store=127.0.0.1:21000
+daemons="1 2 3"
+
+settings() { # NUMBER
+    cat <<SETTINGS
+{"instance":"entry-$1","failureDomain":"zone-$(($1 % 2))","callerAddress":"127.0.0.1:2110$1",
+ "readinessAddress":"127.0.0.1:2120$1","entryAddress":"127.0.0.1:2130$1","peerAddress":"127.0.0.1:2140$1",
+ "metricsPort":2150$1,"storeAddress":"$store","dutyAddress":"$store","usageWindowSeconds":1,"stopGraceSeconds":8}
+SETTINGS
+}
+
+start_daemon() { # NUMBER
+    settings "$1" >"$run_dir/settings-$1.json"
+    start "daemon-$1" "$build/cranberrygated" --settings "$run_dir/settings-$1.json"
+}
+
+wait_for() { # WHAT COMMAND...
+    local what=$1
+    shift
+    for _ in $(seq 100); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    echo "FAILED: $what did not come about"
+    exit 1
+}
+
+begin() {
+    begin_run
+    touch "$run_dir/deployment.log"
+    start deployment "$build/standin-deployment" --listen "$store" --name deployment --log "$run_dir/deployment.log"
+    wait_for "the stand-in" curl -sf -X POST --data-binary "@$root/examples/platform/configuration.json" "http://$store/configure"
+    for i in $daemons; do start_daemon "$i"; done
+    for i in $daemons; do wait_for "daemon $i" curl -sf "http://127.0.0.1:2120$i/ready"; done
+}
+
+fault() { # NAME VALUE
+    curl -sf -o /dev/null -X POST "http://$store/fault?name=$1&value=$2"
+}
+
+call() { # DAEMON ID PATH [CURL OPTIONS...]: prints status and body
+    local daemon=$1 id=$2 path=$3
+    shift 3
+    curl -s -m 15 -w '\n%{http_code}' -H "Host: desk.example" -H "X-Request-Id: $id" -H "Authorization: Bearer ${key:-key-a}" \
+        -H "X-Deadline-Ms: 12000" -X POST "$@" "http://127.0.0.1:2110$daemon$path" | tr '\n' ' ' || true
+}
+
+status() { call "$@" | awk '{ print $NF }'; }
+
+runs_of() { grep -c "run id=$1 " "$run_dir/deployment.log" || true; }
+
+expect() { # WHAT GOT WANTED
+    if [ "$2" != "$3" ]; then
+        echo "FAILED: $1: got '$2', wanted '$3'"
+        tail -n 5 "$run_dir"/daemon-*.out
+        exit 1
+    fi
+    echo "ok: $1"
+}
+
+# True if the entry answer of a daemon has so many addresses.
+addresses() { # DAEMON COUNT
+    [ "$(curl -s "http://127.0.0.1:2130$1/resolve?Name=desk.example" | grep -o '127.0.0.1:2110' | wc -l)" = "$2" ]
+}
+
+# A request written byte for byte; prints the status lines that come back within a second.
+raw() { # DAEMON TEXT
+    exec 8<>"/dev/tcp/127.0.0.1/2110$1"
+    printf '%b' "$2" >&8
+    timeout "${3:-1}" cat <&8 | grep -ao 'HTTP/1.1 [0-9]*' | awk '{ print $2 }' | tr '\n' ' ' | sed 's/ $//' || true
+    exec 8>&-
+}
+
+case $1 in
+calm)
+    # Nothing goes wrong: every kind of request is served by every daemon, and what is not allowed is refused.
+    begin
+    for i in $daemons; do
+        expect "plain call at $i" "$(call "$i" "plain-$i" /order/1 -d x)" "answer to plain-$i 200"
+        expect "stream at $i" "$(call "$i" "stream-$i" /review/1 | grep -o 'token 10')" "token 10"
+    done
+    expect "unknown route" "$(status 1 u1 /nowhere/1)" 404
+    expect "unknown key" "$(key=other status 1 u2 /order/1)" 401
+    expect "the key stays here, the organisation goes along" "$(grep -c 'run .*organisation=org-a key= ' "$run_dir/deployment.log")" 6
+    wait_for "addresses of all daemons" addresses 1 3
+    wait_for "a usage report" grep -q "duty /usage .*org-a\":6" "$run_dir/deployment.log"
+    expect "one holder of the duty" "$(grep -o 'holder=[a-z0-9-]*' "$run_dir/deployment.log" | sort -u | wc -l)" 1
+    expect "metrics" "$(curl -s http://127.0.0.1:21501/metrics | grep -c 'refusals_total{reason="unknown_route"} 1')" 1
+    ;;
+stop)
+    # A daemon is told to stop in the middle of a stream. The stream ends whole, callers are sent elsewhere at once,
+    # new requests are still served, and the process ends by itself.
+    begin
+    wait_for "addresses of all daemons" addresses 2 3
+    fault tokens 100
+    fault tokenMs 30
+    call 1 long-1 /draft/1 >"$run_dir/long.out" &
+    stream=$!
+    sleep 0.5
+    kill -TERM "${pids[daemon-1]}"
+    sleep 0.5
+    expect "not ready" "$(curl -s -o /dev/null -w '%{http_code}' http://127.0.0.1:21201/ready)" 503
+    expect "out of the entry answer" "$(curl -s "http://127.0.0.1:21302/resolve?Name=x" | grep -c 21101 || true)" 0
+    expect "still serves" "$(status 1 late-1 /order/1)" 200
+    wait "$stream"
+    expect "the stream is whole" "$(grep -o 'token 100' "$run_dir/long.out")" "token 100"
+    wait_for "its end" bash -c "! kill -0 ${pids[daemon-1]} 2>/dev/null"
+    ;;
+kill)
+    # A daemon is killed, the duties' holder among them. The others serve on, callers are sent to them, and the
+    # duties go on under a higher token.
+    begin
+    wait_for "addresses of all daemons" addresses 2 3
+    wait_for "a holder" grep -q "duty /usage" "$run_dir/deployment.log"
+    holder=$(grep -o 'holder=entry-[0-9]' "$run_dir/deployment.log" | tail -1 | grep -o '[0-9]$')
+    token=$(grep -o 'token=[0-9]*' "$run_dir/deployment.log" | tail -1 | cut -d= -f2)
+    kill -KILL "${pids[daemon-$holder]}"
+    other=$((holder % 3 + 1))
+    expect "others serve" "$(status "$other" after-kill /order/1)" 200
+    sleep 1.5
+    expect "out of the entry answer" "$(curl -s "http://127.0.0.1:2130$other/resolve?Name=x" | grep -c "2110$holder" || true)" 0
+    wait_for "another holder" grep -qE "duty /usage holder=entry-[^$holder]" "$run_dir/deployment.log"
+    next=$(grep -oE "holder=entry-[^$holder] token=[0-9]*" "$run_dir/deployment.log" | tail -1 | grep -o '[0-9]*$')
+    expect "the token grows" "$((next > token))" 1
+    ;;
+store)
+    # The store is away for seven seconds. Keys are served as long as none can have been removed, then refused with
+    # a time to come back; when it is back, all is served again. A configuration reaches all daemons in a second.
+    begin
+    fault silent 1
+    sleep 2
+    expect "served in a short outage" "$(status 1 short /order/1)" 200
+    sleep 5
+    expect "refused when a key may be gone" "$(status 1 long /order/1)" 503
+    expect "nothing was run" "$(runs_of long)" 0
+    fault silent 0
+    wait_for "all again" curl -sf http://127.0.0.1:21201/ready
+    expect "served again" "$(status 1 again /order/1)" 200
+    sed -e 's/"Version": 1/"Version": 2/' -e 's/key-a/key-b/' "$root/examples/platform/configuration.json" >"$run_dir/next.json"
+    curl -sf -X POST --data-binary "@$run_dir/next.json" "http://$store/configure"
+    sleep 1.9
+    for i in $daemons; do expect "removed key at $i" "$(status "$i" "gone-$i" /order/1)" 401; done
+    echo '{"Version": 3, "Routes": 5}' | curl -sf -X POST --data-binary @- "http://$store/configure"
+    sleep 1.9
+    expect "an unreadable configuration changes nothing" "$(key=key-b status 1 kept /order/1)" 200
+    expect "and is logged" "$(cat "$run_dir"/daemon-*.out | grep -c 'configuration_unreadable.*Routes: must be an array')" 3
+    ;;
+once)
+    # Endpoints run calls and lose their answers, or state that they did not run them. Nothing that must not be
+    # repeated runs twice, and "not run" is only said when it is true.
+    begin
+    fault dropAnswers 2
+    expect "a lost answer is unknown" "$(status 1 lost-1 /order/1)" 502
+    expect "and ran once" "$(runs_of lost-1)" 1
+    expect "a look-up is repeated" "$(status 1 lost-2 /lookup/1)" 200
+    expect "at another endpoint" "$(runs_of lost-2)" 2
+    fault full 1
+    expect "nothing was executed" "$(status 1 full-1 /order/1)" 503
+    expect "and nothing ran" "$(runs_of full-1)" 0
+    ;;
+stream)
+    # An engine cuts a stream in the middle of an event. One that can be resumed goes on elsewhere without a gap;
+    # the caller of the other sees a broken stream, not a complete one.
+    begin
+    fault cutAfter 4
+    expect "resumed" "$(call 1 resumed /review/1 | grep -o 'token [0-9]*' | tr '\n' ' ')" \
+        "token 1 token 2 token 3 token 4 token 5 token 6 token 7 token 8 token 9 token 10 "
+    expect "after the last whole event" "$(grep -c 'run id=resumed .*after=4 ' "$run_dir/deployment.log")" 1
+    kill -KILL "${pids[deployment]}"
+    sleep 0.2
+    start deployment "$build/standin-deployment" --listen "$store" --name deployment --log "$run_dir/deployment.log"
+    wait_for "the stand-in" curl -sf -X POST --data-binary "@$root/examples/platform/configuration.json" "http://$store/configure"
+    fault cutAfter 4
+    sleep 1.5
+    code=0
+    curl -s -m 5 -o "$run_dir/cut.out" -X POST -H "Host: desk.example" -H "X-Request-Id: cut" -H "Authorization: Bearer key-a" \
+        http://127.0.0.1:21101/draft/1 || code=$?
+    expect "broken is seen as broken" "$((code != 0))" 1
+    expect "whole events only" "$(tail -c 15 "$run_dir/cut.out" | tr '\n' ' ')" "data: token 4  "
+    ;;
+badinput)
+    # Malformed requests get a clear answer or a closed connection, nothing of them reaches an endpoint, and the
+    # daemon goes on. Settings that are wrong end the process with one line that names the field.
+    begin
+    head='Host: desk.example\r\nX-Request-Id: bad\r\nAuthorization: Bearer key-a\r\n'
+    expect "malformed line" "$(raw 1 'GARBAGE\r\n\r\n')" 400
+    expect "length and chunked" "$(raw 1 "POST /order/1 HTTP/1.1\r\n${head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")" 400
+    expect "two lengths" "$(raw 1 "POST /order/1 HTTP/1.1\r\n${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")" 400
+    expect "bad length" "$(raw 1 "POST /order/1 HTTP/1.1\r\n${head}Content-Length: -1\r\n\r\n")" 400
+    expect "Host twice" "$(raw 1 "GET /order/1 HTTP/1.1\r\nHost: other\r\n${head}\r\n")" 400
+    expect "no id" "$(raw 1 'GET /order/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n')" 400
+    expect "slow header" "$(raw 1 'GET /order/1 HTTP/1.1\r\nHost: desk' 3)" 408
+    expect "large header" "$(status 1 bad /order/1 -H "X-Large: $(head -c 9000 /dev/zero | tr '\0' a)")" 431
+    head -c 70000 /dev/zero >"$run_dir/large"
+    expect "large body" "$(status 1 bad /order/1 --data-binary "@$run_dir/large")" 413
+    expect "nothing of it ran" "$(runs_of bad)" 0
+    good='GET /order/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-a\r\n'
+    expect "two requests in one go" "$(raw 1 "${good}X-Request-Id: p1\r\n\r\n${good}X-Request-Id: p2\r\n\r\n")" "200 200"
+    expect "serves on" "$(status 1 fine /order/1)" 200
+    settings 1 | sed 's/"storeAddress":"[^"]*"/"storeAddress":17/' >"$run_dir/wrong.json"
+    code=0
+    "$build/cranberrygated" --settings "$run_dir/wrong.json" 2>"$run_dir/wrong.err" || code=$?
+    expect "wrong settings" "$code $(grep -c 'storeAddress: must be a string' "$run_dir/wrong.err")" "2 1"
+    expect "checked settings" "$("$build/cranberrygated" --check --settings "$run_dir/settings-1.json" | grep -c ': ok')" 1
+    ;;
+unread)
+    # Nobody reads the daemon's standard output. It serves on; lines are dropped and counted, nothing blocks.
+    begin
+    settings 4 >"$run_dir/settings-4.json"
+    mkfifo "$run_dir/pipe"
+    sleep 60 <"$run_dir/pipe" &
+    pids[reader]=$!
+    "$build/cranberrygated" --settings "$run_dir/settings-4.json" >"$run_dir/pipe" 9>&- &
+    pids[daemon-4]=$!
+    wait_for "daemon 4" curl -sf http://127.0.0.1:21204/ready
+    for i in $(seq 300); do printf 'GET /nowhere/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: n%s\r\n\r\n' "$i"; done >"$run_dir/many"
+    for _ in 1 2 3 4 5 6; do
+        timeout 1 bash -c "exec 7<>/dev/tcp/127.0.0.1/21104; cat '$run_dir/many' >&7; cat <&7" | grep -c "HTTP/1.1 404" || true
+    done | awk '{ s += $1 } END { print s }' >"$run_dir/answered"
+    expect "all answered" "$(cat "$run_dir/answered")" 1800
+    expect "serves on" "$(status 4 fine /order/1)" 200
+    ;;
+*)
+    echo "unknown case $1" >&2
+    exit 2
+    ;;
+esac
