--- /dev/null
+++ b/tests/trace_test.cpp
@@ -0,0 +1,27 @@
+#include "trace.h"
+
+#include <doctest/doctest.h>
+
+using namespace cranberry;
+
+TEST_CASE("a request's story: its own lines, and what its daemons learned of its endpoints, in order")
+{
+    const std::vector<std::string> lines{
+        R"(  2.1 entry-1 {"time_ms":2000,"instance":"entry-1","event":"send","request":"r1","endpoint":"i-1","age_ms":3})",
+        R"({"time_ms":1500,"instance":"entry-1","event":"endpoint","endpoint":"i-1","leaving":true})",
+        R"({"time_ms":1600,"instance":"entry-1","event":"endpoint","endpoint":"i-2","leaving":true})",
+        R"({"time_ms":1700,"instance":"entry-2","event":"store_lost"})",
+        R"({"time_ms":1800,"instance":"entry-1","event":"store_lost"})",
+        R"({"time_ms":2100,"instance":"entry-1","event":"send","request":"r2","endpoint":"i-1"})",
+        R"({"time_ms":2200,"instance":"entry-1","event":"refused","request":"r1","reason":"timed_out"})",
+        R"({"time_ms":9000,"instance":"entry-1","event":"store_regained"})",
+        "not a log line",
+        "{\"broken"};
+    const std::vector<std::string> story = traceRequest("r1", lines);
+    REQUIRE(story.size() == 4);
+    CHECK(story[0] == "  -500 ms   entry-1 endpoint endpoint=\"i-1\" leaving=true");
+    CHECK(story[1] == "  -200 ms   entry-1 store_lost");
+    CHECK(story[2] == "    +0 ms * entry-1 send endpoint=\"i-1\" age_ms=3");
+    CHECK(story[3] == "  +200 ms * entry-1 refused reason=\"timed_out\"");
+    CHECK(traceRequest("unknown", lines).empty());
+}
--- a/tools/cranberryctl.cpp
+++ b/tools/cranberryctl.cpp
@@ -1,7 +1,9 @@
 #include "commandline.h"
 #include "httpclient.h"
 #include "jsonread.h"
+#include "trace.h"
 
+#include <boost/algorithm/string/split.hpp>
 #include <fmt/format.h>
 #include <openssl/rand.h>
 
@@ -102,20 +104,45 @@
     return 0;
 }
 
+// Prints a request's story from the daemons' logs.
+int trace(const CommandLine &line)
+{
+    if (line.arguments().size() < 3)
+        return line.fail("trace needs a request's id and at least one log file");
+    std::vector<std::string> lines;
+    for (size_t i = 2; i < line.arguments().size(); ++i) {
+        const std::optional<std::string> text = readFile(line.arguments()[i]);
+        if (!text)
+            return line.fail("can't read " + line.arguments()[i]);
+        std::vector<std::string> ofFile;
+        boost::algorithm::split(ofFile, *text, [](char c) { return c == '\n'; });
+        lines.insert(lines.end(), ofFile.begin(), ofFile.end());
+    }
+    const std::vector<std::string> story = traceRequest(line.arguments()[1], lines);
+    for (const std::string &each : story)
+        fmt::print("{}\n", each);
+    if (story.empty())
+        fmt::print(stderr, "cranberryctl: no line of that request in these files\n");
+    return story.empty() ? ExitFailed : 0;
+}
+
 int run(int argc, const char **argv)
 {
     Options options;
     CommandLine line("cranberryctl",
-                     "[OPTION...] apply FILE | diff FILE | get | status | requests | drain | change ID");
+                     "[OPTION...] apply FILE | diff FILE | get | status | requests | drain | change ID | "
+                     "trace REQUEST LOG...");
     line.addText("daemon", 'd', options.daemon, "admin address of any daemon (required)", "IP:PORT");
     line.addText("base", 'b', options.base, "apply: the revision that was edited", "REVISION");
     line.addText("change", 'i', options.change, "apply: id of this change, to repeat it safely", "ID");
     line.addNumber("notice-ms", 'n', options.noticeMs, "drain: milliseconds until the instance goes");
     if (!line.parse(argc, argv))
         return line.exitCode();
+    const std::string command = line.arguments().empty() ? "" : line.arguments().front();
+    if (command == "trace")
+        return trace(line);
     if (!addressFromText(options.daemon))
         return line.fail("--daemon must be IP:PORT");
-    const std::string command = line.arguments().empty() ? "" : line.arguments().front();
     if (command == "apply")
         return apply(line, options);
     if (command == "diff")
--- /dev/null
+++ b/tools/trace.cpp
@@ -0,0 +1,97 @@
+#include "trace.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <set>
+
+namespace cranberry {
+
+namespace {
+
+namespace json = boost::json;
+
+/// What a daemon learned so long before a request came may explain it.
+constexpr int64_t BeforeMs = 3000;
+constexpr int64_t AfterMs = 500;
+
+struct LogLine {
+    int64_t timeMs = 0;
+    std::string instance;
+    std::string event;
+    std::string request;
+    std::string endpoint;
+    std::string rest; ///< All other fields.
+};
+
+std::string textAt(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+bool readLine(const std::string &text, LogLine &out)
+{
+    const size_t brace = text.find('{');
+    if (brace == std::string::npos)
+        return false;
+    json::error_code code;
+    const json::value value = json::parse(std::string_view(text).substr(brace), code);
+    const json::object *object = code ? nullptr : value.if_object();
+    const json::value *time = object ? object->if_contains("time_ms") : nullptr;
+    if (!time || !time->is_number())
+        return false;
+    out.timeMs = time->to_number<int64_t>();
+    out.instance = textAt(*object, "instance");
+    out.event = textAt(*object, "event");
+    out.request = textAt(*object, "request");
+    out.endpoint = textAt(*object, "endpoint");
+    for (const json::key_value_pair &field : *object) {
+        const std::string name(field.key());
+        if (name != "time_ms" && name != "instance" && name != "event" && name != "request")
+            out.rest += fmt::format(" {}={}", name, json::serialize(field.value()));
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<std::string> traceRequest(const std::string &request, const std::vector<std::string> &lines)
+{
+    std::vector<LogLine> all;
+    for (const std::string &text : lines) {
+        LogLine line;
+        if (readLine(text, line))
+            all.push_back(std::move(line));
+    }
+    std::stable_sort(all.begin(), all.end(),
+                     [](const LogLine &a, const LogLine &b) { return a.timeMs < b.timeMs; });
+
+    std::set<std::string> instances;
+    std::set<std::string> endpoints;
+    int64_t first = 0;
+    int64_t last = 0;
+    for (const LogLine &line : all) {
+        if (line.request != request)
+            continue;
+        first = first == 0 ? line.timeMs : first;
+        last = line.timeMs;
+        instances.insert(line.instance);
+        if (!line.endpoint.empty())
+            endpoints.insert(line.endpoint);
+    }
+
+    std::vector<std::string> out;
+    for (const LogLine &line : all) {
+        const bool own = line.request == request;
+        const bool near = line.timeMs >= first - BeforeMs && line.timeMs <= last + AfterMs;
+        const bool context = line.request.empty() && near && instances.contains(line.instance)
+            && (line.endpoint.empty() || endpoints.contains(line.endpoint));
+        if (first != 0 && (own || context))
+            out.push_back(fmt::format("{:+6d} ms {} {} {}{}", line.timeMs - first, own ? "*" : " ",
+                                      line.instance, line.event, line.rest));
+    }
+    return out;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/tools/trace.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace cranberry {
+
+/// A request's story from the logs of any number of daemons: its own lines, and what the daemons that had it
+/// learned meanwhile of the store, the configuration and the endpoints it went to. In order of time, one line
+/// each. Lines that are no log lines are passed over; anything before the first brace is ignored.
+std::vector<std::string> traceRequest(const std::string &request, const std::vector<std::string> &lines);
+
+} // namespace cranberry
