--- /dev/null
+++ b/tests/operationspage_test.cpp
@@ -0,0 +1,60 @@
+#include "gateway/gatewaycounters.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+
+using namespace cranberry;
+
+namespace {
+
+std::string pageText()
+{
+    std::ifstream file(std::string(SOURCE_DIR) + "/docs/OPERATIONS.md");
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("each refusal and retry reason has a counter and stands on the operators' page")
+{
+    const std::string page = pageText();
+    REQUIRE(!page.empty());
+    const std::string metrics = prometheusText(GatewayCounters{});
+    for (size_t i = 0; i < static_cast<size_t>(GatewayRefusal::Count); ++i) {
+        const std::string name = toText(static_cast<GatewayRefusal>(i));
+        CHECK_MESSAGE(page.find(name) != std::string::npos, name);
+        CHECK_MESSAGE(metrics.find("refusals_total{reason=\"" + name + "\"}") != std::string::npos, name);
+    }
+    for (size_t i = 0; i < static_cast<size_t>(GatewayRetry::Count); ++i) {
+        const std::string name = toText(static_cast<GatewayRetry>(i));
+        CHECK_MESSAGE(page.find(name) != std::string::npos, name);
+        CHECK_MESSAGE(metrics.find("retries_total{reason=\"" + name + "\"}") != std::string::npos, name);
+    }
+    for (size_t i = 0; i < static_cast<size_t>(GatewayCount::Count); ++i)
+        CHECK(page.find(toText(static_cast<GatewayCount>(i))) != std::string::npos);
+}
+
+TEST_CASE("each log event that the code writes stands on the operators' page, with its fields' names")
+{
+    const std::string page = pageText();
+    for (const char *file : {"gateway/gateway.cpp", "gateway/runmoves.cpp", "gateway/storesync.cpp",
+                             "gateway/usageduty.cpp", "gateway/enginesizing.cpp", "io/gatewayserver.cpp"}) {
+        std::ifstream source(std::string(SOURCE_DIR) + "/src/" + file);
+        std::stringstream text;
+        text << source.rdbuf();
+        const std::string code = text.str();
+        REQUIRE(!code.empty());
+        size_t at = 0;
+        while ((at = code.find("LogWeight::", at)) != std::string::npos) {
+            const size_t quote = code.find('"', at);
+            const size_t end = code.find('"', quote + 1);
+            const std::string event = code.substr(quote + 1, end - quote - 1);
+            at = end;
+            if (event.find_first_not_of("abcdefghijklmnopqrstuvwxyz_") == std::string::npos)
+                CHECK_MESSAGE(page.find(event) != std::string::npos, event);
+        }
+    }
+}
