--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -27,7 +27,9 @@
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
 /// work.
 constexpr DurationMs PeakMemory{30000};
-constexpr DurationMs PlanPace{500};
+constexpr DurationMs SamplePace{500};
+/// Planning is cheap, and each step of finding out what can be had after a reclaim waits for the next plan.
+constexpr DurationMs PlanPace{100};
 /// An order that is in force is said again now and then: the receiver may have lost it.
 constexpr DurationMs RepeatPace{10000};
 constexpr DurationMs CallTimeout{1500};
@@ -134,7 +136,8 @@
 ServiceDemand EngineSizing::peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now)
 {
     std::deque<std::pair<TimeMs, ServiceDemand>> &samples = services_[service].samples;
-    samples.emplace_back(now, demand);
+    if (samples.empty() || now - samples.back().first >= SamplePace)
+        samples.emplace_back(now, demand);
     while (now - samples.front().first > PeakMemory)
         samples.pop_front();
     ServiceDemand peak;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -15,7 +15,7 @@
 /// two reads in a row may fail.
 constexpr DurationMs SharedPace{600};
 /// Pace of reading the endpoints: a leaving one must get no new work two seconds after it said so.
-constexpr DurationMs EndpointsPace{700};
+constexpr DurationMs EndpointsPace{500};
 /// Pace of asking another daemon. Its own view is up to a read's pace old when it answers.
 constexpr DurationMs AskPace{300};
 /// A view older than this is renewed by reading, whatever the other daemon says.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -519,7 +519,8 @@
 void GatewayServer::State::tick()
 {
     const TimeMs now = steadyNow();
-    sync.setSource(gateway.peers().readerToAsk(now));
+    // The holder of the duties orders engines: it reads the list itself, without a way round.
+    sync.setSource(sync.leadership(now).held ? std::nullopt : gateway.peers().readerToAsk(now));
     sync.tick(now);
     sendOutgoing();
     runStoreCalls();
