--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -577,6 +577,7 @@
          {"retry_after_ms", own.retryAfter.count},
          {"after_ms", (now - exchange.arrivedAt).count},
          {"sends", exchange.sends},
+         {"limit_share", peers_.quotaScope(now).share},
          {"rejections", exchange.rejections},
          {"configuration", configuration_ ? configuration_->version : 0},
          {"configuration_age_ms", (now - confirmedAt_).count}});
