--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -435,7 +435,7 @@
         const CallerLimits &limits = configuration->limits;
         // Idle connections outlast the callers' own limit, so that neither closes while the other sends.
         callerServer->setLimits({limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout,
-                                 limits.idleTimeout + limits.idleTimeout / 4});
+                                 limits.idleTimeout + limits.idleTimeout / 4, true});
     }
     runActions();
 }
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -207,6 +207,8 @@
         readTimer_.cancel();
         if (code && readTimedOut_) {
             ++counters_.timeouts;
+            if (!listener_->limits.answersTimeouts)
+                return close();
             return refuse(408, "the request took too long to arrive");
         }
         if (code && code != http::error::end_of_stream
--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -34,6 +34,7 @@
     uint32_t maxBodyBytes = 4U << 20;
     DurationMs readTimeout{10000}; ///< From the first byte of a request to its last.
     DurationMs idleTimeout{10000}; ///< Between requests.
+    bool answersTimeouts = false; ///< A request that takes too long gets 408; else its connection is closed.
 };
 
 /// Requests that never reached the handler, by cause.
