--- a/src/io/gatewaycallers.cpp
+++ b/src/io/gatewaycallers.cpp
@@ -79,7 +79,7 @@
     const auto found = callers.find(caller);
     if (found == callers.end())
         return nullptr;
-    const HttpExchangePtr exchange = found->second;
+    HttpExchangePtr exchange = found->second;
     latency.whole(steadyNow() - arrivals[caller]);
     callers.erase(found);
     arrivals.erase(caller);
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -44,9 +44,9 @@
         settings.self = {{name}, {random.next() >> 1U}, {"north"}, {"10.0.0.1", 80}, {"10.0.0.1", 90}};
         settings.leaseTime = LeaseTime;
         settings.seed = random.next();
-        if (daemons.size() <= i)
-            daemons.resize(i + 1);
-        daemons[i] = std::make_unique<OneDaemon>(settings, log);
+        if (daemons_.size() <= i)
+            daemons_.resize(i + 1);
+        daemons_[i] = std::make_unique<OneDaemon>(settings, log);
     }
 
     void pass(DurationMs duration)
@@ -54,24 +54,24 @@
         const TimeMs until = now + duration;
         while (now < until) {
             now = now + Step;
-            for (size_t i = 0; i < daemons.size(); ++i)
+            for (size_t i = 0; i < daemons_.size(); ++i)
                 runDaemon(i);
             for (std::pair<size_t, StoreReply> &reply : store.replies(now))
-                daemons[reply.first]->inbox.push_back(std::move(reply.second));
+                daemons_[reply.first]->inbox.push_back(std::move(reply.second));
             check();
         }
     }
 
     std::optional<size_t> holder() const
     {
-        for (size_t i = 0; i < daemons.size(); ++i) {
-            if (daemons[i]->sync.leadership(now).held)
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (daemons_[i]->sync.leadership(now).held)
                 return i;
         }
         return std::nullopt;
     }
 
-    void freeze(size_t i, DurationMs duration) { daemons[i]->frozenUntil = now + duration; }
+    void freeze(size_t i, DurationMs duration) { daemons_[i]->frozenUntil = now + duration; }
 
     FakeStore store;
     Random random;
@@ -98,7 +98,7 @@
 
     void runDaemon(size_t i)
     {
-        OneDaemon &daemon = *daemons[i];
+        OneDaemon &daemon = *daemons_[i];
         if (now < daemon.frozenUntil)
             return;
         for (const StoreReply &reply : std::exchange(daemon.inbox, {})) {
@@ -135,13 +135,13 @@
     void check()
     {
         size_t holders = 0;
-        for (const std::unique_ptr<OneDaemon> &daemon : daemons)
+        for (const std::unique_ptr<OneDaemon> &daemon : daemons_)
             holders += now >= daemon->frozenUntil && daemon->sync.leadership(now).held ? 1 : 0;
         REQUIRE(holders <= 1);
     }
 
     static constexpr uint64_t DutyBit = uint64_t{1} << 40U;
-    std::vector<std::unique_ptr<OneDaemon>> daemons;
+    std::vector<std::unique_ptr<OneDaemon>> daemons_;
 };
 
 // Tokens never go down, two daemons never share one, and nobody acts again within a lease after somebody
@@ -293,11 +293,12 @@
         store.putConfiguration(configuration);
         for (uint64_t i = 0; i < 2; ++i) {
             StoreSyncSettings settings;
-            settings.self = {{fmt::format("entry-{}", i)}, {i + 1}, {"north"}, {"10.0.0.1", 80}, addresses[i]};
+            settings.self
+                = {{fmt::format("entry-{}", i)}, {i + 1}, {"north"}, {"10.0.0.1", 80}, addresses_[i]};
             settings.seed = i;
             syncs.push_back(std::make_unique<StoreSync>(settings, log));
         }
-        syncs[1]->setSource(addresses[0]);
+        syncs[1]->setSource(addresses_[0]);
     }
 
     void pass(DurationMs duration)
@@ -342,7 +343,7 @@
     {
         if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&outgoing.message)) {
             if (!readerStops)
-                syncs[0]->onQuestion(*question, addresses[1], now);
+                syncs[0]->onQuestion(*question, addresses_[1], now);
         } else if (holdAnswers) {
             held.push_back(std::get<FreshnessAnswer>(outgoing.message));
         } else {
@@ -350,7 +351,7 @@
         }
     }
 
-    const Address addresses[2] = {{"10.0.0.1", 91}, {"10.0.0.2", 92}};
+    const Address addresses_[2] = {{"10.0.0.1", 91}, {"10.0.0.2", 92}};
 };
 
 } // namespace
