Engines found at the start are counted as their entries come; requests that wait at a leaving engine go elsewhere in time

Cause (first seconds of the grown site): of 60 engines 24 were in the list 1.5 s after the election, and six a failure domain were ordered; and a reclaim lost requests that had not begun.

--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -23,6 +23,7 @@
 constexpr DurationMs LearningTime{15000};
 /// A new holder looks at the list for so long before it orders: at the start entries come one by one.
 constexpr DurationMs FirstListTime{1500};
+constexpr DurationMs FindingTime{5000};
 constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
 /// work.
@@ -175,20 +176,16 @@
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
         ServiceState &state = services_[service.name];
-        uint32_t ready = 0;
-        for (const std::pair<const FailureDomainName, DomainStock> &entry : stock)
-            ready += entry.second.onDemand + entry.second.reclaimable;
-        if (now - ledSince_ < FirstListTime) {
-            state.stockAtStart = std::max(state.stockAtStart, ready);
+        noteFound(service, fleet, now);
+        if (now - ledSince_ < FirstListTime)
             continue;
-        }
         if (!state.demandSince && peak.running > IdleRunning)
             state.demandSince = now;
         SizingQuestion question;
         question.demand = peak;
         question.scarce = state.scarce;
         if (!state.demandSince || now - *state.demandSince < LearningTime)
-            question.known = state.stockAtStart;
+            question.known = static_cast<uint32_t>(state.foundAtStart.size());
         for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, question, stock)) {
             order({service.name, domain.failureDomain, true}, domain.reclaimable, leadership, now);
             order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
@@ -196,6 +193,21 @@
     }
 }
 
+// At the first start entries come one by one, some after the first orders. Engines on demand that are seen in
+// the first moments were there before, also those that leave already because of these orders.
+void EngineSizing::noteFound(const ServedService &service, const EndpointFleet &fleet, TimeMs now)
+{
+    const DurationMs since = now - ledSince_;
+    if (since > FindingTime)
+        return;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet.all()) {
+        const EndpointEntry &endpoint = entry.second.entry;
+        const bool stays = !endpoint.leaving && !entry.second.gone;
+        if (endpoint.service == service.name && (since < FirstListTime ? stays : !endpoint.reclaimable))
+            services_[service.name].foundAtStart.insert(entry.first);
+    }
+}
+
 // What there is and what is short. Scarcity lasts until the last short domain got what was ordered: a domain
 // that holds all it was ordered says nothing about whether there are more.
 std::map<FailureDomainName, DomainStock> EngineSizing::takeStock(const ServedService &service,
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -72,9 +72,10 @@
     struct ServiceState {
         std::deque<std::pair<TimeMs, ServiceDemand>> samples;
         bool scarce = false;
-        uint32_t stockAtStart = 0; ///< Engines when this daemon began to lead.
+        std::set<EndpointId> foundAtStart; ///< Engines that were there when this daemon began to lead.
         std::optional<TimeMs> demandSince; ///< First seen.
     };
+    void noteFound(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
                                                        const EndpointFleet &fleet, TimeMs now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -111,6 +111,7 @@
     // Runs on leaving engines (runmoves.cpp).
     void probeEngines(TimeMs now);
     void moveRunsAway(TimeMs now);
+    bool isTooLateToStart(const Exchange &exchange, TimeMs now) const;
     bool isWorthMoving(const Exchange &exchange, TimeMs now) const;
     void startMove(Exchange &exchange, TimeMs now);
     void goOnAtTarget(Exchange &exchange, TimeMs now);
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -45,21 +45,38 @@
 void Gateway::moveRunsAway(TimeMs now)
 {
     std::vector<CallerId> toMove;
+    std::vector<AttemptId> unstarted;
     std::vector<CallerId> late;
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
         if (!exchange.move && isWorthMoving(exchange, now))
             toMove.push_back(entry.second);
+        if (isTooLateToStart(exchange, now))
+            unstarted.push_back(entry.first);
         if (exchange.move && exchange.move->handle
             && now - exchange.move->startedAt > MoveTimeout + LastBytesTime)
             late.push_back(entry.second);
     }
     for (CallerId id : toMove)
         startMove(exchanges_.at(id), now);
+    for (AttemptId attempt : unstarted) {
+        actions_.emplace_back(CancelSent{attempt});
+        onBroken({attempt, true}, now);
+    }
     for (CallerId id : late)
         goOnAtTarget(exchanges_.at(id), now);
 }
 
+// A request that still waits at an engine when this goes has no memory to move. One that may run twice is
+// sent elsewhere in time; for the others that would be a guess whether they have begun.
+bool Gateway::isTooLateToStart(const Exchange &exchange, TimeMs now) const
+{
+    const FleetEndpoint *endpoint = fleet_.find(exchange.endpoint);
+    return exchange.phase == ExchangePhase::Sent && !exchange.streaming && mayRepeat(exchange)
+        && exchange.sends + 1 < exchange.route->attempts && exchange.route->kind == RouteKind::Streaming
+        && endpoint && endpoint->leavesAt && now + MoveMargin > *endpoint->leavesAt;
+}
+
 bool Gateway::isWorthMoving(const Exchange &exchange, TimeMs now) const
 {
     if (!exchange.streaming || exchange.moveTargets.size() >= MostMoves)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -500,6 +500,29 @@
     CHECK(moves.size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "a resumable request that waits at a leaving engine is sent elsewhere in time")
+{
+    // The engine's queue is long, its notice short. A request that can be resumed leaves before the engine
+    // does; one that can't may just have begun, and stays.
+    const CallerId resumable = request(Model);
+    const EndpointId first = lastSent().endpoint;
+    for (EndpointEntry &entry : endpoints) {
+        entry.leaving = entry.leaving || entry.id == first;
+        entry.leavesAfter = DurationMs{2500};
+    }
+    listEndpoints();
+    pass({1000});
+    CHECK(sent.size() == 1);
+    pass({700});
+    REQUIRE(sent.size() == 2);
+    CHECK(lastSent().endpoint != first);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 2);
+    end(lastSent().attempt);
+    CHECK(streamEnds[resumable]);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a move that finds no room tries another engine")
 {
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
