--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,13 @@
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
       usage_(settings.usageWindow)
 {
+    applyBounds(settings);
+}
+
+void Gateway::applyBounds(const GatewaySettings &settings)
+{
+    settings_.revokeBound = settings.revokeBound;
+    settings_.drainTime = settings.drainTime;
     repeats_.setLimits(settings.repeats);
     quotas_.setTolerance(settings.quotaTolerance);
     fleet_.setDrainTime(settings.drainTime);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,8 @@
 {
 public:
     Gateway(const GatewaySettings &settings, DecisionLog &log);
+    /// Takes over changed bounds and tolerances; identity and window stay as they were at the start.
+    void applyBounds(const GatewaySettings &settings);
 
     // Callers.
     void onRequest(const RequestArrived &event, TimeMs now);
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -1,5 +1,7 @@
 #include "io/gatewaystate.h"
 
+#include "io/commandline.h"
+
 #include <random>
 #include <sys/random.h>
 
@@ -11,6 +13,8 @@
 constexpr DurationMs TickPace{25};
 /// Reports that can't wait come this often at most between two regular ones.
 constexpr int64_t DueReportsPerPace = 8;
+/// The settings file may change without a signal; reading it costs some microseconds.
+constexpr DurationMs SettingsPace{2000};
 constexpr DurationMs LogPace{200};
 /// A stopping daemon leaves this long before it would be killed.
 constexpr DurationMs StopMargin{700};
@@ -60,9 +64,10 @@
 
 } // namespace
 
-GatewayServer::State::State(GatewayDaemonSettings given)
-    : settings(std::move(given)), incarnation{randomSeed()}, log(settings.instance.value, wallNowMs),
-      gateway(coreSettings(settings, randomSeed()), log),
+GatewayServer::State::State(GatewayDaemonSettings given, std::string file)
+    : settings(std::move(given)), settingsFile(std::move(file)),
+      settingsText(readFile(settingsFile).value_or("")), incarnation{randomSeed()},
+      log(settings.instance.value, wallNowMs), gateway(coreSettings(settings, randomSeed()), log),
       sync(syncSettings(settings, incarnation, randomSeed()), log), usageDuty(settings.usageDue, log),
       engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
 { }
@@ -90,6 +95,10 @@
         flushAt = now + LogPace;
         log.flush();
     }
+    if (now >= settingsCheckAt) {
+        settingsCheckAt = now + SettingsPace;
+        reloadIfChanged(false);
+    }
     if (stopping)
         checkStopped();
     timer.expires_after(std::chrono::milliseconds(TickPace.count));
@@ -99,6 +108,42 @@
     });
 }
 
+void GatewayServer::State::waitForSignal()
+{
+    signals.async_wait([this](boost::system::error_code code, int signal) {
+        if (code)
+            return;
+        if (signal == SIGHUP)
+            reloadIfChanged(true);
+        else
+            startStop();
+        waitForSignal();
+    });
+}
+
+// Bounds and tolerances are taken over at once. Addresses and the identity are those of this process; a
+// change of them takes a start. A file that can't be read changes nothing.
+void GatewayServer::State::reloadIfChanged(bool asked)
+{
+    const std::optional<std::string> text = readFile(settingsFile);
+    if (!text || (*text == settingsText && !asked))
+        return;
+    settingsText = *text;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(const GatewayDaemonSettings changed, parseGatewaySettings(*text));
+            gateway.applyBounds(coreSettings(changed, 0));
+            log.write(LogWeight::State, "reloaded", {{"asked", asked}});
+            return {};
+        },
+        [&](const FieldError &error) {
+            log.write(LogWeight::State, "settings_unreadable", {{"error", toText(error)}});
+        },
+        [&] {
+            log.write(LogWeight::State, "settings_unreadable", {{"error", "unknown"}});
+        });
+}
+
 // Callers are told to go elsewhere; what they have sent, and what they still send here, is served.
 void GatewayServer::State::startStop()
 {
@@ -126,8 +171,8 @@
     io.stop();
 }
 
-GatewayServer::GatewayServer(GatewayDaemonSettings settings)
-    : state_(std::make_unique<State>(std::move(settings)))
+GatewayServer::GatewayServer(GatewayDaemonSettings settings, std::string file)
+    : state_(std::make_unique<State>(std::move(settings), std::move(file)))
 { }
 
 GatewayServer::~GatewayServer() = default;
@@ -163,10 +208,8 @@
         {{"failure_domain", settings.failureDomain.value}, {"incarnation", state.incarnation.value}});
     state.signals.add(SIGTERM);
     state.signals.add(SIGINT);
-    state.signals.async_wait([&state](boost::system::error_code code, int) {
-        if (!code)
-            state.startStop();
-    });
+    state.signals.add(SIGHUP);
+    state.waitForSignal();
     state.tick();
     state.io.run();
     return 0;
--- a/src/io/gatewayserver.h
+++ b/src/io/gatewayserver.h
@@ -3,6 +3,7 @@
 #include "gatewaysettings.h"
 
 #include <memory>
+#include <string>
 
 namespace cranberry {
 
@@ -10,7 +11,8 @@
 class GatewayServer
 {
 public:
-    explicit GatewayServer(GatewayDaemonSettings settings);
+    /// `file` is read again on SIGHUP, and when it has changed.
+    GatewayServer(GatewayDaemonSettings settings, std::string file);
     ~GatewayServer();
 
     /// Serves until it is told to stop; returns the process's exit code.
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -31,7 +31,7 @@
 /// All of a gateway daemon: the core, its adapters and what connects them. Private to the gateway's server
 /// files.
 struct GatewayServer::State {
-    explicit State(GatewayDaemonSettings given);
+    State(GatewayDaemonSettings given, std::string file);
 
     // Callers.
     void onCaller(const HttpExchangePtr &exchange);
@@ -72,10 +72,14 @@
     void sendReports();
 
     void tick();
+    void waitForSignal();
+    void reloadIfChanged(bool asked);
     void startStop();
     void checkStopped();
 
     GatewayDaemonSettings settings;
+    std::string settingsFile;
+    std::string settingsText; ///< As read last.
     boost::asio::io_context io{1};
     Incarnation incarnation;
     LogSink log;
@@ -105,6 +109,7 @@
     TimeMs reportAt;
     TimeMs reportedAt;
     TimeMs flushAt;
+    TimeMs settingsCheckAt;
     bool stopping = false;
     TimeMs stopStartedAt;
     uint64_t limitsVersion = 0;
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -91,6 +91,12 @@
     wait_for "addresses of all daemons" addresses 1 3
     wait_for "a usage report" grep -q "duty /usage .*org-a\":6" "$run_dir/deployment.log"
     expect "one holder of the duty" "$(grep -o 'holder=[a-z0-9-]*' "$run_dir/deployment.log" | sort -u | wc -l)" 1
+    settings 1 | sed 's/"usageWindowSeconds":1/"usageWindowSeconds":1,"revokeBoundMs":6000/' >"$run_dir/settings-1.json"
+    kill -HUP "${pids[daemon-1]}"
+    wait_for "the reload" grep -q '"event":"reloaded"' "$run_dir/daemon-1.out"
+    echo '{' >"$run_dir/settings-1.json"
+    wait_for "the unreadable settings" grep -q '"event":"settings_unreadable"' "$run_dir/daemon-1.out"
+    expect "serves on after both" "$(status 1 reloaded /order/1)" 200
     expect "metrics" "$(curl -s http://127.0.0.1:21501/metrics | grep -c 'refusals_total{reason="unknown_route"} 1')" 1
     ;;
 stop)
