Limits by balances that move between daemons: sound under partitions, losses and restarts

Now each daemon has a balance of its own; units that one lacks are asked of others, which take them from theirs first; a request waits 150 ms for that at most.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 namespace cranberry {
 
 enum class ExchangePhase : uint8_t {
+    AwaitingLimit, ///< Other daemons are asked for units of its organisation's limit.
     Queued, ///< Waits for a place at an endpoint.
     Sent, ///< An attempt is open, the caller has nothing yet.
     Streaming ///< The caller has the head of the answer.
@@ -36,6 +37,8 @@
     TimeMs callerWaitsUntil;
     TimeMs timeoutAt; ///< The final answer is due.
     ExchangePhase phase = ExchangePhase::Queued;
+    uint64_t limitAsk = 0; ///< With AwaitingLimit: the question's number.
+    TimeMs limitAskUntil;
     bool mayHaveRun = false; ///< Some attempt may have reached an endpoint that runs it.
     bool countedForUsage = false;
     uint32_t sends = 0; ///< Endpoints that may have run it.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,11 +25,6 @@
 /// starts then might not end before the process does.
 constexpr DurationMs LastStreamsAfterLeaving{3000};
 
-uint64_t messageTokens(const CallerRequest &request)
-{
-    return request.promptTokens + request.outputTokens;
-}
-
 std::string secondsText(DurationMs duration)
 {
     return fmt::format("{:.2f}", static_cast<double>(duration.count) / 1000.0);
@@ -100,23 +95,6 @@
     return std::nullopt;
 }
 
-std::optional<Gateway::OwnAnswer> Gateway::takeQuota(Exchange &exchange, TimeMs now)
-{
-    const ServedOrganisation *organisation = exchange.organisation.value.empty()
-        ? nullptr
-        : exchange.configuration->findByKey(exchange.request->key);
-    if (!organisation)
-        return std::nullopt;
-    const double units
-        = quotaUnits(*organisation, exchange.request->statesTokens, messageTokens(*exchange.request));
-    const std::optional<DurationMs> wait = quotas_.take(*organisation, units, peers_.quotaScope(now), now);
-    if (!wait) {
-        exchange.quotaUnits = units;
-        return std::nullopt;
-    }
-    return OwnAnswer{429, GatewayRefusal::OverLimit, std::max(*wait, DefaultRetryAfter)};
-}
-
 // Targets share a route by weight; the request's id decides, so that its repeats go the same way.
 ServiceName Gateway::pickService(const Exchange &exchange) const
 {
@@ -147,9 +125,8 @@
         return answer(exchange, *refusal, now);
     exchange.service = pickService(exchange);
     repeats_.request(exchange.service, now);
-    if (const std::optional<OwnAnswer> refusal = takeQuota(exchange, now))
-        return answer(exchange, *refusal, now);
-    dispatch(exchange, now);
+    if (takeQuota(exchange, true, now) == LimitOutcome::Within)
+        dispatch(exchange, now);
 }
 
 // The caller left: what runs for it is cancelled at once, also in the queue.
@@ -246,7 +223,6 @@
          {"service", exchange.service.value},
          {"organisation", exchange.organisation.value},
          {"units", exchange.quotaUnits},
-         {"limit_share", peers_.quotaScope(now).share},
          {"wait_ms", choice.waitMs},
          {"prefill_tokens", choice.prefillTokens},
          {"running", endpoint.running},
@@ -309,7 +285,7 @@
          {"retry_after_ms", own.retryAfter.count},
          {"after_ms", (now - exchange.arrivedAt).count},
          {"sends", exchange.sends},
-         {"limit_share", peers_.quotaScope(now).share},
+         {"tokens", exchange.request->promptTokens + exchange.request->outputTokens},
          {"rejections", exchange.rejections},
          {"configuration", configuration_ ? configuration_->version : 0},
          {"configuration_age_ms", (now - confirmedAt_).count}});
@@ -344,6 +320,7 @@
 void Gateway::finish(Exchange &exchange)
 {
     std::erase(queue_, exchange.caller);
+    limitAsks_.erase(exchange.limitAsk);
     exchanges_.erase(exchange.caller);
 }
 
@@ -359,6 +336,7 @@
 {
     fleet_.tick(now);
     leaveSilentEndpoints(now);
+    tickLimits(now);
     probeEngines(now);
     moveRunsAway(now);
     fleet_.setPeersLoad(peers_.loadSums(now));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 /// What the gateway needs of the deployment's settings.
 struct GatewaySettings {
     InstanceName instance;
+    Incarnation incarnation;
     FailureDomainName failureDomain;
     DurationMs revokeBound{5000}; ///< A removed key is dead everywhere after this.
     DurationMs configurationBound{2000}; ///< A configuration is in force everywhere after this.
@@ -55,6 +56,8 @@
     void onEndpoints(const EndpointsRead &event, TimeMs now);
     void onMembers(std::vector<MemberEntry> members);
     void onPeerReport(const PeerReport &report, TimeMs now);
+    void onQuotaAsk(const QuotaAsk &ask, const Address &from);
+    void onQuotaGift(const QuotaGift &gift, TimeMs now);
 
     void tick(TimeMs now);
     void startLeaving(TimeMs now) { leavingSince_ = now; }
@@ -66,7 +69,6 @@
     bool isIdle() const { return exchanges_.empty(); }
     /// What is told to the other daemons; the caller fills in identity and time of day.
     PeerReport report(TimeMs now);
-    bool reportIsDue() const { return quotas_.reportIsDue(); }
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
     std::vector<Address> callerAddresses(const Address &own, TimeMs now) const;
@@ -89,7 +91,13 @@
     std::optional<OwnAnswer> judge(Exchange &exchange, TimeMs now) const;
     bool isFresh(TimeMs now, DurationMs bound) const;
     void refillQuotas(TimeMs now);
-    std::optional<OwnAnswer> takeQuota(Exchange &exchange, TimeMs now);
+
+    // Organisations' limits (limits.cpp).
+    enum class LimitOutcome : uint8_t { Within, Waits, Refused };
+    LimitOutcome takeQuota(Exchange &exchange, bool mayAsk, TimeMs now);
+    bool askForUnits(Exchange &exchange, double missing, TimeMs now);
+    void goOnWithinLimit(Exchange &exchange, TimeMs now);
+    void tickLimits(TimeMs now);
     ServiceName pickService(const Exchange &exchange) const;
 
     // Sending.
@@ -148,6 +156,9 @@
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
+    std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
+    std::set<std::pair<uint64_t, Incarnation>> giftsTaken_; ///< Question and giver, of the last seconds.
+    uint64_t nextAsk_ = 1;
     std::vector<CallerId> queue_; ///< Most urgent first, then by arrival.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -99,11 +99,25 @@
     uint64_t prefillTokens = 0; ///< Of requests without a first event yet.
 };
 
-/// Use of one organisation's limit; counters only grow within an incarnation.
-struct OrganisationUse {
+/// What a daemon can spare of one organisation's limit.
+struct OrganisationBalance {
+    OrganisationName organisation;
+    double spare = 0;
+};
+
+/// "Give me units of this limit." Lost ones cost a caller a refusal, nothing else.
+struct QuotaAsk {
+    uint64_t number = 0;
+    OrganisationName organisation;
+    double units = 0;
+};
+
+/// Units that the sender has taken from its own balance. Taken once; a lost one is lost to the limit.
+struct QuotaGift {
+    Incarnation from;
+    uint64_t number = 0; ///< Of the question.
     OrganisationName organisation;
     double units = 0;
-    double left = 0; ///< In the sender's bucket.
 };
 
 /// Requests of one organisation that began to run in one window.
@@ -127,10 +141,9 @@
     bool leaving = false;
     bool ready = false;
     uint64_t sequence = 0;
-    uint32_t heard = 1; ///< Daemons that share the levels in `uses`, the sender included.
     int64_t wallMs = 0; ///< Time of day at the sender.
     std::vector<EndpointLoad> loads;
-    std::vector<OrganisationUse> uses;
+    std::vector<OrganisationBalance> balances;
     std::vector<WindowCount> windows;
     std::vector<ServiceDemand> demands;
 };
@@ -219,7 +232,13 @@
     AttemptId attempt;
 };
 
+/// A word to one other daemon.
+struct TellPeer {
+    Address to;
+    std::variant<QuotaAsk, QuotaGift> message;
+};
+
 using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
-                                   SendAttempt, CancelSent, MoveRun, ProbeEngine>;
+                                   SendAttempt, CancelSent, MoveRun, ProbeEngine, TellPeer>;
 
 } // namespace cranberry
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -16,9 +16,9 @@
     if (name == "loads") {
         for (const EndpointLoad &load : report.loads)
             rows.push_back({load.id.value, load.running, load.prefillTokens});
-    } else if (name == "uses") {
-        for (const OrganisationUse &use : report.uses)
-            rows.push_back({use.organisation.value, use.units, use.left});
+    } else if (name == "balances") {
+        for (const OrganisationBalance &balance : report.balances)
+            rows.push_back({balance.organisation.value, balance.spare});
     } else if (name == "windows") {
         for (const WindowCount &count : report.windows)
             rows.push_back({count.window, count.organisation.value, count.count});
@@ -50,17 +50,15 @@
     report.leaving = object.at("leaving").as_bool();
     report.ready = object.at("ready").as_bool();
     report.sequence = object.at("sequence").to_number<uint64_t>();
-    report.heard = object.at("heard").to_number<uint32_t>();
     report.wallMs = object.at("wallMs").to_number<int64_t>();
     for (const json::value &value : object.at("loads").as_array()) {
         const json::array &load = row(value, 3);
         report.loads.push_back(
             {EndpointId{text(load[0])}, load[1].to_number<uint32_t>(), load[2].to_number<uint64_t>()});
     }
-    for (const json::value &value : object.at("uses").as_array()) {
-        const json::array &use = row(value, 3);
-        report.uses.push_back(
-            {OrganisationName{text(use[0])}, use[1].to_number<double>(), use[2].to_number<double>()});
+    for (const json::value &value : object.at("balances").as_array()) {
+        const json::array &balance = row(value, 2);
+        report.balances.push_back({OrganisationName{text(balance[0])}, balance[1].to_number<double>()});
     }
     for (const json::value &value : object.at("windows").as_array()) {
         const json::array &count = row(value, 3);
@@ -83,10 +81,9 @@
             {"leaving", report.leaving},
             {"ready", report.ready},
             {"sequence", report.sequence},
-            {"heard", report.heard},
             {"wallMs", report.wallMs},
             {"loads", rowsOf(report, "loads")},
-            {"uses", rowsOf(report, "uses")},
+            {"balances", rowsOf(report, "balances")},
             {"windows", rowsOf(report, "windows")},
             {"demands", rowsOf(report, "demands")}};
 }
@@ -157,6 +154,35 @@
     return answer;
 }
 
+json::object encoded(const QuotaAsk &ask)
+{
+    return {{"kind", "ask"},
+            {"number", ask.number},
+            {"organisation", ask.organisation.value},
+            {"units", ask.units}};
+}
+
+json::object encoded(const QuotaGift &gift)
+{
+    return {{"kind", "gift"},
+            {"id", gift.from.value},
+            {"number", gift.number},
+            {"organisation", gift.organisation.value},
+            {"units", gift.units}};
+}
+
+QuotaAsk decodedAsk(const json::object &object)
+{
+    return {object.at("number").to_number<uint64_t>(), OrganisationName{text(object.at("organisation"))},
+            object.at("units").to_number<double>()};
+}
+
+QuotaGift decodedGift(const json::object &object)
+{
+    return {Incarnation{object.at("id").to_number<uint64_t>()}, object.at("number").to_number<uint64_t>(),
+            OrganisationName{text(object.at("organisation"))}, object.at("units").to_number<double>()};
+}
+
 std::optional<PeerDatagram> decoded(const json::object &object)
 {
     const std::string kind = text(object.at("kind"));
@@ -166,6 +192,10 @@
         return decodedQuestion(object);
     if (kind == "answer")
         return decodedAnswer(object);
+    if (kind == "ask")
+        return decodedAsk(object);
+    if (kind == "gift")
+        return decodedGift(object);
     return std::nullopt;
 }
 
--- a/src/gateway/peerdatagrams.h
+++ b/src/gateway/peerdatagrams.h
@@ -4,7 +4,7 @@
 
 namespace cranberry {
 
-using PeerDatagram = std::variant<PeerReport, FreshnessQuestion, FreshnessAnswer>;
+using PeerDatagram = std::variant<PeerReport, FreshnessQuestion, FreshnessAnswer, QuotaAsk, QuotaGift>;
 
 /// What daemons tell each other, as one datagram's text, and back. Nothing is returned for any other text.
 std::string encodeDatagram(const PeerDatagram &datagram);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -12,8 +12,6 @@
 constexpr DurationMs ReportPacePerDaemon{12};
 /// A peer that is silent for so many reports is not counted on.
 constexpr int64_t SilentReports = 6;
-/// Limits react sooner: what a silent peer uses is not seen, and both sides of a partition would use it all.
-constexpr int64_t SilentReportsForLimits = 3;
 /// Daemons that read the store for all; each of the others asks one of them.
 constexpr size_t Readers = 3;
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
@@ -33,11 +31,6 @@
     return reportPace() * SilentReports + reportPace() / 2;
 }
 
-DurationMs PeerTable::silenceForLimits() const
-{
-    return reportPace() * SilentReportsForLimits + reportPace() / 2;
-}
-
 // The first few of those that are heard, in an order that all share. Views may differ for a moment: then
 // there is a reader more or less. The others spread over them by their own names.
 std::optional<Address> PeerTable::readerToAsk(TimeMs now) const
@@ -64,7 +57,7 @@
     members_ = std::move(members);
 }
 
-bool PeerTable::take(const PeerReport &report, Quotas &quotas, TimeMs now)
+bool PeerTable::take(const PeerReport &report, TimeMs now)
 {
     std::erase_if(peers_, [now](const std::pair<const Incarnation, Peer> &entry) {
         return now - entry.second.heardAt > PeerMemory;
@@ -73,16 +66,6 @@
     Peer &peer = peers_[report.incarnation];
     if (!isNew && report.sequence <= peer.report.sequence)
         return false;
-    // What a daemon used while it was not heard came out of its own share of the limit, not out of ours.
-    const bool wasHeard = !isNew && now - peer.heardAt < silenceForLimits();
-    for (const OrganisationUse &use : report.uses) {
-        double &before = peer.uses[use.organisation];
-        if (wasHeard)
-            quotas.usedElsewhere(use.organisation, use.units - before);
-        else
-            quotas.join(use.organisation, use.left / std::max<uint32_t>(report.heard, 1));
-        before = use.units;
-    }
     for (const WindowCount &count : report.windows) {
         uint64_t &most = peer.windows[count.window][count.organisation];
         most = std::max(most, count.count);
@@ -109,18 +92,20 @@
     return members_.size() + (listsSelf ? 0 : 1);
 }
 
-uint32_t PeerTable::heardCount(TimeMs now) const
-{
-    uint32_t count = 1;
-    for (const MemberEntry &member : members_)
-        count += member.instance != self_ && heard(member, now, silenceForLimits()) ? 1 : 0;
-    return count;
-}
-
-QuotaScope PeerTable::quotaScope(TimeMs now) const
+std::vector<PeerTable::Spare> PeerTable::spares(const OrganisationName &organisation, TimeMs now) const
 {
-    const double daemons = static_cast<double>(memberCount());
-    return {static_cast<double>(heardCount(now)) / daemons, 1 / daemons};
+    std::vector<Spare> out;
+    for (const MemberEntry &member : members_) {
+        const Peer *peer = member.instance == self_ ? nullptr : heard(member, now, silence());
+        if (!peer)
+            continue;
+        for (const OrganisationBalance &balance : peer->report.balances) {
+            if (balance.organisation == organisation && balance.spare > 0)
+                out.push_back({member.peerAddress, balance.spare});
+        }
+    }
+    std::sort(out.begin(), out.end(), [](const Spare &a, const Spare &b) { return a.units > b.units; });
+    return out;
 }
 
 std::map<EndpointId, EndpointLoad> PeerTable::loadSums(TimeMs now) const
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "gateway/gatewayevents.h"
-#include "gateway/quotas.h"
 
 #include <map>
 
@@ -25,8 +24,8 @@
     explicit PeerTable(InstanceName self) : self_(std::move(self)) { }
 
     void setMembers(std::vector<MemberEntry> members);
-    /// Takes a report; older and doubled ones are dropped. Use of limits since the last one goes to `quotas`.
-    bool take(const PeerReport &report, Quotas &quotas, TimeMs now);
+    /// Takes a report; older and doubled ones are dropped.
+    bool take(const PeerReport &report, TimeMs now);
 
     const std::vector<MemberEntry> &members() const { return members_; }
     /// Time between two reports of a daemon; longer with many daemons, since each tells all others.
@@ -35,9 +34,13 @@
     std::optional<Address> readerToAsk(TimeMs now) const;
     /// Daemons that are listed, this one included; at least 1.
     size_t memberCount() const;
-    /// Listed daemons that are heard, this one included.
-    uint32_t heardCount(TimeMs now) const;
-    QuotaScope quotaScope(TimeMs now) const;
+    /// What another daemon said it can spare of an organisation's limit.
+    struct Spare {
+        Address address;
+        double units = 0;
+    };
+    /// Those that can spare something, most first.
+    std::vector<Spare> spares(const OrganisationName &organisation, TimeMs now) const;
     std::map<EndpointId, EndpointLoad> loadSums(TimeMs now) const;
     std::vector<ServiceDemand> demandSums(TimeMs now) const;
     /// Addresses for callers of daemons that are listed, and heard and ready if they were ever heard.
@@ -52,11 +55,9 @@
         PeerReport report;
         TimeMs heardAt;
         int64_t wallOffset = 0;
-        std::map<OrganisationName, double> uses;
         std::map<int64_t, std::map<OrganisationName, uint64_t>> windows;
     };
     DurationMs silence() const;
-    DurationMs silenceForLimits() const;
     const Peer *heard(const MemberEntry &member, TimeMs now, DurationMs within) const;
 
     InstanceName self_;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -2,103 +2,92 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace cranberry {
 
 namespace {
 
-/// Debt is bounded, in seconds of the rate, so that one report out of line can't shut an organisation out.
-constexpr double MostDebtSeconds = 8;
-
-/// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so a bucket
-/// of the bare burst refuses organisations that stay far below their limit in the mean. The rest covers what
-/// the daemons use between two of their reports.
-constexpr double UsedTolerance = 0.6;
-
-/// Own use, in seconds of the rate, that the others may not know of. All daemons together may use that much
-/// too much in the first moment of a rush.
-constexpr double UnreportedSeconds = 0.05;
+/// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so balances
+/// of the bare burst refuse organisations that stay far below their limit in the mean. The rest covers
+/// daemons that start, and the moments in which they don't agree on how many they are.
+constexpr double UsedTolerance = 0.8;
+/// A daemon that starts may have spent its balance in an earlier life.
+constexpr double StartPart = 0.5;
+/// A balance keeps this part of its share of the burst when others ask.
+constexpr double KeptPart = 0.15;
+/// A request larger than this part of the whole burst runs on so much, and the rest is owed.
+constexpr double MostAtOnce = 0.6;
 
 } // namespace
 
-void Quotas::refill(const ServedOrganisation &organisation, QuotaScope scope, TimeMs now)
+void Quotas::refill(const ServedOrganisation &organisation, size_t daemons, TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
         return;
     const double over = 1 + UsedTolerance * tolerance_.over;
-    Bucket &bucket = buckets_[organisation.name];
-    bucket.wholeBurst = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0);
-    double level = bucket.started ? bucket.levelAt(now) : bucket.wholeBurst * scope.ownShare;
-    if (bucket.started && scope.share < bucket.share && level > 0)
-        level *= scope.share / bucket.share; // Those that left took their part along.
-    bucket.burst = bucket.wholeBurst * scope.share;
-    bucket.ratePerSecond = organisation.ratePerSecond * over * scope.share;
-    bucket.level = std::min(bucket.burst, level + std::exchange(bucket.joined, 0));
-    bucket.level = std::max(bucket.level, -MostDebtSeconds * organisation.ratePerSecond);
-    bucket.share = scope.share;
-    bucket.started = true;
-    bucket.filledAt = now;
+    const double share = 1.0 / static_cast<double>(std::max<size_t>(daemons, 1));
+    Balance &balance = balances_[organisation.name];
+    balance.part = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0) * share;
+    if (!balance.started) {
+        balance.started = true;
+        balance.units += StartPart * balance.part;
+    } else if (balance.units < balance.part) {
+        const double seconds = static_cast<double>((now - balance.filledAt).count) / 1000.0;
+        balance.units
+            = std::min(balance.part, balance.units + organisation.ratePerSecond * over * share * seconds);
+    }
+    balance.filledAt = now;
 }
 
-// A request larger than the burst may start on a full bucket: otherwise it could never run.
-std::optional<DurationMs> Quotas::take(const ServedOrganisation &organisation, double units, QuotaScope scope,
-                                       TimeMs now)
+std::optional<QuotaShortage> Quotas::take(const ServedOrganisation &organisation, double units,
+                                          size_t daemons, TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
         return std::nullopt;
-    refill(organisation, scope, now);
-    Bucket &bucket = buckets_[organisation.name];
-    const double needed = std::min(units, bucket.wholeBurst);
-    if (bucket.level < needed)
-        return DurationMs{
-            static_cast<int64_t>(std::ceil(1000.0 * (needed - bucket.level) / bucket.ratePerSecond))};
-    bucket.level -= units;
-    bucket.used += units;
-    bucket.unreported += units;
-    reportIsDue_ = reportIsDue_ || bucket.unreported > UnreportedSeconds * organisation.ratePerSecond;
+    refill(organisation, daemons, now);
+    Balance &balance = balances_[organisation.name];
+    const double wholeBurst = balance.part * static_cast<double>(std::max<size_t>(daemons, 1));
+    const double needed = std::min(units, MostAtOnce * wholeBurst);
+    if (balance.units < needed) {
+        const double missing = needed - balance.units;
+        return QuotaShortage{
+            missing, {static_cast<int64_t>(std::ceil(1000.0 * missing / organisation.ratePerSecond))}};
+    }
+    balance.units -= units;
     return std::nullopt;
 }
 
-double Quotas::Bucket::levelAt(TimeMs now) const
+void Quotas::giveBack(const OrganisationName &organisation, double units)
 {
-    const double seconds = static_cast<double>((now - filledAt).count) / 1000.0;
-    return std::min(burst, level + ratePerSecond * seconds);
+    balances_[organisation].units += units;
 }
 
-void Quotas::giveBack(const OrganisationName &organisation, double units)
+double Quotas::give(const OrganisationName &organisation, double asked)
 {
-    buckets_[organisation].used -= units;
-    buckets_[organisation].level += units;
+    const auto found = balances_.find(organisation);
+    if (found == balances_.end())
+        return 0;
+    Balance &balance = found->second;
+    const double given = std::clamp(balance.units - KeptPart * balance.part, 0.0, std::max(asked, 0.0));
+    balance.units -= given;
+    return given;
 }
 
-void Quotas::join(const OrganisationName &organisation, double level)
+void Quotas::receive(const OrganisationName &organisation, double units)
 {
-    buckets_[organisation].joined += level;
+    balances_[organisation].units += units;
 }
 
-std::vector<OrganisationUse> Quotas::uses(TimeMs now) const
+std::vector<OrganisationBalance> Quotas::balances() const
 {
-    std::vector<OrganisationUse> out;
-    for (const std::pair<const OrganisationName, Bucket> &entry : buckets_) {
+    std::vector<OrganisationBalance> out;
+    for (const std::pair<const OrganisationName, Balance> &entry : balances_) {
         if (entry.second.started)
-            out.push_back({entry.first, entry.second.used, entry.second.levelAt(now)});
+            out.push_back({entry.first, std::floor(entry.second.units - KeptPart * entry.second.part)});
     }
     return out;
 }
 
-void Quotas::reported()
-{
-    reportIsDue_ = false;
-    for (std::pair<const OrganisationName, Bucket> &entry : buckets_)
-        entry.second.unreported = 0;
-}
-
-void Quotas::usedElsewhere(const OrganisationName &organisation, double units)
-{
-    buckets_[organisation].level -= units;
-}
-
 double quotaUnits(const ServedOrganisation &organisation, bool statesTokens, uint64_t tokens)
 {
     if (!organisation.countsTokens)
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -13,63 +13,46 @@
     double slack = 0; ///< In the limit's own unit.
 };
 
-/// How much of each limit this daemon may use alone: 1 while it hears all other daemons.
-struct QuotaScope {
-    double share = 1; ///< Heard daemons, itself included, of all that are known.
-    double ownShare = 1; ///< This daemon alone.
+/// What a request lacks of its organisation's limit at this daemon.
+struct QuotaShortage {
+    double missing = 0; ///< Units that another daemon may give.
+    DurationMs wait; ///< Until they are here without help.
 };
 
-/// Limits of the organisations over all daemons: one bucket for each, from which every daemon's use is taken.
+/// Limits of the organisations over all daemons, by balances that move.
 ///
-/// Each daemon takes its own use at once and that of the others when it hears of it. What they use in between
-/// is made up for by a level below zero.
-///
-/// Daemons that hear each other share one level. Where they are cut apart, or one starts, each part has its
-/// share of the rate, the burst and the level; where parts meet again, their levels add up. So the sum over
-/// all parts is the same as if there had been no cut.
+/// Each daemon fills a balance of its own with its part of the rate, up to its part of the burst. One that
+/// lacks units asks others, which give from their balances; what is given is taken there first. So the sum of
+/// all balances never exceeds the burst, whatever messages are lost, and no partition lets more through. What
+/// a lost gift costs is a little of the limit, not its observance.
 class Quotas
 {
 public:
     void setTolerance(const QuotaTolerance &tolerance) { tolerance_ = tolerance; }
-    /// Brings an organisation's bucket up to date. To be called for all of them at a steady pace: a bucket
-    /// that starts only with its first request would not know what the others used before.
-    void refill(const ServedOrganisation &organisation, QuotaScope scope, TimeMs now);
-    /// Takes `units` and returns nothing, or leaves them and returns when they will be there.
-    std::optional<DurationMs> take(const ServedOrganisation &organisation, double units, QuotaScope scope,
-                                   TimeMs now);
+
+    /// Brings an organisation's balance up to date; `daemons` share the limit.
+    void refill(const ServedOrganisation &organisation, size_t daemons, TimeMs now);
+    /// Takes `units` and returns nothing, or leaves them and returns what is missing.
+    std::optional<QuotaShortage> take(const ServedOrganisation &organisation, double units, size_t daemons,
+                                      TimeMs now);
     /// Gives back what was taken for a request that did not run.
     void giveBack(const OrganisationName &organisation, double units);
-    /// Use reported by another daemon since its report before.
-    void usedElsewhere(const OrganisationName &organisation, double units);
 
-    /// True if so much was taken since the last report that the other daemons should hear of it soon.
-    bool reportIsDue() const { return reportIsDue_; }
-    void reported();
+    /// Takes from the own balance, for another daemon, what can be spared of `asked`.
+    double give(const OrganisationName &organisation, double asked);
+    void receive(const OrganisationName &organisation, double units);
 
-    /// A daemon is heard for the first time, or again, and brings its own part of a level along.
-    void join(const OrganisationName &organisation, double level);
-
-    /// Own use since the start of the process, less what was given back, and what is left in each bucket.
-    std::vector<OrganisationUse> uses(TimeMs now) const;
+    std::vector<OrganisationBalance> balances() const;
 
 private:
-    struct Bucket {
-        double level = 0;
-        double ratePerSecond = 0;
-        double burst = 0;
-        double wholeBurst = 0; ///< Of all daemons together.
+    struct Balance {
+        double units = 0;
+        double part = 0; ///< Of the burst; the balance is filled up to here.
         TimeMs filledAt;
-        double used = 0; ///< Own, since the start.
-        double unreported = 0;
         bool started = false;
-        double share = 1; ///< Of the daemons, when the bucket was filled last.
-        double joined = 0; ///< Brought along by others since.
-
-        double levelAt(TimeMs now) const;
     };
     QuotaTolerance tolerance_;
-    std::map<OrganisationName, Bucket> buckets_;
-    bool reportIsDue_ = false;
+    std::map<OrganisationName, Balance> balances_;
 };
 
 /// What a request counts against its organisation's limit.
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -55,7 +55,7 @@
 void Gateway::onPeerReport(const PeerReport &report, TimeMs now)
 {
     counters_.add(GatewayCount::PeerReports);
-    if (peers_.take(report, quotas_, now))
+    if (peers_.take(report, now))
         fleet_.setPeersLoad(peers_.loadSums(now));
 }
 
@@ -63,9 +63,8 @@
 {
     if (!configuration_)
         return;
-    const QuotaScope scope = peers_.quotaScope(now);
     for (const ServedOrganisation &organisation : configuration_->organisations)
-        quotas_.refill(organisation, scope, now);
+        quotas_.refill(organisation, peers_.memberCount(), now);
 }
 
 PeerReport Gateway::report(TimeMs now)
@@ -75,7 +74,6 @@
     out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
     out.sequence = ++reports_;
-    out.heard = peers_.heardCount(now);
     std::map<ServiceName, uint32_t> running;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_)
         ++running[entry.second.service];
@@ -86,8 +84,7 @@
             out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
     }
     refillQuotas(now);
-    quotas_.reported();
-    out.uses = quotas_.uses(now);
+    out.balances = quotas_.balances();
     // The newest windows only, and not each time: the holder of the duty needs them a second after their end.
     if (now >= windowsToldAt_) {
         windowsToldAt_ = now + WindowsPace;
--- a/src/io/gatewaycallers.cpp
+++ b/src/io/gatewaycallers.cpp
@@ -62,6 +62,9 @@
 {
     std::string text = prometheusText(gateway.counters()) + latency.prometheusText();
     text += fmt::format("cranberry_gateway_endpoints {}\n", gateway.fleet().all().size());
+    text
+        += fmt::format("cranberry_gateway_peer_bytes_sent_total {}\ncranberry_gateway_store_calls_total {}\n",
+                       peerBytesSent, storeCalls);
     exchange->respond(200, {{"Content-Type", "text/plain"}}, text);
 }
 
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -8,6 +8,7 @@
 
 void GatewayServer::State::callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply)
 {
+    ++storeCalls;
     HttpCall call;
     call.address = settings.storeAddress;
     call.request = platform::StoreCodec::encode(order);
@@ -123,8 +124,14 @@
     if (const PeerReport *report = std::get_if<PeerReport>(&*read)) {
         if (report->incarnation != incarnation)
             gateway.onPeerReport(*report, now);
+    } else if (const QuotaAsk *ask = std::get_if<QuotaAsk>(&*read)) {
+        gateway.onQuotaAsk(*ask, peerAddress());
+        runActions();
+    } else if (const QuotaGift *gift = std::get_if<QuotaGift>(&*read)) {
+        gateway.onQuotaGift(*gift, now);
+        runActions();
     } else if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&*read)) {
-        sync.onQuestion(*question, {peerSender.address().to_string(), peerSender.port()}, now);
+        sync.onQuestion(*question, peerAddress(), now);
         sendOutgoing();
     } else if (const FreshnessAnswer *answer = std::get_if<FreshnessAnswer>(&*read)) {
         sync.onAnswer(*answer, now);
@@ -133,11 +140,23 @@
     }
 }
 
+Address GatewayServer::State::peerAddress() const
+{
+    return {peerSender.address().to_string(), peerSender.port()};
+}
+
+void GatewayServer::State::run(TellPeer &action)
+{
+    sendDatagram(action.to,
+                 std::visit([](const auto &each) { return encodeDatagram(each); }, action.message));
+}
+
 // Datagrams may be lost, also here when the socket is full: each is made up for by a later one.
 void GatewayServer::State::sendDatagram(const Address &to, const std::string &text)
 {
     boost::system::error_code ignored;
     const boost::asio::ip::address ip = boost::asio::ip::make_address(to.host, ignored);
+    peerBytesSent += text.size();
     if (!ignored)
         peerSocket.send_to(boost::asio::buffer(text), boost::asio::ip::udp::endpoint(ip, to.port), 0,
                            ignored);
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -11,8 +11,6 @@
 
 /// Resolution of time-outs and of the queue; finer costs wake-ups.
 constexpr DurationMs TickPace{25};
-/// Reports that can't wait come this often at most between two regular ones.
-constexpr int64_t DueReportsPerPace = 8;
 /// The settings file may change without a signal; reading it costs some microseconds.
 constexpr DurationMs SettingsPace{2000};
 constexpr DurationMs LogPace{200};
@@ -38,9 +36,10 @@
 
 namespace {
 
-GatewaySettings coreSettings(const GatewayDaemonSettings &given, uint64_t seed)
+GatewaySettings coreSettings(const GatewayDaemonSettings &given, Incarnation incarnation, uint64_t seed)
 {
     GatewaySettings out;
+    out.incarnation = incarnation;
     out.instance = given.instance;
     out.failureDomain = given.failureDomain;
     out.revokeBound = given.revokeBound;
@@ -67,7 +66,8 @@
 GatewayServer::State::State(GatewayDaemonSettings given, std::string file)
     : settings(std::move(given)), settingsFile(std::move(file)),
       settingsText(readFile(settingsFile).value_or("")), incarnation{randomSeed()},
-      log(settings.instance.value, wallNowMs), gateway(coreSettings(settings, randomSeed()), log),
+      log(settings.instance.value, wallNowMs),
+      gateway(coreSettings(settings, incarnation, randomSeed()), log),
       sync(syncSettings(settings, incarnation, randomSeed()), log), usageDuty(settings.usageDue, log),
       engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
 { }
@@ -85,10 +85,8 @@
     gateway.tick(now);
     runActions();
     runDuties();
-    const DurationMs pace = gateway.peers().reportPace();
-    if (now >= reportAt || (gateway.reportIsDue() && now - reportedAt >= pace / DueReportsPerPace)) {
-        reportedAt = now;
-        reportAt = now + pace;
+    if (now >= reportAt) {
+        reportAt = now + gateway.peers().reportPace();
         sendReports();
     }
     if (now >= flushAt) {
@@ -132,7 +130,7 @@
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
             BOOST_LEAF_ASSIGN(const GatewayDaemonSettings changed, parseGatewaySettings(*text));
-            gateway.applyBounds(coreSettings(changed, 0));
+            gateway.applyBounds(coreSettings(changed, incarnation, 0));
             log.write(LogWeight::State, "reloaded", {{"asked", asked}});
             return {};
         },
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -50,6 +50,7 @@
     void run(CancelSent &action);
     void run(MoveRun &action);
     void run(ProbeEngine &action);
+    void run(TellPeer &action);
 
     void callEndpoint(const Address &address, HttpRequest request, DurationMs timeout,
                       std::function<void(int status, const std::string &body)> onReply);
@@ -69,6 +70,7 @@
     void onDatagram(std::string_view text);
     void sendDatagram(const Address &to, const std::string &text);
     void sendOutgoing();
+    Address peerAddress() const; ///< Of the datagram that is being handled.
     void sendReports();
 
     void tick();
@@ -107,9 +109,10 @@
     boost::asio::steady_timer timer{io};
     boost::asio::signal_set signals{io};
     TimeMs reportAt;
-    TimeMs reportedAt;
     TimeMs flushAt;
     TimeMs settingsCheckAt;
+    uint64_t peerBytesSent = 0;
+    uint64_t storeCalls = 0;
     bool stopping = false;
     TimeMs stopStartedAt;
     uint64_t limitsVersion = 0;
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -210,6 +210,10 @@
             moves.push_back(*move);
         else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
             probes.push_back(*probe);
+        else if (const TellPeer *word = std::get_if<TellPeer>(&action)) {
+            if (const QuotaAsk *ask = std::get_if<QuotaAsk>(&word->message))
+                asks.emplace_back(word->to, *ask);
+        }
     }
 }
 
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -54,6 +54,7 @@
     std::vector<AttemptId> cancelled;
     std::vector<MoveRun> moves;
     std::vector<ProbeEngine> probes;
+    std::vector<std::pair<Address, QuotaAsk>> asks;
     std::map<CallerId, AnswerCaller> answers;
     std::map<CallerId, std::string> streamed;
     std::map<CallerId, bool> streamEnds; ///< True: whole.
--- /dev/null
+++ b/tests/limits_explorer_test.cpp
@@ -0,0 +1,246 @@
+#include "gateway/peertable.h"
+#include "gateway/quotas.h"
+#include "random.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <memory>
+#include <utility>
+#include <variant>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr DurationMs Step{25};
+constexpr size_t DaemonCount = 6;
+constexpr double Rate = 100'000;
+constexpr double Burst = 100'000;
+constexpr QuotaTolerance Tolerance{0.1, 190'000};
+constexpr DurationMs JudgedWindow{8000};
+constexpr double Allowed = (Rate * 8 + Burst) * (1 + Tolerance.over) + Tolerance.slack;
+constexpr DurationMs LeaseTime{3000};
+
+std::string nameOf(size_t daemon)
+{
+    return std::string(1, static_cast<char>('a' + daemon));
+}
+
+/// Daemons under one rushing organisation, with lost reports, partitions and restarts. Counts what they let
+/// through together in any window.
+class LimitWorld
+{
+public:
+    explicit LimitWorld(uint64_t seed) : random(seed)
+    {
+        organisation.name = OrganisationName{"a"};
+        organisation.countsTokens = true;
+        organisation.ratePerSecond = Rate;
+        organisation.burst = Burst;
+        for (size_t i = 0; i < DaemonCount; ++i)
+            start(i);
+    }
+
+    void start(size_t i)
+    {
+        daemons[i] = std::make_unique<OneDaemon>(InstanceName{nameOf(i)});
+        daemons[i]->incarnation.value = ++incarnations;
+        daemons[i]->quotas.setTolerance(Tolerance);
+        listedAt[i] = now;
+    }
+
+    void pass(DurationMs duration)
+    {
+        const TimeMs until = now + duration;
+        while (now < until) {
+            now = now + Step;
+            for (size_t i = 0; i < DaemonCount; ++i) {
+                if (now >= daemons[i]->downUntil)
+                    serve(i);
+            }
+            deliver();
+            judge();
+        }
+    }
+
+    Random random;
+    TimeMs now{100'000};
+    std::vector<uint32_t> group
+        = std::vector<uint32_t>(DaemonCount); ///< Daemons hear those of their own group.
+    uint64_t lossPercent = 0;
+    double most = 0; ///< Let through in any window so far.
+    double all = 0;
+
+    void kill(size_t i, DurationMs duration)
+    {
+        start(i);
+        daemons[i]->downUntil = now + duration;
+    }
+
+private:
+    struct OneDaemon {
+        explicit OneDaemon(const InstanceName &name) : peers(name) { }
+        PeerTable peers;
+        Quotas quotas;
+        Incarnation incarnation;
+        uint64_t sequence = 0;
+        TimeMs reportAt;
+        TimeMs downUntil;
+        double wanted = 0; ///< Of a request that waits for gifts.
+        TimeMs waitUntil;
+    };
+    using Message = std::variant<PeerReport, QuotaAsk, QuotaGift>;
+    struct Envelope {
+        size_t from = 0;
+        size_t to = 0;
+        Message message;
+    };
+
+    void tell(size_t from, size_t to, const Message &message)
+    {
+        if (group[from] == group[to] && random.below(100) >= lossPercent)
+            messages.push_back({from, to, message});
+    }
+
+    bool letThrough(OneDaemon &daemon, double units)
+    {
+        if (daemon.quotas.take(organisation, units, daemon.peers.memberCount(), now))
+            return false;
+        used.emplace_back(now, units);
+        sum += units;
+        all += units;
+        return true;
+    }
+
+    void press(size_t i)
+    {
+        OneDaemon &daemon = *daemons[i];
+        const double units = static_cast<double>(500 + random.below(random.below(20) == 0 ? 90'000 : 20'000));
+        if (daemon.wanted > 0 || letThrough(daemon, units))
+            return;
+        daemon.wanted = units;
+        daemon.waitUntil = now + DurationMs{150};
+        for (const PeerTable::Spare &spare : daemon.peers.spares(organisation.name, now))
+            tell(i, spare.address.port, QuotaAsk{1, organisation.name, std::min(units, spare.units)});
+    }
+
+    void serve(size_t i)
+    {
+        OneDaemon &daemon = *daemons[i];
+        std::vector<MemberEntry> members;
+        for (size_t j = 0; j < DaemonCount; ++j) {
+            // A killed daemon's entry stands until its lease is over.
+            const Address address{"10.0.0.1", static_cast<uint16_t>(j)};
+            if (now >= daemons[j]->downUntil || now - listedAt[j] < LeaseTime)
+                members.push_back({{nameOf(j)}, daemons[j]->incarnation, {"north"}, {}, address});
+        }
+        daemon.peers.setMembers(std::move(members));
+        for (uint64_t k = 0; k < random.below(3); ++k)
+            press(i);
+        if (daemon.wanted > 0 && now >= daemon.waitUntil) {
+            letThrough(daemon, daemon.wanted);
+            daemon.wanted = 0;
+        }
+        if (now < daemon.reportAt)
+            return;
+        daemon.reportAt = now + daemon.peers.reportPace();
+        daemon.quotas.refill(organisation, daemon.peers.memberCount(), now);
+        PeerReport report;
+        report.incarnation = daemon.incarnation;
+        report.sequence = ++daemon.sequence;
+        report.ready = true;
+        report.balances = daemon.quotas.balances();
+        for (size_t j = 0; j < DaemonCount; ++j) {
+            if (j != i)
+                tell(i, j, report);
+        }
+    }
+
+    void deliver()
+    {
+        for (const Envelope &envelope : std::exchange(messages, {})) {
+            OneDaemon &daemon = *daemons[envelope.to];
+            if (now < daemon.downUntil)
+                continue;
+            if (const PeerReport *report = std::get_if<PeerReport>(&envelope.message)) {
+                daemon.peers.take(*report, now);
+            } else if (const QuotaAsk *ask = std::get_if<QuotaAsk>(&envelope.message)) {
+                const double given = daemon.quotas.give(organisation.name, ask->units);
+                if (given > 0)
+                    tell(envelope.to, envelope.from,
+                         QuotaGift{daemon.incarnation, 1, organisation.name, given});
+            } else if (const QuotaGift *gift = std::get_if<QuotaGift>(&envelope.message)) {
+                daemon.quotas.receive(organisation.name, gift->units);
+                if (daemon.wanted > 0 && letThrough(daemon, daemon.wanted))
+                    daemon.wanted = 0;
+            }
+        }
+    }
+
+    void judge()
+    {
+        while (!used.empty() && now - used.front().first >= JudgedWindow) {
+            sum -= used.front().second;
+            used.pop_front();
+        }
+        most = std::max(most, sum);
+    }
+
+    ServedOrganisation organisation;
+    std::unique_ptr<OneDaemon> daemons[DaemonCount];
+    TimeMs listedAt[DaemonCount];
+    uint64_t incarnations = 0;
+    std::vector<Envelope> messages;
+    std::deque<std::pair<TimeMs, double>> used;
+    double sum = 0;
+};
+
+} // namespace
+
+TEST_CASE("without faults a rushing organisation gets its rate, and little more than its burst")
+{
+    LimitWorld world(1);
+    world.pass({20000});
+    CHECK(world.most <= Allowed);
+    CHECK(world.all >= Rate * 20);
+}
+
+TEST_CASE("partitions, lost reports and restarts never let more through than is tolerated")
+{
+    // An organisation presses at all daemons without pause. Daemons are cut apart in any way, reports get
+    // lost, and daemons are killed and start again, at random and overlapping. In no window of eight seconds
+    // may all of them together let more through than the operators tolerate.
+    double most = 0;
+    for (uint64_t seed = 1; seed <= 120; ++seed) {
+        CAPTURE(seed);
+        LimitWorld world(seed);
+        world.pass({1000});
+        for (int round = 0; round < 10; ++round) {
+            const uint64_t fault = world.random.below(5);
+            std::fill(world.group.begin(), world.group.end(), 0);
+            world.lossPercent = 0;
+            if (fault == 0) {
+                for (uint32_t &each : world.group)
+                    each = static_cast<uint32_t>(world.random.below(3));
+            }
+            if (fault == 1) {
+                for (size_t i = 0; i < DaemonCount; ++i)
+                    world.group[i] = static_cast<uint32_t>(i);
+            }
+            if (fault == 2)
+                world.lossPercent = 5 + world.random.below(25);
+            if (fault == 3)
+                world.kill(world.random.below(DaemonCount),
+                           {static_cast<int64_t>(700 + world.random.below(3000))});
+            if (fault == 4) {
+                for (size_t i = 0; i < DaemonCount; ++i)
+                    world.kill(i, {static_cast<int64_t>(700 + world.random.below(500))});
+            }
+            world.pass({static_cast<int64_t>(500 + world.random.below(6000))});
+        }
+        CHECK(world.most <= Allowed);
+        most = std::max(most, world.most);
+    }
+    fmt::print("limits explorer | most in a window {:.0f} of {:.0f}\n", most, Allowed);
+}
