--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -11,8 +11,9 @@
 namespace json = boost::json;
 
 /// After a window's end its last requests are still being counted and told to the other daemons: a plain call
-/// is counted when its answer begins, a report of counts is sent five times a second.
-constexpr DurationMs GatherTime{1200};
+/// is counted when its answer begins. Besides, two reports of each daemon must have come, since one may be lost.
+constexpr DurationMs CountingTime{800};
+constexpr int64_t ReportsAwaited = 2;
 constexpr DurationMs CallTimeout{1500};
 constexpr DurationMs RetryPause{400};
 /// Stored windows are deleted when they are this many windows old: nobody can report them any more.
@@ -59,7 +60,8 @@
     }
     const int64_t first = windows.windowAt(now - due_);
     windows_.erase(windows_.begin(), windows_.lower_bound(first));
-    for (int64_t number = first; windows.endOf(number) + GatherTime <= now; ++number) {
+    const DurationMs gatherTime = CountingTime + peers.reportPace() * ReportsAwaited;
+    for (int64_t number = first; windows.endOf(number) + gatherTime <= now; ++number) {
         Window &window = windows_[number];
         if (now < window.nextAt)
             continue;
