--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -21,9 +21,10 @@
 constexpr double TightPart = 0.7;
 /// So long engines are kept as they were found, for a demand that is not known yet.
 constexpr DurationMs LearningTime{15000};
-/// A new holder looks at the list for so long before it orders: at the start entries come one by one.
-constexpr DurationMs FirstListTime{1500};
-constexpr DurationMs FindingTime{5000};
+/// A new holder orders nothing until no new engine has come for a heartbeat of the usual length, or this
+/// long.
+constexpr DurationMs FindingPause{1500};
+constexpr DurationMs MostFindingTime{5000};
 constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
 /// work.
@@ -176,8 +177,7 @@
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
         ServiceState &state = services_[service.name];
-        noteFound(service, fleet, now);
-        if (now - ledSince_ < FirstListTime)
+        if (isStillFinding(service, fleet, now))
             continue;
         if (!state.demandSince && peak.running > IdleRunning)
             state.demandSince = now;
@@ -193,19 +193,24 @@
     }
 }
 
-// At the first start entries come one by one, some after the first orders. Engines on demand that are seen in
-// the first moments were there before, also those that leave already because of these orders.
-void EngineSizing::noteFound(const ServedService &service, const EndpointFleet &fleet, TimeMs now)
+// At the first start entries come one by one over some heartbeats. An order before the last has come would
+// stop engines that nobody has counted yet.
+bool EngineSizing::isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now)
 {
-    const DurationMs since = now - ledSince_;
-    if (since > FindingTime)
-        return;
+    ServiceState &state = services_[service.name];
+    if (state.foundAt.count == 0)
+        state.foundAt = now;
+    const bool over = now - ledSince_ > MostFindingTime || now - state.foundAt > FindingPause;
+    if (over || state.demandSince)
+        return false;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet.all()) {
         const EndpointEntry &endpoint = entry.second.entry;
-        const bool stays = !endpoint.leaving && !entry.second.gone;
-        if (endpoint.service == service.name && (since < FirstListTime ? stays : !endpoint.reclaimable))
-            services_[service.name].foundAtStart.insert(entry.first);
+        if (endpoint.service != service.name || endpoint.leaving || entry.second.gone)
+            continue;
+        if (state.foundAtStart.insert(entry.first).second)
+            state.foundAt = now;
     }
+    return true;
 }
 
 // What there is and what is short. Scarcity lasts until the last short domain got what was ordered: a domain
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -73,9 +73,10 @@
         std::deque<std::pair<TimeMs, ServiceDemand>> samples;
         bool scarce = false;
         std::set<EndpointId> foundAtStart; ///< Engines that were there when this daemon began to lead.
+        TimeMs foundAt; ///< The newest of them.
         std::optional<TimeMs> demandSince; ///< First seen.
     };
-    void noteFound(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
+    bool isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
                                                        const EndpointFleet &fleet, TimeMs now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,6 +98,7 @@
     bool askForUnits(Exchange &exchange, double missing, TimeMs now);
     void goOnWithinLimit(Exchange &exchange, TimeMs now);
     void tickLimits(TimeMs now);
+    void deposit(TimeMs now);
     ServiceName pickService(const Exchange &exchange) const;
 
     // Sending.
@@ -157,12 +158,13 @@
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
-    std::set<std::pair<uint64_t, Incarnation>> giftsTaken_; ///< Question and giver, of the last seconds.
+    std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
     uint64_t nextAsk_ = 1;
     std::vector<CallerId> queue_; ///< Most urgent first, then by arrival.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
-    TimeMs windowsToldAt_;
+    TimeMs depositedAt_;
+    uint64_t deposits_ = 0;
     std::vector<GatewayAction> actions_;
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -115,9 +115,10 @@
 /// Units that the sender has taken from its own balance. Taken once; a lost one is lost to the limit.
 struct QuotaGift {
     Incarnation from;
-    uint64_t number = 0; ///< Of the question.
+    uint64_t number = 0; ///< Of the question, or of a deposit.
     OrganisationName organisation;
     double units = 0;
+    bool deposit = false; ///< Not asked for: the receiver keeps it for all.
 };
 
 /// Requests of one organisation that began to run in one window.
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -15,10 +15,14 @@
 /// A daemon that lacks units asks for a little more than one request needs, in parts of it, for the next
 /// ones.
 constexpr double AskedBeyond = 0.5;
+/// Others are asked if they had this part of what is missing when they told last.
+constexpr double LeastHope = 0.5;
 /// Daemons asked for one request, at most.
 constexpr size_t MostAsked = 12;
-/// Gifts are remembered for this many questions, to take doubled ones once.
-constexpr uint64_t QuestionsRemembered = 1000;
+/// Numbers of one giver's gifts that are remembered, to take doubled ones once. Datagrams are not that late.
+constexpr uint64_t NumbersRemembered = 500;
+/// Pace of gathering what daemons don't need.
+constexpr DurationMs DepositPace{500};
 constexpr DurationMs LeastRetryAfter{400};
 
 } // namespace
@@ -55,7 +59,8 @@
     return LimitOutcome::Refused;
 }
 
-// Asks those that can spare most, for what they can. False if all of them together can't help.
+// Asks those where the limit's rest is gathered, and others that can spare something. False if nobody can
+// help.
 bool Gateway::askForUnits(Exchange &exchange, double missing, TimeMs now)
 {
     std::vector<PeerTable::Spare> spares = peers_.spares(exchange.organisation, now);
@@ -63,41 +68,65 @@
     double sum = 0;
     for (const PeerTable::Spare &spare : spares)
         sum += spare.units;
-    if (sum < missing)
+    if (sum < missing * LeastHope)
         return false;
     exchange.phase = ExchangePhase::AwaitingLimit;
     exchange.limitAsk = nextAsk_++;
     exchange.limitAskUntil = now + GiftTime;
     limitAsks_[exchange.limitAsk] = exchange.caller;
-    const double wanted = std::min(missing * (1 + AskedBeyond), sum);
+    // Reports are old: each is asked for more than its part, and gives what it has.
+    const double wanted = missing * (1 + AskedBeyond);
     for (const PeerTable::Spare &spare : spares) {
-        const QuotaAsk ask{exchange.limitAsk, exchange.organisation, wanted * spare.units / sum};
-        actions_.emplace_back(TellPeer{spare.address, ask});
+        const double part
+            = std::max(wanted * spare.units / sum, missing / static_cast<double>(spares.size()));
+        actions_.emplace_back(
+            TellPeer{spare.address, QuotaAsk{exchange.limitAsk, exchange.organisation, part}});
     }
     log(LogWeight::Ordinary, "limit_asked", exchange,
         {{"missing", missing}, {"spare", sum}, {"daemons", spares.size()}});
     return true;
 }
 
+// What this daemon does not need is gathered at a few, so that a large request finds it with few questions.
+void Gateway::deposit(TimeMs now)
+{
+    if (!configuration_ || now < depositedAt_ + DepositPace)
+        return;
+    depositedAt_ = now;
+    for (const ServedOrganisation &organisation : configuration_->organisations) {
+        const std::vector<const MemberEntry *> keepers = peers_.keepers(organisation.name, now);
+        const bool isKeeper = std::any_of(keepers.begin(), keepers.end(), [this](const MemberEntry *keeper) {
+            return keeper->instance == settings_.instance;
+        });
+        if (keepers.empty() || isKeeper)
+            continue;
+        const double units = quotas_.surplus(organisation.name);
+        if (units <= 0)
+            continue;
+        const MemberEntry &keeper = *keepers[deposits_ % keepers.size()];
+        const QuotaGift gift{settings_.incarnation, ++deposits_, organisation.name, units, true};
+        actions_.emplace_back(TellPeer{keeper.peerAddress, gift});
+    }
+}
+
 void Gateway::onQuotaAsk(const QuotaAsk &ask, const Address &from)
 {
     const double given = quotas_.give(ask.organisation, ask.units);
     if (given > 0)
         actions_.emplace_back(
-            TellPeer{from, QuotaGift{settings_.incarnation, ask.number, ask.organisation, given}});
+            TellPeer{from, QuotaGift{settings_.incarnation, ask.number, ask.organisation, given, false}});
 }
 
 // A late gift is taken, too: its giver no longer has it.
 void Gateway::onQuotaGift(const QuotaGift &gift, TimeMs now)
 {
-    if (gift.number >= nextAsk_ || !giftsTaken_.insert({gift.number, gift.from}).second)
-        return;
-    while (!giftsTaken_.empty() && giftsTaken_.begin()->first + QuestionsRemembered < nextAsk_)
-        giftsTaken_.erase(giftsTaken_.begin());
-    if (gift.number + QuestionsRemembered < nextAsk_)
+    if (!giftsTaken_.insert({gift.from, gift.deposit, gift.number}).second)
         return;
+    const auto first = giftsTaken_.lower_bound({gift.from, gift.deposit, 0});
+    if (std::get<2>(*first) + NumbersRemembered < gift.number)
+        giftsTaken_.erase(first);
     quotas_.receive(gift.organisation, gift.units);
-    const auto waiting = limitAsks_.find(gift.number);
+    const auto waiting = gift.deposit ? limitAsks_.end() : limitAsks_.find(gift.number);
     if (waiting == limitAsks_.end())
         return;
     Exchange &exchange = exchanges_.at(waiting->second);
@@ -124,6 +153,7 @@
 
 void Gateway::tickLimits(TimeMs now)
 {
+    deposit(now);
     std::vector<CallerId> over;
     for (const std::pair<const uint64_t, CallerId> &entry : limitAsks_) {
         if (now >= exchanges_.at(entry.second).limitAskUntil)
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -164,11 +164,9 @@
 
 json::object encoded(const QuotaGift &gift)
 {
-    return {{"kind", "gift"},
-            {"id", gift.from.value},
-            {"number", gift.number},
-            {"organisation", gift.organisation.value},
-            {"units", gift.units}};
+    return {{"kind", "gift"},        {"id", gift.from.value},
+            {"number", gift.number}, {"organisation", gift.organisation.value},
+            {"units", gift.units},   {"deposit", gift.deposit}};
 }
 
 QuotaAsk decodedAsk(const json::object &object)
@@ -180,7 +178,8 @@
 QuotaGift decodedGift(const json::object &object)
 {
     return {Incarnation{object.at("id").to_number<uint64_t>()}, object.at("number").to_number<uint64_t>(),
-            OrganisationName{text(object.at("organisation"))}, object.at("units").to_number<double>()};
+            OrganisationName{text(object.at("organisation"))}, object.at("units").to_number<double>(),
+            object.at("deposit").as_bool()};
 }
 
 std::optional<PeerDatagram> decoded(const json::object &object)
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -1,6 +1,8 @@
 #include "gateway/peertable.h"
 
 #include <algorithm>
+#include <functional>
+#include <xxhash.h>
 
 namespace cranberry {
 
@@ -14,6 +16,9 @@
 constexpr int64_t SilentReports = 6;
 /// Daemons that read the store for all; each of the others asks one of them.
 constexpr size_t Readers = 3;
+/// Daemons that gather what is left of one organisation's limit: with many daemons each balance is smaller
+/// than a request, and a request can't ask them all.
+constexpr size_t Keepers = 3;
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{
     60000}; ///< Usage windows of a peer that is gone are still needed for a while.
@@ -92,6 +97,24 @@
     return members_.size() + (listsSelf ? 0 : 1);
 }
 
+std::vector<const MemberEntry *> PeerTable::keepers(const OrganisationName &organisation, TimeMs now) const
+{
+    std::vector<std::pair<uint64_t, const MemberEntry *>> ranked;
+    for (const MemberEntry &member : members_) {
+        const Peer *peer = member.instance == self_ ? nullptr : heard(member, now, silence());
+        const bool serves = member.instance == self_ || (peer && peer->report.ready && !peer->report.leaving);
+        if (serves)
+            ranked.emplace_back(XXH3_64bits_withSeed(organisation.value.data(), organisation.value.size(),
+                                                     member.incarnation.value),
+                                &member);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<const MemberEntry *> out;
+    for (size_t i = 0; i < ranked.size() && i < Keepers; ++i)
+        out.push_back(ranked[i].second);
+    return out;
+}
+
 std::vector<PeerTable::Spare> PeerTable::spares(const OrganisationName &organisation, TimeMs now) const
 {
     std::vector<Spare> out;
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -34,6 +34,9 @@
     std::optional<Address> readerToAsk(TimeMs now) const;
     /// Daemons that are listed, this one included; at least 1.
     size_t memberCount() const;
+    /// The few daemons where what is left of an organisation's limit is gathered, best known first; all
+    /// daemons rank them alike. May name this one.
+    std::vector<const MemberEntry *> keepers(const OrganisationName &organisation, TimeMs now) const;
     /// What another daemon said it can spare of an organisation's limit.
     struct Spare {
         Address address;
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -15,6 +15,9 @@
 constexpr double StartPart = 0.5;
 /// A balance keeps this part of its share of the burst when others ask.
 constexpr double KeptPart = 0.15;
+/// What a daemon leaves itself when it gives the rest to be gathered, and the least that is worth a message.
+constexpr double OwnPart = 0.5;
+constexpr double SurplusPart = 0.15;
 /// A request larger than this part of the whole burst runs on so much, and the rest is owed.
 constexpr double MostAtOnce = 0.6;
 
@@ -73,6 +76,16 @@
     return given;
 }
 
+double Quotas::surplus(const OrganisationName &organisation)
+{
+    const auto found = balances_.find(organisation);
+    if (found == balances_.end() || found->second.units < (OwnPart + SurplusPart) * found->second.part)
+        return 0;
+    const double units = found->second.units - OwnPart * found->second.part;
+    found->second.units -= units;
+    return units;
+}
+
 void Quotas::receive(const OrganisationName &organisation, double units)
 {
     balances_[organisation].units += units;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -38,6 +38,9 @@
     /// Gives back what was taken for a request that did not run.
     void giveBack(const OrganisationName &organisation, double units);
 
+    /// Takes what this daemon does not need for itself, to be gathered elsewhere; 0 if it is not worth a
+    /// message.
+    double surplus(const OrganisationName &organisation);
     /// Takes from the own balance, for another daemon, what can be spared of `asked`.
     double give(const OrganisationName &organisation, double asked);
     void receive(const OrganisationName &organisation, double units);
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -4,13 +4,6 @@
 
 namespace cranberry {
 
-namespace {
-
-/// Usage counts are told this often; the duty waits a little longer than that after a window's end.
-constexpr DurationMs WindowsPace{400};
-
-} // namespace
-
 void Gateway::onConfiguration(const ConfigurationRead &event, TimeMs now)
 {
     confirmedAt_ = std::max(confirmedAt_, event.askedAt);
@@ -85,14 +78,11 @@
     }
     refillQuotas(now);
     out.balances = quotas_.balances();
-    // The newest windows only, and not each time: the holder of the duty needs them a second after their end.
-    if (now >= windowsToldAt_) {
-        windowsToldAt_ = now + WindowsPace;
-        const int64_t oldest = usage_.windowAt(now) - 1;
-        for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
-            for (const std::pair<const OrganisationName, uint64_t> &count : window->second)
-                out.windows.push_back({window->first, count.first, count.second});
-        }
+    // The newest windows only: the holder of the duty needs them some seconds after their end.
+    const int64_t oldest = usage_.windowAt(now) - 1;
+    for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
+        for (const std::pair<const OrganisationName, uint64_t> &count : window->second)
+            out.windows.push_back({window->first, count.first, count.second});
     }
     return out;
 }
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -11,7 +11,8 @@
 namespace json = boost::json;
 
 /// After a window's end its last requests are still being counted and told to the other daemons: a plain call
-/// is counted when its answer begins. Besides, two reports of each daemon must have come, since one may be lost.
+/// is counted when its answer begins. Besides, two reports of each daemon must have come, since one may be
+/// lost.
 constexpr DurationMs CountingTime{800};
 constexpr int64_t ReportsAwaited = 2;
 constexpr DurationMs CallTimeout{1500};
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -169,19 +169,30 @@
                      std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
 }
 
-// Reports may be lost: the next one says all of it again.
-void GatewayServer::State::sendReports()
+// Reports may be lost: the next one says all of it again. Each tick tells a few daemons, in turn: to all at
+// once would overflow the queue of a slow link, and the sockets of the others.
+void GatewayServer::State::sendReports(bool toAll)
 {
     const TimeMs now = steadyNow();
+    const std::vector<MemberEntry> &members = gateway.peers().members();
+    const DurationMs pace = gateway.peers().reportPace();
+    reportsDue += static_cast<double>(members.size()) * static_cast<double>((now - reportedAt).count)
+        / static_cast<double>(pace.count);
+    reportedAt = now;
+    size_t count = toAll ? members.size() : std::min(static_cast<size_t>(reportsDue), members.size());
+    if (count == 0)
+        return;
+    reportsDue = toAll ? 0 : std::min(reportsDue - static_cast<double>(count), 1.0);
     const int64_t ownOffset = wallNowMs() - now.count;
     gateway.usage().setOffset(gateway.peers().medianWallOffset(ownOffset, now));
     PeerReport report = gateway.report(now);
     report.incarnation = incarnation;
     report.wallMs = wallNowMs();
     const std::string text = encodeDatagram(report);
-    for (const MemberEntry &member : gateway.peers().members()) {
-        if (member.instance != settings.instance)
-            sendDatagram(member.peerAddress, text);
+    for (; count > 0; --count) {
+        nextMember = (nextMember + 1) % members.size();
+        if (members[nextMember].instance != settings.instance)
+            sendDatagram(members[nextMember].peerAddress, text);
     }
 }
 
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -85,10 +85,7 @@
     gateway.tick(now);
     runActions();
     runDuties();
-    if (now >= reportAt) {
-        reportAt = now + gateway.peers().reportPace();
-        sendReports();
-    }
+    sendReports(false);
     if (now >= flushAt) {
         flushAt = now + LogPace;
         log.flush();
@@ -154,7 +151,7 @@
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
     callerServer->closeAfterResponses();
-    sendReports();
+    sendReports(true);
 }
 
 void GatewayServer::State::checkStopped()
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -71,7 +71,7 @@
     void sendDatagram(const Address &to, const std::string &text);
     void sendOutgoing();
     Address peerAddress() const; ///< Of the datagram that is being handled.
-    void sendReports();
+    void sendReports(bool toAll);
 
     void tick();
     void waitForSignal();
@@ -108,7 +108,9 @@
 
     boost::asio::steady_timer timer{io};
     boost::asio::signal_set signals{io};
-    TimeMs reportAt;
+    TimeMs reportedAt;
+    double reportsDue = 0; ///< Daemons that are to be told by now.
+    size_t nextMember = 0;
     TimeMs flushAt;
     TimeMs settingsCheckAt;
     uint64_t peerBytesSent = 0;
