--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -177,8 +177,7 @@
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
         ServiceState &state = services_[service.name];
-        if (isStillFinding(service, fleet, now))
-            continue;
+        const bool finding = isStillFinding(service, fleet, now);
         if (!state.demandSince && peak.running > IdleRunning)
             state.demandSince = now;
         SizingQuestion question;
@@ -188,7 +187,8 @@
             question.known = static_cast<uint32_t>(state.foundAtStart.size());
         for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, question, stock)) {
             order({service.name, domain.failureDomain, true}, domain.reclaimable, leadership, now);
-            order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
+            if (!finding)
+                order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
         }
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,7 @@
     void goOnWithinLimit(Exchange &exchange, TimeMs now);
     void tickLimits(TimeMs now);
     void deposit(TimeMs now);
+    QuotaRole quotaRole(const OrganisationName &organisation, TimeMs now) const;
     ServiceName pickService(const Exchange &exchange) const;
 
     // Sending.
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -39,7 +39,7 @@
     const double units
         = quotaUnits(*organisation, request.statesTokens, request.promptTokens + request.outputTokens);
     const std::optional<QuotaShortage> shortage
-        = quotas_.take(*organisation, units, peers_.memberCount(), now);
+        = quotas_.take(*organisation, units, quotaRole(organisation->name, now), now);
     if (!shortage) {
         exchange.quotaUnits = units;
         return LimitOutcome::Within;
@@ -87,6 +87,18 @@
     return true;
 }
 
+QuotaRole Gateway::quotaRole(const OrganisationName &organisation, TimeMs now) const
+{
+    const std::vector<const MemberEntry *> keepers = peers_.keepers(organisation, now);
+    QuotaRole role;
+    role.daemons = peers_.memberCount();
+    role.keepers = std::min(PeerTable::Keepers, role.daemons);
+    role.isKeeper = std::any_of(keepers.begin(), keepers.end(), [this](const MemberEntry *keeper) {
+        return keeper->instance == settings_.instance;
+    });
+    return role;
+}
+
 // What this daemon does not need is gathered at a few, so that a large request finds it with few questions.
 void Gateway::deposit(TimeMs now)
 {
@@ -95,10 +107,7 @@
     depositedAt_ = now;
     for (const ServedOrganisation &organisation : configuration_->organisations) {
         const std::vector<const MemberEntry *> keepers = peers_.keepers(organisation.name, now);
-        const bool isKeeper = std::any_of(keepers.begin(), keepers.end(), [this](const MemberEntry *keeper) {
-            return keeper->instance == settings_.instance;
-        });
-        if (keepers.empty() || isKeeper)
+        if (keepers.empty() || quotaRole(organisation.name, now).isKeeper)
             continue;
         const double units = quotas_.surplus(organisation.name);
         if (units <= 0)
@@ -125,8 +134,10 @@
     const auto first = giftsTaken_.lower_bound({gift.from, gift.deposit, 0});
     if (std::get<2>(*first) + NumbersRemembered < gift.number)
         giftsTaken_.erase(first);
+    if (gift.deposit)
+        return quotas_.keep(gift.organisation, gift.units);
     quotas_.receive(gift.organisation, gift.units);
-    const auto waiting = gift.deposit ? limitAsks_.end() : limitAsks_.find(gift.number);
+    const auto waiting = limitAsks_.find(gift.number);
     if (waiting == limitAsks_.end())
         return;
     Exchange &exchange = exchanges_.at(waiting->second);
@@ -135,7 +146,7 @@
     const double units = organisation
         ? quotaUnits(*organisation, request.statesTokens, request.promptTokens + request.outputTokens)
         : 0;
-    if (organisation && quotas_.take(*organisation, units, peers_.memberCount(), now))
+    if (organisation && quotas_.take(*organisation, units, quotaRole(organisation->name, now), now))
         return;
     exchange.quotaUnits = units;
     goOnWithinLimit(exchange, now);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -16,9 +16,6 @@
 constexpr int64_t SilentReports = 6;
 /// Daemons that read the store for all; each of the others asks one of them.
 constexpr size_t Readers = 3;
-/// Daemons that gather what is left of one organisation's limit: with many daemons each balance is smaller
-/// than a request, and a request can't ask them all.
-constexpr size_t Keepers = 3;
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{
     60000}; ///< Usage windows of a peer that is gone are still needed for a while.
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -21,6 +21,10 @@
 class PeerTable
 {
 public:
+    /// Daemons that gather what is left of one organisation's limit: with many daemons each balance is
+    /// smaller than a request, and a request can't ask them all.
+    static constexpr size_t Keepers = 3;
+
     explicit PeerTable(InstanceName self) : self_(std::move(self)) { }
 
     void setMembers(std::vector<MemberEntry> members);
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -10,9 +10,9 @@
 /// Part of the tolerance that callers get. Single prompts are larger than a second of the rate, so balances
 /// of the bare burst refuse organisations that stay far below their limit in the mean. The rest covers
 /// daemons that start, and the moments in which they don't agree on how many they are.
-constexpr double UsedTolerance = 0.8;
+constexpr double UsedTolerance = 0.6;
 /// A daemon that starts may have spent its balance in an earlier life.
-constexpr double StartPart = 0.5;
+constexpr double StartPart = 0.3;
 /// A balance keeps this part of its share of the burst when others ask.
 constexpr double KeptPart = 0.15;
 /// What a daemon leaves itself when it gives the rest to be gathered, and the least that is worth a message.
@@ -23,33 +23,36 @@
 
 } // namespace
 
-void Quotas::refill(const ServedOrganisation &organisation, size_t daemons, TimeMs now)
+void Quotas::refill(const ServedOrganisation &organisation, const QuotaRole &role, TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
         return;
     const double over = 1 + UsedTolerance * tolerance_.over;
-    const double share = 1.0 / static_cast<double>(std::max<size_t>(daemons, 1));
+    const double daemons = static_cast<double>(std::max<size_t>(role.daemons, 1));
+    const double keepers = static_cast<double>(std::clamp<size_t>(role.keepers, 1, role.daemons));
     Balance &balance = balances_[organisation.name];
-    balance.part = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0) * share;
+    balance.part = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0) / daemons;
+    const double leftByOthers = (1 - OwnPart - SurplusPart) * (daemons - keepers) / keepers;
+    balance.bound = balance.part * (role.isKeeper ? 1 + leftByOthers : OwnPart + SurplusPart);
     if (!balance.started) {
         balance.started = true;
-        balance.units += StartPart * balance.part;
-    } else if (balance.units < balance.part) {
+        balance.units += StartPart * std::min(balance.part, balance.bound);
+    } else if (balance.units < balance.bound) {
         const double seconds = static_cast<double>((now - balance.filledAt).count) / 1000.0;
         balance.units
-            = std::min(balance.part, balance.units + organisation.ratePerSecond * over * share * seconds);
+            = std::min(balance.bound, balance.units + organisation.ratePerSecond * over / daemons * seconds);
     }
     balance.filledAt = now;
 }
 
 std::optional<QuotaShortage> Quotas::take(const ServedOrganisation &organisation, double units,
-                                          size_t daemons, TimeMs now)
+                                          const QuotaRole &role, TimeMs now)
 {
     if (organisation.ratePerSecond <= 0)
         return std::nullopt;
-    refill(organisation, daemons, now);
+    refill(organisation, role, now);
     Balance &balance = balances_[organisation.name];
-    const double wholeBurst = balance.part * static_cast<double>(std::max<size_t>(daemons, 1));
+    const double wholeBurst = balance.part * static_cast<double>(std::max<size_t>(role.daemons, 1));
     const double needed = std::min(units, MostAtOnce * wholeBurst);
     if (balance.units < needed) {
         const double missing = needed - balance.units;
@@ -91,6 +94,15 @@
     balances_[organisation].units += units;
 }
 
+void Quotas::keep(const OrganisationName &organisation, double units)
+{
+    const auto found = balances_.find(organisation);
+    if (found == balances_.end())
+        return;
+    Balance &balance = found->second;
+    balance.units += std::clamp(balance.bound - balance.units, 0.0, std::max(units, 0.0));
+}
+
 std::vector<OrganisationBalance> Quotas::balances() const
 {
     std::vector<OrganisationBalance> out;
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -13,6 +13,13 @@
     double slack = 0; ///< In the limit's own unit.
 };
 
+/// This daemon's place among those that share the limits.
+struct QuotaRole {
+    size_t daemons = 1;
+    size_t keepers = 1; ///< Of one organisation's limit.
+    bool isKeeper = true; ///< Gathers what the others don't need.
+};
+
 /// What a request lacks of its organisation's limit at this daemon.
 struct QuotaShortage {
     double missing = 0; ///< Units that another daemon may give.
@@ -30,11 +37,11 @@
 public:
     void setTolerance(const QuotaTolerance &tolerance) { tolerance_ = tolerance; }
 
-    /// Brings an organisation's balance up to date; `daemons` share the limit.
-    void refill(const ServedOrganisation &organisation, size_t daemons, TimeMs now);
+    /// Brings an organisation's balance up to date;
+    void refill(const ServedOrganisation &organisation, const QuotaRole &role, TimeMs now);
     /// Takes `units` and returns nothing, or leaves them and returns what is missing.
-    std::optional<QuotaShortage> take(const ServedOrganisation &organisation, double units, size_t daemons,
-                                      TimeMs now);
+    std::optional<QuotaShortage> take(const ServedOrganisation &organisation, double units,
+                                      const QuotaRole &role, TimeMs now);
     /// Gives back what was taken for a request that did not run.
     void giveBack(const OrganisationName &organisation, double units);
 
@@ -44,13 +51,16 @@
     /// Takes from the own balance, for another daemon, what can be spared of `asked`.
     double give(const OrganisationName &organisation, double asked);
     void receive(const OrganisationName &organisation, double units);
+    /// Keeps for all what was not asked for, as far as this daemon's bound allows; the rest is lost.
+    void keep(const OrganisationName &organisation, double units);
 
     std::vector<OrganisationBalance> balances() const;
 
 private:
     struct Balance {
         double units = 0;
-        double part = 0; ///< Of the burst; the balance is filled up to here.
+        double part = 0; ///< The burst by the number of daemons.
+        double bound = 0; ///< The balance is filled up to here.
         TimeMs filledAt;
         bool started = false;
     };
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -57,7 +57,7 @@
     if (!configuration_)
         return;
     for (const ServedOrganisation &organisation : configuration_->organisations)
-        quotas_.refill(organisation, peers_.memberCount(), now);
+        quotas_.refill(organisation, quotaRole(organisation.name, now), now);
 }
 
 PeerReport Gateway::report(TimeMs now)
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -137,7 +137,7 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
-    if (lease_ != 0 && leaderRevision_ == 0 && now >= standAt_ && newestShared_ > startedAt_
+    if (lease_ != 0 && leaderRevision_ == 0 && now >= standAt_ && newestShared_ >= startedAt_
         && !tooManyOpen(Purpose::Stand) && now < leaseValidUntil_)
         stand(now);
 }
