--- a/src/gateway/demandmeter.cpp
+++ b/src/gateway/demandmeter.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Time constant of the means: long against a single large prompt, short against the start of a burst.
-constexpr double MeanSeconds = 2.0;
+/// Time constant of the means: long against a few large prompts at once, short against the time an engine
+/// takes to start. With 2 s, peaks of single prompts kept one or two engines more on demand through a
+/// shortage.
+constexpr double MeanSeconds = 4.0;
 
 } // namespace
 
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -198,14 +198,17 @@
 bool EngineSizing::isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now)
 {
     ServiceState &state = services_[service.name];
-    if (state.foundAt.count == 0)
+    const bool firstLook = state.foundAt.count == 0;
+    if (firstLook)
         state.foundAt = now;
     const bool over = now - ledSince_ > MostFindingTime || now - state.foundAt > FindingPause;
     if (over || state.demandSince)
         return false;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet.all()) {
         const EndpointEntry &endpoint = entry.second.entry;
-        if (endpoint.service != service.name || endpoint.leaving || entry.second.gone)
+        // Reclaimable ones that come later are those just ordered.
+        const bool counts = firstLook || !endpoint.reclaimable;
+        if (endpoint.service != service.name || endpoint.leaving || entry.second.gone || !counts)
             continue;
         if (state.foundAtStart.insert(entry.first).second)
             state.foundAt = now;
