Requests that can't be served in their time are refused at once

A request behind a queue that is too long for its time, and those queued when the last endpoint goes, waited until their time was over. Now they get 503 with a time to come back at once. Tests play both.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -16,6 +16,8 @@
 /// With less time than this left, an attempt can't be answered any more.
 constexpr DurationMs LeastUsefulTime{20};
 constexpr size_t MostHeldBody = 8U << 20; ///< Larger answers are passed on as they come.
+/// Weight of the newest answer in the mean time of a service's answers: about the last twenty count.
+constexpr double AnswerTimeWeight = 0.05;
 constexpr int FirstServerError = 500;
 constexpr std::array PromisesNotRun = {408, 421, 429, 503};
 
@@ -179,6 +181,9 @@
 void Gateway::passWholeAnswer(Exchange &exchange, TimeMs now)
 {
     const bool failed = exchange.head.status >= FirstServerError;
+    double &mean = answerMs_.try_emplace(exchange.service, static_cast<double>((now - exchange.sentAt).count))
+                       .first->second;
+    mean += AnswerTimeWeight * (static_cast<double>((now - exchange.sentAt).count) - mean);
     if (failed)
         fleet_.failed(exchange.endpoint, now);
     else
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -311,6 +311,17 @@
     }
 }
 
+uint32_t EndpointFleet::places(const ServiceName &service) const
+{
+    uint32_t sum = 0;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        const FleetEndpoint &endpoint = entry.second;
+        if (endpoint.entry.service == service && !endpoint.entry.leaving && !endpoint.gone)
+            sum += endpoint.entry.slots;
+    }
+    return sum;
+}
+
 const FleetEndpoint *EndpointFleet::find(const EndpointId &id) const
 {
     const auto found = endpoints_.find(id);
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -87,6 +87,8 @@
 
     const FleetEndpoint *find(const EndpointId &id) const;
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
+    /// Requests that the service's endpoints take side by side.
+    uint32_t places(const ServiceName &service) const;
     /// The newest list was true at or after this time.
     TimeMs listedAt() const { return listedAt_; }
     bool known() const { return known_; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,16 +160,19 @@
     return question;
 }
 
-// Sends at once, or queues where all endpoints are busy, or gives up where there is none.
+// Sends at once, or queues where all endpoints are busy, or gives up where there is none, or where the queue
+// is too long for the time that the caller has.
 void Gateway::dispatch(Exchange &exchange, TimeMs now)
 {
-    if (trySend(exchange, now))
+    const std::optional<PlacementProblem> problem = trySend(exchange, now);
+    if (!problem)
         return;
-    const PlacementResult result = fleet_.choose(questionOf(exchange), now);
-    if (result.problem == PlacementProblem::NoEndpoint)
+    if (*problem == PlacementProblem::NoEndpoint)
         return giveUp(exchange, GatewayRefusal::NoEndpoint, now);
-    counters_.add(GatewayCount::Queued);
     exchange.phase = ExchangePhase::Queued;
+    if (isHopeless(exchange, now))
+        return giveUp(exchange, GatewayRefusal::Overloaded, now);
+    counters_.add(GatewayCount::Queued);
     const auto place = std::find_if(queue_.begin(), queue_.end(), [&](CallerId id) {
         return exchanges_.at(id).priority > exchange.priority;
     });
@@ -177,14 +180,37 @@
     log(LogWeight::Ordinary, "queued", exchange, {{"queue", queue_.size()}});
 }
 
-bool Gateway::trySend(Exchange &exchange, TimeMs now)
+std::optional<PlacementProblem> Gateway::trySend(Exchange &exchange, TimeMs now)
 {
     const PlacementQuestion question = questionOf(exchange);
     const PlacementResult result = fleet_.choose(question, now);
     if (!result.choice)
-        return false;
+        return result.problem;
     send(exchange, question, *result.choice, now);
-    return true;
+    return std::nullopt;
+}
+
+// Until a place is free for one more request of this priority: those that wait before it, and it, at the pace
+// at which the service's places come free.
+DurationMs Gateway::expectedWait(const Exchange &exchange) const
+{
+    const auto mean = answerMs_.find(exchange.service);
+    const uint32_t places = fleet_.places(exchange.service);
+    if (mean == answerMs_.end() || places == 0)
+        return {0};
+    size_t ahead = 1;
+    for (CallerId id : queue_) {
+        const Exchange &other = exchanges_.at(id);
+        ahead += other.service == exchange.service && other.priority <= exchange.priority ? 1 : 0;
+    }
+    // The other daemons' callers wait for the same places.
+    const double shared = static_cast<double>(ahead * peers_.memberCount());
+    return {static_cast<int64_t>(mean->second * shared / places)};
+}
+
+bool Gateway::isHopeless(const Exchange &exchange, TimeMs now) const
+{
+    return now + expectedWait(exchange) > std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
 }
 
 void Gateway::send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice,
@@ -255,7 +281,10 @@
             answer(exchange, *refusal, now);
             continue;
         }
-        if (!trySend(exchange, now)) {
+        const std::optional<PlacementProblem> problem = trySend(exchange, now);
+        if (problem == PlacementProblem::NoEndpoint) {
+            giveUp(exchange, GatewayRefusal::NoEndpoint, now);
+        } else if (problem) {
             queue_.push_back(id);
             full.insert(exchange.service);
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,10 @@
 
     // Sending.
     void dispatch(Exchange &exchange, TimeMs now);
-    bool trySend(Exchange &exchange, TimeMs now);
+    /// Sends the request, or says why it can't be sent now.
+    std::optional<PlacementProblem> trySend(Exchange &exchange, TimeMs now);
+    DurationMs expectedWait(const Exchange &exchange) const;
+    bool isHopeless(const Exchange &exchange, TimeMs now) const;
     void send(Exchange &exchange, const PlacementQuestion &question, const PlacementChoice &choice,
               TimeMs now, const std::optional<RunMemory> &memory = std::nullopt);
     PlacementQuestion questionOf(const Exchange &exchange) const;
@@ -158,6 +161,7 @@
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
+    std::map<ServiceName, double> answerMs_; ///< Moving mean of a whole answer's time at a service.
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
     uint64_t nextAsk_ = 1;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -295,6 +295,39 @@
     CHECK(cancelled.size() == 4);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "a request that can't be served in its time is refused at once")
+{
+    // Answers take a second, four are served side by side, and callers have one and a half. The fifth to
+    // tenth can still be served; those behind them are told at once, with a time to come back, not when their
+    // time is over.
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    pass({1000});
+    for (int i = 0; i < 4; ++i) {
+        head(sent[static_cast<size_t>(i)].attempt, 200, false);
+        end(sent[static_cast<size_t>(i)].attempt);
+    }
+    std::vector<CallerId> callers;
+    for (int i = 0; i < 14; ++i)
+        callers.push_back(request(Order));
+    CHECK(sent.size() == 8);
+    CHECK(statusOf(callers[8]) == 0);
+    CHECK(statusOf(callers[13]) == 503);
+    CHECK(!headerOfAnswer(callers[13], "Retry-After").empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a queued request is refused when the last endpoint goes")
+{
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    CHECK(statusOf(waiting) == 0);
+    endpoints[3].leaving = true;
+    endpoints[4].leaving = true;
+    listEndpoints();
+    CHECK(statusOf(waiting) == 503);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a leaving daemon serves on, but starts no stream that it could not finish")
 {
     // The daemon is told to stop. Callers that still come are served; three seconds later a new stream is
