--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -105,6 +105,10 @@
                                                      member.incarnation.value),
                                 &member);
     }
+    // In a part that hears less than half of the daemons nobody gathers: each part would have keepers of its
+    // own, and together they could save more than the burst.
+    if (ranked.size() * 2 <= members_.size())
+        return {};
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<const MemberEntry *> out;
     for (size_t i = 0; i < ranked.size() && i < Keepers; ++i)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -33,10 +33,9 @@
 }
 
 // What `parse` returns, or nothing and the error's text in `wrong`.
-template <typename Parse>
-auto valueOf(Parse parse, std::string *wrong = nullptr) -> std::optional<std::decay_t<decltype(*parse())>>
+template <typename Value, typename Parse>
+std::optional<Value> valueOf(Parse parse, std::string *wrong = nullptr)
 {
-    using Value = std::decay_t<decltype(*parse())>;
     return boost::leaf::try_handle_all(
         [&]() -> Result<std::optional<Value>> {
             BOOST_LEAF_ASSIGN(Value value, parse());
@@ -52,18 +51,18 @@
 
 std::optional<CallerRequestPtr> decoded(const HttpRequest &request)
 {
-    return valueOf([&] { return platform::decodeRequest(request); });
+    return valueOf<CallerRequestPtr>([&] { return platform::decodeRequest(request); });
 }
 
 std::optional<ServingConfigurationPtr> configurationFrom(const std::string &text,
                                                          std::string *wrong = nullptr)
 {
-    return valueOf([&] { return platform::decodeConfiguration(text); }, wrong);
+    return valueOf<ServingConfigurationPtr>([&] { return platform::decodeConfiguration(text); }, wrong);
 }
 
 std::optional<GatewayDaemonSettings> settingsFrom(const std::string &text, std::string *wrong = nullptr)
 {
-    return valueOf([&] { return parseGatewaySettings(text); }, wrong);
+    return valueOf<GatewayDaemonSettings>([&] { return parseGatewaySettings(text); }, wrong);
 }
 
 constexpr const char *ConfigurationText = R"({"Version":7,"Routes":[
