--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -620,6 +620,7 @@
     report.incarnation.value = 2;
     report.sequence = 1;
     report.balances = {{{"a"}, 4}};
+    report.ready = true;
     fixture.gateway.onPeerReport(report, fixture.now);
 }
 
