--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -615,13 +615,13 @@
     limited->organisations[0].burst = 10;
     fixture.gateway.onMembers(
         {{{"entry-1"}, {1}, {"north"}, {}, {}}, {{"entry-2"}, {2}, {"south"}, {}, {"10.0.0.2", 90}}});
-    fixture.configure(limited);
     PeerReport report;
     report.incarnation.value = 2;
     report.sequence = 1;
     report.balances = {{{"a"}, 4}};
     report.ready = true;
     fixture.gateway.onPeerReport(report, fixture.now);
+    fixture.configure(limited);
 }
 
 } // namespace
