--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -307,9 +307,9 @@
         head(sent[static_cast<size_t>(i)].attempt, 200, false);
         end(sent[static_cast<size_t>(i)].attempt);
     }
-    std::vector<CallerId> callers;
-    for (int i = 0; i < 14; ++i)
-        callers.push_back(request(Order));
+    std::vector<CallerId> callers(14);
+    for (CallerId &caller : callers)
+        caller = request(Order);
     CHECK(sent.size() == 8);
     CHECK(statusOf(callers[8]) == 0);
     CHECK(statusOf(callers[13]) == 503);
--- a/tests/limits_explorer_test.cpp
+++ b/tests/limits_explorer_test.cpp
@@ -35,20 +35,20 @@
 public:
     explicit LimitWorld(uint64_t seed) : random(seed)
     {
-        organisation.name = OrganisationName{"a"};
-        organisation.countsTokens = true;
-        organisation.ratePerSecond = Rate;
-        organisation.burst = Burst;
+        organisation_.name = OrganisationName{"a"};
+        organisation_.countsTokens = true;
+        organisation_.ratePerSecond = Rate;
+        organisation_.burst = Burst;
         for (size_t i = 0; i < DaemonCount; ++i)
             start(i);
     }
 
     void start(size_t i)
     {
-        daemons[i] = std::make_unique<OneDaemon>(InstanceName{nameOf(i)});
-        daemons[i]->incarnation.value = ++incarnations;
-        daemons[i]->quotas.setTolerance(Tolerance);
-        listedAt[i] = now;
+        daemons_[i] = std::make_unique<OneDaemon>(InstanceName{nameOf(i)});
+        daemons_[i]->incarnation.value = ++incarnations_;
+        daemons_[i]->quotas.setTolerance(Tolerance);
+        listedAt_[i] = now;
     }
 
     void pass(DurationMs duration)
@@ -57,7 +57,7 @@
         while (now < until) {
             now = now + Step;
             for (size_t i = 0; i < DaemonCount; ++i) {
-                if (now >= daemons[i]->downUntil)
+                if (now >= daemons_[i]->downUntil)
                     serve(i);
             }
             deliver();
@@ -77,7 +77,7 @@
     void kill(size_t i, DurationMs duration)
     {
         start(i);
-        daemons[i]->downUntil = now + duration;
+        daemons_[i]->downUntil = now + duration;
     }
 
 private:
@@ -102,12 +102,12 @@
     void tell(size_t from, size_t to, const Message &message)
     {
         if (group[from] == group[to] && random.below(100) >= lossPercent)
-            messages.push_back({from, to, message});
+            messages_.push_back({from, to, message});
     }
 
     QuotaRole roleOf(const OneDaemon &daemon) const
     {
-        const std::vector<const MemberEntry *> keepers = daemon.peers.keepers(organisation.name, now);
+        const std::vector<const MemberEntry *> keepers = daemon.peers.keepers(organisation_.name, now);
         const bool isKeeper
             = std::any_of(keepers.begin(), keepers.end(), [&daemon](const MemberEntry *keeper) {
                   return keeper->incarnation == daemon.incarnation;
@@ -117,35 +117,35 @@
 
     bool letThrough(OneDaemon &daemon, double units)
     {
-        if (daemon.quotas.take(organisation, units, roleOf(daemon), now))
+        if (daemon.quotas.take(organisation_, units, roleOf(daemon), now))
             return false;
-        used.emplace_back(now, units);
-        sum += units;
+        used_.emplace_back(now, units);
+        sum_ += units;
         all += units;
         return true;
     }
 
     void press(size_t i)
     {
-        OneDaemon &daemon = *daemons[i];
+        OneDaemon &daemon = *daemons_[i];
         const double units = static_cast<double>(500 + random.below(random.below(20) == 0 ? 90'000 : 20'000));
         if (daemon.wanted > 0 || letThrough(daemon, units))
             return;
         daemon.wanted = units;
         daemon.waitUntil = now + DurationMs{150};
-        for (const PeerTable::Spare &spare : daemon.peers.spares(organisation.name, now))
-            tell(i, spare.address.port, QuotaAsk{1, organisation.name, std::min(units, spare.units)});
+        for (const PeerTable::Spare &spare : daemon.peers.spares(organisation_.name, now))
+            tell(i, spare.address.port, QuotaAsk{1, organisation_.name, std::min(units, spare.units)});
     }
 
     void serve(size_t i)
     {
-        OneDaemon &daemon = *daemons[i];
+        OneDaemon &daemon = *daemons_[i];
         std::vector<MemberEntry> members;
         for (size_t j = 0; j < DaemonCount; ++j) {
             // A killed daemon's entry stands until its lease is over.
             const Address address{"10.0.0.1", static_cast<uint16_t>(j)};
-            if (now >= daemons[j]->downUntil || now - listedAt[j] < LeaseTime)
-                members.push_back({{nameOf(j)}, daemons[j]->incarnation, {"north"}, {}, address});
+            if (now >= daemons_[j]->downUntil || now - listedAt_[j] < LeaseTime)
+                members.push_back({{nameOf(j)}, daemons_[j]->incarnation, {"north"}, {}, address});
         }
         daemon.peers.setMembers(std::move(members));
         for (uint64_t k = 0; !isIdle && k < random.below(3); ++k)
@@ -157,12 +157,12 @@
         if (now < daemon.reportAt)
             return;
         daemon.reportAt = now + daemon.peers.reportPace();
-        daemon.quotas.refill(organisation, roleOf(daemon), now);
-        const std::vector<const MemberEntry *> keepers = daemon.peers.keepers(organisation.name, now);
+        daemon.quotas.refill(organisation_, roleOf(daemon), now);
+        const std::vector<const MemberEntry *> keepers = daemon.peers.keepers(organisation_.name, now);
         if (!keepers.empty() && keepers[0]->peerAddress.port != i) {
-            const double units = daemon.quotas.surplus(organisation.name);
+            const double units = daemon.quotas.surplus(organisation_.name);
             tell(i, keepers[0]->peerAddress.port,
-                 QuotaGift{daemon.incarnation, 1, organisation.name, units, true});
+                 QuotaGift{daemon.incarnation, 1, organisation_.name, units, true});
         }
         PeerReport report;
         report.incarnation = daemon.incarnation;
@@ -177,23 +177,23 @@
 
     void deliver()
     {
-        for (const Envelope &envelope : std::exchange(messages, {})) {
-            OneDaemon &daemon = *daemons[envelope.to];
+        for (const Envelope &envelope : std::exchange(messages_, {})) {
+            OneDaemon &daemon = *daemons_[envelope.to];
             if (now < daemon.downUntil)
                 continue;
             if (const PeerReport *report = std::get_if<PeerReport>(&envelope.message)) {
                 daemon.peers.take(*report, now);
             } else if (const QuotaAsk *ask = std::get_if<QuotaAsk>(&envelope.message)) {
-                const double given = daemon.quotas.give(organisation.name, ask->units);
+                const double given = daemon.quotas.give(organisation_.name, ask->units);
                 if (given > 0)
                     tell(envelope.to, envelope.from,
-                         QuotaGift{daemon.incarnation, 1, organisation.name, given, false});
+                         QuotaGift{daemon.incarnation, 1, organisation_.name, given, false});
             } else if (const QuotaGift *gift = std::get_if<QuotaGift>(&envelope.message)) {
                 if (gift->deposit) {
-                    daemon.quotas.keep(organisation.name, gift->units);
+                    daemon.quotas.keep(organisation_.name, gift->units);
                     continue;
                 }
-                daemon.quotas.receive(organisation.name, gift->units);
+                daemon.quotas.receive(organisation_.name, gift->units);
                 if (daemon.wanted > 0 && letThrough(daemon, daemon.wanted))
                     daemon.wanted = 0;
             }
@@ -202,20 +202,20 @@
 
     void judge()
     {
-        while (!used.empty() && now - used.front().first >= JudgedWindow) {
-            sum -= used.front().second;
-            used.pop_front();
+        while (!used_.empty() && now - used_.front().first >= JudgedWindow) {
+            sum_ -= used_.front().second;
+            used_.pop_front();
         }
-        most = std::max(most, sum);
+        most = std::max(most, sum_);
     }
 
-    ServedOrganisation organisation;
-    std::unique_ptr<OneDaemon> daemons[DaemonCount];
-    TimeMs listedAt[DaemonCount];
-    uint64_t incarnations = 0;
-    std::vector<Envelope> messages;
-    std::deque<std::pair<TimeMs, double>> used;
-    double sum = 0;
+    ServedOrganisation organisation_;
+    std::unique_ptr<OneDaemon> daemons_[DaemonCount];
+    TimeMs listedAt_[DaemonCount];
+    uint64_t incarnations_ = 0;
+    std::vector<Envelope> messages_;
+    std::deque<std::pair<TimeMs, double>> used_;
+    double sum_ = 0;
 };
 
 } // namespace
