Time-outs of one tick look each request up again

Cause: the end of a timed-out stream runs the queue, which may refuse another request of the same list; taking that one by its id then ended the process. Found by reading; the test failed before by an exception.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -374,8 +374,12 @@
         if (now >= std::min(entry.second.timeoutAt, entry.second.callerWaitsUntil))
             late.push_back(entry.first);
     }
-    for (CallerId id : late)
-        timeOut(exchanges_.at(id), now);
+    // The end of one runs the queue, which may end another of them.
+    for (CallerId id : late) {
+        const auto found = exchanges_.find(id);
+        if (found != exchanges_.end())
+            timeOut(found->second, now);
+    }
     runQueue(now);
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -316,6 +316,26 @@
     CHECK(!headerOfAnswer(callers[13], "Retry-After").empty());
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "requests that time out in the same tick don't trip over each other")
+{
+    // A stream and a queued call reach their time in the same tick, in which the configuration gets too old,
+    // too. The end of the stream looks through the queue and refuses the call; then it is the call's turn to
+    // time out.
+    storeReachable = false;
+    CallerRequest stream = makeRequest(PlainStream);
+    stream.deadline = DurationMs{4750};
+    const CallerId first = request(stream);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 1);
+    pass({3250});
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    pass({1500});
+    CHECK_FALSE(streamEnds[first]);
+    CHECK(statusOf(waiting) == 503);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a queued request is refused when the last endpoint goes")
 {
     for (int i = 0; i < 4; ++i)
