Stops cut no late call; the holder's instance takes its duties back at once

Ruled out: a cut by the server, the caller's deadline. Test fails before.

After a kill of all daemons the duties rested for a lease and 0.7 s.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,6 +60,23 @@
     return !leavingSince_ && fleet_.known() && isFresh(now, settings_.revokeBound - RevokeMargin);
 }
 
+void Gateway::startLeaving(TimeMs now, TimeMs endsAt)
+{
+    leavingSince_ = now;
+    endsAt_ = endsAt;
+}
+
+// Whether this process might end before the request does. Callers come until the end: they hold entry answers
+// that are seconds old, or could get no newer one. A call taken in the last moment would be cut off after it
+// was sent, and its caller could not tell whether it ran; refused, it goes to another daemon at once. Streams
+// mostly end long before their time-out, so for them a shorter rule is enough.
+bool Gateway::endsBefore(const Exchange &exchange, TimeMs now) const
+{
+    if (exchange.route->kind == RouteKind::Streaming)
+        return now - *leavingSince_ > LastStreamsAfterLeaving;
+    return std::min(exchange.timeoutAt, exchange.callerWaitsUntil) > endsAt_;
+}
+
 // What a configuration says of a request: the route, the key, and how long the caller can be served. Run
 // again when the request leaves the queue, so that a route or key removed meanwhile is not used.
 std::optional<Gateway::OwnAnswer> Gateway::judge(Exchange &exchange, TimeMs now) const
@@ -74,12 +91,11 @@
         return certain ? OwnAnswer{404, GatewayRefusal::UnknownRoute, {}}
                        : OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter};
     }
-    if (leavingSince_ && exchange.route->kind == RouteKind::Streaming && exchange.sends == 0
-        && now - *leavingSince_ > LastStreamsAfterLeaving)
-        return OwnAnswer{503, GatewayRefusal::Leaving, ElsewhereRetryAfter};
     exchange.priority = exchange.route->priority;
     exchange.timeoutAt = exchange.arrivedAt + exchange.route->timeout;
     exchange.callerWaitsUntil = exchange.arrivedAt + request.deadline.value_or(exchange.route->timeout);
+    if (leavingSince_ && exchange.sends == 0 && endsBefore(exchange, now))
+        return OwnAnswer{503, GatewayRefusal::Leaving, ElsewhereRetryAfter};
     if (exchange.route->anonymous || configuration_->organisations.empty())
         return std::nullopt;
     if (!isFresh(now, settings_.revokeBound - RevokeMargin))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,7 +60,8 @@
     void onQuotaGift(const QuotaGift &gift, TimeMs now);
 
     void tick(TimeMs now);
-    void startLeaving(TimeMs now) { leavingSince_ = now; }
+    /// The process was told to stop, and ends at `endsAt` at the latest.
+    void startLeaving(TimeMs now, TimeMs endsAt);
 
     std::vector<GatewayAction> takeActions() { return std::exchange(actions_, {}); }
 
@@ -90,6 +91,7 @@
     // Judging a request: once when it is read, again when it leaves the queue.
     std::optional<OwnAnswer> judge(Exchange &exchange, TimeMs now) const;
     bool isFresh(TimeMs now, DurationMs bound) const;
+    bool endsBefore(const Exchange &exchange, TimeMs now) const;
     void refillQuotas(TimeMs now);
 
     // Organisations' limits (limits.cpp).
@@ -151,6 +153,7 @@
     ServingConfigurationPtr configuration_;
     TimeMs confirmedAt_; ///< The configuration was the newest at or after this time.
     std::optional<TimeMs> leavingSince_;
+    TimeMs endsAt_; ///< With `leavingSince_`.
 
     EndpointFleet fleet_;
     PeerTable peers_;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -137,8 +137,9 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
-    if (lease_ != 0 && leaderRevision_ == 0 && now >= standAt_ && newestShared_ >= startedAt_
-        && !tooManyOpen(Purpose::Stand) && now < leaseValidUntil_)
+    const bool mayStand = leaderRevision_ == 0 ? now >= standAt_ : leaderIsEarlierLife_ && now >= takeBackAt_;
+    if (lease_ != 0 && mayStand && newestShared_ >= startedAt_ && !tooManyOpen(Purpose::Stand)
+        && now < leaseValidUntil_)
         stand(now);
 }
 
@@ -159,14 +160,30 @@
                                         {"incarnation", settings_.self.incarnation.value}});
 }
 
+// An instance runs one daemon at a time: a key with its name and another incarnation is of a process that ended.
+bool StoreSync::isEarlierLife(const std::string &leaderValue) const
+{
+    json::error_code code;
+    const json::value value = json::parse(leaderValue, code);
+    const json::object *object = code ? nullptr : value.if_object();
+    const json::value *instance = object ? object->if_contains("instance") : nullptr;
+    return instance && instance->is_string() && instance->as_string() == settings_.self.instance.value
+        && leaderValue != ownLeaderValue();
+}
+
 // The write's condition lets one daemon win. Its revision is the fencing token: unique, and larger than any
 // before.
+//
+// A holder that was killed and started again finds its own key while its old lease runs. Its earlier life is
+// over, and nobody else can have won before the key was gone: it replaces the key without waiting. Otherwise
+// the duties rest for a whole lease when all daemons are killed at once.
 void StoreSync::stand(TimeMs now)
 {
+    takeBackAt_ = now + RetryPause;
     standAt_ = now + RetryPause + DurationMs{static_cast<int64_t>(random_.below(StandSpreadMs))};
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Shared, LeaderKey, 0});
+    call.conditions.push_back({StoreSpace::Shared, LeaderKey, leaderRevision_});
     call.puts.push_back({StoreSpace::Shared, LeaderKey, ownLeaderValue(), lease_});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Stand, now, now, {}, lease_}, now);
@@ -210,6 +227,7 @@
         if (reply.outcome == StoreOutcome::Done && open.lease == lease_) {
             leaderRevision_ = reply.revision;
             leaderIsSelf_ = true;
+            leaderIsEarlierLife_ = false;
             leaderLease_ = lease_;
             log_.write(LogWeight::State, "leadership_won", {{"fencing_token", reply.revision}});
         }
@@ -247,6 +265,7 @@
     uint64_t leaderRevision = 0;
     uint64_t leaderLease = 0;
     bool leaderIsSelf = false;
+    bool leaderIsEarlierLife = false;
     for (const StoreItem &item : open.pages) {
         digested += item.isConfiguration ? fmt::format("{};", item.configuration->version)
                                          : fmt::format("{}={};", item.key, item.value);
@@ -258,6 +277,7 @@
             leaderRevision = item.revision;
             leaderLease = item.lease;
             leaderIsSelf = item.value == ownLeaderValue() && item.lease == lease_;
+            leaderIsEarlierLife = isEarlierLife(item.value);
         } else if (item.key.starts_with(MemberPrefix)) {
             std::optional<MemberEntry> member
                 = memberFromText(item.key.substr(std::string_view(MemberPrefix).size()), item.value);
@@ -286,6 +306,7 @@
     leaderRevision_ = leaderRevision;
     leaderLease_ = leaderLease;
     leaderIsSelf_ = leaderIsSelf;
+    leaderIsEarlierLife_ = leaderIsEarlierLife;
 }
 
 void StoreSync::takeEndpoints(const OpenCall &open, TimeMs)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -93,6 +93,7 @@
     void ask(TimeMs now);
     void noteStoreState(bool answered, TimeMs now);
     std::string ownLeaderValue() const;
+    bool isEarlierLife(const std::string &leaderValue) const;
 
     StoreSyncSettings settings_;
     DecisionLog &log_;
@@ -131,7 +132,9 @@
     uint64_t leaderRevision_ = 0; ///< Of the leader's key, as last seen; 0: there is none.
     bool leaderIsSelf_ = false;
     uint64_t leaderLease_ = 0;
-    TimeMs standAt_; ///< Not before.
+    bool leaderIsEarlierLife_ = false; ///< The key is of a daemon that ran on this instance before.
+    TimeMs standAt_; ///< Not before, if there is no leader.
+    TimeMs takeBackAt_; ///< Not before, if this instance led in an earlier life.
 };
 
 /// A member's entry as text, and back.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -147,7 +147,7 @@
     stopping = true;
     stopStartedAt = steadyNow();
     log.write(LogWeight::State, "stopping", {{"open_requests", callers.size()}});
-    gateway.startLeaving(stopStartedAt);
+    gateway.startLeaving(stopStartedAt, stopStartedAt + settings.stopGrace - StopMargin);
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
     callerServer->closeAfterResponses();
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -164,16 +164,41 @@
 
 TEST_CASE("one daemon holds the duties, and another one soon after it is killed")
 {
+    // The holder is killed and comes back only after its lease has lapsed.
     DutyWorld world(1);
     world.pass({6000});
     const std::optional<size_t> first = world.holder();
     REQUIRE(first);
+    world.freeze(*first, {5000});
+    world.pass({5000});
     world.start(*first);
-    world.pass({6000});
+    world.pass({1000});
     REQUIRE(world.holder());
     CHECK(*world.holder() != *first);
 }
 
+TEST_CASE("a holder that starts again takes its duties back before its old lease lapses")
+{
+    // All daemons are killed at once and start again a second later. The holder's key outlives it by its lease.
+    // Nobody else can have led meanwhile, so the holder's instance goes on at once, under a higher token.
+    DutyWorld world(7);
+    world.pass({6000});
+    const std::optional<size_t> first = world.holder();
+    REQUIRE(first);
+    const size_t acted = world.accepted.size();
+    REQUIRE(acted > 0);
+    const uint64_t before = world.accepted.back().token;
+    for (size_t i = 0; i < 3; ++i)
+        world.start(i);
+    world.pass({500});
+    REQUIRE(world.holder());
+    CHECK(*world.holder() == *first);
+    world.pass({8000});
+    REQUIRE(world.accepted.size() > acted);
+    CHECK(world.accepted[acted].token > before);
+    checkAccepted(world.accepted);
+}
+
 TEST_CASE("a holder that was suspended does not act on its old lease")
 {
     // The holder's instance sleeps for ten seconds; its lease lapses and another daemon takes over. When it
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -352,7 +352,7 @@
 {
     // The daemon is told to stop. Callers that still come are served; three seconds later a new stream is
     // refused with "not run, elsewhere now", since it could be cut by the end of the process.
-    gateway.startLeaving(now);
+    gateway.startLeaving(now, now + DurationMs{7300});
     CHECK_FALSE(gateway.isReady(now));
     request(Model);
     CHECK(sent.size() == 1);
@@ -364,6 +364,23 @@
     CHECK(sent.size() == 2);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "a leaving daemon takes no call that its end could cut off")
+{
+    // The daemon is told to stop. A caller whose entry answer is old comes milliseconds before the process ends.
+    // Its call would be sent and cut off with it, and must not be repeated: refused, it runs elsewhere at once.
+    gateway.startLeaving(now, now + DurationMs{7300});
+    pass({5700});
+    request(Order);
+    REQUIRE(sent.size() == 1);
+    pass({200});
+    const CallerId late = request(Order);
+    CHECK(sent.size() == 1);
+    CHECK(statusOf(late) == 503);
+    CHECK(headerOfAnswer(late, "Retry-After") == "0.05");
+    pass({1390});
+    CHECK(gateway.isIdle());
+}
+
 TEST_CASE_FIXTURE(GatewayFixture,
                   "requests of one shared prompt go to one endpoint, and spill when it is busy")
 {
