--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 namespace cranberry {
 
 enum class ExchangePhase : uint8_t {
+    AwaitingStart, ///< This daemon has not read the store yet.
     AwaitingLimit, ///< Other daemons are asked for units of its organisation's limit.
     Queued, ///< Waits for a place at an endpoint.
     Sent, ///< An attempt is open, the caller has nothing yet.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,11 @@
 /// Another daemon can serve at once.
 constexpr DurationMs ElsewhereRetryAfter{50};
 
+/// Requests that come before the first reads of the store wait so long for them. The reads take some 10 ms of
+/// a store that is well, and a process that starts again is met by all callers that the kill cut off.
+constexpr DurationMs StartPatience{250};
+constexpr size_t MostAwaitingStart = 500; ///< Bounds their memory.
+
 /// Callers that still come this long after a daemon began to leave hold an old entry answer. A stream that
 /// starts then might not end before the process does.
 constexpr DurationMs LastStreamsAfterLeaving{3000};
@@ -81,7 +86,7 @@
 // again when the request leaves the queue, so that a route or key removed meanwhile is not used.
 std::optional<Gateway::OwnAnswer> Gateway::judge(Exchange &exchange, TimeMs now) const
 {
-    if (!configuration_ || !fleet_.known())
+    if (!knowsStore())
         return OwnAnswer{503, GatewayRefusal::NoConfiguration, DefaultRetryAfter};
     const bool certain = isFresh(now, CertainAge);
     const CallerRequest &request = *exchange.request;
@@ -137,6 +142,17 @@
     exchange.request = event.request;
     exchange.arrivedAt = now;
     exchange.lastEvent = event.request->resumeAfter;
+    if (knowsStore() || awaitingStart_.size() >= MostAwaitingStart)
+        return admit(exchange, now);
+    exchange.phase = ExchangePhase::AwaitingStart;
+    exchange.timeoutAt = now + StartPatience;
+    exchange.callerWaitsUntil = exchange.timeoutAt;
+    awaitingStart_.push_back(event.caller);
+}
+
+void Gateway::admit(Exchange &exchange, TimeMs now)
+{
+    exchange.phase = ExchangePhase::Queued;
     if (const std::optional<OwnAnswer> refusal = judge(exchange, now))
         return answer(exchange, *refusal, now);
     exchange.service = pickService(exchange);
@@ -145,6 +161,17 @@
         dispatch(exchange, now);
 }
 
+void Gateway::admitAwaiting(TimeMs now)
+{
+    if (!knowsStore())
+        return;
+    for (CallerId id : std::exchange(awaitingStart_, {})) {
+        const auto found = exchanges_.find(id);
+        if (found != exchanges_.end())
+            admit(found->second, now);
+    }
+}
+
 // The caller left: what runs for it is cancelled at once, also in the queue.
 void Gateway::onCallerGone(const RequestCallerGone &event, TimeMs now)
 {
@@ -350,6 +377,8 @@
 
 void Gateway::timeOut(Exchange &exchange, TimeMs now)
 {
+    if (exchange.phase == ExchangePhase::AwaitingStart)
+        return answer(exchange, {503, GatewayRefusal::NoConfiguration, DefaultRetryAfter}, now);
     if (exchange.attempt.value != 0) {
         exchange.mayHaveRun = true;
         actions_.emplace_back(CancelSent{exchange.attempt});
@@ -365,6 +394,7 @@
 void Gateway::finish(Exchange &exchange)
 {
     std::erase(queue_, exchange.caller);
+    std::erase(awaitingStart_, exchange.caller);
     limitAsks_.erase(exchange.limitAsk);
     exchanges_.erase(exchange.caller);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,9 @@
     // Judging a request: once when it is read, again when it leaves the queue.
     std::optional<OwnAnswer> judge(Exchange &exchange, TimeMs now) const;
     bool isFresh(TimeMs now, DurationMs bound) const;
+    bool knowsStore() const { return configuration_ && fleet_.known(); }
+    void admit(Exchange &exchange, TimeMs now);
+    void admitAwaiting(TimeMs now);
     bool endsBefore(const Exchange &exchange, TimeMs now) const;
     void refillQuotas(TimeMs now);
 
@@ -168,6 +171,7 @@
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
     uint64_t nextAsk_ = 1;
+    std::vector<CallerId> awaitingStart_; ///< Came before the first reads of the store, in order.
     std::vector<CallerId> queue_; ///< Most urgent first, then by arrival.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -17,6 +17,7 @@
     configuration_ = event.configuration;
     refillQuotas(now);
     counters_.add(GatewayCount::ConfigurationsTaken);
+    admitAwaiting(now);
     runQueue(now);
 }
 
@@ -35,6 +36,7 @@
         }
     }
     fleet_.take(event, now);
+    admitAwaiting(now);
     runQueue(now);
 }
 
@@ -68,8 +70,10 @@
     out.ready = isReady(now);
     out.sequence = ++reports_;
     std::map<ServiceName, uint32_t> running;
-    for (const std::pair<const CallerId, Exchange> &entry : exchanges_)
-        ++running[entry.second.service];
+    for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
+        if (entry.second.phase != ExchangePhase::AwaitingStart)
+            ++running[entry.second.service];
+    }
     demand_.sample(running, now);
     out.demands = demand_.values();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet_.all()) {
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -160,7 +160,8 @@
                                         {"incarnation", settings_.self.incarnation.value}});
 }
 
-// An instance runs one daemon at a time: a key with its name and another incarnation is of a process that ended.
+// An instance runs one daemon at a time: a key with its name and another incarnation is of a process that
+// ended.
 bool StoreSync::isEarlierLife(const std::string &leaderValue) const
 {
     json::error_code code;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -26,6 +26,30 @@
     CHECK(gateway.isIdle());
 }
 
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "requests that meet a daemon at its start wait for its first look at the store")
+{
+    // All daemons were killed. Callers come back in the moment in which the port is open again, before the
+    // first reads of the store are answered. They are served a little later. If the store stays away they are
+    // told so, with a time to come back, long before their own time is over.
+    startAgain();
+    const CallerId early = request(Order);
+    CHECK(sent.empty());
+    CHECK(statusOf(early) == 0);
+    configure(makeConfiguration(1));
+    CHECK(sent.empty());
+    listEndpoints();
+    CHECK(sent.size() == 1);
+
+    startAgain();
+    storeReachable = false;
+    const CallerId refused = request(Order);
+    pass({300});
+    CHECK(statusOf(refused) == 503);
+    CHECK(!headerOfAnswer(refused, "Retry-After").empty());
+    CHECK(gateway.isIdle());
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "unknown routes and keys are final only while the configuration is fresh")
 {
     // A caller uses a route or a key that was just added. This daemon was cut off from the store and does not
@@ -366,8 +390,9 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a leaving daemon takes no call that its end could cut off")
 {
-    // The daemon is told to stop. A caller whose entry answer is old comes milliseconds before the process ends.
-    // Its call would be sent and cut off with it, and must not be repeated: refused, it runs elsewhere at once.
+    // The daemon is told to stop. A caller whose entry answer is old comes milliseconds before the process
+    // ends. Its call would be sent and cut off with it, and must not be repeated: refused, it runs elsewhere
+    // at once.
     gateway.startLeaving(now, now + DurationMs{7300});
     pass({5700});
     request(Order);
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -65,6 +65,12 @@
     listEndpoints();
 }
 
+void GatewayFixture::startAgain()
+{
+    std::destroy_at(&gateway);
+    std::construct_at(&gateway, testSettings(), log);
+}
+
 std::shared_ptr<ServingConfiguration> GatewayFixture::makeConfiguration(uint64_t version) const
 {
     std::shared_ptr<ServingConfiguration> out = std::make_shared<ServingConfiguration>();
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -30,6 +30,8 @@
 {
 public:
     GatewayFixture();
+    /// A daemon that has just started: it has not read the store yet.
+    void startAgain();
 
     std::shared_ptr<ServingConfiguration> makeConfiguration(uint64_t version) const;
     void configure(const std::shared_ptr<ServingConfiguration> &configuration);
