--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -6,12 +6,15 @@
 // are carried out and not answered). Faults of all endpoints: tokens, tokenMs (a stream's length and pace),
 // workMs, full (answers "not executed"), dropAnswers (the next N calls run and their connections are cut),
 // cutAfter (the next stream ends in the middle of an event after N events). POST /configure takes the
-// operator's configuration; POST /leave?endpoint=ID&ms=N announces that an endpoint leaves.
+// operator's configuration; POST /leave?endpoint=ID&ms=N announces that an endpoint leaves; POST
+// /replace?endpoint=N puts a new one in the place of the Nth. Fault advertiseOffset: endpoints are listed at
+// ports so much higher, where a proxy listens.
 
 #include "base64.h"
 #include "standin.h"
 #include "storestate.h"
 
+#include <array>
 #include <fmt/format.h>
 
 namespace json = boost::json;
@@ -80,6 +83,10 @@
             publish();
             return exchange->respond(200, {}, "");
         }
+        if (target.path == "/replace") {
+            replace(std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10));
+            return exchange->respond(200, {}, "");
+        }
         exchange->respond(404, {}, "");
     }
 
@@ -99,7 +106,19 @@
         answer(exchange, reply);
     }
 
-    static std::string idOf(int index) { return fmt::format("i-{}", index); }
+    std::string idOf(int index) const
+    {
+        const uint32_t starts = starts_[static_cast<size_t>(index)];
+        return starts == 0 ? fmt::format("i-{}", index) : fmt::format("i-{}.{}", index, starts);
+    }
+    void replace(size_t index)
+    {
+        if (index >= starts_.size())
+            return;
+        store_.remove("servers/" + idOf(static_cast<int>(index)));
+        ++starts_[index];
+        publish();
+    }
     static bool isEngine(int index) { return index < FirstPlain; }
 
     void beat()
@@ -112,12 +131,14 @@
     {
         for (int i = 0; i < EndpointCount; ++i) {
             const auto leaving = leaving_.find(idOf(i));
-            json::object entry{{"Service", isEngine(i) ? "svc-model" : "svc-plain"},
-                               {"Address", fmt::format("{}:{}", base_.host, base_.port + 1 + i)},
-                               {"Zone", fmt::format("zone-{}", i % 2)},
-                               {"Slots", isEngine(i) ? 64 : 6},
-                               {"State", leaving == leaving_.end() ? "ready" : "draining"},
-                               {"Seq", ++sequence_}};
+            json::object entry{
+                {"Service", isEngine(i) ? "svc-model" : "svc-plain"},
+                {"Address",
+                 fmt::format("{}:{}", base_.host, base_.port + 1 + i + standin_.fault("advertiseOffset"))},
+                {"Zone", fmt::format("zone-{}", i % 2)},
+                {"Slots", isEngine(i) ? 64 : 6},
+                {"State", leaving == leaving_.end() ? "ready" : "draining"},
+                {"Seq", ++sequence_}};
             if (leaving != leaving_.end())
                 entry["leaves_ms"] = std::max<int64_t>(leaving->second - standin_.nowMs(), 0);
             store_.put("servers/" + idOf(i), base64Encoded(json::serialize(entry)));
@@ -185,6 +206,7 @@
     StoreState store_;
     std::vector<std::unique_ptr<cranberry::HttpServer>> servers_;
     std::map<std::string, int64_t> leaving_;
+    std::array<uint32_t, EndpointCount> starts_ = {}; ///< Of each endpoint's place, after the first.
     uint64_t sequence_ = 0;
     int64_t lostReplies_ = 0;
     int64_t dropped_ = 0;
