Sums of peers' loads are kept, callers go to strong instances, engines stay as found for 30 s; usage waits for the others

Sums change with reports now; keepers are ranked five times a second. - Entry answers name the strong instances as long as these carry the load three times over (by getrusage; std::clock counts elapsed time on the platform, found by the new line 'entries'). - Twins put together: units of a request, sums of spares, sums of demand, 'serves', cancelled attempts.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -61,8 +61,7 @@
     if (!exchange)
         return;
     if (!event.ownAnswer) {
-        actions_.emplace_back(CancelSent{event.attempt});
-        return onBroken({event.attempt, true}, now);
+        return cancelBroken(event.attempt, now);
     }
     exchange->head = event;
     if (event.notExecuted || event.wrongInstance)
@@ -101,18 +100,14 @@
         return;
     if (!exchange->head.eventStream) {
         exchange->body += event.bytes;
-        if (exchange->body.size() > MostHeldBody) {
-            actions_.emplace_back(CancelSent{event.attempt});
-            onBroken({event.attempt, true}, now);
-        }
+        if (exchange->body.size() > MostHeldBody)
+            cancelBroken(event.attempt, now);
         return;
     }
     fleet_.heard(exchange->endpoint, now);
     exchange->splitter.append(event.bytes);
-    if (!passEvents(*exchange, now)) {
-        actions_.emplace_back(CancelSent{event.attempt});
-        onBroken({event.attempt, true}, now);
-    }
+    if (!passEvents(*exchange, now))
+        cancelBroken(event.attempt, now);
 }
 
 // Passes whole events on at once. False if the endpoint left an event out or sent one twice: what it sends
@@ -213,6 +208,12 @@
     runQueue(now);
 }
 
+void Gateway::cancelBroken(AttemptId attempt, TimeMs now)
+{
+    actions_.emplace_back(CancelSent{attempt});
+    onBroken({attempt, true}, now);
+}
+
 void Gateway::onBroken(const AttemptBroken &event, TimeMs now)
 {
     Exchange *exchange = byAttempt(event.attempt);
@@ -297,10 +298,8 @@
             && fleet_.isSilent(exchange.endpoint, now))
             silent.push_back(entry.first);
     }
-    for (AttemptId attempt : silent) {
-        actions_.emplace_back(CancelSent{attempt});
-        onBroken({attempt, true}, now);
-    }
+    for (AttemptId attempt : silent)
+        cancelBroken(attempt, now);
 }
 
 } // namespace cranberry
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 #include <xxhash.h>
 
 namespace cranberry {
@@ -33,6 +34,9 @@
 constexpr double PrefillTokensPerMs = 50;
 /// Each running request lengthens a step of the whole batch a little.
 constexpr double RunningPenaltyMs = 4;
+/// Part of the shared parts that the second choice of their key is expected to hold: it gets what the first
+/// one has no room for, and takes over when that one leaves.
+constexpr double SecondHomePart = 0.5;
 /// An endpoint that fails every request looks as costly as this wait.
 constexpr double FailurePenaltyMs = 3000;
 /// An endpoint that the newest list lacks is the last choice.
@@ -142,14 +146,18 @@
     return endpoint.running + endpoint.peersRunning < placesOf(endpoint, question);
 }
 
-// The expected time until the request's own reading is done, plus what it costs the others there. The home of
-// a shared part is expected to hold it even if this daemon never sent it there: the others rank alike.
+// The expected time until the request's own reading is done, plus what it costs the others there. The first
+// choice of a shared part's key is expected to hold it even if this daemon never sent it there: the others
+// rank alike. What does not fit there goes to the second one rather than to any, so that the part is read
+// twice and not everywhere.
 PlacementResult EndpointFleet::choose(const PlacementQuestion &question, TimeMs now) const
 {
     PlacementResult result;
     const std::string key = question.engine ? sharedKey(*question.request) : std::string();
     const FleetEndpoint *home = nullptr;
+    const FleetEndpoint *second = nullptr;
     uint64_t homeWeight = 0;
+    uint64_t secondWeight = 0;
     bool anyAwake = false;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!mayTake(entry.second, question))
@@ -157,11 +165,15 @@
         anyAwake = anyAwake || (entry.second.avoidUntil <= now && !isSilent(entry.second, now));
         const uint64_t weight = rendezvousWeight(key, entry.first);
         if (!key.empty() && (!home || weight > homeWeight)) {
-            home = &entry.second;
-            homeWeight = weight;
+            second = std::exchange(home, &entry.second);
+            secondWeight = std::exchange(homeWeight, weight);
+        } else if (!key.empty() && (!second || weight > secondWeight)) {
+            second = &entry.second;
+            secondWeight = weight;
         }
     }
 
+    const uint64_t shared = question.engine ? sharedTokens(*question.request) : 0;
     double bestCost = std::numeric_limits<double>::max();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         const FleetEndpoint &endpoint = entry.second;
@@ -178,7 +190,10 @@
             const uint64_t total = std::max<uint64_t>(question.request->promptTokens, 1);
             uint64_t cached = cachedTokens(endpoint, *question.request);
             if (&endpoint == home)
-                cached = std::max(cached, sharedTokens(*question.request));
+                cached = std::max(cached, shared);
+            if (&endpoint == second)
+                cached
+                    = std::max(cached, static_cast<uint64_t>(SecondHomePart * static_cast<double>(shared)));
             choice.prefillTokens = total - std::min(cached, total - 1);
             choice.waitMs = static_cast<double>(endpoint.prefillTokens + endpoint.peersPrefillTokens)
                 / PrefillTokensPerMs;
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Reading speed of one engine that sizing counts on, and the part of it that is used: queueing for the first
-/// token grows steeply beyond half of an engine's time.
+/// Reading speed of one engine that sizing counts on, and the part of it that is used:
+/// queueing for the first token grows steeply beyond half of an engine's time.
 constexpr double PrefillTokensPerSecond = 45'000;
 constexpr double UsedPart = 0.4;
 /// Requests that one engine runs side by side without lengthening its steps too much.
@@ -19,8 +19,6 @@
 constexpr uint32_t LeastEachDomain = 2;
 /// With this part of the engines wanted the demand is still carried, with longer queues.
 constexpr double TightPart = 0.7;
-/// So long engines are kept as they were found, for a demand that is not known yet.
-constexpr DurationMs LearningTime{15000};
 /// A new holder orders nothing until no new engine has come for a heartbeat of the usual length, or this
 /// long.
 constexpr DurationMs FindingPause{1500};
@@ -29,6 +27,10 @@
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
 /// work.
 constexpr DurationMs PeakMemory{30000};
+/// So long engines are kept as they were found: before that the peak of the demand is not known. With half of
+/// it, a third of 90 engines were stopped while the demand was still rising, and what they held was read
+/// again.
+constexpr DurationMs LearningTime = PeakMemory;
 constexpr DurationMs SamplePace{500};
 /// Planning is cheap, and each step of finding out what can be had after a reclaim waits for the next plan.
 constexpr DurationMs PlanPace{100};
@@ -48,10 +50,6 @@
     return static_cast<uint32_t>(std::ceil(std::max(byPrefill, byRunning)));
 }
 
-} // namespace
-
-namespace {
-
 // Domains by price, cheapest first; those without a price are last.
 std::vector<size_t> byPrice(const ScalingBounds &bounds, const std::vector<DomainPlan> &plan)
 {
@@ -186,9 +184,9 @@
         if (!state.demandSince || now - *state.demandSince < LearningTime)
             question.known = static_cast<uint32_t>(state.foundAtStart.size());
         for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, question, stock)) {
-            order({service.name, domain.failureDomain, true}, domain.reclaimable, leadership, now);
+            order({service.name, domain.failureDomain, true}, domain.reclaimable, peak, leadership, now);
             if (!finding)
-                order({service.name, domain.failureDomain, false}, domain.onDemand, leadership, now);
+                order({service.name, domain.failureDomain, false}, domain.onDemand, peak, leadership, now);
         }
     }
 }
@@ -262,7 +260,8 @@
     }
 }
 
-void EngineSizing::order(const Subject &subject, uint32_t count, const Leadership &leadership, TimeMs now)
+void EngineSizing::order(const Subject &subject, uint32_t count, const ServiceDemand &demand,
+                         const Leadership &leadership, TimeMs now)
 {
     Ordered &ordered = ordered_[subject];
     if (now < ordered.nextAt)
@@ -275,7 +274,9 @@
                     {"failure_domain", subject.failureDomain.value},
                     {"reclaimable", subject.reclaimable},
                     {"count", count},
-                    {"before", ordered.count}});
+                    {"before", ordered.count},
+                    {"running", demand.running},
+                    {"prefill_tokens_per_s", demand.prefillTokensPerSecond}});
     ordered.count = count;
     ordered.confirmed = false;
     ordered.nextAt = now + CallTimeout + RetryPause;
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -82,7 +82,8 @@
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
     void askAgain(const ServiceName &service);
-    void order(const Subject &subject, uint32_t count, const Leadership &leadership, TimeMs now);
+    void order(const Subject &subject, uint32_t count, const ServiceDemand &demand,
+               const Leadership &leadership, TimeMs now);
 
     DecisionLog &log_;
     std::map<ServiceName, ServiceState> services_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,7 +72,8 @@
     PeerReport report(TimeMs now);
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
-    std::vector<Address> callerAddresses(const Address &own, TimeMs now) const;
+    /// Where callers are to connect, this daemon included if it is ready.
+    std::vector<Address> callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now);
 
     const GatewayCounters &counters() const { return counters_; }
     const EndpointFleet &fleet() const { return fleet_; }
@@ -104,6 +105,7 @@
     void goOnWithinLimit(Exchange &exchange, TimeMs now);
     void tickLimits(TimeMs now);
     void deposit(TimeMs now);
+    bool isAmong(const std::vector<const MemberEntry *> &members) const;
     QuotaRole quotaRole(const OrganisationName &organisation, TimeMs now) const;
     ServiceName pickService(const Exchange &exchange) const;
 
@@ -123,6 +125,8 @@
     void detach(Exchange &exchange);
     bool mayRepeat(const Exchange &exchange) const;
     bool repeat(Exchange &exchange, GatewayRetry reason, TimeMs now);
+    /// Ends an attempt whose rest is of no use; what was sent may have run.
+    void cancelBroken(AttemptId attempt, TimeMs now);
     void onRejected(Exchange &exchange, TimeMs now);
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
@@ -175,6 +179,7 @@
     std::vector<CallerId> queue_; ///< Most urgent first, then by arrival.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
+    size_t entryCount_ = 0; ///< In the newest entry answer.
     TimeMs depositedAt_;
     uint64_t deposits_ = 0;
     std::vector<GatewayAction> actions_;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -133,6 +133,13 @@
     ServiceName service;
     double prefillTokensPerSecond = 0;
     double running = 0;
+
+    void add(const ServiceDemand &other)
+    {
+        service = other.service;
+        prefillTokensPerSecond += other.prefillTokensPerSecond;
+        running += other.running;
+    }
 };
 
 /// What a daemon tells the others several times a second. All of it may be lost or doubled without harm.
@@ -143,6 +150,7 @@
     bool ready = false;
     uint64_t sequence = 0;
     int64_t wallMs = 0; ///< Time of day at the sender.
+    double coresUsed = 0; ///< By the sender's process, moving mean.
     std::vector<EndpointLoad> loads;
     std::vector<OrganisationBalance> balances;
     std::vector<WindowCount> windows;
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -25,6 +25,19 @@
 constexpr DurationMs DepositPace{500};
 constexpr DurationMs LeastRetryAfter{400};
 
+double unitsOf(const ServedOrganisation &organisation, const CallerRequest &request)
+{
+    return quotaUnits(organisation, request.statesTokens, request.promptTokens + request.outputTokens);
+}
+
+double sumOf(const std::vector<PeerTable::Spare> &spares)
+{
+    double sum = 0;
+    for (const PeerTable::Spare &spare : spares)
+        sum += spare.units;
+    return sum;
+}
+
 } // namespace
 
 // Within: the units are taken. Waits: others are asked. Refused: the caller has its answer.
@@ -35,9 +48,7 @@
         : exchange.configuration->findByKey(exchange.request->key);
     if (!organisation)
         return LimitOutcome::Within;
-    const CallerRequest &request = *exchange.request;
-    const double units
-        = quotaUnits(*organisation, request.statesTokens, request.promptTokens + request.outputTokens);
+    const double units = unitsOf(*organisation, *exchange.request);
     const std::optional<QuotaShortage> shortage
         = quotas_.take(*organisation, units, quotaRole(organisation->name, now), now);
     if (!shortage) {
@@ -46,12 +57,7 @@
     }
     if (mayAsk && askForUnits(exchange, shortage->missing, now))
         return LimitOutcome::Waits;
-    const double spare = [&] {
-        double sum = 0;
-        for (const PeerTable::Spare &each : peers_.spares(organisation->name, now))
-            sum += each.units;
-        return sum;
-    }();
+    const double spare = sumOf(peers_.spares(organisation->name, now));
     // What others can spare is had sooner there: the caller comes back to any daemon.
     const DurationMs wait
         = spare >= shortage->missing ? LeastRetryAfter : std::max(shortage->wait, LeastRetryAfter);
@@ -65,9 +71,7 @@
 {
     std::vector<PeerTable::Spare> spares = peers_.spares(exchange.organisation, now);
     spares.resize(std::min(spares.size(), MostAsked));
-    double sum = 0;
-    for (const PeerTable::Spare &spare : spares)
-        sum += spare.units;
+    const double sum = sumOf(spares);
     if (sum < missing * LeastHope)
         return false;
     exchange.phase = ExchangePhase::AwaitingLimit;
@@ -93,12 +97,16 @@
     QuotaRole role;
     role.daemons = peers_.memberCount();
     role.keepers = std::min(PeerTable::Keepers, role.daemons);
-    role.isKeeper = std::any_of(keepers.begin(), keepers.end(), [this](const MemberEntry *keeper) {
-        return keeper->instance == settings_.instance;
-    });
+    role.isKeeper = isAmong(keepers);
     return role;
 }
 
+bool Gateway::isAmong(const std::vector<const MemberEntry *> &members) const
+{
+    return std::any_of(members.begin(), members.end(),
+                       [this](const MemberEntry *member) { return member->instance == settings_.instance; });
+}
+
 // What this daemon does not need is gathered at a few, so that a large request finds it with few questions.
 void Gateway::deposit(TimeMs now)
 {
@@ -107,7 +115,7 @@
     depositedAt_ = now;
     for (const ServedOrganisation &organisation : configuration_->organisations) {
         const std::vector<const MemberEntry *> keepers = peers_.keepers(organisation.name, now);
-        if (keepers.empty() || quotaRole(organisation.name, now).isKeeper)
+        if (keepers.empty() || isAmong(keepers))
             continue;
         const double units = quotas_.surplus(organisation.name);
         if (units <= 0)
@@ -142,10 +150,7 @@
         return;
     Exchange &exchange = exchanges_.at(waiting->second);
     const ServedOrganisation *organisation = exchange.configuration->findByKey(exchange.request->key);
-    const CallerRequest &request = *exchange.request;
-    const double units = organisation
-        ? quotaUnits(*organisation, request.statesTokens, request.promptTokens + request.outputTokens)
-        : 0;
+    const double units = organisation ? unitsOf(*organisation, *exchange.request) : 0;
     if (organisation && quotas_.take(*organisation, units, quotaRole(organisation->name, now), now))
         return;
     exchange.quotaUnits = units;
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -51,6 +51,7 @@
     report.ready = object.at("ready").as_bool();
     report.sequence = object.at("sequence").to_number<uint64_t>();
     report.wallMs = object.at("wallMs").to_number<int64_t>();
+    report.coresUsed = object.at("coresUsed").to_number<double>();
     for (const json::value &value : object.at("loads").as_array()) {
         const json::array &load = row(value, 3);
         report.loads.push_back(
@@ -82,6 +83,7 @@
             {"ready", report.ready},
             {"sequence", report.sequence},
             {"wallMs", report.wallMs},
+            {"coresUsed", report.coresUsed},
             {"loads", rowsOf(report, "loads")},
             {"balances", rowsOf(report, "balances")},
             {"windows", rowsOf(report, "windows")},
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -16,6 +16,8 @@
 constexpr int64_t SilentReports = 6;
 /// Daemons that read the store for all; each of the others asks one of them.
 constexpr size_t Readers = 3;
+/// Keepers change with the daemons that are ready; a change may be seen so much later.
+constexpr DurationMs KeepersPace{200};
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{
     60000}; ///< Usage windows of a peer that is gone are still needed for a while.
@@ -39,8 +41,7 @@
 {
     std::vector<const MemberEntry *> readers;
     for (const MemberEntry &member : members_) {
-        const Peer *peer = heard(member, now, silence());
-        if (member.instance == self_ || (peer && peer->report.ready && !peer->report.leaving))
+        if (member.instance == self_ || serves(member, now))
             readers.push_back(&member);
     }
     std::sort(readers.begin(), readers.end(),
@@ -57,24 +58,28 @@
 void PeerTable::setMembers(std::vector<MemberEntry> members)
 {
     members_ = std::move(members);
+    ranked_.clear();
 }
 
 bool PeerTable::take(const PeerReport &report, TimeMs now)
 {
     std::erase_if(peers_, [now](const std::pair<const Incarnation, Peer> &entry) {
-        return now - entry.second.heardAt > PeerMemory;
+        return now - entry.second.heardAt > PeerMemory && !entry.second.counted;
     });
     const bool isNew = !peers_.contains(report.incarnation);
     Peer &peer = peers_[report.incarnation];
     if (!isNew && report.sequence <= peer.report.sequence)
         return false;
-    for (const WindowCount &count : report.windows) {
-        uint64_t &most = peer.windows[count.window][count.organisation];
-        most = std::max(most, count.count);
+    for (const WindowCount &each : report.windows) {
+        uint64_t &most = peer.windows[each.window][each.organisation];
+        most = std::max(most, each.count);
     }
     while (peer.windows.size() > MostWindowsKept)
         peer.windows.erase(peer.windows.begin());
+    if (peer.counted)
+        count(peer, false);
     peer.report = report;
+    count(peer, true);
     peer.heardAt = now;
     peer.wallOffset = report.wallMs - now.count;
     return true;
@@ -86,6 +91,12 @@
     return found != peers_.end() && now - found->second.heardAt < within ? &found->second : nullptr;
 }
 
+bool PeerTable::serves(const MemberEntry &member, TimeMs now) const
+{
+    const Peer *peer = heard(member, now, silence());
+    return peer && peer->report.ready && !peer->report.leaving;
+}
+
 size_t PeerTable::memberCount() const
 {
     const bool listsSelf = std::any_of(members_.begin(), members_.end(), [this](const MemberEntry &member) {
@@ -96,11 +107,14 @@
 
 std::vector<const MemberEntry *> PeerTable::keepers(const OrganisationName &organisation, TimeMs now) const
 {
+    RankedKeepers &known = ranked_[organisation];
+    if (known.rankedAt.count != 0 && now - known.rankedAt < KeepersPace)
+        return known.keepers;
+    known.rankedAt = now;
+    known.keepers.clear();
     std::vector<std::pair<uint64_t, const MemberEntry *>> ranked;
     for (const MemberEntry &member : members_) {
-        const Peer *peer = member.instance == self_ ? nullptr : heard(member, now, silence());
-        const bool serves = member.instance == self_ || (peer && peer->report.ready && !peer->report.leaving);
-        if (serves)
+        if (member.instance == self_ || serves(member, now))
             ranked.emplace_back(XXH3_64bits_withSeed(organisation.value.data(), organisation.value.size(),
                                                      member.incarnation.value),
                                 &member);
@@ -110,10 +124,9 @@
     if (ranked.size() * 2 <= members_.size())
         return {};
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
-    std::vector<const MemberEntry *> out;
     for (size_t i = 0; i < ranked.size() && i < Keepers; ++i)
-        out.push_back(ranked[i].second);
-    return out;
+        known.keepers.push_back(ranked[i].second);
+    return known.keepers;
 }
 
 std::vector<PeerTable::Spare> PeerTable::spares(const OrganisationName &organisation, TimeMs now) const
@@ -132,51 +145,69 @@
     return out;
 }
 
-std::map<EndpointId, EndpointLoad> PeerTable::loadSums(TimeMs now) const
+// The sums are kept up to date by what changes: with many daemons there are reports in every tick.
+void PeerTable::count(Peer &peer, bool add)
 {
-    std::map<EndpointId, EndpointLoad> sums;
+    peer.counted = add;
+    for (const EndpointLoad &load : peer.report.loads) {
+        EndpointLoad &sum = loadSums_[load.id];
+        sum.id = load.id;
+        sum.running = add ? sum.running + load.running : sum.running - load.running;
+        sum.prefillTokens
+            = add ? sum.prefillTokens + load.prefillTokens : sum.prefillTokens - load.prefillTokens;
+        if (sum.running == 0 && sum.prefillTokens == 0)
+            loadSums_.erase(load.id);
+    }
+}
+
+const std::map<EndpointId, EndpointLoad> &PeerTable::loadSums(TimeMs now)
+{
+    for (std::pair<const Incarnation, Peer> &entry : peers_) {
+        if (entry.second.counted && now - entry.second.heardAt >= silence())
+            count(entry.second, false);
+    }
+    return loadSums_;
+}
+
+std::map<ServiceName, ServiceDemand> PeerTable::demandSums(TimeMs now) const
+{
+    std::map<ServiceName, ServiceDemand> sums;
     for (const std::pair<const Incarnation, Peer> &entry : peers_) {
         if (now - entry.second.heardAt >= silence())
             continue;
-        for (const EndpointLoad &load : entry.second.report.loads) {
-            EndpointLoad &sum = sums[load.id];
-            sum.id = load.id;
-            sum.running += load.running;
-            sum.prefillTokens += load.prefillTokens;
-        }
+        for (const ServiceDemand &demand : entry.second.report.demands)
+            sums[demand.service].add(demand);
     }
     return sums;
 }
 
-std::vector<ServiceDemand> PeerTable::demandSums(TimeMs now) const
+double PeerTable::coresUsed(TimeMs now) const
 {
-    std::map<ServiceName, ServiceDemand> sums;
+    double sum = 0;
     for (const std::pair<const Incarnation, Peer> &entry : peers_) {
-        if (now - entry.second.heardAt >= silence())
-            continue;
-        for (const ServiceDemand &demand : entry.second.report.demands) {
-            ServiceDemand &sum = sums[demand.service];
-            sum.service = demand.service;
-            sum.prefillTokensPerSecond += demand.prefillTokensPerSecond;
-            sum.running += demand.running;
-        }
+        if (now - entry.second.heardAt < silence())
+            sum += entry.second.report.coresUsed;
+    }
+    return sum;
+}
+
+std::vector<const MemberEntry *> PeerTable::busyMembers(TimeMs now) const
+{
+    std::vector<const MemberEntry *> out;
+    for (const MemberEntry &member : members_) {
+        const Peer *peer = member.instance == self_ ? nullptr : heard(member, now, silence());
+        if (peer && !peer->report.loads.empty())
+            out.push_back(&member);
     }
-    std::vector<ServiceDemand> out;
-    out.reserve(sums.size());
-    for (const std::pair<const ServiceName, ServiceDemand> &entry : sums)
-        out.push_back(entry.second);
     return out;
 }
 
-std::vector<Address> PeerTable::readyAddresses(TimeMs now) const
+std::vector<EntryCandidate> PeerTable::entryCandidates(TimeMs now) const
 {
-    std::vector<Address> out;
+    std::vector<EntryCandidate> out;
     for (const MemberEntry &member : members_) {
-        if (member.instance == self_)
-            continue;
-        const Peer *peer = heard(member, now, silence());
-        if (peer && peer->report.ready && !peer->report.leaving)
-            out.push_back(member.callerAddress);
+        if (member.instance != self_ && serves(member, now))
+            out.push_back({member.callerAddress, member.cores});
     }
     return out;
 }
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/entrychoice.h"
 #include "gateway/gatewayevents.h"
 
 #include <map>
@@ -13,6 +14,7 @@
     FailureDomainName failureDomain;
     Address callerAddress;
     Address peerAddress;
+    double cores = 1; ///< Of its instance, as far as it may use them.
 
     friend bool operator==(const MemberEntry &, const MemberEntry &) = default;
 };
@@ -48,10 +50,15 @@
     };
     /// Those that can spare something, most first.
     std::vector<Spare> spares(const OrganisationName &organisation, TimeMs now) const;
-    std::map<EndpointId, EndpointLoad> loadSums(TimeMs now) const;
-    std::vector<ServiceDemand> demandSums(TimeMs now) const;
-    /// Addresses for callers of daemons that are listed, and heard and ready if they were ever heard.
-    std::vector<Address> readyAddresses(TimeMs now) const;
+    /// What the daemons that are heard run at each endpoint.
+    const std::map<EndpointId, EndpointLoad> &loadSums(TimeMs now);
+    std::map<ServiceName, ServiceDemand> demandSums(TimeMs now) const;
+    /// Daemons for callers: those that are listed, heard and ready.
+    std::vector<EntryCandidate> entryCandidates(TimeMs now) const;
+    /// Cores that all other daemons use together.
+    double coresUsed(TimeMs now) const;
+    /// Daemons with requests at endpoints; what they run matters at once for placing.
+    std::vector<const MemberEntry *> busyMembers(TimeMs now) const;
     /// Highest count that each daemon reported for a window, also of daemons that are gone by now.
     std::map<OrganisationName, uint64_t> windowSums(int64_t window) const;
     /// Middle of the others' time of day less our steady clock, own value included.
@@ -61,15 +68,26 @@
     struct Peer {
         PeerReport report;
         TimeMs heardAt;
+        bool counted = false; ///< In the sums of loads.
         int64_t wallOffset = 0;
         std::map<int64_t, std::map<OrganisationName, uint64_t>> windows;
     };
     DurationMs silence() const;
+    void count(Peer &peer, bool add);
+    bool serves(const MemberEntry &member,
+                TimeMs now) const; ///< Another daemon that is heard and takes requests.
     const Peer *heard(const MemberEntry &member, TimeMs now, DurationMs within) const;
 
     InstanceName self_;
     std::vector<MemberEntry> members_;
     std::map<Incarnation, Peer> peers_;
+    std::map<EndpointId, EndpointLoad> loadSums_;
+    struct RankedKeepers {
+        TimeMs rankedAt;
+        std::vector<const MemberEntry *> keepers;
+    };
+    /// Ranking all daemons takes 7 us for 84 of them, and is asked for with each request and report.
+    mutable std::map<OrganisationName, RankedKeepers> ranked_;
 };
 
 } // namespace cranberry
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -59,10 +59,8 @@
     }
     for (CallerId id : toMove)
         startMove(exchanges_.at(id), now);
-    for (AttemptId attempt : unstarted) {
-        actions_.emplace_back(CancelSent{attempt});
-        onBroken({attempt, true}, now);
-    }
+    for (AttemptId attempt : unstarted)
+        cancelBroken(attempt, now);
     for (CallerId id : late)
         goOnAtTarget(exchanges_.at(id), now);
 }
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -50,8 +50,7 @@
 void Gateway::onPeerReport(const PeerReport &report, TimeMs now)
 {
     counters_.add(GatewayCount::PeerReports);
-    if (peers_.take(report, now))
-        fleet_.setPeersLoad(peers_.loadSums(now));
+    peers_.take(report, now);
 }
 
 void Gateway::refillQuotas(TimeMs now)
@@ -93,25 +92,24 @@
 
 std::map<ServiceName, ServiceDemand> Gateway::demand(TimeMs now) const
 {
-    std::map<ServiceName, ServiceDemand> sums;
-    std::vector<ServiceDemand> all = peers_.demandSums(now);
+    std::map<ServiceName, ServiceDemand> sums = peers_.demandSums(now);
     for (const ServiceDemand &own : demand_.values())
-        all.push_back(own);
-    for (const ServiceDemand &each : all) {
-        ServiceDemand &sum = sums[each.service];
-        sum.service = each.service;
-        sum.prefillTokensPerSecond += each.prefillTokensPerSecond;
-        sum.running += each.running;
-    }
+        sums[own.service].add(own);
     return sums;
 }
 
-std::vector<Address> Gateway::callerAddresses(const Address &own, TimeMs now) const
+std::vector<Address> Gateway::callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now)
 {
-    std::vector<Address> out = peers_.readyAddresses(now);
+    std::vector<EntryCandidate> candidates = peers_.entryCandidates(now);
     if (isReady(now))
-        out.push_back(own);
-    return out;
+        candidates.push_back(own);
+    const double used = peers_.coresUsed(now) + ownCoresUsed;
+    const size_t ready = candidates.size();
+    std::vector<Address> entries = chooseEntries(std::move(candidates), used);
+    if (std::exchange(entryCount_, entries.size()) != entries.size())
+        log_.write(LogWeight::State, "entries",
+                   {{"count", entries.size()}, {"ready", ready}, {"cores_used", used}});
+    return entries;
 }
 
 } // namespace cranberry
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -46,7 +46,8 @@
     return json::serialize(json::object{{"incarnation", member.incarnation.value},
                                         {"failureDomain", member.failureDomain.value},
                                         {"callerAddress", toText(member.callerAddress)},
-                                        {"peerAddress", toText(member.peerAddress)}});
+                                        {"peerAddress", toText(member.peerAddress)},
+                                        {"cores", member.cores}});
 }
 
 std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text)
@@ -60,6 +61,7 @@
             reader.required("failureDomain", member.failureDomain);
             reader.required("callerAddress", member.callerAddress);
             reader.required("peerAddress", member.peerAddress);
+            reader.optional("cores", member.cores, 0, 4096);
             reader.markKnown("incarnation");
             if (const FieldError *error = reader.finish())
                 return boost::leaf::new_error(*error);
@@ -200,7 +202,7 @@
         return;
     storeAnswers_ = answered;
     log_.write(LogWeight::State, answered ? "store_regained" : "store_lost",
-               {{"newest_read_age_ms", (now - newestShared_).count}});
+               {{"newest_read_age_ms", newestShared_.count == 0 ? 0 : (now - newestShared_).count}});
 }
 
 void StoreSync::onReply(const StoreReply &reply, TimeMs now)
@@ -255,7 +257,7 @@
     if (shared)
         takeShared(open, now);
     else
-        takeEndpoints(open, now);
+        takeEndpoints(open);
 }
 
 void StoreSync::takeShared(const OpenCall &open, TimeMs now)
@@ -310,7 +312,7 @@
     leaderIsEarlierLife_ = leaderIsEarlierLife;
 }
 
-void StoreSync::takeEndpoints(const OpenCall &open, TimeMs)
+void StoreSync::takeEndpoints(const OpenCall &open)
 {
     std::vector<EndpointEntry> entries;
     for (const StoreItem &item : open.pages) {
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -84,7 +84,7 @@
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
     void takeShared(const OpenCall &open, TimeMs now);
-    void takeEndpoints(const OpenCall &open, TimeMs now);
+    void takeEndpoints(const OpenCall &open);
     void takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt);
     void onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now);
     void loseLease(TimeMs now, const char *why);
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -57,11 +57,17 @@
         // Whatever is under way may be finished by a successor from what the store holds.
         windows_.clear();
         calls_.clear();
+        heldSince_.reset();
         return;
     }
+    if (!heldSince_)
+        heldSince_ = now;
     const int64_t first = windows.windowAt(now - due_);
     windows_.erase(windows_.begin(), windows_.lower_bound(first));
+    // A holder that has just started has not heard the others yet: its counts would leave theirs out.
     const DurationMs gatherTime = CountingTime + peers.reportPace() * ReportsAwaited;
+    if (now < *heldSince_ + gatherTime)
+        return;
     for (int64_t number = first; windows.endOf(number) + gatherTime <= now; ++number) {
         Window &window = windows_[number];
         if (now < window.nextAt)
--- a/src/gateway/usageduty.h
+++ b/src/gateway/usageduty.h
@@ -40,6 +40,7 @@
     void send(int64_t number, Window &window, const Leadership &leadership, TimeMs now);
 
     DurationMs due_;
+    std::optional<TimeMs> heldSince_;
     DecisionLog &log_;
     std::map<int64_t, Window> windows_;
     std::map<uint64_t, int64_t> calls_; ///< Open calls, by id, to their window.
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -31,6 +31,7 @@
     seconds = static_cast<double>(settings.repeatWindow.count) / 1000;
     reader.optional("repeatWindowSeconds", seconds, 1, 3600);
     settings.repeatWindow.count = static_cast<int64_t>(seconds * 1000);
+    reader.optional("cores", settings.cores, 0.001, 4096);
     reader.optional("drainMs", settings.drainTime);
     reader.optional("entryKeepMs", settings.entryKeep);
     reader.optional("repeatRatio", settings.repeatRatio, 0, 10);
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -26,6 +26,7 @@
     /// How long callers may keep the entry answer. Some keep it three times as long, and a stopping daemon
     /// must see the last of them well before its grace ends.
     DurationMs entryKeep{1000};
+    double cores = 1; ///< Of the instance, as far as this daemon may use them.
     DurationMs drainTime{2000}; ///< A leaving endpoint serves on for so long at least.
     double repeatRatio = 0.2; ///< Repeats for each request of a service, over all daemons.
     double repeatSlack = 10;
--- a/src/io/gatewaycallers.cpp
+++ b/src/io/gatewaycallers.cpp
@@ -45,7 +45,8 @@
 
 void GatewayServer::State::onEntryQuestion(const HttpExchangePtr &exchange)
 {
-    const std::vector<Address> addresses = gateway.callerAddresses(settings.callerAddress, steadyNow());
+    const std::vector<Address> addresses
+        = gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, steadyNow());
     if (addresses.empty())
         return exchange->respond(503, {}, "");
     exchange->respond(
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -2,8 +2,33 @@
 
 #include "io/gatewaystate.h"
 
+#include <sys/resource.h>
+
 namespace cranberry {
 
+namespace {
+
+/// Daemons that serve requests tell each other at this pace, whatever the number of all: an engine's queue
+/// changes within a few hundred milliseconds.
+constexpr DurationMs BusyReportPace{200};
+constexpr size_t MostBusyTold = 24; ///< With more of them, the turns of all daemons have to do.
+constexpr DurationMs CoresPace{500};
+constexpr double CoresWeight = 0.2; ///< Of the newest measurement: the mean of about the last 2.5 s.
+
+/// Processor time of this process in milliseconds; 0 where the system doesn't tell.
+double processorMs()
+{
+    rusage usage = {};
+    if (::getrusage(RUSAGE_SELF, &usage) != 0)
+        return 0;
+    const auto toMs = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) * 1000.0 + static_cast<double>(time.tv_usec) / 1000.0;
+    };
+    return toMs(usage.ru_utime) + toMs(usage.ru_stime);
+}
+
+} // namespace
+
 // ---- Store ----
 
 void GatewayServer::State::callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply)
@@ -190,12 +215,32 @@
     PeerReport report = gateway.report(now);
     report.incarnation = incarnation;
     report.wallMs = wallNowMs();
+    report.coresUsed = coresUsed;
     const std::string text = encodeDatagram(report);
     for (; count > 0; --count) {
         nextMember = (nextMember + 1) % members.size();
         if (members[nextMember].instance != settings.instance)
             sendDatagram(members[nextMember].peerAddress, text);
     }
+    if (now < busyReportedAt + BusyReportPace || pace <= BusyReportPace || gateway.isIdle())
+        return;
+    busyReportedAt = now;
+    const std::vector<const MemberEntry *> busy = gateway.peers().busyMembers(now);
+    for (size_t i = 0; i < busy.size() && busy.size() <= MostBusyTold; ++i)
+        sendDatagram(busy[i]->peerAddress, text);
+}
+
+void GatewayServer::State::measureCores(TimeMs now)
+{
+    if (now < coresMeasuredAt + CoresPace)
+        return;
+    const double time = processorMs();
+    if (coresMeasuredAt.count != 0) {
+        const double used = (time - processorTimeMs) / static_cast<double>((now - coresMeasuredAt).count);
+        coresUsed += CoresWeight * (used - coresUsed);
+    }
+    coresMeasuredAt = now;
+    processorTimeMs = time;
 }
 
 } // namespace cranberry
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -32,10 +32,6 @@
     return {address.host, static_cast<uint16_t>(port)};
 }
 
-} // namespace
-
-namespace {
-
 GatewaySettings coreSettings(const GatewayDaemonSettings &given, Incarnation incarnation, uint64_t seed)
 {
     GatewaySettings out;
@@ -54,7 +50,8 @@
 StoreSyncSettings syncSettings(const GatewayDaemonSettings &given, Incarnation incarnation, uint64_t seed)
 {
     StoreSyncSettings out;
-    out.self = {given.instance, incarnation, given.failureDomain, given.callerAddress, given.peerAddress};
+    out.self = {given.instance,      incarnation,       given.failureDomain,
+                given.callerAddress, given.peerAddress, given.cores};
     out.leaseTime = given.leaseTime;
     out.firstStart = given.firstStart;
     out.seed = seed;
@@ -85,6 +82,7 @@
     gateway.tick(now);
     runActions();
     runDuties();
+    measureCores(now);
     sendReports(false);
     if (now >= flushAt) {
         flushAt = now + LogPace;
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -72,6 +72,7 @@
     void sendOutgoing();
     Address peerAddress() const; ///< Of the datagram that is being handled.
     void sendReports(bool toAll);
+    void measureCores(TimeMs now);
 
     void tick();
     void waitForSignal();
@@ -110,6 +111,10 @@
     boost::asio::signal_set signals{io};
     TimeMs reportedAt;
     double reportsDue = 0; ///< Daemons that are to be told by now.
+    TimeMs busyReportedAt;
+    TimeMs coresMeasuredAt;
+    double processorTimeMs = 0; ///< At that time.
+    double coresUsed = 0; ///< Moving mean.
     size_t nextMember = 0;
     TimeMs flushAt;
     TimeMs settingsCheckAt;
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -179,8 +179,9 @@
 
 TEST_CASE("a holder that starts again takes its duties back before its old lease lapses")
 {
-    // All daemons are killed at once and start again a second later. The holder's key outlives it by its lease.
-    // Nobody else can have led meanwhile, so the holder's instance goes on at once, under a higher token.
+    // All daemons are killed at once and start again a second later. The holder's key outlives it by its
+    // lease. Nobody else can have led meanwhile, so the holder's instance goes on at once, under a higher
+    // token.
     DutyWorld world(7);
     world.pass({6000});
     const std::optional<size_t> first = world.holder();
@@ -258,6 +259,34 @@
         CHECK(report.second.size() == 1);
 }
 
+TEST_CASE("a holder that has just started waits for what the others counted")
+{
+    // The holder is killed and takes its duties back at once. A window ended just before; its requests were
+    // counted by another daemon, which this one hears only now. A report at once would leave them out, for
+    // good.
+    RecordingLog log;
+    UsageDuty duty({10000}, log);
+    UsageWindows usage({5000});
+    PeerTable peers({"entry-1"});
+    std::shared_ptr<ServingConfiguration> configuration = std::make_shared<ServingConfiguration>();
+    ServedOrganisation organisation;
+    organisation.name.value = "a";
+    configuration->organisations = {organisation};
+    const Leadership leadership{true, 5, {1'000'000}};
+    duty.tick(leadership, usage, peers, configuration, {102'000});
+    CHECK(duty.takeStoreCalls().empty());
+    PeerReport report;
+    report.incarnation.value = 2;
+    report.sequence = 1;
+    report.windows = {{19, {"a"}, 7}};
+    peers.take(report, {102'100});
+    duty.tick(leadership, usage, peers, configuration, {104'000});
+    std::set<std::string> written;
+    for (const StoreCall &call : duty.takeStoreCalls())
+        written.insert(call.puts.front().key + call.puts.front().value);
+    CHECK(written.contains("usage-19{\"a\":7}"));
+}
+
 TEST_CASE("windows that were reported are deleted from the store after a while")
 {
     DutyWorld world(6);
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -206,8 +206,48 @@
     leaving.leaving = true;
     peers.take(leaving, {0});
     CHECK(peers.memberCount() == 4);
-    CHECK(peers.readyAddresses({100}).size() == 1);
-    CHECK(peers.readyAddresses({5000}).empty());
+    CHECK(peers.entryCandidates({100}).size() == 1);
+    CHECK(peers.entryCandidates({5000}).empty());
+}
+
+TEST_CASE("callers are sent to the strong instances as long as these carry the load, to all alike ones else")
+{
+    // Ten strong instances and seventy weak ones. Callers pick evenly: told of all, they would load a weak
+    // one as much as a strong one, and its answers would be late.
+    std::vector<EntryCandidate> candidates;
+    for (uint16_t i = 0; i < 80; ++i)
+        candidates.push_back({{"10.0.0.1", i}, i % 8 == 0 ? 0.5 : 0.12});
+    CHECK(chooseEntries(candidates, 1.5).size() == 10);
+    CHECK(chooseEntries(candidates, 2.5).size() == 80);
+    CHECK(chooseEntries(candidates, 0).size() == 10);
+    for (EntryCandidate &each : candidates)
+        each.cores = 0.25;
+    CHECK(chooseEntries(candidates, 0.1).size() == 80);
+    // Four of the strong ones are lost: six are too few, whatever the load.
+    candidates.resize(30);
+    for (size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].cores = i < 6 ? 0.5 : 0.12;
+    CHECK(chooseEntries(candidates, 0.1).size() == 30);
+    CHECK(chooseEntries({}, 1).empty());
+}
+
+TEST_CASE("peers: loads are summed over daemons that are heard, and only their newest reports")
+{
+    PeerTable peers({"entry-1"});
+    peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3)});
+    PeerReport report = makeReport(2, 1);
+    report.loads = {{EndpointId{"m1"}, 3, 500}, {EndpointId{"m2"}, 1, 0}};
+    peers.take(report, {0});
+    report.sequence = 2;
+    report.loads = {{EndpointId{"m1"}, 2, 100}};
+    peers.take(report, {100});
+    PeerReport other = makeReport(3, 1);
+    other.loads = {{EndpointId{"m1"}, 4, 0}};
+    peers.take(other, {1000});
+    CHECK(peers.loadSums({1100}).at(EndpointId{"m1"}).running == 6);
+    CHECK_FALSE(peers.loadSums({1100}).contains(EndpointId{"m2"}));
+    CHECK(peers.loadSums({1900}).at(EndpointId{"m1"}).running == 4);
+    CHECK(peers.loadSums({9000}).empty());
 }
 
 TEST_CASE("the middle of all clocks is not moved by one that jumps")
