--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -157,11 +157,32 @@
     std::vector<ServiceDemand> demands;
 };
 
+/// A daemon as the store lists it.
+struct MemberEntry {
+    InstanceName instance;
+    Incarnation incarnation;
+    FailureDomainName failureDomain;
+    Address callerAddress;
+    Address peerAddress;
+    double cores = 1; ///< Of its instance, as far as it may use them.
+
+    friend bool operator==(const MemberEntry &, const MemberEntry &) = default;
+};
+
+/// The key of the duties' holder as it stands in the store.
+struct LeaderEntry {
+    std::string value; ///< Names instance and incarnation.
+    uint64_t revision = 0; ///< Of the write that won; 0: there is no holder.
+    uint64_t lease = 0;
+};
+
 /// "How fresh is what you know of the store?" Asked instead of reading there.
 struct FreshnessQuestion {
     Incarnation from;
     uint64_t number = 0;
     uint64_t endpointsDigest = 0; ///< Of the list that the asker has.
+    uint64_t sharedDigest = 0; ///< Of its configuration, members and leader.
+    uint64_t configurationVersion = 0;
 };
 
 /// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at
@@ -171,6 +192,9 @@
     DurationMs sharedAge; ///< Of the configuration, the members and the leader.
     uint64_t sharedDigest = 0;
     uint64_t configurationVersion = 0; ///< The newest one then; members and leader may differ all the same.
+    bool hasMembers = false; ///< Members and leader follow: they differ, the configuration does not.
+    std::vector<MemberEntry> members;
+    LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
     bool hasEndpoints = false; ///< The list follows, since the asker's differs.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -95,7 +95,9 @@
     return {{"kind", "question"},
             {"id", question.from.value},
             {"number", question.number},
-            {"endpointsDigest", question.endpointsDigest}};
+            {"endpointsDigest", question.endpointsDigest},
+            {"sharedDigest", question.sharedDigest},
+            {"configurationVersion", question.configurationVersion}};
 }
 
 FreshnessQuestion decodedQuestion(const json::object &object)
@@ -104,6 +106,8 @@
     question.from.value = object.at("id").to_number<uint64_t>();
     question.number = object.at("number").to_number<uint64_t>();
     question.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    question.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
+    question.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     return question;
 }
 
@@ -116,6 +120,14 @@
                      {"configurationVersion", answer.configurationVersion},
                      {"endpointsAgeMs", answer.endpointsAge.count},
                      {"endpointsDigest", answer.endpointsDigest}};
+    if (answer.hasMembers) {
+        json::array members;
+        for (const MemberEntry &member : answer.members)
+            members.push_back({member.instance.value, member.incarnation.value, member.failureDomain.value,
+                               toText(member.callerAddress), toText(member.peerAddress), member.cores});
+        out["members"] = std::move(members);
+        out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
+    }
     if (!answer.hasEndpoints)
         return out;
     json::array rows;
@@ -128,6 +140,18 @@
     return out;
 }
 
+MemberEntry decodedMember(const json::array &fields)
+{
+    MemberEntry member;
+    member.instance.value = text(fields[0]);
+    member.incarnation.value = fields[1].to_number<uint64_t>();
+    member.failureDomain.value = text(fields[2]);
+    member.callerAddress = addressFromText(text(fields[3])).value_or(Address{});
+    member.peerAddress = addressFromText(text(fields[4])).value_or(Address{});
+    member.cores = fields[5].to_number<double>();
+    return member;
+}
+
 FreshnessAnswer decodedAnswer(const json::object &object)
 {
     FreshnessAnswer answer;
@@ -137,6 +161,13 @@
     answer.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     answer.endpointsAge.count = object.at("endpointsAgeMs").to_number<int64_t>();
     answer.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    if (const json::value *members = object.if_contains("members")) {
+        answer.hasMembers = true;
+        for (const json::value &value : members->as_array())
+            answer.members.push_back(decodedMember(row(value, 6)));
+        const json::array &leader = row(object.at("leader"), 3);
+        answer.leader = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>()};
+    }
     const json::value *rows = object.if_contains("endpoints");
     answer.hasEndpoints = rows != nullptr;
     if (!rows)
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -7,18 +7,6 @@
 
 namespace cranberry {
 
-/// A daemon as the store lists it.
-struct MemberEntry {
-    InstanceName instance;
-    Incarnation incarnation;
-    FailureDomainName failureDomain;
-    Address callerAddress;
-    Address peerAddress;
-    double cores = 1; ///< Of its instance, as far as it may use them.
-
-    friend bool operator==(const MemberEntry &, const MemberEntry &) = default;
-};
-
 /// The other daemons: who is listed, who is heard, and what they last said.
 class PeerTable
 {
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -20,8 +20,14 @@
 constexpr DurationMs AskPace{300};
 /// A view older than this is renewed by reading, whatever the other daemon says.
 constexpr DurationMs OldestBorrowed{1300};
-/// After this without an answer of the store a daemon asks others, also one of those that read for all.
-constexpr DurationMs ReadsFailing{1100};
+/// After so many failed reads in a row, or while one is not answered for so long, a daemon asks others, also
+/// if it is one of those that read for all. It goes on trying; at a slower pace while others keep its view
+/// fresh.
+constexpr uint32_t ReadsFailing = 2;
+constexpr DurationMs SlowRead{1100};
+constexpr int64_t SlowerWhileFailing = 3;
+/// More members don't fit into a datagram with the list of endpoints; they are read.
+constexpr size_t MostMembersTold = 120;
 constexpr size_t MostOpenQuestions = 16;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
@@ -91,8 +97,10 @@
 
 bool StoreSync::readsFail(TimeMs now) const
 {
-    return started_ && now - startedAt_ > ReadsFailing
-        && now - std::min(newestShared_, newestEndpoints_) > ReadsFailing;
+    return failedReads_ >= ReadsFailing
+        || std::any_of(open_.begin(), open_.end(), [now](const std::pair<const uint64_t, OpenCall> &entry) {
+               return isRead(entry.second.purpose) && now - entry.second.sentAt > SlowRead;
+           });
 }
 
 bool StoreSync::tooManyOpen(Purpose purpose) const
@@ -100,8 +108,7 @@
     size_t count = 0;
     for (const std::pair<const uint64_t, OpenCall> &entry : open_)
         count += entry.second.purpose == purpose ? 1 : 0;
-    const bool isRead = purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
-    return count >= (isRead ? MostOverlappingReads : 1);
+    return count >= (isRead(purpose) ? MostOverlappingReads : 1);
 }
 
 void StoreSync::readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now)
@@ -124,14 +131,17 @@
     }
     if (source_ && now >= askAt_)
         ask(now);
-    const bool sharedIsOld = !source_ || now - newestShared_ > OldestBorrowed;
-    const bool endpointsAreOld = !source_ || now - newestEndpoints_ > OldestBorrowed;
+    const bool failing = readsFail(now);
+    const bool fresh = now - std::min(newestShared_, newestEndpoints_) < OldestBorrowed;
+    const int64_t slower = failing && fresh ? SlowerWhileFailing : 1;
+    const bool sharedIsOld = !source_ || failing || now - newestShared_ > OldestBorrowed;
+    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > OldestBorrowed;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        sharedAt_ = now + SharedPace;
+        sharedAt_ = now + SharedPace * slower;
         readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
     }
     if (now >= endpointsAt_ && endpointsAreOld && !tooManyOpen(Purpose::ReadEndpoints)) {
-        endpointsAt_ = now + EndpointsPace;
+        endpointsAt_ = now + EndpointsPace * slower;
         readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
     }
     if (leaving_)
@@ -147,7 +157,8 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
-    const bool mayStand = leaderRevision_ == 0 ? now >= standAt_ : leaderIsEarlierLife_ && now >= takeBackAt_;
+    const bool mayStand
+        = leader_.revision == 0 ? now >= standAt_ : leaderIsEarlierLife_ && now >= takeBackAt_;
     if (lease_ != 0 && mayStand && newestShared_ >= startedAt_ && !tooManyOpen(Purpose::Stand)
         && now < leaseValidUntil_)
         stand(now);
@@ -194,7 +205,7 @@
     standAt_ = now + RetryPause + DurationMs{static_cast<int64_t>(random_.below(StandSpreadMs))};
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Shared, LeaderKey, leaderRevision_});
+    call.conditions.push_back({StoreSpace::Shared, LeaderKey, leader_.revision});
     call.puts.push_back({StoreSpace::Shared, LeaderKey, ownLeaderValue(), lease_});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Stand, now, now, {}, lease_}, now);
@@ -224,6 +235,7 @@
     case Purpose::ReadShared:
     case Purpose::ReadEndpoints:
         noteStoreState(reply.outcome == StoreOutcome::Done, now);
+        failedReads_ = reply.outcome == StoreOutcome::Done ? 0 : failedReads_ + 1;
         return onRead(open, reply, now);
     case Purpose::Grant:
     case Purpose::Renew:
@@ -236,10 +248,9 @@
     case Purpose::Stand:
         // A lost or refused try shows in the next read; only a win is news.
         if (reply.outcome == StoreOutcome::Done && open.lease == lease_) {
-            leaderRevision_ = reply.revision;
+            leader_ = {ownLeaderValue(), reply.revision, lease_};
             leaderIsSelf_ = true;
             leaderIsEarlierLife_ = false;
-            leaderLease_ = lease_;
             log_.write(LogWeight::State, "leadership_won", {{"fencing_token", reply.revision}});
         }
         return;
@@ -271,12 +282,9 @@
 void StoreSync::takeShared(const OpenCall &open, TimeMs now)
 {
     std::vector<MemberEntry> members;
+    LeaderEntry leader;
     bool sawConfiguration = false;
     std::string digested;
-    uint64_t leaderRevision = 0;
-    uint64_t leaderLease = 0;
-    bool leaderIsSelf = false;
-    bool leaderIsEarlierLife = false;
     for (const StoreItem &item : open.pages) {
         digested += item.isConfiguration ? fmt::format("{};", item.configuration->version)
                                          : fmt::format("{}={};", item.key, item.value);
@@ -285,10 +293,7 @@
             configuration_ = item.configuration;
             news_.configurations.push_back({item.configuration, open.readStartedAt});
         } else if (item.key == LeaderKey) {
-            leaderRevision = item.revision;
-            leaderLease = item.lease;
-            leaderIsSelf = item.value == ownLeaderValue() && item.lease == lease_;
-            leaderIsEarlierLife = isEarlierLife(item.value);
+            leader = {item.value, item.revision, item.lease};
         } else if (item.key.starts_with(MemberPrefix)) {
             std::optional<MemberEntry> member
                 = memberFromText(item.key.substr(std::string_view(MemberPrefix).size()), item.value);
@@ -302,22 +307,29 @@
     if (sawConfiguration != sawConfiguration_)
         log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
     sawConfiguration_ = sawConfiguration;
+    takeMembers(std::move(members), leader, open.readStartedAt, now);
+}
+
+void StoreSync::takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt,
+                            TimeMs now)
+{
+    members_ = members;
     news_.members = std::move(members);
-    // A read that was asked before our own win can't have seen it.
-    const bool staleView = leaderIsSelf_ && leaderRevision < leaderRevision_;
-    if (staleView && lease_ == leaderLease_ && open.readStartedAt + WriteTimeout > now)
+    // What was asked before our own win can't have seen it.
+    const bool staleView = leaderIsSelf_ && leader.revision < leader_.revision;
+    if (staleView && lease_ == leader_.lease && askedAt + WriteTimeout > now)
         return;
-    if (leaderIsSelf_ && !leaderIsSelf) {
+    const bool isSelf = leader.revision != 0 && leader.value == ownLeaderValue() && leader.lease == lease_;
+    if (leaderIsSelf_ && !isSelf) {
         log_.write(LogWeight::State, "leadership_lost",
-                   {{"why", "another entry"}, {"revision", leaderRevision}});
+                   {{"why", "another entry"}, {"revision", leader.revision}});
         standAt_ = now + settings_.leaseTime + StandMargin;
     }
-    if (leaderIsSelf && !leaderIsSelf_)
-        log_.write(LogWeight::State, "leadership_won", {{"fencing_token", leaderRevision}});
-    leaderRevision_ = leaderRevision;
-    leaderLease_ = leaderLease;
-    leaderIsSelf_ = leaderIsSelf;
-    leaderIsEarlierLife_ = leaderIsEarlierLife;
+    if (isSelf && !leaderIsSelf_)
+        log_.write(LogWeight::State, "leadership_won", {{"fencing_token", leader.revision}});
+    leader_ = leader;
+    leaderIsSelf_ = isSelf;
+    leaderIsEarlierLife_ = isEarlierLife(leader.value);
 }
 
 void StoreSync::takeEndpoints(const OpenCall &open)
@@ -350,11 +362,17 @@
     while (questions_.size() >= MostOpenQuestions)
         questions_.erase(questions_.begin());
     questions_[nextQuestion_] = now;
-    outgoing_.push_back(
-        {*source_, FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_}});
+    outgoing_.push_back({*source_,
+                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_,
+                                           sharedDigest_, knownVersion()}});
     ++nextQuestion_;
 }
 
+uint64_t StoreSync::knownVersion() const
+{
+    return sawConfiguration_ && configuration_ ? configuration_->version : 0;
+}
+
 void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
 {
     if (newestShared_.count == 0 || newestEndpoints_.count == 0)
@@ -363,7 +381,13 @@
     answer.number = question.number;
     answer.sharedAge = now - newestShared_;
     answer.sharedDigest = sharedDigest_;
-    answer.configurationVersion = sawConfiguration_ && configuration_ ? configuration_->version : 0;
+    answer.configurationVersion = knownVersion();
+    answer.hasMembers = question.sharedDigest != sharedDigest_
+        && question.configurationVersion == answer.configurationVersion && members_.size() <= MostMembersTold;
+    if (answer.hasMembers) {
+        answer.members = members_;
+        answer.leader = leader_;
+    }
     answer.endpointsAge = now - newestEndpoints_;
     answer.endpointsDigest = endpointsDigest_;
     answer.hasEndpoints = question.endpointsDigest != endpointsDigest_;
@@ -385,8 +409,15 @@
     if (answer.sharedDigest != sharedDigest_) {
         // Something changed, here or there: the store tells what. If it is not the configuration, this is
         // confirmed all the same: a daemon that the store turns away could not serve keys for long otherwise.
-        if (configuration_ && answer.configurationVersion == configuration_->version)
+        const bool sameConfiguration
+            = configuration_ && answer.configurationVersion == configuration_->version;
+        if (sameConfiguration)
             news_.configurations.push_back({configuration_, sharedAt});
+        if (sameConfiguration && answer.hasMembers && sharedAt > newestShared_) {
+            newestShared_ = sharedAt;
+            sharedDigest_ = answer.sharedDigest;
+            takeMembers(answer.members, answer.leader, sharedAt, now);
+        }
         if (sharedAt > newestShared_ && !tooManyOpen(Purpose::ReadShared))
             readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
     } else if (sharedAt > newestShared_ && configuration_) {
@@ -440,8 +471,8 @@
 {
     Leadership out;
     out.validUntil = leaseValidUntil_ - LeadershipMargin;
-    out.fencingToken = leaderRevision_;
-    out.held = !leaving_ && leaderIsSelf_ && leaderLease_ == lease_ && now < out.validUntil;
+    out.fencingToken = leader_.revision;
+    out.held = !leaving_ && leaderIsSelf_ && leader_.lease == lease_ && now < out.validUntil;
     return out;
 }
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -49,7 +49,7 @@
     void onReply(const StoreReply &reply, TimeMs now);
     /// Whom to ask instead of reading; nothing: this daemon reads itself.
     void setSource(const std::optional<Address> &source) { source_ = source; }
-    /// Own reads have not been answered for a while, though others' may be.
+    /// Own reads are not answered, though others' may be.
     bool readsFail(TimeMs now) const;
     void onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now);
     void onAnswer(const FreshnessAnswer &answer, TimeMs now);
@@ -81,11 +81,17 @@
         uint64_t lease = 0;
     };
 
+    static bool isRead(Purpose purpose)
+    {
+        return purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
+    }
     void send(StoreCall call, OpenCall open, TimeMs now);
     void readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now);
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
     void takeShared(const OpenCall &open, TimeMs now);
+    void takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
+    uint64_t knownVersion() const; ///< Of the configuration; 0: none.
     void takeEndpoints(const OpenCall &open);
     void takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt);
     void onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now);
@@ -110,6 +116,7 @@
     bool leaving_ = false;
     TimeMs sharedAt_; ///< Next read.
     TimeMs endpointsAt_;
+    uint32_t failedReads_ = 0; ///< In a row.
     TimeMs newestShared_; ///< What is known was so in the store at or after this time.
     TimeMs newestEndpoints_;
     bool storeAnswers_ = false;
@@ -131,9 +138,9 @@
     bool registered_ = false;
     TimeMs registerAt_;
 
-    uint64_t leaderRevision_ = 0; ///< Of the leader's key, as last seen; 0: there is none.
+    std::vector<MemberEntry> members_;
+    LeaderEntry leader_; ///< As last seen.
     bool leaderIsSelf_ = false;
-    uint64_t leaderLease_ = 0;
     bool leaderIsEarlierLife_ = false; ///< The key is of a daemon that ran on this instance before.
     TimeMs standAt_; ///< Not before, if there is no leader.
     TimeMs takeBackAt_; ///< Not before, if this instance led in an earlier life.
