--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -18,6 +18,8 @@
 constexpr size_t MostHeldBody = 8U << 20; ///< Larger answers are passed on as they come.
 /// Weight of the newest answer in the mean time of a service's answers: about the last twenty count.
 constexpr double AnswerTimeWeight = 0.05;
+/// Of the slack of the repeats, for the daemons that callers are sent to.
+constexpr double EntriesSlackPart = 0.8;
 constexpr int FirstServerError = 500;
 constexpr std::array PromisesNotRun = {408, 421, 429, 503};
 
@@ -253,6 +255,19 @@
     return exchange.sends < exchange.route->attempts && isRepeatable(*exchange.route);
 }
 
+// This daemon's part of the repeats that all daemons may make besides the ratio. Where callers are sent to a
+// few, these get most of it: an equal share of 83 daemons left 2 repeats to each of the 10 that had all the
+// streams of a reclaimed failure domain, and most of these were cut. The rest is for callers with old entry
+// answers.
+double Gateway::slackShare() const
+{
+    const size_t members = peers_.memberCount();
+    if (entryCount_ == 0 || entryCount_ >= members)
+        return 1.0 / static_cast<double>(members);
+    return isEntry_ ? EntriesSlackPart / static_cast<double>(entryCount_)
+                    : (1 - EntriesSlackPart) / static_cast<double>(members - entryCount_);
+}
+
 // One more send, if the time, the budget of all daemons and an endpoint are there.
 bool Gateway::repeat(Exchange &exchange, GatewayRetry reason, TimeMs now)
 {
@@ -265,8 +280,7 @@
     const PlacementResult result = fleet_.choose(question, now);
     if (!result.choice)
         return false;
-    if (reason != GatewayRetry::ConnectFailed
-        && !repeats_.take(exchange.service, peers_.memberCount(), now)) {
+    if (reason != GatewayRetry::ConnectFailed && !repeats_.take(exchange.service, slackShare(), now)) {
         counters_.add(GatewayCount::RetriesDenied);
         log(LogWeight::Failure, "repeat_denied", exchange, {{"reason", toText(reason)}});
         return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -126,6 +126,7 @@
     // Ends of attempts (attempts.cpp).
     void detach(Exchange &exchange);
     bool mayRepeat(const Exchange &exchange) const;
+    double slackShare() const;
     bool repeat(Exchange &exchange, GatewayRetry reason, TimeMs now);
     /// Ends an attempt whose rest is of no use; what was sent may have run.
     void cancelBroken(AttemptId attempt, TimeMs now);
@@ -183,6 +184,7 @@
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
     size_t entryCount_ = 0; ///< In the newest entry answer.
+    bool isEntry_ = true; ///< This daemon is among them.
     TimeMs depositedAt_;
     uint64_t deposits_ = 0;
     std::vector<GatewayAction> actions_;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -148,6 +148,7 @@
     InstanceName instance;
     bool leaving = false;
     bool ready = false;
+    bool readsStore = true; ///< The store answers its reads, as far as it tries.
     uint64_t sequence = 0;
     int64_t wallMs = 0; ///< Time of day at the sender.
     double coresUsed = 0; ///< By the sender's process, moving mean.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -49,6 +49,7 @@
     report.instance.value = text(object.at("instance"));
     report.leaving = object.at("leaving").as_bool();
     report.ready = object.at("ready").as_bool();
+    report.readsStore = object.at("readsStore").as_bool();
     report.sequence = object.at("sequence").to_number<uint64_t>();
     report.wallMs = object.at("wallMs").to_number<int64_t>();
     report.coresUsed = object.at("coresUsed").to_number<double>();
@@ -81,6 +82,7 @@
             {"instance", report.instance.value},
             {"leaving", report.leaving},
             {"ready", report.ready},
+            {"readsStore", report.readsStore},
             {"sequence", report.sequence},
             {"wallMs", report.wallMs},
             {"coresUsed", report.coresUsed},
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -36,17 +36,20 @@
     return reportPace() * SilentReports + reportPace() / 2;
 }
 
-// The first few of those that are heard, in an order that all share. Views may differ for a moment: then
-// there is a reader more or less. The others spread over them by their own names.
+// The first few of those that are heard and can read, in an order that all share: strong instances first,
+// since each change goes from the readers to all. Views may differ for a moment: then there is a reader more
+// or less. The others spread over them by their own names.
 std::optional<Address> PeerTable::readerToAsk(bool canRead, TimeMs now) const
 {
     std::vector<const MemberEntry *> readers;
     for (const MemberEntry &member : members_) {
-        if ((canRead && member.instance == self_) || serves(member, now))
+        const bool isSelf = member.instance == self_;
+        if (isSelf ? canRead : serves(member, now) && heard(member, now, silence())->report.readsStore)
             readers.push_back(&member);
     }
-    std::sort(readers.begin(), readers.end(),
-              [](const MemberEntry *a, const MemberEntry *b) { return a->incarnation < b->incarnation; });
+    std::sort(readers.begin(), readers.end(), [](const MemberEntry *a, const MemberEntry *b) {
+        return a->cores != b->cores ? a->cores > b->cores : a->incarnation < b->incarnation;
+    });
     readers.resize(std::min(readers.size(), Readers));
     const bool readsItself = std::any_of(readers.begin(), readers.end(), [this](const MemberEntry *reader) {
         return reader->instance == self_;
--- a/src/gateway/repeatbudget.cpp
+++ b/src/gateway/repeatbudget.cpp
@@ -28,7 +28,7 @@
     ++slotAt(service, now).requests;
 }
 
-bool RepeatBudget::take(const ServiceName &service, size_t daemons, TimeMs now)
+bool RepeatBudget::take(const ServiceName &service, double slackShare, TimeMs now)
 {
     Slot &newest = slotAt(service, now);
     double requests = 0;
@@ -37,8 +37,7 @@
         requests += slot.requests;
         repeats += slot.repeats;
     }
-    const double slack = limits_.slack / static_cast<double>(std::max<size_t>(daemons, 1));
-    if (repeats + 1 > UsedPart * (limits_.ratio * requests + slack))
+    if (repeats + 1 > UsedPart * (limits_.ratio * requests + limits_.slack * slackShare))
         return false;
     ++newest.repeats;
     return true;
--- a/src/gateway/repeatbudget.h
+++ b/src/gateway/repeatbudget.h
@@ -22,7 +22,7 @@
     void setLimits(const RepeatLimits &limits) { limits_ = limits; }
     void request(const ServiceName &service, TimeMs now);
     /// True if one more repeat is within the budget; it is then taken.
-    bool take(const ServiceName &service, size_t daemons, TimeMs now);
+    bool take(const ServiceName &service, double slackShare, TimeMs now);
 
 private:
     /// Events of one second, to keep the window's sums small.
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -103,8 +103,12 @@
     const PlacementResult result = fleet_.choose(question, now);
     const FleetEndpoint *source = fleet_.find(exchange.endpoint);
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
-    if (!source || !target || !repeats_.take(exchange.service, peers_.memberCount(), now))
+    if (!source || !target)
         return;
+    if (!repeats_.take(exchange.service, slackShare(), now)) {
+        counters_.add(GatewayCount::RetriesDenied);
+        return;
+    }
     RunMove move;
     move.target = result.choice->endpoint;
     exchange.moveTargets.insert(move.target);
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/gateway.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 void Gateway::onConfiguration(const ConfigurationRead &event, TimeMs now)
@@ -108,6 +110,7 @@
     const double used = peers_.coresUsed(now) + ownCoresUsed;
     const size_t ready = candidates.size();
     std::vector<Address> entries = chooseEntries(std::move(candidates), used);
+    isEntry_ = std::find(entries.begin(), entries.end(), own.address) != entries.end();
     if (std::exchange(entryCount_, entries.size()) != entries.size())
         log_.write(LogWeight::State, "entries",
                    {{"count", entries.size()}, {"ready", ready}, {"cores_used", used}});
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -375,7 +375,8 @@
 
 void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
 {
-    if (newestShared_.count == 0 || newestEndpoints_.count == 0)
+    // What was borrowed is not lent again: ages would add up, and leaving endpoints be seen too late.
+    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || readsFail(now))
         return;
     FreshnessAnswer answer;
     answer.number = question.number;
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -236,6 +236,7 @@
     report.incarnation = incarnation;
     report.wallMs = wallNowMs();
     report.coresUsed = coresUsed;
+    report.readsStore = !sync.readsFail(now);
     return encodeDatagram(report);
 }
 
@@ -255,10 +256,10 @@
         sendDatagram(address, text);
 }
 
-void GatewayServer::State::measureCores(TimeMs now)
+bool GatewayServer::State::measureCores(TimeMs now)
 {
     if (now < coresMeasuredAt + CoresPace)
-        return;
+        return false;
     const double time = processorMs();
     if (coresMeasuredAt.count != 0) {
         const double used = (time - processorTimeMs) / static_cast<double>((now - coresMeasuredAt).count);
@@ -266,6 +267,7 @@
     }
     coresMeasuredAt = now;
     processorTimeMs = time;
+    return true;
 }
 
 } // namespace cranberry
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -84,7 +84,8 @@
     gateway.tick(now);
     runActions();
     runDuties();
-    measureCores(now);
+    if (measureCores(now))
+        gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
     sendReports(false);
     if (now >= flushAt) {
         flushAt = now + LogPace;
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -74,7 +74,7 @@
     void sendReports(bool toAll);
     std::string reportText(TimeMs now);
     void greet(const std::vector<Address> &unknown, TimeMs now);
-    void measureCores(TimeMs now);
+    bool measureCores(TimeMs now); ///< True when it was time to.
 
     void tick();
     void waitForSignal();
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -501,6 +501,11 @@
     CHECK_FALSE(peers.readerToAsk(true, {200}));
     REQUIRE(peers.readerToAsk(false, {200}));
     CHECK(peers.readerToAsk(false, {200})->host == "10.0.0.2");
+    // One that can't read itself only has what it borrowed; its list would be as old as both ways together.
+    report.sequence = 2;
+    report.readsStore = false;
+    peers.take(report, {300});
+    CHECK_FALSE(peers.readerToAsk(false, {400}));
 }
 
 TEST_CASE("an answer that was held up makes nothing look fresher than it was")
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -174,10 +174,10 @@
         budget.request(service, {int64_t{10} * i});
     int taken = 0;
     for (int i = 0; i < 100; ++i)
-        taken += budget.take(service, 8, {1000}) ? 1 : 0;
+        taken += budget.take(service, 1.0 / 8, {1000}) ? 1 : 0;
     CHECK(taken <= 25);
     CHECK(taken >= 15);
-    CHECK(budget.take(service, 8, {20000}));
+    CHECK(budget.take(service, 1.0 / 8, {20000}));
 }
 
 TEST_CASE("peers: doubled and late reports change nothing")
