--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,6 +61,7 @@
     uint64_t eventsHere = 0; ///< In this attempt.
     uint64_t events = 0; ///< In all attempts.
     std::optional<RunMove> move;
+    bool moveDenied = false; ///< For want of repeats.
     std::set<EndpointId> moveTargets; ///< Tried so far.
     std::optional<uint64_t> eventStep; ///< Between the ids of two events in a row.
 };
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include <utility>
+
 namespace cranberry {
 
 namespace {
@@ -106,7 +108,11 @@
     if (!source || !target)
         return;
     if (!repeats_.take(exchange.service, slackShare(), now)) {
-        counters_.add(GatewayCount::RetriesDenied);
+        // Tried again with each tick, told once.
+        if (!std::exchange(exchange.moveDenied, true)) {
+            counters_.add(GatewayCount::RetriesDenied);
+            log(LogWeight::Failure, "repeat_denied", exchange, {{"reason", toText(GatewayRetry::Moved)}});
+        }
         return;
     }
     RunMove move;
