--- a/src/fields.cpp
+++ b/src/fields.cpp
@@ -74,6 +74,18 @@
         optional(name, out);
 }
 
+void FieldReader::required(const char *name, uint32_t &out, uint32_t least, uint32_t most)
+{
+    if (find(name, true))
+        optional(name, out, least, most);
+}
+
+void FieldReader::required(const char *name, double &out, double least, double most)
+{
+    if (find(name, true))
+        optional(name, out, least, most);
+}
+
 void FieldReader::optional(const char *name, bool &out)
 {
     const json::value *value = find(name, false);
@@ -122,6 +134,20 @@
     out = static_cast<uint32_t>(count);
 }
 
+void FieldReader::optional(const char *name, int64_t &out, int64_t least, int64_t most)
+{
+    const json::value *value = find(name, false);
+    if (!value)
+        return;
+    json::error_code code;
+    const int64_t number = value->is_number() ? value->to_number<int64_t>(code) : 0;
+    if (!value->is_number() || code)
+        return fail(name, "must be a whole number");
+    if (number < least || number > most)
+        return fail(name, fmt::format("must be from {} to {}", least, most));
+    out = number;
+}
+
 void FieldReader::optional(const char *name, double &out, double least, double most)
 {
     const json::value *value = find(name, false);
--- a/src/fields.h
+++ b/src/fields.h
@@ -35,11 +35,14 @@
     {
         required(name, out.value);
     }
+    void required(const char *name, uint32_t &out, uint32_t least, uint32_t most);
+    void required(const char *name, double &out, double least, double most);
     void optional(const char *name, bool &out);
     void optional(const char *name, std::string &out);
     void optional(const char *name, Address &out);
     void optional(const char *name, DurationMs &out); ///< Milliseconds, from 1 to a day.
     void optional(const char *name, uint32_t &out, uint32_t least, uint32_t most);
+    void optional(const char *name, int64_t &out, int64_t least, int64_t most);
     void optional(const char *name, double &out, double least, double most);
 
     /// Array elements with their paths; empty if the field is absent and not required.
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -40,8 +40,8 @@
 void Gateway::detach(Exchange &exchange)
 {
     exchange.move.reset();
-    fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
-    fleet_.finished(exchange.endpoint, std::exchange(exchange.streaming, false));
+    fleet_.firstByte(exchange.at, exchange.prefillTokens);
+    fleet_.finished(exchange.at, std::exchange(exchange.streaming, false));
     exchange.prefillTokens = 0;
     attempts_.erase(exchange.attempt);
     exchange.attempt = {};
@@ -81,9 +81,9 @@
          {"wrong_instance", exchange.head.wrongInstance}});
     actions_.emplace_back(CancelSent{exchange.attempt});
     if (exchange.head.wrongInstance)
-        fleet_.wrongInstance(exchange.endpoint);
+        fleet_.wrongInstance(exchange.at);
     else
-        fleet_.failed(exchange.endpoint, now);
+        fleet_.failed(exchange.at, now);
     detach(exchange);
     ++exchange.rejections;
     const GatewayRetry reason
@@ -106,7 +106,7 @@
             cancelBroken(event.attempt, now);
         return;
     }
-    fleet_.heard(exchange->endpoint, now);
+    fleet_.heard(exchange->at, now);
     exchange->splitter.append(event.bytes);
     if (!passEvents(*exchange, now))
         cancelBroken(event.attempt, now);
@@ -143,8 +143,8 @@
     }
     if (!std::exchange(exchange.streaming, true)) {
         exchange.firstEventAt = now;
-        fleet_.streamBegan(exchange.endpoint);
-        fleet_.firstByte(exchange.endpoint, exchange.prefillTokens);
+        fleet_.streamBegan(exchange.at);
+        fleet_.firstByte(exchange.at, exchange.prefillTokens);
         exchange.prefillTokens = 0;
     }
     actions_.emplace_back(CallerStreamData{exchange.caller, std::move(bytes)});
@@ -165,7 +165,7 @@
     }
     if (exchange->splitter.holdsPartial() || exchange->phase != ExchangePhase::Streaming)
         return onBroken({event.attempt, true}, now);
-    fleet_.succeeded(exchange->endpoint);
+    fleet_.succeeded(exchange->at);
     counters_.add(GatewayCount::StreamsWhole);
     log(LogWeight::Ordinary, "stream_whole", *exchange, {{"after_ms", (now - exchange->arrivedAt).count}});
     detach(*exchange);
@@ -182,9 +182,9 @@
                        .first->second;
     mean += AnswerTimeWeight * (static_cast<double>((now - exchange.sentAt).count) - mean);
     if (failed)
-        fleet_.failed(exchange.endpoint, now);
+        fleet_.failed(exchange.at, now);
     else
-        fleet_.succeeded(exchange.endpoint);
+        fleet_.succeeded(exchange.at);
     detach(exchange);
     if (failed) {
         exchange.mayHaveRun = true;
@@ -231,7 +231,7 @@
         {{"attempt", event.attempt.value},
          {"sent", event.sent},
          {"after_ms", (now - exchange->sentAt).count}});
-    fleet_.failed(exchange->endpoint, now);
+    fleet_.failed(exchange->at, now);
     detach(*exchange);
     if (!event.sent) {
         if (repeat(*exchange, GatewayRetry::ConnectFailed, now))
@@ -302,14 +302,20 @@
     runQueue(now);
 }
 
-// Streams that may go on elsewhere leave an endpoint that fell silent; the others wait, it may come back.
+// Streams that may go on elsewhere leave an endpoint that fell silent; the others wait, it may come back. All
+// leave one that has started again: its earlier life answers nothing any more, and behind a cut no reset
+// tells that. Callers would wait for the rest until their deadline.
 void Gateway::leaveSilentEndpoints(TimeMs now)
 {
     std::vector<AttemptId> silent;
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
+        if (fleet_.isOver(exchange.at, now)) {
+            silent.push_back(entry.first);
+            continue;
+        }
         if (exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts
-            && fleet_.isSilent(exchange.endpoint, now))
+            && fleet_.isSilent(exchange.at, now))
             silent.push_back(entry.first);
     }
     for (AttemptId attempt : silent)
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -27,6 +27,8 @@
 constexpr DurationMs NoticeAge{500};
 /// A gap between two ticks that shows that this process stood still itself.
 constexpr DurationMs StandstillGap{250};
+/// What an earlier life of an endpoint sent before it ended may still be under way for so long.
+constexpr DurationMs LastBytesTime{300};
 /// Weight of the newest outcome in the moving mean: about the last ten attempts count.
 constexpr double FailureWeight = 0.1;
 /// Reading speed that a placement assumes; only the ratio to the penalties below matters.
@@ -89,14 +91,7 @@
     std::set<EndpointId> named;
     for (const EndpointEntry &entry : read.entries) {
         named.insert(entry.id);
-        FleetEndpoint &endpoint = endpoints_[entry.id];
-        const bool wasLeaving = endpoint.entry.leaving;
-        endpoint.entry = entry;
-        endpoint.entry.leaving = entry.leaving || wasLeaving; // Never taken back.
-        if (endpoint.entry.leaving && !endpoint.leavesAt)
-            endpoint.leavesAt = read.askedAt - NoticeAge + entry.leavesAfter.value_or(drainTime_);
-        endpoint.listed = true;
-        endpoint.listedAt = read.askedAt;
+        takeEntry(entry, read.askedAt, now);
     }
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!named.contains(entry.first))
@@ -105,6 +100,72 @@
     tick(now);
 }
 
+// Three kinds of entries change nothing but that the endpoint is listed: one that can't be read, one of an
+// earlier life that was written late, and one that lacks the start that this endpoint has stated, since it is
+// another writer's.
+void EndpointFleet::takeEntry(const EndpointEntry &entry, TimeMs askedAt, TimeMs now)
+{
+    const auto found = endpoints_.find(entry.id);
+    const bool isKnown = found != endpoints_.end();
+    const bool lostItsStart
+        = isKnown && entry.start == EndpointStart{} && found->second.entry.start != EndpointStart{};
+    const bool readable = entry.readable && !lostItsStart;
+    if (!isKnown && !readable)
+        return;
+    FleetEndpoint &endpoint = isKnown ? found->second : endpoints_[entry.id];
+    endpoint.listed = true;
+    endpoint.listedAt = askedAt;
+    endpoint.readable = readable;
+    if (!readable || (isKnown && entry.start < endpoint.entry.start))
+        return;
+    if (isKnown && entry.start > endpoint.entry.start)
+        startAgain(endpoint, entry.start, now);
+    const bool wasLeaving = endpoint.entry.leaving;
+    endpoint.entry = entry;
+    endpoint.entry.leaving = entry.leaving || wasLeaving; // Never taken back within a life.
+    if (endpoint.entry.leaving && !endpoint.leavesAt)
+        endpoint.leavesAt = askedAt - NoticeAge + entry.leavesAfter.value_or(drainTime_);
+}
+
+// A process that started again under its name has nothing of the earlier one: no cached parts, no load, no
+// failures, and it does not leave because that one did. Kept, they would send requests for parts that nobody
+// holds, or none at all: an endpoint that left once would never be used again.
+void EndpointFleet::startAgain(FleetEndpoint &endpoint, EndpointStart start, TimeMs now)
+{
+    FleetEndpoint next;
+    next.entry = endpoint.entry;
+    next.entry.start = start;
+    next.entry.leaving = false;
+    next.entry.leavesAfter.reset();
+    next.startedAgainAt = now;
+    next.listed = endpoint.listed;
+    next.listedAt = endpoint.listedAt;
+    next.readable = endpoint.readable;
+    endpoint = std::move(next);
+}
+
+FleetEndpoint *EndpointFleet::at(const EndpointLife &life)
+{
+    const auto found = endpoints_.find(life.id);
+    return found != endpoints_.end() && found->second.entry.start == life.start ? &found->second : nullptr;
+}
+
+bool EndpointFleet::isOver(const EndpointLife &life, TimeMs now) const
+{
+    const FleetEndpoint *endpoint = find(life.id);
+    return endpoint && endpoint->entry.start > life.start && now - endpoint->startedAgainAt > LastBytesTime;
+}
+
+bool EndpointFleet::answered(const EndpointLife &life, TimeMs now)
+{
+    const auto found = endpoints_.find(life.id);
+    if (found == endpoints_.end())
+        return false;
+    if (life.start > found->second.entry.start)
+        startAgain(found->second, life.start, now);
+    return life.start == found->second.entry.start;
+}
+
 // An endpoint that the list lacks is gone, unless the list was interrupted just before: then its entry may
 // have lapsed with the store and come back. It serves as a last choice until that time is over.
 void EndpointFleet::tick(TimeMs now)
@@ -128,16 +189,16 @@
     return endpoint.streaming > 0 && now - std::max(endpoint.heardAt, wokeAt_) > SilenceOfStreams;
 }
 
-bool EndpointFleet::isSilent(const EndpointId &id, TimeMs now) const
+bool EndpointFleet::isSilent(const EndpointLife &life, TimeMs now) const
 {
-    const FleetEndpoint *endpoint = find(id);
+    const FleetEndpoint *endpoint = find(life);
     return endpoint && isSilent(*endpoint, now);
 }
 
 bool EndpointFleet::mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question) const
 {
     return endpoint.entry.service == question.service && !endpoint.entry.leaving && !endpoint.gone
-        && !endpoint.avoidedForGood && !question.tried.contains(endpoint.entry.id);
+        && endpoint.readable && !endpoint.avoidedForGood && !question.tried.contains(endpoint.entry.id);
 }
 
 bool EndpointFleet::hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question)
@@ -222,82 +283,79 @@
         });
 }
 
-void EndpointFleet::firstByte(const EndpointId &id, uint64_t prefillTokens)
+void EndpointFleet::firstByte(const EndpointLife &life, uint64_t prefillTokens)
 {
-    const auto found = endpoints_.find(id);
-    if (found != endpoints_.end())
-        found->second.prefillTokens -= std::min(found->second.prefillTokens, prefillTokens);
+    if (FleetEndpoint *endpoint = at(life))
+        endpoint->prefillTokens -= std::min(endpoint->prefillTokens, prefillTokens);
 }
 
-void EndpointFleet::streamBegan(const EndpointId &id)
+void EndpointFleet::streamBegan(const EndpointLife &life)
 {
-    const auto found = endpoints_.find(id);
-    if (found != endpoints_.end())
-        ++found->second.streaming;
+    if (FleetEndpoint *endpoint = at(life))
+        ++endpoint->streaming;
 }
 
-void EndpointFleet::heard(const EndpointId &id, TimeMs now)
+void EndpointFleet::heard(const EndpointLife &life, TimeMs now)
 {
-    const auto found = endpoints_.find(id);
-    if (found != endpoints_.end())
-        found->second.heardAt = now;
+    if (FleetEndpoint *endpoint = at(life))
+        endpoint->heardAt = now;
 }
 
-void EndpointFleet::finished(const EndpointId &id, bool wasStreaming)
+void EndpointFleet::finished(const EndpointLife &life, bool wasStreaming)
 {
-    const auto found = endpoints_.find(id);
-    if (found == endpoints_.end())
+    FleetEndpoint *endpoint = at(life);
+    if (!endpoint)
         return;
-    FleetEndpoint &endpoint = found->second;
-    endpoint.running -= std::min(endpoint.running, 1U);
-    endpoint.streaming -= std::min(endpoint.streaming, wasStreaming ? 1U : 0U);
+    endpoint->running -= std::min(endpoint->running, 1U);
+    endpoint->streaming -= std::min(endpoint->streaming, wasStreaming ? 1U : 0U);
 }
 
-void EndpointFleet::succeeded(const EndpointId &id)
+void EndpointFleet::succeeded(const EndpointLife &life)
 {
-    const auto found = endpoints_.find(id);
-    if (found == endpoints_.end())
+    FleetEndpoint *endpoint = at(life);
+    if (!endpoint)
         return;
-    found->second.failuresInRow = 0;
-    found->second.failureShare *= 1 - FailureWeight;
+    endpoint->failuresInRow = 0;
+    endpoint->failureShare *= 1 - FailureWeight;
 }
 
-void EndpointFleet::failed(const EndpointId &id, TimeMs now)
+void EndpointFleet::failed(const EndpointLife &life, TimeMs now)
 {
-    const auto found = endpoints_.find(id);
-    if (found == endpoints_.end())
+    FleetEndpoint *endpoint = at(life);
+    if (!endpoint)
         return;
-    FleetEndpoint &endpoint = found->second;
-    endpoint.failureShare += FailureWeight * (1 - endpoint.failureShare);
-    const uint32_t doublings = std::min(endpoint.failuresInRow, MaxAvoidanceDoublings);
-    endpoint.avoidUntil = now + FirstAvoidance * (int64_t{1} << doublings);
-    ++endpoint.failuresInRow;
+    endpoint->failureShare += FailureWeight * (1 - endpoint->failureShare);
+    const uint32_t doublings = std::min(endpoint->failuresInRow, MaxAvoidanceDoublings);
+    endpoint->avoidUntil = now + FirstAvoidance * (int64_t{1} << doublings);
+    ++endpoint->failuresInRow;
 }
 
-void EndpointFleet::wrongInstance(const EndpointId &id)
+void EndpointFleet::wrongInstance(const EndpointLife &life)
 {
-    const auto found = endpoints_.find(id);
-    if (found != endpoints_.end())
-        found->second.avoidedForGood = true;
+    if (FleetEndpoint *endpoint = at(life))
+        endpoint->avoidedForGood = true;
 }
 
-void EndpointFleet::leaves(const EndpointId &id, DurationMs after, TimeMs now)
+void EndpointFleet::leaves(const EndpointLife &life, DurationMs after, TimeMs now)
 {
-    const auto found = endpoints_.find(id);
-    if (found == endpoints_.end() || found->second.entry.leaving)
+    FleetEndpoint *endpoint = at(life);
+    if (!endpoint || endpoint->entry.leaving)
         return;
-    found->second.entry.leaving = true;
-    found->second.leavesAt = now + after;
+    endpoint->entry.leaving = true;
+    endpoint->leavesAt = now + after;
 }
 
 // While the store is away the list says nothing of a reclaim, and streams would be cut that can be moved.
 std::vector<EndpointEntry> EndpointFleet::dueProbes(TimeMs now)
 {
     std::vector<EndpointEntry> due;
-    if (!known_ || now - listedAt_ < ListTooOld)
+    const bool listIsOld = now - listedAt_ >= ListTooOld;
+    if (!known_)
         return due;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         FleetEndpoint &endpoint = entry.second;
+        if (!listIsOld && endpoint.readable)
+            continue;
         if (endpoint.streaming == 0 || endpoint.entry.leaving || now - endpoint.probedAt < ProbePace)
             continue;
         endpoint.probedAt = now;
@@ -309,13 +367,13 @@
 // A report shows one moment; an engine reads a prompt in less time than passes until the next report. By
 // single moments a shared prompt would leave its home for a queue that is gone by then, and be read again
 // elsewhere.
-void EndpointFleet::setPeersLoad(const std::map<EndpointId, EndpointLoad> &sums, TimeMs now)
+void EndpointFleet::setPeersLoad(const std::map<EndpointLife, EndpointLoad> &sums, TimeMs now)
 {
     const double weight = std::min(
         1.0, static_cast<double>((now - peersLoadAt_).count) / static_cast<double>(PeersPrefillMean.count));
     peersLoadAt_ = now;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        const auto found = sums.find(entry.first);
+        const auto found = sums.find(entry.second.life());
         entry.second.peersRunning = found == sums.end() ? 0 : found->second.running;
         const double newest = found == sums.end() ? 0 : static_cast<double>(found->second.prefillTokens);
         entry.second.peersPrefillTokens += weight * (newest - entry.second.peersPrefillTokens);
@@ -327,7 +385,8 @@
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         const FleetEndpoint &endpoint = entry.second;
-        if (endpoint.entry.service == service && !endpoint.entry.leaving && !endpoint.gone)
+        if (endpoint.entry.service == service && !endpoint.entry.leaving && !endpoint.gone
+            && endpoint.readable)
             sum += endpoint.entry.slots;
     }
     return sum;
@@ -339,4 +398,10 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+const FleetEndpoint *EndpointFleet::find(const EndpointLife &life) const
+{
+    const FleetEndpoint *endpoint = find(life.id);
+    return endpoint && endpoint->entry.start == life.start ? endpoint : nullptr;
+}
+
 } // namespace cranberry
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -8,9 +8,11 @@
 
 namespace cranberry {
 
-/// What this daemon knows of one endpoint.
+/// What this daemon knows of one endpoint, in its present life.
 struct FleetEndpoint {
-    EndpointEntry entry;
+    EndpointEntry entry; ///< The newest that could be read.
+    bool readable = true; ///< False: its newest entry can't be read. It gets no new work, what runs goes on.
+    TimeMs startedAgainAt; ///< This life was learned of, if it is not the first that is known.
     TimeMs listedAt; ///< The list named it at or after this time.
     bool listed = true; ///< Named by the newest list.
     bool gone = false; ///< Missing there for so long that it is taken for gone.
@@ -31,6 +33,8 @@
     TimeMs avoidUntil;
 
     std::map<std::string, TimeMs> cachedParts; ///< Chains of parts read here, by the last one's id.
+
+    EndpointLife life() const { return {entry.id, entry.start}; }
 };
 
 /// What placing needs to know of a request.
@@ -69,23 +73,32 @@
     PlacementResult choose(const PlacementQuestion &question, TimeMs now) const;
 
     void started(const PlacementChoice &choice, const PlacementQuestion &question, TimeMs now);
-    void firstByte(const EndpointId &id, uint64_t prefillTokens);
-    void streamBegan(const EndpointId &id);
-    void heard(const EndpointId &id, TimeMs now);
-    void finished(const EndpointId &id, bool wasStreaming);
+    // What became of an attempt, at the life that it was sent to. Of an earlier life it changes nothing.
+    void firstByte(const EndpointLife &life, uint64_t prefillTokens);
+    void streamBegan(const EndpointLife &life);
+    void heard(const EndpointLife &life, TimeMs now);
+    void finished(const EndpointLife &life, bool wasStreaming);
     /// True if streams run there and none of them has brought a byte for long.
-    bool isSilent(const EndpointId &id, TimeMs now) const;
-    void succeeded(const EndpointId &id);
-    void failed(const EndpointId &id, TimeMs now);
-    void wrongInstance(const EndpointId &id);
+    bool isSilent(const EndpointLife &life, TimeMs now) const;
+    void succeeded(const EndpointLife &life);
+    void failed(const EndpointLife &life, TimeMs now);
+    void wrongInstance(const EndpointLife &life);
+    /// True if the endpoint has started again since that life, and what that one sent has had time to arrive.
+    bool isOver(const EndpointLife &life, TimeMs now) const;
+
+    /// The endpoint's own report: which life answered. True if it is the newest that is known.
+    bool answered(const EndpointLife &life, TimeMs now);
     /// The endpoint itself says that it leaves.
-    void leaves(const EndpointId &id, DurationMs after, TimeMs now);
-    void setPeersLoad(const std::map<EndpointId, EndpointLoad> &sums, TimeMs now);
+    void leaves(const EndpointLife &life, DurationMs after, TimeMs now);
+    void setPeersLoad(const std::map<EndpointLife, EndpointLoad> &sums, TimeMs now);
 
-    /// Engines with own streams that are due to be asked for their state, since the list is old.
+    /// Engines with own streams that are due to be asked for their state, since the list is old or says
+    /// nothing of them.
     std::vector<EndpointEntry> dueProbes(TimeMs now);
 
     const FleetEndpoint *find(const EndpointId &id) const;
+    /// nullptr also if that life is not the newest that is known.
+    const FleetEndpoint *find(const EndpointLife &life) const;
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
     /// Requests that the service's endpoints take side by side.
     uint32_t places(const ServiceName &service) const;
@@ -94,6 +107,9 @@
     bool known() const { return known_; }
 
 private:
+    void takeEntry(const EndpointEntry &entry, TimeMs askedAt, TimeMs now);
+    static void startAgain(FleetEndpoint &endpoint, EndpointStart start, TimeMs now);
+    FleetEndpoint *at(const EndpointLife &life);
     bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
     bool mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question) const;
     static bool hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,7 +15,7 @@
 
 /// A run on its way from an engine that leaves to another one.
 struct RunMove {
-    EndpointId target;
+    EndpointLife target;
     Address source;
     TimeMs startedAt;
     bool sourceClosed = false; ///< The stream has ended there, as it does when the run stops.
@@ -49,7 +49,7 @@
     std::set<EndpointId> tried;
 
     AttemptId attempt;
-    EndpointId endpoint;
+    EndpointLife at; ///< Where the attempt was sent, or the one before.
     TimeMs sentAt;
     bool streaming = false; ///< This attempt has brought its first event.
     uint64_t prefillTokens = 0; ///< Still counted at the endpoint.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -266,7 +266,7 @@
 {
     const FleetEndpoint &endpoint = *fleet_.find(choice.endpoint);
     exchange.attempt = {nextAttempt_++};
-    exchange.endpoint = choice.endpoint;
+    exchange.at = endpoint.life();
     exchange.sentAt = now;
     exchange.prefillTokens = choice.prefillTokens;
     exchange.phase
@@ -407,8 +407,8 @@
 void Gateway::log(LogWeight weight, const char *event, const Exchange &exchange, json::object fields) const
 {
     fields["request"] = exchange.request->id;
-    if (!exchange.endpoint.value.empty())
-        fields["endpoint"] = exchange.endpoint.value;
+    if (!exchange.at.id.value.empty())
+        fields["endpoint"] = exchange.at.id.value;
     log_.write(weight, event, std::move(fields));
 }
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -47,6 +47,7 @@
     Queued,
     PeerReports,
     ConfigurationsTaken,
+    EntriesUnreadable, ///< Of endpoints known before, at each change to that.
     Count
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -7,12 +7,28 @@
 
 namespace cranberry {
 
-/// One start of an endpoint; a restarted one has another identity.
+/// Names an endpoint. One that starts again may keep its name.
 using EndpointId = Name<struct EndpointIdTag>;
 
+/// When an endpoint's process started, by its own word: Unix milliseconds. 0: not stated. Only compared with
+/// others of the same endpoint, never with our clock.
+struct EndpointStart {
+    int64_t unixMs = 0;
+    friend constexpr std::strong_ordering operator<=>(EndpointStart, EndpointStart) = default;
+};
+
+/// One life of an endpoint, from a start to its end. The next one knows nothing of what was before.
+struct EndpointLife {
+    EndpointId id;
+    EndpointStart start;
+    friend std::strong_ordering operator<=>(const EndpointLife &, const EndpointLife &) = default;
+};
+
 /// What the list of endpoints says of one.
 struct EndpointEntry {
     EndpointId id;
+    EndpointStart start;
+    bool readable = true; ///< False: somebody wrote an entry that can't be read; only `id` is known.
     ServiceName service;
     Address address;
     FailureDomainName failureDomain;
@@ -71,6 +87,7 @@
 /// What an engine says of itself.
 struct EngineProbed {
     EndpointId endpoint;
+    EndpointStart start;
     bool answered = false;
     bool leaving = false;
     std::optional<DurationMs> leavesAfter;
@@ -94,7 +111,7 @@
 
 /// A peer's load of one endpoint.
 struct EndpointLoad {
-    EndpointId id;
+    EndpointLife life;
     uint32_t running = 0;
     uint64_t prefillTokens = 0; ///< Of requests without a first event yet.
 };
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -15,7 +15,7 @@
     const std::string_view name(which);
     if (name == "loads") {
         for (const EndpointLoad &load : report.loads)
-            rows.push_back({load.id.value, load.running, load.prefillTokens});
+            rows.push_back({load.life.id.value, load.life.start.unixMs, load.running, load.prefillTokens});
     } else if (name == "balances") {
         for (const OrganisationBalance &balance : report.balances)
             rows.push_back({balance.organisation.value, balance.spare});
@@ -54,9 +54,10 @@
     report.wallMs = object.at("wallMs").to_number<int64_t>();
     report.coresUsed = object.at("coresUsed").to_number<double>();
     for (const json::value &value : object.at("loads").as_array()) {
-        const json::array &load = row(value, 3);
-        report.loads.push_back(
-            {EndpointId{text(load[0])}, load[1].to_number<uint32_t>(), load[2].to_number<uint64_t>()});
+        const json::array &load = row(value, 4);
+        report.loads.push_back({{EndpointId{text(load[0])}, {load[1].to_number<int64_t>()}},
+                                load[2].to_number<uint32_t>(),
+                                load[3].to_number<uint64_t>()});
     }
     for (const json::value &value : object.at("balances").as_array()) {
         const json::array &balance = row(value, 2);
@@ -136,7 +137,8 @@
     for (const EndpointEntry &entry : answer.endpoints) {
         rows.push_back({entry.id.value, entry.service.value, toText(entry.address), entry.failureDomain.value,
                         entry.slots, entry.leaving, entry.reclaimable,
-                        entry.leavesAfter ? entry.leavesAfter->count : -1});
+                        entry.leavesAfter ? entry.leavesAfter->count : -1, entry.start.unixMs,
+                        entry.readable});
     }
     out["endpoints"] = std::move(rows);
     return out;
@@ -175,7 +177,7 @@
     if (!rows)
         return answer;
     for (const json::value &value : rows->as_array()) {
-        const json::array &fields = row(value, 8);
+        const json::array &fields = row(value, 10);
         EndpointEntry entry;
         entry.id.value = text(fields[0]);
         entry.service.value = text(fields[1]);
@@ -186,6 +188,8 @@
         entry.reclaimable = fields[6].as_bool();
         if (fields[7].to_number<int64_t>() >= 0)
             entry.leavesAfter = DurationMs{fields[7].to_number<int64_t>()};
+        entry.start.unixMs = fields[8].to_number<int64_t>();
+        entry.readable = fields[9].as_bool();
         answer.endpoints.push_back(std::move(entry));
     }
     return answer;
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -174,17 +174,17 @@
 {
     peer.counted = add;
     for (const EndpointLoad &load : peer.report.loads) {
-        EndpointLoad &sum = loadSums_[load.id];
-        sum.id = load.id;
+        EndpointLoad &sum = loadSums_[load.life];
+        sum.life = load.life;
         sum.running = add ? sum.running + load.running : sum.running - load.running;
         sum.prefillTokens
             = add ? sum.prefillTokens + load.prefillTokens : sum.prefillTokens - load.prefillTokens;
         if (sum.running == 0 && sum.prefillTokens == 0)
-            loadSums_.erase(load.id);
+            loadSums_.erase(load.life);
     }
 }
 
-const std::map<EndpointId, EndpointLoad> &PeerTable::loadSums(TimeMs now)
+const std::map<EndpointLife, EndpointLoad> &PeerTable::loadSums(TimeMs now)
 {
     for (std::pair<const Incarnation, Peer> &entry : peers_) {
         if (entry.second.counted && now - entry.second.heardAt >= silence())
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -43,7 +43,7 @@
     /// Those that can spare something, most first.
     std::vector<Spare> spares(const OrganisationName &organisation, TimeMs now) const;
     /// What the daemons that are heard run at each endpoint.
-    const std::map<EndpointId, EndpointLoad> &loadSums(TimeMs now);
+    const std::map<EndpointLife, EndpointLoad> &loadSums(TimeMs now);
     std::map<ServiceName, ServiceDemand> demandSums(TimeMs now) const;
     /// Daemons for callers: those that are listed, heard and ready.
     std::vector<EntryCandidate> entryCandidates(TimeMs now) const;
@@ -73,7 +73,7 @@
     InstanceName self_;
     std::vector<MemberEntry> members_;
     std::map<Incarnation, Peer> peers_;
-    std::map<EndpointId, EndpointLoad> loadSums_;
+    std::map<EndpointLife, EndpointLoad> loadSums_;
     struct RankedKeepers {
         TimeMs rankedAt;
         std::vector<const MemberEntry *> keepers;
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -31,14 +31,15 @@
 
 void Gateway::onEngineProbed(const EngineProbed &event, TimeMs now)
 {
-    if (!event.answered || !event.leaving)
+    const EndpointLife life{event.endpoint, event.start};
+    if (!event.answered || !fleet_.answered(life, now) || !event.leaving)
         return;
     const DurationMs after = event.leavesAfter.value_or(settings_.drainTime);
     log_.write(LogWeight::State, "engine_says_it_leaves",
                {{"endpoint", event.endpoint.value},
                 {"leaves_in_ms", after.count},
                 {"list_age_ms", (now - fleet_.listedAt()).count}});
-    fleet_.leaves(event.endpoint, after, now);
+    fleet_.leaves(life, after, now);
 }
 
 // Streams on an engine that leaves before they end are stopped there, and go on at another engine from the
@@ -71,7 +72,7 @@
 // sent elsewhere in time; for the others that would be a guess whether they have begun.
 bool Gateway::isTooLateToStart(const Exchange &exchange, TimeMs now) const
 {
-    const FleetEndpoint *endpoint = fleet_.find(exchange.endpoint);
+    const FleetEndpoint *endpoint = fleet_.find(exchange.at);
     return exchange.phase == ExchangePhase::Sent && !exchange.streaming && mayRepeat(exchange)
         && exchange.sends + 1 < exchange.route->attempts && exchange.route->kind == RouteKind::Streaming
         && endpoint && endpoint->leavesAt && now + MoveMargin > *endpoint->leavesAt;
@@ -81,7 +82,7 @@
 {
     if (!exchange.streaming || exchange.moveTargets.size() >= MostMoves)
         return false;
-    const FleetEndpoint *endpoint = fleet_.find(exchange.endpoint);
+    const FleetEndpoint *endpoint = fleet_.find(exchange.at);
     if (!endpoint || !endpoint->leavesAt)
         return false;
     const ServedService *service = exchange.configuration->findService(exchange.service);
@@ -101,9 +102,9 @@
 {
     PlacementQuestion question = questionOf(exchange);
     question.tried = exchange.moveTargets;
-    question.tried.insert(exchange.endpoint);
+    question.tried.insert(exchange.at.id);
     const PlacementResult result = fleet_.choose(question, now);
-    const FleetEndpoint *source = fleet_.find(exchange.endpoint);
+    const FleetEndpoint *source = fleet_.find(exchange.at);
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
     if (!source || !target)
         return;
@@ -116,14 +117,14 @@
         return;
     }
     RunMove move;
-    move.target = result.choice->endpoint;
-    exchange.moveTargets.insert(move.target);
+    move.target = target->life();
+    exchange.moveTargets.insert(move.target.id);
     move.source = source->entry.address;
     move.startedAt = now;
     exchange.move = move;
     log(LogWeight::Failure, "move", exchange,
         {{"attempt", exchange.attempt.value},
-         {"target", move.target.value},
+         {"target", move.target.id.value},
          {"events", exchange.events},
          {"leaves_in_ms", (*source->leavesAt - now).count}});
     actions_.emplace_back(
@@ -163,11 +164,12 @@
     actions_.emplace_back(CancelSent{before});
     detach(exchange);
     exchange.mayHaveRun = true;
+    // A target that started again does not hold the memory any more.
     if (!fleet_.find(move.target))
         return streamBroke(exchange, now);
     counters_.add(GatewayRetry::Moved);
     PlacementChoice choice;
-    choice.endpoint = move.target;
+    choice.endpoint = move.target.id;
     send(exchange, questionOf(exchange), choice, now, RunMemory{move.source, *move.handle});
 }
 
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -30,9 +30,16 @@
     const std::map<EndpointId, FleetEndpoint> &known = fleet_.all();
     for (const EndpointEntry &entry : event.entries) {
         const auto found = known.find(entry.id);
-        if (found == known.end() || found->second.entry.leaving != entry.leaving) {
+        if (!entry.readable) {
+            if (found != known.end() && found->second.readable)
+                counters_.add(GatewayCount::EntriesUnreadable);
+            continue;
+        }
+        if (found == known.end() || found->second.entry.leaving != entry.leaving
+            || found->second.entry.start < entry.start) {
             log_.write(LogWeight::State, "endpoint",
                        {{"endpoint", entry.id.value},
+                        {"start", entry.start.unixMs},
                         {"service", entry.service.value},
                         {"address", toText(entry.address)},
                         {"failure_domain", entry.failureDomain.value},
@@ -81,7 +88,7 @@
     out.demands = demand_.values();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet_.all()) {
         if (entry.second.running > 0)
-            out.loads.push_back({entry.first, entry.second.running, entry.second.prefillTokens});
+            out.loads.push_back({entry.second.life(), entry.second.running, entry.second.prefillTokens});
     }
     refillQuotas(now);
     out.balances = quotas_.balances();
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -74,8 +74,11 @@
             if (const FieldError *error = reader.finish())
                 return boost::leaf::new_error(*error);
             const json::value *incarnation = value.as_object().if_contains("incarnation");
+            json::error_code notWhole;
             if (incarnation && incarnation->is_number())
-                member.incarnation.value = incarnation->to_number<uint64_t>();
+                member.incarnation.value = incarnation->to_number<uint64_t>(notWhole);
+            if (notWhole)
+                return std::optional<MemberEntry>();
             return std::optional<MemberEntry>(member);
         },
         [] { return std::optional<MemberEntry>(); });
@@ -338,8 +341,6 @@
     for (const StoreItem &item : open.pages) {
         if (item.endpoint)
             entries.push_back(*item.endpoint);
-        else
-            log_.write(LogWeight::Failure, "endpoint_unreadable", {{"key", item.key}});
     }
     takeEndpointList(std::move(entries), open.readStartedAt);
 }
@@ -348,7 +349,8 @@
 {
     std::string digested;
     for (const EndpointEntry &entry : entries)
-        digested += fmt::format("{} {} {};", entry.id.value, toText(entry.address), entry.leaving);
+        digested += fmt::format("{} {} {} {} {};", entry.id.value, entry.start.unixMs, entry.readable,
+                                toText(entry.address), entry.leaving);
     endpointsDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
     endpoints_ = entries;
     news_.endpoints.push_back({std::move(entries), askedAt});
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -41,9 +41,11 @@
         return std::nullopt;
     std::map<OrganisationName, uint64_t> counts;
     for (const json::key_value_pair &field : value.as_object()) {
-        if (!field.value().is_number())
+        json::error_code notWhole;
+        const uint64_t count = field.value().is_number() ? field.value().to_number<uint64_t>(notWhole) : 0;
+        if (!field.value().is_number() || notWhole)
             return std::nullopt;
-        counts[OrganisationName{std::string(field.key())}] = field.value().to_number<uint64_t>();
+        counts[OrganisationName{std::string(field.key())}] = count;
     }
     return counts;
 }
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -7,14 +7,16 @@
 // workMs, full (answers "not executed"), dropAnswers (the next N calls run and their connections are cut),
 // cutAfter (the next stream ends in the middle of an event after N events). POST /configure takes the
 // operator's configuration; POST /leave?endpoint=ID&ms=N announces that an endpoint leaves; POST
-// /replace?endpoint=N puts a new one in the place of the Nth. Fault advertiseOffset: endpoints are listed at
-// ports so much higher, where a proxy listens.
+// /replace?endpoint=N puts a new one in the place of the Nth, /restart?endpoint=N starts it again under its
+// id; POST /spoil?endpoint=ID&entry=TEXT writes TEXT as its entry, until it is called without one. Fault
+// advertiseOffset: endpoints are listed at ports so much higher, where a proxy listens.
 
 #include "base64.h"
 #include "standin.h"
 #include "storestate.h"
 
 #include <array>
+#include <chrono>
 #include <fmt/format.h>
 
 namespace json = boost::json;
@@ -45,6 +47,7 @@
                 standin.io(), address, cranberry::HttpServerLimits{},
                 [this, i](const HttpExchangePtr &exchange) { onEndpoint(i, exchange); }));
         }
+        startedAtMs_.fill(wallMs());
         beat();
     }
 
@@ -83,6 +86,15 @@
             publish();
             return exchange->respond(200, {}, "");
         }
+        if (target.path == "/restart") {
+            restart(std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10));
+            return exchange->respond(200, {}, "");
+        }
+        if (target.path == "/spoil") {
+            spoiled_[headerOf(target.query, "endpoint")] = headerOf(target.query, "entry");
+            publish();
+            return exchange->respond(200, {}, "");
+        }
         if (target.path == "/replace") {
             replace(std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10));
             return exchange->respond(200, {}, "");
@@ -117,8 +129,24 @@
             return;
         store_.remove("servers/" + idOf(static_cast<int>(index)));
         ++starts_[index];
+        startedAtMs_[index] = wallMs();
+        publish();
+    }
+    // The same name, another process: what ran is lost, and it does not leave any more.
+    void restart(size_t index)
+    {
+        if (index >= starts_.size())
+            return;
+        startedAtMs_[index] = std::max(wallMs(), startedAtMs_[index] + 1);
+        leaving_.erase(idOf(static_cast<int>(index)));
         publish();
     }
+    static int64_t wallMs()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
     static bool isEngine(int index) { return index < FirstPlain; }
 
     void beat()
@@ -136,12 +164,17 @@
                 {"Address",
                  fmt::format("{}:{}", base_.host, base_.port + 1 + i + standin_.fault("advertiseOffset"))},
                 {"Zone", fmt::format("zone-{}", i % 2)},
+                {"Version", "v1"},
+                {"ColdRemainingMs", 0},
+                {"born", startedAtMs_[static_cast<size_t>(i)]},
                 {"Slots", isEngine(i) ? 64 : 6},
                 {"State", leaving == leaving_.end() ? "ready" : "draining"},
                 {"Seq", ++sequence_}};
             if (leaving != leaving_.end())
                 entry["leaves_ms"] = std::max<int64_t>(leaving->second - standin_.nowMs(), 0);
-            store_.put("servers/" + idOf(i), base64Encoded(json::serialize(entry)));
+            const auto spoiled = spoiled_.find(idOf(i));
+            const bool isOwn = spoiled == spoiled_.end() || spoiled->second.empty();
+            store_.put("servers/" + idOf(i), base64Encoded(isOwn ? json::serialize(entry) : spoiled->second));
         }
     }
 
@@ -207,6 +240,8 @@
     std::vector<std::unique_ptr<cranberry::HttpServer>> servers_;
     std::map<std::string, int64_t> leaving_;
     std::array<uint32_t, EndpointCount> starts_ = {}; ///< Of each endpoint's place, after the first.
+    std::array<int64_t, EndpointCount> startedAtMs_ = {};
+    std::map<std::string, std::string> spoiled_; ///< What another writer put in an endpoint's entry.
     uint64_t sequence_ = 0;
     int64_t lostReplies_ = 0;
     int64_t dropped_ = 0;
--- /dev/null
+++ b/tests/endpointlives_test.cpp
@@ -0,0 +1,275 @@
+// Endpoints that start again under their name, and entries that other writers leave.
+
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <functional>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr const char *Order = "/order/1";
+constexpr const char *Review = "/review/1";
+constexpr const char *Draft = "/draft/1";
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayFixture, "an endpoint that left and started again under its name is used again")
+{
+    // A plain endpoint leaves and comes back under its name, as a new process. The other one is full then.
+    // Callers must get the new process' places: kept as leaving, it would never serve again.
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    endpoints[3].leaving = true;
+    listEndpoints();
+    for (int i = 0; i < 2; ++i)
+        request(Order);
+    CHECK(sent.size() == 2);
+    endpoints[3].leaving = false;
+    listEndpoints();
+    request(Order);
+    CHECK(sent.size() == 2); // The same life does not take its leaving back.
+    endpoints[3].start.unixMs = 2000;
+    listEndpoints();
+    CHECK(sent.size() == 3);
+    CHECK(lastSent().endpoint.value == "p1");
+    // The earlier life's last heartbeat arrives late.
+    endpoints[3].start.unixMs = 1000;
+    endpoints[3].leaving = true;
+    listEndpoints();
+    request(Order);
+    CHECK(lastSent().endpoint.value == "p1");
+    CHECK(sent.size() == 4);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "what a new life of an engine is believed to hold starts from nothing")
+{
+    // Requests with one shared part go to the engine that has read it. It starts again: its memory is empty,
+    // and it has no load. Streams of its earlier life end, also where no reset tells so; one that can be
+    // resumed goes on elsewhere, the other one is cut so that its caller needn't wait for its deadline.
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    listEndpoints();
+    const CallerId review = request(Review);
+    const EndpointId home = lastSent().endpoint;
+    const AttemptId first = lastSent().attempt;
+    head(first, 200, true);
+    events(first, 1, 3);
+    const auto entry = std::find_if(endpoints.begin(), endpoints.end(),
+                                    [&](const EndpointEntry &each) { return each.id == home; });
+    CHECK(gateway.fleet().find(home)->running == 1);
+    entry->start.unixMs = 2000;
+    listEndpoints();
+    CHECK(gateway.fleet().find(home)->running == 0);
+    CHECK(gateway.fleet().find(home)->cachedParts.empty());
+    events(first, 4, 4); // Still under way when the earlier life ended.
+    pass({400});
+    CHECK(std::find(cancelled.begin(), cancelled.end(), first) != cancelled.end());
+    CHECK(lastSent().endpoint != home);
+    CHECK(lastSent().resumeAfter == 4);
+    CHECK(streamEnds.find(review) == streamEnds.end());
+    CHECK(gateway.fleet().find(home)->running == 0);
+
+    const CallerId draft = request(Draft);
+    const EndpointId other = lastSent().endpoint;
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 2);
+    for (EndpointEntry &each : endpoints)
+        each.start.unixMs += each.id == other ? 1000 : 0;
+    listEndpoints();
+    pass({400});
+    CHECK(streamEnds.at(draft) == false);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "work that was sent to an earlier life may have run")
+{
+    // A call that is not idempotent was sent, then the endpoint starts again. It may have run: the caller
+    // must not be told that it has not, and it goes nowhere else.
+    const CallerId caller = request(Order);
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 2000;
+    listEndpoints();
+    pass({400});
+    CHECK(sent.size() == 1);
+    CHECK(statusOf(caller) == 502);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an entry that can't be read stops new work, not what runs")
+{
+    // Somebody overwrites an engine's entry. Its stream goes on and is not moved; new requests go elsewhere
+    // until the engine's next heartbeat. An entry of an engine that nobody knows names none.
+    const CallerId caller = request(Draft);
+    const EndpointId home = lastSent().endpoint;
+    const AttemptId attempt = lastSent().attempt;
+    head(attempt, 200, true);
+    events(attempt, 1, 2);
+    const std::vector<EndpointEntry> good = endpoints;
+    for (EndpointEntry &entry : endpoints) {
+        if (entry.id == home) {
+            entry = EndpointEntry{};
+            entry.id = home;
+            entry.readable = false;
+        }
+    }
+    endpoints.push_back(EndpointEntry{});
+    endpoints.back().id.value = "unknown";
+    endpoints.back().readable = false;
+    for (uint64_t id = 3; id < 10; ++id) {
+        pass({500});
+        events(attempt, id, id);
+        request(Draft);
+        CHECK(lastSent().endpoint != home);
+    }
+    CHECK(moves.empty());
+    CHECK(gateway.fleet().find(EndpointId{"unknown"}) == nullptr);
+    CHECK(gateway.counters().of(GatewayCount::EntriesUnreadable) == 1);
+    end(attempt);
+    CHECK(streamEnds.at(caller));
+    endpoints = good;
+    pass({500});
+    bool usedAgain = false;
+    for (int i = 0; i < 6; ++i) {
+        request(Draft);
+        usedAgain = usedAgain || lastSent().endpoint == home;
+    }
+    CHECK(usedAgain);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "an entry without the start that its endpoint has stated is another writer's")
+{
+    endpoints[3].start.unixMs = 1000;
+    listEndpoints();
+    endpoints[3].start.unixMs = 0;
+    endpoints[3].address = {"10.9.9.9", 9};
+    listEndpoints();
+    request(Order);
+    CHECK(lastSent().endpoint.value == "p2");
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an engine's report of a new life goes before an old list")
+{
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    listEndpoints();
+    request(Review);
+    const EndpointId home = lastSent().endpoint;
+    gateway.onEngineProbed({home, {2000}, true, false, {}}, now);
+    CHECK(gateway.fleet().find(home)->entry.start.unixMs == 2000);
+    gateway.onEngineProbed({home, {1000}, true, true, DurationMs{500}}, now);
+    CHECK_FALSE(gateway.fleet().find(home)->entry.leaving);
+    listEndpoints();
+    CHECK(gateway.fleet().find(home)->entry.start.unixMs == 2000);
+}
+
+namespace {
+
+// One endpoint and all that can happen around its lives, in every order up to a depth.
+struct Lives {
+    EndpointFleet fleet;
+    TimeMs now{10'000};
+    int64_t newestTold = 0; ///< Start that the list or a report has told.
+    bool newestLeaves = false;
+    bool unreadable = false;
+    std::vector<EndpointLife> open; ///< Attempts, by the life that they were sent to.
+};
+
+const ServiceName Plain{"plain"};
+
+void list(Lives &lives, int64_t start, bool leaving, bool readable)
+{
+    EndpointEntry entry;
+    entry.id.value = "e";
+    entry.service = Plain;
+    entry.slots = 100;
+    entry.start.unixMs = start;
+    entry.leaving = leaving;
+    entry.readable = readable;
+    lives.fleet.take({{entry}, lives.now}, lives.now);
+    lives.unreadable = !readable;
+    if (!readable)
+        return;
+    if (start > lives.newestTold)
+        lives.newestLeaves = false;
+    if (start >= lives.newestTold)
+        lives.newestLeaves = lives.newestLeaves || leaving;
+    lives.newestTold = std::max(lives.newestTold, start);
+}
+
+void report(Lives &lives, int64_t start)
+{
+    if (lives.newestTold == 0)
+        return;
+    lives.fleet.answered({{"e"}, {start}}, lives.now);
+    if (start > lives.newestTold)
+        lives.newestLeaves = false;
+    lives.newestTold = std::max(lives.newestTold, start);
+}
+
+void send(Lives &lives)
+{
+    PlacementQuestion question;
+    question.service = Plain;
+    CallerRequest request;
+    question.request = &request;
+    const PlacementResult result = lives.fleet.choose(question, lives.now);
+    const bool usable = lives.newestTold > 0 && !lives.newestLeaves && !lives.unreadable;
+    CHECK(result.choice.has_value() == usable);
+    if (!result.choice)
+        return;
+    lives.fleet.started(*result.choice, question, lives.now);
+    lives.open.push_back(lives.fleet.find(result.choice->endpoint)->life());
+}
+
+void finishOldest(Lives &lives)
+{
+    if (lives.open.empty())
+        return;
+    lives.fleet.firstByte(lives.open.front(), 0);
+    lives.fleet.finished(lives.open.front(), false);
+    lives.fleet.succeeded(lives.open.front());
+    lives.open.erase(lives.open.begin());
+}
+
+const std::vector<std::function<void(Lives &)>> Steps = {
+    [](Lives &lives) { list(lives, 1, false, true); },
+    [](Lives &lives) { list(lives, 1, true, true); },
+    [](Lives &lives) { list(lives, 2, false, true); },
+    [](Lives &lives) { list(lives, 3, true, true); },
+    [](Lives &lives) { list(lives, 0, false, false); },
+    [](Lives &lives) { report(lives, 2); },
+    [](Lives &lives) { send(lives); },
+    finishOldest,
+};
+
+void explore(const Lives &lives, int depth)
+{
+    if (const FleetEndpoint *endpoint = lives.fleet.find(EndpointId{"e"})) {
+        const auto running = std::count(lives.open.begin(), lives.open.end(), endpoint->life());
+        REQUIRE(endpoint->running == static_cast<uint32_t>(running));
+        REQUIRE(endpoint->entry.start.unixMs == lives.newestTold);
+        REQUIRE(endpoint->entry.leaving == lives.newestLeaves);
+    } else {
+        REQUIRE(lives.newestTold == 0);
+    }
+    if (depth == 0)
+        return;
+    for (const std::function<void(Lives &)> &step : Steps) {
+        Lives next = lives;
+        next.now = next.now + DurationMs{100};
+        step(next);
+        explore(next, depth - 1);
+    }
+}
+
+} // namespace
+
+TEST_CASE("lives of one endpoint: entries, reports, work and its ends in every order")
+{
+    // Lists come late and out of order, entries are overwritten, reports overtake them, and answers of
+    // earlier lives come at any time. Whatever the order: the newest life counts, only its own work is its
+    // load, and nothing is sent to one that leaves or whose entry can't be read. 8 steps, all orders of 6 of
+    // them.
+    explore(Lives{}, 6);
+}
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -152,7 +152,7 @@
     REQUIRE(!probes.empty());
     CHECK(probes[0].endpoint == lastSent().endpoint);
     CHECK(moves.empty());
-    gateway.onEngineProbed({lastSent().endpoint, true, true, DurationMs{1500}}, now);
+    gateway.onEngineProbed({lastSent().endpoint, {}, true, true, DurationMs{1500}}, now);
     events(attempt, id, id);
     pass({25});
     CHECK(moves.size() == 1);
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -233,20 +233,22 @@
 
 TEST_CASE("peers: loads are summed over daemons that are heard, and only their newest reports")
 {
+    const EndpointLife m1{{"m1"}, {}};
+    const EndpointLife m2{{"m2"}, {}};
     PeerTable peers({"entry-1"});
     peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3)});
     PeerReport report = makeReport(2, 1);
-    report.loads = {{EndpointId{"m1"}, 3, 500}, {EndpointId{"m2"}, 1, 0}};
+    report.loads = {{m1, 3, 500}, {m2, 1, 0}};
     peers.take(report, {0});
     report.sequence = 2;
-    report.loads = {{EndpointId{"m1"}, 2, 100}};
+    report.loads = {{m1, 2, 100}};
     peers.take(report, {100});
     PeerReport other = makeReport(3, 1);
-    other.loads = {{EndpointId{"m1"}, 4, 0}};
+    other.loads = {{m1, 4, 0}};
     peers.take(other, {1000});
-    CHECK(peers.loadSums({1100}).at(EndpointId{"m1"}).running == 6);
-    CHECK_FALSE(peers.loadSums({1100}).contains(EndpointId{"m2"}));
-    CHECK(peers.loadSums({1900}).at(EndpointId{"m1"}).running == 4);
+    CHECK(peers.loadSums({1100}).at(m1).running == 6);
+    CHECK_FALSE(peers.loadSums({1100}).contains(m2));
+    CHECK(peers.loadSums({1900}).at(m1).running == 4);
     CHECK(peers.loadSums({9000}).empty());
 }
 
@@ -278,7 +280,7 @@
     PeerReport report = makeReport(9, 4);
     report.instance.value = "entry-\"2\"";
     report.wallMs = 1'700'000'000'000;
-    report.loads = {{{"i-1"}, 3, 4000}};
+    report.loads = {{{{"i-1"}, {1'764'700'000'000}}, 3, 4000}};
     report.balances = {{{"a"}, 2.5}};
     report.windows = {{7, {"a"}, 12}};
     report.demands = {{{"model"}, 100.5, 2}};
@@ -288,6 +290,7 @@
     CHECK(read.instance == report.instance);
     CHECK(read.wallMs == report.wallMs);
     CHECK(read.loads[0].prefillTokens == 4000);
+    CHECK(read.loads[0].life == report.loads[0].life);
     CHECK(read.balances[0].spare == 2.5);
     CHECK(read.windows[0].count == 12);
     CHECK(read.demands[0].prefillTokensPerSecond == 100.5);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -237,17 +237,111 @@
     CHECK(platform::StoreCodec::encode(call).target == "/kv-range?Prefix=servers/");
     const StoreReply list = codec.decode(
         call, 200,
-        R"({"Items":[{"Key":"servers/i-7","Value":"eyJTZXJ2aWNlIjoicyIsIkFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsIlpvbmUiOiJ6IiwiU2xvdHMiOjY0LCJTdGF0ZSI6ImRyYWluaW5nIiwibGVhdmVzX21zIjoyMDAwfQ==","Revision":5},
+        R"({"Items":[{"Key":"servers/i-7","Value":"eyJTZXJ2aWNlIjoicyIsIkFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsIlpvbmUiOiJ6IiwiVmVyc2lvbiI6InYxIiwiU2xvdHMiOjY0LCJTdGF0ZSI6ImRyYWluaW5nIiwiQ29sZFJlbWFpbmluZ01zIjowLCJTZXEiOjQsImJvcm4iOjE3NjQ3MDAwMDAwMDAsImxlYXZlc19tcyI6MjAwMH0=","Revision":5},
            {"Key":"servers/i-8","Value":"e30=","Revision":6}],"Truncated":true})");
     REQUIRE(list.items.size() == 2);
     REQUIRE(list.items[0].endpoint);
     CHECK(list.items[0].endpoint->leaving);
     CHECK(list.items[0].endpoint->leavesAfter->count == 2000);
-    CHECK_FALSE(list.items[1].endpoint);
+    CHECK(list.items[0].endpoint->start.unixMs == 1764700000000);
+    REQUIRE(list.items[1].endpoint);
+    CHECK(list.items[1].endpoint->id.value == "i-8");
+    CHECK_FALSE(list.items[1].endpoint->readable);
     CHECK(list.nextPage == "servers/i-8");
     CHECK(codec.decode(call, 200, "not json").outcome == StoreOutcome::NoReply);
 }
 
+namespace {
+
+constexpr const char *EntryText
+    = R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":64,
+ "State":"ready","ColdRemainingMs":0,"Stage":"prefill_decode","Models":[],"Seq":4,"born":1764700000000})";
+
+std::optional<EndpointEntry> entryFrom(const std::string &text, std::string *wrong = nullptr)
+{
+    return valueOf<EndpointEntry>([&] { return platform::decodeEndpoint("i-7", text); }, wrong);
+}
+
+// The entry with one field replaced by `value`, or without it.
+std::string entryWith(const std::string &field, const std::optional<std::string> &value)
+{
+    boost::json::object entry = boost::json::parse(EntryText).as_object();
+    entry.erase(field);
+    if (value)
+        entry[field] = boost::json::parse(*value);
+    return boost::json::serialize(entry);
+}
+
+} // namespace
+
+TEST_CASE("an endpoint's entry names an endpoint only if all of it is as endpoints write it")
+{
+    // Another writer leaves something under an endpoint's key: a field is missing, or of another type, or
+    // says what no endpoint says. Used all the same, callers' requests would go to whoever listens there.
+    std::string wrong;
+    const std::optional<EndpointEntry> entry = entryFrom(EntryText, &wrong);
+    REQUIRE_MESSAGE(entry, wrong);
+    CHECK(entry->start.unixMs == 1764700000000);
+    CHECK_FALSE(entry->leaving);
+    CHECK(entryFrom(entryWith("State", "\"draining\""))->leaving);
+    CHECK(entryFrom(entryWith("born", std::nullopt))->start.unixMs == 0);
+    for (const char *field :
+         {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdRemainingMs", "Seq"}) {
+        CHECK_FALSE_MESSAGE(entryFrom(entryWith(field, std::nullopt), &wrong), field);
+        CHECK(wrong == std::string("i-7.") + field + ": is missing");
+        for (const char *other : {"null", "[]", "{}", "true"})
+            CHECK_FALSE_MESSAGE(entryFrom(entryWith(field, other)), field, " ", other);
+    }
+    for (const char *state : {"\"\"", "\"Ready\"", "\"gone\"", "1"})
+        CHECK_FALSE(entryFrom(entryWith("State", state)));
+    for (const char *start : {"-1", "0", "1.5", "\"1764700000000\"", "1e300", "null"})
+        CHECK_FALSE_MESSAGE(entryFrom(entryWith("born", start)), start);
+    for (const char *slots : {"0", "-3", "1.5", "1e12", "\"64\""})
+        CHECK_FALSE_MESSAGE(entryFrom(entryWith("Slots", slots)), slots);
+    for (const char *address : {"\"\"", "\"10.0.0.9\"", "\"10.0.0.9:0\"", "\"10.0.0.9:99999\"", "\"x:y\""})
+        CHECK_FALSE_MESSAGE(entryFrom(entryWith("Address", address)), address);
+    for (const std::string &text : {std::string(), std::string("{"), std::string("[]"), std::string("7"),
+                                    std::string("\xff\xfe\x00", 3), std::string(1U << 20U, ' '),
+                                    std::string(1U << 20U, '['), std::string(EntryText) + "x"})
+        CHECK_FALSE(entryFrom(text));
+    // Of a field that stands twice, the last one counts, as in the JSON library; it has to be right.
+    std::string twice = EntryText;
+    twice.insert(1, "\"State\":\"ready\",");
+    CHECK(entryFrom(twice));
+    twice.replace(twice.rfind("\"ready\""), 7, "7");
+    CHECK_FALSE(entryFrom(twice));
+}
+
+TEST_CASE("an unreadable entry is told once for each change of it")
+{
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::List;
+    call.space = StoreSpace::Endpoints;
+    for (const char *body : {R"({"Items":[{"Key":"servers/i-8","Value":"e30=","Revision":6}]})",
+                             R"({"Items":[{"Key":"servers/i-8","Value":"e30=","Revision":6}]})",
+                             R"({"Items":[{"Key":"servers/i-8","Value":"not base64!","Revision":7}]})",
+                             R"({"Items":[{"Key":"servers/i-8","Value":5,"Revision":7}]})"}) {
+        const StoreReply reply = codec.decode(call, 200, body);
+        REQUIRE(reply.items.size() == 1);
+        REQUIRE(reply.items[0].endpoint);
+        CHECK_FALSE(reply.items[0].endpoint->readable);
+    }
+    CHECK(log.count("endpoint_unreadable") == 2);
+}
+
+TEST_CASE("a report says which start of the engine answered")
+{
+    const EngineProbed probed
+        = platform::decodeProbe({"i-7"}, 200, R"({"State":"draining","born":17,"leaves_ms":900})");
+    CHECK(probed.answered);
+    CHECK(probed.leaving);
+    CHECK(probed.start.unixMs == 17);
+    CHECK(platform::decodeProbe({"i-7"}, 200, R"({"born":"17"})").start.unixMs == 0);
+    CHECK(platform::decodeProbe({"i-7"}, 200, R"({"born":1.5})").start.unixMs == 0);
+}
+
 TEST_CASE("duties and moves on the wire")
 {
     DutyCall call;
