--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -143,6 +143,8 @@
     }
     if (!std::exchange(exchange.streaming, true)) {
         exchange.firstEventAt = now;
+        if (exchange.foundNoQueue && exchange.prefillTokens > 0)
+            demand_.firstEvent(exchange.service, exchange.prefillTokens, now - exchange.sentAt);
         fleet_.streamBegan(exchange.at);
         fleet_.firstByte(exchange.at, exchange.prefillTokens);
         exchange.prefillTokens = 0;
--- a/src/gateway/demandmeter.cpp
+++ b/src/gateway/demandmeter.cpp
@@ -11,9 +11,58 @@
 /// takes to start. With 2 s, peaks of single prompts kept one or two engines more on demand through a
 /// shortage.
 constexpr double MeanSeconds = 4.0;
+/// Time constant of the readings: some hundred requests of a busy service, so that single odd ones count
+/// little.
+constexpr double ReadingSeconds = 30.0;
 
 } // namespace
 
+void ReadingSums::add(const ReadingSums &other)
+{
+    count += other.count;
+    tokens += other.tokens;
+    ms += other.ms;
+    tokensSquared += other.tokensSquared;
+    tokensMs += other.tokensMs;
+}
+
+void ReadingSums::fade(double part)
+{
+    count *= part;
+    tokens *= part;
+    ms *= part;
+    tokensSquared *= part;
+    tokensMs *= part;
+}
+
+void ServiceDemand::add(const ServiceDemand &other)
+{
+    service = other.service;
+    prefillTokensPerSecond += other.prefillTokensPerSecond;
+    prefillSquaresPerSecond += other.prefillSquaresPerSecond;
+    requestsPerSecond += other.requestsPerSecond;
+    targetMsPerSecond += other.targetMsPerSecond;
+    running += other.running;
+    readings.add(other.readings);
+}
+
+void DemandMeter::prefill(const ServiceName &service, uint64_t tokens, DurationMs target)
+{
+    const double count = static_cast<double>(tokens);
+    ServiceDemand &sums = pending_[service];
+    sums.prefillTokensPerSecond += count;
+    sums.prefillSquaresPerSecond += count * count;
+    sums.requestsPerSecond += 1;
+    sums.targetMsPerSecond += static_cast<double>(target.count);
+}
+
+void DemandMeter::firstEvent(const ServiceName &service, uint64_t tokens, DurationMs took)
+{
+    const double count = static_cast<double>(tokens);
+    const double ms = static_cast<double>(took.count);
+    pending_[service].readings.add({1, count, ms, count * count, count * ms});
+}
+
 void DemandMeter::sample(const std::map<ServiceName, uint32_t> &running, TimeMs now)
 {
     const double seconds = static_cast<double>((now - sampledAt_).count) / 1000.0;
@@ -22,15 +71,21 @@
         return;
     for (const std::pair<const ServiceName, uint32_t> &entry : running)
         means_[entry.first].service = entry.first;
-    for (const std::pair<const ServiceName, double> &entry : pending_)
+    for (const std::pair<const ServiceName, ServiceDemand> &entry : pending_)
         means_[entry.first].service = entry.first;
     const double weight = std::min(1.0, seconds / MeanSeconds);
+    const auto towards = [&](double &mean, double value) { mean += weight * (value - mean); };
     for (std::pair<const ServiceName, ServiceDemand> &entry : means_) {
         ServiceDemand &mean = entry.second;
+        const ServiceDemand &sums = pending_[entry.first];
         const auto current = running.find(entry.first);
-        mean.prefillTokensPerSecond
-            += weight * (pending_[entry.first] / seconds - mean.prefillTokensPerSecond);
-        mean.running += weight * ((current == running.end() ? 0 : current->second) - mean.running);
+        towards(mean.prefillTokensPerSecond, sums.prefillTokensPerSecond / seconds);
+        towards(mean.prefillSquaresPerSecond, sums.prefillSquaresPerSecond / seconds);
+        towards(mean.requestsPerSecond, sums.requestsPerSecond / seconds);
+        towards(mean.targetMsPerSecond, sums.targetMsPerSecond / seconds);
+        towards(mean.running, current == running.end() ? 0 : current->second);
+        mean.readings.fade(std::max(0.0, 1 - seconds / ReadingSeconds));
+        mean.readings.add(sums.readings);
     }
     pending_.clear();
 }
--- a/src/gateway/demandmeter.h
+++ b/src/gateway/demandmeter.h
@@ -6,20 +6,20 @@
 
 namespace cranberry {
 
-/// This daemon's demand on each service's engines, as moving means.
+/// This daemon's demand on each service's engines, and what reading prompts took there.
 class DemandMeter
 {
 public:
-    void prefill(const ServiceName &service, uint64_t tokens)
-    {
-        pending_[service] += static_cast<double>(tokens);
-    }
+    /// A request is sent that is to read `tokens`; its caller wants the first event within `target`.
+    void prefill(const ServiceName &service, uint64_t tokens, DurationMs target);
+    /// The first event of a request that found no queue came `took` after it was sent.
+    void firstEvent(const ServiceName &service, uint64_t tokens, DurationMs took);
     /// Call at a steady pace; `running` are the requests at endpoints or waiting for one now.
     void sample(const std::map<ServiceName, uint32_t> &running, TimeMs now);
     std::vector<ServiceDemand> values() const;
 
 private:
-    std::map<ServiceName, double> pending_;
+    std::map<ServiceName, ServiceDemand> pending_; ///< Sums since the last sample.
     std::map<ServiceName, ServiceDemand> means_;
     TimeMs sampledAt_;
     bool started_ = false;
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -1,29 +1,15 @@
 #include "gateway/enginesizing.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace cranberry {
 
 namespace {
 
-/// Reading speed of one engine that sizing counts on, and the part of it that is used:
-/// queueing for the first token grows steeply beyond half of an engine's time.
-constexpr double PrefillTokensPerSecond = 45'000;
-constexpr double UsedPart = 0.4;
-/// Requests that one engine runs side by side without lengthening its steps too much.
-constexpr double RunningPart = 0.35;
-/// The least there is of a service: one may be lost at any time.
-constexpr uint32_t LeastEngines = 2;
-constexpr uint32_t LeastEachDomain = 2;
-/// With this part of the engines wanted the demand is still carried, with longer queues.
-constexpr double TightPart = 0.7;
 /// A new holder orders nothing until no new engine has come for a heartbeat of the usual length, or this
 /// long.
 constexpr DurationMs FindingPause{1500};
 constexpr DurationMs MostFindingTime{5000};
-constexpr double IdleRunning = 0.05; ///< Below this there is no demand yet.
 /// Engines are kept for the highest demand of this long: starting one takes seconds, stopping one may cut
 /// work.
 constexpr DurationMs PeakMemory{30000};
@@ -36,6 +22,10 @@
 constexpr DurationMs PlanPace{100};
 /// An order that is in force is said again now and then: the receiver may have lost it.
 constexpr DurationMs RepeatPace{10000};
+/// Engines that were not ordered are there: said again at this pace. The platform starts some by itself where
+/// a domain would have fewer than its least, and goes on with them; for 10 s each cost as much as five
+/// others.
+constexpr DurationMs CorrectionPace{1000};
 constexpr DurationMs CallTimeout{1500};
 constexpr DurationMs RetryPause{700};
 /// "None available" is asked again after this.
@@ -43,96 +33,8 @@
 /// So long after the last such answer a domain counts as short.
 constexpr DurationMs ShortageMemory{4000};
 
-uint32_t enginesFor(const ServiceDemand &demand, const EngineFigures &engine)
-{
-    const double byPrefill = demand.prefillTokensPerSecond / (PrefillTokensPerSecond * UsedPart);
-    const double byRunning = demand.running / (engine.slots * RunningPart);
-    return static_cast<uint32_t>(std::ceil(std::max(byPrefill, byRunning)));
-}
-
-// Domains by price, cheapest first; those without a price are last.
-std::vector<size_t> byPrice(const ScalingBounds &bounds, const std::vector<DomainPlan> &plan)
-{
-    std::vector<size_t> order(plan.size());
-    for (size_t i = 0; i < order.size(); ++i)
-        order[i] = i;
-    const auto priceOf = [&](size_t i) {
-        const auto found = bounds.prices.find(plan[i].failureDomain);
-        return found == bounds.prices.end() ? std::numeric_limits<double>::max() : found->second;
-    };
-    std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) { return priceOf(a) < priceOf(b); });
-    return order;
-}
-
 } // namespace
 
-std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
-                                    const SizingQuestion &question,
-                                    const std::map<FailureDomainName, DomainStock> &stock)
-{
-    // Step 1. What the demand needs, and what each domain holds of it.
-    std::vector<DomainPlan> plan;
-    const uint32_t domains = static_cast<uint32_t>(stock.size());
-    if (domains == 0)
-        return plan;
-    const uint32_t most = std::max(bounds.most, 1U);
-    const uint32_t needed = std::clamp(enginesFor(question.demand, engine), LeastEngines, most * domains);
-    const bool cheap = bounds.reclaimablePrice < 1;
-    const uint32_t spread = domains > 1 ? (needed + domains - 2) / (domains - 1) : needed;
-    const uint32_t knownEach = (question.known + domains - 1) / domains;
-    const uint32_t each
-        = std::clamp(std::max({spread, LeastEachDomain, knownEach}), std::max(bounds.least, 1U), most);
-    uint32_t readyReclaimable = 0;
-    uint32_t readyOnDemand = 0;
-    uint32_t coming = 0;
-    uint32_t fullestDomain = 0;
-    for (const std::pair<const FailureDomainName, DomainStock> &entry : stock) {
-        plan.push_back({entry.first, 0, 0});
-        readyReclaimable += entry.second.reclaimable;
-        readyOnDemand += entry.second.onDemand;
-        coming += entry.second.coming;
-        fullestDomain = std::max(fullestDomain, entry.second.reclaimable);
-    }
-    const std::vector<size_t> cheapest = byPrice(bounds, plan);
-
-    // Step 2. Reclaimable ones: the same in each domain; what a short domain lacks goes to the others.
-    uint32_t missing = 0;
-    for (DomainPlan &domain : plan) {
-        const DomainStock &have = stock.at(domain.failureDomain);
-        domain.reclaimable = cheap ? each : 0;
-        if (have.reclaimableShort)
-            missing += each - std::min(each, have.reclaimable);
-    }
-    for (size_t i : cheapest) {
-        if (!cheap || question.scarce || stock.at(plan[i].failureDomain).reclaimableShort)
-            continue;
-        const uint32_t more = std::min(missing, most - std::min(most, plan[i].reclaimable));
-        plan[i].reclaimable += more;
-        missing -= more;
-    }
-
-    // Step 3. On demand: all that is needed where there are no cheaper ones; where those are scarce, what
-    // would be missing after the next reclaim. Else those that are there stay until the others carry the
-    // demand; before there is any, that the others come is enough.
-    const bool idle = question.demand.running < IdleRunning;
-    uint32_t onDemand = 0;
-    if (!cheap) {
-        onDemand = needed;
-    } else if (question.scarce) {
-        const uint32_t tight = static_cast<uint32_t>(std::ceil(needed * TightPart));
-        const uint32_t remaining = readyReclaimable - fullestDomain;
-        onDemand = tight - std::min(tight, remaining);
-    } else if (readyReclaimable + (idle ? coming : 0) < needed) {
-        onDemand = std::min(readyOnDemand, needed);
-    }
-    for (size_t i : cheapest) {
-        const uint32_t room = most - std::min(most, cheap ? stock.at(plan[i].failureDomain).reclaimable : 0);
-        plan[i].onDemand = std::min(onDemand, std::max(room, cheap ? 0U : most));
-        onDemand -= plan[i].onDemand;
-    }
-    return plan;
-}
-
 ServiceDemand EngineSizing::peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now)
 {
     std::deque<std::pair<TimeMs, ServiceDemand>> &samples = services_[service].samples;
@@ -140,7 +42,7 @@
         samples.emplace_back(now, demand);
     while (now - samples.front().first > PeakMemory)
         samples.pop_front();
-    ServiceDemand peak;
+    ServiceDemand peak = demand;
     for (const std::pair<TimeMs, ServiceDemand> &sample : samples) {
         peak.prefillTokensPerSecond
             = std::max(peak.prefillTokensPerSecond, sample.second.prefillTokensPerSecond);
@@ -176,17 +78,32 @@
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
         ServiceState &state = services_[service.name];
         const bool finding = isStillFinding(service, fleet, now);
-        if (!state.demandSince && peak.running > IdleRunning)
+        if (!state.demandSince && !isIdle(peak))
             state.demandSince = now;
         SizingQuestion question;
         question.demand = peak;
         question.scarce = state.scarce;
-        if (!state.demandSince || now - *state.demandSince < LearningTime)
+        if (!state.demandSince || now - *state.demandSince < LearningTime) {
             question.known = static_cast<uint32_t>(state.foundAtStart.size());
-        for (const DomainPlan &domain : planEngines(*service.scaling, *service.engine, question, stock)) {
-            order({service.name, domain.failureDomain, true}, domain.reclaimable, peak, leadership, now);
-            if (!finding)
-                order({service.name, domain.failureDomain, false}, domain.onDemand, peak, leadership, now);
+            question.firstStart = firstStart_ && state.foundOnDemandOnly;
+        }
+        const std::vector<DomainPlan> plan
+            = planEngines(*service.scaling, engineCapacity(*service.engine, peak), question, stock);
+        // At the first start those on demand go as soon as the cheaper ones were accepted: nothing runs yet,
+        // and what was found need not be counted. Waiting for the count cost as much as the cheaper ones cost
+        // in a quarter of a minute.
+        const bool allComing = std::all_of(plan.begin(), plan.end(), [&](const DomainPlan &domain) {
+            const DomainStock &have = stock.at(domain.failureDomain);
+            return domain.onDemand == 0 && have.reclaimable + have.coming >= domain.reclaimable;
+        });
+        const bool mayStop = !finding || (question.firstStart && isIdle(peak) && allComing);
+        for (const DomainPlan &domain : plan) {
+            const DomainStock &have = stock.at(domain.failureDomain);
+            order({service.name, domain.failureDomain, true}, domain.reclaimable, have.reclaimable, peak,
+                  leadership, now);
+            if (mayStop)
+                order({service.name, domain.failureDomain, false}, domain.onDemand, have.onDemand, peak,
+                      leadership, now);
         }
     }
 }
@@ -197,8 +114,10 @@
 {
     ServiceState &state = services_[service.name];
     const bool firstLook = state.foundAt.count == 0;
-    if (firstLook)
+    if (firstLook) {
         state.foundAt = now;
+        state.foundOnDemandOnly = true;
+    }
     const bool over = now - ledSince_ > MostFindingTime || now - state.foundAt > FindingPause;
     if (over || state.demandSince)
         return false;
@@ -206,6 +125,8 @@
         const EndpointEntry &endpoint = entry.second.entry;
         // Reclaimable ones that come later are those just ordered.
         const bool counts = firstLook || !endpoint.reclaimable;
+        if (firstLook && endpoint.service == service.name && endpoint.reclaimable)
+            state.foundOnDemandOnly = false;
         if (endpoint.service != service.name || endpoint.leaving || entry.second.gone || !counts)
             continue;
         if (state.foundAtStart.insert(entry.first).second)
@@ -243,6 +164,7 @@
         if (ordered.confirmed && ordered.count > entry.second.reclaimable)
             entry.second.coming = ordered.count - entry.second.reclaimable;
     }
+    noteStock(service.name, stock);
     bool &scarce = services_[service.name].scarce;
     const bool before = scarce;
     scarce = shortDomains == stock.size() || (scarce && shortDomains > 0);
@@ -252,6 +174,23 @@
     return stock;
 }
 
+void EngineSizing::noteStock(const ServiceName &service,
+                             const std::map<FailureDomainName, DomainStock> &stock)
+{
+    ServiceState &state = services_[service];
+    for (const std::pair<const FailureDomainName, DomainStock> &entry : stock) {
+        if (std::exchange(state.toldStock[entry.first], entry.second) == entry.second)
+            continue;
+        log_.write(LogWeight::State, "engines_there",
+                   {{"service", service.value},
+                    {"failure_domain", entry.first.value},
+                    {"on_demand", entry.second.onDemand},
+                    {"reclaimable", entry.second.reclaimable},
+                    {"coming", entry.second.coming},
+                    {"reclaimable_short", entry.second.reclaimableShort}});
+    }
+}
+
 void EngineSizing::askAgain(const ServiceName &service)
 {
     for (std::pair<const Subject, Ordered> &entry : ordered_) {
@@ -260,13 +199,14 @@
     }
 }
 
-void EngineSizing::order(const Subject &subject, uint32_t count, const ServiceDemand &demand,
+void EngineSizing::order(const Subject &subject, uint32_t count, uint32_t there, const ServiceDemand &demand,
                          const Leadership &leadership, TimeMs now)
 {
     Ordered &ordered = ordered_[subject];
     if (now < ordered.nextAt)
         return;
-    if (ordered.confirmed && ordered.count == count && now < ordered.nextAt + RepeatPace)
+    const DurationMs pace = there > count ? CorrectionPace : RepeatPace;
+    if (ordered.confirmed && ordered.count == count && now < ordered.nextAt + pace)
         return;
     if (ordered.count != count)
         log_.write(LogWeight::State, "engines_ordered",
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -3,6 +3,7 @@
 #include "gateway/decisionlog.h"
 #include "gateway/dutycalls.h"
 #include "gateway/endpointfleet.h"
+#include "gateway/engineplan.h"
 #include "gateway/storesync.h"
 
 #include <deque>
@@ -11,44 +12,12 @@
 
 namespace cranberry {
 
-/// Engines wanted in one failure domain.
-struct DomainPlan {
-    FailureDomainName failureDomain;
-    uint32_t onDemand = 0;
-    uint32_t reclaimable = 0;
-};
-
-/// What there is in one failure domain.
-struct DomainStock {
-    uint32_t onDemand = 0; ///< Ready, not leaving.
-    uint32_t reclaimable = 0;
-    uint32_t coming = 0; ///< Reclaimable ones that were ordered and accepted, and are not there yet.
-    bool reclaimableShort = false; ///< None could be had lately.
-};
-
-/// What engines are planned for.
-struct SizingQuestion {
-    ServiceDemand demand;
-    uint32_t known
-        = 0; ///< Engines that were enough before; counts until the demand has been seen for a while.
-    bool scarce = false; ///< Reclaimable ones can't be had in any domain.
-};
-
-/// How many engines each failure domain gets, for a demand. Without a network or a clock, for tests.
-///
-/// Reclaimable engines are taken where they are cheaper. A failure domain's reclaimable ones may go all at
-/// once, so they are spread over all domains, and the rest must carry the demand without one domain. Where
-/// none can be had, other domains get more. Where none can be had anywhere, the next reclaim may come before
-/// new ones do: then engines on demand, in the cheapest domains, make up for one domain more.
-std::vector<DomainPlan> planEngines(const ScalingBounds &bounds, const EngineFigures &engine,
-                                    const SizingQuestion &question,
-                                    const std::map<FailureDomainName, DomainStock> &stock);
-
 /// Orders engines in the name of the duty's holder.
 class EngineSizing
 {
 public:
-    explicit EngineSizing(DecisionLog &log) : log_(log) { }
+    /// `firstStart`: no daemon of the whole system has run before.
+    EngineSizing(bool firstStart, DecisionLog &log) : firstStart_(firstStart), log_(log) { }
 
     void tick(const Leadership &leadership, const EndpointFleet &fleet,
               const std::map<ServiceName, ServiceDemand> &demand,
@@ -74,7 +43,9 @@
         bool scarce = false;
         std::set<EndpointId> foundAtStart; ///< Engines that were there when this daemon began to lead.
         TimeMs foundAt; ///< The newest of them.
+        bool foundOnDemandOnly = false; ///< No reclaimable one was there at the first look.
         std::optional<TimeMs> demandSince; ///< First seen.
+        std::map<FailureDomainName, DomainStock> toldStock; ///< In the log.
     };
     bool isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
@@ -82,9 +53,11 @@
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
     void askAgain(const ServiceName &service);
-    void order(const Subject &subject, uint32_t count, const ServiceDemand &demand,
+    void noteStock(const ServiceName &service, const std::map<FailureDomainName, DomainStock> &stock);
+    void order(const Subject &subject, uint32_t count, uint32_t there, const ServiceDemand &demand,
                const Leadership &leadership, TimeMs now);
 
+    bool firstStart_;
     DecisionLog &log_;
     std::map<ServiceName, ServiceState> services_;
     std::map<Subject, Ordered> ordered_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,6 +53,7 @@
     TimeMs sentAt;
     bool streaming = false; ///< This attempt has brought its first event.
     uint64_t prefillTokens = 0; ///< Still counted at the endpoint.
+    bool foundNoQueue = false; ///< As far as was known when it was sent.
     AttemptHead head;
     std::string body; ///< Of an answer that is held until it is whole.
     EventSplitter splitter;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,9 @@
 constexpr DurationMs StartPatience{250};
 constexpr size_t MostAwaitingStart = 500; ///< Bounds their memory.
 
+/// Less than this to wait for what others still have to have read is no queue.
+constexpr double NoQueueMs = 10;
+
 /// Callers that still come this long after a daemon began to leave hold an old entry answer. A stream that
 /// starts then might not end before the process does.
 constexpr DurationMs LastStreamsAfterLeaving{3000};
@@ -269,6 +272,7 @@
     exchange.at = endpoint.life();
     exchange.sentAt = now;
     exchange.prefillTokens = choice.prefillTokens;
+    exchange.foundNoQueue = choice.waitMs < NoQueueMs;
     exchange.phase
         = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
     exchange.tried.insert(choice.endpoint);
@@ -278,7 +282,7 @@
     attempts_[exchange.attempt] = exchange.caller;
     fleet_.started(choice, question, now);
     if (question.engine)
-        demand_.prefill(exchange.service, choice.prefillTokens);
+        demand_.prefill(exchange.service, choice.prefillTokens, exchange.route->latencyTarget);
     counters_.add(GatewayCount::Attempts);
 
     SendAttempt order;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -145,18 +145,30 @@
     uint64_t count = 0;
 };
 
-/// Demand on one service as one daemon sees it.
+/// How long first events took, as sums over requests that found no queue: a straight line can be laid through
+/// them. Older ones fade.
+struct ReadingSums {
+    double count = 0;
+    double tokens = 0; ///< That had to be read.
+    double ms = 0;
+    double tokensSquared = 0;
+    double tokensMs = 0; ///< Products of both.
+
+    void add(const ReadingSums &other);
+    void fade(double part); ///< Leaves `part` of each sum.
+};
+
+/// Demand on one service as one daemon sees it, as moving means. All of it adds up over daemons.
 struct ServiceDemand {
     ServiceName service;
     double prefillTokensPerSecond = 0;
-    double running = 0;
-
-    void add(const ServiceDemand &other)
-    {
-        service = other.service;
-        prefillTokensPerSecond += other.prefillTokensPerSecond;
-        running += other.running;
-    }
+    double prefillSquaresPerSecond = 0; ///< Of each request's tokens: how uneven they are.
+    double requestsPerSecond = 0;
+    double targetMsPerSecond = 0; ///< Latency targets of these requests.
+    double running = 0; ///< At endpoints, or waiting for one.
+    ReadingSums readings;
+
+    void add(const ServiceDemand &other);
 };
 
 /// What a daemon tells the others several times a second. All of it may be lost or doubled without harm.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peerdatagrams.h"
 
 #include <boost/json.hpp>
+#include <cmath>
 
 namespace cranberry {
 
@@ -8,6 +9,33 @@
 
 namespace json = boost::json;
 
+/// Figures above this go without their fraction.
+constexpr double WholeFrom = 1000;
+
+// With its fraction a figure takes 22 bytes of text, and reports are most of what daemons send each other.
+json::value compact(double figure)
+{
+    if (std::abs(figure) >= WholeFrom)
+        return static_cast<int64_t>(figure);
+    return std::floor(figure * 100) / 100;
+}
+
+json::array rowOf(const ServiceDemand &demand)
+{
+    const ReadingSums &readings = demand.readings;
+    return {demand.service.value,
+            compact(demand.prefillTokensPerSecond),
+            compact(demand.prefillSquaresPerSecond),
+            compact(demand.requestsPerSecond),
+            compact(demand.targetMsPerSecond),
+            compact(demand.running),
+            compact(readings.count),
+            compact(readings.tokens),
+            compact(readings.ms),
+            compact(readings.tokensSquared),
+            compact(readings.tokensMs)};
+}
+
 /// Rows are arrays, not objects: a report goes to every daemon several times a second.
 json::array rowsOf(const PeerReport &report, const char *which)
 {
@@ -18,13 +46,13 @@
             rows.push_back({load.life.id.value, load.life.start.unixMs, load.running, load.prefillTokens});
     } else if (name == "balances") {
         for (const OrganisationBalance &balance : report.balances)
-            rows.push_back({balance.organisation.value, balance.spare});
+            rows.push_back({balance.organisation.value, compact(balance.spare)});
     } else if (name == "windows") {
         for (const WindowCount &count : report.windows)
             rows.push_back({count.window, count.organisation.value, count.count});
     } else {
         for (const ServiceDemand &demand : report.demands)
-            rows.push_back({demand.service.value, demand.prefillTokensPerSecond, demand.running});
+            rows.push_back(rowOf(demand));
     }
     return rows;
 }
@@ -69,9 +97,15 @@
                                   count[2].to_number<uint64_t>()});
     }
     for (const json::value &value : object.at("demands").as_array()) {
-        const json::array &demand = row(value, 3);
-        report.demands.push_back(
-            {ServiceName{text(demand[0])}, demand[1].to_number<double>(), demand[2].to_number<double>()});
+        const json::array &demand = row(value, 11);
+        const auto figure = [&demand](size_t i) { return demand[i].to_number<double>(); };
+        report.demands.push_back({ServiceName{text(demand[0])},
+                                  figure(1),
+                                  figure(2),
+                                  figure(3),
+                                  figure(4),
+                                  figure(5),
+                                  {figure(6), figure(7), figure(8), figure(9), figure(10)}});
     }
     return report;
 }
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -66,7 +66,7 @@
       log(settings.instance.value, wallNowMs),
       gateway(coreSettings(settings, incarnation, randomSeed()), log),
       sync(syncSettings(settings, incarnation, randomSeed()), log), usageDuty(settings.usageDue, log),
-      engineSizing(log), storeCodec(log), endpoints(io), store(io), duties(io)
+      engineSizing(settings.firstStart, log), storeCodec(log), endpoints(io), store(io), duties(io)
 { }
 
 // ---- Life ----
