--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -78,17 +78,28 @@
     return request.maybeRan || request.attempt.value ? Outcome::Unknown : Outcome::NotRun;
 }
 
+void waitForRetry(World &world, Request &request)
+{
+    const uint64_t ceiling = static_cast<uint64_t>(backoffCeiling(request.tries).count);
+    request.phase = RequestPhase::Waiting;
+    request.retryAt = world.now + DurationMs{static_cast<int64_t>(world.random.below(ceiling))};
+}
+
+// A retry waits for the budget, too. Failure: engines fall silent under many streams at once, and the budget
+// is empty before all of them went elsewhere. Symptom when those were given up: accepted work that may be
+// repeated was lost, 4 of 150 streams beside a busy machine. Successes fill the budget again long before a
+// deadline.
 void retryLater(World &world, Request &request, RetryReason reason)
 {
     world.counters.add(reason);
     const bool free = reason == RetryReason::EndpointLeaving;
-    if (!free && (++request.tries >= MaxTries || !world.retries.take()))
+    if (!free && ++request.tries >= MaxTries)
         return giveUp(world, request,
                       {outcomeOf(request), RefusalReason::RetriesExhausted, backoffCeiling(MaxTries)});
-    request.phase = RequestPhase::Waiting;
-    const uint64_t ceiling = static_cast<uint64_t>(backoffCeiling(request.tries).count);
-    request.retryAt
-        = free ? world.now : world.now + DurationMs{static_cast<int64_t>(world.random.below(ceiling))};
+    waitForRetry(world, request);
+    request.owesRetry = !free;
+    if (free)
+        request.retryAt = world.now;
 }
 
 // The witness keeps its copy for a while after the end. Failure: the daemon dies with the answer on its way
@@ -260,6 +271,11 @@
         }
         tickOnce(world, request);
         if (request.phase == RequestPhase::Waiting && world.now >= request.retryAt) {
+            if (request.owesRetry && !world.retries.take()) {
+                waitForRetry(world, request);
+                continue;
+            }
+            request.owesRetry = false;
             enqueue(world, request);
         } else if (request.phase == RequestPhase::Running && request.moveAt && world.now >= *request.moveAt) {
             cancelAttempt(world, request);
--- a/src/request.h
+++ b/src/request.h
@@ -51,6 +51,7 @@
     uint64_t workTokens = 0;
     uint32_t tries = 0;
     TimeMs retryAt;
+    bool owesRetry = false; ///< Its next attempt is to be taken from the retry budget.
     bool maybeRan = false; ///< Some attempt may have reached an endpoint.
     std::optional<TimeMs> moveAt; ///< Its endpoint leaves: go on elsewhere from here.
 
