--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/endpointfleet.h"
 #include "gateway/eventstream.h"
 #include "gateway/peerdatagrams.h"
 #include "gateway/peertable.h"
