--- a/src/gateway/enginecapacity.cpp
+++ b/src/gateway/enginecapacity.cpp
@@ -22,9 +22,10 @@
 /// engines are there (after a reclaim). The estimate knows neither priorities nor the choice of the shortest
 /// queue: real shares are a tenth of it.
 constexpr double LatePart = 0.09;
-/// Bounds of the part of an engine's time that reading may take. After a reclaim the shared parts that lay there
-/// are read again, a third and more of the usual reading for some seconds, whatever the targets are: with 0.75
-/// two deployments with long shared parts and lenient targets served 1 in 100 less of their day than with 0.6.
+/// Bounds of the part of an engine's time that reading may take. After a reclaim the shared parts that lay
+/// there are read again, a third and more of the usual reading for some seconds, whatever the targets are:
+/// with 0.75 two deployments with long shared parts and lenient targets served 1 in 100 less of their day
+/// than with 0.6.
 constexpr double LeastUsed = 0.2;
 constexpr double MostUsed = 0.62;
 constexpr double LeastSlackMs = 20;
