--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -18,8 +18,8 @@
 constexpr size_t MostHeldBody = 8U << 20; ///< Larger answers are passed on as they come.
 /// Weight of the newest answer in the mean time of a service's answers: about the last twenty count.
 constexpr double AnswerTimeWeight = 0.05;
-/// Of the slack of the repeats, for the daemons that callers are sent to.
-constexpr double EntriesSlackPart = 0.8;
+/// Of the slack of the repeats, for the daemons that serve.
+constexpr double SharedSlackPart = 0.8;
 constexpr int FirstServerError = 500;
 constexpr std::array PromisesNotRun = {408, 421, 429, 503};
 
@@ -257,17 +257,16 @@
     return exchange.sends < exchange.route->attempts && isRepeatable(*exchange.route);
 }
 
-// This daemon's part of the repeats that all daemons may make besides the ratio. Where callers are sent to a
-// few, these get most of it: an equal share of 83 daemons left 2 repeats to each of the 10 that had all the
-// streams of a reclaimed failure domain, and most of these were cut. The rest is for callers with old entry
-// answers.
-double Gateway::slackShare() const
+// This daemon's part of the repeats that all daemons may make besides the ratio. Those that serve get it: an
+// equal share of 83 daemons left 2 repeats to each of the 10 that had all the streams of a reclaimed failure
+// domain, and most of these were cut. A part is kept back for the moments in which daemons begin to serve and
+// others still count without them.
+double Gateway::slackShare(TimeMs now) const
 {
-    const size_t members = peers_.memberCount();
-    if (entryCount_ == 0 || entryCount_ >= members)
-        return 1.0 / static_cast<double>(members);
-    return isEntry_ ? EntriesSlackPart / static_cast<double>(entryCount_)
-                    : (1 - EntriesSlackPart) / static_cast<double>(members - entryCount_);
+    const size_t sharers = peers_.sharers(now);
+    if (sharers == 1)
+        return 1;
+    return peers_.isSharer() ? SharedSlackPart / static_cast<double>(sharers) : 0;
 }
 
 // One more send, if the time, the budget of all daemons and an endpoint are there.
@@ -282,7 +281,7 @@
     const PlacementResult result = fleet_.choose(question, now);
     if (!result.choice)
         return false;
-    if (reason != GatewayRetry::ConnectFailed && !repeats_.take(exchange.service, slackShare(), now)) {
+    if (reason != GatewayRetry::ConnectFailed && !repeats_.take(exchange.service, slackShare(now), now)) {
         counters_.add(GatewayCount::RetriesDenied);
         log(LogWeight::Failure, "repeat_denied", exchange, {{"reason", toText(reason)}});
         return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,7 +56,9 @@
     // The store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
     void onEndpoints(const EndpointsRead &event, TimeMs now);
-    void onMembers(std::vector<MemberEntry> members);
+    void onMembers(std::vector<MemberEntry> members, TimeMs now);
+    void onDutyHolder(const InstanceName &holder) { peers_.setDutyHolder(holder); }
+    void onEntriesTold(const EntriesTold &event);
     void onPeerReport(const PeerReport &report, TimeMs now);
     void onQuotaAsk(const QuotaAsk &ask, const Address &from);
     void onQuotaGift(const QuotaGift &gift, TimeMs now);
@@ -74,8 +76,16 @@
     PeerReport report(TimeMs now);
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
-    /// Where callers are to connect, this daemon included if it is ready.
-    std::vector<Address> callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now);
+    struct EntryAnswer {
+        std::vector<Address> addresses;
+        bool told = false; ///< By another daemon: it is not to be passed on, or it would never grow old.
+    };
+    /// Where callers are to connect. `own`: this daemon, if it is ready.
+    EntryAnswer callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now);
+    /// Whether this daemon serves, by the answers given so far.
+    bool serves() const { return servingRole_.serves(); }
+    /// Others wait for its reports: it serves, has work, or has counts of a window that is not reported yet.
+    bool hasNews(TimeMs now) const;
 
     const GatewayCounters &counters() const { return counters_; }
     const EndpointFleet &fleet() const { return fleet_; }
@@ -133,7 +143,7 @@
     std::optional<PlacementProblem> trySend(Exchange &exchange, TimeMs now);
     void runQueue(TimeMs now);
     double mostWaitMs(const Exchange &exchange, TimeMs now) const;
-    ReadingPace readingPace(const ServiceName &service) const;
+    ReadingPace readingPace(const ServiceName &service, TimeMs now) const;
     DurationMs expectedWait(const Exchange &exchange, TimeMs now) const;
     bool isHopeless(const Exchange &exchange, TimeMs now) const;
     DurationMs retryAfter(DurationMs least);
@@ -146,7 +156,7 @@
     // Ends of attempts (attempts.cpp).
     void detach(Exchange &exchange);
     bool mayRepeat(const Exchange &exchange) const;
-    double slackShare() const;
+    double slackShare(TimeMs now) const;
     bool repeat(Exchange &exchange, GatewayRetry reason, TimeMs now);
     /// Ends an attempt whose rest is of no use; what was sent may have run.
     void cancelBroken(AttemptId attempt, TimeMs now);
@@ -205,8 +215,10 @@
     std::map<ServiceName, TimeMs> lateAt_; ///< Requests that are late anyway are not sent before.
     uint64_t nextAttempt_ = 1;
     uint64_t reports_ = 0;
-    size_t entryCount_ = 0; ///< In the newest entry answer.
-    bool isEntry_ = true; ///< This daemon is among them.
+    size_t entryCount_ = 0; ///< Of the newest entry answer.
+    std::vector<Address> toldEntries_; ///< By another daemon, which hears those that serve.
+    TimeMs toldEntriesAt_;
+    ServingRole servingRole_;
     TimeMs depositedAt_;
     uint64_t deposits_ = 0;
     std::vector<GatewayAction> actions_;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -195,6 +195,9 @@
     Address callerAddress;
     Address peerAddress;
     double cores = 1; ///< Of its instance, as far as it may use them.
+    /// It says that it takes callers' requests: it tells the others that do so of its load, and holds a part
+    /// of the organisations' limits. The rest stands by.
+    bool serving = false;
 
     friend bool operator==(const MemberEntry &, const MemberEntry &) = default;
 };
@@ -213,6 +216,7 @@
     uint64_t endpointsDigest = 0; ///< Of the list that the asker has.
     uint64_t sharedDigest = 0; ///< Of its configuration, members and leader.
     uint64_t configurationVersion = 0;
+    uint64_t entriesDigest = 0; ///< Of the addresses for callers that it was told.
 };
 
 /// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at
@@ -222,13 +226,24 @@
     DurationMs sharedAge; ///< Of the configuration, the members and the leader.
     uint64_t sharedDigest = 0;
     uint64_t configurationVersion = 0; ///< The newest one then; members and leader may differ all the same.
-    bool hasMembers = false; ///< Members and leader follow: they differ, the configuration does not.
+    /// Members and leader follow: they differ, the configuration does not. Members are those that serve; all
+    /// of them while none does.
+    bool hasMembers = false;
     std::vector<MemberEntry> members;
     LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
     bool hasEndpoints = false; ///< The list follows, since the asker's differs.
     std::vector<EndpointEntry> endpoints;
+    uint64_t entriesDigest = 0;
+    bool hasEntries = false; ///< The addresses for callers follow, since the asker's differ.
+    std::vector<Address> entries;
+};
+
+/// What another daemon, which hears those that serve, would tell callers.
+struct EntriesTold {
+    std::vector<Address> addresses;
+    TimeMs askedAt; ///< It was so at or after this time.
 };
 
 // ---- Out of the gateway ----
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -65,7 +65,7 @@
         awaitLimit(exchange, now);
         return LimitOutcome::Waits;
     }
-    const double spare = sumOf(peers_.spares(organisation->name, now));
+    const double spare = sumOf(peers_.spares(organisation->name, shortage->missing, now));
     // What others can spare is had sooner there: the caller comes back to any daemon.
     const DurationMs wait
         = spare >= shortage->missing ? LeastRetryAfter : std::max(shortage->wait, LeastRetryAfter);
@@ -77,7 +77,7 @@
 // help.
 bool Gateway::askForUnits(Exchange &exchange, double missing, TimeMs now)
 {
-    std::vector<PeerTable::Spare> spares = peers_.spares(exchange.organisation, now);
+    std::vector<PeerTable::Spare> spares = peers_.spares(exchange.organisation, missing, now);
     spares.resize(std::min(spares.size(), MostAsked));
     const double sum = sumOf(spares);
     if (sum < missing * LeastHope)
@@ -99,7 +99,7 @@
 
 bool Gateway::isStillMeeting(TimeMs now) const
 {
-    return now - startedAt_ < StartTime && !peers_.heardAll(now);
+    return now - startedAt_ < StartTime && !peers_.hearsAll(now);
 }
 
 void Gateway::awaitLimit(Exchange &exchange, TimeMs now)
@@ -115,9 +115,10 @@
 {
     const std::vector<const MemberEntry *> keepers = peers_.keepers(organisation, now);
     QuotaRole role;
-    role.daemons = peers_.memberCount();
+    role.daemons = peers_.sharers(now);
     role.keepers = std::min(PeerTable::Keepers, role.daemons);
     role.isKeeper = isAmong(keepers);
+    role.shares = peers_.isSharer();
     return role;
 }
 
@@ -130,7 +131,7 @@
 // What this daemon does not need is gathered at a few, so that a large request finds it with few questions.
 void Gateway::deposit(TimeMs now)
 {
-    if (!configuration_ || now < depositedAt_ + DepositPace)
+    if (!configuration_ || !peers_.isSharer() || now < depositedAt_ + DepositPace)
         return;
     depositedAt_ = now;
     for (const ServedOrganisation &organisation : configuration_->organisations) {
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -134,7 +134,8 @@
             {"number", question.number},
             {"endpointsDigest", question.endpointsDigest},
             {"sharedDigest", question.sharedDigest},
-            {"configurationVersion", question.configurationVersion}};
+            {"configurationVersion", question.configurationVersion},
+            {"entriesDigest", question.entriesDigest}};
 }
 
 FreshnessQuestion decodedQuestion(const json::object &object)
@@ -145,6 +146,7 @@
     question.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
     question.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
     question.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
+    question.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
     return question;
 }
 
@@ -156,12 +158,19 @@
                      {"sharedDigest", answer.sharedDigest},
                      {"configurationVersion", answer.configurationVersion},
                      {"endpointsAgeMs", answer.endpointsAge.count},
-                     {"endpointsDigest", answer.endpointsDigest}};
+                     {"endpointsDigest", answer.endpointsDigest},
+                     {"entriesDigest", answer.entriesDigest}};
+    if (answer.hasEntries) {
+        json::array entries;
+        for (const Address &address : answer.entries)
+            entries.push_back(json::value(toText(address)));
+        out["entries"] = std::move(entries);
+    }
     if (answer.hasMembers) {
         json::array members;
         for (const MemberEntry &member : answer.members)
             members.push_back({member.instance.value, member.incarnation.value, member.failureDomain.value,
-                               toText(member.callerAddress), toText(member.peerAddress), member.cores});
+                               toText(member.callerAddress), toText(member.peerAddress), member.cores, member.serving});
         out["members"] = std::move(members);
         out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
     }
@@ -187,6 +196,7 @@
     member.callerAddress = addressFromText(text(fields[3])).value_or(Address{});
     member.peerAddress = addressFromText(text(fields[4])).value_or(Address{});
     member.cores = fields[5].to_number<double>();
+    member.serving = fields[6].as_bool();
     return member;
 }
 
@@ -199,10 +209,16 @@
     answer.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     answer.endpointsAge.count = object.at("endpointsAgeMs").to_number<int64_t>();
     answer.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    answer.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
+    if (const json::value *entries = object.if_contains("entries")) {
+        answer.hasEntries = true;
+        for (const json::value &value : entries->as_array())
+            answer.entries.push_back(addressFromText(text(value)).value_or(Address{}));
+    }
     if (const json::value *members = object.if_contains("members")) {
         answer.hasMembers = true;
         for (const json::value &value : members->as_array())
-            answer.members.push_back(decodedMember(row(value, 6)));
+            answer.members.push_back(decodedMember(row(value, 7)));
         const json::array &leader = row(object.at("leader"), 3);
         answer.leader = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>()};
     }
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -2,32 +2,40 @@
 
 #include <algorithm>
 #include <functional>
-#include <set>
 #include <xxhash.h>
 
 namespace cranberry {
 
 namespace {
 
-/// Reports go to all daemons: their pace stretches with the number of daemons, so that a daemon sends and
-/// reads about eighty a second at most.
+/// Each daemon that serves tells each other one: the pace stretches with their number, so that one sends and
+/// reads about eighty reports a second at most.
 constexpr DurationMs ShortestReportPace{200};
 constexpr DurationMs ReportPacePerDaemon{12};
 /// A peer that is silent for so many reports is not counted on.
 constexpr int64_t SilentReports = 6;
-/// Daemons that read the store for all; each of the others asks one of them.
-constexpr size_t Readers = 3;
+/// Daemons that read the store for all; each of the others asks one of them. With many daemons there are
+/// more, so that one answers about a hundred. Those that stand by are not listed everywhere, but they are
+/// sixteen times as many as those that serve where these carry the load.
+constexpr size_t LeastReaders = 3;
+constexpr size_t SharersPerReader = 6;
+constexpr size_t MembersPerReader = 100;
 /// Keepers change with the daemons that are ready; a change may be seen so much later.
 constexpr DurationMs KeepersPace{200};
 constexpr size_t MostWindowsKept = 12; ///< Windows of one peer; older ones are reported or past their time.
 constexpr DurationMs PeerMemory{
     60000}; ///< Usage windows of a peer that is gone are still needed for a while.
+/// Fewer sharers count only after so long. Their entries lapse all at once with an outage of the store, and
+/// are back within about a second; taken for gone they would leave the whole of each limit to each daemon.
+constexpr DurationMs SharersMemory{3000};
 
 } // namespace
 
+// ---- Who serves ----
+
 DurationMs PeerTable::reportPace() const
 {
-    return std::max(ShortestReportPace, ReportPacePerDaemon * static_cast<int64_t>(memberCount()));
+    return std::max(ShortestReportPace, ReportPacePerDaemon * static_cast<int64_t>(targets_.size() + 1));
 }
 
 // Half a pace more: reports wait for a tick, and take their way.
@@ -36,62 +44,163 @@
     return reportPace() * SilentReports + reportPace() / 2;
 }
 
-// The first few of those that are heard and can read, in an order that all share: strong instances first,
-// since each change goes from the readers to all. Views may differ for a moment: then there is a reader more
-// or less. The others spread over them by their own names.
-std::optional<Address> PeerTable::readerToAsk(bool canRead, TimeMs now) const
-{
-    std::vector<const MemberEntry *> readers;
-    for (const MemberEntry *member : readerOrder_) {
-        if (readers.size() == Readers)
-            break;
-        const bool isSelf = member == selfEntry_;
-        if (isSelf ? canRead : serves(*member, now) && heard(*member, now, silence())->report.readsStore)
-            readers.push_back(member);
-    }
-    if (readers.empty() || std::find(readers.begin(), readers.end(), selfEntry_) != readers.end())
-        return std::nullopt;
-    return readers[std::hash<std::string>()(self_.value) % readers.size()]->peerAddress;
-}
-
-void PeerTable::setMembers(std::vector<MemberEntry> members)
+void PeerTable::setMembers(std::vector<MemberEntry> members, TimeMs now)
 {
+    std::set<Incarnation> before;
+    for (const MemberEntry *target : targets_)
+        before.insert(target->incarnation);
     members_ = std::move(members);
     ranked_.clear();
     keeperOrders_.clear();
-    readerOrder_.clear();
+    order_.clear();
     selfEntry_ = nullptr;
     for (const MemberEntry &member : members_) {
-        readerOrder_.push_back(&member);
+        order_.push_back(&member);
         if (member.instance == self_)
             selfEntry_ = &member;
     }
-    memberCount_ = members_.size() + (selfEntry_ ? 0 : 1);
-    std::sort(readerOrder_.begin(), readerOrder_.end(), [](const MemberEntry *a, const MemberEntry *b) {
+    std::sort(order_.begin(), order_.end(), [](const MemberEntry *a, const MemberEntry *b) {
+        if (a->serving != b->serving)
+            return a->serving;
         return a->cores != b->cores ? a->cores > b->cores : a->incarnation < b->incarnation;
     });
+    anyServes_ = !order_.empty() && order_.front()->serving;
+    sharers_ = order_;
+    if (anyServes_)
+        std::erase_if(sharers_, [](const MemberEntry *member) { return !member->serving; });
+    isSharer_ = !anyServes_ || (selfEntry_ && selfEntry_->serving);
+    const size_t count = std::max<size_t>(sharers_.size() + (isSharer_ && !selfEntry_ ? 1 : 0), 1);
+    if (count >= mostSharers_ || now >= mostSharersUntil_) {
+        mostSharers_ = count;
+        mostSharersUntil_ = now + SharersMemory;
+    }
+    findTargets();
+    newTargets_ = targets_;
+    std::erase_if(newTargets_,
+                  [&before](const MemberEntry *target) { return before.contains(target->incarnation); });
+}
+
+void PeerTable::setDutyHolder(const InstanceName &holder)
+{
+    if (holder == dutyHolder_)
+        return;
+    dutyHolder_ = holder;
+    findTargets();
+}
+
+// While none serves, after a start, the strongest are told: callers are sent to them.
+void PeerTable::findTargets()
+{
+    const size_t told = anyServes_ ? sharers_.size() : std::min(order_.size(), LeastEntries);
+    targets_.assign(order_.begin(), order_.begin() + static_cast<std::ptrdiff_t>(told));
+    const auto holder = std::find_if(order_.begin() + static_cast<std::ptrdiff_t>(told), order_.end(),
+                                     [this](const MemberEntry *member) { return member->instance == dutyHolder_; });
+    if (holder != order_.end())
+        targets_.push_back(*holder);
+    isTarget_ = !selfEntry_ || std::erase(targets_, selfEntry_) > 0;
+}
+
+size_t PeerTable::sharers(TimeMs now) const
+{
+    const size_t count = std::max<size_t>(sharers_.size() + (isSharer_ && !selfEntry_ ? 1 : 0), 1);
+    return now < mostSharersUntil_ ? std::max(count, mostSharers_) : count;
+}
+
+// ---- Who is there ----
+
+size_t PeerTable::readerCount() const
+{
+    const size_t wanted
+        = anyServes_ ? sharers_.size() / SharersPerReader : members_.size() / MembersPerReader;
+    return std::max(wanted, LeastReaders);
+}
+
+// One that is to be heard must be; of the others, those count that answered the last questions.
+bool PeerTable::mayRead(const MemberEntry &member, TimeMs now) const
+{
+    if (const Peer *peer = heard(member, now))
+        return peer->report.ready && !peer->report.leaving && peer->report.readsStore;
+    return !isTarget_;
+}
+
+// The first few that can read, in an order that all share: those that serve, strong instances first, since
+// each change goes from the readers to all. Views may differ for a moment: then there is a reader more or
+// less. The others spread over them by their own names.
+std::optional<Address> PeerTable::readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const
+{
+    MemberPtrs readers;
+    for (const MemberEntry *member : order_) {
+        if (readers.size() == readerCount())
+            break;
+        const bool counts
+            = isSelf(*member) ? canRead : !silent.contains(member->peerAddress) && mayRead(*member, now);
+        if (counts)
+            readers.push_back(member);
+    }
+    if (readers.empty() || std::find(readers.begin(), readers.end(), selfEntry_) != readers.end())
+        return std::nullopt;
+    return readers[std::hash<std::string>()(self_.value) % readers.size()]->peerAddress;
+}
+
+const PeerTable::Peer *PeerTable::heard(const MemberEntry &member, TimeMs now) const
+{
+    const auto found = peers_.find(member.incarnation);
+    return found != peers_.end() && now - found->second.heardAt < silence() ? &found->second : nullptr;
+}
+
+bool PeerTable::isHeardReady(const MemberEntry &member, TimeMs now) const
+{
+    const Peer *peer = heard(member, now);
+    return peer && peer->report.ready && !peer->report.leaving;
 }
 
-std::vector<Address> PeerTable::unknownAmong(const std::vector<MemberEntry> &members) const
+bool PeerTable::saidItLeaves(const MemberEntry &member, TimeMs now) const
 {
-    std::set<Incarnation> known;
-    for (const MemberEntry &member : members_)
-        known.insert(member.incarnation);
-    std::vector<Address> out;
-    for (const MemberEntry &member : members) {
-        if (member.instance != self_ && !known.contains(member.incarnation))
-            out.push_back(member.peerAddress);
+    const Peer *peer = heard(member, now);
+    return peer && (!peer->report.ready || peer->report.leaving);
+}
+
+size_t PeerTable::heardSharers(TimeMs now) const
+{
+    return static_cast<size_t>(std::count_if(
+        sharers_.begin(), sharers_.end(),
+        [&](const MemberEntry *member) { return isSelf(*member) || heard(*member, now) != nullptr; }));
+}
+
+bool PeerTable::hearsAll(TimeMs now) const
+{
+    return !isTarget_ || heardSharers(now) == sharers_.size();
+}
+
+bool PeerTable::hearsMost(TimeMs now) const
+{
+    return isTarget_ && heardSharers(now) * 2 > sharers_.size();
+}
+
+std::vector<EntryCandidate> PeerTable::entryCandidates(TimeMs now) const
+{
+    std::vector<EntryCandidate> out;
+    for (const MemberEntry *member : order_) {
+        const bool standsBy = anyServes_ && !member->serving;
+        const bool counts = standsBy ? !saidItLeaves(*member, now) : isHeardReady(*member, now);
+        if (!isSelf(*member) && counts)
+            out.push_back({member->callerAddress, member->cores, member->serving});
     }
     return out;
 }
 
-bool PeerTable::heardAll(TimeMs now) const
+std::vector<EntryCandidate> PeerTable::listedCandidates(TimeMs now) const
 {
-    return std::all_of(members_.begin(), members_.end(), [&](const MemberEntry &member) {
-        return &member == selfEntry_ || heard(member, now, silence());
-    });
+    std::vector<EntryCandidate> out;
+    for (const MemberEntry *member : order_) {
+        if (!isSelf(*member) && !saidItLeaves(*member, now))
+            out.push_back({member->callerAddress, member->cores, member->serving});
+    }
+    return out;
 }
 
+// ---- What they said ----
+
 bool PeerTable::take(const PeerReport &report, TimeMs now)
 {
     std::erase_if(peers_, [now](const std::pair<const Incarnation, Peer> &entry) {
@@ -116,28 +225,16 @@
     return true;
 }
 
-const PeerTable::Peer *PeerTable::heard(const MemberEntry &member, TimeMs now, DurationMs within) const
-{
-    const auto found = peers_.find(member.incarnation);
-    return found != peers_.end() && now - found->second.heardAt < within ? &found->second : nullptr;
-}
-
-bool PeerTable::serves(const MemberEntry &member, TimeMs now) const
-{
-    const Peer *peer = heard(member, now, silence());
-    return peer && peer->report.ready && !peer->report.leaving;
-}
-
-const std::vector<const MemberEntry *> &PeerTable::keeperOrder(const OrganisationName &organisation) const
+const PeerTable::MemberPtrs &PeerTable::keeperOrder(const OrganisationName &organisation) const
 {
-    std::vector<const MemberEntry *> &order = keeperOrders_[organisation];
-    if (order.size() == members_.size())
+    MemberPtrs &order = keeperOrders_[organisation];
+    if (order.size() == sharers_.size())
         return order;
     std::vector<std::pair<uint64_t, const MemberEntry *>> ranked;
-    for (const MemberEntry &member : members_) {
+    for (const MemberEntry *member : sharers_) {
         const std::string &name = organisation.value;
-        ranked.emplace_back(XXH3_64bits_withSeed(name.data(), name.size(), member.incarnation.value),
-                            &member);
+        ranked.emplace_back(XXH3_64bits_withSeed(name.data(), name.size(), member->incarnation.value),
+                            member);
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     order.clear();
@@ -153,32 +250,39 @@
         return known.keepers;
     known.rankedAt = now;
     known.keepers.clear();
-    const auto isThere
-        = [&](const MemberEntry &member) { return &member == selfEntry_ || serves(member, now); };
+    const auto isThere = [&](const MemberEntry *member) {
+        return isSelf(*member) || isHeardReady(*member, now) || (!isTarget_ && !saidItLeaves(*member, now));
+    };
     // In a part that hears less than half of the daemons nobody gathers: each part would have keepers of its
     // own, and together they could save more than the burst.
-    const auto there = std::count_if(members_.begin(), members_.end(), isThere);
-    if (static_cast<size_t>(there) * 2 <= members_.size())
+    const auto there = std::count_if(sharers_.begin(), sharers_.end(), isThere);
+    if (static_cast<size_t>(there) * 2 <= sharers_.size())
         return {};
     for (const MemberEntry *member : keeperOrder(organisation)) {
         if (known.keepers.size() == Keepers)
             break;
-        if (isThere(*member))
+        if (isThere(member))
             known.keepers.push_back(member);
     }
     return known.keepers;
 }
 
-std::vector<PeerTable::Spare> PeerTable::spares(const OrganisationName &organisation, TimeMs now) const
+std::vector<PeerTable::Spare> PeerTable::spares(const OrganisationName &organisation, double presumed,
+                                                TimeMs now) const
 {
     std::vector<Spare> out;
-    for (const MemberEntry &member : members_) {
-        const Peer *peer = &member == selfEntry_ ? nullptr : heard(member, now, silence());
+    if (!isTarget_) {
+        for (const MemberEntry *keeper : keepers(organisation, now))
+            out.push_back({keeper->peerAddress, presumed});
+        return out;
+    }
+    for (const MemberEntry *member : sharers_) {
+        const Peer *peer = isSelf(*member) ? nullptr : heard(*member, now);
         if (!peer)
             continue;
         for (const OrganisationBalance &balance : peer->report.balances) {
             if (balance.organisation == organisation && balance.spare > 0)
-                out.push_back({member.peerAddress, balance.spare});
+                out.push_back({member->peerAddress, balance.spare});
         }
     }
     std::sort(out.begin(), out.end(), [](const Spare &a, const Spare &b) { return a.units > b.units; });
@@ -231,27 +335,6 @@
     return sum;
 }
 
-std::vector<const MemberEntry *> PeerTable::busyMembers(TimeMs now) const
-{
-    std::vector<const MemberEntry *> out;
-    for (const MemberEntry &member : members_) {
-        const Peer *peer = &member == selfEntry_ ? nullptr : heard(member, now, silence());
-        if (peer && !peer->report.loads.empty())
-            out.push_back(&member);
-    }
-    return out;
-}
-
-std::vector<EntryCandidate> PeerTable::entryCandidates(TimeMs now) const
-{
-    std::vector<EntryCandidate> out;
-    for (const MemberEntry &member : members_) {
-        if (&member != selfEntry_ && serves(member, now))
-            out.push_back({member.callerAddress, member.cores});
-    }
-    return out;
-}
-
 std::map<OrganisationName, uint64_t> PeerTable::windowSums(int64_t window) const
 {
     std::map<OrganisationName, uint64_t> sums;
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -4,10 +4,16 @@
 #include "gateway/gatewayevents.h"
 
 #include <map>
+#include <set>
 
 namespace cranberry {
 
 /// The other daemons: who is listed, who is heard, and what they last said.
+///
+/// Daemons that serve callers, as the members' list in the store says, tell each other of their load several
+/// times a second. Those that stand by tell nobody and are told nothing: what they need to know they learn
+/// with the answers about the store's freshness. So what a daemon spends grows with the load, not with the
+/// number of daemons.
 class PeerTable
 {
 public:
@@ -17,21 +23,40 @@
 
     explicit PeerTable(InstanceName self) : self_(std::move(self)) { }
 
-    void setMembers(std::vector<MemberEntry> members);
-    /// Peer addresses of the other daemons in `members` that are not listed so far.
-    std::vector<Address> unknownAmong(const std::vector<MemberEntry> &members) const;
-    bool heardAll(TimeMs now) const; ///< Of the other daemons that are listed.
+    void setMembers(std::vector<MemberEntry> members, TimeMs now);
+    void setDutyHolder(const InstanceName &holder);
+    const std::vector<MemberEntry> &members() const { return members_; }
     /// Takes a report; older and doubled ones are dropped.
     bool take(const PeerReport &report, TimeMs now);
 
-    const std::vector<MemberEntry> &members() const { return members_; }
-    /// Time between two reports of a daemon; longer with many daemons, since each tells all others.
-    DurationMs reportPace() const;
+    // Who serves.
+
+    /// Daemons that share the limits and the engines: those that serve; all of them while none says so. At
+    /// least 1. The largest count of the last seconds.
+    size_t sharers(TimeMs now) const;
+    bool isSharer() const { return isSharer_; } ///< This daemon is one of them.
+    /// Whom this daemon tells of its load: those that serve, and the duties' holder. Without this one.
+    const std::vector<const MemberEntry *> &reportTargets() const { return targets_; }
+    bool isReportTarget() const { return isTarget_; } ///< The others tell this daemon.
+    DurationMs reportPace() const; ///< Time between two reports of a daemon to the same one.
+    /// Those among the targets that were none before the last change of the members.
+    const std::vector<const MemberEntry *> &newTargets() const { return newTargets_; }
+
+    // Who is there.
+
     /// Whom to ask about the store instead of reading; nothing if this daemon is one of the few that read.
-    /// One that can't read asks in any case, if there is somebody.
-    std::optional<Address> readerToAsk(bool canRead, TimeMs now) const;
-    /// Daemons that are listed, this one included; at least 1.
-    size_t memberCount() const { return memberCount_; }
+    /// One that can't read asks in any case, if there is somebody. Those in `silent` answered no question.
+    std::optional<Address> readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const;
+    /// Of the others that tell this daemon, all or more than half are heard.
+    bool hearsAll(TimeMs now) const;
+    bool hearsMost(TimeMs now) const;
+    /// Other daemons for callers: those that serve, are heard and ready, and those that stand by.
+    std::vector<EntryCandidate> entryCandidates(TimeMs now) const;
+    /// All other daemons that the store lists and that did not say that they leave.
+    std::vector<EntryCandidate> listedCandidates(TimeMs now) const;
+
+    // What they said.
+
     /// The few daemons where what is left of an organisation's limit is gathered, best known first; all
     /// daemons rank them alike. May name this one.
     std::vector<const MemberEntry *> keepers(const OrganisationName &organisation, TimeMs now) const;
@@ -40,17 +65,14 @@
         Address address;
         double units = 0;
     };
-    /// Those that can spare something, most first.
-    std::vector<Spare> spares(const OrganisationName &organisation, TimeMs now) const;
+    /// Those that can spare something, most first. A daemon that is told nothing of that takes the keepers to
+    /// have `presumed` each.
+    std::vector<Spare> spares(const OrganisationName &organisation, double presumed, TimeMs now) const;
     /// What the daemons that are heard run at each endpoint.
     const std::map<EndpointLife, EndpointLoad> &loadSums(TimeMs now);
     std::map<ServiceName, ServiceDemand> demandSums(TimeMs now) const;
-    /// Daemons for callers: those that are listed, heard and ready.
-    std::vector<EntryCandidate> entryCandidates(TimeMs now) const;
-    /// Cores that all other daemons use together.
+    /// Cores that all other daemons that are heard use together.
     double coresUsed(TimeMs now) const;
-    /// Daemons with requests at endpoints; what they run matters at once for placing.
-    std::vector<const MemberEntry *> busyMembers(TimeMs now) const;
     /// Highest count that each daemon reported for a window, also of daemons that are gone by now.
     std::map<OrganisationName, uint64_t> windowSums(int64_t window) const;
     /// Middle of the others' time of day less our steady clock, own value included.
@@ -64,28 +86,43 @@
         int64_t wallOffset = 0;
         std::map<int64_t, std::map<OrganisationName, uint64_t>> windows;
     };
+    using MemberPtrs = std::vector<const MemberEntry *>;
+    void findTargets();
+    bool isSelf(const MemberEntry &member) const { return &member == selfEntry_; }
     DurationMs silence() const;
     void count(Peer &peer, bool add);
-    bool serves(const MemberEntry &member,
-                TimeMs now) const; ///< Another daemon that is heard and takes requests.
-    const Peer *heard(const MemberEntry &member, TimeMs now, DurationMs within) const;
-
-    /// All members in the order in which daemons keep an organisation's limit.
-    const std::vector<const MemberEntry *> &keeperOrder(const OrganisationName &organisation) const;
+    const Peer *heard(const MemberEntry &member, TimeMs now) const;
+    bool isHeardReady(const MemberEntry &member, TimeMs now) const;
+    bool saidItLeaves(const MemberEntry &member, TimeMs now) const;
+    bool mayRead(const MemberEntry &member, TimeMs now) const;
+    size_t readerCount() const;
+    size_t heardSharers(TimeMs now) const;
+    /// All sharers in the order in which they keep an organisation's limit.
+    const MemberPtrs &keeperOrder(const OrganisationName &organisation) const;
 
     InstanceName self_;
     std::vector<MemberEntry> members_;
+    InstanceName dutyHolder_;
+
     // Worked out when the members change. Comparing names for each question took an idle daemon among 295
     // with 40 organisations 272 us a tick, 80 us without it.
     const MemberEntry *selfEntry_ = nullptr; ///< Among the members, if this daemon is listed.
-    size_t memberCount_ = 1;
-    std::vector<const MemberEntry *> readerOrder_; ///< All members, strong instances first.
-    mutable std::map<OrganisationName, std::vector<const MemberEntry *>> keeperOrders_;
+    MemberPtrs order_; ///< Those that serve first, then strong instances first.
+    MemberPtrs sharers_; ///< The first of them.
+    MemberPtrs targets_;
+    MemberPtrs newTargets_;
+    bool anyServes_ = false;
+    bool isSharer_ = true;
+    bool isTarget_ = true;
+    size_t mostSharers_ = 1; ///< Until `mostSharersUntil_`.
+    TimeMs mostSharersUntil_;
+    mutable std::map<OrganisationName, MemberPtrs> keeperOrders_;
+
     std::map<Incarnation, Peer> peers_;
     std::map<EndpointLife, EndpointLoad> loadSums_;
     struct RankedKeepers {
         TimeMs rankedAt;
-        std::vector<const MemberEntry *> keepers;
+        MemberPtrs keepers;
     };
     mutable std::map<OrganisationName, RankedKeepers> ranked_; ///< Asked for with each request and report.
 };
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/quotas.cpp
@@ -33,7 +33,12 @@
     Balance &balance = balances_[organisation.name];
     balance.part = std::max(organisation.burst * over + UsedTolerance * tolerance_.slack, 1.0) / daemons;
     const double leftByOthers = (1 - OwnPart - SurplusPart) * (daemons - keepers) / keepers;
-    balance.bound = balance.part * (role.isKeeper ? 1 + leftByOthers : OwnPart + SurplusPart);
+    balance.bound
+        = !role.shares ? 0 : balance.part * (role.isKeeper ? 1 + leftByOthers : OwnPart + SurplusPart);
+    // Those that go on share the whole by now, so what one that stands by has left would be theirs twice.
+    if (balance.shares && !role.shares)
+        balance.units = std::min(balance.units, 0.0);
+    balance.shares = role.shares;
     if (!balance.started) {
         balance.started = true;
         balance.units += StartPart * std::min(balance.part, balance.bound);
--- a/src/gateway/quotas.h
+++ b/src/gateway/quotas.h
@@ -15,9 +15,10 @@
 
 /// This daemon's place among those that share the limits.
 struct QuotaRole {
-    size_t daemons = 1;
+    size_t daemons = 1; ///< That share them.
     size_t keepers = 1; ///< Of one organisation's limit.
     bool isKeeper = true; ///< Gathers what the others don't need.
+    bool shares = true; ///< False: it stands by, and runs a request on what others give.
 };
 
 /// What a request lacks of its organisation's limit at this daemon.
@@ -28,7 +29,8 @@
 
 /// Limits of the organisations over all daemons, by balances that move.
 ///
-/// Each daemon fills a balance of its own with its part of the rate, up to its part of the burst. One that
+/// Each daemon that serves fills a balance of its own with its part of the rate, up to its part of the burst;
+/// one that stands by has no part, since a large request would find too little in any one place. One that
 /// lacks units asks others, which give from their balances; what is given is taken there first. So the sum of
 /// all balances never exceeds the burst, whatever messages are lost, and no partition lets more through. What
 /// a lost gift costs is a little of the limit, not its observance.
@@ -63,6 +65,7 @@
         double bound = 0; ///< The balance is filled up to here.
         TimeMs filledAt;
         bool started = false;
+        bool shares = false; ///< As of the newest filling.
     };
     QuotaTolerance tolerance_;
     std::map<OrganisationName, Balance> balances_;
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -108,7 +108,7 @@
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
     if (!source || !target)
         return;
-    if (!repeats_.take(exchange.service, slackShare(), now)) {
+    if (!repeats_.take(exchange.service, slackShare(now), now)) {
         // Tried again with each tick, told once.
         if (!std::exchange(exchange.moveDenied, true)) {
             counters_.add(GatewayCount::RetriesDenied);
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -6,6 +6,13 @@
 
 namespace cranberry {
 
+namespace {
+
+/// What another daemon said of the entries holds for several questions: some may be lost.
+constexpr DurationMs ToldEntriesLast{2000};
+
+} // namespace
+
 void Gateway::onConfiguration(const ConfigurationRead &event, TimeMs now)
 {
     confirmedAt_ = std::max(confirmedAt_, event.askedAt);
@@ -51,11 +58,21 @@
     runQueue(now);
 }
 
-void Gateway::onMembers(std::vector<MemberEntry> members)
+void Gateway::onMembers(std::vector<MemberEntry> members, TimeMs now)
+{
+    const bool changed = members != peers_.members();
+    peers_.setMembers(std::move(members), now);
+    if (changed)
+        log_.write(LogWeight::State, "members",
+                   {{"count", peers_.members().size()},
+                    {"sharers", peers_.sharers(now)},
+                    {"shares", peers_.isSharer()}});
+}
+
+void Gateway::onEntriesTold(const EntriesTold &event)
 {
-    if (members != peers_.members())
-        log_.write(LogWeight::State, "members", {{"count", members.size()}});
-    peers_.setMembers(std::move(members));
+    toldEntries_ = event.addresses;
+    toldEntriesAt_ = event.askedAt;
 }
 
 void Gateway::onPeerReport(const PeerReport &report, TimeMs now)
@@ -109,19 +126,38 @@
     return sums;
 }
 
-std::vector<Address> Gateway::callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now)
+bool Gateway::hasNews(TimeMs now) const
 {
-    std::vector<EntryCandidate> candidates = peers_.entryCandidates(now);
-    if (isReady(now))
-        candidates.push_back(own);
-    const double used = peers_.coresUsed(now) + ownCoresUsed;
-    const size_t ready = candidates.size();
-    std::vector<Address> entries = chooseEntries(std::move(candidates), used);
-    isEntry_ = std::find(entries.begin(), entries.end(), own.address) != entries.end();
+    const auto newest = usage_.counts().lower_bound(usage_.windowAt(now) - 1);
+    return peers_.isReportTarget() || !exchanges_.empty() || newest != usage_.counts().end();
+}
+
+// A daemon that hears most of those that serve chooses by itself. The others go by what one of these told
+// them, and without that by the store's list, which shows a dead daemon until its lease is over.
+Gateway::EntryAnswer Gateway::callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now)
+{
+    const bool ready = isReady(now);
+    const bool hears = peers_.hearsMost(now);
+    const bool told = !hears && now - toldEntriesAt_ < ToldEntriesLast && !toldEntries_.empty();
+    std::vector<Address> entries = toldEntries_;
+    if (told && !ready)
+        std::erase(entries, own.address);
+    if (!told) {
+        std::vector<EntryCandidate> candidates
+            = hears ? peers_.entryCandidates(now) : peers_.listedCandidates(now);
+        if (ready)
+            candidates.push_back({own.address, own.cores, servingRole_.serves()});
+        entries = chooseEntries(std::move(candidates), peers_.coresUsed(now) + ownCoresUsed);
+    }
+    servingRole_.note(std::find(entries.begin(), entries.end(), own.address) != entries.end(), now);
     if (std::exchange(entryCount_, entries.size()) != entries.size())
         log_.write(LogWeight::State, "entries",
-                   {{"count", entries.size()}, {"ready", ready}, {"cores_used", used}});
-    return entries;
+                   {{"count", entries.size()},
+                    {"told", told},
+                    {"hears_most", hears},
+                    {"serves", servingRole_.serves()},
+                    {"cores_used", peers_.coresUsed(now) + ownCoresUsed}});
+    return {std::move(entries), told};
 }
 
 } // namespace cranberry
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -18,8 +18,14 @@
 constexpr DurationMs EndpointsPace{500};
 /// Pace of asking another daemon. Its own view is up to a read's pace old when it answers.
 constexpr DurationMs AskPace{300};
+/// One that stands by asks less often: only callers with old addresses come to it.
+constexpr DurationMs StandbyAskPace{500};
 /// A view older than this is renewed by reading, whatever the other daemon says.
 constexpr DurationMs OldestBorrowed{1300};
+constexpr DurationMs StandbyOldestBorrowed{1800};
+/// A daemon that left so many questions in a row unanswered is not asked for a while.
+constexpr uint32_t SilentQuestions = 3;
+constexpr DurationMs SilentTime{3000};
 /// After so many failed reads in a row, or while one is not answered for so long, a daemon asks others, also
 /// if it is one of those that read for all. It goes on trying; at a slower pace while others keep its view
 /// fresh.
@@ -42,6 +48,8 @@
 /// holders could be A, B, A within one lease.
 constexpr DurationMs StandMargin{700};
 constexpr uint64_t StandSpreadMs = 400; ///< So that not all stand in the same moment.
+/// Those that serve hear the counts that are to be reported; the others stand only if none of them does.
+constexpr DurationMs StandbyStandsLater{2000};
 constexpr DurationMs RetryPause{500};
 
 constexpr const char *MemberPrefix = "members/";
@@ -55,9 +63,50 @@
                                         {"failureDomain", member.failureDomain.value},
                                         {"callerAddress", toText(member.callerAddress)},
                                         {"peerAddress", toText(member.peerAddress)},
-                                        {"cores", member.cores}});
+                                        {"cores", member.cores},
+                                        {"serving", member.serving}});
 }
 
+namespace {
+
+/// Members that daemons which ask are told: those that serve, or all while none does. Those that stand by
+/// come and go unnoticed: with hundreds of them each change would make all others read the store.
+std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members)
+{
+    std::vector<MemberEntry> serving;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(serving),
+                 [](const MemberEntry &member) { return member.serving; });
+    return serving.empty() ? members : serving;
+}
+
+uint64_t digestOfShared(uint64_t version, const std::vector<MemberEntry> &members, const LeaderEntry &leader)
+{
+    std::string digested = fmt::format("{};{}={};", version, leader.revision, leader.value);
+    for (const MemberEntry &member : toldMembers(members))
+        digested += fmt::format("{}={};", member.instance.value, memberText(member));
+    return digestOf(digested) >> 1U; // JSON readers keep 63 bits.
+}
+
+uint64_t digestOfEntries(const std::vector<Address> &entries)
+{
+    std::string digested;
+    for (const Address &address : entries)
+        digested += toText(address) + ";";
+    return digestOf(digested) >> 1U;
+}
+
+/// The instance that a leader's entry names; empty if it names none.
+InstanceName holderOf(const LeaderEntry &leader)
+{
+    json::error_code code;
+    const json::value value = json::parse(leader.value, code);
+    const json::object *object = code || leader.revision == 0 ? nullptr : value.if_object();
+    const json::value *instance = object ? object->if_contains("instance") : nullptr;
+    return {instance && instance->is_string() ? std::string(instance->as_string()) : std::string()};
+}
+
+} // namespace
+
 std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text)
 {
     return boost::leaf::try_handle_all(
@@ -70,6 +119,7 @@
             reader.required("callerAddress", member.callerAddress);
             reader.required("peerAddress", member.peerAddress);
             reader.optional("cores", member.cores, 0, 4096);
+            reader.optional("serving", member.serving);
             reader.markKnown("incarnation");
             if (const FieldError *error = reader.finish())
                 return boost::leaf::new_error(*error);
@@ -134,10 +184,11 @@
     if (source_ && now >= askAt_)
         ask(now);
     const bool failing = readsFail(now);
-    const bool fresh = now - std::min(newestShared_, newestEndpoints_) < OldestBorrowed;
+    const DurationMs oldest = oldestBorrowed();
+    const bool fresh = now - std::min(newestShared_, newestEndpoints_) < oldest;
     const int64_t slower = failing && fresh ? SlowerWhileFailing : 1;
-    const bool sharedIsOld = !source_ || failing || now - newestShared_ > OldestBorrowed;
-    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > OldestBorrowed;
+    const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
+    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
         sharedAt_ = now + SharedPace * slower;
         readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
@@ -159,8 +210,9 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
+    const DurationMs later = settings_.self.serving ? DurationMs{0} : StandbyStandsLater;
     const bool mayStand
-        = leader_.revision == 0 ? now >= standAt_ : leaderIsEarlierLife_ && now >= takeBackAt_;
+        = leader_.revision == 0 ? now >= standAt_ + later : leaderIsEarlierLife_ && now >= takeBackAt_;
     if (lease_ != 0 && mayStand && newestShared_ >= startedAt_ && !tooManyOpen(Purpose::Stand)
         && now < leaseValidUntil_)
         stand(now);
@@ -174,7 +226,7 @@
     call.puts.push_back({StoreSpace::Shared, MemberPrefix + settings_.self.instance.value,
                          memberText(settings_.self), lease_});
     call.timeout = WriteTimeout;
-    send(std::move(call), {Purpose::Register, now, now, {}, lease_}, now);
+    send(std::move(call), {Purpose::Register, now, now, {}, lease_, settings_.self.serving}, now);
 }
 
 std::string StoreSync::ownLeaderValue() const
@@ -187,12 +239,7 @@
 // ended.
 bool StoreSync::isEarlierLife(const std::string &leaderValue) const
 {
-    json::error_code code;
-    const json::value value = json::parse(leaderValue, code);
-    const json::object *object = code ? nullptr : value.if_object();
-    const json::value *instance = object ? object->if_contains("instance") : nullptr;
-    return instance && instance->is_string() && instance->as_string() == settings_.self.instance.value
-        && leaderValue != ownLeaderValue();
+    return holderOf({leaderValue, 1, 0}) == settings_.self.instance && leaderValue != ownLeaderValue();
 }
 
 // The write's condition lets one daemon win. Its revision is the fencing token: unique, and larger than any
@@ -243,7 +290,9 @@
     case Purpose::Renew:
         return onLeaseReply(open, reply, now);
     case Purpose::Register:
-        registered_ = reply.outcome == StoreOutcome::Done && open.lease == lease_;
+        registered_ = reply.outcome == StoreOutcome::Done && open.lease == lease_
+            && open.serving == settings_.self.serving;
+        registeredAt_ = now;
         if (reply.outcome == StoreOutcome::NotFound && open.lease == lease_)
             loseLease(now, "register");
         return;
@@ -286,10 +335,7 @@
     std::vector<MemberEntry> members;
     LeaderEntry leader;
     bool sawConfiguration = false;
-    std::string digested;
     for (const StoreItem &item : open.pages) {
-        digested += item.isConfiguration ? fmt::format("{};", item.configuration->version)
-                                         : fmt::format("{}={};", item.key, item.value);
         if (item.isConfiguration) {
             sawConfiguration = true;
             configuration_ = item.configuration;
@@ -305,10 +351,10 @@
                 log_.write(LogWeight::Failure, "member_unreadable", {{"key", item.key}});
         }
     }
-    sharedDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
     if (sawConfiguration != sawConfiguration_)
         log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
     sawConfiguration_ = sawConfiguration;
+    sharedDigest_ = digestOfShared(knownVersion(), members, leader);
     takeMembers(std::move(members), leader, open.readStartedAt, now);
 }
 
@@ -316,7 +362,9 @@
                             TimeMs now)
 {
     members_ = members;
+    checkOwnEntry(askedAt);
     news_.members = std::move(members);
+    news_.dutyHolder = holderOf(leader);
     // What was asked before our own win can't have seen it.
     const bool staleView = leaderIsSelf_ && leader.revision < leader_.revision;
     if (staleView && lease_ == leader_.lease && askedAt + WriteTimeout > now)
@@ -334,6 +382,19 @@
     leaderIsEarlierLife_ = isEarlierLife(leader.value);
 }
 
+// A write that was given up may be done later, after the one that followed it: the others would go on without
+// the share of the limits that this daemon takes.
+void StoreSync::checkOwnEntry(TimeMs askedAt)
+{
+    if (!registered_ || askedAt <= registeredAt_)
+        return;
+    const bool listedServing
+        = std::any_of(members_.begin(), members_.end(), [this](const MemberEntry &member) {
+              return member.incarnation == settings_.self.incarnation && member.serving;
+          });
+    registered_ = listedServing == settings_.self.serving;
+}
+
 void StoreSync::takeEndpoints(const OpenCall &open)
 {
     std::vector<EndpointEntry> entries;
@@ -359,16 +420,51 @@
 
 void StoreSync::ask(TimeMs now)
 {
-    askAt_ = now + AskPace;
+    askAt_ = now + (settings_.self.serving ? AskPace : StandbyAskPace);
     while (questions_.size() >= MostOpenQuestions)
         questions_.erase(questions_.begin());
-    questions_[nextQuestion_] = now;
+    questions_[nextQuestion_] = {now, *source_};
+    Unanswered &unanswered = unanswered_[*source_];
+    ++unanswered.questions;
+    unanswered.askedAt = now;
     outgoing_.push_back({*source_,
                          FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_,
-                                           sharedDigest_, knownVersion()}});
+                                           sharedDigest_, knownVersion(), toldEntriesDigest_}});
     ++nextQuestion_;
 }
 
+DurationMs StoreSync::oldestBorrowed() const
+{
+    return settings_.self.serving ? OldestBorrowed : StandbyOldestBorrowed;
+}
+
+std::set<Address> StoreSync::silentSources(TimeMs now) const
+{
+    std::set<Address> out;
+    for (const std::pair<const Address, Unanswered> &each : unanswered_) {
+        if (each.second.questions > SilentQuestions && now - each.second.askedAt < SilentTime)
+            out.insert(each.first);
+    }
+    return out;
+}
+
+void StoreSync::setServing(bool serving)
+{
+    if (serving == settings_.self.serving)
+        return;
+    log_.write(LogWeight::State, serving ? "serving" : "standing_by", {});
+    settings_.self.serving = serving;
+    registered_ = false;
+}
+
+void StoreSync::setEntries(const std::vector<Address> &entries)
+{
+    if (entries == entries_)
+        return;
+    entries_ = entries;
+    entriesDigest_ = entries.empty() ? 0 : digestOfEntries(entries);
+}
+
 uint64_t StoreSync::knownVersion() const
 {
     return sawConfiguration_ && configuration_ ? configuration_->version : 0;
@@ -384,17 +480,21 @@
     answer.sharedAge = now - newestShared_;
     answer.sharedDigest = sharedDigest_;
     answer.configurationVersion = knownVersion();
-    answer.hasMembers = question.sharedDigest != sharedDigest_
-        && question.configurationVersion == answer.configurationVersion && members_.size() <= MostMembersTold;
-    if (answer.hasMembers) {
-        answer.members = members_;
+    if (question.sharedDigest != sharedDigest_
+        && question.configurationVersion == answer.configurationVersion) {
+        answer.members = toldMembers(members_);
         answer.leader = leader_;
+        answer.hasMembers = answer.members.size() <= MostMembersTold;
     }
     answer.endpointsAge = now - newestEndpoints_;
     answer.endpointsDigest = endpointsDigest_;
     answer.hasEndpoints = question.endpointsDigest != endpointsDigest_;
     if (answer.hasEndpoints)
         answer.endpoints = endpoints_;
+    answer.entriesDigest = entriesDigest_;
+    answer.hasEntries = !entries_.empty() && question.entriesDigest != entriesDigest_;
+    if (answer.hasEntries)
+        answer.entries = entries_;
     outgoing_.push_back({from, std::move(answer)});
 }
 
@@ -405,9 +505,25 @@
     const auto found = questions_.find(answer.number);
     if (found == questions_.end())
         return;
-    const TimeMs askedAt = found->second;
+    const TimeMs askedAt = found->second.sentAt;
+    unanswered_.erase(found->second.to);
     questions_.erase(found);
-    const TimeMs sharedAt = askedAt - answer.sharedAge;
+    takeEntriesAnswer(answer, askedAt);
+    takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
+    const TimeMs endpointsAt = askedAt - answer.endpointsAge;
+    if (endpointsAt <= newestEndpoints_)
+        return;
+    if (answer.hasEndpoints) {
+        newestEndpoints_ = endpointsAt;
+        takeEndpointList(answer.endpoints, endpointsAt);
+    } else if (answer.endpointsDigest == endpointsDigest_) {
+        newestEndpoints_ = endpointsAt;
+        news_.endpoints.push_back({endpoints_, endpointsAt});
+    }
+}
+
+void StoreSync::takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now)
+{
     if (answer.sharedDigest != sharedDigest_) {
         // Something changed, here or there: the store tells what. If it is not the configuration, this is
         // confirmed all the same: a daemon that the store turns away could not serve keys for long otherwise.
@@ -426,16 +542,17 @@
         newestShared_ = sharedAt;
         news_.configurations.push_back({configuration_, sharedAt});
     }
-    const TimeMs endpointsAt = askedAt - answer.endpointsAge;
-    if (endpointsAt <= newestEndpoints_)
-        return;
-    if (answer.hasEndpoints) {
-        newestEndpoints_ = endpointsAt;
-        takeEndpointList(answer.endpoints, endpointsAt);
-    } else if (answer.endpointsDigest == endpointsDigest_) {
-        newestEndpoints_ = endpointsAt;
-        news_.endpoints.push_back({endpoints_, endpointsAt});
+}
+
+// An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
+void StoreSync::takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt)
+{
+    if (answer.hasEntries) {
+        toldEntries_ = answer.entries;
+        toldEntriesDigest_ = answer.entriesDigest;
     }
+    if (!toldEntries_.empty() && answer.entriesDigest == toldEntriesDigest_)
+        news_.entries = EntriesTold{toldEntries_, askedAt};
 }
 
 void StoreSync::onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -6,6 +6,7 @@
 #include "random.h"
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace cranberry {
@@ -43,12 +44,20 @@
         std::vector<ConfigurationRead> configurations;
         std::vector<EndpointsRead> endpoints;
         std::optional<std::vector<MemberEntry>> members;
+        InstanceName dutyHolder; ///< With `members`; empty: there is none.
+        std::optional<EntriesTold> entries;
     };
 
     void tick(TimeMs now);
     void onReply(const StoreReply &reply, TimeMs now);
     /// Whom to ask instead of reading; nothing: this daemon reads itself.
     void setSource(const std::optional<Address> &source) { source_ = source; }
+    /// Daemons that left the last questions unanswered. After a while they are tried again.
+    std::set<Address> silentSources(TimeMs now) const;
+    /// This daemon's own entry says so from now on.
+    void setServing(bool serving);
+    /// The addresses for callers that daemons which ask are told; none if this daemon was told itself.
+    void setEntries(const std::vector<Address> &entries);
     /// Own reads are not answered, though others' may be.
     bool readsFail(TimeMs now) const;
     void onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now);
@@ -79,6 +88,7 @@
         TimeMs readStartedAt; ///< Of the first page.
         std::vector<StoreItem> pages;
         uint64_t lease = 0;
+        bool serving = false; ///< As registered.
     };
 
     static bool isRead(Purpose purpose)
@@ -91,6 +101,10 @@
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
     void takeShared(const OpenCall &open, TimeMs now);
     void takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
+    void takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now);
+    void takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt);
+    DurationMs oldestBorrowed() const;
+    void checkOwnEntry(TimeMs askedAt);
     uint64_t knownVersion() const; ///< Of the configuration; 0: none.
     void takeEndpoints(const OpenCall &open);
     void takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt);
@@ -124,8 +138,21 @@
 
     std::optional<Address> source_;
     TimeMs askAt_;
-    std::map<uint64_t, TimeMs> questions_; ///< Open ones, with the time of sending.
+    struct OpenQuestion {
+        TimeMs sentAt;
+        Address to;
+    };
+    std::map<uint64_t, OpenQuestion> questions_;
     uint64_t nextQuestion_ = 1;
+    struct Unanswered {
+        uint32_t questions = 0; ///< In a row.
+        TimeMs askedAt; ///< The newest.
+    };
+    std::map<Address, Unanswered> unanswered_;
+    std::vector<Address> entries_; ///< That daemons which ask are told.
+    uint64_t entriesDigest_ = 0;
+    std::vector<Address> toldEntries_;
+    uint64_t toldEntriesDigest_ = 0;
     std::vector<Outgoing> outgoing_;
     ServingConfigurationPtr configuration_; ///< Of the newest read.
     uint64_t sharedDigest_ = 0;
@@ -136,6 +163,7 @@
     TimeMs leaseValidUntil_; ///< On our clock, counted from when the renewal was sent.
     TimeMs renewAt_;
     bool registered_ = false;
+    TimeMs registeredAt_;
     TimeMs registerAt_;
 
     std::vector<MemberEntry> members_;
--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -35,7 +35,7 @@
     const ServedService *service = exchange.configuration->findService(exchange.service);
     exchange.inTimeUntil = exchange.callerWaitsUntil;
     if (service && service->engine) {
-        const DurationMs reading = readingPace(exchange.service).readingTime(*exchange.request);
+        const DurationMs reading = readingPace(exchange.service, now).readingTime(*exchange.request);
         exchange.inTimeUntil
             = exchange.arrivedAt + std::max(exchange.route->latencyTarget - reading, DurationMs{0});
     }
@@ -68,7 +68,7 @@
     if (!result.choice)
         return result.problem;
     if (isLate) {
-        const ReadingPace pace = readingPace(exchange.service);
+        const ReadingPace pace = readingPace(exchange.service, now);
         lateAt_[exchange.service] = now + pace.drainTime(pace.readingTime(*exchange.request));
     }
     send(exchange, question, *result.choice, now);
@@ -91,10 +91,10 @@
     return {static_cast<int64_t>(speed.baseMs + static_cast<double>(tokens) / speed.tokensPerMs)};
 }
 
-Gateway::ReadingPace Gateway::readingPace(const ServiceName &service) const
+Gateway::ReadingPace Gateway::readingPace(const ServiceName &service, TimeMs now) const
 {
     return {readingSpeed(demand_.readings(service)), std::max<int64_t>(1, fleet_.count(service)),
-            static_cast<int64_t>(peers_.memberCount())};
+            static_cast<int64_t>(peers_.sharers(now))};
 }
 
 // Until a place is free for one more request of this priority: those that wait before it, and it, at the pace
@@ -111,7 +111,7 @@
         ahead += other.service == exchange.service && other.priority <= exchange.priority ? 1 : 0;
     }
     // The other daemons' callers wait for the same places.
-    const double shared = static_cast<double>(ahead * peers_.memberCount());
+    const double shared = static_cast<double>(ahead * peers_.sharers(now));
     return {static_cast<int64_t>(mean->second * shared / places)};
 }
 
@@ -139,7 +139,7 @@
             const auto known = paces.find(exchange.service);
             const ReadingPace &pace = known != paces.end()
                 ? known->second
-                : paces.emplace(exchange.service, readingPace(exchange.service)).first->second;
+                : paces.emplace(exchange.service, readingPace(exchange.service, now)).first->second;
             DurationMs &ahead = lateAhead[exchange.service];
             ahead = ahead + pace.readingTime(*exchange.request);
             const DurationMs drained = pace.drainTime(ahead);
--- a/src/io/gatewaycallers.cpp
+++ b/src/io/gatewaycallers.cpp
@@ -45,8 +45,7 @@
 
 void GatewayServer::State::onEntryQuestion(const HttpExchangePtr &exchange)
 {
-    const std::vector<Address> addresses
-        = gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, steadyNow());
+    const std::vector<Address> addresses = entryAddresses(steadyNow());
     if (addresses.empty())
         return exchange->respond(503, {}, "");
     exchange->respond(
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-/// Daemons that serve requests tell each other at this pace, whatever the number of all: an engine's queue
-/// changes within a few hundred milliseconds.
-constexpr DurationMs BusyReportPace{200};
-constexpr size_t MostBusyTold = 24; ///< With more of them, the turns of all daemons have to do.
-/// Where there are so many daemons that reports go in turns, one without requests takes every second turn: it
-/// has nothing new to tell but that it is there, and two of its reports may be lost before it is given up. Of
-/// 84 daemons ten serve: 12 in 100 fewer bytes between failure domains, in one play of two days.
-constexpr int64_t IdleTurns = 2;
 constexpr DurationMs CoresPace{500};
 constexpr double CoresWeight = 0.2; ///< Of the newest measurement: the mean of about the last 2.5 s.
 
@@ -103,16 +95,18 @@
 {
     const TimeMs now = steadyNow();
     StoreSync::News news = sync.takeNews();
-    std::vector<Address> unknown;
+    const bool newMembers = news.members.has_value();
     if (news.members) {
-        unknown = gateway.peers().unknownAmong(*news.members);
-        gateway.onMembers(std::move(*news.members));
+        gateway.onMembers(std::move(*news.members), now);
+        gateway.onDutyHolder(news.dutyHolder);
     }
+    if (news.entries)
+        gateway.onEntriesTold(*news.entries);
     for (const ConfigurationRead &read : news.configurations)
         gateway.onConfiguration(read, now);
     for (const EndpointsRead &read : news.endpoints)
         gateway.onEndpoints(read, now);
-    greet(unknown, now);
+    greet(newMembers, now);
     const ServingConfigurationPtr configuration = gateway.configuration();
     if (configuration && configuration->version != limitsVersion) {
         limitsVersion = configuration->version;
@@ -203,7 +197,8 @@
 }
 
 // Reports may be lost: the next one says all of it again. Each tick tells a few daemons, in turn: to all at
-// once would overflow the queue of a slow link, and the sockets of the others.
+// once would overflow the queue of a slow link, and the sockets of the others. One that stands by and has
+// nothing to tell is silent.
 void GatewayServer::State::sendReports(bool toAll)
 {
     const TimeMs now = steadyNow();
@@ -211,29 +206,21 @@
     // first on.
     const int64_t ownOffset = wallNowMs() - now.count;
     gateway.usage().setOffset(gateway.peers().medianWallOffset(ownOffset, now));
-    const std::vector<MemberEntry> &members = gateway.peers().members();
-    const DurationMs turn = gateway.peers().reportPace();
-    const bool tellsLittle = turn > BusyReportPace && gateway.isIdle();
-    const DurationMs pace = tellsLittle ? turn * IdleTurns : turn;
-    reportsDue += static_cast<double>(members.size()) * static_cast<double>((now - reportedAt).count)
-        / static_cast<double>(pace.count);
-    reportedAt = now;
-    size_t count = toAll ? members.size() : std::min(static_cast<size_t>(reportsDue), members.size());
+    const std::vector<const MemberEntry *> &targets = gateway.peers().reportTargets();
+    const DurationMs since = now - std::exchange(reportedAt, now);
+    if (targets.empty() || (!toAll && !gateway.hasNews(now)))
+        return;
+    reportsDue += static_cast<double>(targets.size()) * static_cast<double>(since.count)
+        / static_cast<double>(gateway.peers().reportPace().count);
+    size_t count = toAll ? targets.size() : std::min(static_cast<size_t>(reportsDue), targets.size());
     if (count == 0)
         return;
     reportsDue = toAll ? 0 : std::min(reportsDue - static_cast<double>(count), 1.0);
     const std::string text = reportText(now);
     for (; count > 0; --count) {
-        nextMember = (nextMember + 1) % members.size();
-        if (members[nextMember].instance != settings.instance)
-            sendDatagram(members[nextMember].peerAddress, text);
+        nextTarget = (nextTarget + 1) % targets.size();
+        sendDatagram(targets[nextTarget]->peerAddress, text);
     }
-    if (now < busyReportedAt + BusyReportPace || pace <= BusyReportPace || gateway.isIdle())
-        return;
-    busyReportedAt = now;
-    const std::vector<const MemberEntry *> busy = gateway.peers().busyMembers(now);
-    for (size_t i = 0; i < busy.size() && busy.size() <= MostBusyTold; ++i)
-        sendDatagram(busy[i]->peerAddress, text);
 }
 
 std::string GatewayServer::State::reportText(TimeMs now)
@@ -246,20 +233,21 @@
     return encodeDatagram(report);
 }
 
-// With many daemons the turn of each comes once a second. After a start that would be a second in which
-// callers are sent to one daemon, and requests are refused for a limit that others have room in: so new
-// members are told at once, and all as soon as this daemon takes requests.
-void GatewayServer::State::greet(const std::vector<Address> &unknown, TimeMs now)
+// After a start the next turn would be too late: callers would be sent to one daemon, and requests refused for
+// a limit that others have room in. So all are told as soon as this daemon takes requests, and those that
+// begin to serve at once.
+void GatewayServer::State::greet(bool newMembers, TimeMs now)
 {
     const bool ready = gateway.isReady(now);
     if (ready && !std::exchange(wasReady, ready))
         return sendReports(true);
     wasReady = ready;
-    if (!ready || unknown.empty())
+    const std::vector<const MemberEntry *> &begun = gateway.peers().newTargets();
+    if (!ready || !newMembers || begun.empty() || !gateway.hasNews(now))
         return;
     const std::string text = reportText(now);
-    for (const Address &address : unknown)
-        sendDatagram(address, text);
+    for (const MemberEntry *target : begun)
+        sendDatagram(target->peerAddress, text);
 }
 
 bool GatewayServer::State::measureCores(TimeMs now)
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -77,7 +77,7 @@
     // The holder of the duties orders engines: it reads the list itself, without a way round, if it can.
     const bool canRead = !sync.readsFail(now);
     sync.setSource(canRead && sync.leadership(now).held ? std::nullopt
-                                                        : gateway.peers().readerToAsk(canRead, now));
+                                                        : gateway.peers().readerToAsk(canRead, sync.silentSources(now), now));
     sync.tick(now);
     sendOutgoing();
     runStoreCalls();
@@ -85,7 +85,7 @@
     runActions();
     runDuties();
     if (measureCores(now))
-        gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
+        entryAddresses(now);
     sendReports(false);
     if (now >= flushAt) {
         flushAt = now + LogPace;
@@ -104,6 +104,16 @@
     });
 }
 
+// Each answer is a choice of the daemons that serve; this one may be among them.
+std::vector<Address> GatewayServer::State::entryAddresses(TimeMs now)
+{
+    Gateway::EntryAnswer answer
+        = gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
+    sync.setEntries(answer.told ? std::vector<Address>() : answer.addresses);
+    sync.setServing(gateway.serves());
+    return std::move(answer.addresses);
+}
+
 void GatewayServer::State::waitForSignal()
 {
     signals.async_wait([this](boost::system::error_code code, int signal) {
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -73,7 +73,8 @@
     Address peerAddress() const; ///< Of the datagram that is being handled.
     void sendReports(bool toAll);
     std::string reportText(TimeMs now);
-    void greet(const std::vector<Address> &unknown, TimeMs now);
+    void greet(bool newMembers, TimeMs now);
+    std::vector<Address> entryAddresses(TimeMs now);
     bool measureCores(TimeMs now); ///< True when it was time to.
 
     void tick();
@@ -113,12 +114,11 @@
     boost::asio::signal_set signals{io};
     TimeMs reportedAt;
     double reportsDue = 0; ///< Daemons that are to be told by now.
-    TimeMs busyReportedAt;
     TimeMs coresMeasuredAt;
     double processorTimeMs = 0; ///< At that time.
     double coresUsed = 0; ///< Moving mean.
     bool wasReady = false;
-    size_t nextMember = 0;
+    size_t nextTarget = 0;
     TimeMs flushAt;
     TimeMs settingsCheckAt;
     uint64_t peerBytesSent = 0;
