Endpoints are told as what changed since the asker's version

Now the difference is told from a history of 16 versions; where it can't be, the asker reads at once. Test: two lists follow each other over 2,000 changes with lost answers.

--- /dev/null
+++ b/src/gateway/endpointlist.cpp
@@ -0,0 +1,103 @@
+#include "gateway/endpointlist.h"
+
+#include "fields.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+/// The reader makes a step each half second at most, and daemons ask more often than that: one that lost
+/// several answers still finds its version.
+constexpr size_t MostSteps = 16;
+
+// What a daemon must not miss. Other fields change without need of being told.
+std::string digestedText(const EndpointEntry &entry)
+{
+    return fmt::format("{} {} {} {} {};", entry.id.value, entry.start.unixMs, entry.readable,
+                       toText(entry.address), entry.leaving);
+}
+
+uint64_t digestOfEntries(const std::vector<EndpointEntry> &entries)
+{
+    std::string digested;
+    for (const EndpointEntry &entry : entries)
+        digested += digestedText(entry);
+    return std::max<uint64_t>(digestOf(digested) >> 1U, 1); // JSON readers keep 63 bits.
+}
+
+bool isBefore(const EndpointEntry &a, const EndpointEntry &b)
+{
+    return a.id < b.id;
+}
+
+// Both lists are in the order of their ids.
+std::set<EndpointId> differences(const std::vector<EndpointEntry> &before,
+                                 const std::vector<EndpointEntry> &after)
+{
+    std::set<EndpointId> out;
+    auto old = before.begin();
+    for (const EndpointEntry &entry : after) {
+        for (; old != before.end() && old->id < entry.id; ++old)
+            out.insert(old->id);
+        const bool isKnown = old != before.end() && old->id == entry.id;
+        if (!isKnown || digestedText(*old) != digestedText(entry))
+            out.insert(entry.id);
+        if (isKnown)
+            ++old;
+    }
+    for (; old != before.end(); ++old)
+        out.insert(old->id);
+    return out;
+}
+
+} // namespace
+
+void EndpointList::replace(std::vector<EndpointEntry> entries)
+{
+    std::sort(entries.begin(), entries.end(), isBefore);
+    const uint64_t digest = digestOfEntries(entries);
+    if (digest != digest_) {
+        steps_.push_back({digest_, differences(entries_, entries)});
+        if (steps_.size() > MostSteps)
+            steps_.pop_front();
+    }
+    entries_ = std::move(entries);
+    digest_ = digest;
+}
+
+bool EndpointList::apply(uint64_t base, const EndpointChanges &changes)
+{
+    if (base != digest_)
+        return false;
+    std::set<EndpointId> replaced(changes.gone.begin(), changes.gone.end());
+    for (const EndpointEntry &entry : changes.changed)
+        replaced.insert(entry.id);
+    std::vector<EndpointEntry> entries = entries_;
+    std::erase_if(entries, [&replaced](const EndpointEntry &entry) { return replaced.contains(entry.id); });
+    entries.insert(entries.end(), changes.changed.begin(), changes.changed.end());
+    replace(std::move(entries));
+    return true;
+}
+
+std::optional<EndpointChanges> EndpointList::since(uint64_t base) const
+{
+    const auto first = std::find_if(steps_.rbegin(), steps_.rend(),
+                                    [base](const Step &step) { return step.before == base; });
+    if (base == 0 || first == steps_.rend())
+        return std::nullopt;
+    std::set<EndpointId> ids;
+    for (auto step = first.base() - 1; step != steps_.end(); ++step)
+        ids.insert(step->ids.begin(), step->ids.end());
+    EndpointChanges out;
+    for (const EndpointEntry &entry : entries_) {
+        if (ids.erase(entry.id) > 0)
+            out.changed.push_back(entry);
+    }
+    out.gone.assign(ids.begin(), ids.end());
+    return out;
+}
+
+} // namespace cranberry
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -219,6 +219,12 @@
     uint64_t entriesDigest = 0; ///< Of the addresses for callers that it was told.
 };
 
+/// Entries that differ between two versions of the endpoints' list.
+struct EndpointChanges {
+    std::vector<EndpointEntry> changed; ///< As they are now.
+    std::vector<EndpointId> gone;
+};
+
 /// The answer. Ages are counted at the answerer when it answers; the asker subtracts them from the time at
 /// which it sent the question, so that no delay on the way makes anything look fresher than it was.
 struct FreshnessAnswer {
@@ -233,7 +239,11 @@
     LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
-    bool hasEndpoints = false; ///< The list follows, since the asker's differs.
+    /// If the asker's list differs: what changed since its version `endpointsBase`, or the whole list. Neither:
+    /// that fits no datagram, and the asker reads it.
+    std::optional<EndpointChanges> endpointChanges;
+    uint64_t endpointsBase = 0;
+    bool hasEndpoints = false;
     std::vector<EndpointEntry> endpoints;
     uint64_t entriesDigest = 0;
     bool hasEntries = false; ///< The addresses for callers follow, since the asker's differ.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -150,6 +150,18 @@
     return question;
 }
 
+json::array rowsOf(const std::vector<EndpointEntry> &entries)
+{
+    json::array rows;
+    for (const EndpointEntry &entry : entries) {
+        rows.push_back({entry.id.value, entry.service.value, toText(entry.address), entry.failureDomain.value,
+                        entry.slots, entry.leaving, entry.reclaimable,
+                        entry.leavesAfter ? entry.leavesAfter->count : -1, entry.start.unixMs,
+                        entry.readable});
+    }
+    return rows;
+}
+
 json::object encoded(const FreshnessAnswer &answer)
 {
     json::object out{{"kind", "answer"},
@@ -174,16 +186,41 @@
         out["members"] = std::move(members);
         out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
     }
-    if (!answer.hasEndpoints)
-        return out;
-    json::array rows;
-    for (const EndpointEntry &entry : answer.endpoints) {
-        rows.push_back({entry.id.value, entry.service.value, toText(entry.address), entry.failureDomain.value,
-                        entry.slots, entry.leaving, entry.reclaimable,
-                        entry.leavesAfter ? entry.leavesAfter->count : -1, entry.start.unixMs,
-                        entry.readable});
+    if (answer.hasEndpoints)
+        out["endpoints"] = rowsOf(answer.endpoints);
+    if (answer.endpointChanges) {
+        out["endpointsBase"] = answer.endpointsBase;
+        out["changed"] = rowsOf(answer.endpointChanges->changed);
+        json::array gone;
+        for (const EndpointId &id : answer.endpointChanges->gone)
+            gone.push_back(json::value(id.value));
+        out["gone"] = std::move(gone);
     }
-    out["endpoints"] = std::move(rows);
+    return out;
+}
+
+EndpointEntry decodedEndpoint(const json::array &fields)
+{
+    EndpointEntry entry;
+    entry.id.value = text(fields[0]);
+    entry.service.value = text(fields[1]);
+    entry.address = addressFromText(text(fields[2])).value_or(Address{});
+    entry.failureDomain.value = text(fields[3]);
+    entry.slots = fields[4].to_number<uint32_t>();
+    entry.leaving = fields[5].as_bool();
+    entry.reclaimable = fields[6].as_bool();
+    if (fields[7].to_number<int64_t>() >= 0)
+        entry.leavesAfter = DurationMs{fields[7].to_number<int64_t>()};
+    entry.start.unixMs = fields[8].to_number<int64_t>();
+    entry.readable = fields[9].as_bool();
+    return entry;
+}
+
+std::vector<EndpointEntry> decodedEndpoints(const json::value &rows)
+{
+    std::vector<EndpointEntry> out;
+    for (const json::value &value : rows.as_array())
+        out.push_back(decodedEndpoint(row(value, 10)));
     return out;
 }
 
@@ -222,25 +259,17 @@
         const json::array &leader = row(object.at("leader"), 3);
         answer.leader = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>()};
     }
-    const json::value *rows = object.if_contains("endpoints");
-    answer.hasEndpoints = rows != nullptr;
-    if (!rows)
-        return answer;
-    for (const json::value &value : rows->as_array()) {
-        const json::array &fields = row(value, 10);
-        EndpointEntry entry;
-        entry.id.value = text(fields[0]);
-        entry.service.value = text(fields[1]);
-        entry.address = addressFromText(text(fields[2])).value_or(Address{});
-        entry.failureDomain.value = text(fields[3]);
-        entry.slots = fields[4].to_number<uint32_t>();
-        entry.leaving = fields[5].as_bool();
-        entry.reclaimable = fields[6].as_bool();
-        if (fields[7].to_number<int64_t>() >= 0)
-            entry.leavesAfter = DurationMs{fields[7].to_number<int64_t>()};
-        entry.start.unixMs = fields[8].to_number<int64_t>();
-        entry.readable = fields[9].as_bool();
-        answer.endpoints.push_back(std::move(entry));
+    if (const json::value *rows = object.if_contains("endpoints")) {
+        answer.hasEndpoints = true;
+        answer.endpoints = decodedEndpoints(*rows);
+    }
+    if (const json::value *changed = object.if_contains("changed")) {
+        EndpointChanges changes;
+        changes.changed = decodedEndpoints(*changed);
+        for (const json::value &id : object.at("gone").as_array())
+            changes.gone.push_back(EndpointId{text(id)});
+        answer.endpointsBase = object.at("endpointsBase").to_number<uint64_t>();
+        answer.endpointChanges = std::move(changes);
     }
     return answer;
 }
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -34,6 +34,8 @@
 constexpr int64_t SlowerWhileFailing = 3;
 /// More members don't fit into a datagram with the list of endpoints; they are read.
 constexpr size_t MostMembersTold = 120;
+/// Entries of endpoints take 150 B of a datagram of 60 KB.
+constexpr size_t MostEndpointsTold = 300;
 constexpr size_t MostOpenQuestions = 16;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
@@ -407,13 +409,8 @@
 
 void StoreSync::takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt)
 {
-    std::string digested;
-    for (const EndpointEntry &entry : entries)
-        digested += fmt::format("{} {} {} {} {};", entry.id.value, entry.start.unixMs, entry.readable,
-                                toText(entry.address), entry.leaving);
-    endpointsDigest_ = digestOf(digested) >> 1U; // JSON readers keep 63 bits.
-    endpoints_ = entries;
-    news_.endpoints.push_back({std::move(entries), askedAt});
+    endpoints_.replace(std::move(entries));
+    news_.endpoints.push_back({endpoints_.entries(), askedAt});
 }
 
 // ---- Asking instead of reading ----
@@ -428,7 +425,7 @@
     ++unanswered.questions;
     unanswered.askedAt = now;
     outgoing_.push_back({*source_,
-                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpointsDigest_,
+                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpoints_.digest(),
                                            sharedDigest_, knownVersion(), toldEntriesDigest_}});
     ++nextQuestion_;
 }
@@ -487,10 +484,9 @@
         answer.hasMembers = answer.members.size() <= MostMembersTold;
     }
     answer.endpointsAge = now - newestEndpoints_;
-    answer.endpointsDigest = endpointsDigest_;
-    answer.hasEndpoints = question.endpointsDigest != endpointsDigest_;
-    if (answer.hasEndpoints)
-        answer.endpoints = endpoints_;
+    answer.endpointsDigest = endpoints_.digest();
+    if (question.endpointsDigest != endpoints_.digest())
+        tellEndpoints(question, answer);
     answer.entriesDigest = entriesDigest_;
     answer.hasEntries = !entries_.empty() && question.entriesDigest != entriesDigest_;
     if (answer.hasEntries)
@@ -510,16 +506,7 @@
     questions_.erase(found);
     takeEntriesAnswer(answer, askedAt);
     takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
-    const TimeMs endpointsAt = askedAt - answer.endpointsAge;
-    if (endpointsAt <= newestEndpoints_)
-        return;
-    if (answer.hasEndpoints) {
-        newestEndpoints_ = endpointsAt;
-        takeEndpointList(answer.endpoints, endpointsAt);
-    } else if (answer.endpointsDigest == endpointsDigest_) {
-        newestEndpoints_ = endpointsAt;
-        news_.endpoints.push_back({endpoints_, endpointsAt});
-    }
+    takeEndpointsAnswer(answer, askedAt - answer.endpointsAge, now);
 }
 
 void StoreSync::takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now)
@@ -544,6 +531,39 @@
     }
 }
 
+void StoreSync::tellEndpoints(const FreshnessQuestion &question, FreshnessAnswer &answer) const
+{
+    const std::vector<EndpointEntry> &all = endpoints_.entries();
+    std::optional<EndpointChanges> changes = endpoints_.since(question.endpointsDigest);
+    const size_t told = changes ? changes->changed.size() + changes->gone.size() : all.size();
+    if (told > MostEndpointsTold)
+        return;
+    answer.endpointsBase = question.endpointsDigest;
+    answer.hasEndpoints = !changes;
+    if (changes)
+        answer.endpointChanges = std::move(changes);
+    else
+        answer.endpoints = all;
+}
+
+// Where the answerer can't tell the difference the store does, at once: leaving endpoints must get no new
+// work within seconds.
+void StoreSync::takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt, TimeMs now)
+{
+    if (endpointsAt <= newestEndpoints_)
+        return;
+    if (answer.hasEndpoints)
+        endpoints_.replace(answer.endpoints);
+    else if (answer.endpointChanges)
+        endpoints_.apply(answer.endpointsBase, *answer.endpointChanges);
+    if (answer.endpointsDigest == endpoints_.digest()) {
+        newestEndpoints_ = endpointsAt;
+        news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
+    } else if (!tooManyOpen(Purpose::ReadEndpoints)) {
+        readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
+    }
+}
+
 // An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
 void StoreSync::takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt)
 {
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/decisionlog.h"
+#include "gateway/endpointlist.h"
 #include "gateway/peertable.h"
 #include "gateway/storecalls.h"
 #include "random.h"
@@ -102,6 +103,8 @@
     void takeShared(const OpenCall &open, TimeMs now);
     void takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
     void takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now);
+    void tellEndpoints(const FreshnessQuestion &question, FreshnessAnswer &answer) const;
+    void takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt, TimeMs now);
     void takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt);
     DurationMs oldestBorrowed() const;
     void checkOwnEntry(TimeMs askedAt);
@@ -156,8 +159,7 @@
     std::vector<Outgoing> outgoing_;
     ServingConfigurationPtr configuration_; ///< Of the newest read.
     uint64_t sharedDigest_ = 0;
-    std::vector<EndpointEntry> endpoints_;
-    uint64_t endpointsDigest_ = 0;
+    EndpointList endpoints_;
 
     uint64_t lease_ = 0;
     TimeMs leaseValidUntil_; ///< On our clock, counted from when the renewal was sent.
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpointfleet.h"
 #include "gateway/eventstream.h"
+#include "gateway/endpointlist.h"
 #include "gateway/peerdatagrams.h"
 #include "gateway/peertable.h"
 #include "gateway/quotas.h"
@@ -383,6 +384,64 @@
     CHECK(read.leader.lease == 4);
     REQUIRE(read.endpoints.size() == 1);
     CHECK(read.endpoints[0].leavesAfter->count == 2000);
+    CHECK_FALSE(read.endpointChanges);
+    answer.hasEndpoints = false;
+    answer.endpointsBase = 55;
+    answer.endpointChanges = EndpointChanges{{entry}, {{"i-2"}, {"i-3"}}};
+    const std::optional<PeerDatagram> changed = decodeDatagram(encodeDatagram(answer));
+    REQUIRE(changed);
+    const FreshnessAnswer &readChanges = std::get<FreshnessAnswer>(*changed);
+    CHECK_FALSE(readChanges.hasEndpoints);
+    CHECK(readChanges.endpointsBase == 55);
+    REQUIRE(readChanges.endpointChanges);
+    CHECK(readChanges.endpointChanges->changed.at(0).id.value == "i-1");
+    CHECK(readChanges.endpointChanges->gone == std::vector<EndpointId>{{"i-2"}, {"i-3"}});
+}
+
+EndpointEntry makeEndpoint(const std::string &id, uint16_t port, bool leaving = false)
+{
+    EndpointEntry entry;
+    entry.id.value = id;
+    entry.address = {"10.0.0.1", port};
+    entry.leaving = leaving;
+    return entry;
+}
+
+TEST_CASE("a list of endpoints follows another one by what changed, whatever was lost between")
+{
+    // Engines come and go several times a second. A daemon asks another one for what is new; some answers are
+    // lost. It must end with the same list, and never take changes that belong to another version.
+    Random random(3);
+    EndpointList reader;
+    EndpointList asker;
+    std::map<std::string, EndpointEntry> truth;
+    size_t told = 0;
+    for (int round = 0; round < 2000; ++round) {
+        const std::string id = "i-" + std::to_string(random.below(40));
+        if (random.below(3) == 0)
+            truth.erase(id);
+        else
+            truth[id] = makeEndpoint(id, static_cast<uint16_t>(random.below(50)), random.below(4) == 0);
+        std::vector<EndpointEntry> entries;
+        for (const std::pair<const std::string, EndpointEntry> &each : truth)
+            entries.push_back(each.second);
+        reader.replace(entries);
+        if (random.below(3) == 0)
+            continue;
+        const uint64_t base = asker.digest();
+        const std::optional<EndpointChanges> changes = reader.since(base);
+        if (!changes) {
+            asker.replace(reader.entries());
+            continue;
+        }
+        told += changes->changed.size() + changes->gone.size();
+        CHECK_FALSE(asker.apply(base + 1, *changes));
+        CHECK(asker.apply(base, *changes));
+        CHECK(asker.digest() == reader.digest());
+    }
+    // Whole lists would have been about 25 entries each time.
+    CHECK(told < 2000 * 3);
+    CHECK_FALSE(reader.since(1));
 }
 
 TEST_CASE("asks and gifts of units survive their way")
