--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,7 +73,7 @@
     bool isReady(TimeMs now) const;
     bool isIdle() const { return exchanges_.empty(); }
     /// What is told to the other daemons; the caller fills in identity and time of day.
-    PeerReport report(TimeMs now);
+    PeerReport report(bool whole, TimeMs now);
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
     struct EntryAnswer {
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -45,8 +45,10 @@
         for (const EndpointLoad &load : report.loads)
             rows.push_back({load.life.id.value, load.life.start.unixMs, load.running, load.prefillTokens});
     } else if (name == "balances") {
-        for (const OrganisationBalance &balance : report.balances)
-            rows.push_back({balance.organisation.value, compact(balance.spare)});
+        for (const OrganisationBalance &balance : report.balances) {
+            if (balance.spare > 0)
+                rows.push_back({balance.organisation.value, compact(balance.spare)});
+        }
     } else if (name == "windows") {
         for (const WindowCount &count : report.windows)
             rows.push_back({count.window, count.organisation.value, count.count});
@@ -78,6 +80,7 @@
     report.leaving = object.at("leaving").as_bool();
     report.ready = object.at("ready").as_bool();
     report.readsStore = object.at("readsStore").as_bool();
+    report.whole = object.at("whole").as_bool();
     report.sequence = object.at("sequence").to_number<uint64_t>();
     report.wallMs = object.at("wallMs").to_number<int64_t>();
     report.coresUsed = object.at("coresUsed").to_number<double>();
@@ -118,6 +121,7 @@
             {"leaving", report.leaving},
             {"ready", report.ready},
             {"readsStore", report.readsStore},
+            {"whole", report.whole},
             {"sequence", report.sequence},
             {"wallMs", report.wallMs},
             {"coresUsed", report.coresUsed},
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -12,6 +12,8 @@
 /// reads about eighty reports a second at most.
 constexpr DurationMs ShortestReportPace{200};
 constexpr DurationMs ReportPacePerDaemon{12};
+/// Two whole reports must come in time for a window's usage, which is due some seconds after its end.
+constexpr DurationMs ShortestWholeReportPace{1000};
 /// A peer that is silent for so many reports is not counted on.
 constexpr int64_t SilentReports = 6;
 /// Daemons that read the store for all; each of the others asks one of them. With many daemons there are
@@ -38,6 +40,11 @@
     return std::max(ShortestReportPace, ReportPacePerDaemon * static_cast<int64_t>(targets_.size() + 1));
 }
 
+DurationMs PeerTable::wholeReportPace() const
+{
+    return std::max(ShortestWholeReportPace, reportPace());
+}
+
 // Half a pace more: reports wait for a tick, and take their way.
 DurationMs PeerTable::silence() const
 {
@@ -218,7 +225,10 @@
         peer.windows.erase(peer.windows.begin());
     if (peer.counted)
         count(peer, false);
+    const std::vector<ServiceDemand> demands = std::move(peer.report.demands);
     peer.report = report;
+    if (!report.whole)
+        peer.report.demands = demands;
     count(peer, true);
     peer.heardAt = now;
     peer.wallOffset = report.wallMs - now.count;
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -39,6 +39,7 @@
     const std::vector<const MemberEntry *> &reportTargets() const { return targets_; }
     bool isReportTarget() const { return isTarget_; } ///< The others tell this daemon.
     DurationMs reportPace() const; ///< Time between two reports of a daemon to the same one.
+    DurationMs wholeReportPace() const; ///< Time between two that have all parts.
     /// Those among the targets that were none before the last change of the members.
     const std::vector<const MemberEntry *> &newTargets() const { return newTargets_; }
 
--- /dev/null
+++ b/src/gateway/reportschedule.cpp
@@ -0,0 +1,62 @@
+#include "gateway/reportschedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberry {
+
+// Reports may be lost: the next one says all of it again. Each tick tells a few daemons, in turn: to all at
+// once would overflow the queue of a slow link, and the sockets of the others. One that stands by and has
+// nothing to tell is silent.
+ReportSchedule::Due ReportSchedule::due(const PeerTable &peers, bool hasNews, TimeMs now)
+{
+    const std::vector<const MemberEntry *> &targets = peers.reportTargets();
+    const DurationMs since = now - std::exchange(countedAt_, now);
+    if (targets.empty() || !hasNews)
+        return {};
+    const DurationMs pace = peers.reportPace();
+    turns_ += static_cast<double>(targets.size()) * static_cast<double>(since.count)
+        / static_cast<double>(pace.count);
+    const size_t count = std::min(static_cast<size_t>(turns_), targets.size());
+    turns_ = std::min(turns_ - static_cast<double>(count), 1.0);
+    const uint64_t roundsPerWhole
+        = static_cast<uint64_t>(std::max<int64_t>(1, peers.wholeReportPace().count / pace.count));
+    Due out;
+    for (size_t i = 0; i < count; ++i) {
+        if (++next_ >= targets.size()) {
+            next_ = 0;
+            ++round_;
+        }
+        out.to.push_back(targets[next_]->peerAddress);
+        out.whole = out.whole || round_ % roundsPerWhole == 0;
+    }
+    return out;
+}
+
+// After a start the next turn would be too late: callers would be sent to one daemon, and requests refused for
+// a limit that others have room in. So all are told as soon as this daemon takes requests, and those that
+// begin to serve at once.
+ReportSchedule::Due ReportSchedule::afterNews(const PeerTable &peers, bool ready, bool hasNews,
+                                              bool membersRead)
+{
+    const bool isFirst = ready && !wasReady_;
+    wasReady_ = ready;
+    if (isFirst)
+        return toAll(peers);
+    if (!ready || !membersRead || !hasNews)
+        return {};
+    Due out{{}, true};
+    for (const MemberEntry *target : peers.newTargets())
+        out.to.push_back(target->peerAddress);
+    return out;
+}
+
+ReportSchedule::Due ReportSchedule::toAll(const PeerTable &peers)
+{
+    Due out{{}, true};
+    for (const MemberEntry *target : peers.reportTargets())
+        out.to.push_back(target->peerAddress);
+    return out;
+}
+
+} // namespace cranberry
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -89,9 +89,10 @@
         quotas_.refill(organisation, quotaRole(organisation.name, now), now);
 }
 
-PeerReport Gateway::report(TimeMs now)
+PeerReport Gateway::report(bool whole, TimeMs now)
 {
     PeerReport out;
+    out.whole = whole;
     out.instance = settings_.instance;
     out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
@@ -102,13 +103,15 @@
             ++running[entry.second.service];
     }
     demand_.sample(running, now);
-    out.demands = demand_.values();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet_.all()) {
         if (entry.second.running > 0)
             out.loads.push_back({entry.second.life(), entry.second.running, entry.second.prefillTokens});
     }
     refillQuotas(now);
     out.balances = quotas_.balances();
+    if (!whole)
+        return out;
+    out.demands = demand_.values();
     // The newest windows only: the holder of the duty needs them some seconds after their end.
     const int64_t oldest = usage_.windowAt(now) - 1;
     for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -2,8 +2,6 @@
 
 #include "fields.h"
 
-#include "fields.h"
-
 #include <fmt/format.h>
 
 namespace cranberry {
@@ -68,7 +66,7 @@
     const int64_t first = windows.windowAt(now - due_);
     windows_.erase(windows_.begin(), windows_.lower_bound(first));
     // A holder that has just started has not heard the others yet: its counts would leave theirs out.
-    const DurationMs gatherTime = CountingTime + peers.reportPace() * ReportsAwaited;
+    const DurationMs gatherTime = CountingTime + peers.wholeReportPace() * ReportsAwaited;
     if (now < *heldSince_ + gatherTime)
         return;
     for (int64_t number = first; windows.endOf(number) + gatherTime <= now; ++number) {
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -95,7 +95,7 @@
 {
     const TimeMs now = steadyNow();
     StoreSync::News news = sync.takeNews();
-    const bool newMembers = news.members.has_value();
+    const bool membersRead = news.members.has_value();
     if (news.members) {
         gateway.onMembers(std::move(*news.members), now);
         gateway.onDutyHolder(news.dutyHolder);
@@ -106,7 +106,8 @@
         gateway.onConfiguration(read, now);
     for (const EndpointsRead &read : news.endpoints)
         gateway.onEndpoints(read, now);
-    greet(newMembers, now);
+    sendReports(reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now), membersRead),
+                now);
     const ServingConfigurationPtr configuration = gateway.configuration();
     if (configuration && configuration->version != limitsVersion) {
         limitsVersion = configuration->version;
@@ -196,58 +197,18 @@
                      std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
 }
 
-// Reports may be lost: the next one says all of it again. Each tick tells a few daemons, in turn: to all at
-// once would overflow the queue of a slow link, and the sockets of the others. One that stands by and has
-// nothing to tell is silent.
-void GatewayServer::State::sendReports(bool toAll)
+void GatewayServer::State::sendReports(const ReportSchedule::Due &due, TimeMs now)
 {
-    const TimeMs now = steadyNow();
-    // Also before any other daemon is known: requests are counted in windows of the time of day from the
-    // first on.
-    const int64_t ownOffset = wallNowMs() - now.count;
-    gateway.usage().setOffset(gateway.peers().medianWallOffset(ownOffset, now));
-    const std::vector<const MemberEntry *> &targets = gateway.peers().reportTargets();
-    const DurationMs since = now - std::exchange(reportedAt, now);
-    if (targets.empty() || (!toAll && !gateway.hasNews(now)))
-        return;
-    reportsDue += static_cast<double>(targets.size()) * static_cast<double>(since.count)
-        / static_cast<double>(gateway.peers().reportPace().count);
-    size_t count = toAll ? targets.size() : std::min(static_cast<size_t>(reportsDue), targets.size());
-    if (count == 0)
+    if (due.to.empty())
         return;
-    reportsDue = toAll ? 0 : std::min(reportsDue - static_cast<double>(count), 1.0);
-    const std::string text = reportText(now);
-    for (; count > 0; --count) {
-        nextTarget = (nextTarget + 1) % targets.size();
-        sendDatagram(targets[nextTarget]->peerAddress, text);
-    }
-}
-
-std::string GatewayServer::State::reportText(TimeMs now)
-{
-    PeerReport report = gateway.report(now);
+    PeerReport report = gateway.report(due.whole, now);
     report.incarnation = incarnation;
     report.wallMs = wallNowMs();
     report.coresUsed = coresUsed;
     report.readsStore = !sync.readsFail(now);
-    return encodeDatagram(report);
-}
-
-// After a start the next turn would be too late: callers would be sent to one daemon, and requests refused for
-// a limit that others have room in. So all are told as soon as this daemon takes requests, and those that
-// begin to serve at once.
-void GatewayServer::State::greet(bool newMembers, TimeMs now)
-{
-    const bool ready = gateway.isReady(now);
-    if (ready && !std::exchange(wasReady, ready))
-        return sendReports(true);
-    wasReady = ready;
-    const std::vector<const MemberEntry *> &begun = gateway.peers().newTargets();
-    if (!ready || !newMembers || begun.empty() || !gateway.hasNews(now))
-        return;
-    const std::string text = reportText(now);
-    for (const MemberEntry *target : begun)
-        sendDatagram(target->peerAddress, text);
+    const std::string text = encodeDatagram(report);
+    for (const Address &address : due.to)
+        sendDatagram(address, text);
 }
 
 bool GatewayServer::State::measureCores(TimeMs now)
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -86,7 +86,10 @@
     runDuties();
     if (measureCores(now))
         entryAddresses(now);
-    sendReports(false);
+    // Also before any other daemon is known: requests are counted in windows of the time of day from the
+    // first on.
+    gateway.usage().setOffset(gateway.peers().medianWallOffset(wallNowMs() - now.count, now));
+    sendReports(reports.due(gateway.peers(), gateway.hasNews(now), now), now);
     if (now >= flushAt) {
         flushAt = now + LogPace;
         log.flush();
@@ -162,7 +165,7 @@
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
     callerServer->closeAfterResponses();
-    sendReports(true);
+    sendReports(ReportSchedule::toAll(gateway.peers()), stopStartedAt);
 }
 
 void GatewayServer::State::checkStopped()
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -3,6 +3,7 @@
 #include "gateway/enginesizing.h"
 #include "gateway/gateway.h"
 #include "gateway/peerdatagrams.h"
+#include "gateway/reportschedule.h"
 #include "gateway/storesync.h"
 #include "gateway/usageduty.h"
 #include "io/clocksource.h"
@@ -71,9 +72,7 @@
     void sendDatagram(const Address &to, const std::string &text);
     void sendOutgoing();
     Address peerAddress() const; ///< Of the datagram that is being handled.
-    void sendReports(bool toAll);
-    std::string reportText(TimeMs now);
-    void greet(bool newMembers, TimeMs now);
+    void sendReports(const ReportSchedule::Due &due, TimeMs now);
     std::vector<Address> entryAddresses(TimeMs now);
     bool measureCores(TimeMs now); ///< True when it was time to.
 
@@ -112,13 +111,10 @@
 
     boost::asio::steady_timer timer{io};
     boost::asio::signal_set signals{io};
-    TimeMs reportedAt;
-    double reportsDue = 0; ///< Daemons that are to be told by now.
+    ReportSchedule reports;
     TimeMs coresMeasuredAt;
     double processorTimeMs = 0; ///< At that time.
     double coresUsed = 0; ///< Moving mean.
-    bool wasReady = false;
-    size_t nextTarget = 0;
     TimeMs flushAt;
     TimeMs settingsCheckAt;
     uint64_t peerBytesSent = 0;
--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -183,7 +183,7 @@
     void report()
     {
         for (size_t i = 0; i < daemons_.size(); ++i) {
-            PeerReport report = daemons_[i]->report(now_);
+            PeerReport report = daemons_[i]->report(true, now_);
             report.incarnation = members_[i].incarnation;
             for (size_t other = 0; other < daemons_.size(); ++other) {
                 if (other != i)
--- /dev/null
+++ b/tests/fleetview_test.cpp
@@ -0,0 +1,360 @@
+// What daemons know of each other: at 30 to 890 daemons, with kills, losses and cuts, in virtual time.
+
+#include "fakestore.h"
+#include "gateway/gateway.h"
+#include "gateway/peerdatagrams.h"
+#include "gateway/reportschedule.h"
+#include "gateway/storesync.h"
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <memory>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr DurationMs Step{25};
+constexpr DurationMs EntriesPace{500};
+constexpr double StrongCores = 0.5;
+constexpr double WeakCores = 0.12;
+/// Cores that each strong daemon uses, about what carries callers to half.
+constexpr double CoresUsed = 0.1;
+
+/// Daemons as their parts see each other: the store, datagrams with their real bytes, and no callers.
+class FleetWorld
+{
+public:
+    FleetWorld(size_t count, size_t strong) : store_(1), random_(1)
+    {
+        std::shared_ptr<ServingConfiguration> configuration = std::make_shared<ServingConfiguration>();
+        configuration->version = 1;
+        for (int i = 0; i < 40; ++i) {
+            ServedOrganisation organisation;
+            organisation.name.value = fmt::format("organisation-{}", i);
+            organisation.ratePerSecond = 100'000;
+            organisation.burst = 200'000;
+            organisation.countsTokens = true;
+            configuration->organisations.push_back(organisation);
+        }
+        store_.putConfiguration(configuration);
+        daemons_.resize(count);
+        for (size_t i = 0; i < count; ++i) {
+            daemons_[i].cores = i < strong ? StrongCores : WeakCores;
+            start(i, true);
+        }
+    }
+
+    void start(size_t i, bool first = false)
+    {
+        OneDaemon &daemon = daemons_[i];
+        StoreSyncSettings settings;
+        settings.self = {{fmt::format("front-{}", i)}, {++incarnations_}, {"north"},
+                         callerAddress(i),             peerAddress(i),    daemon.cores};
+        settings.firstStart = first;
+        settings.seed = incarnations_;
+        GatewaySettings gatewaySettings;
+        gatewaySettings.instance = settings.self.instance;
+        gatewaySettings.incarnation = settings.self.incarnation;
+        daemon.incarnation = settings.self.incarnation;
+        daemon.sync = std::make_unique<StoreSync>(settings, log_);
+        daemon.gateway = std::make_unique<Gateway>(gatewaySettings, log_);
+        daemon.reports = {};
+        daemon.isUp = true;
+    }
+    void kill(size_t i) { daemons_[i].isUp = false; }
+
+    void pass(DurationMs duration)
+    {
+        for (const TimeMs until = now + duration; now < until;) {
+            now = now + Step;
+            for (size_t i = 0; i < daemons_.size(); ++i) {
+                if (daemons_[i].isUp)
+                    tick(i);
+            }
+            for (std::pair<size_t, StoreReply> &reply : store_.replies(now)) {
+                if (!daemons_[reply.first].isUp)
+                    continue;
+                daemons_[reply.first].sync->onReply(reply.second, now);
+                takeNews(reply.first);
+            }
+            deliver();
+        }
+    }
+
+    size_t count() const { return daemons_.size(); }
+    bool isUp(size_t i) const { return daemons_[i].isUp; }
+    bool isReady(size_t i) const { return daemons_[i].isUp && daemons_[i].gateway->isReady(now); }
+    bool serves(size_t i) const { return daemons_[i].gateway->serves(); }
+    std::vector<Address> entriesOf(size_t i) { return answer(daemons_[i], i).addresses; }
+    double storeReads() const { return static_cast<double>(storeReads_); }
+    /// Daemons that are up and name one of those that are down to callers.
+    size_t namingTheDead()
+    {
+        size_t naming = 0;
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (!daemons_[i].isUp)
+                continue;
+            const std::vector<Address> entries = entriesOf(i);
+            naming += std::any_of(entries.begin(), entries.end(),
+                                  [this](const Address &each) { return !daemons_[indexOf(each)].isUp; });
+        }
+        return naming;
+    }
+    static size_t indexOf(const Address &address) { return address.port - FirstPort; }
+
+    /// What daemons sent and read in a time.
+    struct Traffic {
+        double bytes = 0;
+        double datagrams = 0;
+    };
+    void resetTraffic()
+    {
+        storeReads_ = 0;
+        for (OneDaemon &daemon : daemons_)
+            daemon.traffic = {};
+    }
+    Traffic trafficOf(size_t i) const { return daemons_[i].traffic; }
+
+    TimeMs now{1'000'000};
+    uint64_t lossPercent = 0;
+
+private:
+    struct OneDaemon {
+        double cores = WeakCores;
+        Incarnation incarnation;
+        std::unique_ptr<StoreSync> sync;
+        std::unique_ptr<Gateway> gateway;
+        ReportSchedule reports;
+        TimeMs entriesAt;
+        bool isUp = false;
+        Traffic traffic;
+    };
+    struct Datagram {
+        size_t from = 0;
+        size_t to = 0;
+        std::string text;
+    };
+
+    static constexpr uint16_t FirstPort = 1000;
+    static Address callerAddress(size_t i) { return {"10.0.0.1", static_cast<uint16_t>(FirstPort + i)}; }
+    static Address peerAddress(size_t i) { return {"10.0.0.2", static_cast<uint16_t>(FirstPort + i)}; }
+    double coresUsed(const OneDaemon &daemon) const { return daemon.cores == StrongCores ? CoresUsed : 0.002; }
+
+    Gateway::EntryAnswer answer(OneDaemon &daemon, size_t i) const
+    {
+        return daemon.gateway->callerAddresses({callerAddress(i), daemon.cores}, coresUsed(daemon), now);
+    }
+
+    // As the daemon does it at each of its ticks.
+    void tick(size_t i)
+    {
+        OneDaemon &daemon = daemons_[i];
+        Gateway &gateway = *daemon.gateway;
+        const bool canRead = !daemon.sync->readsFail(now);
+        daemon.sync->setSource(
+            canRead && daemon.sync->leadership(now).held
+                ? std::nullopt
+                : gateway.peers().readerToAsk(canRead, daemon.sync->silentSources(now), now));
+        daemon.sync->tick(now);
+        sendOut(i);
+        gateway.tick(now);
+        gateway.takeActions();
+        if (now - daemon.entriesAt >= EntriesPace) {
+            daemon.entriesAt = now;
+            const Gateway::EntryAnswer chosen = answer(daemon, i);
+            daemon.sync->setEntries(chosen.told ? std::vector<Address>() : chosen.addresses);
+            daemon.sync->setServing(gateway.serves());
+        }
+        sendReports(i, daemon.reports.due(gateway.peers(), gateway.hasNews(now), now));
+    }
+
+    void takeNews(size_t i)
+    {
+        OneDaemon &daemon = daemons_[i];
+        Gateway &gateway = *daemon.gateway;
+        StoreSync::News news = daemon.sync->takeNews();
+        const bool membersRead = news.members.has_value();
+        if (news.members) {
+            gateway.onMembers(std::move(*news.members), now);
+            gateway.onDutyHolder(news.dutyHolder);
+        }
+        if (news.entries)
+            gateway.onEntriesTold(*news.entries);
+        for (const ConfigurationRead &read : news.configurations)
+            gateway.onConfiguration(read, now);
+        for (const EndpointsRead &read : news.endpoints)
+            gateway.onEndpoints(read, now);
+        sendReports(i, daemon.reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now),
+                                                membersRead));
+        sendOut(i);
+    }
+
+    void sendOut(size_t i)
+    {
+        OneDaemon &daemon = daemons_[i];
+        for (const StoreCall &call : daemon.sync->takeCalls()) {
+            storeReads_ += call.verb == StoreVerb::List ? 1 : 0;
+            store_.submit(i, call, now);
+        }
+        for (const StoreSync::Outgoing &outgoing : daemon.sync->takeOutgoing())
+            send(i, outgoing.to,
+                 std::visit([](const auto &each) { return encodeDatagram(each); }, outgoing.message));
+    }
+
+    void sendReports(size_t i, const ReportSchedule::Due &due)
+    {
+        if (due.to.empty())
+            return;
+        PeerReport report = daemons_[i].gateway->report(due.whole, now);
+        report.incarnation = daemons_[i].incarnation;
+        report.coresUsed = coresUsed(daemons_[i]);
+        const std::string text = encodeDatagram(report);
+        for (const Address &to : due.to)
+            send(i, to, text);
+    }
+
+    void send(size_t from, const Address &to, const std::string &text)
+    {
+        count(from, text);
+        if (random_.below(100) >= lossPercent)
+            datagrams_.push_back({from, indexOf(to), text});
+    }
+
+    void count(size_t i, const std::string &text)
+    {
+        daemons_[i].traffic.bytes += static_cast<double>(text.size());
+        ++daemons_[i].traffic.datagrams;
+    }
+
+    void deliver()
+    {
+        for (const Datagram &datagram : std::exchange(datagrams_, {})) {
+            OneDaemon &daemon = daemons_[datagram.to];
+            if (!daemon.isUp)
+                continue;
+            count(datagram.to, datagram.text);
+            const std::optional<PeerDatagram> read = decodeDatagram(datagram.text);
+            if (const PeerReport *report = std::get_if<PeerReport>(&*read)) {
+                daemon.gateway->onPeerReport(*report, now);
+            } else if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&*read)) {
+                daemon.sync->onQuestion(*question, peerAddress(datagram.from), now);
+                sendOut(datagram.to);
+            } else if (const FreshnessAnswer *answer = std::get_if<FreshnessAnswer>(&*read)) {
+                daemon.sync->onAnswer(*answer, now);
+                takeNews(datagram.to);
+            }
+        }
+    }
+
+    RecordingLog log_;
+    FakeStore store_;
+    Random random_;
+    std::vector<OneDaemon> daemons_;
+    std::vector<Datagram> datagrams_;
+    uint64_t incarnations_ = 0;
+    uint64_t storeReads_ = 0;
+};
+
+constexpr size_t Strong = 18;
+
+} // namespace
+
+TEST_CASE("what a daemon spends on the others does not grow with the number of daemons")
+{
+    // Eighteen daemons serve, the rest stands by. When each told each other one, a daemon among 295 sent and
+    // read 160 reports a second, and knew of the others what was so up to 3.5 s ago.
+    for (const size_t count : {30U, 100U, 295U, 890U}) {
+        FleetWorld world(count, Strong);
+        world.pass({14000});
+        world.resetTraffic();
+        world.pass({5000});
+        size_t serving = 0;
+        double mostStandby = 0;
+        double mostServing = 0;
+        for (size_t i = 0; i < count; ++i) {
+            serving += world.serves(i) ? 1 : 0;
+            double &most = world.serves(i) ? mostServing : mostStandby;
+            most = std::max(most, world.trafficOf(i).bytes / 5);
+        }
+        MESSAGE(count << " daemons, " << serving << " serve: " << mostStandby << " B/s of one that stands by, "
+                      << mostServing << " B/s at most; " << world.storeReads() / 5 << " store reads/s");
+        CHECK(serving == Strong);
+        CHECK(mostStandby < 2500);
+        CHECK(world.storeReads() / 5 < 40);
+        for (size_t i = 0; i < count; ++i)
+            REQUIRE(world.entriesOf(i).size() == Strong);
+    }
+}
+
+TEST_CASE("a dead daemon is no longer named to callers after 2.5 s, however many daemons there are")
+{
+    // Callers ask any daemon where to connect, keep the answer for seconds, and lose a second for each dead
+    // address that they try. When reports went to all in turn, 295 daemons named a dead one for 21 s.
+    for (const size_t count : {30U, 100U, 295U}) {
+        FleetWorld world(count, Strong);
+        world.pass({8000});
+        REQUIRE(world.namingTheDead() == 0);
+        world.kill(3);
+        world.pass({2500});
+        CHECK(world.namingTheDead() == 0);
+    }
+}
+
+TEST_CASE("after all daemons were killed callers are served as soon as these have read the store")
+{
+    // All processes end at once and start again; the store's list still shows their earlier lives. Callers
+    // ask any of them: each must name daemons that serve, though it has heard of none yet.
+    for (const size_t count : {10U, 100U, 295U}) {
+        FleetWorld world(count, std::min<size_t>(count, Strong));
+        world.pass({8000});
+        for (size_t i = 0; i < count; ++i)
+            world.start(i);
+        world.pass({550});
+        for (size_t i = 0; i < count; ++i) {
+            REQUIRE(world.isReady(i));
+            REQUIRE(world.entriesOf(i).size() >= std::min(count, LeastEntries));
+        }
+    }
+}
+
+TEST_CASE("when all that serve lose power, others take their place")
+{
+    // Eighteen strong instances are gone for good. Those that stand by ask them in vain, read the store, and
+    // see the dead until their leases end; then a part of them serves.
+    FleetWorld world(100, Strong);
+    world.pass({8000});
+    for (size_t i = 0; i < Strong; ++i)
+        world.kill(i);
+    world.pass({6000});
+    CHECK(world.namingTheDead() == 0);
+    world.pass({4000});
+    size_t serving = 0;
+    for (size_t i = Strong; i < world.count(); ++i)
+        serving += world.serves(i) ? 1 : 0;
+    CHECK(serving >= LeastEntries);
+    CHECK(serving <= 40);
+    // They are back: callers go to them again.
+    for (size_t i = 0; i < Strong; ++i)
+        world.start(i);
+    world.pass({2500});
+    size_t named = 0;
+    for (const Address &each : world.entriesOf(50))
+        named += FleetWorld::indexOf(each) < Strong ? 1 : 0;
+    CHECK(named == Strong);
+}
+
+TEST_CASE("lost datagrams make no daemon forget those that serve")
+{
+    FleetWorld world(100, Strong);
+    world.pass({8000});
+    world.lossPercent = 15;
+    world.resetTraffic();
+    for (int i = 0; i < 20; ++i) {
+        world.pass({500});
+        for (size_t each = 0; each < world.count(); ++each)
+            REQUIRE(world.entriesOf(each).size() >= Strong - 1);
+    }
+    CHECK(world.storeReads() / 10 < 60);
+}
