Those that stand by read the store less at a start and in quick successions of changes

Cause: a daemon that was told only of those that serve took itself for one that must hear them, found no source and read for itself; and lists of members that grow with each registration were read by all.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,7 +56,7 @@
     // The store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
     void onEndpoints(const EndpointsRead &event, TimeMs now);
-    void onMembers(std::vector<MemberEntry> members, TimeMs now);
+    void onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
     void onDutyHolder(const InstanceName &holder) { peers_.setDutyHolder(holder); }
     void onEntriesTold(const EntriesTold &event);
     void onPeerReport(const PeerReport &report, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -236,10 +236,11 @@
     DurationMs sharedAge; ///< Of the configuration, the members and the leader.
     uint64_t sharedDigest = 0;
     uint64_t configurationVersion = 0; ///< The newest one then; members and leader may differ all the same.
-    /// Members and leader follow: they differ, the configuration does not. Members are those that serve; all
-    /// of them while none does.
+    /// Members and leader follow: they differ, the configuration does not. Members are those that serve, or
+    /// the strongest while none does.
     bool hasMembers = false;
     std::vector<MemberEntry> members;
+    size_t listed = 0; ///< Members in all.
     LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -188,6 +188,7 @@
             members.push_back({member.instance.value, member.incarnation.value, member.failureDomain.value,
                                toText(member.callerAddress), toText(member.peerAddress), member.cores, member.serving});
         out["members"] = std::move(members);
+        out["listed"] = answer.listed;
         out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
     }
     if (answer.hasEndpoints)
@@ -260,6 +261,7 @@
         answer.hasMembers = true;
         for (const json::value &value : members->as_array())
             answer.members.push_back(decodedMember(row(value, 7)));
+        answer.listed = object.at("listed").to_number<size_t>();
         const json::array &leader = row(object.at("leader"), 3);
         answer.leader = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>()};
     }
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -12,8 +12,10 @@
 /// reads about eighty reports a second at most.
 constexpr DurationMs ShortestReportPace{200};
 constexpr DurationMs ReportPacePerDaemon{12};
-/// Two whole reports must come in time for a window's usage, which is due some seconds after its end.
-constexpr DurationMs ShortestWholeReportPace{1000};
+/// Whole reports are several times as long, and only the duties' holder needs them: two must come in time for
+/// a window's usage, which is due some seconds after its end.
+constexpr DurationMs WholeReportPacePerDaemon{60};
+constexpr DurationMs LongestWholeReportPace{1000};
 /// A peer that is silent for so many reports is not counted on.
 constexpr int64_t SilentReports = 6;
 /// Daemons that read the store for all; each of the others asks one of them. With many daemons there are
@@ -42,7 +44,8 @@
 
 DurationMs PeerTable::wholeReportPace() const
 {
-    return std::max(ShortestWholeReportPace, reportPace());
+    const DurationMs wanted = WholeReportPacePerDaemon * static_cast<int64_t>(targets_.size() + 1);
+    return std::max(reportPace(), std::min(wanted, LongestWholeReportPace));
 }
 
 // Half a pace more: reports wait for a tick, and take their way.
@@ -51,12 +54,13 @@
     return reportPace() * SilentReports + reportPace() / 2;
 }
 
-void PeerTable::setMembers(std::vector<MemberEntry> members, TimeMs now)
+void PeerTable::setMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed)
 {
     std::set<Incarnation> before;
     for (const MemberEntry *target : targets_)
         before.insert(target->incarnation);
     members_ = std::move(members);
+    listed_ = std::max(listed, members_.size());
     ranked_.clear();
     keeperOrders_.clear();
     order_.clear();
@@ -76,7 +80,7 @@
     if (anyServes_)
         std::erase_if(sharers_, [](const MemberEntry *member) { return !member->serving; });
     isSharer_ = !anyServes_ || (selfEntry_ && selfEntry_->serving);
-    const size_t count = std::max<size_t>(sharers_.size() + (isSharer_ && !selfEntry_ ? 1 : 0), 1);
+    const size_t count = countSharers();
     if (count >= mostSharers_ || now >= mostSharersUntil_) {
         mostSharers_ = count;
         mostSharersUntil_ = now + SharersMemory;
@@ -104,12 +108,21 @@
                                      [this](const MemberEntry *member) { return member->instance == dutyHolder_; });
     if (holder != order_.end())
         targets_.push_back(*holder);
-    isTarget_ = !selfEntry_ || std::erase(targets_, selfEntry_) > 0;
+    // One that is not listed yet, or is left out where only those that serve are told, hears nobody.
+    const bool isAmong = selfEntry_ && std::erase(targets_, selfEntry_) > 0;
+    isTarget_ = isAmong || members_.empty();
+}
+
+size_t PeerTable::countSharers() const
+{
+    if (!anyServes_)
+        return std::max<size_t>(listed_ + (selfEntry_ || listed_ > members_.size() ? 0 : 1), 1);
+    return sharers_.size() + (isSharer_ && !selfEntry_ ? 1 : 0);
 }
 
 size_t PeerTable::sharers(TimeMs now) const
 {
-    const size_t count = std::max<size_t>(sharers_.size() + (isSharer_ && !selfEntry_ ? 1 : 0), 1);
+    const size_t count = countSharers();
     return now < mostSharersUntil_ ? std::max(count, mostSharers_) : count;
 }
 
@@ -118,7 +131,7 @@
 size_t PeerTable::readerCount() const
 {
     const size_t wanted
-        = anyServes_ ? sharers_.size() / SharersPerReader : members_.size() / MembersPerReader;
+        = anyServes_ ? sharers_.size() / SharersPerReader : listed_ / MembersPerReader;
     return std::max(wanted, LeastReaders);
 }
 
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -23,7 +23,8 @@
 
     explicit PeerTable(InstanceName self) : self_(std::move(self)) { }
 
-    void setMembers(std::vector<MemberEntry> members, TimeMs now);
+    /// `listed`: daemons in all, if `members` is a part of them.
+    void setMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
     void setDutyHolder(const InstanceName &holder);
     const std::vector<MemberEntry> &members() const { return members_; }
     /// Takes a report; older and doubled ones are dropped.
@@ -91,6 +92,7 @@
     void findTargets();
     bool isSelf(const MemberEntry &member) const { return &member == selfEntry_; }
     DurationMs silence() const;
+    size_t countSharers() const;
     void count(Peer &peer, bool add);
     const Peer *heard(const MemberEntry &member, TimeMs now) const;
     bool isHeardReady(const MemberEntry &member, TimeMs now) const;
@@ -112,6 +114,7 @@
     MemberPtrs sharers_; ///< The first of them.
     MemberPtrs targets_;
     MemberPtrs newTargets_;
+    size_t listed_ = 0;
     bool anyServes_ = false;
     bool isSharer_ = true;
     bool isTarget_ = true;
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -58,10 +58,10 @@
     runQueue(now);
 }
 
-void Gateway::onMembers(std::vector<MemberEntry> members, TimeMs now)
+void Gateway::onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed)
 {
     const bool changed = members != peers_.members();
-    peers_.setMembers(std::move(members), now);
+    peers_.setMembers(std::move(members), now, listed);
     if (changed)
         log_.write(LogWeight::State, "members",
                    {{"count", peers_.members().size()},
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -23,6 +23,9 @@
 /// A view older than this is renewed by reading, whatever the other daemon says.
 constexpr DurationMs OldestBorrowed{1300};
 constexpr DurationMs StandbyOldestBorrowed{1800};
+/// One that stands by reads changes of the configuration so many times at most within the bound in which they
+/// must be in force: each of quick successions would be read by hundreds of them.
+constexpr int64_t StandbyReadsPerBound = 3;
 /// A daemon that left so many questions in a row unanswered is not asked for a while.
 constexpr uint32_t SilentQuestions = 3;
 constexpr DurationMs SilentTime{3000};
@@ -34,6 +37,8 @@
 constexpr int64_t SlowerWhileFailing = 3;
 /// More members don't fit into a datagram with the list of endpoints; they are read.
 constexpr size_t MostMembersTold = 120;
+/// While none serves. Enough for some to be lost; few enough that a start of hundreds soon changes none.
+constexpr size_t MembersToldAtStart = 24;
 /// Entries of endpoints take 150 B of a datagram of 60 KB.
 constexpr size_t MostEndpointsTold = 300;
 constexpr size_t MostOpenQuestions = 16;
@@ -71,14 +76,23 @@
 
 namespace {
 
-/// Members that daemons which ask are told: those that serve, or all while none does. Those that stand by
-/// come and go unnoticed: with hundreds of them each change would make all others read the store.
+/// Members that daemons which ask are told: those that serve, or the strongest while none does. The others
+/// come and go unnoticed: with hundreds of them each change would make all read the store.
 std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members)
 {
-    std::vector<MemberEntry> serving;
-    std::copy_if(members.begin(), members.end(), std::back_inserter(serving),
+    std::vector<MemberEntry> told;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(told),
                  [](const MemberEntry &member) { return member.serving; });
-    return serving.empty() ? members : serving;
+    if (!told.empty())
+        return told;
+    told = members;
+    const size_t count = std::min(told.size(), MembersToldAtStart);
+    std::partial_sort(told.begin(), told.begin() + static_cast<std::ptrdiff_t>(count), told.end(),
+                      [](const MemberEntry &a, const MemberEntry &b) {
+                          return a.cores != b.cores ? a.cores > b.cores : a.incarnation < b.incarnation;
+                      });
+    told.resize(count);
+    return told;
 }
 
 uint64_t digestOfShared(uint64_t version, const std::vector<MemberEntry> &members, const LeaderEntry &leader)
@@ -175,6 +189,12 @@
     send(std::move(call), std::move(open), now);
 }
 
+void StoreSync::readShared(TimeMs now)
+{
+    sharedReadAt_ = now;
+    readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
+}
+
 void StoreSync::tick(TimeMs now)
 {
     if (!started_) {
@@ -193,7 +213,7 @@
     const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
         sharedAt_ = now + SharedPace * slower;
-        readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
+        readShared(now);
     }
     if (now >= endpointsAt_ && endpointsAreOld && !tooManyOpen(Purpose::ReadEndpoints)) {
         endpointsAt_ = now + EndpointsPace * slower;
@@ -357,6 +377,7 @@
         log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
     sawConfiguration_ = sawConfiguration;
     sharedDigest_ = digestOfShared(knownVersion(), members, leader);
+    listed_ = members.size();
     takeMembers(std::move(members), leader, open.readStartedAt, now);
 }
 
@@ -366,6 +387,7 @@
     members_ = members;
     checkOwnEntry(askedAt);
     news_.members = std::move(members);
+    news_.listed = listed_;
     news_.dutyHolder = holderOf(leader);
     // What was asked before our own win can't have seen it.
     const bool staleView = leaderIsSelf_ && leader.revision < leader_.revision;
@@ -481,6 +503,7 @@
         && question.configurationVersion == answer.configurationVersion) {
         answer.members = toldMembers(members_);
         answer.leader = leader_;
+        answer.listed = listed_;
         answer.hasMembers = answer.members.size() <= MostMembersTold;
     }
     answer.endpointsAge = now - newestEndpoints_;
@@ -521,10 +544,14 @@
         if (sameConfiguration && answer.hasMembers && sharedAt > newestShared_) {
             newestShared_ = sharedAt;
             sharedDigest_ = answer.sharedDigest;
+            listed_ = answer.listed;
             takeMembers(answer.members, answer.leader, sharedAt, now);
         }
-        if (sharedAt > newestShared_ && !tooManyOpen(Purpose::ReadShared))
-            readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
+        const bool mayWait = configuration_ && !settings_.self.serving;
+        const DurationMs pace = settings_.configurationBound / StandbyReadsPerBound;
+        const bool isTooSoon = mayWait && now - sharedReadAt_ < pace;
+        if (sharedAt > newestShared_ && !isTooSoon && !tooManyOpen(Purpose::ReadShared))
+            readShared(now);
     } else if (sharedAt > newestShared_ && configuration_) {
         newestShared_ = sharedAt;
         news_.configurations.push_back({configuration_, sharedAt});
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -22,6 +22,7 @@
 struct StoreSyncSettings {
     MemberEntry self;
     DurationMs leaseTime{3000};
+    DurationMs configurationBound{2000}; ///< A configuration is in force everywhere after this.
     bool firstStart = false; ///< The whole system starts for the first time: nobody led before.
     uint64_t seed = 1;
 };
@@ -45,6 +46,7 @@
         std::vector<ConfigurationRead> configurations;
         std::vector<EndpointsRead> endpoints;
         std::optional<std::vector<MemberEntry>> members;
+        size_t listed = 0; ///< With `members`: daemons in all, of which these may be a part.
         InstanceName dutyHolder; ///< With `members`; empty: there is none.
         std::optional<EntriesTold> entries;
     };
@@ -97,6 +99,7 @@
         return purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
     }
     void send(StoreCall call, OpenCall open, TimeMs now);
+    void readShared(TimeMs now);
     void readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now);
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
@@ -169,6 +172,8 @@
     TimeMs registerAt_;
 
     std::vector<MemberEntry> members_;
+    size_t listed_ = 0;
+    TimeMs sharedReadAt_;
     LeaderEntry leader_; ///< As last seen.
     bool leaderIsSelf_ = false;
     bool leaderIsEarlierLife_ = false; ///< The key is of a daemon that ran on this instance before.
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -18,6 +18,7 @@
     reader.optional("metricsPort", settings.metricsPort, 0, 65535);
     reader.optional("firstStart", settings.firstStart);
     reader.optional("revokeBoundMs", settings.revokeBound);
+    reader.optional("configurationBoundMs", settings.configurationBound);
     reader.optional("leaseMs", settings.leaseTime);
     double seconds = static_cast<double>(settings.stopGrace.count) / 1000;
     reader.optional("stopGraceSeconds", seconds, 0.1, 3600);
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -19,6 +19,7 @@
 
     bool firstStart = false; ///< The whole system starts for the first time.
     DurationMs revokeBound{5000}; ///< A removed key is dead everywhere after this.
+    DurationMs configurationBound{2000}; ///< A configuration is in force everywhere after this.
     DurationMs leaseTime{3000}; ///< Of a duty's holder.
     DurationMs stopGrace{8000}; ///< From SIGTERM to SIGKILL.
     DurationMs usageWindow{5000};
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -53,6 +53,7 @@
     out.self = {given.instance,      incarnation,       given.failureDomain,
                 given.callerAddress, given.peerAddress, given.cores};
     out.leaseTime = given.leaseTime;
+    out.configurationBound = given.configurationBound;
     out.firstStart = given.firstStart;
     out.seed = seed;
     return out;
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -177,7 +177,7 @@
         StoreSync::News news = daemon.sync->takeNews();
         const bool membersRead = news.members.has_value();
         if (news.members) {
-            gateway.onMembers(std::move(*news.members), now);
+            gateway.onMembers(std::move(*news.members), now, news.listed);
             gateway.onDutyHolder(news.dutyHolder);
         }
         if (news.entries)
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -362,6 +362,7 @@
     answer.entriesDigest = 99;
     answer.hasEntries = true;
     answer.entries = {{"10.0.0.2", 80}, {"10.0.0.3", 80}};
+    answer.listed = 295;
     answer.leader = {"entry-2", 17, 4};
     answer.sharedAge = {300};
     answer.hasEndpoints = true;
@@ -379,6 +380,7 @@
     CHECK(read.members == answer.members);
     CHECK(read.entriesDigest == 99);
     CHECK(read.entries == answer.entries);
+    CHECK(read.listed == 295);
     CHECK(read.leader.value == "entry-2");
     CHECK(read.leader.revision == 17);
     CHECK(read.leader.lease == 4);
