--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -173,15 +173,16 @@
 
 /// What a daemon tells the others several times a second. All of it may be lost or doubled without harm.
 ///
-/// Windows and demands are needed by the duties' holder alone, and only about once a second. They are most of
-/// the bytes, so most reports go without them: they are not `whole`.
+/// Windows and demands are needed by the duties' holder alone, and only about once a second; of the balances,
+/// those that are asked for first are the keepers'. The rest is most of the bytes, so most reports go without
+/// it: they are not `whole`.
 struct PeerReport {
     Incarnation incarnation;
     InstanceName instance;
     bool leaving = false;
     bool ready = false;
     bool readsStore = true; ///< The store answers its reads, as far as it tries.
-    bool whole = true; ///< With windows and demands.
+    bool whole = true; ///< With windows, demands and all balances.
     uint64_t sequence = 0;
     int64_t wallMs = 0; ///< Time of day at the sender.
     double coresUsed = 0; ///< By the sender's process, moving mean.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -46,7 +46,7 @@
             rows.push_back({load.life.id.value, load.life.start.unixMs, load.running, load.prefillTokens});
     } else if (name == "balances") {
         for (const OrganisationBalance &balance : report.balances) {
-            if (balance.spare > 0)
+            if (balance.spare > 0 || !report.whole)
                 rows.push_back({balance.organisation.value, compact(balance.spare)});
         }
     } else if (name == "windows") {
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 #include <xxhash.h>
 
 namespace cranberry {
@@ -221,6 +222,23 @@
 
 // ---- What they said ----
 
+namespace {
+
+// A report that is not whole leaves the other parts as they were.
+void keepOtherParts(PeerReport &report, const PeerReport &before)
+{
+    report.demands = before.demands;
+    for (const OrganisationBalance &old : before.balances) {
+        const bool isTold = std::any_of(
+            report.balances.begin(), report.balances.end(),
+            [&old](const OrganisationBalance &each) { return each.organisation == old.organisation; });
+        if (!isTold)
+            report.balances.push_back(old);
+    }
+}
+
+} // namespace
+
 bool PeerTable::take(const PeerReport &report, TimeMs now)
 {
     std::erase_if(peers_, [now](const std::pair<const Incarnation, Peer> &entry) {
@@ -238,10 +256,9 @@
         peer.windows.erase(peer.windows.begin());
     if (peer.counted)
         count(peer, false);
-    const std::vector<ServiceDemand> demands = std::move(peer.report.demands);
-    peer.report = report;
+    const PeerReport before = std::exchange(peer.report, report);
     if (!report.whole)
-        peer.report.demands = demands;
+        keepOtherParts(peer.report, before);
     count(peer, true);
     peer.heardAt = now;
     peer.wallOffset = report.wallMs - now.count;
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -109,8 +109,12 @@
     }
     refillQuotas(now);
     out.balances = quotas_.balances();
-    if (!whole)
+    if (!whole) {
+        std::erase_if(out.balances, [&](const OrganisationBalance &each) {
+            return !isAmong(peers_.keepers(each.organisation, now));
+        });
         return out;
+    }
     out.demands = demand_.values();
     // The newest windows only: the holder of the duty needs them some seconds after their end.
     const int64_t oldest = usage_.windowAt(now) - 1;
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -200,6 +200,23 @@
     CHECK(peers.spares({"b"}, 0, {100}).empty());
 }
 
+TEST_CASE("peers: a report with a part of the balances leaves the others as they were")
+{
+    PeerTable peers({"entry-1"});
+    peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2)}, {0});
+    PeerReport report = makeReport(2, 1);
+    report.balances = {{{"a"}, 900}, {{"b"}, 500}};
+    report.demands.push_back({{"model"}, 100, 0, 0, 0, 0, {}});
+    peers.take(report, {0});
+    PeerReport next = makeReport(2, 2);
+    next.whole = false;
+    next.balances = {{{"a"}, 0}};
+    peers.take(next, {100});
+    CHECK(peers.spares({"a"}, 0, {100}).empty());
+    CHECK(peers.spares({"b"}, 0, {100}).at(0).units == 500);
+    CHECK(peers.demandSums({100}).at({"model"}).prefillTokensPerSecond == 100);
+}
+
 TEST_CASE("peers: callers are sent to daemons that are heard and ready alone")
 {
     PeerTable peers({"entry-1"});
