--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace cranberry {
 
@@ -82,6 +83,21 @@
     return true;
 }
 
+bool EndpointList::takePart(uint64_t digest, size_t from, size_t total,
+                            const std::vector<EndpointEntry> &part)
+{
+    if (digest != partsDigest_ || from == 0)
+        parts_.clear();
+    partsDigest_ = digest;
+    if (from != parts_.size())
+        return false;
+    parts_.insert(parts_.end(), part.begin(), part.end());
+    if (parts_.size() < total)
+        return false;
+    replace(std::exchange(parts_, {}));
+    return digest_ == digest;
+}
+
 std::optional<EndpointChanges> EndpointList::since(uint64_t base) const
 {
     const auto first = std::find_if(steps_.rbegin(), steps_.rend(),
--- a/src/gateway/endpointlist.h
+++ b/src/gateway/endpointlist.h
@@ -20,6 +20,10 @@
     /// Takes what changed since version `base`. False, with nothing changed: this is another version.
     bool apply(uint64_t base, const EndpointChanges &changes);
 
+    /// Takes a part of the version `digest`, which has `total` entries. True if that makes it whole: then it
+    /// is the list. Parts must come in order; one that does not is dropped with those before it.
+    bool takePart(uint64_t digest, size_t from, size_t total, const std::vector<EndpointEntry> &part);
+
     const std::vector<EndpointEntry> &entries() const { return entries_; } ///< By their ids.
     uint64_t digest() const { return digest_; } ///< 0: no list was taken yet.
     /// What to tell a daemon that has version `base`; nothing if that is too long ago.
@@ -34,6 +38,8 @@
     std::vector<EndpointEntry> entries_;
     uint64_t digest_ = 0;
     std::deque<Step> steps_;
+    std::vector<EndpointEntry> parts_; ///< Of the version `partsDigest_`, so far.
+    uint64_t partsDigest_ = 0;
 };
 
 } // namespace cranberry
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -245,12 +245,14 @@
     LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
-    /// If the asker's list differs: what changed since its version `endpointsBase`, or the whole list. Neither:
-    /// that fits no datagram, and the asker reads it.
+    /// If the asker's list differs: what changed since its version `endpointsBase`, or the whole list, by as
+    /// many answers as it takes.
     std::optional<EndpointChanges> endpointChanges;
     uint64_t endpointsBase = 0;
     bool hasEndpoints = false;
-    std::vector<EndpointEntry> endpoints;
+    std::vector<EndpointEntry> endpoints; ///< From `endpointsFrom` on, of `endpointsTotal`.
+    size_t endpointsFrom = 0;
+    size_t endpointsTotal = 0;
     uint64_t entriesDigest = 0;
     bool hasEntries = false; ///< The addresses for callers follow, since the asker's differ.
     std::vector<Address> entries;
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -191,8 +191,11 @@
         out["listed"] = answer.listed;
         out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
     }
-    if (answer.hasEndpoints)
+    if (answer.hasEndpoints) {
         out["endpoints"] = rowsOf(answer.endpoints);
+        out["endpointsFrom"] = answer.endpointsFrom;
+        out["endpointsTotal"] = answer.endpointsTotal;
+    }
     if (answer.endpointChanges) {
         out["endpointsBase"] = answer.endpointsBase;
         out["changed"] = rowsOf(answer.endpointChanges->changed);
@@ -268,6 +271,8 @@
     if (const json::value *rows = object.if_contains("endpoints")) {
         answer.hasEndpoints = true;
         answer.endpoints = decodedEndpoints(*rows);
+        answer.endpointsFrom = object.at("endpointsFrom").to_number<size_t>();
+        answer.endpointsTotal = object.at("endpointsTotal").to_number<size_t>();
     }
     if (const json::value *changed = object.if_contains("changed")) {
         EndpointChanges changes;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -39,8 +39,8 @@
 constexpr size_t MostMembersTold = 120;
 /// While none serves. Enough for some to be lost; few enough that a start of hundreds soon changes none.
 constexpr size_t MembersToldAtStart = 24;
-/// Entries of endpoints take 150 B of a datagram of 60 KB.
-constexpr size_t MostEndpointsTold = 300;
+/// Entries of endpoints in one answer: each takes about 90 B, and a datagram holds 60 KB.
+constexpr size_t MostEndpointsTold = 400;
 constexpr size_t MostOpenQuestions = 16;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
@@ -508,13 +508,14 @@
     }
     answer.endpointsAge = now - newestEndpoints_;
     answer.endpointsDigest = endpoints_.digest();
-    if (question.endpointsDigest != endpoints_.digest())
-        tellEndpoints(question, answer);
     answer.entriesDigest = entriesDigest_;
     answer.hasEntries = !entries_.empty() && question.entriesDigest != entriesDigest_;
     if (answer.hasEntries)
         answer.entries = entries_;
-    outgoing_.push_back({from, std::move(answer)});
+    if (question.endpointsDigest == endpoints_.digest())
+        outgoing_.push_back({from, std::move(answer)});
+    else
+        tellEndpoints(question, from, std::move(answer));
 }
 
 // "Was so" is counted from when the question was sent, less the age at the answerer: late answers, also those
@@ -526,10 +527,13 @@
         return;
     const TimeMs askedAt = found->second.sentAt;
     unanswered_.erase(found->second.to);
-    questions_.erase(found);
+    const bool isLast
+        = !answer.hasEndpoints || answer.endpointsFrom + answer.endpoints.size() >= answer.endpointsTotal;
+    if (isLast)
+        questions_.erase(found);
     takeEntriesAnswer(answer, askedAt);
     takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
-    takeEndpointsAnswer(answer, askedAt - answer.endpointsAge, now);
+    takeEndpointsAnswer(answer, askedAt - answer.endpointsAge);
 }
 
 void StoreSync::takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now)
@@ -558,37 +562,42 @@
     }
 }
 
-void StoreSync::tellEndpoints(const FreshnessQuestion &question, FreshnessAnswer &answer) const
+// Changes go with the answer; a whole list goes with it and as many further ones as it takes.
+void StoreSync::tellEndpoints(const FreshnessQuestion &question, const Address &from, FreshnessAnswer answer)
 {
-    const std::vector<EndpointEntry> &all = endpoints_.entries();
-    std::optional<EndpointChanges> changes = endpoints_.since(question.endpointsDigest);
-    const size_t told = changes ? changes->changed.size() + changes->gone.size() : all.size();
-    if (told > MostEndpointsTold)
-        return;
+    answer.endpointChanges = endpoints_.since(question.endpointsDigest);
     answer.endpointsBase = question.endpointsDigest;
-    answer.hasEndpoints = !changes;
-    if (changes)
-        answer.endpointChanges = std::move(changes);
-    else
-        answer.endpoints = all;
+    if (answer.endpointChanges
+        && answer.endpointChanges->changed.size() + answer.endpointChanges->gone.size() <= MostEndpointsTold) {
+        outgoing_.push_back({from, std::move(answer)});
+        return;
+    }
+    const std::vector<EndpointEntry> &all = endpoints_.entries();
+    answer.endpointChanges.reset();
+    answer.hasEndpoints = true;
+    answer.endpointsTotal = all.size();
+    do {
+        const size_t end = std::min(answer.endpointsFrom + MostEndpointsTold, all.size());
+        answer.endpoints.assign(all.begin() + static_cast<std::ptrdiff_t>(answer.endpointsFrom),
+                                all.begin() + static_cast<std::ptrdiff_t>(end));
+        outgoing_.push_back({from, answer});
+        answer.endpointsFrom = end;
+    } while (answer.endpointsFrom < all.size());
 }
 
-// Where the answerer can't tell the difference the store does, at once: leaving endpoints must get no new
-// work within seconds.
-void StoreSync::takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt, TimeMs now)
+void StoreSync::takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt)
 {
     if (endpointsAt <= newestEndpoints_)
         return;
     if (answer.hasEndpoints)
-        endpoints_.replace(answer.endpoints);
+        endpoints_.takePart(answer.endpointsDigest, answer.endpointsFrom, answer.endpointsTotal,
+                            answer.endpoints);
     else if (answer.endpointChanges)
         endpoints_.apply(answer.endpointsBase, *answer.endpointChanges);
-    if (answer.endpointsDigest == endpoints_.digest()) {
-        newestEndpoints_ = endpointsAt;
-        news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
-    } else if (!tooManyOpen(Purpose::ReadEndpoints)) {
-        readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
-    }
+    if (answer.endpointsDigest != endpoints_.digest())
+        return;
+    newestEndpoints_ = endpointsAt;
+    news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
 }
 
 // An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -106,8 +106,8 @@
     void takeShared(const OpenCall &open, TimeMs now);
     void takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
     void takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now);
-    void tellEndpoints(const FreshnessQuestion &question, FreshnessAnswer &answer) const;
-    void takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt, TimeMs now);
+    void tellEndpoints(const FreshnessQuestion &question, const Address &from, FreshnessAnswer answer);
+    void takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt);
     void takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt);
     DurationMs oldestBorrowed() const;
     void checkOwnEntry(TimeMs askedAt);
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -146,9 +146,18 @@
         out.revision = found->second.revision;
         out.lease = found->second.lease;
     }
+    const auto endpoint = endpoints_.find(key.second);
+    if (key.first == StoreSpace::Endpoints && endpoint != endpoints_.end())
+        out.endpoint = endpoint->second;
     return out;
 }
 
+void FakeStore::putEndpoint(const EndpointEntry &entry)
+{
+    endpoints_[entry.id.value] = entry;
+    put(StoreSpace::Endpoints, entry.id.value, "");
+}
+
 StoreReply FakeStore::list(const StoreCall &call) const
 {
     StoreReply reply;
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -26,6 +26,8 @@
 
     void put(StoreSpace space, const std::string &key, const std::string &value);
     void putConfiguration(const ServingConfigurationPtr &configuration) { configuration_ = configuration; }
+    /// An endpoint's entry as it writes it; it stays until it is removed.
+    void putEndpoint(const EndpointEntry &entry);
     void remove(StoreSpace space, const std::string &key);
     std::optional<std::string> valueOf(StoreSpace space, const std::string &key) const;
     size_t keyCount(StoreSpace space) const;
@@ -67,6 +69,7 @@
     Random random_;
     std::map<Key, Item> items_;
     std::map<uint64_t, Lease> leases_;
+    std::map<std::string, EndpointEntry> endpoints_; ///< By their ids, as their keys.
     ServingConfigurationPtr configuration_;
     std::deque<Pending> pending_;
     uint64_t revision_ = 0;
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -64,6 +64,18 @@
         daemon.isUp = true;
     }
     void kill(size_t i) { daemons_[i].isUp = false; }
+    void startEngine(size_t i)
+    {
+        EndpointEntry entry;
+        entry.id.value = fmt::format("engine-{}", i);
+        entry.service.value = "model";
+        entry.address = {"10.0.1.1", static_cast<uint16_t>(FirstPort + i)};
+        entry.failureDomain.value = "north";
+        entry.slots = 64;
+        store_.putEndpoint(entry);
+    }
+    void stopEngine(size_t i) { store_.remove(StoreSpace::Endpoints, fmt::format("engine-{}", i)); }
+    size_t enginesKnownTo(size_t i) const { return daemons_[i].gateway->fleet().all().size(); }
 
     void pass(DurationMs duration)
     {
@@ -345,6 +357,41 @@
     CHECK(named == Strong);
 }
 
+TEST_CASE("engines that come and go all the time are learned without reading the store more")
+{
+    // A wave of reclaims: 600 engines, twelve of them replaced each half second, one by one. Daemons that were
+    // killed meanwhile start and read the list themselves, so that the reader they ask does not know their
+    // version. When that made them read again, they did so at each answer: 281 reads a second in one play.
+    FleetWorld world(100, Strong);
+    size_t first = 0;
+    size_t next = 0;
+    while (next < 600)
+        world.startEngine(next++);
+    world.pass({8000});
+    world.lossPercent = 5;
+    world.resetTraffic();
+    double most = 0;
+    for (int round = 0; round < 240; ++round) {
+        world.stopEngine(first++);
+        world.startEngine(next++);
+        world.pass({50});
+        if (round == 40) {
+            for (size_t i = Strong; i < world.count(); ++i)
+                world.start(i);
+        }
+        if (round == 80)
+            world.resetTraffic();
+    }
+    for (size_t i = 0; i < world.count(); ++i)
+        most = std::max(most, world.serves(i) ? 0 : world.trafficOf(i).bytes / 8);
+    MESSAGE("store reads/s: " << world.storeReads() / 8 << ", " << most << " B/s of one that stands by");
+    CHECK(world.storeReads() / 8 < 30);
+    CHECK(most < 25000);
+    world.pass({2000});
+    for (size_t i = 0; i < world.count(); ++i)
+        REQUIRE(world.enginesKnownTo(i) == 600);
+}
+
 TEST_CASE("lost datagrams make no daemon forget those that serve")
 {
     FleetWorld world(100, Strong);
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -389,6 +389,8 @@
     entry.leaving = true;
     entry.leavesAfter = DurationMs{2000};
     answer.endpoints = {entry};
+    answer.endpointsFrom = 3;
+    answer.endpointsTotal = 4;
     const std::optional<PeerDatagram> answered = decodeDatagram(encodeDatagram(answer));
     REQUIRE(answered);
     const FreshnessAnswer &read = std::get<FreshnessAnswer>(*answered);
@@ -404,6 +406,8 @@
     REQUIRE(read.endpoints.size() == 1);
     CHECK(read.endpoints[0].leavesAfter->count == 2000);
     CHECK_FALSE(read.endpointChanges);
+    CHECK(read.endpointsFrom == 3);
+    CHECK(read.endpointsTotal == 4);
     answer.hasEndpoints = false;
     answer.endpointsBase = 55;
     answer.endpointChanges = EndpointChanges{{entry}, {{"i-2"}, {"i-3"}}};
@@ -458,6 +462,21 @@
         CHECK(asker.apply(base, *changes));
         CHECK(asker.digest() == reader.digest());
     }
+    // The whole list in three parts; a lost or late one leaves the list as it was.
+    const std::vector<EndpointEntry> all = reader.entries();
+    REQUIRE(all.size() > 9);
+    const auto part = [&](size_t from, size_t to) {
+        return std::vector<EndpointEntry>(all.begin() + static_cast<std::ptrdiff_t>(from),
+                                          all.begin() + static_cast<std::ptrdiff_t>(to));
+    };
+    EndpointList starting;
+    CHECK_FALSE(starting.takePart(reader.digest(), 0, all.size(), part(0, 4)));
+    CHECK_FALSE(starting.takePart(reader.digest(), 8, all.size(), part(8, all.size())));
+    CHECK_FALSE(starting.takePart(reader.digest(), 0, all.size(), part(0, 4)));
+    CHECK_FALSE(starting.takePart(reader.digest(), 4, all.size(), part(4, 8)));
+    CHECK(starting.digest() == 0);
+    CHECK(starting.takePart(reader.digest(), 8, all.size(), part(8, all.size())));
+    CHECK(starting.digest() == reader.digest());
     // Whole lists would have been about 25 entries each time.
     CHECK(told < 2000 * 3);
     CHECK_FALSE(reader.since(1));
