A store that is slow is not read the more for that

Ruled out: wrong lists (digests agree), the grace after an interruption alone. Now only the few that read for all overlap reads; the others have one under way, and each slow one doubles their pause. A view that could not be renewed just now is still told, with its age. Test, fails before: 295 daemons start after a loss of power, the store sends 300 lists a second: ready after 4 s 0 of 295 before, 295 after.

--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -146,21 +146,34 @@
 
 // The first few that can read, in an order that all share: those that serve, strong instances first, since
 // each change goes from the readers to all. Views may differ for a moment: then there is a reader more or
-// less. The others spread over them by their own names.
-std::optional<Address> PeerTable::readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const
+// less.
+PeerTable::MemberPtrs PeerTable::readers(bool canRead, const std::set<Address> &silent, TimeMs now) const
 {
-    MemberPtrs readers;
+    MemberPtrs out;
     for (const MemberEntry *member : order_) {
-        if (readers.size() == readerCount())
+        if (out.size() == readerCount())
             break;
         const bool counts
             = isSelf(*member) ? canRead : !silent.contains(member->peerAddress) && mayRead(*member, now);
         if (counts)
-            readers.push_back(member);
+            out.push_back(member);
     }
-    if (readers.empty() || std::find(readers.begin(), readers.end(), selfEntry_) != readers.end())
+    return out;
+}
+
+bool PeerTable::readsForAll(const std::set<Address> &silent, TimeMs now) const
+{
+    const MemberPtrs all = readers(true, silent, now);
+    return std::find(all.begin(), all.end(), selfEntry_) != all.end();
+}
+
+// The others spread over the readers by their own names.
+std::optional<Address> PeerTable::readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const
+{
+    const MemberPtrs all = readers(canRead, silent, now);
+    if (all.empty() || std::find(all.begin(), all.end(), selfEntry_) != all.end())
         return std::nullopt;
-    return readers[std::hash<std::string>()(self_.value) % readers.size()]->peerAddress;
+    return all[std::hash<std::string>()(self_.value) % all.size()]->peerAddress;
 }
 
 const PeerTable::Peer *PeerTable::heard(const MemberEntry &member, TimeMs now) const
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -49,6 +49,8 @@
     /// Whom to ask about the store instead of reading; nothing if this daemon is one of the few that read.
     /// One that can't read asks in any case, if there is somebody. Those in `silent` answered no question.
     std::optional<Address> readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const;
+    /// This daemon is one of the few that read, if it can.
+    bool readsForAll(const std::set<Address> &silent, TimeMs now) const;
     /// Of the others that tell this daemon, all or more than half are heard.
     bool hearsAll(TimeMs now) const;
     bool hearsMost(TimeMs now) const;
@@ -98,6 +100,7 @@
     bool isHeardReady(const MemberEntry &member, TimeMs now) const;
     bool saidItLeaves(const MemberEntry &member, TimeMs now) const;
     bool mayRead(const MemberEntry &member, TimeMs now) const;
+    MemberPtrs readers(bool canRead, const std::set<Address> &silent, TimeMs now) const;
     size_t readerCount() const;
     size_t heardSharers(TimeMs now) const;
     /// All sharers in the order in which they keep an organisation's limit.
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -35,6 +35,11 @@
 constexpr uint32_t ReadsFailing = 2;
 constexpr DurationMs SlowRead{1100};
 constexpr int64_t SlowerWhileFailing = 3;
+/// A read that takes longer finds a busy store: each further one of a daemon that does not read for all
+/// doubles its pause, so many times at most. Of 295 daemons 60 reads a second are left then, which a store
+/// whose link a list of 300 KB keeps busy for 3 ms answers five times over.
+constexpr DurationMs BusyRead{500};
+constexpr uint32_t MostReadDoublings = 3;
 /// More members don't fit into a datagram with the list of endpoints; they are read.
 constexpr size_t MostMembersTold = 120;
 /// While none serves. Enough for some to be lost; few enough that a start of hundreds soon changes none.
@@ -176,7 +181,7 @@
     size_t count = 0;
     for (const std::pair<const uint64_t, OpenCall> &entry : open_)
         count += entry.second.purpose == purpose ? 1 : 0;
-    return count >= (isRead(purpose) ? MostOverlappingReads : 1);
+    return count >= (isRead(purpose) && readsForAll_ ? MostOverlappingReads : 1);
 }
 
 void StoreSync::readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now)
@@ -195,6 +200,21 @@
     readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
 }
 
+void StoreSync::noteReadTime(const OpenCall &open, bool done, TimeMs now)
+{
+    const bool wasSlow = !done || now - open.sentAt > BusyRead;
+    slowReads_ = wasSlow ? std::min(slowReads_ + 1, MostReadDoublings) : 0;
+}
+
+// All daemons find the store busy at the same moment, and must not come back together.
+DurationMs StoreSync::readPause(DurationMs pace)
+{
+    if (readsForAll_ || slowReads_ == 0)
+        return pace;
+    const DurationMs most = pace * (int64_t{1} << slowReads_);
+    return most / 2 + DurationMs{static_cast<int64_t>(random_.below(static_cast<uint64_t>(most.count)))};
+}
+
 void StoreSync::tick(TimeMs now)
 {
     if (!started_) {
@@ -212,11 +232,11 @@
     const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
     const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        sharedAt_ = now + SharedPace * slower;
+        sharedAt_ = now + std::max(SharedPace * slower, readPause(SharedPace));
         readShared(now);
     }
     if (now >= endpointsAt_ && endpointsAreOld && !tooManyOpen(Purpose::ReadEndpoints)) {
-        endpointsAt_ = now + EndpointsPace * slower;
+        endpointsAt_ = now + std::max(EndpointsPace * slower, readPause(EndpointsPace));
         readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
     }
     if (leaving_)
@@ -307,6 +327,7 @@
     case Purpose::ReadEndpoints:
         noteStoreState(reply.outcome == StoreOutcome::Done, now);
         failedReads_ = reply.outcome == StoreOutcome::Done ? 0 : failedReads_ + 1;
+        noteReadTime(open, reply.outcome == StoreOutcome::Done, now);
         return onRead(open, reply, now);
     case Purpose::Grant:
     case Purpose::Renew:
@@ -491,8 +512,10 @@
 
 void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
 {
-    // What was borrowed is not lent again: ages would add up, and leaving endpoints be seen too late.
-    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || readsFail(now))
+    // A view that is old already is of no use: the asker would have to read in any case. One that this daemon
+    // could not renew just now still is: if it kept silent, all that ask would read from a busy store.
+    const TimeMs oldest = std::min(newestShared_, newestEndpoints_);
+    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || now - oldest > OldestBorrowed)
         return;
     FreshnessAnswer answer;
     answer.number = question.number;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -55,6 +55,9 @@
     void onReply(const StoreReply &reply, TimeMs now);
     /// Whom to ask instead of reading; nothing: this daemon reads itself.
     void setSource(const std::optional<Address> &source) { source_ = source; }
+    /// One of the few that read for all keeps its pace whatever the store does. The others, hundreds perhaps,
+    /// read less while it is slow.
+    void setReadsForAll(bool readsForAll) { readsForAll_ = readsForAll; }
     /// Daemons that left the last questions unanswered. After a while they are tried again.
     std::set<Address> silentSources(TimeMs now) const;
     /// This daemon's own entry says so from now on.
@@ -100,6 +103,8 @@
     }
     void send(StoreCall call, OpenCall open, TimeMs now);
     void readShared(TimeMs now);
+    void noteReadTime(const OpenCall &open, bool done, TimeMs now);
+    DurationMs readPause(DurationMs pace);
     void readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now);
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
@@ -137,6 +142,8 @@
     TimeMs sharedAt_; ///< Next read.
     TimeMs endpointsAt_;
     uint32_t failedReads_ = 0; ///< In a row.
+    bool readsForAll_ = true;
+    uint32_t slowReads_ = 0; ///< In a row, failed ones included.
     TimeMs newestShared_; ///< What is known was so in the store at or after this time.
     TimeMs newestEndpoints_;
     bool storeAnswers_ = false;
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -75,10 +75,12 @@
 void GatewayServer::State::tick()
 {
     const TimeMs now = steadyNow();
+    const std::set<Address> silent = sync.silentSources(now);
+    sync.setReadsForAll(gateway.peers().readsForAll(silent, now));
     // The holder of the duties orders engines: it reads the list itself, without a way round, if it can.
     const bool canRead = !sync.readsFail(now);
     sync.setSource(canRead && sync.leadership(now).held ? std::nullopt
-                                                        : gateway.peers().readerToAsk(canRead, sync.silentSources(now), now));
+                                                        : gateway.peers().readerToAsk(canRead, silent, now));
     sync.tick(now);
     sendOutgoing();
     runStoreCalls();
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -39,6 +39,11 @@
 void FakeStore::submit(size_t client, const StoreCall &call, TimeMs now)
 {
     Pending pending{now + faults.delay, client, call, true, true, now + call.timeout};
+    if (call.verb == StoreVerb::List && faults.listsPerSecond > 0) {
+        const double asked = static_cast<double>(pending.at.count);
+        listsSentAt_ = std::max(listsSentAt_, asked) + 1000.0 / static_cast<double>(faults.listsPerSecond);
+        pending.at.count = static_cast<int64_t>(listsSentAt_);
+    }
     const bool refused
         = std::find(refusedClients.begin(), refusedClients.end(), client) != refusedClients.end();
     if (faults.down || refused || random_.below(100) < faults.losePercent) {
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -16,6 +16,9 @@
     uint64_t latePercent = 0; ///< Carried out seconds later, not answered.
     uint64_t losePercent = 0; ///< Neither.
     DurationMs delay{4};
+    /// Lists leave the store one after the other, this many a second; 0: no bound. One that its client gave up
+    /// takes its time all the same.
+    uint64_t listsPerSecond = 0;
 };
 
 /// The platform's store in virtual time: keys with revisions, leases, conditional writes.
@@ -72,6 +75,7 @@
     std::map<std::string, EndpointEntry> endpoints_; ///< By their ids, as their keys.
     ServingConfigurationPtr configuration_;
     std::deque<Pending> pending_;
+    double listsSentAt_ = 0; ///< In milliseconds: the last list that was asked for will have left.
     uint64_t revision_ = 0;
     uint64_t nextLease_ = 1;
     TimeMs lastNow_;
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -95,6 +95,22 @@
         }
     }
 
+    /// The store turns each `nth` daemon away; 0: none.
+    void turnAway(size_t nth)
+    {
+        store_.refusedClients.clear();
+        for (size_t i = 0; nth > 0 && i < daemons_.size(); i += nth)
+            store_.refusedClients.push_back(i);
+    }
+    void limitStore(uint64_t listsPerSecond) { store_.faults.listsPerSecond = listsPerSecond; }
+    size_t countReady() const
+    {
+        size_t ready = 0;
+        for (size_t i = 0; i < count(); ++i)
+            ready += isReady(i) ? 1 : 0;
+        return ready;
+    }
+
     size_t count() const { return daemons_.size(); }
     bool isUp(size_t i) const { return daemons_[i].isUp; }
     bool isReady(size_t i) const { return daemons_[i].isUp && daemons_[i].gateway->isReady(now); }
@@ -165,10 +181,12 @@
         OneDaemon &daemon = daemons_[i];
         Gateway &gateway = *daemon.gateway;
         const bool canRead = !daemon.sync->readsFail(now);
+        const std::set<Address> silent = daemon.sync->silentSources(now);
+        daemon.sync->setReadsForAll(gateway.peers().readsForAll(silent, now));
         daemon.sync->setSource(
             canRead && daemon.sync->leadership(now).held
                 ? std::nullopt
-                : gateway.peers().readerToAsk(canRead, daemon.sync->silentSources(now), now));
+                : gateway.peers().readerToAsk(canRead, silent, now));
         daemon.sync->tick(now);
         sendOut(i);
         gateway.tick(now);
@@ -392,6 +410,42 @@
         REQUIRE(world.enginesKnownTo(i) == 600);
 }
 
+TEST_CASE("a store that is slow with the reads of a whole start is not read the more for that")
+{
+    // All daemons lose power and start again; a large configuration takes the store's link 3 ms for each that
+    // reads it. When a daemon began a further read while one was under way, the store was busy with answers
+    // that nobody waited for any more: views stayed seconds old until the end, and requests went to engines
+    // that had left.
+    FleetWorld world(295, Strong);
+    world.limitStore(300);
+    world.pass({14000});
+    for (size_t i = 0; i < world.count(); ++i)
+        world.kill(i);
+    world.pass({1500});
+    for (size_t i = 0; i < world.count(); ++i)
+        world.start(i);
+    world.pass({4000});
+    CHECK(world.countReady() == world.count());
+    world.resetTraffic();
+    for (int i = 0; i < 20; ++i) {
+        world.pass({250});
+        REQUIRE(world.countReady() == world.count());
+    }
+    CHECK(world.storeReads() / 5 < 120);
+    world.resetTraffic();
+    world.pass({5000});
+    CHECK(world.storeReads() / 5 < 20);
+    // A third of the daemons is turned away for nine seconds.
+    world.turnAway(3);
+    world.pass({9000});
+    world.turnAway(0);
+    world.pass({4000});
+    CHECK(world.countReady() == world.count());
+    world.resetTraffic();
+    world.pass({5000});
+    CHECK(world.storeReads() / 5 < 40);
+}
+
 TEST_CASE("lost datagrams make no daemon forget those that serve")
 {
     FleetWorld world(100, Strong);
