--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -186,7 +186,8 @@
         json::array members;
         for (const MemberEntry &member : answer.members)
             members.push_back({member.instance.value, member.incarnation.value, member.failureDomain.value,
-                               toText(member.callerAddress), toText(member.peerAddress), member.cores, member.serving});
+                               toText(member.callerAddress), toText(member.peerAddress), member.cores,
+                               member.serving});
         out["members"] = std::move(members);
         out["listed"] = answer.listed;
         out["leader"] = {answer.leader.value, answer.leader.revision, answer.leader.lease};
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -105,8 +105,9 @@
 {
     const size_t told = anyServes_ ? sharers_.size() : std::min(order_.size(), LeastEntries);
     targets_.assign(order_.begin(), order_.begin() + static_cast<std::ptrdiff_t>(told));
-    const auto holder = std::find_if(order_.begin() + static_cast<std::ptrdiff_t>(told), order_.end(),
-                                     [this](const MemberEntry *member) { return member->instance == dutyHolder_; });
+    const auto holder
+        = std::find_if(order_.begin() + static_cast<std::ptrdiff_t>(told), order_.end(),
+                       [this](const MemberEntry *member) { return member->instance == dutyHolder_; });
     if (holder != order_.end())
         targets_.push_back(*holder);
     // One that is not listed yet, or is left out where only those that serve are told, hears nobody.
@@ -131,8 +132,7 @@
 
 size_t PeerTable::readerCount() const
 {
-    const size_t wanted
-        = anyServes_ ? sharers_.size() / SharersPerReader : listed_ / MembersPerReader;
+    const size_t wanted = anyServes_ ? sharers_.size() / SharersPerReader : listed_ / MembersPerReader;
     return std::max(wanted, LeastReaders);
 }
 
@@ -196,9 +196,10 @@
 
 size_t PeerTable::heardSharers(TimeMs now) const
 {
-    return static_cast<size_t>(std::count_if(
-        sharers_.begin(), sharers_.end(),
-        [&](const MemberEntry *member) { return isSelf(*member) || heard(*member, now) != nullptr; }));
+    return static_cast<size_t>(
+        std::count_if(sharers_.begin(), sharers_.end(), [&](const MemberEntry *member) {
+            return isSelf(*member) || heard(*member, now) != nullptr;
+        }));
 }
 
 bool PeerTable::hearsAll(TimeMs now) const
--- a/src/gateway/reportschedule.cpp
+++ b/src/gateway/reportschedule.cpp
@@ -33,8 +33,8 @@
     return out;
 }
 
-// After a start the next turn would be too late: callers would be sent to one daemon, and requests refused for
-// a limit that others have room in. So all are told as soon as this daemon takes requests, and those that
+// After a start the next turn would be too late: callers would be sent to one daemon, and requests refused
+// for a limit that others have room in. So all are told as soon as this daemon takes requests, and those that
 // begin to serve at once.
 ReportSchedule::Due ReportSchedule::afterNews(const PeerTable &peers, bool ready, bool hasNews,
                                               bool membersRead)
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -591,7 +591,8 @@
     answer.endpointChanges = endpoints_.since(question.endpointsDigest);
     answer.endpointsBase = question.endpointsDigest;
     if (answer.endpointChanges
-        && answer.endpointChanges->changed.size() + answer.endpointChanges->gone.size() <= MostEndpointsTold) {
+        && answer.endpointChanges->changed.size() + answer.endpointChanges->gone.size()
+            <= MostEndpointsTold) {
         outgoing_.push_back({from, std::move(answer)});
         return;
     }
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -16,8 +16,8 @@
     uint64_t latePercent = 0; ///< Carried out seconds later, not answered.
     uint64_t losePercent = 0; ///< Neither.
     DurationMs delay{4};
-    /// Lists leave the store one after the other, this many a second; 0: no bound. One that its client gave up
-    /// takes its time all the same.
+    /// Lists leave the store one after the other, this many a second; 0: no bound. One that its client gave
+    /// up takes its time all the same.
     uint64_t listsPerSecond = 0;
 };
 
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -50,8 +50,12 @@
     {
         OneDaemon &daemon = daemons_[i];
         StoreSyncSettings settings;
-        settings.self = {{fmt::format("front-{}", i)}, {++incarnations_}, {"north"},
-                         callerAddress(i),             peerAddress(i),    daemon.cores};
+        settings.self = {{fmt::format("front-{}", i)},
+                         {++incarnations_},
+                         {"north"},
+                         callerAddress(i),
+                         peerAddress(i),
+                         daemon.cores};
         settings.firstStart = first;
         settings.seed = incarnations_;
         GatewaySettings gatewaySettings;
@@ -168,7 +172,10 @@
     static constexpr uint16_t FirstPort = 1000;
     static Address callerAddress(size_t i) { return {"10.0.0.1", static_cast<uint16_t>(FirstPort + i)}; }
     static Address peerAddress(size_t i) { return {"10.0.0.2", static_cast<uint16_t>(FirstPort + i)}; }
-    double coresUsed(const OneDaemon &daemon) const { return daemon.cores == StrongCores ? CoresUsed : 0.002; }
+    double coresUsed(const OneDaemon &daemon) const
+    {
+        return daemon.cores == StrongCores ? CoresUsed : 0.002;
+    }
 
     Gateway::EntryAnswer answer(OneDaemon &daemon, size_t i) const
     {
@@ -183,10 +190,9 @@
         const bool canRead = !daemon.sync->readsFail(now);
         const std::set<Address> silent = daemon.sync->silentSources(now);
         daemon.sync->setReadsForAll(gateway.peers().readsForAll(silent, now));
-        daemon.sync->setSource(
-            canRead && daemon.sync->leadership(now).held
-                ? std::nullopt
-                : gateway.peers().readerToAsk(canRead, silent, now));
+        daemon.sync->setSource(canRead && daemon.sync->leadership(now).held
+                                   ? std::nullopt
+                                   : gateway.peers().readerToAsk(canRead, silent, now));
         daemon.sync->tick(now);
         sendOut(i);
         gateway.tick(now);
@@ -216,8 +222,9 @@
             gateway.onConfiguration(read, now);
         for (const EndpointsRead &read : news.endpoints)
             gateway.onEndpoints(read, now);
-        sendReports(i, daemon.reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now),
-                                                membersRead));
+        sendReports(i,
+                    daemon.reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now),
+                                             membersRead));
         sendOut(i);
     }
 
@@ -308,8 +315,9 @@
             double &most = world.serves(i) ? mostServing : mostStandby;
             most = std::max(most, world.trafficOf(i).bytes / 5);
         }
-        MESSAGE(count << " daemons, " << serving << " serve: " << mostStandby << " B/s of one that stands by, "
-                      << mostServing << " B/s at most; " << world.storeReads() / 5 << " store reads/s");
+        MESSAGE(count << " daemons, " << serving << " serve: " << mostStandby
+                      << " B/s of one that stands by, " << mostServing << " B/s at most; "
+                      << world.storeReads() / 5 << " store reads/s");
         CHECK(serving == Strong);
         CHECK(mostStandby < 2500);
         CHECK(world.storeReads() / 5 < 40);
@@ -377,9 +385,10 @@
 
 TEST_CASE("engines that come and go all the time are learned without reading the store more")
 {
-    // A wave of reclaims: 600 engines, twelve of them replaced each half second, one by one. Daemons that were
-    // killed meanwhile start and read the list themselves, so that the reader they ask does not know their
-    // version. When that made them read again, they did so at each answer: 281 reads a second in one play.
+    // A wave of reclaims: 600 engines, twelve of them replaced each half second, one by one. Daemons that
+    // were killed meanwhile start and read the list themselves, so that the reader they ask does not know
+    // their version. When that made them read again, they did so at each answer: 281 reads a second in one
+    // play.
     FleetWorld world(100, Strong);
     size_t first = 0;
     size_t next = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -513,7 +513,8 @@
     CHECK(sent.size() == 1);
 }
 
-TEST_CASE_FIXTURE(GatewayFixture, "the daemons that serve share the repeats, those that stand by have none to spare")
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "the daemons that serve share the repeats, those that stand by have none to spare")
 {
     // Nine of forty daemons have all the callers. With an equal share of the repeats that all may make, most
     // streams of a reclaimed failure domain would be cut although the budget of all is hardly used. One that
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -1,6 +1,6 @@
 #include "gateway/endpointfleet.h"
-#include "gateway/eventstream.h"
 #include "gateway/endpointlist.h"
+#include "gateway/eventstream.h"
 #include "gateway/peerdatagrams.h"
 #include "gateway/peertable.h"
 #include "gateway/quotas.h"
@@ -221,7 +221,8 @@
 {
     PeerTable peers({"entry-1"});
     peers.setMembers({makeMember("entry-1", 1), makeMember("entry-2", 2), makeMember("entry-3", 3),
-                      makeMember("entry-4", 4)}, {0});
+                      makeMember("entry-4", 4)},
+                     {0});
     peers.take(makeReport(2, 1), {0});
     PeerReport leaving = makeReport(3, 1);
     leaving.leaving = true;
@@ -446,6 +447,7 @@
         else
             truth[id] = makeEndpoint(id, static_cast<uint16_t>(random.below(50)), random.below(4) == 0);
         std::vector<EndpointEntry> entries;
+        entries.reserve(truth.size());
         for (const std::pair<const std::string, EndpointEntry> &each : truth)
             entries.push_back(each.second);
         reader.replace(entries);
