--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -29,6 +29,7 @@
 /// A daemon that left so many questions in a row unanswered is not asked for a while.
 constexpr uint32_t SilentQuestions = 3;
 constexpr DurationMs SilentTime{3000};
+constexpr DurationMs UnansweredMemory{60000}; ///< Addresses of daemons that are gone for good are forgotten.
 /// After so many failed reads in a row, or while one is not answered for so long, a daemon asks others, also
 /// if it is one of those that read for all. It goes on trying; at a slower pace while others keep its view
 /// fresh.
@@ -464,6 +465,9 @@
     while (questions_.size() >= MostOpenQuestions)
         questions_.erase(questions_.begin());
     questions_[nextQuestion_] = {now, *source_};
+    std::erase_if(unanswered_, [now](const std::pair<const Address, Unanswered> &each) {
+        return now - each.second.askedAt > UnansweredMemory;
+    });
     Unanswered &unanswered = unanswered_[*source_];
     ++unanswered.questions;
     unanswered.askedAt = now;
