--- /dev/null
+++ b/src/gateway/memberentry.cpp
@@ -0,0 +1,89 @@
+#include "gateway/memberentry.h"
+
+#include "fields.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+namespace json = boost::json;
+
+/// While none serves. Enough for some to be lost; few enough that a start of hundreds soon changes none.
+constexpr size_t MembersToldAtStart = 24;
+
+} // namespace
+
+std::string memberText(const MemberEntry &member)
+{
+    return json::serialize(json::object{{"incarnation", member.incarnation.value},
+                                        {"failureDomain", member.failureDomain.value},
+                                        {"callerAddress", toText(member.callerAddress)},
+                                        {"peerAddress", toText(member.peerAddress)},
+                                        {"cores", member.cores},
+                                        {"serving", member.serving}});
+}
+
+std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<MemberEntry>> {
+            BOOST_LEAF_ASSIGN(const json::value value, parseJson(text));
+            MemberEntry member;
+            member.instance.value = instance;
+            FieldReader reader(value, "");
+            reader.required("failureDomain", member.failureDomain);
+            reader.required("callerAddress", member.callerAddress);
+            reader.required("peerAddress", member.peerAddress);
+            reader.optional("cores", member.cores, 0, 4096);
+            reader.optional("serving", member.serving);
+            reader.markKnown("incarnation");
+            if (const FieldError *error = reader.finish())
+                return boost::leaf::new_error(*error);
+            const json::value *incarnation = value.as_object().if_contains("incarnation");
+            const std::optional<uint64_t> number = wholeNumber<uint64_t>(incarnation);
+            if (incarnation && incarnation->is_number() && !number)
+                return std::optional<MemberEntry>();
+            member.incarnation.value = number.value_or(0);
+            return std::optional<MemberEntry>(member);
+        },
+        [] { return std::optional<MemberEntry>(); });
+}
+
+std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members)
+{
+    std::vector<MemberEntry> told;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(told),
+                 [](const MemberEntry &member) { return member.serving; });
+    if (!told.empty())
+        return told;
+    told = members;
+    const size_t count = std::min(told.size(), MembersToldAtStart);
+    std::partial_sort(told.begin(), told.begin() + static_cast<std::ptrdiff_t>(count), told.end(),
+                      [](const MemberEntry &a, const MemberEntry &b) {
+                          return a.cores != b.cores ? a.cores > b.cores : a.incarnation < b.incarnation;
+                      });
+    told.resize(count);
+    return told;
+}
+
+uint64_t digestOfShared(uint64_t version, const std::vector<MemberEntry> &members, const LeaderEntry &leader)
+{
+    std::string digested = fmt::format("{};{}={};", version, leader.revision, leader.value);
+    for (const MemberEntry &member : toldMembers(members))
+        digested += fmt::format("{}={};", member.instance.value, memberText(member));
+    return digestOf(digested) >> 1U; // JSON readers keep 63 bits.
+}
+
+InstanceName holderOf(const LeaderEntry &leader)
+{
+    json::error_code code;
+    const json::value value = json::parse(leader.value, code);
+    const json::object *object = code || leader.revision == 0 ? nullptr : value.if_object();
+    const json::value *instance = object ? object->if_contains("instance") : nullptr;
+    return {instance && instance->is_string() ? std::string(instance->as_string()) : std::string()};
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/gateway/storequestions.cpp
@@ -0,0 +1,222 @@
+// Asking another daemon about the store instead of reading it, and answering those that ask.
+
+#include "gateway/memberentry.h"
+#include "gateway/storesync.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+/// Pace of asking another daemon. Its own view is up to a read's pace old when it answers.
+constexpr DurationMs AskPace{300};
+/// One that stands by asks less often: only callers with old addresses come to it.
+constexpr DurationMs StandbyAskPace{500};
+/// A view older than this is renewed by reading, whatever the other daemon says.
+constexpr DurationMs OldestBorrowed{1300};
+constexpr DurationMs StandbyOldestBorrowed{1800};
+/// One that stands by reads changes of the configuration so many times at most within the bound in which they
+/// must be in force: each of quick successions would be read by hundreds of them.
+constexpr int64_t StandbyReadsPerBound = 3;
+/// A daemon that left so many questions in a row unanswered is not asked for a while.
+constexpr uint32_t SilentQuestions = 3;
+constexpr DurationMs SilentTime{3000};
+constexpr DurationMs UnansweredMemory{60000}; ///< Addresses of daemons that are gone for good are forgotten.
+/// More members don't fit into a datagram with the list of endpoints; they are read.
+constexpr size_t MostMembersTold = 120;
+/// Entries of endpoints in one answer: each takes about 90 B, and a datagram holds 60 KB.
+constexpr size_t MostEndpointsTold = 400;
+constexpr size_t MostOpenQuestions = 16;
+
+uint64_t digestOfEntries(const std::vector<Address> &entries)
+{
+    std::string digested;
+    for (const Address &address : entries)
+        digested += toText(address) + ";";
+    return digestOf(digested) >> 1U;
+}
+
+} // namespace
+
+void StoreSync::ask(TimeMs now)
+{
+    askAt_ = now + (settings_.self.serving ? AskPace : StandbyAskPace);
+    while (questions_.size() >= MostOpenQuestions)
+        questions_.erase(questions_.begin());
+    questions_[nextQuestion_] = {now, *source_};
+    std::erase_if(unanswered_, [now](const std::pair<const Address, Unanswered> &each) {
+        return now - each.second.askedAt > UnansweredMemory;
+    });
+    Unanswered &unanswered = unanswered_[*source_];
+    ++unanswered.questions;
+    unanswered.askedAt = now;
+    outgoing_.push_back({*source_,
+                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpoints_.digest(),
+                                           sharedDigest_, knownVersion(), toldEntriesDigest_}});
+    ++nextQuestion_;
+}
+
+DurationMs StoreSync::oldestBorrowed() const
+{
+    return settings_.self.serving ? OldestBorrowed : StandbyOldestBorrowed;
+}
+
+std::set<Address> StoreSync::silentSources(TimeMs now) const
+{
+    std::set<Address> out;
+    for (const std::pair<const Address, Unanswered> &each : unanswered_) {
+        if (each.second.questions > SilentQuestions && now - each.second.askedAt < SilentTime)
+            out.insert(each.first);
+    }
+    return out;
+}
+
+void StoreSync::setServing(bool serving)
+{
+    if (serving == settings_.self.serving)
+        return;
+    log_.write(LogWeight::State, serving ? "serving" : "standing_by", {});
+    settings_.self.serving = serving;
+    registered_ = false;
+}
+
+void StoreSync::setEntries(const std::vector<Address> &entries)
+{
+    if (entries == entries_)
+        return;
+    entries_ = entries;
+    entriesDigest_ = entries.empty() ? 0 : digestOfEntries(entries);
+}
+
+uint64_t StoreSync::knownVersion() const
+{
+    return sawConfiguration_ && configuration_ ? configuration_->version : 0;
+}
+
+void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
+{
+    // A view that is old already is of no use: the asker would have to read in any case. One that this daemon
+    // could not renew just now still is: if it kept silent, all that ask would read from a busy store.
+    const TimeMs oldest = std::min(newestShared_, newestEndpoints_);
+    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || now - oldest > OldestBorrowed)
+        return;
+    FreshnessAnswer answer;
+    answer.number = question.number;
+    answer.sharedAge = now - newestShared_;
+    answer.sharedDigest = sharedDigest_;
+    answer.configurationVersion = knownVersion();
+    if (question.sharedDigest != sharedDigest_
+        && question.configurationVersion == answer.configurationVersion) {
+        answer.members = toldMembers(members_);
+        answer.leader = leader_;
+        answer.listed = listed_;
+        answer.hasMembers = answer.members.size() <= MostMembersTold;
+    }
+    answer.endpointsAge = now - newestEndpoints_;
+    answer.endpointsDigest = endpoints_.digest();
+    answer.entriesDigest = entriesDigest_;
+    answer.hasEntries = !entries_.empty() && question.entriesDigest != entriesDigest_;
+    if (answer.hasEntries)
+        answer.entries = entries_;
+    if (question.endpointsDigest == endpoints_.digest())
+        outgoing_.push_back({from, std::move(answer)});
+    else
+        tellEndpoints(question, from, std::move(answer));
+}
+
+// "Was so" is counted from when the question was sent, less the age at the answerer: late answers, also those
+// that waited while this process stood still, claim nothing that was not true then.
+void StoreSync::onAnswer(const FreshnessAnswer &answer, TimeMs now)
+{
+    const auto found = questions_.find(answer.number);
+    if (found == questions_.end())
+        return;
+    const TimeMs askedAt = found->second.sentAt;
+    unanswered_.erase(found->second.to);
+    const bool isLast
+        = !answer.hasEndpoints || answer.endpointsFrom + answer.endpoints.size() >= answer.endpointsTotal;
+    if (isLast)
+        questions_.erase(found);
+    takeEntriesAnswer(answer, askedAt);
+    takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
+    takeEndpointsAnswer(answer, askedAt - answer.endpointsAge);
+}
+
+void StoreSync::takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now)
+{
+    if (answer.sharedDigest != sharedDigest_) {
+        // Something changed, here or there: the store tells what. If it is not the configuration, this is
+        // confirmed all the same: a daemon that the store turns away could not serve keys for long otherwise.
+        const bool sameConfiguration
+            = configuration_ && answer.configurationVersion == configuration_->version;
+        if (sameConfiguration)
+            news_.configurations.push_back({configuration_, sharedAt});
+        if (sameConfiguration && answer.hasMembers && sharedAt > newestShared_) {
+            newestShared_ = sharedAt;
+            sharedDigest_ = answer.sharedDigest;
+            listed_ = answer.listed;
+            takeMembers(answer.members, answer.leader, sharedAt, now);
+        }
+        const bool mayWait = configuration_ && !settings_.self.serving;
+        const DurationMs pace = settings_.configurationBound / StandbyReadsPerBound;
+        const bool isTooSoon = mayWait && now - sharedReadAt_ < pace;
+        if (sharedAt > newestShared_ && !isTooSoon && !tooManyOpen(Purpose::ReadShared))
+            readShared(now);
+    } else if (sharedAt > newestShared_ && configuration_) {
+        newestShared_ = sharedAt;
+        news_.configurations.push_back({configuration_, sharedAt});
+    }
+}
+
+// Changes go with the answer; a whole list goes with it and as many further ones as it takes.
+void StoreSync::tellEndpoints(const FreshnessQuestion &question, const Address &from, FreshnessAnswer answer)
+{
+    answer.endpointChanges = endpoints_.since(question.endpointsDigest);
+    answer.endpointsBase = question.endpointsDigest;
+    if (answer.endpointChanges
+        && answer.endpointChanges->changed.size() + answer.endpointChanges->gone.size()
+            <= MostEndpointsTold) {
+        outgoing_.push_back({from, std::move(answer)});
+        return;
+    }
+    const std::vector<EndpointEntry> &all = endpoints_.entries();
+    answer.endpointChanges.reset();
+    answer.hasEndpoints = true;
+    answer.endpointsTotal = all.size();
+    do {
+        const size_t end = std::min(answer.endpointsFrom + MostEndpointsTold, all.size());
+        answer.endpoints.assign(all.begin() + static_cast<std::ptrdiff_t>(answer.endpointsFrom),
+                                all.begin() + static_cast<std::ptrdiff_t>(end));
+        outgoing_.push_back({from, answer});
+        answer.endpointsFrom = end;
+    } while (answer.endpointsFrom < all.size());
+}
+
+void StoreSync::takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt)
+{
+    if (endpointsAt <= newestEndpoints_)
+        return;
+    if (answer.hasEndpoints)
+        endpoints_.takePart(answer.endpointsDigest, answer.endpointsFrom, answer.endpointsTotal,
+                            answer.endpoints);
+    else if (answer.endpointChanges)
+        endpoints_.apply(answer.endpointsBase, *answer.endpointChanges);
+    if (answer.endpointsDigest != endpoints_.digest())
+        return;
+    newestEndpoints_ = endpointsAt;
+    news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
+}
+
+// An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
+void StoreSync::takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt)
+{
+    if (answer.hasEntries) {
+        toldEntries_ = answer.entries;
+        toldEntriesDigest_ = answer.entriesDigest;
+    }
+    if (!toldEntries_.empty() && answer.entriesDigest == toldEntriesDigest_)
+        news_.entries = EntriesTold{toldEntries_, askedAt};
+}
+
+} // namespace cranberry
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -1,6 +1,9 @@
+// Reads, the lease, the own entry and the leadership of the duties. Questions to other daemons are in
+// storequestions.cpp.
+
 #include "gateway/storesync.h"
 
-#include "fields.h"
+#include "gateway/memberentry.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -16,20 +19,6 @@
 constexpr DurationMs SharedPace{600};
 /// Pace of reading the endpoints: a leaving one must get no new work two seconds after it said so.
 constexpr DurationMs EndpointsPace{500};
-/// Pace of asking another daemon. Its own view is up to a read's pace old when it answers.
-constexpr DurationMs AskPace{300};
-/// One that stands by asks less often: only callers with old addresses come to it.
-constexpr DurationMs StandbyAskPace{500};
-/// A view older than this is renewed by reading, whatever the other daemon says.
-constexpr DurationMs OldestBorrowed{1300};
-constexpr DurationMs StandbyOldestBorrowed{1800};
-/// One that stands by reads changes of the configuration so many times at most within the bound in which they
-/// must be in force: each of quick successions would be read by hundreds of them.
-constexpr int64_t StandbyReadsPerBound = 3;
-/// A daemon that left so many questions in a row unanswered is not asked for a while.
-constexpr uint32_t SilentQuestions = 3;
-constexpr DurationMs SilentTime{3000};
-constexpr DurationMs UnansweredMemory{60000}; ///< Addresses of daemons that are gone for good are forgotten.
 /// After so many failed reads in a row, or while one is not answered for so long, a daemon asks others, also
 /// if it is one of those that read for all. It goes on trying; at a slower pace while others keep its view
 /// fresh.
@@ -37,17 +26,10 @@
 constexpr DurationMs SlowRead{1100};
 constexpr int64_t SlowerWhileFailing = 3;
 /// A read that takes longer finds a busy store: each further one of a daemon that does not read for all
-/// doubles its pause, so many times at most. Of 295 daemons 60 reads a second are left then, which a store
-/// whose link a list of 300 KB keeps busy for 3 ms answers five times over.
+/// doubles its pause, so many times at most. 295 daemons then read the configuration 60 times a second
+/// (worked out); a store whose link a list of 300 KB keeps busy for 3 ms sends five times as many.
 constexpr DurationMs BusyRead{500};
 constexpr uint32_t MostReadDoublings = 3;
-/// More members don't fit into a datagram with the list of endpoints; they are read.
-constexpr size_t MostMembersTold = 120;
-/// While none serves. Enough for some to be lost; few enough that a start of hundreds soon changes none.
-constexpr size_t MembersToldAtStart = 24;
-/// Entries of endpoints in one answer: each takes about 90 B, and a datagram holds 60 KB.
-constexpr size_t MostEndpointsTold = 400;
-constexpr size_t MostOpenQuestions = 16;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
 /// Reads of one kind under way at once: they overlap while the store is slow, but don't pile up.
@@ -70,91 +52,6 @@
 
 } // namespace
 
-std::string memberText(const MemberEntry &member)
-{
-    return json::serialize(json::object{{"incarnation", member.incarnation.value},
-                                        {"failureDomain", member.failureDomain.value},
-                                        {"callerAddress", toText(member.callerAddress)},
-                                        {"peerAddress", toText(member.peerAddress)},
-                                        {"cores", member.cores},
-                                        {"serving", member.serving}});
-}
-
-namespace {
-
-/// Members that daemons which ask are told: those that serve, or the strongest while none does. The others
-/// come and go unnoticed: with hundreds of them each change would make all read the store.
-std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members)
-{
-    std::vector<MemberEntry> told;
-    std::copy_if(members.begin(), members.end(), std::back_inserter(told),
-                 [](const MemberEntry &member) { return member.serving; });
-    if (!told.empty())
-        return told;
-    told = members;
-    const size_t count = std::min(told.size(), MembersToldAtStart);
-    std::partial_sort(told.begin(), told.begin() + static_cast<std::ptrdiff_t>(count), told.end(),
-                      [](const MemberEntry &a, const MemberEntry &b) {
-                          return a.cores != b.cores ? a.cores > b.cores : a.incarnation < b.incarnation;
-                      });
-    told.resize(count);
-    return told;
-}
-
-uint64_t digestOfShared(uint64_t version, const std::vector<MemberEntry> &members, const LeaderEntry &leader)
-{
-    std::string digested = fmt::format("{};{}={};", version, leader.revision, leader.value);
-    for (const MemberEntry &member : toldMembers(members))
-        digested += fmt::format("{}={};", member.instance.value, memberText(member));
-    return digestOf(digested) >> 1U; // JSON readers keep 63 bits.
-}
-
-uint64_t digestOfEntries(const std::vector<Address> &entries)
-{
-    std::string digested;
-    for (const Address &address : entries)
-        digested += toText(address) + ";";
-    return digestOf(digested) >> 1U;
-}
-
-/// The instance that a leader's entry names; empty if it names none.
-InstanceName holderOf(const LeaderEntry &leader)
-{
-    json::error_code code;
-    const json::value value = json::parse(leader.value, code);
-    const json::object *object = code || leader.revision == 0 ? nullptr : value.if_object();
-    const json::value *instance = object ? object->if_contains("instance") : nullptr;
-    return {instance && instance->is_string() ? std::string(instance->as_string()) : std::string()};
-}
-
-} // namespace
-
-std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<MemberEntry>> {
-            BOOST_LEAF_ASSIGN(const json::value value, parseJson(text));
-            MemberEntry member;
-            member.instance.value = instance;
-            FieldReader reader(value, "");
-            reader.required("failureDomain", member.failureDomain);
-            reader.required("callerAddress", member.callerAddress);
-            reader.required("peerAddress", member.peerAddress);
-            reader.optional("cores", member.cores, 0, 4096);
-            reader.optional("serving", member.serving);
-            reader.markKnown("incarnation");
-            if (const FieldError *error = reader.finish())
-                return boost::leaf::new_error(*error);
-            const json::value *incarnation = value.as_object().if_contains("incarnation");
-            const std::optional<uint64_t> number = wholeNumber<uint64_t>(incarnation);
-            if (incarnation && incarnation->is_number() && !number)
-                return std::optional<MemberEntry>();
-            member.incarnation.value = number.value_or(0);
-            return std::optional<MemberEntry>(member);
-        },
-        [] { return std::optional<MemberEntry>(); });
-}
-
 StoreSync::StoreSync(const StoreSyncSettings &settings, DecisionLog &log)
     : settings_(settings), log_(log), random_(settings.seed)
 { }
@@ -457,188 +354,6 @@
     news_.endpoints.push_back({endpoints_.entries(), askedAt});
 }
 
-// ---- Asking instead of reading ----
-
-void StoreSync::ask(TimeMs now)
-{
-    askAt_ = now + (settings_.self.serving ? AskPace : StandbyAskPace);
-    while (questions_.size() >= MostOpenQuestions)
-        questions_.erase(questions_.begin());
-    questions_[nextQuestion_] = {now, *source_};
-    std::erase_if(unanswered_, [now](const std::pair<const Address, Unanswered> &each) {
-        return now - each.second.askedAt > UnansweredMemory;
-    });
-    Unanswered &unanswered = unanswered_[*source_];
-    ++unanswered.questions;
-    unanswered.askedAt = now;
-    outgoing_.push_back({*source_,
-                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpoints_.digest(),
-                                           sharedDigest_, knownVersion(), toldEntriesDigest_}});
-    ++nextQuestion_;
-}
-
-DurationMs StoreSync::oldestBorrowed() const
-{
-    return settings_.self.serving ? OldestBorrowed : StandbyOldestBorrowed;
-}
-
-std::set<Address> StoreSync::silentSources(TimeMs now) const
-{
-    std::set<Address> out;
-    for (const std::pair<const Address, Unanswered> &each : unanswered_) {
-        if (each.second.questions > SilentQuestions && now - each.second.askedAt < SilentTime)
-            out.insert(each.first);
-    }
-    return out;
-}
-
-void StoreSync::setServing(bool serving)
-{
-    if (serving == settings_.self.serving)
-        return;
-    log_.write(LogWeight::State, serving ? "serving" : "standing_by", {});
-    settings_.self.serving = serving;
-    registered_ = false;
-}
-
-void StoreSync::setEntries(const std::vector<Address> &entries)
-{
-    if (entries == entries_)
-        return;
-    entries_ = entries;
-    entriesDigest_ = entries.empty() ? 0 : digestOfEntries(entries);
-}
-
-uint64_t StoreSync::knownVersion() const
-{
-    return sawConfiguration_ && configuration_ ? configuration_->version : 0;
-}
-
-void StoreSync::onQuestion(const FreshnessQuestion &question, const Address &from, TimeMs now)
-{
-    // A view that is old already is of no use: the asker would have to read in any case. One that this daemon
-    // could not renew just now still is: if it kept silent, all that ask would read from a busy store.
-    const TimeMs oldest = std::min(newestShared_, newestEndpoints_);
-    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || now - oldest > OldestBorrowed)
-        return;
-    FreshnessAnswer answer;
-    answer.number = question.number;
-    answer.sharedAge = now - newestShared_;
-    answer.sharedDigest = sharedDigest_;
-    answer.configurationVersion = knownVersion();
-    if (question.sharedDigest != sharedDigest_
-        && question.configurationVersion == answer.configurationVersion) {
-        answer.members = toldMembers(members_);
-        answer.leader = leader_;
-        answer.listed = listed_;
-        answer.hasMembers = answer.members.size() <= MostMembersTold;
-    }
-    answer.endpointsAge = now - newestEndpoints_;
-    answer.endpointsDigest = endpoints_.digest();
-    answer.entriesDigest = entriesDigest_;
-    answer.hasEntries = !entries_.empty() && question.entriesDigest != entriesDigest_;
-    if (answer.hasEntries)
-        answer.entries = entries_;
-    if (question.endpointsDigest == endpoints_.digest())
-        outgoing_.push_back({from, std::move(answer)});
-    else
-        tellEndpoints(question, from, std::move(answer));
-}
-
-// "Was so" is counted from when the question was sent, less the age at the answerer: late answers, also those
-// that waited while this process stood still, claim nothing that was not true then.
-void StoreSync::onAnswer(const FreshnessAnswer &answer, TimeMs now)
-{
-    const auto found = questions_.find(answer.number);
-    if (found == questions_.end())
-        return;
-    const TimeMs askedAt = found->second.sentAt;
-    unanswered_.erase(found->second.to);
-    const bool isLast
-        = !answer.hasEndpoints || answer.endpointsFrom + answer.endpoints.size() >= answer.endpointsTotal;
-    if (isLast)
-        questions_.erase(found);
-    takeEntriesAnswer(answer, askedAt);
-    takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
-    takeEndpointsAnswer(answer, askedAt - answer.endpointsAge);
-}
-
-void StoreSync::takeSharedAnswer(const FreshnessAnswer &answer, TimeMs sharedAt, TimeMs now)
-{
-    if (answer.sharedDigest != sharedDigest_) {
-        // Something changed, here or there: the store tells what. If it is not the configuration, this is
-        // confirmed all the same: a daemon that the store turns away could not serve keys for long otherwise.
-        const bool sameConfiguration
-            = configuration_ && answer.configurationVersion == configuration_->version;
-        if (sameConfiguration)
-            news_.configurations.push_back({configuration_, sharedAt});
-        if (sameConfiguration && answer.hasMembers && sharedAt > newestShared_) {
-            newestShared_ = sharedAt;
-            sharedDigest_ = answer.sharedDigest;
-            listed_ = answer.listed;
-            takeMembers(answer.members, answer.leader, sharedAt, now);
-        }
-        const bool mayWait = configuration_ && !settings_.self.serving;
-        const DurationMs pace = settings_.configurationBound / StandbyReadsPerBound;
-        const bool isTooSoon = mayWait && now - sharedReadAt_ < pace;
-        if (sharedAt > newestShared_ && !isTooSoon && !tooManyOpen(Purpose::ReadShared))
-            readShared(now);
-    } else if (sharedAt > newestShared_ && configuration_) {
-        newestShared_ = sharedAt;
-        news_.configurations.push_back({configuration_, sharedAt});
-    }
-}
-
-// Changes go with the answer; a whole list goes with it and as many further ones as it takes.
-void StoreSync::tellEndpoints(const FreshnessQuestion &question, const Address &from, FreshnessAnswer answer)
-{
-    answer.endpointChanges = endpoints_.since(question.endpointsDigest);
-    answer.endpointsBase = question.endpointsDigest;
-    if (answer.endpointChanges
-        && answer.endpointChanges->changed.size() + answer.endpointChanges->gone.size()
-            <= MostEndpointsTold) {
-        outgoing_.push_back({from, std::move(answer)});
-        return;
-    }
-    const std::vector<EndpointEntry> &all = endpoints_.entries();
-    answer.endpointChanges.reset();
-    answer.hasEndpoints = true;
-    answer.endpointsTotal = all.size();
-    do {
-        const size_t end = std::min(answer.endpointsFrom + MostEndpointsTold, all.size());
-        answer.endpoints.assign(all.begin() + static_cast<std::ptrdiff_t>(answer.endpointsFrom),
-                                all.begin() + static_cast<std::ptrdiff_t>(end));
-        outgoing_.push_back({from, answer});
-        answer.endpointsFrom = end;
-    } while (answer.endpointsFrom < all.size());
-}
-
-void StoreSync::takeEndpointsAnswer(const FreshnessAnswer &answer, TimeMs endpointsAt)
-{
-    if (endpointsAt <= newestEndpoints_)
-        return;
-    if (answer.hasEndpoints)
-        endpoints_.takePart(answer.endpointsDigest, answer.endpointsFrom, answer.endpointsTotal,
-                            answer.endpoints);
-    else if (answer.endpointChanges)
-        endpoints_.apply(answer.endpointsBase, *answer.endpointChanges);
-    if (answer.endpointsDigest != endpoints_.digest())
-        return;
-    newestEndpoints_ = endpointsAt;
-    news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
-}
-
-// An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
-void StoreSync::takeEntriesAnswer(const FreshnessAnswer &answer, TimeMs askedAt)
-{
-    if (answer.hasEntries) {
-        toldEntries_ = answer.entries;
-        toldEntriesDigest_ = answer.entriesDigest;
-    }
-    if (!toldEntries_.empty() && answer.entriesDigest == toldEntriesDigest_)
-        news_.entries = EntriesTold{toldEntries_, askedAt};
-}
-
 void StoreSync::onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now)
 {
     if (reply.outcome == StoreOutcome::NotFound && open.lease == lease_)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -188,8 +188,4 @@
     TimeMs takeBackAt_; ///< Not before, if this instance led in an earlier life.
 };
 
-/// A member's entry as text, and back.
-std::string memberText(const MemberEntry &member);
-std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text);
-
 } // namespace cranberry
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -1,4 +1,5 @@
 #include "fakestore.h"
+#include "gateway/memberentry.h"
 #include "gateway/storesync.h"
 #include "gateway/usageduty.h"
 #include "gatewayfixture.h"
