A daemon comes back to its pace of reading as soon as the store is well

Now a quick read, and becoming one that reads for all, end the pause; pauses double twice at most instead of three times, silent daemons are asked again after 1 s instead of 3 s.

--- a/src/gateway/storequestions.cpp
+++ b/src/gateway/storequestions.cpp
@@ -21,7 +21,7 @@
 constexpr int64_t StandbyReadsPerBound = 3;
 /// A daemon that left so many questions in a row unanswered is not asked for a while.
 constexpr uint32_t SilentQuestions = 3;
-constexpr DurationMs SilentTime{3000};
+constexpr DurationMs SilentTime{1000};
 constexpr DurationMs UnansweredMemory{60000}; ///< Addresses of daemons that are gone for good are forgotten.
 /// More members don't fit into a datagram with the list of endpoints; they are read.
 constexpr size_t MostMembersTold = 120;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -26,10 +26,11 @@
 constexpr DurationMs SlowRead{1100};
 constexpr int64_t SlowerWhileFailing = 3;
 /// A read that takes longer finds a busy store: each further one of a daemon that does not read for all
-/// doubles its pause, so many times at most. 295 daemons then read the configuration 60 times a second
-/// (worked out); a store whose link a list of 300 KB keeps busy for 3 ms sends five times as many.
+/// doubles its pause, so many times at most: without a word of others a view must stay younger than the bound
+/// for removed keys. 295 daemons then read the configuration 120 times a second (worked out); a store whose
+/// link a list of 300 KB keeps busy for 3 ms sends 300.
 constexpr DurationMs BusyRead{500};
-constexpr uint32_t MostReadDoublings = 3;
+constexpr uint32_t MostReadDoublings = 2;
 /// A read that takes longer than this is taken for lost; the slowest store that still answers is below it.
 constexpr DurationMs ReadTimeout{2500};
 /// Reads of one kind under way at once: they overlap while the store is slow, but don't pile up.
@@ -102,6 +103,11 @@
 {
     const bool wasSlow = !done || now - open.sentAt > BusyRead;
     slowReads_ = wasSlow ? std::min(slowReads_ + 1, MostReadDoublings) : 0;
+    if (wasSlow)
+        return;
+    // The pause was chosen before this read showed that the store is well again.
+    sharedAt_ = std::min(sharedAt_, open.sentAt + SharedPace);
+    endpointsAt_ = std::min(endpointsAt_, open.sentAt + EndpointsPace);
 }
 
 // All daemons find the store busy at the same moment, and must not come back together.
@@ -113,6 +119,17 @@
     return most / 2 + DurationMs{static_cast<int64_t>(random_.below(static_cast<uint64_t>(most.count)))};
 }
 
+// One that reads for all by now must not keep a pause that was chosen while another one read for it: after an
+// outage its own entry lapses, and it is left out of the readers for a moment.
+void StoreSync::setReadsForAll(bool readsForAll, TimeMs now)
+{
+    if (std::exchange(readsForAll_, readsForAll) == readsForAll || !readsForAll)
+        return;
+    slowReads_ = 0;
+    sharedAt_ = std::min(sharedAt_, now);
+    endpointsAt_ = std::min(endpointsAt_, now);
+}
+
 void StoreSync::tick(TimeMs now)
 {
     if (!started_) {
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -57,7 +57,7 @@
     void setSource(const std::optional<Address> &source) { source_ = source; }
     /// One of the few that read for all keeps its pace whatever the store does. The others, hundreds perhaps,
     /// read less while it is slow.
-    void setReadsForAll(bool readsForAll) { readsForAll_ = readsForAll; }
+    void setReadsForAll(bool readsForAll, TimeMs now);
     /// Daemons that left the last questions unanswered. After a while they are tried again.
     std::set<Address> silentSources(TimeMs now) const;
     /// This daemon's own entry says so from now on.
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -76,7 +76,7 @@
 {
     const TimeMs now = steadyNow();
     const std::set<Address> silent = sync.silentSources(now);
-    sync.setReadsForAll(gateway.peers().readsForAll(silent, now));
+    sync.setReadsForAll(gateway.peers().readsForAll(silent, now), now);
     // The holder of the duties orders engines: it reads the list itself, without a way round, if it can.
     const bool canRead = !sync.readsFail(now);
     sync.setSource(canRead && sync.leadership(now).held ? std::nullopt
