A stream leaves a silent engine only if it can go on elsewhere

Cause: with a third of the engines gone an event of 7 tokens takes longer than 700 ms; the engine passes for silent, its resumable streams leave it, and those for which no repeat is left are cut. Pre-existing; at this size events hold more tokens. Now silence is at least the route's longest accepted pause, and a stream stays where no repeat or no other engine is left. Test, fails before: the stream of an engine that pauses is whole in the end.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -316,11 +316,23 @@
             continue;
         }
         if (exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts
-            && fleet_.isSilent(exchange.at, now))
+            && fleet_.isSilent(exchange.at, exchange.route->gapTarget, now))
             silent.push_back(entry.first);
     }
-    for (AttemptId attempt : silent)
-        cancelBroken(attempt, now);
+    for (AttemptId attempt : silent) {
+        const Exchange *exchange = byAttempt(attempt);
+        if (exchange && (fleet_.isOver(exchange->at, now) || canGoOnElsewhere(*exchange, now)))
+            cancelBroken(attempt, now);
+    }
+}
+
+// An engine that is overloaded looks silent, too: with a third of its engines gone a service's streams paused
+// for longer than its callers accept, and they were cut when no repeat was left for them. A stream that can't
+// go on elsewhere waits; the rest may still come in time.
+bool Gateway::canGoOnElsewhere(const Exchange &exchange, TimeMs now)
+{
+    return fleet_.choose(questionOf(exchange), now).choice
+        && repeats_.allows(exchange.service, slackShare(now), now);
 }
 
 } // namespace cranberry
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -193,10 +193,10 @@
     return endpoint.streaming > 0 && now - std::max(endpoint.heardAt, wokeAt_) > SilenceOfStreams;
 }
 
-bool EndpointFleet::isSilent(const EndpointLife &life, TimeMs now) const
+bool EndpointFleet::isSilent(const EndpointLife &life, DurationMs pause, TimeMs now) const
 {
     const FleetEndpoint *endpoint = find(life);
-    return endpoint && isSilent(*endpoint, now);
+    return endpoint && isSilent(*endpoint, now) && now - std::max(endpoint->heardAt, wokeAt_) > pause;
 }
 
 bool EndpointFleet::takesWork(const FleetEndpoint &endpoint, const ServiceName &service)
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -80,8 +80,8 @@
     void streamBegan(const EndpointLife &life);
     void heard(const EndpointLife &life, TimeMs now);
     void finished(const EndpointLife &life, bool wasStreaming);
-    /// True if streams run there and none of them has brought a byte for long.
-    bool isSilent(const EndpointLife &life, TimeMs now) const;
+    /// True if streams run there and none of them has brought a byte for long, `pause` at least.
+    bool isSilent(const EndpointLife &life, DurationMs pause, TimeMs now) const;
     void succeeded(const EndpointLife &life);
     void failed(const EndpointLife &life, TimeMs now);
     /// It answered, with a failure of its own.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,6 +164,7 @@
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
     void leaveSilentEndpoints(TimeMs now);
+    bool canGoOnElsewhere(const Exchange &exchange, TimeMs now);
 
     // Runs on leaving engines (runmoves.cpp).
     void probeEngines(TimeMs now);
--- a/src/gateway/repeatbudget.cpp
+++ b/src/gateway/repeatbudget.cpp
@@ -30,17 +30,22 @@
 
 bool RepeatBudget::take(const ServiceName &service, double slackShare, TimeMs now)
 {
-    Slot &newest = slotAt(service, now);
+    if (!allows(service, slackShare, now))
+        return false;
+    ++slotAt(service, now).repeats;
+    return true;
+}
+
+bool RepeatBudget::allows(const ServiceName &service, double slackShare, TimeMs now)
+{
+    slotAt(service, now);
     double requests = 0;
     double repeats = 0;
     for (const Slot &slot : slots_[service]) {
         requests += slot.requests;
         repeats += slot.repeats;
     }
-    if (repeats + 1 > UsedPart * (limits_.ratio * requests + limits_.slack * slackShare))
-        return false;
-    ++newest.repeats;
-    return true;
+    return repeats + 1 <= UsedPart * (limits_.ratio * requests + limits_.slack * slackShare);
 }
 
 } // namespace cranberry
--- a/src/gateway/repeatbudget.h
+++ b/src/gateway/repeatbudget.h
@@ -21,7 +21,9 @@
 public:
     void setLimits(const RepeatLimits &limits) { limits_ = limits; }
     void request(const ServiceName &service, TimeMs now);
-    /// True if one more repeat is within the budget; it is then taken.
+    /// True if one more repeat is within the budget.
+    bool allows(const ServiceName &service, double slackShare, TimeMs now);
+    /// The same; it is then taken.
     bool take(const ServiceName &service, double slackShare, TimeMs now);
 
 private:
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -500,6 +500,26 @@
     CHECK_FALSE(streamEnds.contains(resumable));
 }
 
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "a stream at an engine that pauses is not cut when no repeat is left for it")
+{
+    // Engines are overloaded: events come a second apart, and all repeats are used up. A stream that left its
+    // engine for that would end there and then, though the rest is still to come.
+    GatewaySettings none;
+    none.repeats = {0, 0, {10000}};
+    gateway.applyBounds(none);
+    const CallerId caller = request(Model);
+    const AttemptId attempt = lastSent().attempt;
+    head(attempt, 200, true);
+    events(attempt, 1, 2);
+    pass({1500});
+    CHECK_FALSE(streamEnds.contains(caller));
+    events(attempt, 3, 4);
+    end(attempt);
+    REQUIRE(streamEnds.contains(caller));
+    CHECK(streamEnds[caller]);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a daemon that stood still itself does not take its engines for silent")
 {
     // The instance is suspended for three seconds. The engines' events wait in its sockets; they are read
