The daemon's steps between store, gateway and reports are one piece, which the test plays too

fleetview_test had its own copy of how the daemon chooses its source, passes on news, answers for callers and reports. FleetView is that code now, for the daemon and the test. The gateway fills in its own identity in reports.

--- /dev/null
+++ b/src/gateway/fleetview.cpp
@@ -0,0 +1,48 @@
+#include "gateway/fleetview.h"
+
+#include <utility>
+
+namespace cranberry {
+
+// The holder of the duties orders engines: it reads the list itself, without a way round, if it can.
+void FleetView::chooseSource(TimeMs now)
+{
+    const std::set<Address> silent = sync_.silentSources(now);
+    const bool canRead = !sync_.readsFail(now);
+    sync_.setReadsForAll(gateway_.peers().readsForAll(silent, now), now);
+    sync_.setSource(canRead && sync_.leadership(now).held
+                        ? std::nullopt
+                        : gateway_.peers().readerToAsk(canRead, silent, now));
+}
+
+ReportSchedule::Due FleetView::takeNews(TimeMs now)
+{
+    StoreSync::News news = sync_.takeNews();
+    const bool membersRead = news.members.has_value();
+    if (news.members) {
+        gateway_.onMembers(std::move(*news.members), now, news.listed);
+        gateway_.onDutyHolder(news.dutyHolder);
+    }
+    if (news.entries)
+        gateway_.onEntriesTold(*news.entries);
+    for (const ConfigurationRead &read : news.configurations)
+        gateway_.onConfiguration(read, now);
+    for (const EndpointsRead &read : news.endpoints)
+        gateway_.onEndpoints(read, now);
+    return reports_.afterNews(gateway_.peers(), gateway_.isReady(now), gateway_.hasNews(now), membersRead);
+}
+
+ReportSchedule::Due FleetView::dueReports(TimeMs now)
+{
+    return reports_.due(gateway_.peers(), gateway_.hasNews(now), now);
+}
+
+std::vector<Address> FleetView::entryAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now)
+{
+    Gateway::EntryAnswer answer = gateway_.callerAddresses(own, ownCoresUsed, now);
+    sync_.setEntries(answer.told ? std::vector<Address>() : answer.addresses);
+    sync_.setServing(gateway_.serves());
+    return std::move(answer.addresses);
+}
+
+} // namespace cranberry
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,7 +72,8 @@
     /// Takes requests: has a configuration that was confirmed lately, and does not leave.
     bool isReady(TimeMs now) const;
     bool isIdle() const { return exchanges_.empty(); }
-    /// What is told to the other daemons; the caller fills in identity and time of day.
+    /// What is told to the other daemons; the caller fills in its time of day, its use of
+    /// the processor, and whether it can read the store.
     PeerReport report(bool whole, TimeMs now);
     /// Demand on each service's engines, of all daemons that are heard.
     std::map<ServiceName, ServiceDemand> demand(TimeMs now) const;
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -93,6 +93,7 @@
 {
     PeerReport out;
     out.whole = whole;
+    out.incarnation = settings_.incarnation;
     out.instance = settings_.instance;
     out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -94,20 +94,7 @@
 void GatewayServer::State::takeNews()
 {
     const TimeMs now = steadyNow();
-    StoreSync::News news = sync.takeNews();
-    const bool membersRead = news.members.has_value();
-    if (news.members) {
-        gateway.onMembers(std::move(*news.members), now, news.listed);
-        gateway.onDutyHolder(news.dutyHolder);
-    }
-    if (news.entries)
-        gateway.onEntriesTold(*news.entries);
-    for (const ConfigurationRead &read : news.configurations)
-        gateway.onConfiguration(read, now);
-    for (const EndpointsRead &read : news.endpoints)
-        gateway.onEndpoints(read, now);
-    sendReports(reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now), membersRead),
-                now);
+    sendReports(fleet.takeNews(now), now);
     const ServingConfigurationPtr configuration = gateway.configuration();
     if (configuration && configuration->version != limitsVersion) {
         limitsVersion = configuration->version;
@@ -202,7 +189,6 @@
     if (due.to.empty())
         return;
     PeerReport report = gateway.report(due.whole, now);
-    report.incarnation = incarnation;
     report.wallMs = wallNowMs();
     report.coresUsed = coresUsed;
     report.readsStore = !sync.readsFail(now);
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -66,8 +66,9 @@
       settingsText(readFile(settingsFile).value_or("")), incarnation{randomSeed()},
       log(settings.instance.value, wallNowMs),
       gateway(coreSettings(settings, incarnation, randomSeed()), log),
-      sync(syncSettings(settings, incarnation, randomSeed()), log), usageDuty(settings.usageDue, log),
-      engineSizing(settings.firstStart, log), storeCodec(log), endpoints(io), store(io), duties(io)
+      sync(syncSettings(settings, incarnation, randomSeed()), log), fleet(sync, gateway),
+      usageDuty(settings.usageDue, log), engineSizing(settings.firstStart, log), storeCodec(log),
+      endpoints(io), store(io), duties(io)
 { }
 
 // ---- Life ----
@@ -75,12 +76,7 @@
 void GatewayServer::State::tick()
 {
     const TimeMs now = steadyNow();
-    const std::set<Address> silent = sync.silentSources(now);
-    sync.setReadsForAll(gateway.peers().readsForAll(silent, now), now);
-    // The holder of the duties orders engines: it reads the list itself, without a way round, if it can.
-    const bool canRead = !sync.readsFail(now);
-    sync.setSource(canRead && sync.leadership(now).held ? std::nullopt
-                                                        : gateway.peers().readerToAsk(canRead, silent, now));
+    fleet.chooseSource(now);
     sync.tick(now);
     sendOutgoing();
     runStoreCalls();
@@ -92,7 +88,7 @@
     // Also before any other daemon is known: requests are counted in windows of the time of day from the
     // first on.
     gateway.usage().setOffset(gateway.peers().medianWallOffset(wallNowMs() - now.count, now));
-    sendReports(reports.due(gateway.peers(), gateway.hasNews(now), now), now);
+    sendReports(fleet.dueReports(now), now);
     if (now >= flushAt) {
         flushAt = now + LogPace;
         log.flush();
@@ -110,14 +106,9 @@
     });
 }
 
-// Each answer is a choice of the daemons that serve; this one may be among them.
 std::vector<Address> GatewayServer::State::entryAddresses(TimeMs now)
 {
-    Gateway::EntryAnswer answer
-        = gateway.callerAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
-    sync.setEntries(answer.told ? std::vector<Address>() : answer.addresses);
-    sync.setServing(gateway.serves());
-    return std::move(answer.addresses);
+    return fleet.entryAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
 }
 
 void GatewayServer::State::waitForSignal()
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gateway/enginesizing.h"
+#include "gateway/fleetview.h"
 #include "gateway/gateway.h"
 #include "gateway/peerdatagrams.h"
-#include "gateway/reportschedule.h"
 #include "gateway/storesync.h"
 #include "gateway/usageduty.h"
 #include "io/clocksource.h"
@@ -90,6 +90,7 @@
     LogSink log;
     Gateway gateway;
     StoreSync sync;
+    FleetView fleet;
     UsageDuty usageDuty;
     EngineSizing engineSizing;
     platform::StoreCodec storeCodec;
@@ -111,7 +112,6 @@
 
     boost::asio::steady_timer timer{io};
     boost::asio::signal_set signals{io};
-    ReportSchedule reports;
     TimeMs coresMeasuredAt;
     double processorTimeMs = 0; ///< At that time.
     double coresUsed = 0; ///< Moving mean.
--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -184,7 +184,6 @@
     {
         for (size_t i = 0; i < daemons_.size(); ++i) {
             PeerReport report = daemons_[i]->report(true, now_);
-            report.incarnation = members_[i].incarnation;
             for (size_t other = 0; other < daemons_.size(); ++other) {
                 if (other != i)
                     daemons_[other]->onPeerReport(report, now_);
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -1,10 +1,8 @@
 // What daemons know of each other: at 30 to 890 daemons, with kills, losses and cuts, in virtual time.
 
 #include "fakestore.h"
-#include "gateway/gateway.h"
+#include "gateway/fleetview.h"
 #include "gateway/peerdatagrams.h"
-#include "gateway/reportschedule.h"
-#include "gateway/storesync.h"
 #include "gatewayfixture.h"
 
 #include <algorithm>
@@ -73,10 +71,9 @@
         GatewaySettings gatewaySettings;
         gatewaySettings.instance = settings.self.instance;
         gatewaySettings.incarnation = settings.self.incarnation;
-        daemon.incarnation = settings.self.incarnation;
         daemon.sync = std::make_unique<StoreSync>(settings, log_);
         daemon.gateway = std::make_unique<Gateway>(gatewaySettings, log_);
-        daemon.reports = {};
+        daemon.fleet = std::make_unique<FleetView>(*daemon.sync, *daemon.gateway);
         daemon.isUp = true;
     }
     void kill(size_t i) { daemons_[i].isUp = false; }
@@ -131,7 +128,11 @@
     bool isUp(size_t i) const { return daemons_[i].isUp; }
     bool isReady(size_t i) const { return daemons_[i].isUp && daemons_[i].gateway->isReady(now); }
     bool serves(size_t i) const { return daemons_[i].gateway->serves(); }
-    std::vector<Address> entriesOf(size_t i) { return answer(daemons_[i], i).addresses; }
+    std::vector<Address> entriesOf(size_t i)
+    {
+        const OneDaemon &daemon = daemons_[i];
+        return daemon.fleet->entryAddresses({callerAddress(i), daemon.cores}, coresUsed(daemon), now);
+    }
     double storeReads() const { return static_cast<double>(storeReads_); }
     /// Daemons that are up and name one of those that are down to callers.
     size_t namingTheDead()
@@ -167,10 +168,9 @@
 private:
     struct OneDaemon {
         double cores = WeakCores;
-        Incarnation incarnation;
         std::unique_ptr<StoreSync> sync;
         std::unique_ptr<Gateway> gateway;
-        ReportSchedule reports;
+        std::unique_ptr<FleetView> fleet;
         TimeMs entriesAt;
         bool isUp = false;
         Traffic traffic;
@@ -189,54 +189,26 @@
         return daemon.cores == StrongCores ? CoresUsed : 0.002;
     }
 
-    Gateway::EntryAnswer answer(OneDaemon &daemon, size_t i) const
-    {
-        return daemon.gateway->callerAddresses({callerAddress(i), daemon.cores}, coresUsed(daemon), now);
-    }
-
     // As the daemon does it at each of its ticks.
     void tick(size_t i)
     {
         OneDaemon &daemon = daemons_[i];
         Gateway &gateway = *daemon.gateway;
-        const bool canRead = !daemon.sync->readsFail(now);
-        const std::set<Address> silent = daemon.sync->silentSources(now);
-        daemon.sync->setReadsForAll(gateway.peers().readsForAll(silent, now), now);
-        daemon.sync->setSource(canRead && daemon.sync->leadership(now).held
-                                   ? std::nullopt
-                                   : gateway.peers().readerToAsk(canRead, silent, now));
+        daemon.fleet->chooseSource(now);
         daemon.sync->tick(now);
         sendOut(i);
         gateway.tick(now);
         gateway.takeActions();
         if (now - daemon.entriesAt >= EntriesPace) {
             daemon.entriesAt = now;
-            const Gateway::EntryAnswer chosen = answer(daemon, i);
-            daemon.sync->setEntries(chosen.told ? std::vector<Address>() : chosen.addresses);
-            daemon.sync->setServing(gateway.serves());
+            entriesOf(i);
         }
-        sendReports(i, daemon.reports.due(gateway.peers(), gateway.hasNews(now), now));
+        sendReports(i, daemon.fleet->dueReports(now));
     }
 
     void takeNews(size_t i)
     {
-        OneDaemon &daemon = daemons_[i];
-        Gateway &gateway = *daemon.gateway;
-        StoreSync::News news = daemon.sync->takeNews();
-        const bool membersRead = news.members.has_value();
-        if (news.members) {
-            gateway.onMembers(std::move(*news.members), now, news.listed);
-            gateway.onDutyHolder(news.dutyHolder);
-        }
-        if (news.entries)
-            gateway.onEntriesTold(*news.entries);
-        for (const ConfigurationRead &read : news.configurations)
-            gateway.onConfiguration(read, now);
-        for (const EndpointsRead &read : news.endpoints)
-            gateway.onEndpoints(read, now);
-        sendReports(i,
-                    daemon.reports.afterNews(gateway.peers(), gateway.isReady(now), gateway.hasNews(now),
-                                             membersRead));
+        sendReports(i, daemons_[i].fleet->takeNews(now));
         sendOut(i);
     }
 
@@ -257,7 +229,6 @@
         if (due.to.empty())
             return;
         PeerReport report = daemons_[i].gateway->report(due.whole, now);
-        report.incarnation = daemons_[i].incarnation;
         report.coresUsed = coresUsed(daemons_[i]);
         const std::string text = encodeDatagram(report);
         for (const Address &to : due.to)
