One order of members, one digest for datagrams, one list of candidates; cheaper question first

Whether a silent engine's stream may be repeated is asked before an engine is looked for, since both are asked at each tick for each such stream.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -331,8 +331,8 @@
 // go on elsewhere waits; the rest may still come in time.
 bool Gateway::canGoOnElsewhere(const Exchange &exchange, TimeMs now)
 {
-    return fleet_.choose(questionOf(exchange), now).choice
-        && repeats_.allows(exchange.service, slackShare(now), now);
+    return repeats_.allows(exchange.service, slackShare(now), now)
+        && fleet_.choose(questionOf(exchange), now).choice;
 }
 
 } // namespace cranberry
--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -1,7 +1,5 @@
 #include "gateway/endpointlist.h"
 
-#include "fields.h"
-
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
@@ -26,7 +24,7 @@
     std::string digested;
     for (const EndpointEntry &entry : entries)
         digested += digestedText(entry);
-    return std::max<uint64_t>(digestOf(digested) >> 1U, 1); // JSON readers keep 63 bits.
+    return std::max<uint64_t>(jsonDigestOf(digested), 1);
 }
 
 bool isBefore(const EndpointEntry &a, const EndpointEntry &b)
--- a/src/gateway/memberentry.cpp
+++ b/src/gateway/memberentry.cpp
@@ -52,6 +52,11 @@
         [] { return std::optional<MemberEntry>(); });
 }
 
+bool isStronger(const MemberEntry &a, const MemberEntry &b)
+{
+    return a.cores != b.cores ? a.cores > b.cores : a.incarnation < b.incarnation;
+}
+
 std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members)
 {
     std::vector<MemberEntry> told;
@@ -62,9 +67,7 @@
     told = members;
     const size_t count = std::min(told.size(), MembersToldAtStart);
     std::partial_sort(told.begin(), told.begin() + static_cast<std::ptrdiff_t>(count), told.end(),
-                      [](const MemberEntry &a, const MemberEntry &b) {
-                          return a.cores != b.cores ? a.cores > b.cores : a.incarnation < b.incarnation;
-                      });
+                      isStronger);
     told.resize(count);
     return told;
 }
@@ -74,7 +77,7 @@
     std::string digested = fmt::format("{};{}={};", version, leader.revision, leader.value);
     for (const MemberEntry &member : toldMembers(members))
         digested += fmt::format("{}={};", member.instance.value, memberText(member));
-    return digestOf(digested) >> 1U; // JSON readers keep 63 bits.
+    return jsonDigestOf(digested);
 }
 
 InstanceName holderOf(const LeaderEntry &leader)
--- a/src/gateway/memberentry.h
+++ b/src/gateway/memberentry.h
@@ -8,6 +8,9 @@
 std::string memberText(const MemberEntry &member);
 std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text);
 
+/// The order in which daemons are preferred where strength counts: all daemons order alike.
+bool isStronger(const MemberEntry &a, const MemberEntry &b);
+
 /// Members that daemons which ask are told: those that serve, or the strongest while none does. The others
 /// come and go unnoticed: with hundreds of them each change would make all read the store.
 std::vector<MemberEntry> toldMembers(const std::vector<MemberEntry> &members);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peertable.h"
 
+#include "gateway/memberentry.h"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -34,6 +36,11 @@
 /// are back within about a second; taken for gone they would leave the whole of each limit to each daemon.
 constexpr DurationMs SharersMemory{3000};
 
+bool takesRequests(const PeerReport &report)
+{
+    return report.ready && !report.leaving;
+}
+
 } // namespace
 
 // ---- Who serves ----
@@ -74,7 +81,7 @@
     std::sort(order_.begin(), order_.end(), [](const MemberEntry *a, const MemberEntry *b) {
         if (a->serving != b->serving)
             return a->serving;
-        return a->cores != b->cores ? a->cores > b->cores : a->incarnation < b->incarnation;
+        return isStronger(*a, *b);
     });
     anyServes_ = !order_.empty() && order_.front()->serving;
     sharers_ = order_;
@@ -140,7 +147,7 @@
 bool PeerTable::mayRead(const MemberEntry &member, TimeMs now) const
 {
     if (const Peer *peer = heard(member, now))
-        return peer->report.ready && !peer->report.leaving && peer->report.readsStore;
+        return takesRequests(peer->report) && peer->report.readsStore;
     return !isTarget_;
 }
 
@@ -150,8 +157,9 @@
 PeerTable::MemberPtrs PeerTable::readers(bool canRead, const std::set<Address> &silent, TimeMs now) const
 {
     MemberPtrs out;
+    const size_t wanted = readerCount();
     for (const MemberEntry *member : order_) {
-        if (out.size() == readerCount())
+        if (out.size() == wanted)
             break;
         const bool counts
             = isSelf(*member) ? canRead : !silent.contains(member->peerAddress) && mayRead(*member, now);
@@ -185,13 +193,13 @@
 bool PeerTable::isHeardReady(const MemberEntry &member, TimeMs now) const
 {
     const Peer *peer = heard(member, now);
-    return peer && peer->report.ready && !peer->report.leaving;
+    return peer && takesRequests(peer->report);
 }
 
 bool PeerTable::saidItLeaves(const MemberEntry &member, TimeMs now) const
 {
     const Peer *peer = heard(member, now);
-    return peer && (!peer->report.ready || peer->report.leaving);
+    return peer && !takesRequests(peer->report);
 }
 
 size_t PeerTable::heardSharers(TimeMs now) const
@@ -212,28 +220,18 @@
     return isTarget_ && heardSharers(now) * 2 > sharers_.size();
 }
 
-std::vector<EntryCandidate> PeerTable::entryCandidates(TimeMs now) const
+std::vector<EntryCandidate> PeerTable::entryCandidates(bool mustHear, TimeMs now) const
 {
     std::vector<EntryCandidate> out;
     for (const MemberEntry *member : order_) {
         const bool standsBy = anyServes_ && !member->serving;
-        const bool counts = standsBy ? !saidItLeaves(*member, now) : isHeardReady(*member, now);
+        const bool counts = mustHear && !standsBy ? isHeardReady(*member, now) : !saidItLeaves(*member, now);
         if (!isSelf(*member) && counts)
             out.push_back({member->callerAddress, member->cores, member->serving});
     }
     return out;
 }
 
-std::vector<EntryCandidate> PeerTable::listedCandidates(TimeMs now) const
-{
-    std::vector<EntryCandidate> out;
-    for (const MemberEntry *member : order_) {
-        if (!isSelf(*member) && !saidItLeaves(*member, now))
-            out.push_back({member->callerAddress, member->cores, member->serving});
-    }
-    return out;
-}
-
 // ---- What they said ----
 
 namespace {
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -51,13 +51,12 @@
     std::optional<Address> readerToAsk(bool canRead, const std::set<Address> &silent, TimeMs now) const;
     /// This daemon is one of the few that read, if it can.
     bool readsForAll(const std::set<Address> &silent, TimeMs now) const;
-    /// Of the others that tell this daemon, all or more than half are heard.
+    // Of the daemons that tell this one, all or more than half are heard.
     bool hearsAll(TimeMs now) const;
     bool hearsMost(TimeMs now) const;
-    /// Other daemons for callers: those that serve, are heard and ready, and those that stand by.
-    std::vector<EntryCandidate> entryCandidates(TimeMs now) const;
-    /// All other daemons that the store lists and that did not say that they leave.
-    std::vector<EntryCandidate> listedCandidates(TimeMs now) const;
+    /// Other daemons for callers: those that the store lists and that did not say that they leave.
+    /// `mustHear`: of those that serve only the ones that are heard.
+    std::vector<EntryCandidate> entryCandidates(bool mustHear, TimeMs now) const;
 
     // What they said.
 
--- a/src/gateway/reportschedule.cpp
+++ b/src/gateway/reportschedule.cpp
@@ -5,6 +5,18 @@
 
 namespace cranberry {
 
+namespace {
+
+ReportSchedule::Due wholeTo(const std::vector<const MemberEntry *> &members)
+{
+    ReportSchedule::Due out{{}, true};
+    for (const MemberEntry *member : members)
+        out.to.push_back(member->peerAddress);
+    return out;
+}
+
+} // namespace
+
 // Reports may be lost: the next one says all of it again. Each tick tells a few daemons, in turn: to all at
 // once would overflow the queue of a slow link, and the sockets of the others. One that stands by and has
 // nothing to tell is silent.
@@ -45,18 +57,12 @@
         return toAll(peers);
     if (!ready || !membersRead || !hasNews)
         return {};
-    Due out{{}, true};
-    for (const MemberEntry *target : peers.newTargets())
-        out.to.push_back(target->peerAddress);
-    return out;
+    return wholeTo(peers.newTargets());
 }
 
 ReportSchedule::Due ReportSchedule::toAll(const PeerTable &peers)
 {
-    Due out{{}, true};
-    for (const MemberEntry *target : peers.reportTargets())
-        out.to.push_back(target->peerAddress);
-    return out;
+    return wholeTo(peers.reportTargets());
 }
 
 } // namespace cranberry
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -147,15 +147,17 @@
     const bool ready = isReady(now);
     const bool hears = peers_.hearsMost(now);
     const bool told = !hears && now - toldEntriesAt_ < ToldEntriesLast && !toldEntries_.empty();
-    std::vector<Address> entries = toldEntries_;
-    if (told && !ready)
-        std::erase(entries, own.address);
-    if (!told) {
-        std::vector<EntryCandidate> candidates
-            = hears ? peers_.entryCandidates(now) : peers_.listedCandidates(now);
+    const double used = peers_.coresUsed(now) + ownCoresUsed;
+    std::vector<Address> entries;
+    if (told) {
+        entries = toldEntries_;
+        if (!ready)
+            std::erase(entries, own.address);
+    } else {
+        std::vector<EntryCandidate> candidates = peers_.entryCandidates(hears, now);
         if (ready)
             candidates.push_back({own.address, own.cores, servingRole_.serves()});
-        entries = chooseEntries(std::move(candidates), peers_.coresUsed(now) + ownCoresUsed);
+        entries = chooseEntries(std::move(candidates), used);
     }
     servingRole_.note(std::find(entries.begin(), entries.end(), own.address) != entries.end(), now);
     if (std::exchange(entryCount_, entries.size()) != entries.size())
@@ -164,7 +166,7 @@
                     {"told", told},
                     {"hears_most", hears},
                     {"serves", servingRole_.serves()},
-                    {"cores_used", peers_.coresUsed(now) + ownCoresUsed}});
+                    {"cores_used", used}});
     return {std::move(entries), told};
 }
 
--- a/src/gateway/storequestions.cpp
+++ b/src/gateway/storequestions.cpp
@@ -34,7 +34,7 @@
     std::string digested;
     for (const Address &address : entries)
         digested += toText(address) + ";";
-    return digestOf(digested) >> 1U;
+    return jsonDigestOf(digested);
 }
 
 } // namespace
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -362,13 +362,8 @@
         if (item.endpoint)
             entries.push_back(*item.endpoint);
     }
-    takeEndpointList(std::move(entries), open.readStartedAt);
-}
-
-void StoreSync::takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt)
-{
     endpoints_.replace(std::move(entries));
-    news_.endpoints.push_back({endpoints_.entries(), askedAt});
+    news_.endpoints.push_back({endpoints_.entries(), open.readStartedAt});
 }
 
 void StoreSync::onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -118,7 +118,6 @@
     void checkOwnEntry(TimeMs askedAt);
     uint64_t knownVersion() const; ///< Of the configuration; 0: none.
     void takeEndpoints(const OpenCall &open);
-    void takeEndpointList(std::vector<EndpointEntry> entries, TimeMs askedAt);
     void onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now);
     void loseLease(TimeMs now, const char *why);
     void registerSelf(TimeMs now);
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -86,4 +86,9 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+uint64_t jsonDigestOf(const std::string &text)
+{
+    return digestOf(text) >> 1U;
+}
+
 } // namespace cranberry
--- a/src/types.h
+++ b/src/types.h
@@ -165,6 +165,8 @@
 };
 
 uint64_t digestOf(const std::string &text);
+/// The same in 63 bits: JSON readers keep no more.
+uint64_t jsonDigestOf(const std::string &text);
 
 /// A refusal or a final "unknown", with the time after which it is worth asking again.
 struct Refusal {
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -228,8 +228,8 @@
     leaving.leaving = true;
     peers.take(leaving, {0});
     CHECK(peers.sharers({100}) == 4);
-    CHECK(peers.entryCandidates({100}).size() == 1);
-    CHECK(peers.entryCandidates({5000}).empty());
+    CHECK(peers.entryCandidates(true, {100}).size() == 1);
+    CHECK(peers.entryCandidates(true, {5000}).empty());
 }
 
 TEST_CASE("callers are sent to the strong instances as long as these carry the load, to more alike ones else")
