--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -263,10 +263,10 @@
 // others still count without them.
 double Gateway::slackShare(TimeMs now) const
 {
+    if (!peers_.isSharer())
+        return 0;
     const size_t sharers = peers_.sharers(now);
-    if (sharers == 1)
-        return 1;
-    return peers_.isSharer() ? SharedSlackPart / static_cast<double>(sharers) : 0;
+    return sharers == 1 ? 1 : SharedSlackPart / static_cast<double>(sharers);
 }
 
 // One more send, if the time, the budget of all daemons and an endpoint are there.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -520,6 +520,20 @@
     CHECK(streamEnds[caller]);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "one that stands by beside a single one that serves has no repeats to spare")
+{
+    // One daemon serves, this one has a stray caller. If both took the whole slack, a failing service would
+    // get twice the repeats that the operators allow.
+    gateway.onMembers({{{"entry-1"}, {1}, {"north"}, {}, {"10.0.0.1", 90}, 1, false},
+                       {{"entry-2"}, {2}, {"south"}, {}, {"10.0.0.2", 90}, 1, true}},
+                      now);
+    pass({4000});
+    request(Model);
+    broken(lastSent().attempt);
+    CHECK(gateway.counters().of(GatewayRetry::Broken) == 0);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a daemon that stood still itself does not take its engines for silent")
 {
     // The instance is suspended for three seconds. The engines' events wait in its sockets; they are read
