Logs tell which tries are one request, and that an endpoint ended rather than a connection

On-call could not tell the incident's hypotheses apart: no line said which requests are the same, and an end had to be put together from broken attempts. After a break the endpoint is asked once on a new connection; refused means ended. Nothing is decided by it yet. cranberryctl trace marks the other tries of a request.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -215,7 +215,8 @@
 void Gateway::cancelBroken(AttemptId attempt, TimeMs now)
 {
     actions_.emplace_back(CancelSent{attempt});
-    onBroken({attempt, true}, now);
+    if (Exchange *exchange = byAttempt(attempt))
+        attemptFailed(*exchange, true, now);
 }
 
 void Gateway::onBroken(const AttemptBroken &event, TimeMs now)
@@ -229,26 +230,32 @@
             goOnAtTarget(*exchange, now);
         return;
     }
-    log(LogWeight::Failure, "attempt_broken", *exchange,
-        {{"attempt", event.attempt.value},
-         {"sent", event.sent},
-         {"after_ms", (now - exchange->sentAt).count}});
-    fleet_.failed(exchange->at, now);
-    detach(*exchange);
-    if (!event.sent) {
-        if (repeat(*exchange, GatewayRetry::ConnectFailed, now))
+    if (event.sent)
+        noteBroken(*exchange, now);
+    attemptFailed(*exchange, event.sent, now);
+}
+
+// The attempt's outcome is unknown, or nothing of it was sent.
+void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
+{
+    log(LogWeight::Failure, "attempt_broken", exchange,
+        {{"attempt", exchange.attempt.value}, {"sent", sent}, {"after_ms", (now - exchange.sentAt).count}});
+    fleet_.failed(exchange.at, now);
+    detach(exchange);
+    if (!sent) {
+        if (repeat(exchange, GatewayRetry::ConnectFailed, now))
             return;
     } else {
-        exchange->mayHaveRun = true;
-        ++exchange->sends;
-        const GatewayRetry reason = exchange->phase == ExchangePhase::Streaming ? GatewayRetry::StreamResumed
-                                                                                : GatewayRetry::Broken;
-        if (mayRepeat(*exchange) && repeat(*exchange, reason, now))
+        exchange.mayHaveRun = true;
+        ++exchange.sends;
+        const GatewayRetry reason
+            = exchange.phase == ExchangePhase::Streaming ? GatewayRetry::StreamResumed : GatewayRetry::Broken;
+        if (mayRepeat(exchange) && repeat(exchange, reason, now))
             return;
     }
-    if (exchange->phase == ExchangePhase::Streaming)
-        return streamBroke(*exchange, now);
-    giveUp(*exchange, GatewayRefusal::EndpointBroken, now);
+    if (exchange.phase == ExchangePhase::Streaming)
+        return streamBroke(exchange, now);
+    giveUp(exchange, GatewayRefusal::EndpointBroken, now);
 }
 
 // Whether a request that may have run may run once more.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -31,6 +31,7 @@
     ServiceName service;
     OrganisationName organisation;
     std::string key;
+    RequestDigest digest; ///< Once its organisation is known.
     uint32_t priority = 0;
     double quotaUnits = 0; ///< Taken from the organisation's limit.
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -156,6 +156,7 @@
 {
     exchange.phase = ExchangePhase::Queued;
     const std::optional<OwnAnswer> refusal = judge(exchange, now);
+    exchange.digest = digestOf(exchange.organisation, *exchange.request);
     // Refused ones count for the repeats, too: otherwise an outage of the store, in which keys are refused,
     // would leave no repeats for moving the streams off engines that are reclaimed just after it.
     if (exchange.route) {
@@ -246,6 +247,7 @@
         {{"attempt", exchange.attempt.value},
          {"service", exchange.service.value},
          {"organisation", exchange.organisation.value},
+         {"digest", toText(exchange.digest)},
          {"units", exchange.quotaUnits},
          {"wait_ms", choice.waitMs},
          {"prefill_tokens", choice.prefillTokens},
@@ -273,6 +275,7 @@
     log(LogWeight::Failure, "refused", exchange,
         {{"reason", toText(own.reason)},
          {"organisation", exchange.organisation.value},
+         {"digest", toText(exchange.digest)},
          {"status", own.status},
          {"retry_after_ms", own.retryAfter.count},
          {"after_ms", (now - exchange.arrivedAt).count},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,9 +164,14 @@
     void onRejected(Exchange &exchange, TimeMs now);
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
+    void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
     void leaveSilentEndpoints(TimeMs now);
     bool canGoOnElsewhere(const Exchange &exchange, TimeMs now);
 
+    // Endpoints that end under their requests (endpointends.cpp).
+    void noteBroken(const Exchange &exchange, TimeMs now);
+    void onProcessKnown(const EngineProbed &event, TimeMs now);
+
     // Runs on leaving engines (runmoves.cpp).
     void probeEngines(TimeMs now);
     void moveRunsAway(TimeMs now);
@@ -208,6 +213,17 @@
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
+    /// An attempt that broke at an endpoint that is asked whether it still runs.
+    struct BrokenAttempt {
+        std::string requestId;
+        RequestDigest digest;
+        std::optional<TimeMs> firstEventAt;
+    };
+    struct Question {
+        TimeMs askedAt;
+        std::vector<BrokenAttempt> broken;
+    };
+    std::map<EndpointLife, Question> endpointQuestions_; ///< Open ones.
     std::map<ServiceName, double> answerMs_; ///< Moving mean of a whole answer's time at a service.
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -14,9 +14,20 @@
     "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayCount::Count)> CountNames
-    = {"requests",          "attempts",       "answers_passed", "streams_whole", "streams_broken",
-       "callers_gone",      "retries_denied", "queued",         "peer_reports",  "configurations_taken",
-       "entries_unreadable"};
+    = {"requests",
+       "attempts",
+       "answers_passed",
+       "streams_whole",
+       "streams_broken",
+       "callers_gone",
+       "retries_denied",
+       "queued",
+       "peer_reports",
+       "configurations_taken",
+       "entries_unreadable",
+       "endpoints_ended",
+       "endpoints_outlived_breaks",
+       "breaks_unexplained"};
 
 } // namespace
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -48,6 +48,9 @@
     PeerReports,
     ConfigurationsTaken,
     EntriesUnreadable, ///< Of endpoints known before, at each change to that.
+    EndpointsEnded, ///< Attempts broke, and then nobody listened there any more.
+    EndpointsOutlivedBreaks, ///< Attempts broke, and the endpoint still ran: a connection, or its own fault.
+    BreaksUnexplained, ///< Attempts broke, and the endpoint said nothing when it was asked.
     Count
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/callerrequest.h"
+#include "gateway/requestdigest.h"
 #include "gateway/serving.h"
 
 #include <variant>
@@ -84,13 +85,22 @@
     std::string handle; ///< Names the memory, once.
 };
 
+/// Whether an endpoint's process was there when it was asked.
+enum class EndpointProcess : uint8_t {
+    Unknown, ///< No reply: it may be cut off, frozen or without power.
+    Runs, ///< It answered, whatever it said.
+    Ended ///< Its instance is up and says that nobody listens there.
+};
+
 /// What an engine says of itself.
 struct EngineProbed {
     EndpointId endpoint;
     EndpointStart start;
-    bool answered = false;
+    bool answered = false; ///< With a readable report; the fields around are of it.
     bool leaving = false;
     std::optional<DurationMs> leavesAfter;
+    EndpointProcess process = EndpointProcess::Unknown;
+    bool afterBreak = false; ///< As asked.
 };
 
 struct AttemptBroken {
@@ -310,6 +320,9 @@
     EndpointId endpoint;
     Address address;
     DurationMs timeout;
+    /// Since attempts broke there. On a new connection: only that tells an endpoint that ended from a kept
+    /// connection that broke.
+    bool afterBreak = false;
 };
 
 /// Send a request to an endpoint.
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -31,6 +31,8 @@
 
 void Gateway::onEngineProbed(const EngineProbed &event, TimeMs now)
 {
+    if (event.afterBreak)
+        onProcessKnown(event, now);
     const EndpointLife life{event.endpoint, event.start};
     if (!event.answered || !fleet_.answered(life, now) || !event.leaving)
         return;
--- a/src/io/endpointlink.cpp
+++ b/src/io/endpointlink.cpp
@@ -164,7 +164,7 @@
     const bool broken = failure == HttpFailure::None && (cut || failed);
     if (running.saidNotRun && failure == HttpFailure::None)
         return sink_(EndpointFailed{running.id, FailurePhase::SaidNotRun});
-    if (failure == HttpFailure::NotSent)
+    if (!mayHaveArrived(failure))
         return sink_(EndpointFailed{running.id, FailurePhase::NotSent});
     if (failure == HttpFailure::Silent)
         return sink_(EndpointFailed{running.id, FailurePhase::Silent});
--- a/src/io/gatewaycallers.cpp
+++ b/src/io/gatewaycallers.cpp
@@ -13,6 +13,12 @@
 /// A caller that takes none of this many bytes is gone.
 constexpr size_t MostUnsentBytes = 4U << 20;
 
+/// Of a response that came whole; 0: it did not.
+int wholeStatus(const HttpResponse &response)
+{
+    return response.failure == HttpFailure::None ? response.status : 0;
+}
+
 } // namespace
 
 void GatewayServer::State::onCaller(const HttpExchangePtr &exchange)
@@ -149,7 +155,7 @@
         if (failure == HttpFailure::None)
             gateway.onEnd({attempt}, steadyNow());
         else
-            gateway.onBroken({attempt, failure != HttpFailure::NotSent}, steadyNow());
+            gateway.onBroken({attempt, mayHaveArrived(failure)}, steadyNow());
         runActions();
     };
     calls[attempt] = endpoints.start(std::move(call), std::move(callbacks));
@@ -165,35 +171,44 @@
 }
 
 // A short call to an endpoint beside its requests.
-void GatewayServer::State::callEndpoint(const Address &address, HttpRequest request, DurationMs timeout,
-                                        std::function<void(int status, const std::string &body)> onReply)
+void GatewayServer::State::callEndpoint(HttpCall call, DurationMs timeout,
+                                        std::function<void(const HttpResponse &)> onReply)
 {
-    HttpCall call;
-    call.address = address;
-    call.request = std::move(request);
     call.connectTimeout = std::min(ConnectTimeout, timeout);
     call.progressTimeout = timeout;
     call.totalTimeout = timeout;
     endpoints.fetch(std::move(call), [this, onReply = std::move(onReply)](const HttpResponse &response) {
-        onReply(response.failure == HttpFailure::None ? response.status : 0, response.body);
+        onReply(response);
         runActions();
     });
 }
 
 void GatewayServer::State::run(MoveRun &action)
 {
-    callEndpoint(action.source, platform::encodeMove(action), action.timeout,
-                 [this, attempt = action.attempt](int status, const std::string &body) {
-                     gateway.onRunMoved(platform::decodeMove(attempt, status, body), steadyNow());
-                 });
+    HttpCall call;
+    call.address = action.source;
+    call.request = platform::encodeMove(action);
+    callEndpoint(
+        std::move(call), action.timeout, [this, attempt = action.attempt](const HttpResponse &reply) {
+            gateway.onRunMoved(platform::decodeMove(attempt, wholeStatus(reply), reply.body), steadyNow());
+        });
 }
 
 void GatewayServer::State::run(ProbeEngine &action)
 {
-    callEndpoint(action.address, platform::encodeProbe(), action.timeout,
-                 [this, endpoint = action.endpoint](int status, const std::string &body) {
-                     gateway.onEngineProbed(platform::decodeProbe(endpoint, status, body), steadyNow());
-                 });
+    HttpCall call;
+    call.address = action.address;
+    call.request = platform::encodeProbe();
+    call.freshConnection = action.afterBreak;
+    callEndpoint(
+        std::move(call), action.timeout,
+        [this, endpoint = action.endpoint, afterBreak = action.afterBreak](const HttpResponse &reply) {
+            EngineProbed probed = platform::decodeProbe(endpoint, wholeStatus(reply), reply.body);
+            probed.afterBreak = afterBreak;
+            if (reply.failure == HttpFailure::Refused)
+                probed.process = EndpointProcess::Ended;
+            gateway.onEngineProbed(probed, steadyNow());
+        });
 }
 
 } // namespace cranberry
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -53,8 +53,7 @@
     void run(ProbeEngine &action);
     void run(TellPeer &action);
 
-    void callEndpoint(const Address &address, HttpRequest request, DurationMs timeout,
-                      std::function<void(int status, const std::string &body)> onReply);
+    void callEndpoint(HttpCall call, DurationMs timeout, std::function<void(const HttpResponse &)> onReply);
 
     // The store.
     void runStoreCalls();
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -143,7 +143,8 @@
         if (gone_)
             return;
         if (code)
-            return done(HttpFailure::NotSent);
+            return done(code == asio::error::connection_refused ? HttpFailure::Refused
+                                                                : HttpFailure::NotSent);
         setSocketOptions(stream_->socket().native_handle());
         write();
     }
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -10,11 +10,18 @@
 
 enum class HttpFailure : uint8_t {
     None,
-    NotSent, ///< The connection was never had: no byte left.
+    Refused, ///< The far end is up, but nobody listens there: no byte left.
+    NotSent, ///< The connection was never had for another reason: no byte left.
     Broken, ///< Anything after that.
     Silent ///< Nothing came for the progress timeout.
 };
 
+/// Whether the far end may have read some of the request.
+constexpr bool mayHaveArrived(HttpFailure failure)
+{
+    return failure != HttpFailure::Refused && failure != HttpFailure::NotSent;
+}
+
 struct HttpCall {
     Address address;
     HttpRequest request;
--- a/src/io/platform.cpp
+++ b/src/io/platform.cpp
@@ -144,7 +144,7 @@
     const json::object body{{"compare", json::array{compare}}, {"success", json::array{put}}};
     post("/v3/kv/txn", json::serialize(body), [onDone = std::move(onDone)](const HttpResponse &response) {
         // No byte left, or the service's own refusal: surely not written. Everything else may have been.
-        if (response.failure == HttpFailure::NotSent)
+        if (!mayHaveArrived(response.failure))
             return onDone(ConfigurationChange::Write::Failed, {});
         const json::value answer = parsedOrNull(response.body);
         if (response.failure != HttpFailure::None || response.status != 200 || !answer.is_object())
--- /dev/null
+++ b/tests/endpointends_test.cpp
@@ -0,0 +1,90 @@
+// Endpoints that end under their requests, and what only looks like it.
+
+#include "gatewayfixture.h"
+
+using namespace cranberry;
+
+namespace {
+
+constexpr const char *Review = "/review/1";
+constexpr const char *Draft = "/draft/1";
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayFixture, "an endpoint that ends is noted once, with the requests that it had")
+{
+    // An engine's process ends under two streams: both connections break at once, and a new one is refused.
+    // On call must see that the engine ended, and which requests it had, without putting it together from
+    // broken attempts.
+    endpoints = {endpoints[0]};
+    listEndpoints();
+    request(Review);
+    request(Draft);
+    head(sent[0].attempt, 200, true);
+    events(sent[0].attempt, 1, 3);
+    pass({100});
+    broken(sent[0].attempt);
+    broken(sent[1].attempt);
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].afterBreak);
+    endpointEnded(probes[0].endpoint);
+    CHECK(log.count("endpoint_ended") == 1);
+    CHECK(log.count("lost_with_endpoint") == 2);
+    CHECK(gateway.counters().of(GatewayCount::EndpointsEnded) == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a connection that breaks is no end of its endpoint")
+{
+    // One connection is reset and the engine goes on; another engine's instance is silent, as behind a cut.
+    // Neither has ended. An older question, whether an engine leaves, says nothing about a later break.
+    request(Review);
+    broken(sent[0].attempt);
+    gateway.onEngineProbed({sent[0].endpoint, {}, true, false, {}, EndpointProcess::Runs}, now);
+    CHECK(gateway.counters().of(GatewayCount::EndpointsOutlivedBreaks) == 0);
+    gateway.onEngineProbed({sent[0].endpoint, {}, true, false, {}, EndpointProcess::Runs, true}, now);
+    CHECK(gateway.counters().of(GatewayCount::EndpointsOutlivedBreaks) == 1);
+    request(Draft);
+    const SendAttempt silent = lastSent();
+    broken(silent.attempt);
+    gateway.onEngineProbed({silent.endpoint, {}, false, false, {}, EndpointProcess::Unknown, true}, now);
+    CHECK(gateway.counters().of(GatewayCount::BreaksUnexplained) == 1);
+    CHECK(log.count("endpoint_ended") == 0);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "an endpoint that answers with a later start has ended before")
+{
+    // The process ends and is back at once under its name: whoever answers there now is another life.
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    listEndpoints();
+    request(Draft);
+    broken(sent[0].attempt);
+    gateway.onEngineProbed({sent[0].endpoint, {2000}, true, false, {}, EndpointProcess::Runs, true}, now);
+    CHECK(gateway.counters().of(GatewayCount::EndpointsEnded) == 1);
+}
+
+TEST_CASE("tries of one request have one digest, other requests have others")
+{
+    // A caller's tries differ in id, headers and query; they must be known as the same request. Another path,
+    // body or organisation is another request.
+    CallerRequest request;
+    request.id = "1";
+    request.path = "/review/1";
+    request.target = "/review/1?try=1";
+    request.body = "body";
+    const RequestDigest digest = digestOf({"a"}, request);
+    CallerRequest again = request;
+    again.id = "2";
+    again.target = "/review/1?try=2";
+    again.forwarded.push_back({"X-Try", "2"});
+    CHECK(digestOf({"a"}, again) == digest);
+    CHECK(digestOf({"b"}, request) != digest);
+    again.path = "/review/2";
+    CHECK(digestOf({"a"}, again) != digest);
+    again = request;
+    again.body = "other";
+    CHECK(digestOf({"a"}, again) != digest);
+    CHECK(requestDigestFromText(toText(digest)) == digest);
+    CHECK_FALSE(requestDigestFromText("0000000000000000"));
+    CHECK_FALSE(requestDigestFromText("xyz"));
+}
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -187,6 +187,12 @@
     drainActions();
 }
 
+void GatewayFixture::endpointEnded(const EndpointId &endpoint)
+{
+    gateway.onEngineProbed({endpoint, {}, false, false, {}, EndpointProcess::Ended, true}, now);
+    drainActions();
+}
+
 int GatewayFixture::statusOf(CallerId caller) const
 {
     const auto found = answers.find(caller);
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -50,6 +50,8 @@
     void data(AttemptId attempt, const std::string &bytes);
     void end(AttemptId attempt);
     void broken(AttemptId attempt, bool sent = true);
+    /// It says so when it is asked after a break: nobody listens there.
+    void endpointEnded(const EndpointId &endpoint);
 
     // What came out.
     std::vector<SendAttempt> sent;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -25,3 +25,19 @@
     CHECK(story[3] == "  +200 ms * entry-1 refused reason=\"timed_out\"");
     CHECK(traceRequest("unknown", lines).empty());
 }
+
+TEST_CASE("the tries of one request are told together")
+{
+    // A request that ends engines comes again under other ids, at other daemons. From the id of one try on
+    // call must find the others, and each engine that ended under them.
+    const std::vector<std::string> lines = {
+        R"({"time_ms":1000,"instance":"a","event":"send","digest":"d1","request":"r0","endpoint":"m1"})",
+        R"({"time_ms":1100,"instance":"a","event":"lost_with_endpoint","digest":"d1","request":"r0","endpoint":"m1"})",
+        R"({"time_ms":9000,"instance":"b","event":"send","digest":"d1","request":"r1","endpoint":"m2"})",
+        R"({"time_ms":9050,"instance":"b","event":"send","digest":"d2","request":"r2","endpoint":"m2"})"};
+    const std::vector<std::string> story = traceRequest("r1", lines);
+    REQUIRE(story.size() == 3);
+    CHECK(story[0].find(" = a send") != std::string::npos);
+    CHECK(story[1].find("lost_with_endpoint") != std::string::npos);
+    CHECK(story[2].find(" * b send") != std::string::npos);
+}
--- a/tools/caller.cpp
+++ b/tools/caller.cpp
@@ -205,7 +205,7 @@
         return finish(JobOutcome::GaveUp, "connections");
     if (hasId)
         return again(FailurePause, [self = shared_from_this()] { self->resume(self->nextEntry()); });
-    if (job_.nonIdempotent && job_.key.empty() && failure != HttpFailure::NotSent)
+    if (job_.nonIdempotent && job_.key.empty() && mayHaveArrived(failure))
         return finish(JobOutcome::Unknown, "connectionBrokenWithoutKey");
     again(FailurePause, [self = shared_from_this()] { self->submit(); });
 }
--- a/tools/trace.cpp
+++ b/tools/trace.cpp
@@ -21,6 +21,7 @@
     std::string event;
     std::string request;
     std::string endpoint;
+    std::string digest; ///< The same for all tries of one request.
     std::string rest; ///< All other fields.
 };
 
@@ -46,6 +47,7 @@
     out.event = textAt(*object, "event");
     out.request = textAt(*object, "request");
     out.endpoint = textAt(*object, "endpoint");
+    out.digest = textAt(*object, "digest");
     for (const json::key_value_pair &field : *object) {
         const std::string name(field.key());
         if (name != "time_ms" && name != "instance" && name != "event" && name != "request")
@@ -69,6 +71,7 @@
 
     std::set<std::string> instances;
     std::set<std::string> endpoints;
+    std::string digest;
     int64_t first = 0;
     int64_t last = 0;
     for (const LogLine &line : all) {
@@ -79,17 +82,23 @@
         instances.insert(line.instance);
         if (!line.endpoint.empty())
             endpoints.insert(line.endpoint);
+        if (!line.digest.empty())
+            digest = line.digest;
     }
 
     std::vector<std::string> out;
     for (const LogLine &line : all) {
         const bool own = line.request == request;
+        const bool otherTry = !own && !digest.empty() && line.digest == digest;
         const bool near = line.timeMs >= first - BeforeMs && line.timeMs <= last + AfterMs;
-        const bool context = line.request.empty() && near && instances.contains(line.instance)
+        const bool context = line.request.empty() && line.digest.empty() && near
+            && instances.contains(line.instance)
             && (line.endpoint.empty() || endpoints.contains(line.endpoint));
-        if (first != 0 && (own || context))
-            out.push_back(fmt::format("{:+6d} ms {} {} {}{}", line.timeMs - first, own ? "*" : " ",
-                                      line.instance, line.event, line.rest));
+        if (first == 0 || (!own && !otherTry && !context))
+            continue;
+        const char *mark = own ? "*" : otherTry ? "=" : " ";
+        out.push_back(fmt::format("{:+6d} ms {} {} {}{}", line.timeMs - first, mark, line.instance,
+                                  line.event, line.rest));
     }
     return out;
 }
