Failing test: a request that ends engines is sent on and on

Reproduces the incident in virtual time: nine engines, six daemons, one request four times a second for 20 s.

--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -14,6 +14,12 @@
 constexpr DurationMs ListPace{500};
 constexpr DurationMs AfterTheLast{15000}; ///< For what still runs at the end.
 constexpr DurationMs EventPace{50};
+/// From the begin of a run that ends its engine to that end.
+constexpr DurationMs CrashDelay{60};
+/// An engine that ended is named by the list for so long.
+constexpr DurationMs StaysListed{3600};
+constexpr uint64_t EndsBeforeSettling = 3;
+constexpr const char *CrashingBody = "crashing";
 
 struct Reading {
     size_t daemon = 0;
@@ -22,6 +28,8 @@
     uint64_t outputTokens = 0;
     std::vector<PromptPart> shared;
     uint32_t urgency = 5;
+    uint64_t nextEvent = 1;
+    bool crashes = false;
 };
 
 struct Stream {
@@ -30,6 +38,7 @@
     TimeMs nextAt;
     TimeMs endsAt;
     uint64_t nextEvent = 1;
+    bool hasHead = false;
 };
 
 /// One engine: reads first come, first served; streams side by side.
@@ -39,6 +48,9 @@
     std::vector<Stream> streams;
     std::list<PromptPart> cache; ///< Newest first.
     bool gone = false;
+    std::optional<TimeMs> crashesAt;
+    std::optional<TimeMs> endedAt; ///< Its process. The list names it for some seconds more.
+    bool restarted = false; ///< Another one has taken its place.
 
     bool holds(const std::string &id) const
     {
@@ -87,9 +99,12 @@
                 list(now_ - start);
             }
             if (now_ - start < plan_.length)
-                arrive();
+                arrive(now_ - start);
             for (Engine &engine : engines_)
                 run(engine);
+            endEngines();
+            restartEngines();
+            reply();
             if (now_ - ticked >= TickPace) {
                 ticked = now_;
                 for (size_t i = 0; i < daemons_.size(); ++i) {
@@ -122,6 +137,8 @@
             route.timeout = kind.deadline;
             route.latencyTarget = kind.target;
             route.priority = kind.priority;
+            route.resumable = kind.resumable;
+            route.attempts = kind.resumable ? 2 : 1;
             route.anonymous = true;
             configuration_->routes.push_back(route);
         }
@@ -160,7 +177,8 @@
         }
         EndpointsRead read;
         read.askedAt = now_;
-        for (const Engine &engine : engines_) {
+        for (Engine &engine : engines_) {
+            engine.gone = engine.gone || (engine.endedAt && now_ - *engine.endedAt > StaysListed);
             if (!engine.gone)
                 read.entries.push_back(engine.entry);
         }
@@ -180,6 +198,61 @@
             daemons_[stream.daemon]->onBroken({stream.attempt, true}, now_);
     }
 
+    // All that it had breaks at once, and nobody listens there any more.
+    void endEngines()
+    {
+        for (size_t i = 0; i < engines_.size(); ++i) {
+            if (!engines_[i].crashesAt || now_ < *engines_[i].crashesAt || engines_[i].endedAt)
+                continue;
+            engines_[i].endedAt = now_;
+            if (++result_.crashing.enginesEnded == EndsBeforeSettling)
+                thirdEndAt_ = now_;
+            breakAll(engines_[i]);
+            for (size_t daemon = 0; daemon < daemons_.size(); ++daemon)
+                takeActions(daemon);
+        }
+    }
+
+    void restartEngines()
+    {
+        const size_t count = engines_.size();
+        for (size_t i = 0; i < count; ++i) {
+            if (!engines_[i].endedAt || engines_[i].restarted
+                || now_ - *engines_[i].endedAt < plan_.restartTime)
+                continue;
+            engines_[i].restarted = true;
+            Engine next;
+            next.entry = engines_[i].entry;
+            next.entry.id.value = fmt::format("engine-{}", engines_.size());
+            engines_.push_back(std::move(next));
+        }
+    }
+
+    // What daemons hear a moment after they asked, sent or told.
+    void reply()
+    {
+        for (const std::pair<size_t, AttemptId> &unsent : std::exchange(unsent_, {})) {
+            daemons_[unsent.first]->onBroken({unsent.second, false}, now_);
+            takeActions(unsent.first);
+        }
+        for (const std::pair<size_t, EndpointId> &probe : std::exchange(probes_, {})) {
+            const bool ended = engineOf(probe.second).endedAt.has_value();
+            EngineProbed probed;
+            probed.endpoint = probe.second;
+            probed.answered = !ended;
+            probed.process = ended ? EndpointProcess::Ended : EndpointProcess::Runs;
+            probed.afterBreak = true;
+            daemons_[probe.first]->onEngineProbed(probed, now_);
+            takeActions(probe.first);
+        }
+    }
+
+    Engine &engineOf(const EndpointId &id)
+    {
+        return *std::find_if(engines_.begin(), engines_.end(),
+                             [&id](const Engine &each) { return each.entry.id == id; });
+    }
+
     void report()
     {
         for (size_t i = 0; i < daemons_.size(); ++i) {
@@ -198,7 +271,7 @@
         return {static_cast<int64_t>(exponential(1000.0 / kind.perSecond))};
     }
 
-    void arrive()
+    void arrive(DurationMs since)
     {
         for (size_t k = 0; k < plan_.kinds.size(); ++k) {
             while (nextArrival_[k] <= now_) {
@@ -206,18 +279,45 @@
                 nextArrival_[k] = nextArrival_[k] + pause(plan_.kinds[k]);
             }
         }
+        const bool isCrashTime
+            = plan_.crashing && since >= plan_.crashing->from && since < plan_.crashing->until;
+        if (isCrashTime && now_ >= nextCrashing_) {
+            nextCrashing_ = now_ + plan_.crashing->pause;
+            askCrashing(plan_.kinds.back());
+        }
+    }
+
+    void askCrashing(const LoadKind &kind)
+    {
+        std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>(newRequest(kind));
+        request->body = CrashingBody;
+        request->parts = {{request->id, 200}};
+        request->promptTokens = 200;
+        request->outputTokens = kind.outputTokens;
+        const size_t daemon = random_.below(daemons_.size());
+        crashingCallers_.insert({daemon, CallerId{callers_}});
+        ++result_.crashing.asked;
+        daemons_[daemon]->onRequest({CallerId{callers_}, request}, now_);
+        takeActions(daemon);
+    }
+
+    CallerRequest newRequest(const LoadKind &kind)
+    {
+        CallerRequest request;
+        request.id = fmt::format("request-{}", ++callers_);
+        request.method = "POST";
+        request.path = request.target = "/" + kind.name + "/";
+        request.host = "portal.example";
+        request.body = request.id;
+        request.deadline = kind.deadline;
+        request.statesTokens = true;
+        return request;
     }
 
     void ask(const LoadKind &kind)
     {
-        std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>();
-        const CallerId caller{++callers_};
-        request->id = fmt::format("request-{}", caller.value);
-        request->method = "POST";
-        request->path = request->target = "/" + kind.name + "/";
-        request->host = "portal.example";
-        request->deadline = kind.deadline;
-        request->statesTokens = true;
+        std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>(newRequest(kind));
+        const CallerId caller{callers_};
         const uint64_t own = 1 + static_cast<uint64_t>(exponential(kind.ownTokens));
         if (kind.sharedTokens > 0)
             request->parts.push_back(
@@ -236,7 +336,9 @@
     void takeActions(size_t daemon)
     {
         for (const GatewayAction &action : daemons_[daemon]->takeActions()) {
-            if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
+            if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
+                probes_.emplace_back(daemon, probe->endpoint);
+            else if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
                 receive(daemon, *attempt);
             else if (const CancelSent *cancel = std::get_if<CancelSent>(&action))
                 forget(daemon, cancel->attempt);
@@ -251,11 +353,19 @@
 
     void receive(size_t daemon, const SendAttempt &attempt)
     {
-        const auto engine = std::find_if(engines_.begin(), engines_.end(), [&](const Engine &each) {
-            return each.entry.id == attempt.endpoint;
-        });
+        Engine *engine = &engineOf(attempt.endpoint);
+        if (engine->endedAt) {
+            unsent_.emplace_back(daemon, attempt.attempt);
+            return;
+        }
         Reading reading{
             daemon, attempt.attempt, 0, attempt.request->outputTokens, {}, attempt.urgency.value_or(5)};
+        reading.nextEvent = attempt.resumeAfter.value_or(0) + 1;
+        reading.crashes = attempt.request->body == CrashingBody;
+        if (reading.crashes) {
+            ++result_.crashing.sent;
+            result_.crashing.sentLate += thirdEndAt_ && now_ - *thirdEndAt_ > SettleTime ? 1 : 0;
+        }
         for (const PromptPart &part : attempt.request->parts) {
             const bool isShared = part.id != attempt.request->id;
             if (isShared)
@@ -314,8 +424,13 @@
                 break;
             const TimeMs first = now_ + DurationMs{static_cast<int64_t>(plan_.engine.baseMs)};
             const double lengthMs = plan_.engine.tokenMs * static_cast<double>(reading.outputTokens);
-            engine.streams.push_back(
-                {reading.daemon, reading.attempt, first, first + DurationMs{static_cast<int64_t>(lengthMs)}});
+            const DurationMs before = EventPace * static_cast<int64_t>(reading.nextEvent - 1);
+            const DurationMs length = std::max(DurationMs{static_cast<int64_t>(lengthMs)} - before, Step);
+            if (reading.crashes)
+                engine.crashesAt = std::min(now_ + CrashDelay, engine.crashesAt.value_or(now_ + CrashDelay));
+            else
+                engine.streams.push_back(
+                    {reading.daemon, reading.attempt, first, first + length, reading.nextEvent});
             engine.queue.pop_front();
         }
         stream(engine);
@@ -335,7 +450,7 @@
     void sendEvent(Engine &engine, const Stream &each)
     {
         Gateway &gateway = *daemons_[each.daemon];
-        if (each.nextEvent == 1) {
+        if (!each.hasHead) {
             AttemptHead head;
             head.attempt = each.attempt;
             head.status = 200;
@@ -353,6 +468,7 @@
             const auto stream = std::find_if(engine.streams.begin(), engine.streams.end(), isIt);
             if (stream != engine.streams.end()) {
                 ++stream->nextEvent;
+                stream->hasHead = true;
                 stream->nextAt = std::min(now_ + EventPace, std::max(stream->endsAt, now_ + Step));
             }
         }
@@ -370,6 +486,12 @@
 
     void refuse(size_t daemon, const AnswerCaller &answer)
     {
+        const bool mayComeBack = answer.status == 503 && !headerOf(answer.headers, "Retry-After").empty();
+        if (crashingCallers_.contains({daemon, answer.caller})) {
+            result_.crashing.refused += mayComeBack ? 1 : 0;
+            return;
+        }
+        result_.refusedAsSuspects += answer.body.find("quarantined") == std::string::npos ? 0 : 1;
         const auto asked = requests_[daemon].find(answer.caller);
         if (asked == requests_[daemon].end())
             return;
@@ -401,6 +523,11 @@
     std::vector<MemberEntry> members_;
     std::vector<std::map<CallerId, Asked>> requests_;
     std::vector<TimeMs> nextArrival_;
+    TimeMs nextCrashing_;
+    std::set<std::pair<size_t, CallerId>> crashingCallers_;
+    std::optional<TimeMs> thirdEndAt_;
+    std::vector<std::pair<size_t, AttemptId>> unsent_;
+    std::vector<std::pair<size_t, EndpointId>> probes_;
     uint64_t callers_ = 0;
     LoadResult result_;
 };
@@ -431,6 +558,10 @@
 std::string LoadResult::text() const
 {
     std::string out = fmt::format("tokens read {}, of shared parts again {}\n", tokensRead, sharedReadAgain);
+    out += fmt::format(
+        "crashing: asked {} sent {} late {} engines ended {} refused {}; others taken for it {}\n",
+        crashing.asked, crashing.sent, crashing.sentLate, crashing.enginesEnded, crashing.refused,
+        refusedAsSuspects);
     for (const std::pair<const std::string, KindResult> &entry : kinds) {
         const KindResult &kind = entry.second;
         out += fmt::format("{}: asked {} in time {} late {} refused {} broken {} first ms p50 {} p99 {}\n",
--- a/tests/engineload.h
+++ b/tests/engineload.h
@@ -23,6 +23,15 @@
     DurationMs target{1000}; ///< For the first event.
     DurationMs deadline{12000};
     uint32_t priority = 1;
+    bool resumable = false; ///< A broken stream may go on at a second engine.
+};
+
+/// One and the same request that ends each engine that begins to run it, and comes again and again, at any
+/// daemon.
+struct CrashingRequest {
+    DurationMs from{5000};
+    DurationMs until{25000};
+    DurationMs pause{250}; ///< Between two tries, whatever became of the ones before.
 };
 
 /// An engine as far as placing can see it: reads prompts one after the other, keeps shared parts, and
@@ -47,9 +56,23 @@
     size_t enginesLost = 0;
     DurationMs lossAt{15000};
     DurationMs lossNotice{2000};
+    std::optional<CrashingRequest> crashing;
+    DurationMs restartTime{3500}; ///< An engine that ended is back after this, under another name.
+    uint64_t lostNotices = 0; ///< Of a hundred datagrams between daemons, besides their reports.
     uint64_t seed = 1;
 };
 
+/// What became of the request that ends engines.
+struct CrashResult {
+    uint64_t asked = 0;
+    uint64_t sent = 0; ///< To engines that ran.
+    uint64_t sentLate = 0; ///< Of these, later than `SettleTime` after the third engine had ended.
+    uint64_t enginesEnded = 0;
+    uint64_t refused = 0; ///< With "not run", and when to come back.
+};
+/// What daemons have to agree that a request ends engines.
+constexpr DurationMs SettleTime{3000};
+
 /// What callers of one kind got.
 struct KindResult {
     uint64_t asked = 0;
@@ -71,6 +94,8 @@
     std::map<std::string, KindResult> kinds;
     uint64_t tokensRead = 0;
     uint64_t sharedReadAgain = 0; ///< Of shared parts that some engine held.
+    CrashResult crashing;
+    uint64_t refusedAsSuspects = 0; ///< Other requests that were taken for one that ends engines.
     KindResult total() const;
     std::string text() const; ///< A table, for a failed check.
 };
