The failing test's engine takes the request that ends it along

The model dropped the request when it had been read, so its attempt never broke and was not repeated.

--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -428,9 +428,10 @@
             const DurationMs length = std::max(DurationMs{static_cast<int64_t>(lengthMs)} - before, Step);
             if (reading.crashes)
                 engine.crashesAt = std::min(now_ + CrashDelay, engine.crashesAt.value_or(now_ + CrashDelay));
-            else
-                engine.streams.push_back(
-                    {reading.daemon, reading.attempt, first, first + length, reading.nextEvent});
+            // One that ends the engine brings nothing before that.
+            const TimeMs firstAt = reading.crashes ? now_ + plan_.length : first;
+            engine.streams.push_back(
+                {reading.daemon, reading.attempt, firstAt, firstAt + length, reading.nextEvent});
             engine.queue.pop_front();
         }
         stream(engine);
