A suspected request waits for the word on its endpoint; who begins to serve is told of the ends so far

Found by real processes on the stand-in platform (gateway_process_crash): the second try ended two engines, since its repeat left a millisecond before the verdict, and since a daemon that began to serve 0.4 s later had not heard of the first two ends. Now a request under which an endpoint ended before is repeated only when the question is answered (1 to 2 ms, 0.5 s at most), and new targets of reports are told the ends and the verdicts. Four engines before, three after.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -232,24 +232,37 @@
             goOnAtTarget(*exchange, now);
         return;
     }
-    if (event.sent)
-        noteBroken(*exchange, now);
-    attemptFailed(*exchange, event.sent, now);
+    const bool waits = event.sent && noteBroken(*exchange, now);
+    closeBroken(*exchange, event.sent, now);
+    if (!waits)
+        goOnAfterBreak(*exchange, event.sent, now);
 }
 
-// The attempt's outcome is unknown, or nothing of it was sent.
 void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
+{
+    closeBroken(exchange, sent, now);
+    goOnAfterBreak(exchange, sent, now);
+}
+
+// The attempt's outcome is unknown, or nothing of it was sent.
+void Gateway::closeBroken(Exchange &exchange, bool sent, TimeMs now)
 {
     log(LogWeight::Failure, "attempt_broken", exchange,
         {{"attempt", exchange.attempt.value}, {"sent", sent}, {"after_ms", (now - exchange.sentAt).count}});
     fleet_.failed(exchange.at, now);
     detach(exchange);
+    if (!sent)
+        return;
+    exchange.mayHaveRun = true;
+    ++exchange.sends;
+}
+
+void Gateway::goOnAfterBreak(Exchange &exchange, bool sent, TimeMs now)
+{
     if (!sent) {
         if (repeat(exchange, GatewayRetry::ConnectFailed, now))
             return;
     } else {
-        exchange.mayHaveRun = true;
-        ++exchange.sends;
         const GatewayRetry reason
             = exchange.phase == ExchangePhase::Streaming ? GatewayRetry::StreamResumed : GatewayRetry::Broken;
         if (mayRepeat(exchange) && repeat(exchange, reason, now))
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -116,6 +116,20 @@
     return out;
 }
 
+std::vector<EndpointLoss> CrashSuspects::losses(size_t most) const
+{
+    std::vector<EndpointLoss> out;
+    for (const std::pair<const RequestDigest, Suspect> &entry : suspects_) {
+        for (const std::pair<const EndpointLife, uint32_t> &end : entry.second.ends)
+            out.push_back({entry.first, end.first, end.second == SoundRunPoints});
+    }
+    std::stable_sort(out.begin(), out.end(), [this](const EndpointLoss &a, const EndpointLoss &b) {
+        return endsUnder(a.request) > endsUnder(b.request);
+    });
+    out.resize(std::min(out.size(), most));
+    return out;
+}
+
 // Those go first that are over, then those that only one endpoint ended under, longest ago first: callers who
 // send many such requests on purpose push out each other's, and the ones in quarantine last.
 void CrashSuspects::makeRoom(TimeMs now)
--- a/src/gateway/crashsuspects.h
+++ b/src/gateway/crashsuspects.h
@@ -38,6 +38,8 @@
     };
     /// For the store and the daemons that stand by: those that last longest, so many at most.
     std::vector<Quarantined> quarantined(size_t most, TimeMs now) const;
+    /// The ends that are known, for a daemon that has heard of none; of the requests with most ends first.
+    std::vector<EndpointLoss> losses(size_t most) const;
     /// Grows with each change of what is in quarantine.
     uint64_t version() const { return version_; }
     size_t size() const { return suspects_.size(); }
--- a/src/gateway/endpointends.cpp
+++ b/src/gateway/endpointends.cpp
@@ -41,19 +41,24 @@
 // All attempts at an endpoint that ends break within milliseconds of each other: it is asked once for all of
 // them, on a new connection. A connection alone, and an endpoint that drops a request of its own fault, look
 // the same until then.
-void Gateway::noteBroken(const Exchange &exchange, TimeMs now)
+//
+// A request under which an endpoint ended before is not sent on at once: the answer comes within two
+// milliseconds, and the next endpoint may be the one too many.
+bool Gateway::noteBroken(const Exchange &exchange, TimeMs now)
 {
     const FleetEndpoint *endpoint = fleet_.find(exchange.at);
     if (!endpoint)
-        return;
+        return false;
     const auto [question, isNew] = endpointQuestions_.try_emplace(exchange.at, Question{now, {}});
-    BrokenAttempt broken{exchange.request->id, exchange.digest, std::nullopt};
+    BrokenAttempt broken{exchange.caller, exchange.request->id, exchange.digest, std::nullopt, false};
     if (exchange.streaming)
         broken.firstEventAt = exchange.firstEventAt;
-    question->second.broken.push_back(std::move(broken));
+    broken.waits = suspects_.isSuspected(exchange.digest) && !isQuarantined(exchange, now);
     if (isNew)
         actions_.emplace_back(
             ProbeEngine{exchange.at.id, endpoint->entry.address, ProcessProbeTimeout, true});
+    question->second.broken.push_back(broken);
+    return broken.waits;
 }
 
 void Gateway::onProcessKnown(const EngineProbed &event, TimeMs now)
@@ -66,11 +71,20 @@
     endpointQuestions_.erase(found);
     // Another process at that address means that the one before it ended.
     const bool startedAgain = event.answered && event.start > life.start;
-    if (event.process != EndpointProcess::Ended && !startedAgain) {
+    if (event.process == EndpointProcess::Ended || startedAgain)
+        noteEnd(life, question, now);
+    else
         counters_.add(event.process == EndpointProcess::Runs ? GatewayCount::EndpointsOutlivedBreaks
                                                              : GatewayCount::BreaksUnexplained);
-        return;
+    for (const BrokenAttempt &broken : question.broken) {
+        const auto exchange = exchanges_.find(broken.caller);
+        if (broken.waits && exchange != exchanges_.end())
+            goOnAfterBreak(exchange->second, true, now);
     }
+}
+
+void Gateway::noteEnd(const EndpointLife &life, const Question &question, TimeMs now)
+{
     counters_.add(GatewayCount::EndpointsEnded);
     const FleetEndpoint *endpoint = fleet_.find(life);
     const bool announced = endpoint && (endpoint->entry.leaving || endpoint->gone);
@@ -98,11 +112,9 @@
         return;
     suspect(losses, VerdictSource::Own, now);
     for (size_t from = 0; from < losses.size(); from += MostLossesTold) {
-        const size_t end = std::min(from + MostLossesTold, losses.size());
-        tellServing({{losses.begin() + static_cast<std::ptrdiff_t>(from),
-                      losses.begin() + static_cast<std::ptrdiff_t>(end)},
-                     {},
-                     {}});
+        const auto begin = losses.begin() + static_cast<std::ptrdiff_t>(from);
+        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(MostLossesTold, losses.size() - from));
+        tellServing({{begin, end}, {}, {}});
     }
 }
 
@@ -213,6 +225,17 @@
         actions_.emplace_back(TellPeer{member->peerAddress, notice});
 }
 
+// A daemon that begins to serve, or starts again, has missed what was told. Without the ends so far it would
+// count anew, and each request that ends endpoints would end two more there.
+void Gateway::tellNewServing(TimeMs now)
+{
+    const CrashNotice notice{suspects_.losses(MostLossesTold), {}, quarantine(now)};
+    if (notice.losses.empty() && notice.quarantined.empty())
+        return;
+    for (const MemberEntry *member : peers_.newTargets())
+        actions_.emplace_back(TellPeer{member->peerAddress, notice});
+}
+
 // ---- Lists of the store and of other daemons ----
 
 void Gateway::onQuarantine(const std::vector<QuarantinedRequest> &list, VerdictSource source, TimeMs now)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -174,18 +174,36 @@
     void passWholeAnswer(Exchange &exchange, TimeMs now);
     bool passEvents(Exchange &exchange, TimeMs now);
     void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
+    void closeBroken(Exchange &exchange, bool sent, TimeMs now);
+    void goOnAfterBreak(Exchange &exchange, bool sent, TimeMs now);
     void leaveSilentEndpoints(TimeMs now);
     bool canGoOnElsewhere(const Exchange &exchange, TimeMs now);
 
     // Endpoints that end under their requests (endpointends.cpp).
-    void noteBroken(const Exchange &exchange, TimeMs now);
+
+    /// An attempt that broke at an endpoint that is asked whether it still runs.
+    struct BrokenAttempt {
+        CallerId caller;
+        std::string requestId;
+        RequestDigest digest;
+        std::optional<TimeMs> firstEventAt;
+        bool waits = false; ///< Its request goes on when the endpoint has answered.
+    };
+    struct Question {
+        TimeMs askedAt;
+        std::vector<BrokenAttempt> broken;
+    };
+    /// True if the request is to go on only when the endpoint has answered.
+    bool noteBroken(const Exchange &exchange, TimeMs now);
     void onProcessKnown(const EngineProbed &event, TimeMs now);
+    void noteEnd(const EndpointLife &life, const Question &question, TimeMs now);
     void noteAnswered(const Exchange &exchange, TimeMs now);
     bool isQuarantined(const Exchange &exchange, TimeMs now) const;
     OwnAnswer quarantineAnswer(const Exchange &exchange, TimeMs now) const;
     void suspect(const std::vector<EndpointLoss> &losses, VerdictSource source, TimeMs now);
     void endQuarantinedAttempts(RequestDigest request, TimeMs now);
     void tellServing(const CrashNotice &notice);
+    void tellNewServing(TimeMs now);
     void tellAnswered();
     void tellQuarantined(TimeMs now);
     void noteQuarantined(RequestDigest request, VerdictSource source, TimeMs now);
@@ -231,16 +249,6 @@
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
-    /// An attempt that broke at an endpoint that is asked whether it still runs.
-    struct BrokenAttempt {
-        std::string requestId;
-        RequestDigest digest;
-        std::optional<TimeMs> firstEventAt;
-    };
-    struct Question {
-        TimeMs askedAt;
-        std::vector<BrokenAttempt> broken;
-    };
     std::map<EndpointLife, Question> endpointQuestions_; ///< Open ones.
     CrashSuspects suspects_;
     std::vector<RequestDigest> clearedSuspects_; ///< The others are to be told.
--- a/src/gateway/quarantinelist.cpp
+++ b/src/gateway/quarantinelist.cpp
@@ -58,6 +58,7 @@
             ends[each.request] = std::max(ends[each.request], each.untilWallMs);
     }
     std::vector<QuarantinedRequest> out;
+    out.reserve(ends.size());
     for (const std::pair<const RequestDigest, int64_t> &each : ends)
         out.push_back({each.first, each.second});
     std::stable_sort(out.begin(), out.end(), [](const QuarantinedRequest &x, const QuarantinedRequest &y) {
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -62,11 +62,13 @@
 {
     const bool changed = members != peers_.members();
     peers_.setMembers(std::move(members), now, listed);
-    if (changed)
-        log_.write(LogWeight::State, "members",
-                   {{"count", peers_.members().size()},
-                    {"sharers", peers_.sharers(now)},
-                    {"shares", peers_.isSharer()}});
+    if (!changed)
+        return;
+    tellNewServing(now);
+    log_.write(LogWeight::State, "members",
+               {{"count", peers_.members().size()},
+                {"sharers", peers_.sharers(now)},
+                {"shares", peers_.isSharer()}});
 }
 
 void Gateway::onEntriesTold(const EntriesTold &event)
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -9,7 +9,9 @@
 // operator's configuration; POST /leave?endpoint=ID&ms=N announces that an endpoint leaves; POST
 // /replace?endpoint=N puts a new one in the place of the Nth, /restart?endpoint=N starts it again under its
 // id; POST /spoil?endpoint=ID&entry=TEXT writes TEXT as its entry, until it is called without one. Fault
-// advertiseOffset: endpoints are listed at ports so much higher, where a proxy listens.
+// advertiseOffset: endpoints are listed at ports so much higher, where a proxy listens. A request whose body
+// is "crash" ends the endpoint that begins to run it, with all that it has; it is back under another id after
+// crashMs.
 
 #include "base64.h"
 #include "standin.h"
@@ -30,6 +32,8 @@
 constexpr int EndpointCount = 5;
 constexpr int FirstPlain = 3; ///< Endpoints before this one are engines.
 constexpr int64_t BeatMs = 500;
+constexpr int64_t CrashDelayMs = 60;
+constexpr int64_t DefaultCrashMs = 1500;
 
 int64_t either(int64_t value, int64_t otherwise)
 {
@@ -41,12 +45,9 @@
 public:
     Deployment(Standin &standin, const cranberry::Address &base) : standin_(standin), base_(base)
     {
-        for (int i = 0; i < EndpointCount; ++i) {
-            const cranberry::Address address{base.host, static_cast<uint16_t>(base.port + 1 + i)};
-            servers_.push_back(std::make_unique<cranberry::HttpServer>(
-                standin.io(), address, cranberry::HttpServerLimits{},
-                [this, i](const HttpExchangePtr &exchange) { onEndpoint(i, exchange); }));
-        }
+        servers_.resize(EndpointCount);
+        for (int i = 0; i < EndpointCount; ++i)
+            listen(i);
         startedAtMs_.fill(wallMs());
         beat();
     }
@@ -103,6 +104,29 @@
     }
 
 private:
+    void listen(int index)
+    {
+        const cranberry::Address address{base_.host, static_cast<uint16_t>(base_.port + 1 + index)};
+        servers_[static_cast<size_t>(index)] = std::make_unique<cranberry::HttpServer>(
+            standin_.io(), address, cranberry::HttpServerLimits{},
+            [this, index](const HttpExchangePtr &exchange) { onEndpoint(index, exchange); });
+    }
+
+    // Nobody listens there any more. Its entry stays in the list, as that of a process that says nothing.
+    void crash(int index)
+    {
+        standin_.log(fmt::format("crash endpoint={}", idOf(index)));
+        servers_[static_cast<size_t>(index)].reset();
+        for (const std::weak_ptr<cranberry::HttpExchange> &each : std::exchange(open_[index], {})) {
+            if (const HttpExchangePtr exchange = each.lock())
+                exchange->abort();
+        }
+        standin_.after(either(standin_.fault("crashMs"), DefaultCrashMs), [this, index] {
+            listen(index);
+            replace(static_cast<size_t>(index));
+        });
+    }
+
     static void answer(const HttpExchangePtr &exchange, const StoreAnswer &reply)
     {
         respondJson(exchange, reply.status, reply.body);
@@ -158,6 +182,8 @@
     void publish()
     {
         for (int i = 0; i < EndpointCount; ++i) {
+            if (!servers_[static_cast<size_t>(i)])
+                continue;
             const auto leaving = leaving_.find(idOf(i));
             json::object entry{
                 {"Service", isEngine(i) ? "svc-model" : "svc-plain"},
@@ -183,6 +209,8 @@
         const cranberry::HttpRequest &request = exchange->request();
         const std::string id = headerOf(request.headers, "X-Request-Id");
         const std::string expected = headerOf(request.headers, "X-Expect-Instance");
+        if (!servers_[static_cast<size_t>(index)])
+            return exchange->abort(); // On a connection that was kept from before its end.
         if (!expected.empty() && expected != idOf(index))
             return exchange->respond(421, {{"X-Instance-Id", idOf(index)}}, "");
         if (id.empty())
@@ -196,6 +224,14 @@
                                  headerOf(request.headers, "Last-Event-Id"), request.body.size()));
         const cranberry::HttpHeaders headers{{"X-Request-Id", id},
                                              {"X-Server-Stamp", "stamp-" + idOf(index)}};
+        open_[index].push_back(exchange);
+        std::erase_if(open_[index],
+                      [](const std::weak_ptr<cranberry::HttpExchange> &each) { return each.expired(); });
+        if (request.body == "crash")
+            return standin_.after(CrashDelayMs, [this, index, id = idOf(index)] {
+                if (idOf(index) == id && servers_[static_cast<size_t>(index)])
+                    crash(index);
+            });
         if (isEngine(index))
             return stream(exchange, headers);
         standin_.after(either(standin_.fault("workMs"), 5), [this, exchange, headers, id] {
@@ -238,6 +274,7 @@
     cranberry::Address base_;
     StoreState store_;
     std::vector<std::unique_ptr<cranberry::HttpServer>> servers_;
+    std::map<int, std::vector<std::weak_ptr<cranberry::HttpExchange>>> open_; ///< Of each endpoint's place.
     std::map<std::string, int64_t> leaving_;
     std::array<uint32_t, EndpointCount> starts_ = {}; ///< Of each endpoint's place, after the first.
     std::array<int64_t, EndpointCount> startedAtMs_ = {};
--- a/tests/crashingrequest_test.cpp
+++ b/tests/crashingrequest_test.cpp
@@ -7,6 +7,7 @@
 
 #include "engineload.h"
 
+#include <array>
 #include <utility>
 
 using namespace cranberry;
@@ -192,13 +193,9 @@
 {
     // The request waits at two more engines while a third one ends under it. Both are still free of it: the
     // tries are cancelled there, and their callers know at once that the outcome is not certain.
-    std::vector<CallerId> callers;
-    for (int i = 0; i < 4; ++i)
-        callers.push_back(askAgain());
-    const std::vector<SendAttempt> attempts(sent.begin(), sent.begin() + 4);
-    std::vector<EndpointId> engines;
-    for (const SendAttempt &attempt : attempts)
-        engines.push_back(attempt.endpoint);
+    std::array<CallerId, 4> callers;
+    for (CallerId &caller : callers)
+        caller = askAgain();
     gateway.onCrashNotice({{{digestOfFirst(), {EndpointId{"x1"}, {}}, false},
                             {digestOfFirst(), {EndpointId{"x2"}, {}}, false},
                             {digestOfFirst(), {EndpointId{"x3"}, {}}, false}},
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -133,11 +133,11 @@
         const OneDaemon &daemon = daemons_[i];
         return daemon.fleet->entryAddresses({callerAddress(i), daemon.cores}, coresUsed(daemon), now);
     }
-    /// Three engines end under one request, as one daemon alone comes to know.
-    void endEnginesUnder(size_t i, RequestDigest request)
+    /// Three engines, or so many, end under one request, as one daemon alone comes to know.
+    void endEnginesUnder(size_t i, RequestDigest request, int ends = 3, int first = 0)
     {
         CrashNotice notice;
-        for (int end = 0; end < 3; ++end)
+        for (int end = first; end < first + ends; ++end)
             notice.losses.push_back({request, {EndpointId{fmt::format("engine-{}", end)}, {}}, false});
         daemons_[i].gateway->onCrashNotice(notice, now);
     }
@@ -580,3 +580,24 @@
     for (uint64_t i = 0; i < 12; ++i)
         CHECK(world.keepingBack({100 + i}) == 30);
 }
+
+TEST_CASE("a daemon that starts later counts on from what the others have seen")
+{
+    // Two engines have ended under a request, not enough for a verdict. A daemon that was killed starts
+    // again, and a third engine ends there: it must know of the first two.
+    constexpr RequestDigest Request{7};
+    FleetWorld world(30, Strong);
+    world.pass({14000});
+    const size_t knows = world.indexOfServing();
+    world.endEnginesUnder(knows, Request, 2);
+    const size_t again = knows + 1;
+    REQUIRE(world.serves(again));
+    world.kill(again);
+    world.pass({1000});
+    world.start(again);
+    world.pass({4000});
+    REQUIRE(world.serves(again));
+    CHECK(world.keepingBack(Request) == 0);
+    world.endEnginesUnder(again, Request, 1, 2);
+    CHECK(world.keepingBack(Request) == 1);
+}
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -198,6 +198,32 @@
     expect "broken is seen as broken" "$((code != 0))" 1
     expect "whole events only" "$(tail -c 15 "$run_dir/cut.out" | tr '\n' ' ')" "data: token 4  "
     ;;
+crash)
+    # A request ends each engine that begins to run it, with what others have there. Its caller comes again, to one
+    # daemon after the other: after three engines it is sent to no further one, also when all daemons were killed and
+    # started again. Other requests are served all the while, and the log leads from the refused try to the engines.
+    begin
+    crashes() { grep -c "crash endpoint" "$run_dir/deployment.log" || true; }
+    wait_for "addresses of all daemons" addresses 1 3
+    expect "the first try ends two engines" "$(status 1 bad-1 /review/1 -d crash) $(crashes)" "502 2"
+    expect "another request is served" "$(call 2 good-1 /review/1 -d x | grep -o 'token 10')" "token 10"
+    sleep 2.5
+    expect "the second one a third" "$(status 2 bad-2 /review/1 -d crash) $(crashes)" "502 3"
+    sleep 2.5
+    for i in $daemons; do expect "then it is refused at $i" "$(status "$i" "bad-at-$i" /review/1 -d crash)" 503; done
+    expect "with when to come back" "$(call 3 bad-3 /review/1 -d crash -i | grep -ic 'retry-after: [0-9]')" 1
+    expect "and is sent nowhere" "$(crashes) $(runs_of bad-3)" "3 0"
+    expect "another request is served still" "$(call 3 good-2 /review/1 -d x | grep -o 'token 10')" "token 10"
+    wait_for "the log" grep -q '"request":"bad-3"' "$run_dir/daemon-3.out"
+    "$build/cranberryctl" trace bad-3 "$run_dir"/daemon-*.out >"$run_dir/trace.out"
+    expect "the trace names the three engines" "$(grep -c '= .* lost_with_endpoint' "$run_dir/trace.out")" 3
+    expect "one counter tells" "$(curl -s http://127.0.0.1:21503/metrics | grep -c 'refusals_total{reason="quarantined"} [1-9]')" 1
+    for i in $daemons; do kill -KILL "${pids[daemon-$i]}"; done
+    sleep 0.3
+    for i in $daemons; do start_daemon "$i"; done
+    for i in $daemons; do wait_for "daemon $i" curl -sf "http://127.0.0.1:2120$i/ready"; done
+    expect "known after all were killed" "$(status 1 bad-4 /review/1 -d crash) $(crashes)" "503 3"
+    ;;
 badinput)
     # Malformed requests get a clear answer or a closed connection, nothing of them reaches an endpoint, and the
     # daemon goes on. Settings that are wrong end the process with one line that names the field.
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/eventstream.h"
 #include "gateway/peerdatagrams.h"
 #include "gateway/peertable.h"
+#include "gateway/quarantinelist.h"
 #include "gateway/quotas.h"
 #include "gateway/repeatbudget.h"
 #include "gateway/usagewindows.h"
@@ -535,3 +536,28 @@
     CHECK_FALSE(fleet.choose(question, {1000}).choice);
     CHECK(fleet.choose(question, {1300}).choice);
 }
+
+TEST_CASE("what daemons tell each other of requests that end endpoints comes through whole")
+{
+    // A word that is lost on the way, or read as another one, costs an endpoint.
+    const CrashNotice notice{
+        {{{7}, {EndpointId{"i-1"}, {1000}}, true}, {{8}, {EndpointId{"i-2"}, {}}, false}},
+        {{9}},
+        {{{10}, 1'800'000'000'000}}};
+    const std::optional<PeerDatagram> datagram = decodeDatagram(encodeDatagram(notice));
+    REQUIRE(datagram);
+    const CrashNotice &read = std::get<CrashNotice>(*datagram);
+    REQUIRE(read.losses.size() == 2);
+    CHECK(read.losses[0].request.value == 7);
+    CHECK(read.losses[0].endpoint.id.value == "i-1");
+    CHECK(read.losses[0].endpoint.start.unixMs == 1000);
+    CHECK(read.losses[0].ranWell);
+    CHECK_FALSE(read.losses[1].ranWell);
+    REQUIRE(read.answered.size() == 1);
+    CHECK(read.answered[0].value == 9);
+    CHECK(read.quarantined == notice.quarantined);
+    // The store's list is another writer's text until it has been read.
+    CHECK(quarantineFromText(quarantineText(notice.quarantined)) == notice.quarantined);
+    for (const char *other : {"", "7", "[7]", "[[]]", "[[\"x\",1]]", "[[\"000000000000000a\",1.5]]"})
+        CHECK_FALSE(quarantineFromText(other));
+}
