--- a/src/gateway/endpointends.cpp
+++ b/src/gateway/endpointends.cpp
@@ -166,7 +166,7 @@
         if (exchange.phase == ExchangePhase::Streaming)
             streamBroke(exchange, now);
         else
-            answer(exchange, {502, GatewayRefusal::Quarantined, suspects_.timeLeft(request, now)}, now);
+            answer(exchange, quarantineAnswer(exchange, now), now);
     }
 }
 
@@ -175,10 +175,10 @@
     return suspects_.isQuarantined(exchange.digest, now);
 }
 
-// Only before anything was sent: then it has not run, and its caller knows when it may.
 Gateway::OwnAnswer Gateway::quarantineAnswer(const Exchange &exchange, TimeMs now) const
 {
-    return {503, GatewayRefusal::Quarantined, suspects_.timeLeft(exchange.digest, now)};
+    return {exchange.mayHaveRun ? 502 : 503, GatewayRefusal::Quarantined,
+            suspects_.timeLeft(exchange.digest, now)};
 }
 
 void Gateway::noteAnswered(const Exchange &exchange, TimeMs now)
--- a/tests/crashingrequest_test.cpp
+++ b/tests/crashingrequest_test.cpp
@@ -186,7 +186,8 @@
     const CallerId again = order();
     CHECK(sent.size() == before);
     CHECK(statusOf(again) == 503);
-    CHECK(gateway.counters().of(GatewayRefusal::Quarantined) == 1);
+    // The third try, when its endpoint had ended, and the fourth.
+    CHECK(gateway.counters().of(GatewayRefusal::Quarantined) == 2);
 }
 
 TEST_CASE_FIXTURE(CrashFixture, "tries that wait at engines when the verdict falls are taken back")
@@ -204,8 +205,10 @@
                           now);
     drainActions();
     CHECK(cancelled.size() == 4);
-    for (const CallerId caller : callers)
+    for (const CallerId caller : callers) {
         CHECK(statusOf(caller) == 502);
+        CHECK_FALSE(headerOfAnswer(caller, "Retry-After").empty());
+    }
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
