--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -349,8 +349,7 @@
 void Gateway::tick(TimeMs now)
 {
     fleet_.tick(now);
-    tellAnswered();
-    tellQuarantined(now);
+    tellOfSuspects(now);
     leaveSilentEndpoints(now);
     tickLimits(now);
     probeEngines(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "gateway/admissionqueue.h"
-#include "gateway/crashsuspects.h"
 #include "gateway/decisionlog.h"
 #include "gateway/demandmeter.h"
+#include "gateway/endpointquestions.h"
 #include "gateway/enginecapacity.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaycounters.h"
 #include "gateway/peertable.h"
+#include "gateway/quarantine.h"
 #include "gateway/quotas.h"
 #include "gateway/repeatbudget.h"
 #include "gateway/usagewindows.h"
@@ -32,9 +33,6 @@
     uint64_t seed = 1;
 };
 
-/// From where a daemon knows that a request is to be kept from endpoints.
-enum class VerdictSource : uint8_t { Own, Peer, Store };
-
 /// Serves callers' requests at the endpoints of the configuration in force.
 ///
 /// No sockets, no threads, no clock: each call gets the time and leaves its actions in `takeActions()`.
@@ -181,32 +179,18 @@
 
     // Endpoints that end under their requests (endpointends.cpp).
 
-    /// An attempt that broke at an endpoint that is asked whether it still runs.
-    struct BrokenAttempt {
-        CallerId caller;
-        std::string requestId;
-        RequestDigest digest;
-        std::optional<TimeMs> firstEventAt;
-        bool waits = false; ///< Its request goes on when the endpoint has answered.
-    };
-    struct Question {
-        TimeMs askedAt;
-        std::vector<BrokenAttempt> broken;
-    };
     /// True if the request is to go on only when the endpoint has answered.
     bool noteBroken(const Exchange &exchange, TimeMs now);
     void onProcessKnown(const EngineProbed &event, TimeMs now);
-    void noteEnd(const EndpointLife &life, const Question &question, TimeMs now);
+    void noteEnd(const EndpointQuestions::Answered &question, TimeMs now);
     void noteAnswered(const Exchange &exchange, TimeMs now);
+    void noteQuarantined(const std::vector<RequestDigest> &requests, VerdictSource source, TimeMs now);
+    void endQuarantinedAttempts(RequestDigest request, TimeMs now);
     bool isQuarantined(const Exchange &exchange, TimeMs now) const;
     OwnAnswer quarantineAnswer(const Exchange &exchange, TimeMs now) const;
-    void suspect(const std::vector<EndpointLoss> &losses, VerdictSource source, TimeMs now);
-    void endQuarantinedAttempts(RequestDigest request, TimeMs now);
-    void tellServing(const CrashNotice &notice);
+    void tellOfSuspects(TimeMs now);
     void tellNewServing(TimeMs now);
-    void tellAnswered();
-    void tellQuarantined(TimeMs now);
-    void noteQuarantined(RequestDigest request, VerdictSource source, TimeMs now);
+    void tell(const std::vector<const MemberEntry *> &members, const CrashNotice &notice);
 
     // Runs on leaving engines (runmoves.cpp).
     void probeEngines(TimeMs now);
@@ -249,18 +233,8 @@
 
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
-    std::map<EndpointLife, Question> endpointQuestions_; ///< Open ones.
-    CrashSuspects suspects_;
-    std::vector<RequestDigest> clearedSuspects_; ///< The others are to be told.
-    /// A verdict that the others are told once more.
-    struct Retelling {
-        RequestDigest request;
-        TimeMs at;
-        uint32_t left = 0; ///< Times, this one included.
-    };
-    std::vector<Retelling> retellings_;
-    std::vector<QuarantinedRequest> quarantine_; ///< Of the suspects' version `quarantineVersion_`.
-    uint64_t quarantineVersion_ = 0;
+    EndpointQuestions endpointQuestions_;
+    Quarantine quarantine_;
     std::map<ServiceName, double> answerMs_; ///< Moving mean of a whole answer's time at a service.
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
