--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -12,6 +12,8 @@
 constexpr DurationMs WitnessLinger{5000};
 constexpr int64_t PercentOfNoticeToStay = 60;
 constexpr DurationMs BatchAgeing{2000};
+/// Tries of one request that end an endpoint together see its end within milliseconds of each other.
+constexpr int64_t OneEndMs = 1000;
 
 Request *findByAttempt(World &world, AttemptId attempt)
 {
@@ -51,6 +53,33 @@
                                      service.progressTimeout});
 }
 
+Outcome outcomeOf(const Request &request)
+{
+    return request.maybeRan || request.attempt.value ? Outcome::Unknown : Outcome::NotRun;
+}
+
+bool isQuarantined(const World &world, const Request &request)
+{
+    return world.suspects.isQuarantined(request.digest, world.now);
+}
+
+void giveUpQuarantined(World &world, Request &request)
+{
+    giveUp(world, request,
+           {outcomeOf(request), RefusalReason::RequestQuarantined,
+            world.suspects.timeLeft(request.digest, world.now)});
+}
+
+// Failure: a request ends each endpoint that begins to run it. Symptom: six of them a try, and as many for
+// each new try of its caller, with what others run there. Three ends without an answer are enough: endpoints
+// that only break connections, or end by themselves, leave an answer in between. The endpoint keeps its name
+// when it starts again, so its lives are told apart by the time of their end.
+void noteEndpointEnded(World &world, const Request &request)
+{
+    const EndpointLife life{{request.endpoint.value}, {world.now.count / OneEndMs}};
+    world.suspects.endedUnder({request.digest, life, !request.text.empty()}, world.now);
+}
+
 // True if the request left the queue.
 bool tryDispatch(World &world, Request &request)
 {
@@ -62,6 +91,10 @@
         giveUp(world, request, {Outcome::NotRun, RefusalReason::UnknownService, DurationMs{0}});
         return true;
     }
+    if (isQuarantined(world, request)) {
+        giveUpQuarantined(world, request);
+        return true;
+    }
     const RoutingQuestion question{*service, world.configuration->weights,
                                    PrefixIndex::blockHashes(request.spec->prompt), request.workTokens,
                                    request.avoid};
@@ -73,11 +106,6 @@
     return true;
 }
 
-Outcome outcomeOf(const Request &request)
-{
-    return request.maybeRan || request.attempt.value ? Outcome::Unknown : Outcome::NotRun;
-}
-
 void waitForRetry(World &world, Request &request)
 {
     const uint64_t ceiling = static_cast<uint64_t>(backoffCeiling(request.tries).count);
@@ -123,6 +151,7 @@
     case FailurePhase::Silent:
         return RetryReason::SilentStream;
     case FailurePhase::AfterSend:
+    case FailurePhase::Ended:
         break;
     }
     return RetryReason::BrokenStream;
@@ -189,6 +218,7 @@
     world.serviceMs += ServiceMsWeight * (took - world.serviceMs);
     world.endpoints.succeeded(request->endpoint);
     world.retries.succeeded();
+    world.suspects.answered(request->digest, world.now);
     world.counters.add(Counter::CachedTokens, event.cachedTokens);
     closeAttempt(world, *request);
 
@@ -212,6 +242,8 @@
         return;
     const bool proved = event.phase == FailurePhase::NotSent || event.phase == FailurePhase::SaidNotRun;
     world.endpoints.failed(request->endpoint, world.now);
+    if (event.phase == FailurePhase::Ended)
+        noteEndpointEnded(world, *request);
     closeAttempt(world, *request);
     request->avoid = request->endpoint;
     if (proved) {
@@ -223,6 +255,8 @@
     if (!mayRepeat) {
         request->once.giveUp();
         conclude(world, *request, {Outcome::Unknown, RefusalReason::EndpointFailed, DurationMs{0}});
+    } else if (isQuarantined(world, *request)) {
+        giveUpQuarantined(world, *request);
     } else {
         if (!proved && !request->spec->idempotent)
             request->once.provedNotRun(); // Reached only with the safeguard taken out.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,7 +106,7 @@
     if (const std::optional<OwnAnswer> refusal = judgeKey(exchange, certain, now))
         return refusal;
     if (!exchange.digest)
-        exchange.digest = digestOf(exchange.organisation, request);
+        exchange.digest = digestOf(exchange.organisation, request.path, request.body);
     return isQuarantined(exchange, now) ? std::optional<OwnAnswer>(quarantineAnswer(exchange, now))
                                         : std::nullopt;
 }
--- a/src/gateway/requestdigest.cpp
+++ b/src/gateway/requestdigest.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-RequestDigest digestOf(const OrganisationName &organisation, const CallerRequest &request)
+RequestDigest digestOf(const OrganisationName &organisation, const std::string &path, const std::string &body)
 {
-    const uint64_t value = mix(request.body, mix(request.path, mix(organisation.value, 0)));
+    const uint64_t value = mix(body, mix(path, mix(organisation.value, 0)));
     return {value == 0 ? 1 : value};
 }
 
--- a/src/gateway/requestdigest.h
+++ b/src/gateway/requestdigest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/callerrequest.h"
+#include "types.h"
 
 namespace cranberry {
 
@@ -13,7 +13,8 @@
 };
 
 /// Of organisation, path and body. Not of the query and the headers: callers vary these between tries.
-RequestDigest digestOf(const OrganisationName &organisation, const CallerRequest &request);
+RequestDigest digestOf(const OrganisationName &organisation, const std::string &path,
+                       const std::string &body);
 
 std::string toText(RequestDigest digest); ///< 16 hexadecimal digits.
 /// Nothing is returned for any other text, and for 0.
--- a/src/io/endpointlink.cpp
+++ b/src/io/endpointlink.cpp
@@ -9,8 +9,17 @@
 
 namespace cranberry {
 
+namespace {
+
+/// An endpoint whose process runs takes a connection within milliseconds. One whose instance is silent does
+/// not count as ended, and its callers are not to wait for that.
+constexpr DurationMs BreakQuestionTimeout{200};
+
+} // namespace
+
 struct EndpointLink::Running {
     AttemptId id;
+    Address address;
     uint64_t call = 0;
     bool model = false;
     EndpointEnd end;
@@ -48,6 +57,7 @@
 {
     std::shared_ptr<Running> running = std::make_shared<Running>();
     running->id = attempt.attempt;
+    running->address = attempt.address;
     running->end.attempt = attempt.attempt;
     running->model = attempt.kind == ServiceKind::Model;
     running->repeatable = attempt.spec->idempotent;
@@ -67,7 +77,7 @@
     callbacks.onHead
         = [this, running](int status, const HttpHeaders &headers) { onHead(*running, status, headers); };
     callbacks.onData = [this, running](const char *data, size_t size) { onData(*running, data, size); };
-    callbacks.onDone = [this, running](HttpFailure failure) { onDone(*running, failure); };
+    callbacks.onDone = [this, running](HttpFailure failure) { onDone(running, failure); };
     running_[attempt.attempt] = running;
     running->call = http_.start(std::move(call), std::move(callbacks));
 }
@@ -156,23 +166,46 @@
 
 // A stream counts as whole only with the engine's end mark: a connection that closes cleanly in the middle
 // would otherwise pass for a short answer.
-void EndpointLink::onDone(Running &running, HttpFailure failure)
+void EndpointLink::onDone(const std::shared_ptr<Running> &done, HttpFailure failure)
 {
+    Running &running = *done;
     running_.erase(running.id);
     const bool cut = running.model && !running.whole;
     const bool failed = running.repeatable && running.end.status >= 500;
-    const bool broken = failure == HttpFailure::None && (cut || failed);
     if (running.saidNotRun && failure == HttpFailure::None)
         return sink_(EndpointFailed{running.id, FailurePhase::SaidNotRun});
     if (!mayHaveArrived(failure))
         return sink_(EndpointFailed{running.id, FailurePhase::NotSent});
     if (failure == HttpFailure::Silent)
         return sink_(EndpointFailed{running.id, FailurePhase::Silent});
-    if (failure == HttpFailure::Broken || broken)
+    if (failure == HttpFailure::Broken || cut)
+        return askAfterBreak(done);
+    if (failed)
         return sink_(EndpointFailed{running.id, FailurePhase::AfterSend});
     if (!running.text.empty())
         sink_(EndpointData{running.id, running.text, 0});
     sink_(running.end);
 }
 
+// Whether the endpoint ended or only the connection: a request under which endpoint after endpoint ends must
+// not be sent on, one that met a broken connection must.
+void EndpointLink::askAfterBreak(const std::shared_ptr<Running> &running)
+{
+    HttpCall call;
+    call.address = running->address;
+    call.request = {"GET", "/health", {}, {}};
+    call.freshConnection = true;
+    call.connectTimeout = BreakQuestionTimeout;
+    call.progressTimeout = BreakQuestionTimeout;
+    call.totalTimeout = BreakQuestionTimeout;
+    HttpCallbacks callbacks;
+    callbacks.onDone = [this, id = running->id](HttpFailure failure) {
+        running_.erase(id);
+        const bool ended = failure == HttpFailure::Refused;
+        sink_(EndpointFailed{id, ended ? FailurePhase::Ended : FailurePhase::AfterSend});
+    };
+    running_[running->id] = running;
+    running->call = http_.start(std::move(call), std::move(callbacks));
+}
+
 } // namespace cranberry
--- a/src/io/endpointlink.h
+++ b/src/io/endpointlink.h
@@ -24,7 +24,8 @@
     void onHead(Running &running, int status, const HttpHeaders &headers);
     void onData(Running &running, const char *data, size_t size);
     void onLine(Running &running, const std::string &line);
-    void onDone(Running &running, HttpFailure failure);
+    void onDone(const std::shared_ptr<Running> &running, HttpFailure failure);
+    void askAfterBreak(const std::shared_ptr<Running> &running);
 
     HttpClient &http_;
     Sink sink_;
--- a/src/messages.h
+++ b/src/messages.h
@@ -202,7 +202,8 @@
     NotSent, ///< No byte left this process.
     SaidNotRun, ///< The endpoint answered that it did not run it.
     AfterSend, ///< Anything else.
-    Silent ///< Nothing came for the service's progress timeout.
+    Silent, ///< Nothing came for the service's progress timeout.
+    Ended ///< After it was sent, and then nobody listened there any more: the process ended.
 };
 
 struct EndpointFailed {
--- a/src/request.h
+++ b/src/request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/requestdigest.h"
 #include "messages.h"
 #include "onceattempt.h"
 
@@ -49,6 +50,7 @@
     EndpointName endpoint;
     EndpointName avoid;
     uint64_t workTokens = 0;
+    RequestDigest digest; ///< The same for each try of its caller.
     uint32_t tries = 0;
     TimeMs retryAt;
     bool owesRetry = false; ///< Its next attempt is to be taken from the retry budget.
--- a/src/submit.cpp
+++ b/src/submit.cpp
@@ -43,6 +43,11 @@
     return {static_cast<int64_t>(turns * world.serviceMs)};
 }
 
+RequestDigest digestOf(const RequestSpec &spec)
+{
+    return digestOf(spec.organisation, spec.service.value + "/" + spec.path, spec.body);
+}
+
 Admission admit(World &world, const RequestSpec &spec, uint64_t work)
 {
     if (!isReady(world))
@@ -53,6 +58,9 @@
     const Service *service = world.configuration->findService(spec.service);
     if (!service)
         return refused(RefusalReason::UnknownService, {0});
+    const DurationMs quarantined = world.suspects.timeLeft(digestOf(spec), world.now);
+    if (quarantined.count > 0)
+        return refused(RefusalReason::RequestQuarantined, quarantined);
     const uint32_t slots = world.endpoints.usableSlots(service->name, world.marks);
     if (slots == 0)
         return refused(RefusalReason::NoEndpoint, NoEndpointRetry);
@@ -175,6 +183,7 @@
     request.arrivedAt = world.now;
     request.deadlineAt = world.now + request.spec->deadline;
     request.workTokens = work;
+    request.digest = digestOf(*request.spec);
     request.listeners.push_back({event.caller, 0, false});
     Request &stored = world.requests.try_emplace(request.id, std::move(request)).first->second;
 
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -10,11 +10,10 @@
 namespace {
 
 constexpr std::array<const char *, static_cast<size_t>(RefusalReason::Count)> RefusalNames
-    = {"notReady",       "unknownOrganisation", "unknownService",   "badRequest",
-       "overloaded",     "organisationLimit",   "noEndpoint",       "dependencyShort",
-       "deadlinePassed", "keyRefused",          "keyUnknown",       "registerSilent",
-       "platformSilent", "endpointFailed",      "retriesExhausted", "requestNotFound",
-       "ownerGone"};
+    = {"notReady",          "unknownOrganisation", "unknownService",    "badRequest",     "overloaded",
+       "organisationLimit", "noEndpoint",          "dependencyShort",   "deadlinePassed", "keyRefused",
+       "keyUnknown",        "registerSilent",      "platformSilent",    "endpointFailed", "retriesExhausted",
+       "requestNotFound",   "ownerGone",           "requestQuarantined"};
 
 constexpr std::array<const char *, static_cast<size_t>(RetryReason::Count)> RetryNames
     = {"connectFailed", "saidNotRun", "brokenStream", "silentStream", "endpointLeaving"};
--- a/src/types.h
+++ b/src/types.h
@@ -117,6 +117,7 @@
     RetriesExhausted,
     RequestNotFound,
     OwnerGone,
+    RequestQuarantined, ///< Endpoints ended under the same request before.
     Count
 };
 
--- a/src/world.h
+++ b/src/world.h
@@ -3,6 +3,7 @@
 #include "budgets.h"
 #include "configuration.h"
 #include "counters.h"
+#include "gateway/crashsuspects.h"
 #include "membership.h"
 #include "messages.h"
 #include "onceregister.h"
@@ -73,6 +74,7 @@
     EndpointTable endpoints;
     OrganisationLimits limits;
     RetryBudget retries;
+    CrashSuspects suspects;
     OnceRegister onceRegister;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<RequestId, WitnessRecord> witnessed;
--- a/tests/crashingrequest_test.cpp
+++ b/tests/crashingrequest_test.cpp
@@ -40,7 +40,10 @@
         return request(again);
     }
 
-    RequestDigest digestOfFirst() const { return digestOf({"a"}, *sent.front().request); }
+    RequestDigest digestOfFirst() const
+    {
+        return digestOf({"a"}, sent.front().request->path, sent.front().request->body);
+    }
 
     /// The engine of the newest attempt ends, and another one takes its place.
     void crash()
--- a/tests/endpointends_test.cpp
+++ b/tests/endpointends_test.cpp
@@ -9,6 +9,11 @@
 constexpr const char *Review = "/review/1";
 constexpr const char *Draft = "/draft/1";
 
+RequestDigest digestOfTry(const std::string &organisation, const CallerRequest &request)
+{
+    return digestOf({organisation}, request.path, request.body);
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(GatewayFixture, "an endpoint that ends is noted once, with the requests that it had")
@@ -72,18 +77,18 @@
     request.path = "/review/1";
     request.target = "/review/1?try=1";
     request.body = "body";
-    const RequestDigest digest = digestOf({"a"}, request);
+    const RequestDigest digest = digestOfTry("a", request);
     CallerRequest again = request;
     again.id = "2";
     again.target = "/review/1?try=2";
     again.forwarded.push_back({"X-Try", "2"});
-    CHECK(digestOf({"a"}, again) == digest);
-    CHECK(digestOf({"b"}, request) != digest);
+    CHECK(digestOfTry("a", again) == digest);
+    CHECK(digestOfTry("b", request) != digest);
     again.path = "/review/2";
-    CHECK(digestOf({"a"}, again) != digest);
+    CHECK(digestOfTry("a", again) != digest);
     again = request;
     again.body = "other";
-    CHECK(digestOf({"a"}, again) != digest);
+    CHECK(digestOfTry("a", again) != digest);
     CHECK(requestDigestFromText(toText(digest)) == digest);
     CHECK_FALSE(requestDigestFromText("0000000000000000"));
     CHECK_FALSE(requestDigestFromText("xyz"));
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "endpointlink.h"
 #include "httpclient.h"
 #include "httpserver.h"
 
@@ -52,3 +53,48 @@
     CHECK(closed == 0);
     CHECK(whole == Requests);
 }
+
+namespace {
+
+/// What the endpoint link reports of a request whose connection the endpoint cuts, with or without its end.
+FailurePhase phaseOfCut(bool endpointEnds)
+{
+    boost::asio::io_context io;
+    std::unique_ptr<HttpServer> server;
+    server = std::make_unique<HttpServer>(io, serverAddress, HttpServerLimits{},
+                                          [&](const HttpExchangePtr &exchange) {
+                                              if (exchange->request().target == "/health")
+                                                  return exchange->respond(200, {}, "");
+                                              if (endpointEnds)
+                                                  server.reset();
+                                              exchange->abort();
+                                          });
+    HttpClient client(io);
+    std::optional<FailurePhase> phase;
+    EndpointLink link(client, [&](const Event &event) {
+        if (const EndpointFailed *failed = std::get_if<EndpointFailed>(&event))
+            phase = failed->phase;
+        io.stop();
+    });
+    StartAttempt attempt;
+    attempt.attempt = {1};
+    attempt.address = serverAddress;
+    attempt.progressTimeout = {2000};
+    std::shared_ptr<RequestSpec> spec = std::make_shared<RequestSpec>();
+    spec->body = "{}";
+    attempt.spec = spec;
+    link.start(attempt);
+    io.run_for(std::chrono::seconds(5));
+    REQUIRE(phase);
+    return *phase;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that ends is told from one that cuts a connection")
+{
+    // Both look the same to the request that was there; only a new connection tells. Taken for an end, each
+    // cut would count against the request; not seen as one, a request could end endpoint after endpoint.
+    CHECK(phaseOfCut(true) == FailurePhase::Ended);
+    CHECK(phaseOfCut(false) == FailurePhase::AfterSend);
+}
