A full list of verdicts makes room for the newest one; units are given back in one place

Read in the diff: with 64 verdicts in the store no further one was written. The test fails before (0 of 8 daemons know after a start) and passes after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -302,15 +302,12 @@
 // 503 says "not run and never will be": only where no attempt may have reached an endpoint that runs it.
 void Gateway::giveUp(Exchange &exchange, GatewayRefusal reason, TimeMs now, DurationMs comeBackAfter)
 {
-    if (isQuarantined(exchange, now)) {
-        if (!exchange.mayHaveRun)
-            quotas_.giveBack(exchange.organisation, exchange.quotaUnits);
+    if (!exchange.mayHaveRun && exchange.quotaUnits > 0)
+        quotas_.giveBack(exchange.organisation, exchange.quotaUnits);
+    if (isQuarantined(exchange, now))
         return answer(exchange, quarantineAnswer(exchange, now), now);
-    }
     if (exchange.mayHaveRun)
         return answer(exchange, {502, reason, {}}, now);
-    if (exchange.quotaUnits > 0)
-        quotas_.giveBack(exchange.organisation, exchange.quotaUnits);
     answer(exchange, {503, reason, retryAfter(std::max(comeBackAfter, DefaultRetryAfter))}, now);
 }
 
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -11,6 +11,8 @@
 
 /// Rows of 60 B in one datagram.
 constexpr size_t MostLossesTold = 256;
+/// Of the requests with most ends; each daemon that serves tells a newcomer.
+constexpr size_t MostLossesToldNewcomers = 64;
 /// A verdict is told again so often: of links that lose half of all datagrams one in eight daemons misses it,
 /// and those have it from the store.
 constexpr uint32_t Retellings = 3;
@@ -85,7 +87,7 @@
 // Without the ends so far it would count anew, and each request that ends endpoints would end two more there.
 std::optional<CrashNotice> Quarantine::forNewcomer(TimeMs now)
 {
-    CrashNotice notice{suspects_.losses(MostLossesTold), {}, list(now)};
+    CrashNotice notice{suspects_.losses(MostLossesToldNewcomers), {}, list(now)};
     if (notice.losses.empty() && notice.quarantined.empty())
         return std::nullopt;
     return notice;
--- a/src/gateway/storequarantine.cpp
+++ b/src/gateway/storequarantine.cpp
@@ -41,16 +41,16 @@
     return {static_cast<int64_t>(random_.below(static_cast<uint64_t>(most.count)))};
 }
 
-// A request that another daemon's list ends later, or that the list has no more room for, is not missing.
+// What the full list has no room for is not missing: those that end first are left out.
 bool StoreSync::storeLacksQuarantine() const
 {
-    if (mergedQuarantine(storedQuarantine_, quarantine_).size() == storedQuarantine_.size()
-        && storedQuarantine_.size() >= MostQuarantinedTold)
+    if (quarantine_.empty())
         return false;
-    return std::any_of(quarantine_.begin(), quarantine_.end(), [this](const QuarantinedRequest &own) {
+    const std::vector<QuarantinedRequest> merged = mergedQuarantine(storedQuarantine_, quarantine_);
+    return std::any_of(merged.begin(), merged.end(), [this](const QuarantinedRequest &each) {
         return std::none_of(
             storedQuarantine_.begin(), storedQuarantine_.end(),
-            [&own](const QuarantinedRequest &stored) { return stored.request == own.request; });
+            [&each](const QuarantinedRequest &stored) { return stored.request == each.request; });
     });
 }
 
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -581,6 +581,28 @@
         CHECK(world.keepingBack({100 + i}) == 30);
 }
 
+TEST_CASE("a full list makes room for the newest verdict")
+{
+    // More requests are in quarantine than the store's list holds. The newest must not wait for one to end: a
+    // daemon that starts would not know of it.
+    FleetWorld world(8, Strong);
+    world.pass({14000});
+    const size_t knows = world.indexOfServing();
+    for (uint64_t i = 0; i < 70; ++i) {
+        world.endEnginesUnder(knows, {100 + i});
+        world.pass({25});
+    }
+    world.pass({3000});
+    world.endEnginesUnder(knows, {7});
+    world.pass({3000});
+    for (size_t i = 0; i < world.count(); ++i)
+        world.kill(i);
+    for (size_t i = 0; i < world.count(); ++i)
+        world.start(i);
+    world.pass({2000});
+    CHECK(world.keepingBack({7}) == world.count());
+}
+
 TEST_CASE("a daemon that starts later counts on from what the others have seen")
 {
     // Two engines have ended under a request, not enough for a verdict. A daemon that was killed starts
