A late request that is refused does not count as waiting for those behind it

Cause: runQueue summed up what waits ahead before it decided. The test failed before (the small request was refused with the large one).

--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -143,11 +143,13 @@
                 ? known->second
                 : paces.emplace(exchange.service, readingPace(exchange.service, now)).first->second;
             DurationMs &ahead = lateAhead[exchange.service];
-            ahead = ahead + pace.readingTime(*exchange.request);
+            const DurationMs before = ahead;
+            ahead = before + pace.readingTime(*exchange.request);
             const DurationMs drained = pace.drainTime(ahead);
             const TimeMs end = std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
             const DurationMs patience = (end - exchange.arrivedAt) / LateWaitDivisor;
             if (now > exchange.inTimeUntil + patience || now + drained > end) {
+                ahead = before; // Those behind it don't wait for one that is refused.
                 giveUp(exchange, GatewayRefusal::Overloaded, now, drained);
                 continue;
             }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -585,3 +585,30 @@
     // 0.75 x 0.2 x 20 requests, the four before included
     CHECK(gateway.counters().of(GatewayRetry::Broken) == 4);
 }
+
+TEST_CASE_FIXTURE(GatewayFixture, "a late request that is refused does not hold up those behind it")
+{
+    // All engines are taken. A large request that the engines could not read in its time even alone is
+    // refused. One behind it, late as well, has seconds left: counted as waiting for the large one, it was
+    // refused in the same moment, though an engine came free soon after.
+    configuration->services[0].engine->slots = 1;
+    configuration->routes[1].priority = 1;
+    configure(configuration);
+    for (int i = 0; i < 3; ++i)
+        request(Model);
+    REQUIRE(sent.size() == 3);
+    const CallerId small = request("/draft/1");
+    pass({1000});
+    CallerRequest large = makeRequest(Model);
+    large.promptTokens = 3'000'000;
+    const CallerId hopeless = request(large);
+    pass({25});
+    CHECK(statusOf(hopeless) == 503);
+    CHECK(statusOf(small) == 0);
+    head(sent[0].attempt, 200, true);
+    events(sent[0].attempt, 1, 34);
+    end(sent[0].attempt);
+    pass({25});
+    REQUIRE(sent.size() == 4);
+    CHECK(lastSent().request->path == "/draft/1");
+}
