--- /dev/null
+++ b/tests/onedaemon.cpp
@@ -0,0 +1,93 @@
+#include "onedaemon.h"
+
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+constexpr size_t EndpointCount = 8;
+
+std::string configurationText()
+{
+    std::string endpoints;
+    for (size_t i = 0; i < EndpointCount; ++i)
+        endpoints += fmt::format(
+            R"({}{{"name":"endpoint-{}","instance":"instance-{}","failureDomain":"leioa","address":"10.0.0.1:{}","slots":8}})",
+            i == 0 ? "" : ",", i, i, i + 1);
+    return fmt::format(
+        R"({{"failureDomains":["leioa"],"services":[{{"name":"redactor","kind":"model",)"
+        R"("progressTimeoutMs":800,"endpoints":[{}]}}],"organisations":[{{"name":"diputacion"}}]}})",
+        endpoints);
+}
+
+Identity identity()
+{
+    Identity out;
+    out.member.incarnation = {7};
+    out.member.instance = {"entry-0"};
+    out.member.failureDomain = {"leioa"};
+    return out;
+}
+
+} // namespace
+
+OneDaemon::OneDaemon() : daemon_(identity())
+{
+    step(Tick{});
+    step(ConfigurationSeen{{1}, configurationText()});
+}
+
+CallerId OneDaemon::submit(const std::string &body)
+{
+    CallerSubmit submit;
+    submit.caller = {++callers_};
+    submit.spec.organisation = {"diputacion"};
+    submit.spec.service = {"redactor"};
+    submit.spec.body = body;
+    submit.spec.prompt = body;
+    submit.spec.maxTokens = 20;
+    step(submit);
+    return submit.caller;
+}
+
+void OneDaemon::failAttempts(const std::string &body, size_t most, DurationMs duration)
+{
+    const size_t before = failed;
+    for (const TimeMs until = now_ + duration; now_ < until;) {
+        now_ = now_ + TickInterval;
+        step(Tick{});
+        for (const StartAttempt &attempt : std::exchange(started_, {})) {
+            if (attempt.spec->body != body || failed - before == most) {
+                started_.push_back(attempt);
+                continue;
+            }
+            ++failed;
+            step(EndpointFailed{attempt.attempt, phase});
+        }
+    }
+}
+
+void OneDaemon::answerAll()
+{
+    for (const StartAttempt &attempt : std::exchange(started_, {})) {
+        EndpointEnd end;
+        end.attempt = attempt.attempt;
+        end.status = 200;
+        step(end);
+    }
+}
+
+void OneDaemon::step(const Event &event)
+{
+    for (const Action &action : daemon_.step(now_, event)) {
+        if (const StartAttempt *attempt = std::get_if<StartAttempt>(&action))
+            started_.push_back(*attempt);
+        else if (const CallerRefused *refused = std::get_if<CallerRefused>(&action))
+            refusals[refused->caller] = refused->refusal;
+        else if (const CallerEnd *end = std::get_if<CallerEnd>(&action))
+            answered.insert(end->caller);
+    }
+}
+
+} // namespace cranberry
