--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-std::optional<CrashSuspects::Verdict> CrashSuspects::endedUnder(const EndpointLoss &loss, TimeMs now)
+bool CrashSuspects::endedUnder(const EndpointLoss &loss, TimeMs now)
 {
     if (suspects_.size() >= MostSuspects && !suspects_.contains(loss.request))
         makeRoom(now);
@@ -41,20 +41,20 @@
     suspect.lastAt = now;
     const uint32_t points = loss.ranWell ? SoundRunPoints : EarlyRunPoints;
     if (!suspect.ends.try_emplace(loss.endpoint, points).second)
-        return std::nullopt;
+        return false;
     const uint32_t sum
         = std::accumulate(suspect.ends.begin(), suspect.ends.end(), 0U,
                           [](uint32_t before, const std::pair<const EndpointLife, uint32_t> &end) {
                               return before + end.second;
                           });
     if (sum < QuarantinePoints && !wasQuarantined)
-        return Verdict::Suspected;
+        return false;
     suspect.quarantinedUntil = now + QuarantineTime;
     // No further ends are needed for the verdict, and they must not add up without a bound.
     while (suspect.ends.size() > QuarantinePoints)
         suspect.ends.erase(suspect.ends.begin());
     ++version_;
-    return wasQuarantined ? std::nullopt : std::optional<Verdict>(Verdict::Quarantined);
+    return !wasQuarantined;
 }
 
 bool CrashSuspects::answered(RequestDigest request, TimeMs now)
@@ -130,8 +130,8 @@
     return out;
 }
 
-// Those go first that are over, then those that only one endpoint ended under, longest ago first: callers who
-// send many such requests on purpose push out each other's, and the ones in quarantine last.
+// Requests in quarantine are evicted last, those under which one endpoint ended first, and of these the
+// oldest: a caller who sends many such requests on purpose evicts his own.
 void CrashSuspects::makeRoom(TimeMs now)
 {
     const auto rank = [now](const Suspect &suspect) {
--- a/src/gateway/crashsuspects.h
+++ b/src/gateway/crashsuspects.h
@@ -16,10 +16,8 @@
 class CrashSuspects
 {
 public:
-    enum class Verdict : uint8_t { Suspected, Quarantined };
-
-    /// Verdict that this end brings about; nothing if it was known, or changes none.
-    std::optional<Verdict> endedUnder(const EndpointLoss &loss, TimeMs now);
+    /// True if this end puts the request in quarantine. An end that is told twice counts once.
+    bool endedUnder(const EndpointLoss &loss, TimeMs now);
     /// An endpoint answered the request to its end. True if it was suspected: others have to hear of it.
     bool answered(RequestDigest request, TimeMs now);
 
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -38,7 +38,7 @@
 {
     std::vector<RequestDigest> fresh;
     for (const EndpointLoss &loss : losses) {
-        if (suspects_.endedUnder(loss, now) != CrashSuspects::Verdict::Quarantined)
+        if (!suspects_.endedUnder(loss, now))
             continue;
         fresh.push_back(loss.request);
         if (source == VerdictSource::Own && retellings_.size() < MostQuarantinedTold)
--- a/src/gateway/storequarantine.cpp
+++ b/src/gateway/storequarantine.cpp
@@ -58,11 +58,11 @@
 void StoreSync::writeQuarantine(TimeMs now)
 {
     quarantineWriteAt_ = now + RetryPause;
+    writtenQuarantine_ = mergedQuarantine(storedQuarantine_, quarantine_);
     StoreCall call;
     call.verb = StoreVerb::Write;
     call.conditions.push_back({StoreSpace::Shared, QuarantineKey, quarantineRevision_});
-    call.puts.push_back({StoreSpace::Shared, QuarantineKey,
-                         quarantineText(mergedQuarantine(storedQuarantine_, quarantine_)), 0});
+    call.puts.push_back({StoreSpace::Shared, QuarantineKey, quarantineText(writtenQuarantine_), 0});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Quarantine, now, now, {}, 0}, now);
 }
@@ -70,8 +70,8 @@
 // After a conflict the present state is known, and the next try may come soon.
 void StoreSync::onQuarantineReply(const StoreReply &reply, TimeMs now)
 {
-    if (reply.outcome == StoreOutcome::Done) {
-        storedQuarantine_ = mergedQuarantine(storedQuarantine_, quarantine_);
+    if (reply.outcome == StoreOutcome::Done && reply.revision > quarantineRevision_) {
+        storedQuarantine_ = writtenQuarantine_;
         quarantineRevision_ = reply.revision;
     }
     if (reply.outcome != StoreOutcome::Conflict)
@@ -81,10 +81,12 @@
         takeQuarantine(item.value, item.revision);
 }
 
-// A list that can't be read is another writer's: the next write replaces it.
+// A read that was asked before the own last write shows the list before it. One that can't be read is another
+// writer's: the next write replaces it.
 void StoreSync::takeQuarantine(const std::string &text, uint64_t revision)
 {
-    if (revision == quarantineRevision_)
+    const bool isOlder = revision != 0 && revision <= quarantineRevision_;
+    if (isOlder || revision == quarantineRevision_)
         return;
     quarantineRevision_ = revision;
     const std::optional<std::vector<QuarantinedRequest>> list = quarantineFromText(text);
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -190,7 +190,8 @@
     std::vector<QuarantinedRequest> quarantine_; ///< As this daemon keeps it.
     uint64_t quarantineDigest_ = 0;
     uint64_t toldQuarantineDigest_ = 0;
-    std::vector<QuarantinedRequest> storedQuarantine_;
+    std::vector<QuarantinedRequest> storedQuarantine_; ///< As last known.
+    std::vector<QuarantinedRequest> writtenQuarantine_; ///< By the own last write.
     uint64_t quarantineRevision_ = 0; ///< Of that key; 0: there is none.
     TimeMs quarantineWriteAt_; ///< Not before.
     std::vector<Outgoing> outgoing_;
--- a/tests/crashsuspects_test.cpp
+++ b/tests/crashsuspects_test.cpp
@@ -28,8 +28,7 @@
         CHECK_FALSE(suspects.isQuarantined(Bad, now));
         for (uint64_t other = 0; other < 30; ++other)
             suspects.endedUnder(loss({100 + 30 * static_cast<uint64_t>(end) + other}, end), now);
-        const std::optional<CrashSuspects::Verdict> verdict = suspects.endedUnder(loss(Bad, end), now);
-        CHECK(verdict == (end < 2 ? CrashSuspects::Verdict::Suspected : CrashSuspects::Verdict::Quarantined));
+        CHECK(suspects.endedUnder(loss(Bad, end), now) == (end == 2));
         CHECK_FALSE(suspects.endedUnder(loss(Bad, end), now));
     }
     CHECK(suspects.isQuarantined(Bad, now));
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -115,6 +115,11 @@
         for (size_t i = 0; nth > 0 && i < daemons_.size(); i += nth)
             store_.refusedClients.push_back(i);
     }
+    std::string stored(const std::string &key) const
+    {
+        return store_.valueOf(StoreSpace::Shared, key).value_or("");
+    }
+    void slowStore(DurationMs delay) { store_.faults.delay = delay; }
     void limitStore(uint64_t listsPerSecond) { store_.faults.listsPerSecond = listsPerSecond; }
     size_t countReady() const
     {
@@ -527,7 +532,11 @@
             world.pass({100});
             after = after + DurationMs{100};
         }
-        MESSAGE(count << " daemons: all know after " << after.count << " ms");
+        double most = 0;
+        for (size_t i = 0; i < count; ++i)
+            most = std::max(most, world.serves(i) ? 0 : world.trafficOf(i).bytes);
+        MESSAGE(count << " daemons: all know after " << after.count << " ms; " << most
+                      << " B at most of one that stands by, " << world.storeReads() << " store reads");
         CHECK(after.count <= 3000);
     }
 }
@@ -581,6 +590,25 @@
         CHECK(world.keepingBack({100 + i}) == 30);
 }
 
+TEST_CASE("a verdict that falls while another one is being written is written as well")
+{
+    // The store takes 0.3 s for each call. A verdict that falls between the sending of a write and its answer
+    // was not in what was written: taken for written, it would be lost with the daemon. Others about
+    // would write it; here there is one daemon alone.
+    FleetWorld world(1, 1);
+    world.pass({14000});
+    const size_t knows = world.indexOfServing();
+    world.slowStore({300});
+    for (uint64_t i = 0; i < 24; ++i) {
+        const RequestDigest second{200 + i};
+        world.endEnginesUnder(knows, {100 + i});
+        world.pass({static_cast<int64_t>(50 * (i + 1))});
+        world.endEnginesUnder(knows, second);
+        world.pass({4000});
+        CHECK(world.stored(QuarantineKey).find(toText(second)) != std::string::npos);
+    }
+}
+
 TEST_CASE("a full list makes room for the newest verdict")
 {
     // More requests are in quarantine than the store's list holds. The newest must not wait for one to end: a
