Requests that cranberryd takes over have a digest of their own

Read in the diff: only submitted requests got one. Those that were handed over shared the empty one, so a request in quarantine was sent on by its next owner (3 more endpoints), and ends under three different ones put all of them in quarantine. The digest is worked out once a submit instead of twice.

--- a/src/request.cpp
+++ b/src/request.cpp
@@ -6,6 +6,11 @@
 
 namespace cranberry {
 
+RequestDigest digestOf(const RequestSpec &spec)
+{
+    return digestOf(spec.organisation, spec.service.value + "/" + spec.path, spec.body);
+}
+
 // Failure: the owner dies, the witness runs the request again, and a caller with half of the first text reads
 // on in the second. Symptom: a whole that no engine ever wrote. Cutting at the earliest branch after the
 // caller's lineage is enough, since runs share their text up to the branch by construction; lineages are
--- a/src/request.h
+++ b/src/request.h
@@ -96,6 +96,9 @@
     TimeMs receivedAt;
 };
 
+/// The same for each try of a caller, and for a request that another daemon hands over.
+RequestDigest digestOf(const RequestSpec &spec);
+
 /// Where a caller that holds `offset` bytes of lineage `lineage` can read on: the last byte that every run
 /// since then has in common with what it holds.
 uint64_t commonOffset(const std::vector<Branch> &branches, uint64_t lineage, uint64_t offset);
--- a/src/submit.cpp
+++ b/src/submit.cpp
@@ -43,12 +43,7 @@
     return {static_cast<int64_t>(turns * world.serviceMs)};
 }
 
-RequestDigest digestOf(const RequestSpec &spec)
-{
-    return digestOf(spec.organisation, spec.service.value + "/" + spec.path, spec.body);
-}
-
-Admission admit(World &world, const RequestSpec &spec, uint64_t work)
+Admission admit(World &world, const RequestSpec &spec, RequestDigest digest, uint64_t work)
 {
     if (!isReady(world))
         return refused(RefusalReason::NotReady, NotReadyRetry);
@@ -58,7 +53,7 @@
     const Service *service = world.configuration->findService(spec.service);
     if (!service)
         return refused(RefusalReason::UnknownService, {0});
-    const DurationMs quarantined = world.suspects.timeLeft(digestOf(spec), world.now);
+    const DurationMs quarantined = world.suspects.timeLeft(digest, world.now);
     if (quarantined.count > 0)
         return refused(RefusalReason::RequestQuarantined, quarantined);
     const uint32_t slots = world.endpoints.usableSlots(service->name, world.marks);
@@ -169,7 +164,8 @@
     // Step 2. Give it a name and look whether there is room.
     const uint64_t work = predictedTokens(event.spec.prompt)
         + (event.spec.maxTokens ? event.spec.maxTokens : DefaultMaxTokens);
-    const Admission admission = admit(world, event.spec, work);
+    const RequestDigest digest = digestOf(event.spec);
+    const Admission admission = admit(world, event.spec, digest, work);
     if (!admission.admitted && !event.spec.key.isSet())
         return refuseCaller(world, event.caller, admission.refusal);
 
@@ -183,7 +179,7 @@
     request.arrivedAt = world.now;
     request.deadlineAt = world.now + request.spec->deadline;
     request.workTokens = work;
-    request.digest = digestOf(*request.spec);
+    request.digest = digest;
     request.listeners.push_back({event.caller, 0, false});
     Request &stored = world.requests.try_emplace(request.id, std::move(request)).first->second;
 
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -47,6 +47,7 @@
     request.arrivedAt = world.now;
     request.deadlineAt = world.now + copy.spec.deadline;
     request.workTokens = predictedTokens(request.spec->prompt) + copy.spec.maxTokens;
+    request.digest = digestOf(*request.spec);
     request.text = copy.text;
     request.generatedTokens = copy.generatedTokens;
     request.branches = copy.branches;
--- a/tests/onedaemon.cpp
+++ b/tests/onedaemon.cpp
@@ -38,17 +38,32 @@
     step(ConfigurationSeen{{1}, configurationText()});
 }
 
+RequestSpec OneDaemon::specOf(const std::string &body)
+{
+    RequestSpec spec;
+    spec.organisation = {"diputacion"};
+    spec.service = {"redactor"};
+    spec.body = body;
+    spec.prompt = body;
+    spec.maxTokens = 20;
+    return spec;
+}
+
 CallerId OneDaemon::submit(const std::string &body)
 {
-    CallerSubmit submit;
-    submit.caller = {++callers_};
-    submit.spec.organisation = {"diputacion"};
-    submit.spec.service = {"redactor"};
-    submit.spec.body = body;
-    submit.spec.prompt = body;
-    submit.spec.maxTokens = 20;
-    step(submit);
-    return submit.caller;
+    const CallerId caller{++callers_};
+    step(CallerSubmit{caller, specOf(body)});
+    return caller;
+}
+
+void OneDaemon::takeOver(const std::string &body)
+{
+    RequestCopy copy;
+    copy.purpose = CopyPurpose::Handover;
+    copy.request = {{9}, ++copies_, {}};
+    copy.spec = specOf(body);
+    copy.spec.deadline = {60000};
+    step(PeerInbound{{9}, {}, copy});
 }
 
 void OneDaemon::failAttempts(const std::string &body, size_t most, DurationMs duration)
--- a/tests/onedaemon.h
+++ b/tests/onedaemon.h
@@ -16,6 +16,8 @@
     OneDaemon();
 
     CallerId submit(const std::string &body);
+    /// Another daemon hands a request over to this one.
+    void takeOver(const std::string &body);
     /// Lets time pass; so many attempts for `body`, at most, fail as `phase` says. The others go on.
     void failAttempts(const std::string &body, size_t most, DurationMs duration);
     void answerAll();
@@ -26,12 +28,14 @@
     FailurePhase phase = FailurePhase::Ended;
 
 private:
+    static RequestSpec specOf(const std::string &body);
     void step(const Event &event);
 
     TimeMs now_{100'000};
     Daemon daemon_;
     std::vector<StartAttempt> started_;
     uint64_t callers_ = 0;
+    uint64_t copies_ = 0;
 };
 
 } // namespace cranberry
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -61,3 +61,29 @@
     daemon.answerAll();
     CHECK(daemon.answered.contains(second));
 }
+
+TEST_CASE("requests that were taken over from other daemons are told apart")
+{
+    // A leaving daemon hands its requests over. Endpoints end by themselves under three of them, one each;
+    // none of them ended more than that one. A fourth request is taken over: it must be sent to an endpoint.
+    OneDaemon daemon;
+    for (const char *body : {"first", "second", "third"}) {
+        daemon.takeOver(body);
+        daemon.failAttempts(body, 1, {2000});
+    }
+    REQUIRE(daemon.failed == 3);
+    daemon.takeOver("fourth");
+    daemon.failAttempts("fourth", 1, {2000});
+    CHECK(daemon.failed == 4);
+}
+
+TEST_CASE("a request that ended three endpoints is not sent on by the daemon that takes it over")
+{
+    OneDaemon daemon;
+    daemon.submit("bad");
+    daemon.failAttempts("bad", 100, {10000});
+    REQUIRE(daemon.failed == 3);
+    daemon.takeOver("bad");
+    daemon.failAttempts("bad", 100, {5000});
+    CHECK(daemon.failed == 3);
+}
