--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -20,6 +20,8 @@
 /// The list names an endpoint that ended for so long: some heartbeats, and the age of a view. A part cut off
 /// by refused connections looks the same for this daemon, and is tried again after that.
 constexpr DurationMs StaysListed{4000};
+/// A store that comes back older has lost seconds; what it lists again left no longer ago than this.
+constexpr DurationMs DepartedMemory{60000};
 /// Streams of an engine bring events every few tens of milliseconds, and prompts are read in pieces between
 /// them. When all streams of an engine pause for so long, it is down or out of reach.
 constexpr DurationMs SilenceOfStreams{700};
@@ -91,8 +93,12 @@
 
 void EndpointFleet::take(const EndpointsRead &read, TimeMs now)
 {
-    if (known_ && read.askedAt - listedAt_ > ListInterruption)
+    const bool isOlderStore = known_ && era_ != 0 && read.era > era_;
+    if (isOlderStore)
+        eraSince_ = now;
+    if (isOlderStore || (known_ && read.askedAt - listedAt_ > ListInterruption))
         regainedAt_ = now;
+    era_ = std::max(era_, read.era);
     known_ = true;
     listedAt_ = std::max(listedAt_, read.askedAt);
     std::set<EndpointId> named;
@@ -123,6 +129,8 @@
     endpoint.listed = true;
     endpoint.listedAt = askedAt;
     endpoint.readable = readable;
+    if (!isKnown || endpoint.gone)
+        takeUpAgain(endpoint, entry, now);
     if (!readable || (isKnown && entry.start < endpoint.entry.start))
         return;
     if (isKnown && entry.start > endpoint.entry.start)
@@ -134,6 +142,19 @@
         endpoint.leavesAt = askedAt - NoticeAge + entry.leavesAfter.value_or(drainTime_);
 }
 
+// A store that came back from an older copy lists endpoints that have left or ended since. One that was
+// leaving does not come back within its life. Of one that just went missing the entry lapses again within
+// some heartbeats, unless it runs.
+void EndpointFleet::takeUpAgain(FleetEndpoint &endpoint, const EndpointEntry &entry, TimeMs now) const
+{
+    const auto departed = departed_.find(entry.id);
+    if (departed == departed_.end() || entry.start > departed->second.start)
+        return;
+    endpoint.entry.leaving = endpoint.entry.leaving || departed->second.leaving;
+    if (eraSince_.count != 0 && now - eraSince_ < StaysListed)
+        endpoint.avoidUntil = eraSince_ + StaysListed;
+}
+
 // A process that started again under its name has nothing of the earlier one: no cached parts, no load, no
 // failures, and it does not leave because that one did. Kept, they would send requests for parts that nobody
 // holds, or none at all: an endpoint that left once would never be used again.
@@ -186,6 +207,13 @@
         if (entry.second.gone && !entry.second.leavesAt)
             entry.second.leavesAt = now - NoticeAge + drainTime_;
     }
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (entry.second.gone)
+            departed_[entry.first] = {entry.second.entry.start, entry.second.entry.leaving, now};
+    }
+    std::erase_if(departed_, [now](const std::pair<const EndpointId, Departed> &entry) {
+        return now - entry.second.at > DepartedMemory;
+    });
     std::erase_if(endpoints_, [](const std::pair<const EndpointId, FleetEndpoint> &entry) {
         return entry.second.gone && entry.second.running == 0;
     });
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -115,7 +115,14 @@
     bool known() const { return known_; }
 
 private:
+    /// An endpoint that was left out of a list, as it was then.
+    struct Departed {
+        EndpointStart start;
+        bool leaving = false;
+        TimeMs at;
+    };
     void takeEntry(const EndpointEntry &entry, TimeMs askedAt, TimeMs now);
+    void takeUpAgain(FleetEndpoint &endpoint, const EndpointEntry &entry, TimeMs now) const;
     static void startAgain(FleetEndpoint &endpoint, EndpointStart start, TimeMs now);
     FleetEndpoint *at(const EndpointLife &life);
     bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
@@ -131,6 +138,9 @@
     TimeMs regainedAt_; ///< End of the last interruption of the list.
     TimeMs peersLoadAt_;
     bool known_ = false;
+    uint64_t era_ = 0; ///< Of the store that the newest list is from.
+    TimeMs eraSince_; ///< When it rose; zero: it has not.
+    std::map<EndpointId, Departed> departed_; ///< Lately.
 };
 
 /// Rendezvous weight of `id` for `key`: every daemon ranks the endpoints of a key alike.
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -11,9 +11,10 @@
     const bool canRead = !sync_.readsFail(now);
     sync_.setQuarantine(gateway_.quarantine(now), now);
     sync_.setReadsForAll(gateway_.peers().readsForAll(silent, now), now);
-    sync_.setSource(canRead && sync_.leadership(now).held
+    const bool isVouchedFor = sync_.isVouchedFor(now);
+    sync_.setSource(canRead && isVouchedFor && sync_.leadership(now).held
                         ? std::nullopt
-                        : gateway_.peers().readerToAsk(canRead, silent, now));
+                        : gateway_.peers().readerToAsk(canRead && isVouchedFor, silent, now));
 }
 
 ReportSchedule::Due FleetView::takeNews(TimeMs now)
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -140,6 +140,7 @@
 struct EndpointsRead {
     std::vector<EndpointEntry> entries; ///< All there are.
     TimeMs askedAt;
+    uint64_t era = 0; ///< Of the store; a higher one came back from an older copy.
 };
 
 /// A peer's load of one endpoint.
@@ -242,15 +243,17 @@
 
 /// The key of the duties' holder as it stands in the store.
 struct LeaderEntry {
-    std::string value; ///< Names instance and incarnation.
+    std::string value; ///< Names instance, incarnation and the era in which it was written.
     uint64_t revision = 0; ///< Of the write that won; 0: there is no holder.
     uint64_t lease = 0;
+    uint64_t era = 0; ///< Of the store in which it was seen.
 };
 
 /// "How fresh is what you know of the store?" Asked instead of reading there.
 struct FreshnessQuestion {
     Incarnation from;
     uint64_t number = 0;
+    uint64_t era = 0; ///< Of the store, as far as the asker knows.
     uint64_t endpointsDigest = 0; ///< Of the list that the asker has.
     uint64_t sharedDigest = 0; ///< Of its configuration, members and leader.
     uint64_t configurationVersion = 0;
@@ -268,6 +271,7 @@
 /// which it sent the question, so that no delay on the way makes anything look fresher than it was.
 struct FreshnessAnswer {
     uint64_t number = 0;
+    uint64_t era = 0; ///< Of the store that all of this is of.
     DurationMs sharedAge; ///< Of the configuration, the members and the leader.
     uint64_t sharedDigest = 0;
     uint64_t configurationVersion = 0; ///< The newest one then; members and leader may differ all the same.
--- a/src/gateway/memberentry.cpp
+++ b/src/gateway/memberentry.cpp
@@ -74,7 +74,7 @@
 
 uint64_t digestOfShared(uint64_t version, const std::vector<MemberEntry> &members, const LeaderEntry &leader)
 {
-    std::string digested = fmt::format("{};{}={};", version, leader.revision, leader.value);
+    std::string digested = fmt::format("{};{}:{}={};", version, leader.era, leader.revision, leader.value);
     for (const MemberEntry &member : toldMembers(members))
         digested += fmt::format("{}={};", member.instance.value, memberText(member));
     return jsonDigestOf(digested);
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -138,6 +138,7 @@
     return {{"kind", "question"},
             {"id", question.from.value},
             {"number", question.number},
+            {"era", question.era},
             {"endpointsDigest", question.endpointsDigest},
             {"sharedDigest", question.sharedDigest},
             {"configurationVersion", question.configurationVersion},
@@ -150,6 +151,7 @@
     FreshnessQuestion question;
     question.from.value = object.at("id").to_number<uint64_t>();
     question.number = object.at("number").to_number<uint64_t>();
+    question.era = object.at("era").to_number<uint64_t>();
     question.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
     question.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
     question.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
@@ -174,6 +176,7 @@
 {
     json::object out{{"kind", "answer"},
                      {"number", answer.number},
+                     {"era", answer.era},
                      {"sharedAgeMs", answer.sharedAge.count},
                      {"sharedDigest", answer.sharedDigest},
                      {"configurationVersion", answer.configurationVersion},
@@ -257,6 +260,7 @@
 {
     FreshnessAnswer answer;
     answer.number = object.at("number").to_number<uint64_t>();
+    answer.era = object.at("era").to_number<uint64_t>();
     answer.sharedAge.count = object.at("sharedAgeMs").to_number<int64_t>();
     answer.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
     answer.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
@@ -280,7 +284,8 @@
             answer.members.push_back(decodedMember(row(value, 7)));
         answer.listed = object.at("listed").to_number<size_t>();
         const json::array &leader = row(object.at("leader"), 3);
-        answer.leader = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>()};
+        answer.leader
+            = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>(), answer.era};
     }
     if (const json::value *rows = object.if_contains("endpoints")) {
         answer.hasEndpoints = true;
--- a/src/gateway/storecalls.h
+++ b/src/gateway/storecalls.h
@@ -68,6 +68,9 @@
 struct StoreReply {
     uint64_t id = 0;
     StoreOutcome outcome = StoreOutcome::NoReply;
+    /// Rises by one each time the store comes back from an older copy of itself: what was written since the
+    /// copy is gone, and revisions are given out again. Nothing: not stated.
+    std::optional<uint64_t> era;
     std::vector<StoreItem> items;
     std::string nextPage; ///< Not empty: there is more behind this key.
     uint64_t revision = 0; ///< Of a write.
--- a/src/gateway/storequestions.cpp
+++ b/src/gateway/storequestions.cpp
@@ -53,8 +53,8 @@
     unanswered.askedAt = now;
     outgoing_.push_back(
         {*source_,
-         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, endpoints_.digest(), sharedDigest_,
-                           knownVersion(), toldEntriesDigest_, toldQuarantineDigest_}});
+         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, era_, endpoints_.digest(),
+                           sharedDigest_, knownVersion(), toldEntriesDigest_, toldQuarantineDigest_}});
     ++nextQuestion_;
 }
 
@@ -99,11 +99,16 @@
 {
     // A view that is old already is of no use: the asker would have to read in any case. One that this daemon
     // could not renew just now still is: if it kept silent, all that ask would read from a busy store.
+    if (question.era > era_)
+        enterEra(question.era, now);
     const TimeMs oldest = std::min(newestShared_, newestEndpoints_);
+    if (!knowsPresentEra() || !isVouchedFor(now))
+        return;
     if (newestShared_.count == 0 || newestEndpoints_.count == 0 || now - oldest > OldestBorrowed)
         return;
     FreshnessAnswer answer;
     answer.number = question.number;
+    answer.era = era_;
     answer.sharedAge = now - newestShared_;
     answer.sharedDigest = sharedDigest_;
     answer.configurationVersion = knownVersion();
@@ -143,6 +148,12 @@
         = !answer.hasEndpoints || answer.endpointsFrom + answer.endpoints.size() >= answer.endpointsTotal;
     if (isLast)
         questions_.erase(found);
+    if (answer.era > era_)
+        enterEra(answer.era, now);
+    if (answer.era < era_)
+        return; // What it tells of is gone.
+    leastVersion_ = std::max(leastVersion_, answer.configurationVersion);
+    vouchedFor_ = vouchedFor_ || knownVersion() >= leastVersion_;
     takeEntriesAnswer(answer, askedAt);
     takeQuarantineAnswer(answer);
     takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
@@ -157,9 +168,10 @@
         const bool sameConfiguration
             = configuration_ && answer.configurationVersion == configuration_->version;
         if (sameConfiguration)
-            news_.configurations.push_back({configuration_, sharedAt});
+            tellConfiguration(sharedAt, now);
         if (sameConfiguration && answer.hasMembers && sharedAt > newestShared_) {
             newestShared_ = sharedAt;
+            sharedEra_ = answer.era;
             sharedDigest_ = answer.sharedDigest;
             listed_ = answer.listed;
             takeMembers(answer.members, answer.leader, sharedAt, now);
@@ -171,7 +183,8 @@
             readShared(now);
     } else if (sharedAt > newestShared_ && configuration_) {
         newestShared_ = sharedAt;
-        news_.configurations.push_back({configuration_, sharedAt});
+        sharedEra_ = answer.era;
+        tellConfiguration(sharedAt, now);
     }
 }
 
@@ -211,7 +224,8 @@
     if (answer.endpointsDigest != endpoints_.digest())
         return;
     newestEndpoints_ = endpointsAt;
-    news_.endpoints.push_back({endpoints_.entries(), endpointsAt});
+    endpointsEra_ = answer.era;
+    news_.endpoints.push_back({endpoints_.entries(), endpointsAt, answer.era});
 }
 
 // An answer of an earlier question may come later; the digest tells whether the list is still the one meant.
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -4,6 +4,7 @@
 #include "gateway/storesync.h"
 
 #include "gateway/memberentry.h"
+#include "gateway/storeera.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -37,17 +38,14 @@
 constexpr size_t MostOverlappingReads = 4;
 /// A third of the lease: two renewals may be lost.
 constexpr int64_t RenewalsPerLease = 3;
-/// A leader stops this long before its lease may have run out, for what is still on its way.
-constexpr DurationMs LeadershipMargin{700};
-/// After a loss a daemon does not stand again for a lease's time and this much more: otherwise the order of
-/// holders could be A, B, A within one lease.
-constexpr DurationMs StandMargin{700};
 constexpr DurationMs StandSpread{400}; ///< So that not all stand in the same moment.
 /// Those that serve hear the counts that are to be reported; the others stand only if none of them does.
 constexpr DurationMs StandbyStandsLater{2000};
 
 constexpr const char *MemberPrefix = "members/";
-constexpr const char *LeaderKey = "leader";
+/// A fencing token is the revision that won, with the era before it: revisions alone go back when the store
+/// comes back older. No store makes 2^40 changes.
+constexpr unsigned RevisionBits = 40;
 
 } // namespace
 
@@ -139,8 +137,10 @@
         started_ = true;
         startedAt_ = now;
         // An earlier life of this daemon may have led until just now: wait out its lease.
-        standAt_ = settings_.firstStart ? now : now + settings_.leaseTime + StandMargin;
+        standAt_ = settings_.firstStart ? now : now + quietTime();
+        vouchedFor_ = settings_.firstStart;
     }
+    tickEra(now);
     if (source_ && now >= askAt_)
         ask(now);
     const bool failing = readsFail(now);
@@ -170,17 +170,22 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
-    if (now >= quarantineWriteAt_ && newestShared_ >= startedAt_ && storeLacksQuarantine_
+    const bool knowsShared = newestShared_ >= startedAt_ && sharedEra_ == era_;
+    if (now >= quarantineWriteAt_ && knowsShared && storeLacksQuarantine_
         && !tooManyOpen(Purpose::Quarantine))
         writeQuarantine(now);
-    const DurationMs later = settings_.self.serving ? DurationMs{0} : StandbyStandsLater;
-    const bool mayStand
-        = leader_.revision == 0 ? now >= standAt_ + later : leaderIsEarlierLife_ && now >= takeBackAt_;
-    if (lease_ != 0 && mayStand && newestShared_ >= startedAt_ && !tooManyOpen(Purpose::Stand)
-        && now < leaseValidUntil_)
+    if (lease_ != 0 && mayStand(now) && knowsShared && !tooManyOpen(Purpose::Stand) && now < leaseValidUntil_)
         stand(now);
 }
 
+bool StoreSync::mayStand(TimeMs now) const
+{
+    if (heldUntil_)
+        return !leaderIsSelf_ && now >= standAt_;
+    const DurationMs later = settings_.self.serving ? DurationMs{0} : StandbyStandsLater;
+    return leader_.revision == 0 ? now >= standAt_ + later : leaderIsEarlierLife_ && now >= takeBackAt_;
+}
+
 void StoreSync::registerSelf(TimeMs now)
 {
     registerAt_ = now + RetryPause;
@@ -195,7 +200,8 @@
 std::string StoreSync::ownLeaderValue() const
 {
     return json::serialize(json::object{{"instance", settings_.self.instance.value},
-                                        {"incarnation", settings_.self.incarnation.value}});
+                                        {"incarnation", settings_.self.incarnation.value},
+                                        {"era", era_}});
 }
 
 // An instance runs one daemon at a time: a key with its name and another incarnation is of a process that
@@ -236,8 +242,9 @@
                {{"newest_read_age_ms", newestShared_.count == 0 ? 0 : (now - newestShared_).count}});
 }
 
-void StoreSync::onReply(const StoreReply &reply, TimeMs now)
+void StoreSync::onReply(StoreReply reply, TimeMs now)
 {
+    judgeEra(reply, now);
     const auto found = open_.find(reply.id);
     if (found == open_.end())
         return;
@@ -263,14 +270,15 @@
     case Purpose::Stand:
         // A lost or refused try shows in the next read; only a win is news.
         if (reply.outcome == StoreOutcome::Done && open.lease == lease_) {
-            leader_ = {ownLeaderValue(), reply.revision, lease_};
+            leader_ = {ownLeaderValue(), reply.revision, lease_, era_};
             leaderIsSelf_ = true;
             leaderIsEarlierLife_ = false;
-            log_.write(LogWeight::State, "leadership_won", {{"fencing_token", reply.revision}});
+            log_.write(LogWeight::State, "leadership_won", {{"fencing_token", leadership(now).fencingToken}});
         }
         return;
     case Purpose::Quarantine:
         return onQuarantineReply(reply, now);
+    case Purpose::Settle:
     case Purpose::Leave:
         return;
     }
@@ -280,6 +288,11 @@
 {
     if (reply.outcome != StoreOutcome::Done)
         return;
+    // Pages of two eras are no view of either.
+    const uint64_t era = reply.era.value_or(era_);
+    if (!open.pages.empty() && open.era != era)
+        return;
+    open.era = era;
     open.pages.insert(open.pages.end(), reply.items.begin(), reply.items.end());
     const bool shared = open.purpose == Purpose::ReadShared;
     if (!reply.nextPage.empty())
@@ -301,15 +314,21 @@
     std::vector<MemberEntry> members;
     LeaderEntry leader;
     bool sawConfiguration = false;
+    const bool isFirst = sharedDigest_ == 0;
+    sharedEra_ = open.era;
+    settledEra_ = 0;
     for (const StoreItem &item : open.pages) {
         if (item.isConfiguration) {
             sawConfiguration = true;
-            configuration_ = item.configuration;
-            news_.configurations.push_back({item.configuration, open.readStartedAt});
+            // An older store holds an older one until the operators have written theirs again.
+            if (!configuration_ || item.configuration->version >= configuration_->version)
+                configuration_ = item.configuration;
+        } else if (item.key == SettledEraKey) {
+            settledEra_ = eraFromText(item.value);
         } else if (item.key == QuarantineKey) {
             takeQuarantine(item.value, item.revision);
         } else if (item.key == LeaderKey) {
-            leader = {item.value, item.revision, item.lease};
+            leader = {item.value, item.revision, item.lease, open.era};
         } else if (item.key.starts_with(MemberPrefix)) {
             std::optional<MemberEntry> member
                 = memberFromText(item.key.substr(std::string_view(MemberPrefix).size()), item.value);
@@ -322,6 +341,10 @@
     if (sawConfiguration != sawConfiguration_)
         log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
     sawConfiguration_ = sawConfiguration;
+    if (isFirst)
+        noteFirstView(now);
+    if (sawConfiguration)
+        tellConfiguration(open.readStartedAt, now);
     sharedDigest_ = digestOfShared(knownVersion(), members, leader);
     listed_ = members.size();
     takeMembers(std::move(members), leader, open.readStartedAt, now);
@@ -336,20 +359,27 @@
     news_.listed = listed_;
     news_.dutyHolder = holderOf(leader);
     // What was asked before our own win can't have seen it.
-    const bool staleView = leaderIsSelf_ && leader.revision < leader_.revision;
+    const bool staleView = leaderIsSelf_ && leader.era == leader_.era && leader.revision < leader_.revision;
     if (staleView && lease_ == leader_.lease && askedAt + WriteTimeout > now)
         return;
     const bool isSelf = leader.revision != 0 && leader.value == ownLeaderValue() && leader.lease == lease_;
     if (leaderIsSelf_ && !isSelf) {
         log_.write(LogWeight::State, "leadership_lost",
                    {{"why", "another entry"}, {"revision", leader.revision}});
-        standAt_ = now + settings_.leaseTime + StandMargin;
+        standAt_ = now + quietTime();
     }
-    if (isSelf && !leaderIsSelf_)
-        log_.write(LogWeight::State, "leadership_won", {{"fencing_token", leader.revision}});
+    const bool wins = isSelf && !leaderIsSelf_;
     leader_ = leader;
     leaderIsSelf_ = isSelf;
     leaderIsEarlierLife_ = isEarlierLife(leader.value);
+    if (wins)
+        log_.write(LogWeight::State, "leadership_won", {{"fencing_token", leadership(now).fencingToken}});
+}
+
+void StoreSync::tellConfiguration(TimeMs askedAt, TimeMs now)
+{
+    if (configuration_ && isVouchedFor(now))
+        news_.configurations.push_back({configuration_, askedAt});
 }
 
 // A write that was given up may be done later, after the one that followed it: the others would go on without
@@ -373,7 +403,8 @@
             entries.push_back(*item.endpoint);
     }
     endpoints_.replace(std::move(entries));
-    news_.endpoints.push_back({endpoints_.entries(), open.readStartedAt});
+    endpointsEra_ = open.era;
+    news_.endpoints.push_back({endpoints_.entries(), open.readStartedAt, open.era});
 }
 
 void StoreSync::onLeaseReply(const OpenCall &open, const StoreReply &reply, TimeMs now)
@@ -397,7 +428,7 @@
 {
     log_.write(LogWeight::State, "lease_lost", {{"why", why}, {"led", leaderIsSelf_}});
     if (leaderIsSelf_)
-        standAt_ = now + settings_.leaseTime + StandMargin;
+        standAt_ = now + quietTime();
     lease_ = 0;
     registered_ = false;
     leaderIsSelf_ = false;
@@ -411,8 +442,16 @@
 {
     Leadership out;
     out.validUntil = leaseValidUntil_ - LeadershipMargin;
-    out.fencingToken = leader_.revision;
-    out.held = !leaving_ && leaderIsSelf_ && leader_.lease == lease_ && now < out.validUntil;
+    out.fencingToken = (leader_.era << RevisionBits) + leader_.revision;
+    out.held
+        = !leaving_ && leaderIsSelf_ && leader_.lease == lease_ && now < out.validUntil && now >= actsFrom_;
+    out.stands = {StoreSpace::Shared, LeaderKey, leader_.revision};
+    // What it wrote itself since it leads, it writes again.
+    const bool ledThroughEra = ledSince_.count != 0 && ledSince_ < eraSeenAt_;
+    if (startedUnsettled_)
+        out.recordsLostBefore = startedAt_;
+    if (eraSeenAt_.count != 0)
+        out.recordsLostBefore = ledThroughEra ? ledSince_ : eraSeenAt_;
     return out;
 }
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -14,12 +14,19 @@
 
 /// Key of the requests in quarantine, among those that all daemons share.
 constexpr const char *QuarantineKey = "quarantine";
+/// Key of the duties' holder, among the same.
+constexpr const char *LeaderKey = "leader";
 
 /// Who holds a duty, as this daemon may rely on it.
 struct Leadership {
     bool held = false; ///< By this daemon, now.
-    uint64_t fencingToken = 0; ///< Grows with each change of the holder.
+    uint64_t fencingToken = 0; ///< Grows with each change of the holder, also over eras of the store.
     TimeMs validUntil; ///< On this daemon's clock; no call may be under way after it.
+    /// What an earlier holder wrote to the store before this may be missing there, though it acted on it.
+    TimeMs recordsLostBefore;
+    /// Holds in the store as long as nobody has won since. Calls that are carried out late, in another era
+    /// perhaps, must not write records then.
+    StoreCondition stands;
 };
 
 struct StoreSyncSettings {
@@ -56,7 +63,14 @@
     };
 
     void tick(TimeMs now);
-    void onReply(const StoreReply &reply, TimeMs now);
+    void onReply(StoreReply reply, TimeMs now);
+    /// Due for each reply of the store, also to calls of other parts, before it is used. One of an era that
+    /// is over tells nothing: what it found or did is gone.
+    void judgeEra(StoreReply &reply, TimeMs now);
+    /// This daemon holds the duties, and has written again what the store lacked of their records.
+    void setRecordsWhole(bool whole) { recordsAreWhole_ = whole; }
+    /// What this daemon read can't be older than what the others have seen, as far as they are there to tell.
+    bool isVouchedFor(TimeMs now) const;
     /// Whom to ask instead of reading; nothing: this daemon reads itself.
     void setSource(const std::optional<Address> &source) { source_ = source; }
     /// One of the few that read for all keeps its pace whatever the store does. The others, hundreds perhaps,
@@ -95,6 +109,8 @@
 private:
     static constexpr DurationMs WriteTimeout{2000};
     static constexpr DurationMs RetryPause{500}; ///< Between two tries of a write.
+    /// A leader stops this long before its lease may have run out, for what is still on its way.
+    static constexpr DurationMs LeadershipMargin{700};
 
     enum class Purpose : uint8_t {
         ReadShared,
@@ -104,7 +120,8 @@
         Register,
         Stand,
         Leave,
-        Quarantine
+        Quarantine,
+        Settle
     };
     struct OpenCall {
         Purpose purpose = Purpose::ReadShared;
@@ -113,6 +130,7 @@
         std::vector<StoreItem> pages;
         uint64_t lease = 0;
         bool serving = false; ///< As registered.
+        uint64_t era = 0; ///< Of the first page.
     };
 
     static bool isRead(Purpose purpose)
@@ -151,6 +169,16 @@
     void noteStoreState(bool answered, TimeMs now);
     std::string ownLeaderValue() const;
     bool isEarlierLife(const std::string &leaderValue) const;
+    bool mayStand(TimeMs now) const;
+    void tellConfiguration(TimeMs askedAt, TimeMs now);
+    // A store that comes back older (storeera.cpp).
+    void enterEra(uint64_t era, TimeMs now);
+    void noteFirstView(TimeMs now);
+    void keepQuiet(TimeMs now);
+    void tickEra(TimeMs now);
+    void settleEra(TimeMs now);
+    bool knowsPresentEra() const { return sharedEra_ == era_ && endpointsEra_ == era_; }
+    DurationMs quietTime() const;
 
     StoreSyncSettings settings_;
     DecisionLog &log_;
@@ -218,6 +246,21 @@
     bool leaderIsEarlierLife_ = false; ///< The key is of a daemon that ran on this instance before.
     TimeMs standAt_; ///< Not before, if there is no leader.
     TimeMs takeBackAt_; ///< Not before, if this instance led in an earlier life.
+
+    uint64_t era_ = 0; ///< Of the store; 0: it has stated none.
+    TimeMs eraSeenAt_; ///< When it rose; zero: not since this daemon started.
+    uint64_t sharedEra_ = 0; ///< Of the newest views.
+    uint64_t endpointsEra_ = 0;
+    uint64_t settledEra_ = 0; ///< As the store says.
+    bool recordsAreWhole_ = false;
+    TimeMs settleAt_; ///< Not before.
+    /// This daemon held the duties when the era rose: so long nobody else can have won them.
+    std::optional<TimeMs> heldUntil_;
+    TimeMs ledSince_; ///< Without a gap in which another one could have led; zero: it does not lead.
+    TimeMs actsFrom_; ///< An earlier holder may act until then, whatever the store says.
+    bool startedUnsettled_ = false; ///< It may have risen shortly before this daemon started.
+    bool vouchedFor_ = false;
+    uint64_t leastVersion_ = 0; ///< Of the configuration, as another daemon has seen it.
 };
 
 } // namespace cranberry
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/usageduty.cpp
@@ -19,6 +19,8 @@
 constexpr DurationMs RetryPause{400};
 /// Stored windows are deleted when they are this many windows old: nobody can report them any more.
 constexpr int64_t WindowsKept = 12;
+/// Stored in place of counts that are lost: no later holder reports the window either.
+constexpr const char *LeftOut = "left out";
 
 std::string keyOf(int64_t window)
 {
@@ -54,6 +56,7 @@
 void UsageDuty::tick(const Leadership &leadership, const UsageWindows &windows, const PeerTable &peers,
                      const ServingConfigurationPtr &configuration, TimeMs now)
 {
+    recordsAreWhole_ = false;
     if (!leadership.held || !configuration) {
         // Whatever is under way may be finished by a successor from what the store holds.
         windows_.clear();
@@ -69,38 +72,59 @@
     const DurationMs gatherTime = CountingTime + peers.wholeReportPace() * ReportsAwaited;
     if (now < *heldSince_ + gatherTime)
         return;
+    recordsAreWhole_ = true;
     for (int64_t number = first; windows.endOf(number) + gatherTime <= now; ++number) {
         Window &window = windows_[number];
+        recordsAreWhole_ = recordsAreWhole_ && window.step >= Step::Send;
         if (now < window.nextAt)
             continue;
         if (window.step == Step::Count) {
-            for (const ServedOrganisation &organisation : configuration->organisations)
-                window.counts[organisation.name] = 0;
-            const auto own = windows.counts().find(number);
-            if (own != windows.counts().end()) {
-                for (const std::pair<const OrganisationName, uint64_t> &count : own->second)
-                    window.counts[count.first] += count.second;
-            }
-            for (const std::pair<const OrganisationName, uint64_t> &count : peers.windowSums(number))
-                window.counts[count.first] += count.second;
-            write(number, window, now);
-        } else if (window.step == Step::Writing) {
-            write(number, window, now);
+            decide(number, window, leadership, windows, peers, configuration);
+            write(number, window, leadership, now);
+        } else if (window.step == Step::LookingUp || window.step == Step::Writing) {
+            write(number, window, leadership, now);
         } else if (window.step == Step::Send || window.step == Step::Sending) {
             send(number, window, leadership, now);
         }
     }
 }
 
-void UsageDuty::write(int64_t number, Window &window, TimeMs now)
+// What is written for a window unless something is stored: what this daemon has sent before, or what was
+// counted, or that it is left out.
+void UsageDuty::decide(int64_t number, Window &window, const Leadership &leadership,
+                       const UsageWindows &windows, const PeerTable &peers,
+                       const ServingConfigurationPtr &configuration)
 {
     window.step = Step::Writing;
+    const auto sent = sent_.find(number);
+    if (sent != sent_.end()) {
+        window.counts = sent->second;
+        return;
+    }
+    if (windows.endOf(number) < leadership.recordsLostBefore) {
+        window.step = Step::LookingUp;
+        return;
+    }
+    for (const ServedOrganisation &organisation : configuration->organisations)
+        window.counts[organisation.name] = 0;
+    const auto own = windows.counts().find(number);
+    if (own != windows.counts().end()) {
+        for (const std::pair<const OrganisationName, uint64_t> &count : own->second)
+            window.counts[count.first] += count.second;
+    }
+    for (const std::pair<const OrganisationName, uint64_t> &count : peers.windowSums(number))
+        window.counts[count.first] += count.second;
+}
+
+void UsageDuty::write(int64_t number, Window &window, const Leadership &leadership, TimeMs now)
+{
     window.nextAt = now + CallTimeout + RetryPause;
     StoreCall call;
     call.id = nextCall_++;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Archive, keyOf(number), 0});
-    call.puts.push_back({StoreSpace::Archive, keyOf(number), textOf(window.counts), 0});
+    call.conditions = {{StoreSpace::Archive, keyOf(number), 0}, leadership.stands};
+    const std::string text = window.step == Step::LookingUp ? LeftOut : textOf(window.counts);
+    call.puts.push_back({StoreSpace::Archive, keyOf(number), text, 0});
     call.deletes.push_back({StoreSpace::Archive, keyOf(number - WindowsKept)});
     call.timeout = CallTimeout;
     calls_[call.id] = number;
@@ -116,6 +140,8 @@
     call.fencingToken = leadership.fencingToken;
     call.timeout = std::min(CallTimeout, leadership.validUntil - now);
     call.usage = UsageReport{number, window.counts};
+    sent_[number] = window.counts;
+    sent_.erase(sent_.begin(), sent_.lower_bound(number - WindowsKept));
     calls_[call.id] = number;
     dutyCalls_.push_back(std::move(call));
 }
@@ -127,27 +153,49 @@
         return;
     const auto found = windows_.find(call->second);
     calls_.erase(call);
-    if (found == windows_.end() || found->second.step != Step::Writing)
+    const bool isLookUp = found != windows_.end() && found->second.step == Step::LookingUp;
+    if (found == windows_.end() || (found->second.step != Step::Writing && !isLookUp))
         return;
     Window &window = found->second;
     window.nextAt = now + RetryPause;
     if (reply.outcome == StoreOutcome::Done) {
-        window.step = Step::Send;
+        window.step = isLookUp ? Step::Done : Step::Send;
         window.nextAt = now;
-    } else if (reply.outcome == StoreOutcome::Conflict && !reply.items.empty()) {
-        // Somebody has written the window before, perhaps this daemon with a lost reply: that is what counts.
-        const std::optional<std::map<OrganisationName, uint64_t>> stored
-            = countsFromText(reply.items.front().value);
-        if (!stored) {
-            log_.write(LogWeight::Failure, "usage_unreadable", {{"window", found->first}});
-            return;
+        if (isLookUp)
+            log_.write(LogWeight::Failure, "usage_left_out",
+                       {{"window", found->first}, {"why", "an earlier holder may have reported it"}});
+    } else if (reply.outcome == StoreOutcome::Conflict) {
+        for (const StoreItem &item : reply.items) {
+            if (item.key == keyOf(found->first) && item.revision != 0)
+                onStored(found->first, window, item.value, now);
         }
-        window.counts = *stored;
-        window.step = Step::Send;
-        window.nextAt = now;
     }
 }
 
+// Somebody has written the window before, perhaps this daemon with a lost reply: that is what counts, unless
+// this daemon has sent others already.
+void UsageDuty::onStored(int64_t number, Window &window, const std::string &text, TimeMs now)
+{
+    if (text == LeftOut) {
+        window.step = Step::Done;
+        return;
+    }
+    const std::optional<std::map<OrganisationName, uint64_t>> stored = countsFromText(text);
+    if (!stored) {
+        log_.write(LogWeight::Failure, "usage_unreadable", {{"window", number}});
+        return;
+    }
+    const auto sent = sent_.find(number);
+    if (sent != sent_.end() && sent->second != *stored) {
+        log_.write(LogWeight::Failure, "usage_differs", {{"window", number}, {"stored", text}});
+        window.step = Step::Done;
+        return;
+    }
+    window.counts = *stored;
+    window.step = Step::Send;
+    window.nextAt = now;
+}
+
 void UsageDuty::onDutyReply(uint64_t id, DutyOutcome outcome, TimeMs now)
 {
     const auto call = calls_.find(id);
--- a/src/gateway/usageduty.h
+++ b/src/gateway/usageduty.h
@@ -16,6 +16,9 @@
 ///
 /// The counts are written to the store under a condition before they are sent. A successor, or this daemon
 /// after a lost reply, finds them there and sends the same: two different reports of one window can't exist.
+/// Where the store may have lost what an earlier holder wrote, a window that it may have reported is reported
+/// only as stored, or not at all: a missing report can be asked for, a second one that differs can't be taken
+/// back.
 class UsageDuty
 {
 public:
@@ -25,24 +28,32 @@
               const ServingConfigurationPtr &configuration, TimeMs now);
     void onStoreReply(const StoreReply &reply, TimeMs now);
     void onDutyReply(uint64_t id, DutyOutcome outcome, TimeMs now);
+    /// This daemon holds the duty, and the store has a record of each window that is due.
+    bool recordsAreWhole() const { return recordsAreWhole_; }
 
     std::vector<StoreCall> takeStoreCalls() { return std::exchange(storeCalls_, {}); }
     std::vector<DutyCall> takeDutyCalls() { return std::exchange(dutyCalls_, {}); }
 
 private:
-    enum class Step : uint8_t { Count, Writing, Send, Sending, Done };
+    enum class Step : uint8_t { Count, LookingUp, Writing, Send, Sending, Done };
     struct Window {
         Step step = Step::Count;
         TimeMs nextAt;
         std::map<OrganisationName, uint64_t> counts;
     };
-    void write(int64_t number, Window &window, TimeMs now);
+    void decide(int64_t number, Window &window, const Leadership &leadership, const UsageWindows &windows,
+                const PeerTable &peers, const ServingConfigurationPtr &configuration);
+    void write(int64_t number, Window &window, const Leadership &leadership, TimeMs now);
+    void onStored(int64_t number, Window &window, const std::string &text, TimeMs now);
     void send(int64_t number, Window &window, const Leadership &leadership, TimeMs now);
 
     DurationMs due_;
     std::optional<TimeMs> heldSince_;
+    bool recordsAreWhole_ = false;
     DecisionLog &log_;
     std::map<int64_t, Window> windows_;
+    /// What this daemon has sent, also before it held the duties anew: the store may have lost its record.
+    std::map<int64_t, std::map<OrganisationName, uint64_t>> sent_;
     std::map<uint64_t, int64_t> calls_; ///< Open calls, by id, to their window.
     std::vector<StoreCall> storeCalls_;
     std::vector<DutyCall> dutyCalls_;
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -38,7 +38,10 @@
     call.totalTimeout = order.timeout;
     store.fetch(std::move(call), [this, order, onReply = std::move(onReply)](const HttpResponse &response) {
         const bool whole = response.failure == HttpFailure::None;
-        onReply(storeCodec.decode(order, whole ? response.status : 0, response.body));
+        StoreReply reply
+            = storeCodec.decode(order, whole ? response.status : 0, response.headers, response.body);
+        sync.judgeEra(reply, steadyNow());
+        onReply(reply);
     });
 }
 
@@ -76,6 +79,7 @@
     const TimeMs now = steadyNow();
     const Leadership leadership = sync.leadership(now);
     usageDuty.tick(leadership, gateway.usage(), gateway.peers(), gateway.configuration(), now);
+    sync.setRecordsWhole(usageDuty.recordsAreWhole());
     engineSizing.tick(leadership, gateway.fleet(), gateway.demand(now), gateway.configuration(), now);
     for (const StoreCall &order : usageDuty.takeStoreCalls())
         callStore(order, [this](const StoreReply &reply) { usageDuty.onStoreReply(reply, steadyNow()); });
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -11,7 +11,7 @@
 // id; POST /spoil?endpoint=ID&entry=TEXT writes TEXT as its entry, until it is called without one. Fault
 // advertiseOffset: endpoints are listed at ports so much higher, where a proxy listens. A request whose body
 // is "crash" ends the endpoint that begins to run it, with all that it has; it is back under another id after
-// crashMs.
+// crashMs. POST /copy keeps a copy of the store, POST /return brings it back from there, in the next era.
 
 #include "base64.h"
 #include "standin.h"
@@ -20,6 +20,7 @@
 #include <array>
 #include <chrono>
 #include <fmt/format.h>
+#include <set>
 
 namespace json = boost::json;
 using cranberry::base64Encoded;
@@ -32,6 +33,7 @@
 constexpr int EndpointCount = 5;
 constexpr int FirstPlain = 3; ///< Endpoints before this one are engines.
 constexpr int64_t BeatMs = 500;
+constexpr int64_t LapseMs = 1500;
 constexpr int64_t CrashDelayMs = 60;
 constexpr int64_t DefaultCrashMs = 1500;
 
@@ -96,6 +98,16 @@
             publish();
             return exchange->respond(200, {}, "");
         }
+        if (target.path == "/copy") {
+            store_.saveCopy();
+            return exchange->respond(200, {}, "");
+        }
+        if (target.path == "/return") {
+            store_.comeBackFromCopy();
+            standin_.log(fmt::format("returned era={}", store_.era()));
+            standin_.after(LapseMs, [this] { dropLapsed(); });
+            return exchange->respond(200, {}, "");
+        }
         if (target.path == "/replace") {
             replace(std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10));
             return exchange->respond(200, {}, "");
@@ -127,9 +139,21 @@
         });
     }
 
-    static void answer(const HttpExchangePtr &exchange, const StoreAnswer &reply)
+    void answer(const HttpExchangePtr &exchange, const StoreAnswer &reply) const
     {
-        respondJson(exchange, reply.status, reply.body);
+        respondJson(exchange, reply.status, reply.body, {{"Store-Era", std::to_string(store_.era())}});
+    }
+
+    // Entries of endpoints that are gone came back with the older copy; nobody renews them.
+    void dropLapsed()
+    {
+        std::set<std::string> present;
+        for (int i = 0; i < EndpointCount; ++i)
+            present.insert("servers/" + idOf(i));
+        for (const std::string &key : store_.keys("servers/")) {
+            if (!present.contains(key))
+                store_.remove(key);
+        }
     }
 
     void write(const HttpExchangePtr &exchange, const json::object &body)
--- a/standins/standin.cpp
+++ b/standins/standin.cpp
@@ -94,9 +94,11 @@
     return code ? json::value(json::object()) : value;
 }
 
-void respondJson(const HttpExchangePtr &exchange, int status, const json::value &body)
+void respondJson(const HttpExchangePtr &exchange, int status, const json::value &body,
+                 cranberry::HttpHeaders headers)
 {
-    exchange->respond(status, {{"Content-Type", "application/json"}}, json::serialize(body));
+    headers.push_back({"Content-Type", "application/json"});
+    exchange->respond(status, headers, json::serialize(body));
 }
 
 } // namespace standin
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -48,6 +48,7 @@
 };
 
 boost::json::value parsed(const std::string &text);
-void respondJson(const HttpExchangePtr &exchange, int status, const boost::json::value &body);
+void respondJson(const HttpExchangePtr &exchange, int status, const boost::json::value &body,
+                 cranberry::HttpHeaders headers = {});
 
 } // namespace standin
--- a/standins/storestate.cpp
+++ b/standins/storestate.cpp
@@ -12,17 +12,37 @@
 
 void StoreState::put(const std::string &key, const std::string &value)
 {
-    Item &item = items_[key];
+    Item &item = content_.items[key];
     item.value = value;
-    item.revision = ++revision_;
+    item.revision = ++content_.revision;
     if (item.created == 0)
-        item.created = revision_;
+        item.created = content_.revision;
 }
 
 void StoreState::remove(const std::string &key)
 {
-    if (items_.erase(key) > 0)
-        ++revision_;
+    if (content_.items.erase(key) > 0)
+        ++content_.revision;
+}
+
+std::vector<std::string> StoreState::keys(const std::string &prefix) const
+{
+    std::vector<std::string> out;
+    for (auto item = content_.items.lower_bound(prefix);
+         item != content_.items.end() && item->first.starts_with(prefix); ++item)
+        out.push_back(item->first);
+    return out;
+}
+
+void StoreState::saveCopy()
+{
+    copy_ = content_;
+}
+
+void StoreState::comeBackFromCopy()
+{
+    content_ = copy_;
+    ++era_;
 }
 
 json::object StoreState::describe(const std::string &key, const Item &item) const
@@ -39,8 +59,8 @@
     endLeases(nowMs);
     json::array items;
     bool truncated = false;
-    for (auto item = items_.lower_bound(prefix); item != items_.end() && item->first.starts_with(prefix);
-         ++item) {
+    for (auto item = content_.items.lower_bound(prefix);
+         item != content_.items.end() && item->first.starts_with(prefix); ++item) {
         if (item->first <= after)
             continue;
         truncated = items.size() == PageItems;
@@ -48,7 +68,7 @@
             break;
         items.push_back(describe(item->first, item->second));
     }
-    return {200, {{"Items", std::move(items)}, {"Truncated", truncated}, {"CurrentRev", revision_}}};
+    return {200, {{"Items", std::move(items)}, {"Truncated", truncated}, {"CurrentRev", content_.revision}}};
 }
 
 StoreAnswer StoreState::write(const json::object &body, int64_t nowMs)
@@ -58,43 +78,43 @@
     bool holds = true;
     for (const json::value &condition : body.at("Precondition").as_array()) {
         const std::string key(condition.at("Key").as_string());
-        const auto found = items_.find(key);
-        const uint64_t revision = found == items_.end() ? 0 : found->second.revision;
+        const auto found = content_.items.find(key);
+        const uint64_t revision = found == content_.items.end() ? 0 : found->second.revision;
         holds = holds && revision == condition.at("Revision").to_number<uint64_t>();
-        present.push_back(describe(key, found == items_.end() ? Item{} : found->second));
+        present.push_back(describe(key, found == content_.items.end() ? Item{} : found->second));
     }
     if (!holds)
         return {412, {{"Items", std::move(present)}}};
     for (const json::value &entry : body.at("Puts").as_array()) {
         const uint64_t lease = entry.at("Lease").to_number<uint64_t>();
-        if (lease != 0 && !leases_.contains(lease))
+        if (lease != 0 && !content_.leases.contains(lease))
             return {404, {}};
     }
-    ++revision_;
+    ++content_.revision;
     for (const json::value &entry : body.at("Puts").as_array()) {
-        Item &item = items_[std::string(entry.at("Key").as_string())];
+        Item &item = content_.items[std::string(entry.at("Key").as_string())];
         item.value = std::string(entry.at("Value").as_string());
-        item.revision = revision_;
-        item.created = item.created == 0 ? revision_ : item.created;
+        item.revision = content_.revision;
+        item.created = item.created == 0 ? content_.revision : item.created;
         item.lease = entry.at("Lease").to_number<uint64_t>();
     }
     for (const json::value &key : body.at("Deletes").as_array())
-        items_.erase(std::string(key.as_string()));
-    return {200, {{"Revision", revision_}}};
+        content_.items.erase(std::string(key.as_string()));
+    return {200, {{"Revision", content_.revision}}};
 }
 
 StoreAnswer StoreState::grant(int64_t leaseMs, int64_t nowMs)
 {
-    const uint64_t lease = nextLease_++;
-    leases_[lease] = {leaseMs, nowMs + leaseMs};
+    const uint64_t lease = content_.nextLease++;
+    content_.leases[lease] = {leaseMs, nowMs + leaseMs};
     return {200, {{"Lease", lease}, {"TtlMs", leaseMs}}};
 }
 
 StoreAnswer StoreState::renew(uint64_t lease, int64_t nowMs)
 {
     endLeases(nowMs);
-    const auto found = leases_.find(lease);
-    if (found == leases_.end())
+    const auto found = content_.leases.find(lease);
+    if (found == content_.leases.end())
         return {404, {}};
     found->second.endsAtMs = nowMs + found->second.lengthMs;
     return {200, {{"TtlMs", found->second.lengthMs}}};
@@ -108,7 +128,7 @@
 
 void StoreState::endLeases(int64_t nowMs)
 {
-    std::map<uint64_t, Lease> leases = leases_;
+    std::map<uint64_t, Lease> leases = content_.leases;
     for (const std::pair<const uint64_t, Lease> &lease : leases) {
         if (lease.second.endsAtMs <= nowMs)
             dropLease(lease.first);
@@ -117,11 +137,11 @@
 
 void StoreState::dropLease(uint64_t lease)
 {
-    leases_.erase(lease);
-    if (std::erase_if(items_, [lease](const std::pair<const std::string, Item> &entry) {
+    content_.leases.erase(lease);
+    if (std::erase_if(content_.items, [lease](const std::pair<const std::string, Item> &entry) {
             return entry.second.lease == lease;
         }))
-        ++revision_;
+        ++content_.revision;
 }
 
 } // namespace standin
--- a/standins/storestate.h
+++ b/standins/storestate.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace standin {
 
@@ -19,6 +20,13 @@
 public:
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    /// Keys that begin with `prefix`.
+    std::vector<std::string> keys(const std::string &prefix) const;
+
+    // A store that comes back from an older copy of itself.
+    void saveCopy();
+    void comeBackFromCopy(); ///< Into the next era: revisions and leases are given out again.
+    uint64_t era() const { return era_; }
 
     StoreAnswer list(const std::string &prefix, const std::string &after, int64_t nowMs);
     StoreAnswer write(const boost::json::object &body, int64_t nowMs);
@@ -37,14 +45,19 @@
         int64_t lengthMs = 0;
         int64_t endsAtMs = 0;
     };
+    struct Content {
+        std::map<std::string, Item> items;
+        std::map<uint64_t, Lease> leases;
+        uint64_t revision = 0;
+        uint64_t nextLease = 1;
+    };
     boost::json::object describe(const std::string &key, const Item &item) const;
     void endLeases(int64_t nowMs);
     void dropLease(uint64_t lease);
 
-    std::map<std::string, Item> items_;
-    std::map<uint64_t, Lease> leases_;
-    uint64_t revision_ = 0;
-    uint64_t nextLease_ = 1;
+    Content content_;
+    Content copy_;
+    uint64_t era_ = 1;
 };
 
 } // namespace standin
--- a/tests/decoders_random_test.cpp
+++ b/tests/decoders_random_test.cpp
@@ -98,7 +98,7 @@
     StoreCall call;
     call.verb = StoreVerb::List;
     call.space = StoreSpace::Endpoints;
-    const StoreReply reply = codec.decode(call, status, text);
+    const StoreReply reply = codec.decode(call, status, {}, text);
     for (const StoreItem &item : reply.items)
         CHECK((!item.isConfiguration || item.configuration));
 }
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -34,6 +34,7 @@
         configuration->organisations = {organisation};
         configuration->index();
         store.putConfiguration(configuration);
+        store.settle();
         for (size_t i = 0; i < daemons; ++i)
             start(i);
     }
@@ -108,6 +109,7 @@
             if ((reply.id & DutyBit) != 0) {
                 StoreReply own = reply;
                 own.id &= ~DutyBit;
+                daemon.sync.judgeEra(own, now);
                 daemon.duty.onStoreReply(own, now);
             } else {
                 daemon.sync.onReply(reply, now);
@@ -119,6 +121,7 @@
             daemon.usage.count({"a"}, now);
         const Leadership leadership = daemon.sync.leadership(now);
         daemon.duty.tick(leadership, daemon.usage, daemon.peers, configuration, now);
+        daemon.sync.setRecordsWhole(daemon.duty.recordsAreWhole());
         for (const StoreCall &call : daemon.sync.takeCalls())
             store.submit(i, call, now);
         for (StoreCall call : daemon.duty.takeStoreCalls()) {
@@ -162,6 +165,14 @@
     }
 }
 
+void checkReports(const std::map<int64_t, std::set<std::string>> &reports)
+{
+    for (const std::pair<const int64_t, std::set<std::string>> &report : reports) {
+        CAPTURE(report.first);
+        REQUIRE(report.second.size() == 1);
+    }
+}
+
 } // namespace
 
 TEST_CASE("one daemon holds the duties, and another one soon after it is killed")
@@ -274,7 +285,7 @@
     ServedOrganisation organisation;
     organisation.name.value = "a";
     configuration->organisations = {organisation};
-    const Leadership leadership{true, 5, {1'000'000}};
+    const Leadership leadership{true, 5, {1'000'000}, {}, {}};
     duty.tick(leadership, usage, peers, configuration, {102'000});
     CHECK(duty.takeStoreCalls().empty());
     PeerReport report;
@@ -296,6 +307,127 @@
     CHECK(world.store.keyCount(StoreSpace::Archive) <= 14);
 }
 
+TEST_CASE("the holder goes on under a higher token when the store comes back older")
+{
+    // The store comes back from a copy of before the holder won. Its key and its lease are gone, and the
+    // revision of its new key is lower than the one it acted under. The receiver of the duties would take
+    // what it sends for an older holder's.
+    DutyWorld world(8);
+    world.pass({200});
+    world.store.saveCopy();
+    world.pass({25800});
+    const std::optional<size_t> first = world.holder();
+    REQUIRE(first);
+    const uint64_t before = world.accepted.back().token;
+    const size_t acted = world.accepted.size();
+    world.store.comeBackFromCopy();
+    world.pass({1500});
+    REQUIRE(world.holder());
+    CHECK(*world.holder() == *first);
+    world.pass({20000});
+    REQUIRE(world.accepted.size() > acted);
+    CHECK(world.accepted.back().token > before);
+    checkAccepted(world.accepted);
+    checkReports(world.reports);
+}
+
+TEST_CASE("a holder of before the copy does not lead beside the one that the store has forgotten")
+{
+    // Daemon A led when the copy was made, was cut off, and B won. The store comes back with A's key. A is
+    // killed and starts again in that moment: the key is of its earlier life, and B still acts on its lease.
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        DutyWorld world(seed);
+        world.pass({6000});
+        const std::optional<size_t> first = world.holder();
+        REQUIRE(first);
+        world.store.saveCopy();
+        world.store.refusedClients = {*first};
+        world.pass({9000});
+        REQUIRE(world.holder());
+        REQUIRE(*world.holder() != *first);
+        world.store.refusedClients.clear();
+        world.store.comeBackFromCopy();
+        world.start(*first);
+        world.pass({15000});
+        CHECK(world.holder());
+        checkAccepted(world.accepted);
+        checkReports(world.reports);
+    }
+}
+
+TEST_CASE("a window that was reported is not counted anew when the store has lost its record")
+{
+    // The store comes back from a copy of before the newest window was written, and the holder is killed
+    // before it has written its records again. Its successor finds no record of a report that the receiver
+    // has taken.
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        DutyWorld world(seed);
+        world.pass({12000});
+        world.store.saveCopy();
+        world.pass({6000});
+        const std::optional<size_t> first = world.holder();
+        REQUIRE(first);
+        world.store.comeBackFromCopy();
+        world.start(*first);
+        world.pass({20000});
+        checkAccepted(world.accepted);
+        checkReports(world.reports);
+        CHECK(world.reports.size() >= 4);
+    }
+}
+
+TEST_CASE("a store that comes back older again and again, among other faults")
+{
+    // The store loses the last seconds at any moment: while holders change, are frozen, killed or turned
+    // away, while replies are lost and calls are carried out late, in the next era perhaps.
+    size_t acts = 0;
+    for (uint64_t seed = 1; seed <= 150; ++seed) {
+        CAPTURE(seed);
+        DutyWorld world(seed);
+        world.loseDutyReplyPercent = 20;
+        world.store.saveCopy();
+        for (int round = 0; round < 20; ++round) {
+            world.store.faults = {};
+            world.store.refusedClients.clear();
+            const uint64_t fault = world.random.below(10);
+            const size_t daemon = world.random.below(3);
+            if (fault == 0)
+                world.store.faults.down = true;
+            if (fault == 1)
+                world.store.faults.loseReplyPercent = 40;
+            if (fault == 2)
+                world.store.faults.latePercent = 40;
+            if (fault == 3)
+                world.store.refusedClients = {daemon};
+            if (fault == 4)
+                world.freeze(daemon, {static_cast<int64_t>(500 + world.random.below(8000))});
+            if (fault == 5 || fault == 6)
+                world.start(daemon);
+            if (fault == 7)
+                world.store.faults.delay = {static_cast<int64_t>(world.random.below(1500))};
+            if (world.random.below(2) == 0)
+                world.store.saveCopy();
+            world.pass({static_cast<int64_t>(200 + world.random.below(6000))});
+            if (world.random.below(3) == 0)
+                world.store.comeBackFromCopy();
+            if (world.random.below(4) == 0 && world.holder())
+                world.start(*world.holder());
+            if (world.random.below(3) == 0)
+                world.store.saveCopy();
+        }
+        world.store.faults = {};
+        world.store.refusedClients.clear();
+        world.pass({20000});
+        CHECK(world.holder());
+        checkAccepted(world.accepted);
+        checkReports(world.reports);
+        acts += world.accepted.size();
+    }
+    CHECK(acts > 1000);
+}
+
 TEST_CASE("under random faults there is one holder, tokens grow, and no window has two reports")
 {
     // Replies lost, calls carried out seconds late, outages with and without lapsing leases, refused daemons,
@@ -347,6 +479,7 @@
         configuration = std::make_shared<ServingConfiguration>();
         configuration->version = 1;
         store.putConfiguration(configuration);
+        store.settle();
         for (uint64_t i = 0; i < 2; ++i) {
             StoreSyncSettings settings;
             settings.self
--- a/tests/enginesizing_test.cpp
+++ b/tests/enginesizing_test.cpp
@@ -204,7 +204,7 @@
     EndpointFleet fleet;
     EndpointsRead read;
     std::shared_ptr<ServingConfiguration> configuration = std::make_shared<ServingConfiguration>();
-    Leadership leadership{true, 7, {1'000'000}};
+    Leadership leadership{true, 7, {1'000'000}, {}, {}};
     TimeMs now{1000};
     std::vector<EngineOrder> orders;
 };
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -13,27 +13,37 @@
 
 void FakeStore::put(StoreSpace space, const std::string &key, const std::string &value)
 {
-    items_[{space, key}] = {value, ++revision_, 0};
+    content_.items[{space, key}] = {value, ++content_.revision, 0};
 }
 
 void FakeStore::remove(StoreSpace space, const std::string &key)
 {
-    items_.erase({space, key});
-    ++revision_;
+    content_.items.erase({space, key});
+    ++content_.revision;
 }
 
 std::optional<std::string> FakeStore::valueOf(StoreSpace space, const std::string &key) const
 {
-    const auto found = items_.find({space, key});
-    return found == items_.end() ? std::nullopt : std::optional<std::string>(found->second.value);
+    const auto found = content_.items.find({space, key});
+    return found == content_.items.end() ? std::nullopt : std::optional<std::string>(found->second.value);
+}
+
+void FakeStore::saveCopy()
+{
+    copy_ = content_;
+}
+
+void FakeStore::comeBackFromCopy()
+{
+    content_ = copy_;
+    ++era_;
 }
 
 size_t FakeStore::keyCount(StoreSpace space) const
 {
-    return static_cast<size_t>(
-        std::count_if(items_.begin(), items_.end(), [space](const std::pair<const Key, Item> &entry) {
-            return entry.first.first == space;
-        }));
+    return static_cast<size_t>(std::count_if(
+        content_.items.begin(), content_.items.end(),
+        [space](const std::pair<const Key, Item> &entry) { return entry.first.first == space; }));
 }
 
 void FakeStore::submit(size_t client, const StoreCall &call, TimeMs now)
@@ -61,7 +71,7 @@
 {
     std::vector<std::pair<size_t, StoreReply>> out;
     if (faults.down && !faults.leasesLapseWhileDown) {
-        for (std::pair<const uint64_t, Lease> &lease : leases_)
+        for (std::pair<const uint64_t, Lease> &lease : content_.leases)
             lease.second.endsAt = lease.second.endsAt + (now - lastNow_);
     }
     lastNow_ = now;
@@ -72,6 +82,7 @@
             pending.execute = false;
             StoreReply reply = execute(pending.call, now);
             reply.id = pending.call.id;
+            reply.era = era_;
             if (pending.answer && now < pending.givenUpAt) {
                 out.emplace_back(pending.client, std::move(reply));
                 continue;
@@ -92,16 +103,16 @@
 
 void FakeStore::endLeases(TimeMs now)
 {
-    for (auto lease = leases_.begin(); lease != leases_.end();) {
+    for (auto lease = content_.leases.begin(); lease != content_.leases.end();) {
         if (lease->second.endsAt > now) {
             ++lease;
             continue;
         }
         const uint64_t id = lease->first;
-        if (std::erase_if(items_,
+        if (std::erase_if(content_.items,
                           [id](const std::pair<const Key, Item> &entry) { return entry.second.lease == id; }))
-            ++revision_;
-        lease = leases_.erase(lease);
+            ++content_.revision;
+        lease = content_.leases.erase(lease);
     }
 }
 
@@ -115,13 +126,13 @@
     case StoreVerb::Write:
         return write(call);
     case StoreVerb::GrantLease:
-        reply.lease = nextLease_++;
+        reply.lease = content_.nextLease++;
         reply.leaseTime = call.leaseTime;
-        leases_[reply.lease] = {call.leaseTime, now + call.leaseTime};
+        content_.leases[reply.lease] = {call.leaseTime, now + call.leaseTime};
         return reply;
     case StoreVerb::RenewLease: {
-        const auto found = leases_.find(call.lease);
-        if (found == leases_.end()) {
+        const auto found = content_.leases.find(call.lease);
+        if (found == content_.leases.end()) {
             reply.outcome = StoreOutcome::NotFound;
             return reply;
         }
@@ -130,8 +141,8 @@
         return reply;
     }
     case StoreVerb::EndLease: {
-        const auto found = leases_.find(call.lease);
-        if (found != leases_.end())
+        const auto found = content_.leases.find(call.lease);
+        if (found != content_.leases.end())
             found->second.endsAt = now;
         endLeases(now);
         return reply;
@@ -145,21 +156,21 @@
     StoreItem out;
     out.space = key.first;
     out.key = key.second;
-    const auto found = items_.find(key);
-    if (found != items_.end()) {
+    const auto found = content_.items.find(key);
+    if (found != content_.items.end()) {
         out.value = found->second.value;
         out.revision = found->second.revision;
         out.lease = found->second.lease;
     }
-    const auto endpoint = endpoints_.find(key.second);
-    if (key.first == StoreSpace::Endpoints && endpoint != endpoints_.end())
+    const auto endpoint = content_.endpoints.find(key.second);
+    if (key.first == StoreSpace::Endpoints && endpoint != content_.endpoints.end())
         out.endpoint = endpoint->second;
     return out;
 }
 
 void FakeStore::putEndpoint(const EndpointEntry &entry)
 {
-    endpoints_[entry.id.value] = entry;
+    content_.endpoints[entry.id.value] = entry;
     put(StoreSpace::Endpoints, entry.id.value, "");
 }
 
@@ -167,13 +178,13 @@
 {
     StoreReply reply;
     reply.outcome = StoreOutcome::Done;
-    if (call.space == StoreSpace::Shared && configuration_) {
+    if (call.space == StoreSpace::Shared && content_.configuration) {
         StoreItem item;
         item.isConfiguration = true;
-        item.configuration = configuration_;
+        item.configuration = content_.configuration;
         reply.items.push_back(std::move(item));
     }
-    for (const std::pair<const Key, Item> &entry : items_) {
+    for (const std::pair<const Key, Item> &entry : content_.items) {
         if (entry.first.first == call.space)
             reply.items.push_back(itemOf(entry.first));
     }
@@ -194,19 +205,19 @@
         return reply;
     }
     for (const StorePut &put : call.puts) {
-        if (put.lease != 0 && !leases_.contains(put.lease)) {
+        if (put.lease != 0 && !content_.leases.contains(put.lease)) {
             reply.outcome = StoreOutcome::NotFound;
             return reply;
         }
     }
-    ++revision_;
+    ++content_.revision;
     for (const StorePut &put : call.puts)
-        items_[{put.space, put.key}] = {put.value, revision_, put.lease};
+        content_.items[{put.space, put.key}] = {put.value, content_.revision, put.lease};
     for (const StoreKey &key : call.deletes)
-        items_.erase({key.space, key.key});
+        content_.items.erase({key.space, key.key});
     reply.items.clear();
     reply.outcome = StoreOutcome::Done;
-    reply.revision = revision_;
+    reply.revision = content_.revision;
     return reply;
 }
 
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/storecalls.h"
+#include "gateway/storeera.h"
 #include "random.h"
 
 #include <deque>
@@ -28,10 +29,18 @@
     explicit FakeStore(uint64_t seed) : random_(seed) { }
 
     void put(StoreSpace space, const std::string &key, const std::string &value);
-    void putConfiguration(const ServingConfigurationPtr &configuration) { configuration_ = configuration; }
+    void putConfiguration(const ServingConfigurationPtr &configuration)
+    {
+        content_.configuration = configuration;
+    }
     /// An endpoint's entry as it writes it; it stays until it is removed.
     void putEndpoint(const EndpointEntry &entry);
     void remove(StoreSpace space, const std::string &key);
+    /// Keeps a copy of all there is; the store comes back from it, and states the next era.
+    void saveCopy();
+    void comeBackFromCopy();
+    /// The daemons have run before, and their records of the present era are whole.
+    void settle() { put(StoreSpace::Shared, SettledEraKey, eraText(era_)); }
     std::optional<std::string> valueOf(StoreSpace space, const std::string &key) const;
     size_t keyCount(StoreSpace space) const;
 
@@ -62,6 +71,14 @@
         TimeMs givenUpAt; ///< The client hears "no reply" then.
     };
     using Key = std::pair<StoreSpace, std::string>;
+    struct Content {
+        std::map<Key, Item> items;
+        std::map<uint64_t, Lease> leases;
+        std::map<std::string, EndpointEntry> endpoints; ///< By their ids, as their keys.
+        ServingConfigurationPtr configuration;
+        uint64_t revision = 0;
+        uint64_t nextLease = 1;
+    };
 
     StoreReply execute(const StoreCall &call, TimeMs now);
     StoreReply write(const StoreCall &call);
@@ -70,14 +87,11 @@
     void endLeases(TimeMs now);
 
     Random random_;
-    std::map<Key, Item> items_;
-    std::map<uint64_t, Lease> leases_;
-    std::map<std::string, EndpointEntry> endpoints_; ///< By their ids, as their keys.
-    ServingConfigurationPtr configuration_;
+    Content content_;
+    Content copy_;
+    uint64_t era_ = 1;
     std::deque<Pending> pending_;
     double listsSentAt_ = 0; ///< In milliseconds: the last list that was asked for will have left.
-    uint64_t revision_ = 0;
-    uint64_t nextLease_ = 1;
     TimeMs lastNow_;
 };
 
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -178,6 +178,17 @@
         }
         return 0;
     }
+    void saveStore() { store_.saveCopy(); }
+    void comeBackOlder() { store_.comeBackFromCopy(); }
+    size_t members() const { return store_.keyCount(StoreSpace::Shared); }
+    /// Writes that were asked for within one second, at most, since the last `resetTraffic`.
+    size_t mostWritesInASecond() const
+    {
+        size_t most = 0;
+        for (const std::pair<const int64_t, size_t> &second : writes_)
+            most = std::max(most, second.second);
+        return most;
+    }
     double storeReads() const { return static_cast<double>(storeReads_); }
     /// Daemons that are up and name one of those that are down to callers.
     size_t namingTheDead()
@@ -202,6 +213,7 @@
     void resetTraffic()
     {
         storeReads_ = 0;
+        writes_.clear();
         for (OneDaemon &daemon : daemons_)
             daemon.traffic = {};
     }
@@ -266,6 +278,8 @@
         OneDaemon &daemon = daemons_[i];
         for (const StoreCall &call : daemon.sync->takeCalls()) {
             storeReads_ += call.verb == StoreVerb::List ? 1 : 0;
+            const bool writes = call.verb == StoreVerb::Write || call.verb == StoreVerb::GrantLease;
+            writes_[now.count / 1000] += writes ? 1 : 0;
             store_.submit(i, call, now);
         }
         for (const StoreSync::Outgoing &outgoing : daemon.sync->takeOutgoing())
@@ -325,6 +339,7 @@
     std::vector<OneDaemon> daemons_;
     std::vector<Datagram> datagrams_;
     uint64_t incarnations_ = 0;
+    std::map<int64_t, size_t> writes_; ///< By second.
     uint64_t storeReads_ = 0;
 };
 
@@ -655,3 +670,43 @@
     world.endEnginesUnder(again, Request, 1, 2);
     CHECK(world.keepingBack(Request) == 1);
 }
+
+TEST_CASE("after the store came back older all write their entries again, but not together")
+{
+    // The store has lost the entries and leases of all daemons. All learn of it within a second. If all wrote
+    // at once, the store would refuse most of them, and they would try again together.
+    for (const size_t count : {8, 100, 295, 890}) {
+        CAPTURE(count);
+        FleetWorld world(count, std::min<size_t>(count, 20));
+        world.saveStore();
+        world.pass({8000});
+        const size_t before = world.members();
+        world.comeBackOlder();
+        world.resetTraffic();
+        world.pass({6000});
+        CHECK(world.members() >= before);
+        CHECK(world.countReady() == count);
+        CHECK(world.mostWritesInASecond() <= 600);
+    }
+}
+
+TEST_CASE("what is kept from engines is in the store again after it came back older")
+{
+    // The verdict was written after the copy was made. Daemons that start later learn it from the store alone
+    // when all are killed.
+    FleetWorld world(30, 8);
+    world.pass({6000});
+    world.saveStore();
+    const RequestDigest request{42};
+    world.endEnginesUnder(0, request);
+    world.pass({4000});
+    REQUIRE_FALSE(world.stored("quarantine").empty());
+    world.comeBackOlder();
+    REQUIRE(world.stored("quarantine").empty());
+    world.pass({4000});
+    CHECK_FALSE(world.stored("quarantine").empty());
+    world.killAll();
+    world.startAll();
+    world.pass({2000});
+    CHECK(world.keepingBack(request) == world.count());
+}
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -367,13 +367,14 @@
 
 TEST_CASE("questions and answers about freshness survive their way")
 {
-    const FreshnessQuestion question{{77}, 5, 1234567890123456789ULL, 77, 3, 99};
+    const FreshnessQuestion question{{77}, 5, 2, 1234567890123456789ULL, 77, 3, 99};
     const std::optional<PeerDatagram> asked = decodeDatagram(encodeDatagram(question));
     REQUIRE(asked);
     CHECK(std::get<FreshnessQuestion>(*asked).endpointsDigest == question.endpointsDigest);
     CHECK(std::get<FreshnessQuestion>(*asked).sharedDigest == 77);
     CHECK(std::get<FreshnessQuestion>(*asked).configurationVersion == 3);
     CHECK(std::get<FreshnessQuestion>(*asked).entriesDigest == 99);
+    CHECK(std::get<FreshnessQuestion>(*asked).era == 2);
     FreshnessAnswer answer;
     answer.number = 5;
     answer.hasMembers = true;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -200,11 +200,11 @@
     call.verb = StoreVerb::List;
     const std::string body
         = R"({"Items":[{"Key":"op/config","Value":"eyJWIjoxfQ==","Revision":9}],"Truncated":false})";
-    const StoreReply reply = codec.decode(call, 200, body);
+    const StoreReply reply = codec.decode(call, 200, {}, body);
     REQUIRE(reply.items.size() == 1);
     CHECK_FALSE(reply.items[0].isConfiguration);
     CHECK(log.count("configuration_unreadable") == 1);
-    codec.decode(call, 200, body);
+    codec.decode(call, 200, {}, body);
     CHECK(log.count("configuration_unreadable") == 1);
 }
 
@@ -221,22 +221,22 @@
     CHECK(request.body.find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
     CHECK(request.body.find("\"Key\":\"own/leader\"") != std::string::npos);
     const StoreReply conflict = codec.decode(
-        call, 412, R"({"Items":[{"Key":"own/leader","Value":"bm9kZS0x","Revision":412,"Lease":77}]})");
+        call, 412, {}, R"({"Items":[{"Key":"own/leader","Value":"bm9kZS0x","Revision":412,"Lease":77}]})");
     CHECK(conflict.outcome == StoreOutcome::Conflict);
     CHECK(conflict.items[0].key == "leader");
     CHECK(conflict.items[0].value == "node-1");
-    CHECK(codec.decode(call, 200, R"({"Revision":413})").revision == 413);
-    CHECK(codec.decode(call, 404, "").outcome == StoreOutcome::NotFound);
-    CHECK(codec.decode(call, 503, "").outcome == StoreOutcome::Refused);
-    CHECK(codec.decode(call, 429, "").outcome == StoreOutcome::Refused);
-    CHECK(codec.decode(call, 0, "").outcome == StoreOutcome::NoReply);
+    CHECK(codec.decode(call, 200, {}, R"({"Revision":413})").revision == 413);
+    CHECK(codec.decode(call, 404, {}, "").outcome == StoreOutcome::NotFound);
+    CHECK(codec.decode(call, 503, {}, "").outcome == StoreOutcome::Refused);
+    CHECK(codec.decode(call, 429, {}, "").outcome == StoreOutcome::Refused);
+    CHECK(codec.decode(call, 0, {}, "").outcome == StoreOutcome::NoReply);
 
     call = {};
     call.verb = StoreVerb::List;
     call.space = StoreSpace::Endpoints;
     CHECK(platform::StoreCodec::encode(call).target == "/kv-range?Prefix=servers/");
     const StoreReply list = codec.decode(
-        call, 200,
+        call, 200, {},
         R"({"Items":[{"Key":"servers/i-7","Value":"eyJTZXJ2aWNlIjoicyIsIkFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsIlpvbmUiOiJ6IiwiVmVyc2lvbiI6InYxIiwiU2xvdHMiOjY0LCJTdGF0ZSI6ImRyYWluaW5nIiwiQ29sZFJlbWFpbmluZ01zIjowLCJTZXEiOjQsImJvcm4iOjE3NjQ3MDAwMDAwMDAsImxlYXZlc19tcyI6MjAwMH0=","Revision":5},
            {"Key":"servers/i-8","Value":"e30=","Revision":6}],"Truncated":true})");
     REQUIRE(list.items.size() == 2);
@@ -248,7 +248,42 @@
     CHECK(list.items[1].endpoint->id.value == "i-8");
     CHECK_FALSE(list.items[1].endpoint->readable);
     CHECK(list.nextPage == "servers/i-8");
-    CHECK(codec.decode(call, 200, "not json").outcome == StoreOutcome::NoReply);
+    CHECK(codec.decode(call, 200, {}, "not json").outcome == StoreOutcome::NoReply);
+}
+
+TEST_CASE("the store's era is read from each reply; one that is no number is told once and changes nothing")
+{
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::List;
+    const std::string body = R"({"Items":[],"Truncated":false})";
+    CHECK(codec.decode(call, 200, {{"Store-Era", "3"}}, body).era == 3);
+    CHECK(codec.decode(call, 503, {{"store-era", "4"}}, "").era == 4);
+    CHECK_FALSE(codec.decode(call, 200, {}, body).era);
+    for (const char *wrong : {"-1", "4x", "1e3", "99999999999999999999"}) {
+        const StoreReply reply = codec.decode(call, 200, {{"Store-Era", wrong}}, body);
+        CHECK_FALSE(reply.era);
+        CHECK(reply.outcome == StoreOutcome::Done);
+        codec.decode(call, 200, {{"Store-Era", wrong}}, body);
+    }
+    CHECK(log.count("store_era_unreadable") == 4);
+}
+
+TEST_CASE("a configuration that is written again at a revision of an earlier era is read")
+{
+    // The store came back older and gives out revision 9 again, for another configuration.
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::List;
+    const auto read = [&](const char *era, const std::string &encoded) {
+        const std::string body = R"({"Items":[{"Key":"op/config","Value":")" + encoded
+            + R"(","Revision":9}],"Truncated":false})";
+        return codec.decode(call, 200, {{"Store-Era", era}}, body).items.at(0).configuration->version;
+    };
+    CHECK(read("1", "eyJWZXJzaW9uIjo3LCJSb3V0ZXMiOltdLCJTZXJ2aWNlcyI6W119") == 7);
+    CHECK(read("2", "eyJWZXJzaW9uIjo4LCJSb3V0ZXMiOltdLCJTZXJ2aWNlcyI6W119") == 8);
 }
 
 namespace {
@@ -323,7 +358,7 @@
                              R"({"Items":[{"Key":"servers/i-8","Value":"e30=","Revision":6}]})",
                              R"({"Items":[{"Key":"servers/i-8","Value":"not base64!","Revision":7}]})",
                              R"({"Items":[{"Key":"servers/i-8","Value":5,"Revision":7}]})"}) {
-        const StoreReply reply = codec.decode(call, 200, body);
+        const StoreReply reply = codec.decode(call, 200, {}, body);
         REQUIRE(reply.items.size() == 1);
         REQUIRE(reply.items[0].endpoint);
         CHECK_FALSE(reply.items[0].endpoint->readable);
--- /dev/null
+++ b/tests/storeera_test.cpp
@@ -0,0 +1,196 @@
+// A store that comes back from an older copy of itself: what daemons that lived through it, and those that
+// start just after it, may believe.
+
+#include "fakestore.h"
+#include "gateway/storesync.h"
+#include "gatewayfixture.h"
+
+#include <memory>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr DurationMs Step{20};
+
+std::shared_ptr<ServingConfiguration> makeConfiguration(uint64_t version)
+{
+    std::shared_ptr<ServingConfiguration> out = std::make_shared<ServingConfiguration>();
+    out->version = version;
+    out->index();
+    return out;
+}
+
+/// Daemons at one store that ask each other. The newest configuration that each took is kept.
+class EraWorld
+{
+public:
+    EraWorld() : store(3)
+    {
+        store.putConfiguration(makeConfiguration(7));
+        store.settle();
+    }
+
+    size_t start()
+    {
+        const size_t i = syncs_.size();
+        StoreSyncSettings settings;
+        settings.self = {{"entry-" + std::to_string(i)}, {i + 1}, {"north"}, {"10.0.0.1", 80}, addressOf(i)};
+        settings.seed = i + 1;
+        syncs_.push_back(std::make_unique<StoreSync>(settings, log));
+        versions.push_back(0);
+        return i;
+    }
+    void ask(size_t asker, size_t asked) { syncs_[asker]->setSource(addressOf(asked)); }
+
+    void pass(DurationMs duration)
+    {
+        for (const TimeMs until = now + duration; now < until;) {
+            now = now + Step;
+            for (size_t i = 0; i < syncs_.size(); ++i) {
+                syncs_[i]->tick(now);
+                for (const StoreCall &call : syncs_[i]->takeCalls())
+                    store.submit(i, call, now);
+                for (const StoreSync::Outgoing &outgoing : syncs_[i]->takeOutgoing())
+                    deliver(i, outgoing);
+            }
+            for (std::pair<size_t, StoreReply> &reply : store.replies(now))
+                syncs_[reply.first]->onReply(reply.second, now);
+            for (size_t i = 0; i < syncs_.size(); ++i) {
+                for (const ConfigurationRead &read : syncs_[i]->takeNews().configurations)
+                    versions[i] = std::max(versions[i], read.configuration->version);
+            }
+        }
+    }
+
+    FakeStore store;
+    RecordingLog log;
+    TimeMs now{1'000'000};
+    std::vector<uint64_t> versions; ///< 0: a daemon has none.
+
+private:
+    static Address addressOf(size_t i) { return {"10.0.0.1", static_cast<uint16_t>(90 + i)}; }
+    void deliver(size_t from, const StoreSync::Outgoing &outgoing)
+    {
+        const size_t to = outgoing.to.port - addressOf(0).port;
+        if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&outgoing.message))
+            syncs_[to]->onQuestion(*question, addressOf(from), now);
+        else
+            syncs_[to]->onAnswer(std::get<FreshnessAnswer>(outgoing.message), now);
+    }
+
+    std::vector<std::unique_ptr<StoreSync>> syncs_;
+};
+
+EndpointEntry makeEntry(const std::string &id, bool leaving = false)
+{
+    EndpointEntry entry;
+    entry.id.value = id;
+    entry.start.unixMs = 1000;
+    entry.service.value = "model";
+    entry.address = {"10.0.1.1", 80};
+    entry.failureDomain.value = "north";
+    entry.slots = 64;
+    entry.leaving = leaving;
+    return entry;
+}
+
+bool takesWork(const EndpointFleet &fleet, TimeMs now)
+{
+    CallerRequest request;
+    request.id = "r";
+    PlacementQuestion question;
+    question.service.value = "model";
+    question.request = &request;
+    const PlacementResult result = fleet.choose(question, now);
+    return result.choice && fleet.find(result.choice->endpoint)->avoidUntil <= now;
+}
+
+} // namespace
+
+TEST_CASE("a daemon that starts just after the return waits for a configuration that the others have seen")
+{
+    // Version 8 takes a key away and is acknowledged. The store comes back from a copy of before, and the
+    // operators write version 8 again only seconds later. A daemon that starts in between reads version 7 and
+    // would serve the key, though the others have known better for long.
+    EraWorld world;
+    const size_t first = world.start();
+    world.pass({3000});
+    world.store.saveCopy();
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({2000});
+    REQUIRE(world.versions[first] == 8);
+    world.store.comeBackFromCopy();
+    world.pass({200});
+    const size_t late = world.start();
+    world.ask(late, first);
+    world.pass({3000});
+    CHECK(world.versions[late] == 0);
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({1500});
+    CHECK(world.versions[late] == 8);
+    CHECK(world.versions[first] == 8);
+}
+
+TEST_CASE("a daemon that starts just after the return, with none to ask, serves after the time of rewriting")
+{
+    // All were killed in the same moment: nobody knows more than the store.
+    EraWorld world;
+    world.store.saveCopy();
+    world.store.comeBackFromCopy();
+    const size_t late = world.start();
+    world.pass({3000});
+    CHECK(world.versions[late] == 0);
+    world.pass({3000});
+    CHECK(world.versions[late] == 7);
+}
+
+TEST_CASE("an endpoint that was leaving is not used again because an older store lists it as ready")
+{
+    EndpointFleet fleet;
+    TimeMs now{100'000};
+    fleet.take({{makeEntry("i-1")}, now, 4}, now);
+    REQUIRE(takesWork(fleet, now));
+    now = now + DurationMs{1000};
+    fleet.take({{makeEntry("i-1", true)}, now, 4}, now);
+    now = now + DurationMs{1000};
+    fleet.take({{}, now, 4}, now);
+    now = now + DurationMs{1000};
+    fleet.take({{makeEntry("i-1")}, now, 5}, now);
+    CHECK_FALSE(takesWork(fleet, now));
+    now = now + DurationMs{10000};
+    fleet.take({{makeEntry("i-1")}, now, 5}, now);
+    CHECK_FALSE(takesWork(fleet, now));
+}
+
+TEST_CASE("an endpoint that had gone is used again once its entry outlived the return")
+{
+    // It ended without a word after the copy was made. The older store lists it until its entry lapses.
+    EndpointFleet fleet;
+    TimeMs now{100'000};
+    fleet.take({{makeEntry("i-1")}, now, 4}, now);
+    now = now + DurationMs{1000};
+    fleet.take({{}, now, 4}, now);
+    now = now + DurationMs{1000};
+    fleet.take({{makeEntry("i-1")}, now, 5}, now);
+    CHECK_FALSE(takesWork(fleet, now));
+    now = now + DurationMs{5000};
+    fleet.take({{makeEntry("i-1")}, now, 5}, now);
+    CHECK(takesWork(fleet, now));
+}
+
+TEST_CASE("an endpoint that the older store lacks is kept until it could write its entry again")
+{
+    // It started after the copy was made. Left out at once, all requests would crowd on the others.
+    EndpointFleet fleet;
+    TimeMs now{100'000};
+    fleet.take({{makeEntry("i-1")}, now, 4}, now);
+    now = now + DurationMs{400};
+    fleet.take({{}, now, 5}, now);
+    CHECK(takesWork(fleet, now));
+    for (int i = 0; i < 6; ++i) {
+        now = now + DurationMs{500};
+        fleet.take({{}, now, 5}, now);
+    }
+    CHECK_FALSE(takesWork(fleet, now));
+}
