--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -88,6 +88,8 @@
          {"status", exchange.head.status},
          {"wrong_instance", exchange.head.wrongInstance}});
     actions_.emplace_back(CancelSent{exchange.attempt});
+    if (!exchange.head.wrongInstance)
+        noteBadAnswer(exchange, false, now);
     if (exchange.head.wrongInstance)
         fleet_.wrongInstance(exchange.at);
     else
@@ -151,12 +153,14 @@
     }
     if (!std::exchange(exchange.streaming, true)) {
         exchange.firstEventAt = now;
+        noteFirstEvent(exchange, now);
         if (exchange.foundNoQueue && exchange.prefillTokens > 0)
             demand_.firstEvent(exchange.service, exchange.prefillTokens, now - exchange.sentAt);
         fleet_.streamBegan(exchange.at);
         fleet_.firstByte(exchange.at, exchange.prefillTokens);
         exchange.prefillTokens = 0;
     }
+    noteEventPace(exchange, now);
     actions_.emplace_back(CallerStreamData{exchange.caller, std::move(bytes)});
     return inOrder;
 }
@@ -192,10 +196,13 @@
     double &mean = answerMs_.try_emplace(exchange.service, static_cast<double>((now - exchange.sentAt).count))
                        .first->second;
     mean += AnswerTimeWeight * (static_cast<double>((now - exchange.sentAt).count) - mean);
-    if (failed)
+    if (failed) {
+        noteBadAnswer(exchange, false, now);
         fleet_.answeredWithError(exchange.at);
-    else
+    } else {
+        noteWholeAnswer(exchange, now);
         fleet_.succeeded(exchange.at);
+    }
     noteAnswered(exchange, now);
     detach(exchange);
     if (failed) {
@@ -257,6 +264,7 @@
 {
     log(LogWeight::Failure, "attempt_broken", exchange,
         {{"attempt", exchange.attempt.value}, {"sent", sent}, {"after_ms", (now - exchange.sentAt).count}});
+    noteBadAnswer(exchange, true, now);
     fleet_.failed(exchange.at, now);
     detach(exchange);
     if (!sent)
@@ -311,8 +319,8 @@
         log(LogWeight::Failure, "repeat_denied", exchange, {{"reason", "quarantined"}});
         return false;
     }
-    const PlacementQuestion question = questionOf(exchange);
-    const PlacementResult result = fleet_.choose(question, now);
+    PlacementQuestion question = questionOf(exchange);
+    const PlacementResult result = place(exchange, question, now);
     if (!result.choice)
         return false;
     if (reason != GatewayRetry::ConnectFailed && !repeats_.take(exchange.service, slackShare(now), now)) {
@@ -354,7 +362,7 @@
             silent.push_back(entry.first);
     }
     for (AttemptId attempt : silent) {
-        const Exchange *exchange = byAttempt(attempt);
+        Exchange *exchange = byAttempt(attempt);
         if (exchange && (fleet_.isOver(exchange->at, now) || canGoOnElsewhere(*exchange, now)))
             cancelBroken(attempt, now);
     }
@@ -363,10 +371,11 @@
 // An engine that is overloaded looks silent, too: with a third of its engines gone a service's streams paused
 // for longer than its callers accept, and they were cut when no repeat was left for them. A stream that can't
 // go on elsewhere waits; the rest may still come in time.
-bool Gateway::canGoOnElsewhere(const Exchange &exchange, TimeMs now)
+bool Gateway::canGoOnElsewhere(Exchange &exchange, TimeMs now)
 {
+    PlacementQuestion question = questionOf(exchange);
     return !isQuarantined(exchange, now) && repeats_.allows(exchange.service, slackShare(now), now)
-        && fleet_.choose(questionOf(exchange), now).choice;
+        && place(exchange, question, now).choice;
 }
 
 } // namespace cranberry
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -239,7 +239,8 @@
 bool EndpointFleet::mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question)
 {
     return takesWork(endpoint, question.service) && !endpoint.avoidedForGood
-        && !question.tried.contains(endpoint.entry.id);
+        && !question.tried.contains(endpoint.entry.id) && !question.barred.contains(endpoint.entry.version)
+        && (!question.among || question.among->contains(endpoint.entry.id));
 }
 
 bool EndpointFleet::hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question)
@@ -282,14 +283,13 @@
         double cost = 0;
         if (question.engine) {
             const uint64_t total = std::max<uint64_t>(question.request->promptTokens, 1);
-            uint64_t cached = cachedTokens(endpoint, *question.request);
-            if (&endpoint == home)
-                cached = std::max(cached, shared);
-            choice.prefillTokens = total - std::min(cached, total - 1);
+            const uint64_t seen = cachedTokens(endpoint, *question.request);
+            const uint64_t cached = &endpoint == home ? std::max(seen, shared) : seen;
+            const uint64_t toRead = total - std::min(cached, total - 1);
+            choice.prefillTokens = question.isCold ? total - std::min(seen, total - 1) : toRead;
             choice.waitMs = (static_cast<double>(endpoint.prefillTokens) + endpoint.peersPrefillTokens)
                 / PrefillTokensPerMs;
-            cost = choice.waitMs
-                + ReadingAgainWeight * static_cast<double>(choice.prefillTokens) / PrefillTokensPerMs
+            cost = choice.waitMs + ReadingAgainWeight * static_cast<double>(toRead) / PrefillTokensPerMs
                 + RunningPenaltyMs * (endpoint.running + endpoint.peersRunning);
         } else {
             // By share of places in use; own failure domain first among equals.
@@ -441,11 +441,31 @@
     }
 }
 
+std::vector<EndpointId> EndpointFleet::ranked(const ServiceName &service,
+                                              const SoftwareVersion &version) const
+{
+    std::map<uint64_t, EndpointId> byWeight;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (takesWork(entry.second, service) && entry.second.entry.version == version)
+            byWeight[rendezvousWeight(version.value, entry.first)] = entry.first;
+    }
+    std::vector<EndpointId> out;
+    for (const std::pair<const uint64_t, EndpointId> &each : byWeight)
+        out.push_back(each.second);
+    return out;
+}
+
+bool EndpointFleet::isInUse(const FleetEndpoint &endpoint) const
+{
+    const auto found = outOfUse_.find(endpoint.entry.service);
+    return found == outOfUse_.end() || !found->second.contains(endpoint.entry.version);
+}
+
 uint32_t EndpointFleet::places(const ServiceName &service) const
 {
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_)
-        sum += takesWork(entry.second, service) ? entry.second.entry.slots : 0;
+        sum += takesWork(entry.second, service) && isInUse(entry.second) ? entry.second.entry.slots : 0;
     return sum;
 }
 
@@ -453,7 +473,7 @@
 {
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_)
-        sum += takesWork(entry.second, service) ? 1 : 0;
+        sum += takesWork(entry.second, service) && isInUse(entry.second) ? 1 : 0;
     return sum;
 }
 
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -45,6 +45,10 @@
     const CallerRequest *request = nullptr;
     std::set<EndpointId> tried; ///< Not again.
     FailureDomainName ownDomain;
+    std::set<SoftwareVersion> barred; ///< Endpoints of these get nothing.
+    std::optional<std::set<EndpointId>> among; ///< Only these.
+    /// The endpoints are new: a part that nobody was seen to send there has to be read, also at its home.
+    bool isCold = false;
     /// An engine with more than this to wait for is left until less is queued there; 0: no bound.
     double mostWaitMs = 0;
 };
@@ -73,6 +77,12 @@
     void take(const EndpointsRead &read, TimeMs now);
     void tick(TimeMs now);
 
+    /// Versions of a service that don't carry its requests; they don't count as its endpoints.
+    void setOutOfUse(std::map<ServiceName, std::set<SoftwareVersion>> versions)
+    {
+        outOfUse_ = std::move(versions);
+    }
+    bool isInUse(const FleetEndpoint &endpoint) const;
     PlacementResult choose(const PlacementQuestion &question, TimeMs now) const;
 
     void started(const PlacementChoice &choice, const PlacementQuestion &question, TimeMs now);
@@ -103,6 +113,8 @@
     /// nothing of them.
     std::vector<EndpointEntry> dueProbes(TimeMs now);
 
+    /// Endpoints of a version that take a service's requests, by an order that is the same at all daemons.
+    std::vector<EndpointId> ranked(const ServiceName &service, const SoftwareVersion &version) const;
     const FleetEndpoint *find(const EndpointId &id) const;
     /// nullptr also if that life is not the newest that is known.
     const FleetEndpoint *find(const EndpointLife &life) const;
@@ -141,6 +153,7 @@
     uint64_t era_ = 0; ///< Of the store that the newest list is from.
     TimeMs eraSince_; ///< When it rose; zero: it has not.
     std::map<EndpointId, Departed> departed_; ///< Lately.
+    std::map<ServiceName, std::set<SoftwareVersion>> outOfUse_;
 };
 
 /// Rendezvous weight of `id` for `key`: every daemon ranks the endpoints of a key alike.
--- a/src/gateway/engineplan.cpp
+++ b/src/gateway/engineplan.cpp
@@ -128,6 +128,14 @@
         domain.onDemand = bounds.least - std::min(bounds.least, have.reclaimable);
         onDemand -= std::min(onDemand, domain.onDemand);
     }
+    // Those that are there stay where they are: ordered in a cheaper domain instead, they would be stopped
+    // seconds before the others have started.
+    for (size_t i : cheapest) {
+        const uint32_t there = stock.at(plan[i].failureDomain).onDemand;
+        const uint32_t more = std::min(onDemand, there - std::min(there, plan[i].onDemand));
+        plan[i].onDemand += more;
+        onDemand -= more;
+    }
     for (size_t i : cheapest) {
         const uint32_t used = plan[i].onDemand + (cheap ? stock.at(plan[i].failureDomain).reclaimable : 0);
         const uint32_t more = std::min(onDemand, most - std::min(most, used));
--- a/src/gateway/engineplan.h
+++ b/src/gateway/engineplan.h
@@ -20,6 +20,8 @@
     uint32_t reclaimable = 0;
     uint32_t coming = 0; ///< Reclaimable ones that were ordered and accepted, and are not there yet.
     bool reclaimableShort = false; ///< None could be had lately.
+    uint32_t onTrial = 0; ///< On demand, of a version that is being rolled out; not counted above.
+    uint32_t barred = 0; ///< On demand, of a version that gets no requests any more; not counted above.
 
     friend bool operator==(const DomainStock &, const DomainStock &) = default;
 };
--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -51,7 +51,7 @@
     return peak;
 }
 
-void EngineSizing::tick(const Leadership &leadership, const EndpointFleet &fleet,
+void EngineSizing::tick(const Leadership &leadership, const EndpointFleet &fleet, const RolloutView &rollouts,
                         const std::map<ServiceName, ServiceDemand> &demand,
                         const ServingConfigurationPtr &configuration, TimeMs now)
 {
@@ -72,7 +72,7 @@
     for (const ServedService &service : configuration->services) {
         if (!service.scaling || !service.engine)
             continue;
-        const std::map<FailureDomainName, DomainStock> stock = takeStock(service, fleet, now);
+        const std::map<FailureDomainName, DomainStock> stock = takeStock(service, fleet, rollouts, now);
         const auto asked = demand.find(service.name);
         const ServiceDemand peak
             = peakDemand(service.name, asked == demand.end() ? ServiceDemand{} : asked->second, now);
@@ -96,14 +96,16 @@
             const DomainStock &have = stock.at(domain.failureDomain);
             return domain.onDemand == 0 && have.reclaimable + have.coming >= domain.reclaimable;
         });
+        const bool awaited = awaitsTarget(service.name, rollouts, stock, now);
         const bool mayStop = !finding || (question.firstStart && isIdle(peak) && allComing);
         for (const DomainPlan &domain : plan) {
             const DomainStock &have = stock.at(domain.failureDomain);
             order({service.name, domain.failureDomain, true}, domain.reclaimable, have.reclaimable, peak,
                   leadership, now);
-            if (mayStop)
-                order({service.name, domain.failureDomain, false}, domain.onDemand, have.onDemand, peak,
-                      leadership, now);
+            const Subject onDemand{service.name, domain.failureDomain, false};
+            if (mayStop && (!awaited || domain.onDemand > ordered_[onDemand].count))
+                order(onDemand, domain.onDemand + have.onTrial, have.onDemand + have.onTrial + have.barred,
+                      peak, leadership, now);
         }
     }
 }
@@ -138,8 +140,10 @@
 // What there is and what is short. Scarcity lasts until the last short domain got what was ordered: a domain
 // that holds all it was ordered says nothing about whether there are more.
 std::map<FailureDomainName, DomainStock> EngineSizing::takeStock(const ServedService &service,
-                                                                 const EndpointFleet &fleet, TimeMs now)
+                                                                 const EndpointFleet &fleet,
+                                                                 const RolloutView &rollouts, TimeMs now)
 {
+    const RolloutRecord *rollout = rollouts.undecided(service.name);
     std::map<FailureDomainName, DomainStock> stock;
     for (const std::pair<const FailureDomainName, double> &price : service.scaling->prices)
         stock[price.first] = {};
@@ -154,6 +158,12 @@
             continue;
         }
         DomainStock &domain = stock[endpoint.failureDomain];
+        const bool onTrial = rollout && rollout->target == endpoint.version;
+        if (onTrial || !fleet.isInUse(entry.second)) {
+            if (!endpoint.reclaimable)
+                ++(onTrial ? domain.onTrial : domain.barred);
+            continue;
+        }
         ++(endpoint.reclaimable ? domain.reclaimable : domain.onDemand);
     }
     size_t shortDomains = 0;
@@ -174,6 +184,22 @@
     return stock;
 }
 
+bool EngineSizing::awaitsTarget(const ServiceName &service, const RolloutView &rollouts,
+                                const std::map<FailureDomainName, DomainStock> &stock, TimeMs now)
+{
+    ServiceState &state = services_[service];
+    const bool isUnderWay = rollouts.isUnderWay(service);
+    // What was ordered before may have been of a version that is gone.
+    if (std::exchange(state.wasUnderWay, isUnderWay) && !isUnderWay)
+        askAgain(service);
+    uint32_t onTrial = 0;
+    for (const std::pair<const FailureDomainName, DomainStock> &domain : stock)
+        onTrial += domain.second.onTrial;
+    if (std::exchange(state.onTrial, onTrial) != onTrial)
+        state.onTrialSince = now;
+    return isUnderWay && (onTrial == 0 || now - state.onTrialSince < FindingPause);
+}
+
 void EngineSizing::noteStock(const ServiceName &service,
                              const std::map<FailureDomainName, DomainStock> &stock)
 {
@@ -187,6 +213,8 @@
                     {"on_demand", entry.second.onDemand},
                     {"reclaimable", entry.second.reclaimable},
                     {"coming", entry.second.coming},
+                    {"on_trial", entry.second.onTrial},
+                    {"barred", entry.second.barred},
                     {"reclaimable_short", entry.second.reclaimableShort}});
     }
 }
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -4,6 +4,7 @@
 #include "gateway/dutycalls.h"
 #include "gateway/endpointfleet.h"
 #include "gateway/engineplan.h"
+#include "gateway/rollout/rolloutview.h"
 #include "gateway/storesync.h"
 
 #include <deque>
@@ -19,7 +20,7 @@
     /// `firstStart`: no daemon of the whole system has run before.
     EngineSizing(bool firstStart, DecisionLog &log) : firstStart_(firstStart), log_(log) { }
 
-    void tick(const Leadership &leadership, const EndpointFleet &fleet,
+    void tick(const Leadership &leadership, const EndpointFleet &fleet, const RolloutView &rollouts,
               const std::map<ServiceName, ServiceDemand> &demand,
               const ServingConfigurationPtr &configuration, TimeMs now);
     void onReply(uint64_t id, DutyOutcome outcome, TimeMs now);
@@ -46,10 +47,17 @@
         bool foundOnDemandOnly = false; ///< No reclaimable one was there at the first look.
         std::optional<TimeMs> demandSince; ///< First seen.
         std::map<FailureDomainName, DomainStock> toldStock; ///< In the log.
+        uint32_t onTrial = 0; ///< Engines of a version that is being rolled out, when seen last.
+        TimeMs onTrialSince; ///< As many.
+        bool wasUnderWay = false; ///< A roll-out.
     };
     bool isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
-                                                       const EndpointFleet &fleet, TimeMs now);
+                                                       const EndpointFleet &fleet,
+                                                       const RolloutView &rollouts, TimeMs now);
+    /// Engines of a version that is being rolled out may still be coming: an order of fewer would stop them.
+    bool awaitsTarget(const ServiceName &service, const RolloutView &rollouts,
+                      const std::map<FailureDomainName, DomainStock> &stock, TimeMs now);
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
     void askAgain(const ServiceName &service);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,13 @@
     Streaming ///< The caller has the head of the answer.
 };
 
+/// What an attempt is for, beside its caller, while a version is on trial.
+enum class TrialRole : uint8_t {
+    Ordinary,
+    Fills, ///< It helps to load an endpoint that is not loaded yet; its answer tells nothing of that.
+    Loaded ///< The endpoint has what it is to be tried under.
+};
+
 /// A run on its way from an engine that leaves to another one.
 struct RunMove {
     EndpointLife target;
@@ -55,6 +62,7 @@
     TimeMs sentAt;
     bool streaming = false; ///< This attempt has brought its first event.
     uint64_t prefillTokens = 0; ///< Still counted at the endpoint.
+    double expectedMs = 0; ///< Until the first event, if the endpoint has nothing of the prompt.
     bool foundNoQueue = false; ///< As far as was known when it was sent.
     AttemptHead head;
     std::string body; ///< Of an answer that is held until it is whole.
@@ -62,6 +70,9 @@
     std::optional<uint64_t> lastEvent; ///< Passed on, or held by the caller from before.
     TimeMs firstEventAt; ///< Of this attempt.
     uint64_t eventsHere = 0; ///< In this attempt.
+    bool startIsJudged = false; ///< This attempt's first event, answer or failure is counted in a trial.
+    bool paceIsJudged = false;
+    TrialRole trialRole = TrialRole::Ordinary; ///< Of this attempt.
     uint64_t events = 0; ///< In all attempts.
     std::optional<RunMove> move;
     bool moveDenied = false; ///< For want of repeats.
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -29,6 +29,8 @@
         gateway_.onEntriesTold(*news.entries);
     for (const ConfigurationRead &read : news.configurations)
         gateway_.onConfiguration(read, now);
+    if (news.rollouts)
+        gateway_.onRollouts(*news.rollouts, now);
     for (const EndpointsRead &read : news.endpoints)
         gateway_.onEndpoints(read, now);
     gateway_.onQuarantine(news.quarantine, VerdictSource::Store, now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -235,6 +235,8 @@
     exchange.body.clear();
     exchange.splitter.clear();
     exchange.eventsHere = 0;
+    exchange.startIsJudged = exchange.paceIsJudged = false;
+    exchange.expectedMs = question.engine ? expectedFirstEventMs(exchange, choice) : 0;
     attempts_[exchange.attempt] = exchange.caller;
     fleet_.started(choice, question, now);
     if (question.engine)
@@ -262,6 +264,7 @@
          {"prefill_tokens", choice.prefillTokens},
          {"running", endpoint.running},
          {"peers_running", endpoint.peersRunning},
+         {"version", endpoint.entry.version.value},
          {"list_age_ms", (now - endpoint.listedAt).count},
          {"configuration", exchange.configuration->version},
          {"configuration_age_ms", (now - confirmedAt_).count},
@@ -313,8 +316,10 @@
 {
     if (exchange.phase == ExchangePhase::AwaitingStart)
         return answer(exchange, {503, GatewayRefusal::NoConfiguration, DefaultRetryAfter}, now);
-    if (exchange.attempt.value != 0)
+    if (exchange.attempt.value != 0) {
+        noteBadAnswer(exchange, false, now);
         cancelAttempt(exchange);
+    }
     if (exchange.phase == ExchangePhase::Streaming)
         return streamBroke(exchange, now);
     if (exchange.mayHaveRun)
@@ -342,6 +347,7 @@
 {
     fleet_.tick(now);
     tellOfSuspects(now);
+    tickTrials(now);
     leaveSilentEndpoints(now);
     tickLimits(now);
     probeEngines(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,9 @@
 #include "gateway/quarantine.h"
 #include "gateway/quotas.h"
 #include "gateway/repeatbudget.h"
+#include "gateway/rollout/rolloutduty.h"
+#include "gateway/rollout/rolloutview.h"
+#include "gateway/rollout/trialcounts.h"
 #include "gateway/usagewindows.h"
 #include "random.h"
 
@@ -58,6 +61,7 @@
     // The store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
     void onEndpoints(const EndpointsRead &event, TimeMs now);
+    void onRollouts(const RolloutsRead &read, TimeMs now);
     void onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
     void onDutyHolder(const InstanceName &holder) { peers_.setDutyHolder(holder); }
     void onEntriesTold(const EntriesTold &event);
@@ -87,6 +91,9 @@
         std::vector<Address> addresses;
         bool told = false; ///< By another daemon: it is not to be passed on, or it would never grow old.
     };
+    /// What the duties' holder needs to take roll-outs on: of each service that has an order or a record.
+    std::map<ServiceName, RolloutFacts> rolloutFacts(TimeMs now) const;
+    const RolloutView &rollouts() const { return rollouts_; }
     /// Where callers are to connect. `own`: this daemon, if it is ready.
     EntryAnswer callerAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now);
     /// Whether this daemon serves, by the answers given so far.
@@ -161,6 +168,36 @@
               TimeMs now, const std::optional<RunMemory> &memory = std::nullopt);
     PlacementQuestion questionOf(const Exchange &exchange) const;
 
+    // Roll-outs (trials.cpp).
+    struct Trial {
+        SoftwareVersion target;
+        int64_t beganWallMs = 0;
+        RolloutStage stage = RolloutStage::Starting;
+        VersionJudge judge;
+        bool isSuspected = false;
+        uint32_t loadSent = 0; ///< By this daemon.
+    };
+    int64_t wallAt(TimeMs now) const; ///< True time: Unix milliseconds.
+    void noteVersions(const EndpointsRead &read);
+    /// Chooses an endpoint of a version that the request may go to.
+    PlacementResult place(Exchange &exchange, PlacementQuestion &question, TimeMs now);
+    std::set<EndpointId> trialEndpoints(const Exchange &exchange, const RolloutView::Rule &rule) const;
+    bool mayLoad(const Exchange &exchange, const PlacementQuestion &question, const RolloutView::Rule &rule,
+                 TimeMs now) const;
+    void noteAnswers(const Exchange &exchange, const FleetEndpoint &endpoint, bool bad);
+    bool isOnTrial(const FleetEndpoint &endpoint) const;
+    void noteStep(const Exchange &exchange, UsualTimes::Step step, double time, double least);
+    double expectedFirstEventMs(const Exchange &exchange, const PlacementChoice &choice) const;
+    static double firstEventTimes(const Exchange &exchange, TimeMs now);
+    bool isMoving(const ServiceName &service) const;
+    void noteLoad(Exchange &exchange, const EngineFigures &engine, const EndpointId &at);
+    void noteFirstEvent(Exchange &exchange, TimeMs now);
+    void noteEventPace(Exchange &exchange, TimeMs now);
+    void noteWholeAnswer(Exchange &exchange, TimeMs now);
+    void noteBadAnswer(Exchange &exchange, bool broke, TimeMs now);
+    void noteOverdue(TimeMs now);
+    void tickTrials(TimeMs now);
+
     // Ends of attempts (attempts.cpp).
     void detach(Exchange &exchange);
     void cancelAttempt(Exchange &exchange);
@@ -176,7 +213,7 @@
     void closeBroken(Exchange &exchange, bool sent, TimeMs now);
     void goOnAfterBreak(Exchange &exchange, bool sent, TimeMs now);
     void leaveSilentEndpoints(TimeMs now);
-    bool canGoOnElsewhere(const Exchange &exchange, TimeMs now);
+    bool canGoOnElsewhere(Exchange &exchange, TimeMs now);
 
     // Endpoints that end under their requests (endpointends.cpp).
 
@@ -198,6 +235,8 @@
     void moveRunsAway(TimeMs now);
     bool isTooLateToStart(const Exchange &exchange, TimeMs now) const;
     bool isWorthMoving(const Exchange &exchange, TimeMs now) const;
+    /// When the endpoint ends or is to be empty, as far as that is known.
+    std::optional<TimeMs> emptyBy(const FleetEndpoint &endpoint, TimeMs now) const;
     void startMove(Exchange &exchange, TimeMs now);
     void goOnAtTarget(Exchange &exchange, TimeMs now);
     void moveFailed(Exchange &exchange, TimeMs now);
@@ -236,6 +275,11 @@
     std::map<AttemptId, CallerId> attempts_;
     EndpointQuestions endpointQuestions_;
     Quarantine quarantine_;
+    RolloutView rollouts_;
+    TrialCounts trialCounts_;
+    UsualTimes usualTimes_;
+    std::map<ServiceName, Trial> trials_;
+    TimeMs trialsAt_; ///< Next look.
     std::map<ServiceName, double> answerMs_; ///< Moving mean of a whole answer's time at a service.
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -29,6 +29,7 @@
        "endpoints_ended",
        "endpoints_outlived_breaks",
        "requests_quarantined",
+       "versions_suspected",
        "breaks_unexplained"};
 
 } // namespace
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -52,6 +52,7 @@
     EndpointsEnded, ///< Attempts broke, and then nobody listened there any more.
     EndpointsOutlivedBreaks, ///< Attempts broke, and the endpoint still ran: a connection, or its own fault.
     RequestsQuarantined, ///< Put there by what this daemon saw or heard of the others.
+    VersionsSuspected, ///< Of a roll-out's target, by this daemon.
     BreaksUnexplained, ///< Attempts broke, and the endpoint said nothing when it was asked.
     Count
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -2,6 +2,7 @@
 
 #include "gateway/callerrequest.h"
 #include "gateway/requestdigest.h"
+#include "gateway/rollout/rollout.h"
 #include "gateway/serving.h"
 
 #include <variant>
@@ -33,6 +34,7 @@
     ServiceName service;
     Address address;
     FailureDomainName failureDomain;
+    SoftwareVersion version;
     uint32_t slots = 1;
     bool leaving = false;
     bool reclaimable = false; ///< Cheaper, and its whole failure domain may be taken back.
@@ -143,6 +145,12 @@
     uint64_t era = 0; ///< Of the store; a higher one came back from an older copy.
 };
 
+/// What is known of roll-outs, new or the same as before.
+struct RolloutsRead {
+    RolloutsKnown known;
+    TimeMs askedAt;
+};
+
 /// A peer's load of one endpoint.
 struct EndpointLoad {
     EndpointLife life;
@@ -207,7 +215,7 @@
 
 /// What a daemon tells the others several times a second. All of it may be lost or doubled without harm.
 ///
-/// Windows and demands are needed by the duties' holder alone, and only about once a second; of the balances,
+/// Windows, demands and trials are needed only about once a second; of the balances,
 /// those that are asked for first are the keepers'. The rest is most of the bytes, so most reports go without
 /// it: they are not `whole`.
 struct PeerReport {
@@ -224,6 +232,7 @@
     std::vector<OrganisationBalance> balances;
     std::vector<WindowCount> windows;
     std::vector<ServiceDemand> demands;
+    std::vector<TrialCount> trials;
 };
 
 /// A daemon as the store lists it.
@@ -259,6 +268,7 @@
     uint64_t configurationVersion = 0;
     uint64_t entriesDigest = 0; ///< Of the addresses for callers that it was told.
     uint64_t quarantineDigest = 0; ///< Of the requests in quarantine that it was told.
+    uint64_t rolloutsDigest = 0; ///< Of the roll-outs that it knows.
 };
 
 /// Entries that differ between two versions of the endpoints' list.
@@ -297,6 +307,8 @@
     uint64_t quarantineDigest = 0;
     bool hasQuarantine = false; ///< The requests in quarantine follow, since the asker's differ.
     std::vector<QuarantinedRequest> quarantine;
+    uint64_t rolloutsDigest = 0;
+    std::optional<RolloutsKnown> rollouts; ///< Since the asker's differ.
 };
 
 /// What another daemon, which hears those that serve, would tell callers.
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/quarantinelist.h"
 
+#include <array>
 #include <boost/json.hpp>
 #include <cmath>
 
@@ -61,6 +62,33 @@
     return rows;
 }
 
+/// A row for each route: names are longer than the counts.
+json::array rowsOf(const std::vector<TrialCount> &counts)
+{
+    std::map<std::array<std::string, 3>, json::array> rows;
+    for (const TrialCount &count : counts) {
+        json::array &row = rows[{count.service.value, count.target.value, count.route}];
+        row.push_back(count.group);
+        row.push_back(count.answers);
+        row.push_back(count.bad);
+    }
+    json::array out;
+    for (std::pair<const std::array<std::string, 3>, json::array> &row : rows)
+        out.push_back({row.first[0], row.first[1], row.first[2], std::move(row.second)});
+    return out;
+}
+
+json::object rowsOf(const RolloutsKnown &known)
+{
+    json::array orders;
+    for (const RolloutOrder &order : known.orders)
+        orders.push_back({order.service.value, order.target.value, order.duration.count, order.revision});
+    json::array records;
+    for (const std::pair<const ServiceName, RolloutRecord> &record : known.records)
+        records.push_back({record.first.value, recordText(record.second)});
+    return {{"era", known.era}, {"orders", std::move(orders)}, {"records", std::move(records)}};
+}
+
 std::string text(const json::value &value)
 {
     return std::string(value.as_string());
@@ -74,6 +102,39 @@
     return out;
 }
 
+void takeTrialRow(const json::array &fields, std::vector<TrialCount> &out)
+{
+    const json::array &counts = fields[3].as_array();
+    for (size_t i = 0; i + 2 < counts.size(); i += 3) {
+        TrialCount count{ServiceName{text(fields[0])},
+                         SoftwareVersion{text(fields[1])},
+                         text(fields[2]),
+                         counts[i].to_number<uint32_t>(),
+                         counts[i + 1].to_number<uint64_t>(),
+                         counts[i + 2].to_number<uint64_t>()};
+        out.push_back(std::move(count));
+    }
+}
+
+RolloutsKnown decodedRollouts(const json::value &value)
+{
+    RolloutsKnown known;
+    known.era = value.at("era").to_number<uint64_t>();
+    for (const json::value &each : value.at("orders").as_array()) {
+        const json::array &order = row(each, 4);
+        known.orders.push_back({ServiceName{text(order[0])},
+                                SoftwareVersion{text(order[1])},
+                                {order[2].to_number<int64_t>()},
+                                order[3].to_number<uint64_t>()});
+    }
+    for (const json::value &each : value.at("records").as_array()) {
+        const ServiceName service{text(row(each, 2)[0])};
+        if (const std::optional<RolloutRecord> record = recordFromText(service, text(row(each, 2)[1])))
+            known.records[service] = *record;
+    }
+    return known;
+}
+
 PeerReport decodedReport(const json::object &object)
 {
     PeerReport report;
@@ -101,6 +162,8 @@
         report.windows.push_back({count[0].to_number<int64_t>(), OrganisationName{text(count[1])},
                                   count[2].to_number<uint64_t>()});
     }
+    for (const json::value &value : object.at("trials").as_array())
+        takeTrialRow(row(value, 4), report.trials);
     for (const json::value &value : object.at("demands").as_array()) {
         const json::array &demand = row(value, 11);
         const auto figure = [&demand](size_t i) { return demand[i].to_number<double>(); };
@@ -130,7 +193,8 @@
             {"loads", rowsOf(report, "loads")},
             {"balances", rowsOf(report, "balances")},
             {"windows", rowsOf(report, "windows")},
-            {"demands", rowsOf(report, "demands")}};
+            {"demands", rowsOf(report, "demands")},
+            {"trials", rowsOf(report.trials)}};
 }
 
 json::object encoded(const FreshnessQuestion &question)
@@ -143,7 +207,8 @@
             {"sharedDigest", question.sharedDigest},
             {"configurationVersion", question.configurationVersion},
             {"entriesDigest", question.entriesDigest},
-            {"quarantineDigest", question.quarantineDigest}};
+            {"quarantineDigest", question.quarantineDigest},
+            {"rolloutsDigest", question.rolloutsDigest}};
 }
 
 FreshnessQuestion decodedQuestion(const json::object &object)
@@ -157,6 +222,7 @@
     question.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     question.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
     question.quarantineDigest = object.at("quarantineDigest").to_number<uint64_t>();
+    question.rolloutsDigest = object.at("rolloutsDigest").to_number<uint64_t>();
     return question;
 }
 
@@ -166,8 +232,8 @@
     for (const EndpointEntry &entry : entries) {
         rows.push_back({entry.id.value, entry.service.value, toText(entry.address), entry.failureDomain.value,
                         entry.slots, entry.leaving, entry.reclaimable,
-                        entry.leavesAfter ? entry.leavesAfter->count : -1, entry.start.unixMs,
-                        entry.readable});
+                        entry.leavesAfter ? entry.leavesAfter->count : -1, entry.start.unixMs, entry.readable,
+                        entry.version.value});
     }
     return rows;
 }
@@ -183,7 +249,10 @@
                      {"endpointsAgeMs", answer.endpointsAge.count},
                      {"endpointsDigest", answer.endpointsDigest},
                      {"entriesDigest", answer.entriesDigest},
-                     {"quarantineDigest", answer.quarantineDigest}};
+                     {"quarantineDigest", answer.quarantineDigest},
+                     {"rolloutsDigest", answer.rolloutsDigest}};
+    if (answer.rollouts)
+        out["rollouts"] = rowsOf(*answer.rollouts);
     if (answer.hasQuarantine)
         out["quarantine"] = quarantineRows(answer.quarantine);
     if (answer.hasEntries) {
@@ -232,6 +301,7 @@
         entry.leavesAfter = DurationMs{fields[7].to_number<int64_t>()};
     entry.start.unixMs = fields[8].to_number<int64_t>();
     entry.readable = fields[9].as_bool();
+    entry.version.value = text(fields[10]);
     return entry;
 }
 
@@ -239,7 +309,7 @@
 {
     std::vector<EndpointEntry> out;
     for (const json::value &value : rows.as_array())
-        out.push_back(decodedEndpoint(row(value, 10)));
+        out.push_back(decodedEndpoint(row(value, 11)));
     return out;
 }
 
@@ -268,6 +338,9 @@
     answer.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
     answer.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
     answer.quarantineDigest = object.at("quarantineDigest").to_number<uint64_t>();
+    answer.rolloutsDigest = object.at("rolloutsDigest").to_number<uint64_t>();
+    if (const json::value *rows = object.if_contains("rollouts"))
+        answer.rollouts = decodedRollouts(*rows);
     if (const json::value *rows = object.if_contains("quarantine")) {
         std::optional<std::vector<QuarantinedRequest>> list = quarantineFromRows(*rows);
         answer.hasQuarantine = list.has_value();
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -240,6 +240,7 @@
 void keepOtherParts(PeerReport &report, const PeerReport &before)
 {
     report.demands = before.demands;
+    report.trials = before.trials;
     for (const OrganisationBalance &old : before.balances) {
         const bool isTold = std::any_of(
             report.balances.begin(), report.balances.end(),
@@ -377,6 +378,14 @@
     return sums;
 }
 
+std::vector<TrialCount> PeerTable::trialCounts() const
+{
+    std::vector<TrialCount> out;
+    for (const std::pair<const Incarnation, Peer> &entry : peers_)
+        out.insert(out.end(), entry.second.report.trials.begin(), entry.second.report.trials.end());
+    return out;
+}
+
 double PeerTable::coresUsed(TimeMs now) const
 {
     double sum = 0;
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -74,6 +74,8 @@
     /// What the daemons that are heard run at each endpoint.
     const std::map<EndpointLife, EndpointLoad> &loadSums(TimeMs now);
     std::map<ServiceName, ServiceDemand> demandSums(TimeMs now) const;
+    /// Counts of roll-outs on trial, of daemons that were heard lately, also of those that are gone by now.
+    std::vector<TrialCount> trialCounts() const;
     /// Cores that all other daemons that are heard use together.
     double coresUsed(TimeMs now) const;
     /// Highest count that each daemon reported for a window, also of daemons that are gone by now.
--- /dev/null
+++ b/src/gateway/rollout/rolloutduty.cpp
@@ -0,0 +1,252 @@
+#include "gateway/rollout/rolloutduty.h"
+
+#include "gateway/rollout/rolloutview.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+/// A target is on trial for so long at least, whatever the order's time says.
+constexpr DurationMs LeastTrial{4000};
+/// All daemons know of it, send what fills an endpoint, and see what becomes of it.
+constexpr DurationMs LoadingTime{3000};
+/// What the other endpoints have takes so long to end or to be moved, mostly; kept free at the end.
+constexpr DurationMs EmptyingTime{4300};
+/// All daemons know of a stage within this.
+constexpr DurationMs StageKnown{1500};
+/// Requests that just left a daemon's queue are in its reports by then.
+constexpr DurationMs StaysEmpty{600};
+/// Without enough answers by so many times the order's time, a version is not proven.
+constexpr int64_t MostTimes = 2;
+constexpr DurationMs CallTimeout{1500};
+constexpr DurationMs RetryPause{300};
+
+/// Parts of the bounds that a trial may use: the rest is for a version that turns bad while all moves there.
+constexpr double TrialPartOfShare = 0.5;
+constexpr double TrialPartOfSlack = 0.4;
+constexpr double LoadPartOfBounds = 0.3;
+/// Requests that it takes to have so many run side by side for a while: some end before the others begin.
+constexpr double RequestsEachPlace = 1.6;
+constexpr double MostTrialShare = 0.3;
+/// Without a word on the service's requests.
+constexpr double UnknownPartOfShare = 0.6;
+
+constexpr const char *RecordPrefix = RolloutKeyPrefix;
+
+} // namespace
+
+void RolloutDuty::tick(const Leadership &leadership, const StoreSync::Rollouts &rollouts,
+                       const std::map<ServiceName, RolloutFacts> &facts, int64_t wallMs, TimeMs now)
+{
+    if (!leadership.held) {
+        services_.clear();
+        calls_.clear();
+        return;
+    }
+    std::map<ServiceName, const RolloutOrder *> orders;
+    for (const RolloutOrder &order : rollouts.known.orders)
+        orders[order.service] = &order;
+    for (const std::pair<const ServiceName, RolloutFacts> &each : facts) {
+        Service &service = services_[each.first];
+        if (now < service.nextAt)
+            continue;
+        const auto order = orders.find(each.first);
+        const auto known = rollouts.known.records.find(each.first);
+        const RolloutRecord *record = known == rollouts.known.records.end() ? nullptr : &known->second;
+        const bool isNew
+            = order != orders.end() && (!record || !isOf(*record, *order->second, rollouts.known.era));
+        if (isNew && !each.second.isKnownService) {
+            refuse(*order->second, service);
+            continue;
+        }
+        // An older store may hold an order that another one has overtaken since.
+        if (isNew && rollouts.mayBeOlder)
+            continue;
+        if (!isNew && !record)
+            continue;
+        RolloutRecord wanted = isNew ? begin(*order->second, record, each.second, rollouts.known.era, wallMs)
+                                     : next(*record, each.second, service, wallMs, now);
+        if (!isNew && order != orders.end()) {
+            wanted.order = order->second->revision;
+            wanted.era = rollouts.known.era;
+        }
+        const auto stored = rollouts.stored.find(each.first);
+        if (stored == rollouts.stored.end() || stored->second.text != recordText(wanted))
+            write(wanted, each.second, stored == rollouts.stored.end() ? 0 : stored->second.revision,
+                  leadership, service, now);
+    }
+}
+
+void RolloutDuty::refuse(const RolloutOrder &order, Service &service)
+{
+    if (std::exchange(service.toldOrder, order.revision) != order.revision)
+        log_.write(LogWeight::Failure, "rollout_refused",
+                   {{"field", "service"},
+                    {"service", order.service.value},
+                    {"target", order.target.value},
+                    {"why", "the configuration has no such service"}});
+}
+
+RolloutRecord RolloutDuty::begin(const RolloutOrder &order, const RolloutRecord *before,
+                                 const RolloutFacts &facts, uint64_t era, int64_t wallMs) const
+{
+    RolloutRecord out;
+    out.service = order.service;
+    out.target = order.target;
+    out.duration = order.duration;
+    out.order = order.revision;
+    out.era = era;
+    out.beganWallMs = out.stageWallMs = wallMs;
+    out.share = trialShare(order, facts);
+    out.loadRequests = loadRequests(order, facts);
+    out.why = "ordered";
+    if (before) {
+        out.barred = before->barred;
+        if (before->stage != RolloutStage::Completed)
+            out.barred.insert(before->target);
+        out.barred.erase(order.target);
+    }
+    return out;
+}
+
+double RolloutDuty::trialShare(const RolloutOrder &order, const RolloutFacts &facts) const
+{
+    const double requests = facts.requestsPerSecond * static_cast<double>(order.duration.count) / 1000;
+    if (requests < 1)
+        return UnknownPartOfShare * bounds_.exposeShare;
+    return std::min(TrialPartOfShare * bounds_.exposeShare
+                        + TrialPartOfSlack * bounds_.exposeSlack / requests,
+                    MostTrialShare);
+}
+
+uint32_t RolloutDuty::loadRequests(const RolloutOrder &order, const RolloutFacts &facts) const
+{
+    const double requests = facts.requestsPerSecond * static_cast<double>(order.duration.count) / 1000;
+    const double bound = bounds_.exposeShare * requests + bounds_.exposeSlack;
+    return static_cast<uint32_t>(
+        std::min(RequestsEachPlace * facts.placesOfTarget, LoadPartOfBounds * bound));
+}
+
+DurationMs RolloutDuty::timeToMove(const RolloutRecord &record)
+{
+    return MovingTime + EmptyingTime + (record.loadRequests > 0 ? LoadingTime : DurationMs{0});
+}
+
+bool RolloutDuty::mayMove(const RolloutRecord &record, const RolloutFacts &facts, int64_t wallMs) const
+{
+    const int64_t movesAt = record.beganWallMs + (record.duration - timeToMove(record)).count;
+    if (wallMs < std::max(movesAt, record.stageWallMs + LeastTrial.count))
+        return false;
+    // With so few requests a bad version stays within the bounds even if it gets all of them.
+    const double others = static_cast<double>(facts.figures.othersAnswers + facts.figures.answers);
+    return facts.isProven
+        || (others < bounds_.exposeSlack && wallMs > record.beganWallMs + record.duration.count);
+}
+
+RolloutRecord RolloutDuty::next(const RolloutRecord &record, const RolloutFacts &facts, Service &service,
+                                int64_t wallMs, TimeMs now) const
+{
+    if (isDecided(record.stage))
+        return record;
+    const auto to = [&](RolloutStage stage, std::string why) {
+        RolloutRecord out = record;
+        out.stage = stage;
+        out.stageWallMs = wallMs;
+        out.why = std::move(why);
+        if (stage == RolloutStage::RolledBack)
+            out.barred.insert(record.target);
+        if (stage == RolloutStage::Completed)
+            out.barred.insert(facts.otherVersions.begin(), facts.otherVersions.end());
+        return out;
+    };
+    const int64_t inStage = wallMs - record.stageWallMs;
+    const int64_t endsAt = record.beganWallMs + record.duration.count;
+    if (facts.isBad) {
+        const VersionJudge::Figures &seen = facts.figures;
+        return to(RolloutStage::RolledBack,
+                  fmt::format("{} of {} answers bad on {}, {} of {} elsewhere", seen.bad, seen.answers,
+                              seen.route.empty() ? "all routes" : seen.route, seen.othersBad,
+                              seen.othersAnswers));
+    }
+    if (facts.runningElsewhere > 0)
+        service.emptySince = {};
+    else if (service.emptySince.count == 0)
+        service.emptySince = now;
+    switch (record.stage) {
+    case RolloutStage::Starting:
+        if (facts.targetEndpoints > 0)
+            return to(RolloutStage::Trial, "the target takes requests");
+        if (wallMs > endsAt)
+            return to(RolloutStage::RolledBack, "no endpoint of the target came");
+        return record;
+    case RolloutStage::Trial:
+        if (mayMove(record, facts, wallMs) && record.loadRequests > 0)
+            return to(RolloutStage::Loading, "as good as the others so far");
+        if (mayMove(record, facts, wallMs))
+            return to(RolloutStage::Moving, "as good as the others");
+        if (wallMs > record.beganWallMs + record.duration.count * MostTimes)
+            return to(RolloutStage::RolledBack, "too few answers to tell");
+        return record;
+    case RolloutStage::Loading:
+        return inStage > LoadingTime.count ? to(RolloutStage::Moving, "as good as the others") : record;
+    case RolloutStage::Moving:
+        return inStage > MovingTime.count ? to(RolloutStage::Emptying, "all new requests go to the target")
+                                          : record;
+    default: {
+        const bool isEmpty = service.emptySince.count != 0 && now - service.emptySince > StaysEmpty
+            && inStage > (StageKnown + StaysEmpty).count && facts.targetEndpoints > 0;
+        return isEmpty ? to(RolloutStage::Completed, "the others have ended what they had") : record;
+    }
+    }
+}
+
+void RolloutDuty::write(const RolloutRecord &record, const RolloutFacts &facts, uint64_t storedRevision,
+                        const Leadership &leadership, Service &service, TimeMs now)
+{
+    service.nextAt = now + CallTimeout + RetryPause;
+    const VersionJudge::Figures &seen = facts.figures;
+    log_.write(LogWeight::State, "rollout_stage",
+               {{"service", record.service.value},
+                {"target", record.target.value},
+                {"stage", toText(record.stage)},
+                {"why", record.why},
+                {"share", record.share},
+                {"target_endpoints", facts.targetEndpoints},
+                {"other_endpoints", facts.otherEndpoints},
+                {"running_elsewhere", facts.runningElsewhere},
+                {"route", seen.route},
+                {"score", seen.score},
+                {"answers", seen.answers},
+                {"bad", seen.bad},
+                {"others_answers", seen.othersAnswers},
+                {"others_bad", seen.othersBad}});
+    StoreCall call;
+    call.id = nextCall_++;
+    call.verb = StoreVerb::Write;
+    const std::string key = RecordPrefix + record.service.value;
+    call.conditions = {{StoreSpace::Shared, key, storedRevision}, leadership.stands};
+    call.puts.push_back({StoreSpace::Shared, key, recordText(record), 0});
+    call.rolloutStatus = RolloutStatus{record.service, record.target, record.stage};
+    call.timeout = CallTimeout;
+    calls_[call.id] = {record};
+    storeCalls_.push_back(std::move(call));
+}
+
+// After a conflict the next read tells what is stored.
+void RolloutDuty::onStoreReply(const StoreReply &reply, TimeMs now)
+{
+    const auto found = calls_.find(reply.id);
+    if (found == calls_.end())
+        return;
+    const RolloutRecord record = found->second.record;
+    calls_.erase(found);
+    services_[record.service].nextAt
+        = now + (reply.outcome == StoreOutcome::Done ? DurationMs{0} : RetryPause);
+    if (reply.outcome == StoreOutcome::Done)
+        written_.push_back({record, reply.revision});
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/gateway/rollout/trialcounts.cpp
@@ -0,0 +1,97 @@
+#include "gateway/rollout/trialcounts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace cranberry {
+
+namespace {
+
+/// What an endpoint had when it broke is known to be lost within so long.
+constexpr DurationMs OneBreak{1000};
+/// Routes that are told apart; further ones count together.
+constexpr size_t MostRoutes = 24;
+constexpr const char *OtherRoutes = "(others)";
+/// A version that is slower "several times" is found at this factor, also where it is so for every second
+/// request; queues of a busy service stay below it.
+constexpr double SlowFactor = 3;
+constexpr uint32_t LeastKnown = 10; ///< Times before which nothing is called slow.
+constexpr double NewestWeight = 0.02; ///< About the last fifty count.
+
+} // namespace
+
+uint32_t trialGroup(const std::string &endpoint)
+{
+    return static_cast<uint32_t>(XXH3_64bits(endpoint.data(), endpoint.size()) % TrialCount::Groups);
+}
+
+void TrialCounts::begin(const ServiceName &service, const SoftwareVersion &target)
+{
+    trials_[service] = Trial{target, {}, {}};
+}
+
+void TrialCounts::end(const ServiceName &service)
+{
+    trials_.erase(service);
+}
+
+void TrialCounts::note(const ServiceName &service, const std::string &route, uint32_t group, bool bad)
+{
+    const auto found = trials_.find(service);
+    if (found == trials_.end())
+        return;
+    Trial &trial = found->second;
+    const bool hasRoom = trial.counts.size() < MostRoutes * (TrialCount::Groups + 1);
+    const std::string &name = hasRoom || trial.counts.contains({route, group}) ? route : OtherRoutes;
+    TrialCount &count = trial.counts[{name, group}];
+    count.service = service;
+    count.target = trial.target;
+    count.route = name;
+    count.group = group;
+    ++count.answers;
+    count.bad += bad ? 1 : 0;
+}
+
+void TrialCounts::noteBroken(const ServiceName &service, const std::string &route, uint32_t group,
+                             const std::string &endpoint, TimeMs now)
+{
+    const auto found = trials_.find(service);
+    if (found == trials_.end())
+        return;
+    const auto [at, isFirst] = found->second.brokenAt.try_emplace(endpoint, now);
+    if (!isFirst && now - at->second < OneBreak)
+        return;
+    at->second = now;
+    note(service, route, group, true);
+}
+
+std::vector<TrialCount> TrialCounts::rows() const
+{
+    std::vector<TrialCount> out;
+    for (const std::pair<const ServiceName, Trial> &trial : trials_) {
+        for (const std::pair<const Key, TrialCount> &count : trial.second.counts)
+            out.push_back(count.second);
+    }
+    return out;
+}
+
+void UsualTimes::note(const std::string &route, Step step, double time)
+{
+    if (time <= 0)
+        return;
+    Mean &mean = means_[{route, step}];
+    ++mean.count;
+    const double weight = std::max(NewestWeight, 1.0 / mean.count);
+    mean.logarithm += weight * (std::log(time) - mean.logarithm);
+}
+
+bool UsualTimes::isSlow(const std::string &route, Step step, double time, double least) const
+{
+    const auto found = means_.find({route, step});
+    if (found == means_.end() || found->second.count < LeastKnown)
+        return false;
+    return time > SlowFactor * std::max(std::exp(found->second.logarithm), least);
+}
+
+} // namespace cranberry
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -14,6 +14,8 @@
 constexpr DurationMs ProbeTimeout{500};
 /// After the reply the stopped stream's last bytes are still to come.
 constexpr DurationMs LastBytesTime{150};
+/// Before the end of a roll-out most streams end by themselves; what is left is moved in this time.
+constexpr DurationMs LastMoves{1300};
 constexpr size_t MostMoves = 4; ///< Tries for one request, each at another target.
 /// Pace of a stream of which only the first event has been seen.
 constexpr double UnknownEventMs = 60;
@@ -80,12 +82,23 @@
         && endpoint && endpoint->leavesAt && now + MoveMargin > *endpoint->leavesAt;
 }
 
+// Of a roll-out, endpoints of other versions than the target stop when it is completed.
+std::optional<TimeMs> Gateway::emptyBy(const FleetEndpoint &endpoint, TimeMs now) const
+{
+    const std::optional<int64_t> emptyBy
+        = rollouts_.emptyByWallMs(endpoint.entry.service, endpoint.entry.version);
+    if (endpoint.leavesAt || !emptyBy || wallAt(now) < *emptyBy - LastMoves.count)
+        return endpoint.leavesAt;
+    return TimeMs{*emptyBy - usage_.offset()};
+}
+
 bool Gateway::isWorthMoving(const Exchange &exchange, TimeMs now) const
 {
     if (!exchange.streaming || exchange.moveTargets.size() >= MostMoves || isQuarantined(exchange, now))
         return false;
     const FleetEndpoint *endpoint = fleet_.find(exchange.at);
-    if (!endpoint || !endpoint->leavesAt)
+    const std::optional<TimeMs> endsAt = endpoint ? emptyBy(*endpoint, now) : std::nullopt;
+    if (!endsAt)
         return false;
     const ServedService *service = exchange.configuration->findService(exchange.service);
     if (!service || !service->engine || !service->engine->movesRuns)
@@ -97,7 +110,7 @@
                                                    : static_cast<double>((now - exchange.firstEventAt).count)
             / static_cast<double>(exchange.eventsHere - 1);
     const DurationMs rest{static_cast<int64_t>(left * eventMs)};
-    return now + rest + MoveMargin > *endpoint->leavesAt;
+    return now + rest + MoveMargin > *endsAt;
 }
 
 void Gateway::startMove(Exchange &exchange, TimeMs now)
@@ -105,7 +118,7 @@
     PlacementQuestion question = questionOf(exchange);
     question.tried = exchange.moveTargets;
     question.tried.insert(exchange.at.id);
-    const PlacementResult result = fleet_.choose(question, now);
+    const PlacementResult result = place(exchange, question, now);
     const FleetEndpoint *source = fleet_.find(exchange.at);
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
     if (!source || !target)
@@ -128,7 +141,7 @@
         {{"attempt", exchange.attempt.value},
          {"target", move.target.id.value},
          {"events", exchange.events},
-         {"leaves_in_ms", (*source->leavesAt - now).count}});
+         {"leaves_in_ms", (emptyBy(*source, now).value_or(now) - now).count}});
     actions_.emplace_back(
         MoveRun{exchange.attempt, move.source, target->entry.address, exchange.request->id, MoveTimeout});
 }
--- a/src/gateway/sharedview.cpp
+++ b/src/gateway/sharedview.cpp
@@ -50,9 +50,11 @@
                         {"service", entry.service.value},
                         {"address", toText(entry.address)},
                         {"failure_domain", entry.failureDomain.value},
+                        {"version", entry.version.value},
                         {"leaving", entry.leaving}});
         }
     }
+    noteVersions(event);
     fleet_.take(event, now);
     admitAwaiting(now);
     runQueue(now);
@@ -119,6 +121,7 @@
         return out;
     }
     out.demands = demand_.values();
+    out.trials = trialCounts_.rows();
     // The newest windows only: the holder of the duty needs them some seconds after their end.
     const int64_t oldest = usage_.windowAt(now) - 1;
     for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
--- a/src/gateway/storecalls.h
+++ b/src/gateway/storecalls.h
@@ -40,6 +40,7 @@
     std::vector<StoreCondition> conditions;
     std::vector<StorePut> puts;
     std::vector<StoreKey> deletes;
+    std::optional<RolloutStatus> rolloutStatus; ///< Written beside the puts.
     uint64_t lease = 0;
     DurationMs leaseTime; ///< GrantLease.
     DurationMs timeout{2000};
@@ -62,6 +63,7 @@
     uint64_t lease = 0;
     bool isConfiguration = false;
     ServingConfigurationPtr configuration; ///< With isConfiguration.
+    std::optional<RolloutOrder> rollout;
     std::optional<EndpointEntry> endpoint;
 };
 
--- a/src/gateway/storeera.cpp
+++ b/src/gateway/storeera.cpp
@@ -13,9 +13,6 @@
 
 /// A holder acts until this long after its lease at the most, by all clocks and delays.
 constexpr DurationMs StandMargin{700};
-/// The operators and the endpoints write again what was lost within so long after the return, as far as a
-/// daemon that starts in between can know.
-constexpr DurationMs SettleTime{5000};
 /// A configuration that others have seen, and that nobody writes again, was taken back.
 constexpr DurationMs RewriteTime{30000};
 /// Each daemon asks for a lease and writes its entry again: 890 of them in so long each are 500 writes a
--- a/src/gateway/storequestions.cpp
+++ b/src/gateway/storequestions.cpp
@@ -51,10 +51,10 @@
     Unanswered &unanswered = unanswered_[*source_];
     ++unanswered.questions;
     unanswered.askedAt = now;
-    outgoing_.push_back(
-        {*source_,
-         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, era_, endpoints_.digest(),
-                           sharedDigest_, knownVersion(), toldEntriesDigest_, toldQuarantineDigest_}});
+    outgoing_.push_back({*source_,
+                         FreshnessQuestion{settings_.self.incarnation, nextQuestion_, era_,
+                                           endpoints_.digest(), sharedDigest_, knownVersion(),
+                                           toldEntriesDigest_, toldQuarantineDigest_, rolloutsDigest_}});
     ++nextQuestion_;
 }
 
@@ -129,6 +129,9 @@
     answer.hasQuarantine = !quarantine_.empty() && question.quarantineDigest != quarantineDigest_;
     if (answer.hasQuarantine)
         answer.quarantine = quarantine_;
+    answer.rolloutsDigest = rolloutsDigest_;
+    if (question.rolloutsDigest != rolloutsDigest_)
+        answer.rollouts = rollouts_.known;
     if (question.endpointsDigest == endpoints_.digest())
         outgoing_.push_back({from, std::move(answer)});
     else
@@ -156,6 +159,7 @@
     vouchedFor_ = vouchedFor_ || knownVersion() >= leastVersion_;
     takeEntriesAnswer(answer, askedAt);
     takeQuarantineAnswer(answer);
+    takeRolloutsAnswer(answer, askedAt - answer.sharedAge);
     takeSharedAnswer(answer, askedAt - answer.sharedAge, now);
     takeEndpointsAnswer(answer, askedAt - answer.endpointsAge);
 }
--- /dev/null
+++ b/src/gateway/storerollouts.cpp
@@ -0,0 +1,85 @@
+// Roll-outs: orders and records as the store has them, and as daemons tell each other.
+
+#include "gateway/memberentry.h"
+#include "gateway/storesync.h"
+
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+uint64_t digestOfRollouts(const RolloutsKnown &known)
+{
+    std::string digested = fmt::format("{};", known.era);
+    for (const RolloutOrder &order : known.orders)
+        digested += fmt::format("{}>{}@{}+{};", order.service.value, order.target.value, order.revision,
+                                order.duration.count);
+    for (const std::pair<const ServiceName, RolloutRecord> &record : known.records)
+        digested += record.first.value + "=" + recordText(record.second) + ";";
+    return known.orders.empty() && known.records.empty() ? 0 : jsonDigestOf(digested);
+}
+
+} // namespace
+
+void StoreSync::takeRollouts(const OpenCall &open)
+{
+    RolloutsKnown read;
+    read.era = open.era;
+    rollouts_.stored.clear();
+    for (const StoreItem &item : open.pages) {
+        if (item.rollout)
+            read.orders.push_back(*item.rollout);
+        if (!item.key.starts_with(RolloutKeyPrefix) || item.isConfiguration || item.rollout)
+            continue;
+        const ServiceName service{item.key.substr(std::string_view(RolloutKeyPrefix).size())};
+        rollouts_.stored[service] = {item.value, item.revision};
+        if (const std::optional<RolloutRecord> record = recordFromText(service, item.value))
+            read.records[service] = *record;
+        else
+            log_.write(LogWeight::Failure, "rollout_record_unreadable",
+                       {{"key", item.key}, {"revision", item.revision}});
+    }
+    mergeRollouts(read, open.readStartedAt);
+}
+
+// Records go forward only; the store may be older, and so may a daemon that tells.
+void StoreSync::mergeRollouts(const RolloutsKnown &read, TimeMs readAt)
+{
+    RolloutsKnown merged = read;
+    for (const std::pair<const ServiceName, RolloutRecord> &known : rollouts_.known.records) {
+        const auto found = merged.records.find(known.first);
+        if (found == merged.records.end())
+            merged.records.insert(known);
+        else
+            found->second = furtherRecord(found->second, known.second);
+    }
+    rollouts_.known = std::move(merged);
+    rolloutsDigest_ = digestOfRollouts(rollouts_.known);
+    news_.rollouts = RolloutsRead{rollouts_.known, readAt};
+}
+
+void StoreSync::noteRolloutRecord(const RolloutRecord &record, uint64_t revision)
+{
+    rollouts_.stored[record.service] = {recordText(record), revision};
+    RolloutsKnown read = rollouts_.known;
+    read.records[record.service] = record;
+    mergeRollouts(read, newestShared_);
+}
+
+const StoreSync::Rollouts &StoreSync::rollouts(TimeMs now)
+{
+    const bool hasJustRisen = eraSeenAt_.count != 0 && now - eraSeenAt_ < SettleTime;
+    rollouts_.mayBeOlder = hasJustRisen || (startedUnsettled_ && now - startedAt_ < SettleTime);
+    return rollouts_;
+}
+
+void StoreSync::takeRolloutsAnswer(const FreshnessAnswer &answer, TimeMs sharedAt)
+{
+    if (answer.rollouts && answer.rollouts->era >= rollouts_.known.era)
+        mergeRollouts(*answer.rollouts, sharedAt);
+    else if (answer.rolloutsDigest == rolloutsDigest_)
+        news_.rollouts = RolloutsRead{rollouts_.known, sharedAt};
+}
+
+} // namespace cranberry
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -338,6 +338,7 @@
                 log_.write(LogWeight::Failure, "member_unreadable", {{"key", item.key}});
         }
     }
+    takeRollouts(open);
     if (sawConfiguration != sawConfiguration_)
         log_.write(LogWeight::State, sawConfiguration ? "configuration_there" : "configuration_missing", {});
     sawConfiguration_ = sawConfiguration;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -16,6 +16,8 @@
 constexpr const char *QuarantineKey = "quarantine";
 /// Key of the duties' holder, among the same.
 constexpr const char *LeaderKey = "leader";
+/// Keys of the roll-outs' records begin so; the service's name follows.
+constexpr const char *RolloutKeyPrefix = "rollout/";
 
 /// Who holds a duty, as this daemon may rely on it.
 struct Leadership {
@@ -60,8 +62,23 @@
         InstanceName dutyHolder; ///< With `members`; empty: there is none.
         std::optional<EntriesTold> entries;
         std::vector<QuarantinedRequest> quarantine; ///< Of the store, or of a daemon that was asked.
+        std::optional<RolloutsRead> rollouts;
     };
 
+    /// Roll-outs as this daemon knows them, and what the store holds of them.
+    struct Rollouts {
+        RolloutsKnown known;
+        struct Stored {
+            std::string text;
+            uint64_t revision = 0;
+        };
+        std::map<ServiceName, Stored> stored; ///< Records.
+        bool mayBeOlder = false; ///< The store has just come back older: orders may be missing or overtaken.
+    };
+    const Rollouts &rollouts(TimeMs now);
+    /// This daemon has stored a record.
+    void noteRolloutRecord(const RolloutRecord &record, uint64_t revision);
+
     void tick(TimeMs now);
     void onReply(StoreReply reply, TimeMs now);
     /// Due for each reply of the store, also to calls of other parts, before it is used. One of an era that
@@ -111,6 +128,9 @@
     static constexpr DurationMs RetryPause{500}; ///< Between two tries of a write.
     /// A leader stops this long before its lease may have run out, for what is still on its way.
     static constexpr DurationMs LeadershipMargin{700};
+    /// The operators and the endpoints write again what was lost within so long after the store came back
+    /// older.
+    static constexpr DurationMs SettleTime{5000};
 
     enum class Purpose : uint8_t {
         ReadShared,
@@ -156,6 +176,10 @@
     void compareQuarantine();
     void writeQuarantine(TimeMs now);
     void onQuarantineReply(const StoreReply &reply, TimeMs now);
+    // Roll-outs (storerollouts.cpp).
+    void takeRollouts(const OpenCall &open);
+    void mergeRollouts(const RolloutsKnown &read, TimeMs readAt);
+    void takeRolloutsAnswer(const FreshnessAnswer &answer, TimeMs sharedAt);
     DurationMs spread(DurationMs most); ///< By chance, less than `most`.
     DurationMs oldestBorrowed() const;
     void checkOwnEntry(TimeMs askedAt);
@@ -226,6 +250,8 @@
     uint64_t quarantineRevision_ = 0; ///< Of that key; 0: there is none.
     bool storeLacksQuarantine_ = false; ///< What this daemon keeps is to be written.
     TimeMs quarantineWriteAt_; ///< Not before.
+    Rollouts rollouts_;
+    uint64_t rolloutsDigest_ = 0;
     std::vector<Outgoing> outgoing_;
     ServingConfigurationPtr configuration_; ///< Of the newest read.
     uint64_t sharedDigest_ = 0;
--- /dev/null
+++ b/src/gateway/trials.cpp
@@ -0,0 +1,363 @@
+// Roll-outs, at each daemon: which version a request goes to, what became of it there, and whether the
+// version under trial is suspected.
+
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberry {
+
+namespace {
+
+constexpr DurationMs JudgePace{250};
+/// Events after which a stream's pace is known.
+constexpr uint64_t PaceEvents = 6;
+/// Whole answers below this differ for reasons that are not the endpoint's.
+constexpr double LeastAnswerMs = 10;
+/// First events are measured against reading all of the prompt: what an endpoint has in its cache makes it
+/// faster, what it lacks is no fault of its version.
+constexpr double LeastFirstEvent = 1;
+constexpr double LeastPaceMs = 1;
+constexpr uint64_t ShareResolution = 10'000;
+/// Endpoints on trial have nothing in their caches and read several times as much as the others: so many
+/// times as many share the work. With as many as the others need, first events took three times as long.
+constexpr double ColdReserve = 2;
+/// One endpoint that is bad for a reason of its own must not stand for its version.
+constexpr size_t LeastOnTrial = 3;
+/// Reading one of the requests that load an endpoint takes less than this part of its target.
+constexpr double LoadReadingPart = 10;
+/// Of the requests that sizing may give an engine: from this part on it counts as loaded.
+constexpr double LoadedPart = 0.5;
+
+bool isDrawn(const std::string &requestId, const SoftwareVersion &target, double share)
+{
+    const uint64_t at = rendezvousWeight(requestId, EndpointId{target.value}) % ShareResolution;
+    return static_cast<double>(at) < share * static_cast<double>(ShareResolution);
+}
+
+} // namespace
+
+int64_t Gateway::wallAt(TimeMs now) const
+{
+    return now.count + usage_.offset();
+}
+
+// ---- Which version ----
+
+void Gateway::onRollouts(const RolloutsRead &read, TimeMs now)
+{
+    rollouts_.take(read.known, read.askedAt);
+    fleet_.setOutOfUse(rollouts_.outOfUse());
+    for (const std::pair<const ServiceName, RolloutRecord> &each : read.known.records) {
+        const RolloutRecord &record = each.second;
+        const auto found = trials_.find(each.first);
+        const bool isSame = found != trials_.end() && found->second.target == record.target
+            && found->second.beganWallMs == record.beganWallMs;
+        if (isSame && found->second.stage == record.stage)
+            continue;
+        if (!isSame) {
+            trials_[each.first] = Trial{record.target, record.beganWallMs, record.stage, {}, false, 0};
+            trialCounts_.begin(each.first, record.target);
+        }
+        trials_[each.first].stage = record.stage;
+        log_.write(LogWeight::State, "rollout",
+                   {{"service", each.first.value},
+                    {"target", record.target.value},
+                    {"stage", toText(record.stage)},
+                    {"share", record.share},
+                    {"why", record.why}});
+        if (isDecided(record.stage))
+            trialCounts_.end(each.first);
+    }
+    runQueue(now);
+}
+
+void Gateway::noteVersions(const EndpointsRead &read)
+{
+    std::map<ServiceName, std::set<SoftwareVersion>> listed;
+    for (const EndpointEntry &entry : read.entries) {
+        if (!entry.readable)
+            continue;
+        listed[entry.service].insert(entry.version);
+        rollouts_.noteListed(entry.service, entry.version, read.askedAt);
+    }
+    rollouts_.forgetOthers(listed);
+}
+
+// Few of them carry what many would get: an endpoint shows what it does only if it has work. The first one is
+// left out: it is there to be loaded.
+std::set<EndpointId> Gateway::trialEndpoints(const Exchange &exchange, const RolloutView::Rule &rule) const
+{
+    const std::vector<EndpointId> ranked = fleet_.ranked(exchange.service, rule.target);
+    const double wanted = std::ceil(rule.targetShare * ColdReserve * static_cast<double>(ranked.size()));
+    const size_t count = std::max(static_cast<size_t>(wanted), LeastOnTrial);
+    const size_t from = rule.targetShare < 1 && ranked.size() > count ? 1 : 0;
+    const size_t to = std::min(from + count, ranked.size());
+    return {ranked.begin() + static_cast<std::ptrdiff_t>(from),
+            ranked.begin() + static_cast<std::ptrdiff_t>(to)};
+}
+
+// Requests that are read quickly load an endpoint without making each other late.
+bool Gateway::mayLoad(const Exchange &exchange, const PlacementQuestion &question,
+                      const RolloutView::Rule &rule, TimeMs now) const
+{
+    const auto trial = trials_.find(exchange.service);
+    if (rule.loadRequests == 0 || !question.engine || trial == trials_.end())
+        return false;
+    const double reading = static_cast<double>(exchange.request->promptTokens)
+        / readingSpeed(demand_.readings(exchange.service)).tokensPerMs;
+    const uint32_t own
+        = 1 + rule.loadRequests / static_cast<uint32_t>(std::max<size_t>(peers_.sharers(now), 1));
+    return trial->second.loadSent < own
+        && reading * LoadReadingPart < static_cast<double>(exchange.route->latencyTarget.count);
+}
+
+// A request that was drawn for the target, and finds no room there, goes where all others go. What was sent
+// before goes to the versions that are known.
+PlacementResult Gateway::place(Exchange &exchange, PlacementQuestion &question, TimeMs now)
+{
+    exchange.trialRole = TrialRole::Ordinary;
+    const RolloutView::Rule rule = rollouts_.rule(exchange.service, wallAt(now));
+    question.barred = rule.barred;
+    const bool wasSent = exchange.sends > 0 || exchange.rejections > 0 || !exchange.tried.empty();
+    const bool toTarget = !rule.target.value.empty() && (!wasSent || rule.alsoRepeats)
+        && isDrawn(exchange.request->id, rule.target, rule.targetShare);
+    const bool loads = !toTarget && !wasSent && mayLoad(exchange, question, rule, now);
+    if (toTarget || loads) {
+        PlacementQuestion atTarget = question;
+        atTarget.barred.erase(rule.target);
+        atTarget.isCold = true;
+        if (loads) {
+            const std::vector<EndpointId> ranked = fleet_.ranked(exchange.service, rule.target);
+            atTarget.among = std::set<EndpointId>(ranked.begin(), ranked.begin() + (ranked.empty() ? 0 : 1));
+            atTarget.mostWaitMs = 0;
+        } else {
+            atTarget.among = trialEndpoints(exchange, rule);
+        }
+        const PlacementResult result = fleet_.choose(atTarget, now);
+        if (result.choice) {
+            if (loads)
+                noteLoad(exchange, *question.engine, result.choice->endpoint);
+            return result;
+        }
+        // Sent to the others, it would keep them from getting empty.
+        if (rule.alsoRepeats && result.problem == PlacementProblem::AllBusy)
+            return result;
+    }
+    return fleet_.choose(question, now);
+}
+
+// ---- What became of it ----
+
+void Gateway::noteLoad(Exchange &exchange, const EngineFigures &engine, const EndpointId &at)
+{
+    ++trials_[exchange.service].loadSent;
+    const FleetEndpoint *endpoint = fleet_.find(at);
+    const double running = endpoint ? endpoint->running + endpoint->peersRunning : 0;
+    const bool isLoaded = running > LoadedPart * engineCapacity(engine, ServiceDemand{}).running;
+    exchange.trialRole = isLoaded ? TrialRole::Loaded : TrialRole::Fills;
+}
+
+bool Gateway::isOnTrial(const FleetEndpoint &endpoint) const
+{
+    const RolloutRecord *record = rollouts_.undecided(endpoint.entry.service);
+    return record && record->target == endpoint.entry.version;
+}
+
+void Gateway::noteStep(const Exchange &exchange, UsualTimes::Step step, double time, double least)
+{
+    const FleetEndpoint *endpoint = fleet_.find(exchange.at);
+    if (!endpoint)
+        return;
+    const std::string &route = exchange.route->name;
+    const bool isLoad = exchange.trialRole != TrialRole::Ordinary;
+    if (isLoad && step == UsualTimes::Step::EventPace)
+        return;
+    const bool onTrial = isOnTrial(*endpoint);
+    const bool isSlow = usualTimes_.isSlow(route, step, time, least);
+    if (!onTrial)
+        usualTimes_.note(route, step, time);
+    const bool tellsLittle = exchange.trialRole != TrialRole::Ordinary
+        || (step != UsualTimes::Step::WholeAnswer && onTrial && isMoving(exchange.service));
+    noteAnswers(exchange, *endpoint, isSlow && !tellsLittle);
+}
+
+void Gateway::noteAnswers(const Exchange &exchange, const FleetEndpoint &endpoint, bool bad)
+{
+    const uint32_t group
+        = isOnTrial(endpoint) ? trialGroup(exchange.at.id.value) : uint32_t{TrialCount::Others};
+    const bool isLoaded = exchange.trialRole == TrialRole::Loaded;
+    if (exchange.trialRole != TrialRole::Fills)
+        trialCounts_.note(exchange.service, isLoaded ? TrialCount::LoadRoute : exchange.route->name, group,
+                          bad);
+}
+
+// If all of the prompt has to be read, after what is read there before it.
+double Gateway::expectedFirstEventMs(const Exchange &exchange, const PlacementChoice &choice) const
+{
+    const ReadingSpeed speed = readingSpeed(demand_.readings(exchange.service));
+    return std::max(1.0,
+                    speed.baseMs + choice.waitMs
+                        + static_cast<double>(exchange.request->promptTokens) / speed.tokensPerMs);
+}
+
+// Time to the first event, in times of what was expected.
+double Gateway::firstEventTimes(const Exchange &exchange, TimeMs now)
+{
+    return static_cast<double>((now - exchange.sentAt).count) / std::max(exchange.expectedMs, 1.0);
+}
+
+// While many requests move, engines read several times the usual, and what other daemons have sent is not
+// known yet: first events and the events behind them take longer, whatever the version. Failures still tell.
+bool Gateway::isMoving(const ServiceName &service) const
+{
+    const RolloutRecord *record = rollouts_.undecided(service);
+    return record && record->stage >= RolloutStage::Moving;
+}
+
+void Gateway::noteFirstEvent(Exchange &exchange, TimeMs now)
+{
+    if (!std::exchange(exchange.startIsJudged, true))
+        noteStep(exchange, UsualTimes::Step::FirstEvent, firstEventTimes(exchange, now), LeastFirstEvent);
+}
+
+void Gateway::noteEventPace(Exchange &exchange, TimeMs now)
+{
+    if (exchange.eventsHere < PaceEvents || std::exchange(exchange.paceIsJudged, true))
+        return;
+    const double pace = static_cast<double>((now - exchange.firstEventAt).count)
+        / static_cast<double>(exchange.eventsHere - 1);
+    noteStep(exchange, UsualTimes::Step::EventPace, pace, LeastPaceMs);
+}
+
+void Gateway::noteWholeAnswer(Exchange &exchange, TimeMs now)
+{
+    if (!std::exchange(exchange.startIsJudged, true))
+        noteStep(exchange, UsualTimes::Step::WholeAnswer, static_cast<double>((now - exchange.sentAt).count),
+                 LeastAnswerMs);
+}
+
+void Gateway::noteBadAnswer(Exchange &exchange, bool broke, TimeMs now)
+{
+    const FleetEndpoint *endpoint = fleet_.find(exchange.at);
+    if (!endpoint || std::exchange(exchange.startIsJudged, true))
+        return;
+    const uint32_t group
+        = isOnTrial(*endpoint) ? trialGroup(exchange.at.id.value) : uint32_t{TrialCount::Others};
+    if (broke)
+        trialCounts_.noteBroken(exchange.service, exchange.route->name, group, exchange.at.id.value, now);
+    else
+        noteAnswers(exchange, *endpoint, true);
+}
+
+// An answer that is overdue is bad already: one that never comes would be noticed only when its caller has
+// given up.
+void Gateway::noteOverdue(TimeMs now)
+{
+    for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
+        Exchange &exchange = exchanges_.at(entry.second);
+        if (exchange.startIsJudged || exchange.streaming || !trialCounts_.isOn(exchange.service))
+            continue;
+        const bool isStream = exchange.route->kind == RouteKind::Streaming;
+        const bool isSlow = isStream
+            ? usualTimes_.isSlow(exchange.route->name, UsualTimes::Step::FirstEvent,
+                                 firstEventTimes(exchange, now), LeastFirstEvent)
+            : usualTimes_.isSlow(exchange.route->name, UsualTimes::Step::WholeAnswer,
+                                 static_cast<double>((now - exchange.sentAt).count), LeastAnswerMs);
+        const bool tellsLittle
+            = exchange.trialRole != TrialRole::Ordinary || (isStream && isMoving(exchange.service));
+        if (isSlow && !tellsLittle)
+            noteBadAnswer(exchange, false, now);
+    }
+}
+
+// ---- Judging ----
+
+// All daemons that serve judge from the same counts. One that finds the version bad sends nothing there any
+// more; it need not wait for the holder's word to come through the store.
+void Gateway::tickTrials(TimeMs now)
+{
+    if (now < trialsAt_)
+        return;
+    trialsAt_ = now + JudgePace;
+    noteOverdue(now);
+    std::vector<TrialCount> counts;
+    for (std::pair<const ServiceName, Trial> &each : trials_) {
+        Trial &trial = each.second;
+        if (isDecided(trial.stage))
+            continue;
+        if (counts.empty()) {
+            counts = peers_.trialCounts();
+            const std::vector<TrialCount> own = trialCounts_.rows();
+            counts.insert(counts.end(), own.begin(), own.end());
+        }
+        std::vector<TrialCount> ofService;
+        std::copy_if(counts.begin(), counts.end(), std::back_inserter(ofService),
+                     [&](const TrialCount &count) {
+                         return count.service == each.first && count.target == trial.target;
+                     });
+        trial.judge.take(ofService);
+        if (!trial.judge.isBad() || std::exchange(trial.isSuspected, true))
+            continue;
+        rollouts_.suspect(each.first);
+        counters_.add(GatewayCount::VersionsSuspected);
+        const VersionJudge::Figures seen = trial.judge.figures();
+        log_.write(LogWeight::State, "version_suspected",
+                   {{"service", each.first.value},
+                    {"target", trial.target.value},
+                    {"route", seen.route},
+                    {"score", seen.score},
+                    {"answers", seen.answers},
+                    {"bad", seen.bad},
+                    {"others_answers", seen.othersAnswers},
+                    {"others_bad", seen.othersBad}});
+    }
+}
+
+std::map<ServiceName, RolloutFacts> Gateway::rolloutFacts(TimeMs now) const
+{
+    std::map<ServiceName, RolloutFacts> out;
+    for (const RolloutOrder &order : rollouts_.known().orders)
+        out[order.service];
+    for (const std::pair<const ServiceName, RolloutRecord> &record : rollouts_.known().records)
+        out[record.first];
+    if (out.empty())
+        return out;
+    const std::map<ServiceName, ServiceDemand> demands = demand(now);
+    for (std::pair<const ServiceName, RolloutFacts> &each : out) {
+        RolloutFacts &facts = each.second;
+        const auto asked = demands.find(each.first);
+        facts.requestsPerSecond = asked == demands.end() ? 0 : asked->second.requestsPerSecond;
+        const ServedService *service = configuration_ ? configuration_->findService(each.first) : nullptr;
+        facts.isKnownService = service != nullptr;
+        if (service && service->engine)
+            facts.placesOfTarget
+                = static_cast<uint32_t>(engineCapacity(*service->engine, ServiceDemand{}).running);
+        const auto trial = trials_.find(each.first);
+        if (trial == trials_.end())
+            continue;
+        facts.isBad = trial->second.judge.isBad();
+        facts.isProven = trial->second.judge.isProven();
+        facts.figures = trial->second.judge.figures();
+    }
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : fleet_.all()) {
+        const FleetEndpoint &endpoint = entry.second;
+        const auto found = out.find(endpoint.entry.service);
+        if (found == out.end())
+            continue;
+        const auto trial = trials_.find(endpoint.entry.service);
+        const bool takesWork = endpoint.listed && !endpoint.entry.leaving && !endpoint.gone;
+        if (trial != trials_.end() && trial->second.target == endpoint.entry.version) {
+            found->second.targetEndpoints += takesWork ? 1 : 0;
+            continue;
+        }
+        found->second.otherEndpoints += takesWork ? 1 : 0;
+        found->second.runningElsewhere += endpoint.running + endpoint.peersRunning;
+        if (endpoint.listed)
+            found->second.otherVersions.insert(endpoint.entry.version);
+    }
+    return out;
+}
+
+} // namespace cranberry
--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -64,7 +64,7 @@
         return PlacementProblem::AllBusy;
     if (question.engine)
         question.mostWaitMs = isLate ? MostWaitOfLateMs : mostWaitMs(exchange, now);
-    const PlacementResult result = fleet_.choose(question, now);
+    const PlacementResult result = place(exchange, question, now);
     if (!result.choice)
         return result.problem;
     if (isLate) {
--- a/src/gatewaysettings.cpp
+++ b/src/gatewaysettings.cpp
@@ -38,6 +38,8 @@
     reader.optional("repeatRatio", settings.repeatRatio, 0, 10);
     reader.optional("quotaOver", settings.quotaOver, 0, 10);
     reader.optional("quotaSlack", settings.quotaSlack, 0, 1e12);
+    reader.optional("exposeShare", settings.exposeShare, 0, 1);
+    reader.optional("exposeSlack", settings.exposeSlack, 0, 1e9);
     reader.optional("repeatSlack", settings.repeatSlack, 0, 1e6);
     if (const FieldError *error = reader.finish())
         return boost::leaf::new_error(*error);
--- a/src/gatewaysettings.h
+++ b/src/gatewaysettings.h
@@ -33,6 +33,8 @@
     double repeatSlack = 10;
     DurationMs repeatWindow{10000};
     double quotaOver = 0; ///< Tolerated above an organisation's limit, as a share of it.
+    double exposeShare = 0.1; ///< Of a service's requests, to a version that turns out bad, at most.
+    double exposeSlack = 50; ///< Requests besides.
     double quotaSlack = 0; ///< Tolerated besides, in the limit's unit.
 };
 
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -80,7 +80,9 @@
     const Leadership leadership = sync.leadership(now);
     usageDuty.tick(leadership, gateway.usage(), gateway.peers(), gateway.configuration(), now);
     sync.setRecordsWhole(usageDuty.recordsAreWhole());
-    engineSizing.tick(leadership, gateway.fleet(), gateway.demand(now), gateway.configuration(), now);
+    engineSizing.tick(leadership, gateway.fleet(), gateway.rollouts(), gateway.demand(now),
+                      gateway.configuration(), now);
+    runRollouts(leadership, now);
     for (const StoreCall &order : usageDuty.takeStoreCalls())
         callStore(order, [this](const StoreReply &reply) { usageDuty.onStoreReply(reply, steadyNow()); });
     for (const DutyCall &order : usageDuty.takeDutyCalls()) {
@@ -95,6 +97,20 @@
     }
 }
 
+void GatewayServer::State::runRollouts(const Leadership &leadership, TimeMs now)
+{
+    rolloutDuty.tick(leadership, sync.rollouts(now), gateway.rolloutFacts(now),
+                     now.count + gateway.usage().offset(), now);
+    for (const StoreCall &order : rolloutDuty.takeStoreCalls()) {
+        callStore(order, [this](const StoreReply &reply) {
+            rolloutDuty.onStoreReply(reply, steadyNow());
+            for (const RolloutDuty::Written &written : rolloutDuty.takeWritten())
+                sync.noteRolloutRecord(written.record, written.revision);
+            takeNews();
+        });
+    }
+}
+
 void GatewayServer::State::takeNews()
 {
     const TimeMs now = steadyNow();
--- a/src/io/gatewayserver.cpp
+++ b/src/io/gatewayserver.cpp
@@ -67,9 +67,11 @@
       log(settings.instance.value, wallNowMs),
       gateway(coreSettings(settings, incarnation, randomSeed()), log),
       sync(syncSettings(settings, incarnation, randomSeed()), log), fleet(sync, gateway),
-      usageDuty(settings.usageDue, log), engineSizing(settings.firstStart, log), storeCodec(log),
-      endpoints(io), store(io), duties(io)
-{ }
+      usageDuty(settings.usageDue, log), engineSizing(settings.firstStart, log), rolloutDuty(log),
+      storeCodec(log), endpoints(io), store(io), duties(io)
+{
+    rolloutDuty.setBounds({settings.exposeShare, settings.exposeSlack});
+}
 
 // ---- Life ----
 
@@ -136,6 +138,7 @@
         [&]() -> Result<void> {
             BOOST_LEAF_ASSIGN(const GatewayDaemonSettings changed, parseGatewaySettings(*text));
             gateway.applyBounds(coreSettings(changed, incarnation, 0));
+            rolloutDuty.setBounds({changed.exposeShare, changed.exposeSlack});
             log.write(LogWeight::State, "reloaded", {{"asked", asked}});
             return {};
         },
--- a/src/io/gatewaystate.h
+++ b/src/io/gatewaystate.h
@@ -62,6 +62,7 @@
 
     // Duties of which one daemon at a time is the holder.
     void runDuties();
+    void runRollouts(const Leadership &leadership, TimeMs now);
     void callDuty(const DutyCall &order, std::function<void(DutyOutcome)> onReply);
 
     // The other daemons.
@@ -92,6 +93,7 @@
     FleetView fleet;
     UsageDuty usageDuty;
     EngineSizing engineSizing;
+    RolloutDuty rolloutDuty;
     platform::StoreCodec storeCodec;
     HttpClient endpoints;
     HttpClient store;
--- a/tests/enginesizing_test.cpp
+++ b/tests/enginesizing_test.cpp
@@ -20,7 +20,7 @@
 
 std::map<FailureDomainName, DomainStock> makeStock(uint32_t onDemand, uint32_t reclaimable)
 {
-    const DomainStock stock{onDemand, reclaimable, 0, false};
+    const DomainStock stock{onDemand, reclaimable, 0, false, 0, 0};
     return {{{"north"}, stock}, {{"south"}, stock}, {{"west"}, stock}};
 }
 
@@ -71,7 +71,7 @@
     const auto stockOf = [](size_t domains) {
         std::map<FailureDomainName, DomainStock> stock;
         for (size_t i = 0; i < domains; ++i)
-            stock[{"domain-" + std::to_string(i)}] = {0, 3, 0, false};
+            stock[{"domain-" + std::to_string(i)}] = {0, 3, 0, false, 0, 0};
         return stock;
     };
     const SizingQuestion question = questionFor(90 * Capacity.tokensPerSecond, 20);
@@ -92,6 +92,16 @@
     CHECK(sumOnDemand(planEngines(makeBounds(0.2), Capacity, question, makeStock(3, 3))) == 0);
 }
 
+TEST_CASE("engines on demand that are needed stay in their domains, whatever these cost")
+{
+    // All engines are on demand, as after a roll-out, and the cheap ones are still to come. Ordered in the
+    // cheapest domain alone, those of the others would be stopped seconds before more have started there.
+    const std::vector<DomainPlan> plan
+        = planEngines(makeBounds(0.2), Capacity, questionFor(160'000, 20), makeStock(3, 0));
+    for (const DomainPlan &domain : plan)
+        CHECK(domain.onDemand == 3);
+}
+
 TEST_CASE("without demand it is enough that the cheap ones were accepted")
 {
     std::map<FailureDomainName, DomainStock> stock = makeStock(3, 0);
@@ -103,7 +113,7 @@
 TEST_CASE("what one failure domain can't give is ordered in the others")
 {
     std::map<FailureDomainName, DomainStock> stock = makeStock(0, 2);
-    stock[{"north"}] = {0, 0, 0, true};
+    stock[{"north"}] = {0, 0, 0, true, 0, 0};
     const std::vector<DomainPlan> plan
         = planEngines(makeBounds(0.2), Capacity, questionFor(60'000, 10), stock);
     CHECK(plan[1].reclaimable + plan[2].reclaimable >= 6);
@@ -117,7 +127,7 @@
     // One failure domain was reclaimed and none is to be had anywhere. The next reclaim would leave half of
     // what is there: the rest is ordered before it comes, in the cheapest domain first.
     std::map<FailureDomainName, DomainStock> stock = makeStock(0, 3);
-    stock[{"north"}] = {0, 0, 0, true};
+    stock[{"north"}] = {0, 0, 0, true, 0, 0};
     SizingQuestion question = questionFor(120'000, 20);
     question.scarce = true;
     const std::vector<DomainPlan> plan = planEngines(makeBounds(0.2), Capacity, question, stock);
@@ -178,7 +188,7 @@
         for (const TimeMs until = now + time; now < until; now = now + DurationMs{100}) {
             read.askedAt = now;
             fleet.take(read, now);
-            sizing.tick(leadership, fleet, {}, configuration, now);
+            sizing.tick(leadership, fleet, rollouts, {}, configuration, now);
             for (const DutyCall &call : sizing.takeCalls()) {
                 CHECK(call.fencingToken == 7);
                 orders.push_back(*call.order);
@@ -202,6 +212,7 @@
     RecordingLog log;
     EngineSizing sizing;
     EndpointFleet fleet;
+    RolloutView rollouts;
     EndpointsRead read;
     std::shared_ptr<ServingConfiguration> configuration = std::make_shared<ServingConfiguration>();
     Leadership leadership{true, 7, {1'000'000}, {}, {}};
@@ -312,3 +323,44 @@
     CHECK(engineCapacity(engine, {}).running == doctest::Approx(49.9).epsilon(0.01));
     CHECK(engineCapacity(small, {}).running == doctest::Approx(6.8).epsilon(0.01));
 }
+
+TEST_CASE("engines of a version that is being rolled out are neither counted nor stopped until it is decided")
+{
+    // A new version's engines come beside the others, on demand. The holder's order of none on demand, said
+    // again since more are there, stopped all of them after half a second: nothing was ever rolled out.
+    SizingFixture fixture(false);
+    fixture.list(0, 3);
+    fixture.run({10'000}, true);
+    RolloutsKnown known;
+    known.era = 1;
+    known.orders = {{{"model"}, {"v2"}, {16'000}, 5}};
+    fixture.rollouts.take(known, fixture.now);
+    fixture.fleet.setOutOfUse(fixture.rollouts.outOfUse());
+    fixture.orders.clear();
+    fixture.run({2000}, true);
+    CHECK_FALSE(fixture.ordered(false));
+    RolloutRecord record;
+    record.service.value = "model";
+    record.target.value = "v2";
+    record.duration = {16'000};
+    record.order = 5;
+    record.era = 1;
+    record.stage = RolloutStage::Trial;
+    known.records[{"model"}] = record;
+    fixture.rollouts.take(known, fixture.now);
+    fixture.fleet.setOutOfUse(fixture.rollouts.outOfUse());
+    fixture.list(3, 3);
+    for (EndpointEntry &entry : fixture.read.entries)
+        entry.version.value = entry.reclaimable ? "v1" : "v2";
+    fixture.run({15'000}, true);
+    for (const EngineOrder &order : fixture.orders)
+        CHECK((order.reclaimable || order.count == 3));
+    CHECK(fixture.ordered(true).value_or(3) <= 3);
+    record.stage = RolloutStage::RolledBack;
+    record.barred = {{"v2"}};
+    known.records[{"model"}] = record;
+    fixture.rollouts.take(known, fixture.now);
+    fixture.fleet.setOutOfUse(fixture.rollouts.outOfUse());
+    fixture.run({2000}, true);
+    CHECK(fixture.ordered(false) == 0);
+}
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -394,9 +394,18 @@
     answer.endpoints = {entry};
     answer.endpointsFrom = 3;
     answer.endpointsTotal = 4;
+    answer.rolloutsDigest = 12;
+    RolloutRecord record;
+    record.service.value = "model";
+    record.target.value = "v2";
+    record.duration = {16'000};
+    record.barred = {{"v1"}};
+    answer.rollouts = RolloutsKnown{{{{"model"}, {"v2"}, {16'000}, 9}}, {{{"model"}, record}}, 3};
     const std::optional<PeerDatagram> answered = decodeDatagram(encodeDatagram(answer));
     REQUIRE(answered);
     const FreshnessAnswer &read = std::get<FreshnessAnswer>(*answered);
+    CHECK(read.rolloutsDigest == 12);
+    CHECK(read.rollouts == answer.rollouts);
     CHECK(read.sharedAge.count == 300);
     REQUIRE(read.hasMembers);
     CHECK(read.members == answer.members);
--- a/tests/operationspage_test.cpp
+++ b/tests/operationspage_test.cpp
@@ -45,7 +45,7 @@
     std::vector<std::filesystem::path> files;
     for (const char *folder : {"/src/gateway", "/src/io", "/platform"}) {
         for (const std::filesystem::directory_entry &entry :
-             std::filesystem::directory_iterator(std::string(SOURCE_DIR) + folder)) {
+             std::filesystem::recursive_directory_iterator(std::string(SOURCE_DIR) + folder)) {
             if (entry.path().extension() == ".cpp")
                 files.push_back(entry.path());
         }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -251,6 +251,56 @@
     CHECK(codec.decode(call, 200, {}, "not json").outcome == StoreOutcome::NoReply);
 }
 
+TEST_CASE("an order of a roll-out is read, or the field that is wrong is named and the order before goes on")
+{
+    const auto wrongIn = [](const std::string &text) {
+        std::string wrong;
+        CHECK_FALSE(valueOf<RolloutOrder>([&] { return platform::decodeRollout("s", text); }, &wrong));
+        return wrong;
+    };
+    const std::optional<RolloutOrder> order = valueOf<RolloutOrder>(
+        [] { return platform::decodeRollout("s", R"({"Service":"s","Target":"v2","DurationS":12})"); });
+    REQUIRE(order);
+    CHECK(order->target.value == "v2");
+    CHECK(order->duration.count == 12'000);
+    CHECK(wrongIn(R"({"Service":"s","Target":"v2","DurationS":0})") == "s.DurationS: must be above 0");
+    CHECK(wrongIn(R"({"Service":"s","Target":"","DurationS":9})") == "s.Target: must not be empty");
+    CHECK(wrongIn(R"({"Service":"t","Target":"v2","DurationS":9})")
+          == "s.Service: is not the one that the key names");
+    CHECK(wrongIn(R"({"Service":"s","DurationS":9})").starts_with("s.Target"));
+    CHECK_FALSE(wrongIn("[]").empty());
+
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    StoreCall call;
+    call.verb = StoreVerb::List;
+    const auto targetIn = [&](const std::string &encoded, int revision) {
+        const std::string body = R"({"Items":[{"Key":"op/rollout/s","Value":")" + encoded + R"(","Revision":)"
+            + std::to_string(revision) + R"(}],"Truncated":false})";
+        return codec.decode(call, 200, {}, body).items.at(0).rollout.value_or(RolloutOrder{}).target.value;
+    };
+    // {"Service":"s","Target":"v2","DurationS":12}, then one of 0 s.
+    CHECK(targetIn("eyJTZXJ2aWNlIjoicyIsIlRhcmdldCI6InYyIiwiRHVyYXRpb25TIjoxMn0=", 5) == "v2");
+    CHECK(targetIn("eyJTZXJ2aWNlIjoicyIsIlRhcmdldCI6InYzIiwiRHVyYXRpb25TIjowfQ==", 6) == "v2");
+    CHECK(targetIn("eyJTZXJ2aWNlIjoicyIsIlRhcmdldCI6InYzIiwiRHVyYXRpb25TIjowfQ==", 6) == "v2");
+    CHECK(log.count("rollout_unreadable") == 1);
+}
+
+TEST_CASE("the status of a roll-out is written beside its record")
+{
+    StoreCall call;
+    call.verb = StoreVerb::Write;
+    call.rolloutStatus = RolloutStatus{{"s"}, {"v2"}, RolloutStage::Emptying};
+    const std::string body = platform::StoreCodec::encode(call).body;
+    CHECK(body.find("status/rollout/s") != std::string::npos);
+    CHECK(platform::encodeRolloutStatus(*call.rolloutStatus)
+          == R"({"Service":"s","Target":"v2","State":"running"})");
+    CHECK(platform::encodeRolloutStatus({{"s"}, {"v2"}, RolloutStage::Completed}).find("completed")
+          != std::string::npos);
+    CHECK(platform::encodeRolloutStatus({{"s"}, {"v2"}, RolloutStage::RolledBack}).find("rolled_back")
+          != std::string::npos);
+}
+
 TEST_CASE("the store's era is read from each reply; one that is no number is told once and changes nothing")
 {
     RecordingLog log;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -41,3 +41,17 @@
     CHECK(story[1].find("lost_with_endpoint") != std::string::npos);
     CHECK(story[2].find(" * b send") != std::string::npos);
 }
+
+TEST_CASE("a roll-out's story: its stages, and who found the version bad first")
+{
+    const std::vector<std::string> lines = {
+        R"({"time_ms":1000,"instance":"a","event":"rollout_stage","service":"s","target":"v2","stage":"trial"})",
+        R"({"time_ms":1010,"instance":"b","event":"rollout","service":"s","target":"v2","stage":"trial"})",
+        R"({"time_ms":4300,"instance":"a","event":"rollout_stage","service":"s","stage":"rolled_back","why":"bad"})",
+        R"({"time_ms":4200,"instance":"b","event":"version_suspected","service":"s","answers":29,"bad":10})",
+        R"({"time_ms":4200,"instance":"b","event":"version_suspected","service":"t","answers":29,"bad":10})"};
+    const std::vector<std::string> story = traceRollouts("s", lines);
+    REQUIRE(story.size() == 3);
+    CHECK(story[1] == " +3200 ms b version_suspected service=\"s\" answers=29 bad=10");
+    CHECK(story[2] == " +3300 ms a rollout_stage service=\"s\" stage=\"rolled_back\" why=\"bad\"");
+}
--- a/tools/cranberryctl.cpp
+++ b/tools/cranberryctl.cpp
@@ -104,11 +104,13 @@
     return 0;
 }
 
-// Prints a request's story from the daemons' logs.
-int trace(const CommandLine &line)
+using Story = std::vector<std::string> (*)(const std::string &, const std::vector<std::string> &);
+
+// Prints the story of one thing, a request or a service, from the daemons' logs.
+int tell(const CommandLine &line, Story story, const std::string &thing)
 {
     if (line.arguments().size() < 3)
-        return line.fail("trace needs a request's id and at least one log file");
+        return line.fail(fmt::format("{} needs a {} and at least one log file", line.arguments()[0], thing));
     std::vector<std::string> lines;
     for (size_t i = 2; i < line.arguments().size(); ++i) {
         const std::optional<std::string> text = readFile(line.arguments()[i]);
@@ -118,12 +120,12 @@
         boost::algorithm::split(ofFile, *text, [](char c) { return c == '\n'; });
         lines.insert(lines.end(), ofFile.begin(), ofFile.end());
     }
-    const std::vector<std::string> story = traceRequest(line.arguments()[1], lines);
-    for (const std::string &each : story)
+    const std::vector<std::string> told = story(line.arguments()[1], lines);
+    for (const std::string &each : told)
         fmt::print("{}\n", each);
-    if (story.empty())
-        fmt::print(stderr, "cranberryctl: no line of that request in these files\n");
-    return story.empty() ? ExitFailed : 0;
+    if (told.empty())
+        fmt::print(stderr, "cranberryctl: no line of that {} in these files\n", thing);
+    return told.empty() ? ExitFailed : 0;
 }
 
 int run(int argc, const char **argv)
@@ -131,7 +133,7 @@
     Options options;
     CommandLine line("cranberryctl",
                      "[OPTION...] apply FILE | diff FILE | get | status | requests | drain | change ID | "
-                     "trace REQUEST LOG...");
+                     "trace REQUEST LOG... | rollout SERVICE LOG...");
     line.addText("daemon", 'd', options.daemon, "admin address of any daemon (required)", "IP:PORT");
     line.addText("base", 'b', options.base, "apply: the revision that was edited", "REVISION");
     line.addText("change", 'i', options.change, "apply: id of this change, to repeat it safely", "ID");
@@ -140,7 +142,9 @@
         return line.exitCode();
     const std::string command = line.arguments().empty() ? "" : line.arguments().front();
     if (command == "trace")
-        return trace(line);
+        return tell(line, traceRequest, "request");
+    if (command == "rollout")
+        return tell(line, traceRollouts, "service");
     if (!addressFromText(options.daemon))
         return line.fail("--daemon must be IP:PORT");
     if (command == "apply")
--- a/tools/trace.cpp
+++ b/tools/trace.cpp
@@ -22,6 +22,7 @@
     std::string request;
     std::string endpoint;
     std::string digest; ///< The same for all tries of one request.
+    std::string service;
     std::string rest; ///< All other fields.
 };
 
@@ -48,6 +49,7 @@
     out.request = textAt(*object, "request");
     out.endpoint = textAt(*object, "endpoint");
     out.digest = textAt(*object, "digest");
+    out.service = textAt(*object, "service");
     for (const json::key_value_pair &field : *object) {
         const std::string name(field.key());
         if (name != "time_ms" && name != "instance" && name != "event" && name != "request")
@@ -56,9 +58,8 @@
     return true;
 }
 
-} // namespace
-
-std::vector<std::string> traceRequest(const std::string &request, const std::vector<std::string> &lines)
+// In order of time.
+std::vector<LogLine> readLines(const std::vector<std::string> &lines)
 {
     std::vector<LogLine> all;
     for (const std::string &text : lines) {
@@ -68,6 +69,30 @@
     }
     std::stable_sort(all.begin(), all.end(),
                      [](const LogLine &a, const LogLine &b) { return a.timeMs < b.timeMs; });
+    return all;
+}
+
+} // namespace
+
+std::vector<std::string> traceRollouts(const std::string &service, const std::vector<std::string> &lines)
+{
+    std::vector<std::string> out;
+    int64_t first = 0;
+    for (const LogLine &line : readLines(lines)) {
+        const bool tells = line.event == "rollout_stage" || line.event == "version_suspected"
+            || line.event == "rollout_refused";
+        if (!tells || line.service != service)
+            continue;
+        first = first == 0 ? line.timeMs : first;
+        out.push_back(
+            fmt::format("{:+6d} ms {} {}{}", line.timeMs - first, line.instance, line.event, line.rest));
+    }
+    return out;
+}
+
+std::vector<std::string> traceRequest(const std::string &request, const std::vector<std::string> &lines)
+{
+    const std::vector<LogLine> all = readLines(lines);
 
     std::set<std::string> instances;
     std::set<std::string> endpoints;
--- a/tools/trace.h
+++ b/tools/trace.h
@@ -12,4 +12,8 @@
 /// the first brace is ignored.
 std::vector<std::string> traceRequest(const std::string &request, const std::vector<std::string> &lines);
 
+/// The story of a service's roll-outs from the logs of any number of daemons: the stages as the holder wrote
+/// them, with the figures of the judgement, and which daemons suspected the version before it did.
+std::vector<std::string> traceRollouts(const std::string &service, const std::vector<std::string> &lines);
+
 } // namespace cranberry
