Real processes: a bad version is rolled back and told; the store comes back older under callers' requests

gateway_process_rollout and gateway_process_older, on the stand-in of the platform (versions, orders of roll-outs, a copy to come back from).

--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -2,6 +2,10 @@
 // the receiver of duties, in one process. The store and the duties are at --listen; endpoint N is N ports
 // above.
 //
+// POST /rollout?service=S&target=V&seconds=N orders a roll-out; /replace?endpoint=N&version=V puts an
+// endpoint of that version in the place of the Nth; fault newFails: endpoints of another version than the
+// first answer 500.
+//
 // Faults of the store: down, silent, slowMs (all of the store and the duties), loseReplies (the next N writes
 // are carried out and not answered). Faults of all endpoints: tokens, tokenMs (a stream's length and pace),
 // workMs, full (answers "not executed"), dropAnswers (the next N calls run and their connections are cut),
@@ -33,6 +37,7 @@
 constexpr int EndpointCount = 5;
 constexpr int FirstPlain = 3; ///< Endpoints before this one are engines.
 constexpr int64_t BeatMs = 500;
+constexpr const char *FirstVersion = "v1";
 constexpr int64_t LapseMs = 1500;
 constexpr int64_t CrashDelayMs = 60;
 constexpr int64_t DefaultCrashMs = 1500;
@@ -109,7 +114,19 @@
             return exchange->respond(200, {}, "");
         }
         if (target.path == "/replace") {
-            replace(std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10));
+            const size_t index = std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10);
+            if (index < EndpointCount && !headerOf(target.query, "version").empty())
+                versions_[index] = headerOf(target.query, "version");
+            replace(index);
+            return exchange->respond(200, {}, "");
+        }
+        if (target.path == "/rollout") {
+            const std::string service = headerOf(target.query, "service");
+            const json::object order{
+                {"Service", service},
+                {"Target", headerOf(target.query, "target")},
+                {"DurationS", std::strtoll(headerOf(target.query, "seconds").c_str(), nullptr, 10)}};
+            store_.put("op/rollout/" + service, base64Encoded(json::serialize(order)));
             return exchange->respond(200, {}, "");
         }
         exchange->respond(404, {}, "");
@@ -214,7 +231,7 @@
                 {"Address",
                  fmt::format("{}:{}", base_.host, base_.port + 1 + i + standin_.fault("advertiseOffset"))},
                 {"Zone", fmt::format("zone-{}", i % 2)},
-                {"Version", "v1"},
+                {"Version", versions_[static_cast<size_t>(i)]},
                 {"ColdRemainingMs", 0},
                 {"born", startedAtMs_[static_cast<size_t>(i)]},
                 {"Slots", isEngine(i) ? 64 : 6},
@@ -241,6 +258,10 @@
             return exchange->respond(400, {{"X-Not-Executed", "1"}}, "");
         if (standin_.fault("full"))
             return exchange->respond(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
+        if (standin_.fault("newFails") && versions_[static_cast<size_t>(index)] != FirstVersion) {
+            standin_.log(fmt::format("failed id={} endpoint={}", id, idOf(index)));
+            return exchange->respond(500, {{"X-Request-Id", id}, {"X-Server-Stamp", "stamp"}}, "");
+        }
         standin_.log(fmt::format("run id={} endpoint={} organisation={} key={} deadline={} after={} body={}",
                                  id, idOf(index), headerOf(request.headers, "X-Tenant"),
                                  headerOf(request.headers, "Authorization"),
@@ -302,6 +323,8 @@
     std::map<std::string, int64_t> leaving_;
     std::array<uint32_t, EndpointCount> starts_ = {}; ///< Of each endpoint's place, after the first.
     std::array<int64_t, EndpointCount> startedAtMs_ = {};
+    std::array<std::string, EndpointCount> versions_
+        = {FirstVersion, FirstVersion, FirstVersion, FirstVersion, FirstVersion};
     std::map<std::string, std::string> spoiled_; ///< What another writer put in an endpoint's entry.
     uint64_t sequence_ = 0;
     int64_t lostReplies_ = 0;
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -107,6 +107,54 @@
     expect "serves on after both" "$(status 1 reloaded /order/1)" 200
     expect "metrics" "$(curl -s http://127.0.0.1:21501/metrics | grep -c 'refusals_total{reason="unknown_route"} 1')" 1
     ;;
+rollout)
+    # An operator orders another version, which fails every request. A part of the requests goes there, the version is
+    # rolled back, the operator can read it, and from then on none goes there any more.
+    begin
+    fault newFails 1
+    curl -sf -X POST "http://$store/rollout?service=svc-model&target=v2&seconds=10"
+    curl -sf -X POST "http://$store/replace?endpoint=2&version=v2"
+    callers() { # DAEMON
+        for n in $(seq 400); do
+            call "$1" "roll-$1-$n" /draft/1 >/dev/null
+            [ -e "$run_dir/rolled-back" ] && return 0
+        done
+    }
+    for i in $daemons; do callers "$i" & done
+    state() { curl -s "http://$store/kv-range?Prefix=status/rollout/" | grep -o '"Value":"[^"]*' | cut -d'"' -f4 | base64 -d; }
+    is_rolled_back() { state | grep -q '"State":"rolled_back"'; }
+    has_state() { state | grep -q '"State"'; }
+    wait_for "the roll-out's status" has_state
+    wait_for "the verdict" is_rolled_back
+    sleep 1
+    touch "$run_dir/rolled-back"
+    wait $(jobs -p | grep -v -x -F "$(printf '%s\n' "${pids[@]}")") || true
+    failed=$(grep -c 'failed id=roll' "$run_dir/deployment.log")
+    expect "few requests met the bad version" "$([ "$failed" -ge 3 ] && [ "$failed" -le 60 ] && echo yes || echo "$failed")" yes
+    for i in $daemons; do
+        for n in $(seq 30); do expect "served at $i" "$(status "$i" "after-$i-$n" /draft/1)" 200; done
+    done | sort | uniq -c
+    expect "none went there after the verdict" "$(grep -c 'failed id=after' "$run_dir/deployment.log")" 0
+    expect "the holder tells why" "$(cat "$run_dir"/daemon-*.out | grep '"event":"rollout_stage"' | grep -c 'answers bad on')" 1
+    ;;
+older)
+    # The store is away for a moment and comes back from a copy that lacks the daemons' entries, leases and records.
+    # Callers notice nothing, the duties go on under a higher token, and no window is reported twice.
+    begin
+    curl -sf -X POST "http://$store/copy"
+    expect "served before" "$(status 1 before /order/1)" 200
+    wait_for "a report" grep -q 'duty /usage' "$run_dir/deployment.log"
+    sleep 2
+    curl -sf -X POST "http://$store/return"
+    for i in $daemons; do
+        for n in $(seq 20); do expect "served at $i meanwhile" "$(status "$i" "during-$i-$n" /order/1)" 200; done
+    done | sort | uniq -c
+    wait_for "a token of the next era" grep -q 'duty /usage .*token=2[0-9]\{12\}' "$run_dir/deployment.log"
+    tokens=$(grep -o 'token=[0-9]*' "$run_dir/deployment.log" | cut -d= -f2)
+    expect "tokens never fall" "$(echo "$tokens" | sort -n)" "$tokens"
+    grep -o 'WindowId":[0-9]*,"Counts":{"org-a":[0-9]*' "$run_dir/deployment.log" | sort -u >"$run_dir/reports"
+    expect "one report a window" "$(cut -d, -f1 "$run_dir/reports" | sort | uniq -d)" ""
+    ;;
 stop)
     # A daemon is told to stop in the middle of a stream. The stream ends whole, callers are sent elsewhere at once,
     # new requests are still served, and the process ends by itself.
