A version that is clearly worse, or has too few endpoints, is not moved to; sizing keeps its hands off on demand during a roll-out; a store without the key is settled

The list was late, 15 of 60 target engines were seen, and an order of as many in each domain stopped the other 45; 16 of 45 answers were bad, 93 of 1,008 elsewhere, and the alarm stayed below its bound. Cause: (1) an order while not all are listed; no alarm was taken for proof. (2) 'no key yet' was read as 'came back older'.

--- a/src/gateway/enginesizing.cpp
+++ b/src/gateway/enginesizing.cpp
@@ -96,16 +96,19 @@
             const DomainStock &have = stock.at(domain.failureDomain);
             return domain.onDemand == 0 && have.reclaimable + have.coming >= domain.reclaimable;
         });
-        const bool awaited = awaitsTarget(service.name, rollouts, stock, now);
+        noteRollout(service.name, rollouts);
+        const bool isUnderWay = rollouts.isUnderWay(service.name);
         const bool mayStop = !finding || (question.firstStart && isIdle(peak) && allComing);
         for (const DomainPlan &domain : plan) {
             const DomainStock &have = stock.at(domain.failureDomain);
             order({service.name, domain.failureDomain, true}, domain.reclaimable, have.reclaimable, peak,
                   leadership, now);
             const Subject onDemand{service.name, domain.failureDomain, false};
-            if (mayStop && (!awaited || domain.onDemand > ordered_[onDemand].count))
-                order(onDemand, domain.onDemand + have.onTrial, have.onDemand + have.onTrial + have.barred,
-                      peak, leadership, now);
+            const uint32_t there = have.onDemand + have.onTrial + have.barred;
+            if (isUnderWay && domain.onDemand > have.onDemand)
+                order(onDemand, domain.onDemand + mostOnTrial(stock), there, peak, leadership, now);
+            else if (!isUnderWay && mayStop)
+                order(onDemand, domain.onDemand, there, peak, leadership, now);
         }
     }
 }
@@ -184,20 +187,23 @@
     return stock;
 }
 
-bool EngineSizing::awaitsTarget(const ServiceName &service, const RolloutView &rollouts,
-                                const std::map<FailureDomainName, DomainStock> &stock, TimeMs now)
+// Engines of a version that is being rolled out come beside the others, on demand, and may be listed late: an
+// order of as many as are seen would stop those that are not. So nothing is ordered meanwhile but what a
+// shortage needs besides, and as if each domain had as many of the new ones as the one with most.
+uint32_t EngineSizing::mostOnTrial(const std::map<FailureDomainName, DomainStock> &stock)
+{
+    uint32_t most = 0;
+    for (const std::pair<const FailureDomainName, DomainStock> &domain : stock)
+        most = std::max(most, domain.second.onTrial);
+    return most;
+}
+
+// What was ordered before a roll-out may have been of a version that is gone by its end.
+void EngineSizing::noteRollout(const ServiceName &service, const RolloutView &rollouts)
 {
-    ServiceState &state = services_[service];
     const bool isUnderWay = rollouts.isUnderWay(service);
-    // What was ordered before may have been of a version that is gone.
-    if (std::exchange(state.wasUnderWay, isUnderWay) && !isUnderWay)
+    if (std::exchange(services_[service].wasUnderWay, isUnderWay) && !isUnderWay)
         askAgain(service);
-    uint32_t onTrial = 0;
-    for (const std::pair<const FailureDomainName, DomainStock> &domain : stock)
-        onTrial += domain.second.onTrial;
-    if (std::exchange(state.onTrial, onTrial) != onTrial)
-        state.onTrialSince = now;
-    return isUnderWay && (onTrial == 0 || now - state.onTrialSince < FindingPause);
 }
 
 void EngineSizing::noteStock(const ServiceName &service,
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/enginesizing.h
@@ -47,17 +47,14 @@
         bool foundOnDemandOnly = false; ///< No reclaimable one was there at the first look.
         std::optional<TimeMs> demandSince; ///< First seen.
         std::map<FailureDomainName, DomainStock> toldStock; ///< In the log.
-        uint32_t onTrial = 0; ///< Engines of a version that is being rolled out, when seen last.
-        TimeMs onTrialSince; ///< As many.
         bool wasUnderWay = false; ///< A roll-out.
     };
     bool isStillFinding(const ServedService &service, const EndpointFleet &fleet, TimeMs now);
     std::map<FailureDomainName, DomainStock> takeStock(const ServedService &service,
                                                        const EndpointFleet &fleet,
                                                        const RolloutView &rollouts, TimeMs now);
-    /// Engines of a version that is being rolled out may still be coming: an order of fewer would stop them.
-    bool awaitsTarget(const ServiceName &service, const RolloutView &rollouts,
-                      const std::map<FailureDomainName, DomainStock> &stock, TimeMs now);
+    static uint32_t mostOnTrial(const std::map<FailureDomainName, DomainStock> &stock);
+    void noteRollout(const ServiceName &service, const RolloutView &rollouts);
 
     ServiceDemand peakDemand(const ServiceName &service, const ServiceDemand &demand, TimeMs now);
     void askAgain(const ServiceName &service);
--- a/src/gateway/rollout/rolloutduty.cpp
+++ b/src/gateway/rollout/rolloutduty.cpp
@@ -19,6 +19,8 @@
 constexpr DurationMs StageKnown{1500};
 /// Requests that just left a daemon's queue are in its reports by then.
 constexpr DurationMs StaysEmpty{600};
+/// With a smaller part of the others' endpoints the target can't carry what they do.
+constexpr double MostFewer = 0.7;
 /// Without enough answers by so many times the order's time, a version is not proven.
 constexpr int64_t MostTimes = 2;
 constexpr DurationMs CallTimeout{1500};
@@ -138,6 +140,8 @@
     const int64_t movesAt = record.beganWallMs + (record.duration - timeToMove(record)).count;
     if (wallMs < std::max(movesAt, record.stageWallMs + LeastTrial.count))
         return false;
+    if (facts.targetEndpoints < MostFewer * facts.otherEndpoints)
+        return false;
     // With so few requests a bad version stays within the bounds even if it gets all of them.
     const double others = static_cast<double>(facts.figures.othersAnswers + facts.figures.answers);
     return facts.isProven
@@ -186,7 +190,7 @@
         if (mayMove(record, facts, wallMs))
             return to(RolloutStage::Moving, "as good as the others");
         if (wallMs > record.beganWallMs + record.duration.count * MostTimes)
-            return to(RolloutStage::RolledBack, "too few answers to tell");
+            return to(RolloutStage::RolledBack, "too few answers or endpoints, or not as good");
         return record;
     case RolloutStage::Loading:
         return inStage > LoadingTime.count ? to(RolloutStage::Moving, "as good as the others") : record;
--- a/src/gateway/rollout/versionjudge.h
+++ b/src/gateway/rollout/versionjudge.h
@@ -25,7 +25,8 @@
     void take(const std::vector<TrialCount> &sums);
 
     bool isBad() const { return isBad_; }
-    /// There were enough answers on each route that a noticeable part of the requests takes.
+    /// There were enough answers on each route that a noticeable part of the requests takes, and not clearly
+    /// more of them bad than elsewhere: the absence of an alarm alone is no proof.
     bool isProven() const;
 
     /// What the judgement rests on.
@@ -53,6 +54,7 @@
     void takeUsual(const std::string &route, const Counts &news);
     double step(const std::string &route, const std::map<Key, Counts> &news, uint32_t worst) const;
     uint32_t worstGroup() const;
+    Counts targetCounts() const; ///< Of all routes.
 
     std::map<Key, Counts> sums_;
     std::map<std::string, Usual> usual_;
--- a/src/gateway/storeera.cpp
+++ b/src/gateway/storeera.cpp
@@ -98,7 +98,7 @@
 // The key of an earlier life of this daemon may be of long ago, too: somebody else can have won after it.
 void StoreSync::noteFirstView(TimeMs now)
 {
-    startedUnsettled_ = !settings_.firstStart && era_ != 0 && settledEra_ != era_;
+    startedUnsettled_ = !settings_.firstStart && settledEra_ != 0 && settledEra_ != era_;
     if (startedUnsettled_)
         keepQuiet(now);
 }
@@ -119,7 +119,7 @@
 
 // A daemon that starts can't know whether the store came back just before, and whether what it reads is older
 // than what the others have seen. This key tells: it is of the present era only once a holder of the duties
-// has made its records whole there.
+// has made its records whole there. A store without it has never been settled, so nothing of before is lost.
 void StoreSync::settleEra(TimeMs now)
 {
     const bool isDue = era_ != 0 && sharedEra_ == era_ && settledEra_ != era_ && recordsAreWhole_
@@ -139,7 +139,7 @@
     const uint64_t version = configuration_ ? configuration_->version : 0;
     if (version < leastVersion_ && now - startedAt_ < RewriteTime)
         return false;
-    return vouchedFor_ || era_ == 0 || settledEra_ == era_ || now - startedAt_ > SettleTime;
+    return vouchedFor_ || settledEra_ == 0 || settledEra_ == era_ || now - startedAt_ > SettleTime;
 }
 
 } // namespace cranberry
--- a/tests/versionjudge_test.cpp
+++ b/tests/versionjudge_test.cpp
@@ -197,3 +197,15 @@
     take(60, 30);
     CHECK(judge.figures().answers == 120);
 }
+
+TEST_CASE("a version that is clearly worse is not proven, though no alarm was raised")
+{
+    // The others are overloaded, the target has a few endpoints, and one of them is left out: the alarm stays
+    // below its bound. A third of what the version answered was slow all the same.
+    VersionJudge judge;
+    judge.take({{{"s"}, {"v2"}, "a", 1, 45, 16}, {{"s"}, {"v2"}, "a", TrialCount::Others, 1000, 80}});
+    CHECK_FALSE(judge.isProven());
+    VersionJudge good;
+    good.take({{{"s"}, {"v2"}, "a", 1, 45, 6}, {{"s"}, {"v2"}, "a", TrialCount::Others, 1000, 80}});
+    CHECK(good.isProven());
+}
