After a reading of the whole change: figures of a judgement told by one function, one reader of an era, facts for the holder alone

The loop over two routes with a break is two calls; OpenCall held one record. The facts of roll-outs (a look at all endpoints, and the sums of demands) were worked out at each tick of every daemon as long as a record stands, and thrown away where the duties are not held: now by the holder alone. Behaviour and log lines are as before, no test changed.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -190,6 +190,7 @@
                  TimeMs now) const;
     void noteAnswers(const Exchange &exchange, const FleetEndpoint &endpoint, bool bad);
     bool isOnTrial(const FleetEndpoint &endpoint) const;
+    uint32_t groupOf(const FleetEndpoint &endpoint) const; ///< In the counts of a trial.
     void noteStep(const Exchange &exchange, UsualTimes::Step step, double time, double least);
     double expectedFirstEventMs(const Exchange &exchange, const PlacementChoice &choice) const;
     static double firstEventTimes(const Exchange &exchange, TimeMs now);
--- a/src/gateway/rollout/rolloutduty.cpp
+++ b/src/gateway/rollout/rolloutduty.cpp
@@ -209,22 +209,16 @@
                         const Leadership &leadership, Service &service, TimeMs now)
 {
     service.nextAt = now + CallTimeout + RetryPause;
-    const VersionJudge::Figures &seen = facts.figures;
-    log_.write(LogWeight::State, "rollout_stage",
-               {{"service", record.service.value},
-                {"target", record.target.value},
-                {"stage", toText(record.stage)},
-                {"why", record.why},
-                {"share", record.share},
-                {"target_endpoints", facts.targetEndpoints},
-                {"other_endpoints", facts.otherEndpoints},
-                {"running_elsewhere", facts.runningElsewhere},
-                {"route", seen.route},
-                {"score", seen.score},
-                {"answers", seen.answers},
-                {"bad", seen.bad},
-                {"others_answers", seen.othersAnswers},
-                {"others_bad", seen.othersBad}});
+    boost::json::object fields{{"service", record.service.value},
+                               {"target", record.target.value},
+                               {"stage", toText(record.stage)},
+                               {"why", record.why},
+                               {"share", record.share},
+                               {"target_endpoints", facts.targetEndpoints},
+                               {"other_endpoints", facts.otherEndpoints},
+                               {"running_elsewhere", facts.runningElsewhere}};
+    addFigures(facts.figures, fields);
+    log_.write(LogWeight::State, "rollout_stage", std::move(fields));
     StoreCall call;
     call.id = nextCall_++;
     call.verb = StoreVerb::Write;
@@ -233,7 +227,7 @@
     call.puts.push_back({StoreSpace::Shared, key, recordText(record), 0});
     call.rolloutStatus = RolloutStatus{record.service, record.target, record.stage};
     call.timeout = CallTimeout;
-    calls_[call.id] = {record};
+    calls_[call.id] = record;
     storeCalls_.push_back(std::move(call));
 }
 
@@ -243,7 +237,7 @@
     const auto found = calls_.find(reply.id);
     if (found == calls_.end())
         return;
-    const RolloutRecord record = found->second.record;
+    const RolloutRecord record = found->second;
     calls_.erase(found);
     services_[record.service].nextAt
         = now + (reply.outcome == StoreOutcome::Done ? DurationMs{0} : RetryPause);
--- a/src/gateway/rollout/rolloutduty.h
+++ b/src/gateway/rollout/rolloutduty.h
@@ -60,9 +60,6 @@
         TimeMs emptySince; ///< Nothing has run at the others since; zero: something does.
         uint64_t toldOrder = 0; ///< Refused in the log.
     };
-    struct OpenCall {
-        RolloutRecord record;
-    };
     RolloutRecord begin(const RolloutOrder &order, const RolloutRecord *before, const RolloutFacts &facts,
                         uint64_t era, int64_t wallMs) const;
     RolloutRecord next(const RolloutRecord &record, const RolloutFacts &facts, Service &service,
@@ -78,7 +75,7 @@
     DecisionLog &log_;
     RolloutBounds bounds_;
     std::map<ServiceName, Service> services_;
-    std::map<uint64_t, OpenCall> calls_;
+    std::map<uint64_t, RolloutRecord> calls_; ///< Open ones, with what they write.
     std::vector<StoreCall> storeCalls_;
     std::vector<Written> written_;
     uint64_t nextCall_ = 1;
--- a/src/gateway/rollout/versionjudge.cpp
+++ b/src/gateway/rollout/versionjudge.cpp
@@ -33,14 +33,14 @@
 {
     std::map<Key, Counts> totals;
     for (const TrialCount &each : sums) {
-        const bool isLoad = each.route == TrialCount::LoadRoute;
-        for (const std::string &route : {each.route, isLoad ? each.route : std::string(AllRoutes)}) {
+        const auto add = [&](const std::string &route) {
             Counts &total = totals[{route, each.group}];
             total.answers += each.answers;
             total.bad += each.bad;
-            if (isLoad)
-                break;
-        }
+        };
+        add(each.route);
+        if (each.route != TrialCount::LoadRoute)
+            add(AllRoutes);
     }
     // A daemon that is gone takes its counts with it: sums may fall, and nothing is learned then.
     std::map<Key, Counts> news;
@@ -118,11 +118,11 @@
     return groups > 1 ? worst : TrialCount::Others;
 }
 
-VersionJudge::Counts VersionJudge::targetCounts() const
+VersionJudge::Counts VersionJudge::targetCounts(const std::string &route) const
 {
     Counts out;
     for (uint32_t group = 0; group < TrialCount::Groups; ++group) {
-        const auto found = sums_.find({AllRoutes, group});
+        const auto found = sums_.find({route, group});
         if (found == sums_.end())
             continue;
         out.answers += found->second.answers;
@@ -133,17 +133,9 @@
 
 bool VersionJudge::isProven() const
 {
-    const auto sumOf = [this](const std::string &route) {
-        uint64_t sum = 0;
-        for (uint32_t group = 0; group < TrialCount::Groups; ++group) {
-            const auto found = sums_.find({route, group});
-            sum += found == sums_.end() ? 0 : found->second.answers;
-        }
-        return sum;
-    };
     const auto all = sums_.find({AllRoutes, TrialCount::Others});
     const double others = all == sums_.end() ? 0 : static_cast<double>(all->second.answers);
-    const Counts target = targetCounts();
+    const Counts target = targetCounts(AllRoutes);
     const double othersBad = all == sums_.end() || all->second.answers == 0
         ? 0
         : static_cast<double>(all->second.bad) / static_cast<double>(all->second.answers);
@@ -153,7 +145,7 @@
     return std::all_of(sums_.begin(), sums_.end(), [&](const std::pair<const Key, Counts> &each) {
         const bool isNoticeable = each.first.second == TrialCount::Others
             && static_cast<double>(each.second.answers) >= NoticeablePart * others;
-        return !isNoticeable || sumOf(each.first.first) >= ProvenAnswersOfRoute;
+        return !isNoticeable || targetCounts(each.first.first).answers >= ProvenAnswersOfRoute;
     });
 }
 
@@ -177,4 +169,14 @@
     return out;
 }
 
+void addFigures(const VersionJudge::Figures &figures, boost::json::object &fields)
+{
+    fields["route"] = figures.route;
+    fields["score"] = figures.score;
+    fields["answers"] = figures.answers;
+    fields["bad"] = figures.bad;
+    fields["others_answers"] = figures.othersAnswers;
+    fields["others_bad"] = figures.othersBad;
+}
+
 } // namespace cranberry
--- a/src/gateway/rollout/versionjudge.h
+++ b/src/gateway/rollout/versionjudge.h
@@ -2,6 +2,8 @@
 
 #include "gateway/rollout/rollout.h"
 
+#include <boost/json.hpp>
+
 namespace cranberry {
 
 /// Judges a version under trial against the others, from what became of requests at the same time and on the
@@ -54,7 +56,7 @@
     void takeUsual(const std::string &route, const Counts &news);
     double step(const std::string &route, const std::map<Key, Counts> &news, uint32_t worst) const;
     uint32_t worstGroup() const;
-    Counts targetCounts() const; ///< Of all routes.
+    Counts targetCounts(const std::string &route) const; ///< Of all groups of the target.
 
     std::map<Key, Counts> sums_;
     std::map<std::string, Usual> usual_;
@@ -63,4 +65,7 @@
     bool isBad_ = false;
 };
 
+/// Adds the figures to a line of the log.
+void addFigures(const VersionJudge::Figures &figures, boost::json::object &fields);
+
 } // namespace cranberry
--- a/src/gateway/storeera.cpp
+++ b/src/gateway/storeera.cpp
@@ -26,11 +26,12 @@
     return std::to_string(era);
 }
 
-uint64_t eraFromText(const std::string &text)
+std::optional<uint64_t> eraFromText(const std::string &text)
 {
     uint64_t era = 0;
     const std::from_chars_result read = std::from_chars(text.data(), text.data() + text.size(), era);
-    return read.ec == std::errc() && read.ptr == text.data() + text.size() ? era : 0;
+    const bool isWhole = read.ec == std::errc() && read.ptr == text.data() + text.size();
+    return isWhole ? std::optional<uint64_t>(era) : std::nullopt;
 }
 
 // After a loss a daemon does not stand again for a lease's time and some more: otherwise the order of holders
--- a/src/gateway/storeera.h
+++ b/src/gateway/storeera.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cranberry {
@@ -9,8 +10,8 @@
 /// daemons share.
 constexpr const char *SettledEraKey = "era";
 
-/// An era as the text of that key, and back; 0 for text that is none.
+/// An era as text, and back; nothing for text that is none.
 std::string eraText(uint64_t era);
-uint64_t eraFromText(const std::string &text);
+std::optional<uint64_t> eraFromText(const std::string &text);
 
 } // namespace cranberry
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -324,7 +324,7 @@
             if (!configuration_ || item.configuration->version >= configuration_->version)
                 configuration_ = item.configuration;
         } else if (item.key == SettledEraKey) {
-            settledEra_ = eraFromText(item.value);
+            settledEra_ = eraFromText(item.value).value_or(0);
         } else if (item.key == QuarantineKey) {
             takeQuarantine(item.value, item.revision);
         } else if (item.key == LeaderKey) {
--- a/src/gateway/trials.cpp
+++ b/src/gateway/trials.cpp
@@ -172,6 +172,11 @@
     return record && record->target == endpoint.entry.version;
 }
 
+uint32_t Gateway::groupOf(const FleetEndpoint &endpoint) const
+{
+    return isOnTrial(endpoint) ? trialGroup(endpoint.entry.id.value) : uint32_t{TrialCount::Others};
+}
+
 void Gateway::noteStep(const Exchange &exchange, UsualTimes::Step step, double time, double least)
 {
     const FleetEndpoint *endpoint = fleet_.find(exchange.at);
@@ -185,19 +190,17 @@
     const bool isSlow = usualTimes_.isSlow(route, step, time, least);
     if (!onTrial)
         usualTimes_.note(route, step, time);
-    const bool tellsLittle = exchange.trialRole != TrialRole::Ordinary
-        || (step != UsualTimes::Step::WholeAnswer && onTrial && isMoving(exchange.service));
+    const bool tellsLittle
+        = isLoad || (step != UsualTimes::Step::WholeAnswer && onTrial && isMoving(exchange.service));
     noteAnswers(exchange, *endpoint, isSlow && !tellsLittle);
 }
 
 void Gateway::noteAnswers(const Exchange &exchange, const FleetEndpoint &endpoint, bool bad)
 {
-    const uint32_t group
-        = isOnTrial(endpoint) ? trialGroup(exchange.at.id.value) : uint32_t{TrialCount::Others};
     const bool isLoaded = exchange.trialRole == TrialRole::Loaded;
     if (exchange.trialRole != TrialRole::Fills)
-        trialCounts_.note(exchange.service, isLoaded ? TrialCount::LoadRoute : exchange.route->name, group,
-                          bad);
+        trialCounts_.note(exchange.service, isLoaded ? TrialCount::LoadRoute : exchange.route->name,
+                          groupOf(endpoint), bad);
 }
 
 // If all of the prompt has to be read, after what is read there before it.
@@ -250,10 +253,9 @@
     const FleetEndpoint *endpoint = fleet_.find(exchange.at);
     if (!endpoint || std::exchange(exchange.startIsJudged, true))
         return;
-    const uint32_t group
-        = isOnTrial(*endpoint) ? trialGroup(exchange.at.id.value) : uint32_t{TrialCount::Others};
     if (broke)
-        trialCounts_.noteBroken(exchange.service, exchange.route->name, group, exchange.at.id.value, now);
+        trialCounts_.noteBroken(exchange.service, exchange.route->name, groupOf(*endpoint),
+                                exchange.at.id.value, now);
     else
         noteAnswers(exchange, *endpoint, true);
 }
@@ -309,16 +311,9 @@
             continue;
         rollouts_.suspect(each.first);
         counters_.add(GatewayCount::VersionsSuspected);
-        const VersionJudge::Figures seen = trial.judge.figures();
-        log_.write(LogWeight::State, "version_suspected",
-                   {{"service", each.first.value},
-                    {"target", trial.target.value},
-                    {"route", seen.route},
-                    {"score", seen.score},
-                    {"answers", seen.answers},
-                    {"bad", seen.bad},
-                    {"others_answers", seen.othersAnswers},
-                    {"others_bad", seen.othersBad}});
+        boost::json::object fields{{"service", each.first.value}, {"target", trial.target.value}};
+        addFigures(trial.judge.figures(), fields);
+        log_.write(LogWeight::State, "version_suspected", std::move(fields));
     }
 }
 
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -99,8 +99,10 @@
 
 void GatewayServer::State::runRollouts(const Leadership &leadership, TimeMs now)
 {
-    rolloutDuty.tick(leadership, sync.rollouts(now), gateway.rolloutFacts(now),
-                     now.count + gateway.usage().offset(), now);
+    // Only the holder needs them, and they take a look at all endpoints.
+    const std::map<ServiceName, RolloutFacts> facts
+        = leadership.held ? gateway.rolloutFacts(now) : std::map<ServiceName, RolloutFacts>();
+    rolloutDuty.tick(leadership, sync.rollouts(now), facts, now.count + gateway.usage().offset(), now);
     for (const StoreCall &order : rolloutDuty.takeStoreCalls()) {
         callStore(order, [this](const StoreReply &reply) {
             rolloutDuty.onStoreReply(reply, steadyNow());
