Sight: daemons read and log the limit that an endpoint names with its answers

The header is decoded into a typed rate; what can't be read (empty, negative, nan, 1e9, two different values) is named in a log line and changes nothing. Each `send` to such an endpoint says the limit and how old the word is. Nothing is placed, sent or refused differently.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -74,6 +74,8 @@
         return cancelBroken(event.attempt, now);
     }
     exchange->head = event;
+    if (!event.wrongInstance)
+        noteLimit(*exchange, now);
     if (event.notExecuted || event.wrongInstance)
         return onRejected(*exchange, now);
     if (!event.eventStream)
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -397,6 +397,12 @@
         endpoint->avoidedForGood = true;
 }
 
+EndpointLimiter *EndpointFleet::limiter(const EndpointLife &life)
+{
+    FleetEndpoint *endpoint = at(life);
+    return endpoint ? &endpoint->limiter : nullptr;
+}
+
 void EndpointFleet::leaves(const EndpointLife &life, DurationMs after, TimeMs now)
 {
     FleetEndpoint *endpoint = at(life);
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/gatewayevents.h"
+#include "gateway/endpointlimiter.h"
 #include "random.h"
 
 #include <map>
@@ -33,6 +33,7 @@
     TimeMs avoidUntil;
     TimeMs endedUntil; ///< Its process ended; the list will drop it by then.
 
+    EndpointLimiter limiter;
     std::map<std::string, TimeMs> cachedParts; ///< Chains of parts read here, by the last one's id.
 
     EndpointLife life() const { return {entry.id, entry.start}; }
@@ -100,6 +101,7 @@
     /// It answered, with a failure of its own.
     void answeredWithError(const EndpointLife &life);
     void wrongInstance(const EndpointLife &life);
+    EndpointLimiter *limiter(const EndpointLife &life); ///< nullptr: not the newest life that is known.
     /// True if the endpoint has started again since that life, and what that one sent has had time to arrive.
     bool isOver(const EndpointLife &life, TimeMs now) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -242,6 +242,8 @@
     if (question.engine)
         demand_.prefill(exchange.service, choice.prefillTokens, exchange.route->latencyTarget);
     counters_.add(GatewayCount::Attempts);
+    if (endpoint.limiter.limit())
+        counters_.add(GatewayCount::SentToLimited);
 
     SendAttempt order;
     order.attempt = exchange.attempt;
@@ -254,21 +256,22 @@
         order.urgency = std::min<uint32_t>(exchange.priority, 9);
     order.resumeAfter = exchange.lastEvent;
     order.memory = memory;
-    log(LogWeight::Ordinary, "send", exchange,
-        {{"attempt", exchange.attempt.value},
-         {"service", exchange.service.value},
-         {"organisation", exchange.organisation.value},
-         {"digest", toText(exchange.digest)},
-         {"units", exchange.quotaUnits},
-         {"wait_ms", choice.waitMs},
-         {"prefill_tokens", choice.prefillTokens},
-         {"running", endpoint.running},
-         {"peers_running", endpoint.peersRunning},
-         {"version", endpoint.entry.version.value},
-         {"list_age_ms", (now - endpoint.listedAt).count},
-         {"configuration", exchange.configuration->version},
-         {"configuration_age_ms", (now - confirmedAt_).count},
-         {"remaining_ms", order.remaining.count}});
+    json::object fields = limitFields(endpoint, now);
+    fields.insert({{"attempt", exchange.attempt.value},
+                   {"service", exchange.service.value},
+                   {"organisation", exchange.organisation.value},
+                   {"digest", toText(exchange.digest)},
+                   {"units", exchange.quotaUnits},
+                   {"wait_ms", choice.waitMs},
+                   {"prefill_tokens", choice.prefillTokens},
+                   {"running", endpoint.running},
+                   {"peers_running", endpoint.peersRunning},
+                   {"version", endpoint.entry.version.value},
+                   {"list_age_ms", (now - endpoint.listedAt).count},
+                   {"configuration", exchange.configuration->version},
+                   {"configuration_age_ms", (now - confirmedAt_).count},
+                   {"remaining_ms", order.remaining.count}});
+    log(LogWeight::Ordinary, "send", exchange, std::move(fields));
     actions_.emplace_back(std::move(order));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -235,6 +235,10 @@
     void tellNewServing(TimeMs now);
     void tell(const std::vector<const MemberEntry *> &members, const CrashNotice &notice);
 
+    // Endpoints that take only so many requests a second (endpointlimits.cpp).
+    void noteLimit(const Exchange &exchange, TimeMs now);
+    static boost::json::object limitFields(const FleetEndpoint &endpoint, TimeMs now);
+
     // Runs on leaving engines (runmoves.cpp).
     void probeEngines(TimeMs now);
     void moveRunsAway(TimeMs now);
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -30,6 +30,8 @@
        "endpoints_outlived_breaks",
        "requests_quarantined",
        "versions_suspected",
+       "answers_named_limit",
+       "sent_to_limited",
        "breaks_unexplained"};
 
 } // namespace
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -53,6 +53,8 @@
     EndpointsOutlivedBreaks, ///< Attempts broke, and the endpoint still ran: a connection, or its own fault.
     RequestsQuarantined, ///< Put there by what this daemon saw or heard of the others.
     VersionsSuspected, ///< Of a roll-out's target, by this daemon.
+    AnswersNamedLimit, ///< Of endpoints that take only so many requests a second.
+    SentToLimited, ///< Attempts at endpoints that were known to have named a limit.
     BreaksUnexplained, ///< Attempts broke, and the endpoint said nothing when it was asked.
     Count
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fields.h"
 #include "gateway/callerrequest.h"
 #include "gateway/requestdigest.h"
 #include "gateway/rollout/rollout.h"
@@ -41,6 +42,12 @@
     std::optional<DurationMs> leavesAfter; ///< Known for reclaimed ones.
 };
 
+/// Requests a second.
+struct RequestRate {
+    double perSecond = 0;
+    friend constexpr std::partial_ordering operator<=>(RequestRate, RequestRate) = default;
+};
+
 // ---- Into the gateway ----
 
 struct RequestArrived {
@@ -61,6 +68,8 @@
     bool wrongInstance = false; ///< Another endpoint lives at that address.
     bool ownAnswer = true; ///< Carries the id of this very request.
     bool eventStream = false;
+    std::optional<RequestRate> limit; ///< The endpoint takes no more from all daemons together.
+    std::optional<FieldError> limitError; ///< It states a limit that can't be read.
 };
 
 struct AttemptData {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -161,6 +161,32 @@
     CHECK_FALSE(head.ownAnswer);
 }
 
+TEST_CASE("a head that names a limit that can't be read says so, and names none")
+{
+    const CallerRequestPtr request = *decoded(makeHttp());
+    const auto decode = [&request](const std::vector<std::string> &values) {
+        HttpHeaders headers = {{"X-Request-Id", "9c41"}};
+        for (const std::string &value : values)
+            headers.push_back({"server-limit", value});
+        return platform::decodeHead({1}, *request, 200, headers);
+    };
+    CHECK_FALSE(decode({}).limit);
+    CHECK_FALSE(decode({}).limitError);
+    CHECK(decode({"1.1"}).limit == RequestRate{1.1});
+    CHECK(decode({"0"}).limit == RequestRate{0});
+    CHECK(decode({"120"}).limit == RequestRate{120});
+    CHECK(decode({"1.5", "1.5"}).limit == RequestRate{1.5});
+    for (const char *bad : {"", "-1", "+1", "nan", "inf", "1e9", "0x1", "1,5", "1.2.3", ".5", "5.", "two"}) {
+        INFO(bad);
+        CHECK_FALSE(decode({bad}).limit);
+        REQUIRE(decode({bad}).limitError);
+        CHECK(decode({bad}).limitError->path == "Server-Limit");
+    }
+    CHECK_FALSE(decode({"1", "2"}).limit);
+    CHECK(decode({"1", "2"}).limitError);
+    CHECK(decode({"x", "1"}).limitError);
+}
+
 TEST_CASE("the configuration is read; fields that come later are ignored")
 {
     const std::optional<ServingConfigurationPtr> read = configurationFrom(ConfigurationText);
