Failing test: engines that name a limit get more than that from daemons that were told

Nine engines in virtual time, 29 requests a second, two of them name a limit of 1 a second for 20 s.

--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int64_t StartMs = 100'000;
 constexpr DurationMs Step{5};
 constexpr DurationMs TickPace{25};
 constexpr DurationMs ListPace{500};
@@ -51,6 +52,9 @@
     std::optional<TimeMs> crashesAt;
     std::optional<TimeMs> endedAt; ///< Its process. The list names it for some seconds more.
     bool restarted = false; ///< Another one has taken its place.
+    std::optional<EnginesLimited> limit; ///< It names one now.
+    std::map<size_t, TimeMs> told; ///< Daemons that have had such an answer, since when.
+    std::deque<TimeMs> counted; ///< Arrivals of the newest window, from daemons that were told.
 
     bool holds(const std::string &id) const
     {
@@ -105,6 +109,7 @@
             for (Engine &engine : engines_)
                 run(engine);
             endByThemselves(now_ - start);
+            nameLimits(now_ - start);
             endEngines();
             restartEngines();
             reply();
@@ -120,6 +125,9 @@
                 report();
             }
         }
+        for (const EnginesLimited &limit : plan_.limits)
+            result_.limited.expected += limit.perSecond * static_cast<double>(limit.count)
+                * static_cast<double>((limit.until - limit.from).count) / 1000;
         for (std::pair<const std::string, KindResult> &entry : result_.kinds)
             std::sort(entry.second.firstMs.begin(), entry.second.firstMs.end());
         return result_;
@@ -229,6 +237,39 @@
         }
     }
 
+    void nameLimits(DurationMs since)
+    {
+        for (const EnginesLimited &limit : plan_.limits) {
+            if (since != limit.from && since != limit.until)
+                continue;
+            for (size_t i = limit.first; i < limit.first + limit.count; ++i) {
+                engines_[i].limit = since == limit.from ? std::optional<EnginesLimited>(limit) : std::nullopt;
+                engines_[i].told.clear();
+            }
+        }
+    }
+
+    void countArrival(Engine &engine, size_t daemon)
+    {
+        if (!engine.limit)
+            return;
+        const EnginesLimited &limit = *engine.limit;
+        const TimeMs namedAt = TimeMs{StartMs} + limit.from;
+        ++result_.limited.got;
+        const auto told = engine.told.find(daemon);
+        if (told == engine.told.end() || now_ - told->second < LimitTellTime)
+            return;
+        engine.counted.push_back(now_);
+        while (now_ - engine.counted.front() >= LimitWindow)
+            engine.counted.pop_front();
+        if (now_ - namedAt < LimitSettleTime)
+            return;
+        const double seconds = static_cast<double>(LimitWindow.count) / 1000;
+        result_.limited.most = std::max(result_.limited.most, engine.counted.size());
+        if (static_cast<double>(engine.counted.size()) > 1.5 * limit.perSecond * seconds + 5)
+            ++result_.limited.beyond;
+    }
+
     void restartEngines()
     {
         const size_t count = engines_.size();
@@ -413,6 +454,7 @@
             unsent_.emplace_back(daemon, attempt.attempt);
             return;
         }
+        countArrival(*engine, daemon);
         Reading reading{
             daemon, attempt.attempt, 0, attempt.request->outputTokens, {}, attempt.urgency.value_or(5)};
         reading.nextEvent = attempt.resumeAfter.value_or(0) + 1;
@@ -511,6 +553,10 @@
             head.attempt = each.attempt;
             head.status = 200;
             head.eventStream = true;
+            if (engine.limit) {
+                head.limit = RequestRate{engine.limit->perSecond};
+                engine.told.try_emplace(each.daemon, now_);
+            }
             gateway.onHead(head, now_);
         }
         gateway.onData({each.attempt, fmt::format("id: {}\ndata: x\n\n", each.nextEvent)}, now_);
@@ -580,7 +626,7 @@
     const LoadPlan plan_;
     Random random_;
     RecordingLog log_;
-    TimeMs now_{100'000};
+    TimeMs now_{StartMs};
     std::shared_ptr<ServingConfiguration> configuration_;
     std::vector<Engine> engines_;
     std::vector<std::unique_ptr<Gateway>> daemons_;
@@ -629,6 +675,8 @@
         "most at one end {}\n",
         crashing.asked, crashing.sent, crashing.sentLate, crashing.enginesEnded, crashing.refused,
         refusedAsSuspects, mostAtAnEnd);
+    out += fmt::format("limited: got {} of {}, most in a window {}, beyond {}\n", limited.got,
+                       limited.expected, limited.most, limited.beyond);
     for (const std::pair<const std::string, KindResult> &entry : kinds) {
         const KindResult &kind = entry.second;
         out += fmt::format("{}: asked {} in time {} late {} refused {} broken {} first ms p50 {} p99 {}\n",
--- a/tests/engineload.h
+++ b/tests/engineload.h
@@ -42,6 +42,15 @@
     DurationMs at{8000};
 };
 
+/// Engines that say how many requests a second they take from all daemons together.
+struct EnginesLimited {
+    size_t first = 0;
+    size_t count = 1;
+    DurationMs from{5000};
+    DurationMs until{25000};
+    double perSecond = 1;
+};
+
 /// An engine as far as placing can see it: reads prompts one after the other, keeps shared parts, and
 /// streams.
 struct EngineModel {
@@ -66,6 +75,7 @@
     DurationMs lossNotice{2000};
     std::optional<CrashingRequest> crashing;
     std::vector<EnginesEnd> ends;
+    std::vector<EnginesLimited> limits;
     bool callersRepeat
         = false; ///< Once, with the same text, when the outcome is unknown or the stream broke.
     DurationMs restartTime{3500}; ///< An engine that ended is back after this, under another name.
@@ -81,6 +91,19 @@
     uint64_t enginesEnded = 0;
     uint64_t refused = 0; ///< With "not run", and when to come back.
 };
+/// What engines got that had named a limit.
+struct LimitResult {
+    uint64_t got = 0; ///< While they named it.
+    double expected = 0; ///< What their limits add up to in that time.
+    uint64_t most = 0; ///< By one of them in a window.
+    /// How often an arrival was beyond one and a half times the limit, and five, in its window. Counted once
+    /// all have had time to hear of it, from daemons that were told.
+    uint64_t beyond = 0;
+};
+constexpr DurationMs LimitWindow{4000};
+constexpr DurationMs LimitSettleTime{3000};
+constexpr DurationMs LimitTellTime{500};
+
 /// What daemons have to agree that a request ends engines.
 constexpr DurationMs SettleTime{3000};
 
@@ -107,6 +130,7 @@
     uint64_t sharedReadAgain = 0; ///< Of shared parts that some engine held.
     CrashResult crashing;
     uint64_t mostAtAnEnd = 0; ///< Requests that one engine had when it ended.
+    LimitResult limited;
     uint64_t refusedAsSuspects = 0; ///< Other requests that were taken for one that ends engines.
     KindResult total() const;
     std::string text() const; ///< A table, for a failed check.
