--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpointfleet.cpp
@@ -248,62 +248,93 @@
     return endpoint.running + endpoint.peersRunning < placesOf(endpoint, question);
 }
 
-// The expected time until the request's own reading is done, plus what it costs the others there. The home of
-// a shared part is expected to hold it even if this daemon never sent it there: the others rank alike.
-PlacementResult EndpointFleet::choose(const PlacementQuestion &question, TimeMs now) const
+bool EndpointFleet::isAwake(const FleetEndpoint &endpoint, TimeMs now) const
+{
+    return endpoint.avoidUntil <= now && !isSilent(endpoint, now);
+}
+
+// The home of a shared part is expected to hold it even if this daemon never sent it there: the others rank
+// alike. One that takes only so many requests is nobody's home while there are others.
+const FleetEndpoint *EndpointFleet::homeOf(const PlacementQuestion &question, TimeMs now) const
 {
-    PlacementResult result;
     const std::string key = question.engine ? sharedKey(*question.request) : std::string();
+    if (key.empty())
+        return nullptr;
     const FleetEndpoint *home = nullptr;
-    uint64_t homeWeight = 0;
-    bool anyAwake = false;
+    std::pair<bool, uint64_t> most;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        if (!mayTake(entry.second, question))
+        if (!mayTake(entry.second, question) || entry.second.endedUntil > now)
             continue;
-        anyAwake = anyAwake || (entry.second.avoidUntil <= now && !isSilent(entry.second, now));
-        const uint64_t weight = rendezvousWeight(key, entry.first);
-        if (!key.empty() && entry.second.endedUntil <= now && (!home || weight > homeWeight)) {
+        const std::pair<bool, uint64_t> rank{!entry.second.limiter.limit(),
+                                             rendezvousWeight(key, entry.first)};
+        if (!home || rank > most) {
             home = &entry.second;
-            homeWeight = weight;
+            most = rank;
         }
     }
+    return home;
+}
+
+// The expected time until the request's own reading is done, plus what it costs the others there.
+EndpointFleet::PricedChoice EndpointFleet::priced(const FleetEndpoint &endpoint, bool isHome,
+                                                  const PlacementQuestion &question)
+{
+    PricedChoice out;
+    PlacementChoice &choice = out.choice;
+    double &cost = out.cost;
+    choice.endpoint = endpoint.entry.id;
+    if (question.engine) {
+        const uint64_t total = std::max<uint64_t>(question.request->promptTokens, 1);
+        const uint64_t seen = cachedTokens(endpoint, *question.request);
+        const uint64_t cached = isHome ? std::max(seen, sharedTokens(*question.request)) : seen;
+        const uint64_t toRead = total - std::min(cached, total - 1);
+        choice.prefillTokens = question.isCold ? total - std::min(seen, total - 1) : toRead;
+        choice.waitMs = (static_cast<double>(endpoint.prefillTokens) + endpoint.peersPrefillTokens)
+            / PrefillTokensPerMs;
+        cost = choice.waitMs + ReadingAgainWeight * static_cast<double>(toRead) / PrefillTokensPerMs
+            + RunningPenaltyMs * (endpoint.running + endpoint.peersRunning);
+    } else {
+        // By share of places in use; own failure domain first among equals.
+        cost = 100.0 * (endpoint.running + endpoint.peersRunning) / placesOf(endpoint, question)
+            + (endpoint.entry.failureDomain == question.ownDomain ? 0 : 1);
+    }
+    cost += FailurePenaltyMs * endpoint.failureShare + (endpoint.listed ? 0 : UnlistedPenaltyMs);
+    // Equals are told apart by the request, so that daemons don't all pick the same one.
+    cost += static_cast<double>(rendezvousWeight(question.request->id, endpoint.entry.id) >> 40U) * 1e-9;
+    return out;
+}
 
-    const uint64_t shared = question.engine ? sharedTokens(*question.request) : 0;
+PlacementResult EndpointFleet::choose(const PlacementQuestion &question, TimeMs now) const
+{
+    PlacementResult result;
+    const FleetEndpoint *home = homeOf(question, now);
+    const bool anyAwake = std::any_of(endpoints_.begin(), endpoints_.end(),
+                                      [&](const std::pair<const EndpointId, FleetEndpoint> &entry) {
+                                          return mayTake(entry.second, question) && isAwake(entry.second, now)
+                                              && entry.second.limiter.maySend(now);
+                                      });
     double bestCost = std::numeric_limits<double>::max();
+    double bestLimitedCost = std::numeric_limits<double>::max();
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         const FleetEndpoint &endpoint = entry.second;
         if (!mayTake(endpoint, question))
             continue;
         result.problem = PlacementProblem::AllBusy;
-        if (!hasRoom(endpoint, question)
-            || (anyAwake && (endpoint.avoidUntil > now || isSilent(endpoint, now))))
+        if (!hasRoom(endpoint, question) || (anyAwake && !isAwake(endpoint, now)))
             continue;
-        PlacementChoice choice;
-        choice.endpoint = entry.first;
-        double cost = 0;
-        if (question.engine) {
-            const uint64_t total = std::max<uint64_t>(question.request->promptTokens, 1);
-            const uint64_t seen = cachedTokens(endpoint, *question.request);
-            const uint64_t cached = &endpoint == home ? std::max(seen, shared) : seen;
-            const uint64_t toRead = total - std::min(cached, total - 1);
-            choice.prefillTokens = question.isCold ? total - std::min(seen, total - 1) : toRead;
-            choice.waitMs = (static_cast<double>(endpoint.prefillTokens) + endpoint.peersPrefillTokens)
-                / PrefillTokensPerMs;
-            cost = choice.waitMs + ReadingAgainWeight * static_cast<double>(toRead) / PrefillTokensPerMs
-                + RunningPenaltyMs * (endpoint.running + endpoint.peersRunning);
-        } else {
-            // By share of places in use; own failure domain first among equals.
-            cost = 100.0 * (endpoint.running + endpoint.peersRunning) / placesOf(endpoint, question)
-                + (endpoint.entry.failureDomain == question.ownDomain ? 0 : 1);
-        }
-        cost += FailurePenaltyMs * endpoint.failureShare + (endpoint.listed ? 0 : UnlistedPenaltyMs);
-        // Equals are told apart by the request, so that daemons don't all pick the same one.
-        cost += static_cast<double>(rendezvousWeight(question.request->id, entry.first) >> 40U) * 1e-9;
-        if (cost < bestCost) {
-            bestCost = cost;
-            result.choice = choice;
+        const PricedChoice found = priced(endpoint, &endpoint == home, question);
+        if (!endpoint.limiter.maySend(now)) {
+            if (found.cost < bestLimitedCost) {
+                bestLimitedCost = found.cost;
+                result.heldBack = endpoint.life();
+            }
+        } else if (found.cost < bestCost) {
+            bestCost = found.cost;
+            result.choice = found.choice;
         }
     }
+    if (bestCost <= bestLimitedCost)
+        result.heldBack.reset();
     if (result.choice && question.mostWaitMs > 0 && result.choice->waitMs >= question.mostWaitMs)
         result.choice.reset();
     return result;
@@ -316,6 +347,8 @@
         return;
     FleetEndpoint &endpoint = found->second;
     ++endpoint.running;
+    if (!choice.isReserved)
+        endpoint.limiter.sent(now);
     endpoint.prefillTokens += choice.prefillTokens;
     if (!question.engine)
         return;
@@ -397,6 +430,22 @@
         endpoint->avoidedForGood = true;
 }
 
+void EndpointFleet::reserve(const EndpointLife &life, TimeMs now)
+{
+    if (EndpointLimiter *known = limiter(life))
+        known->sent(now);
+}
+
+std::vector<FleetEndpoint *> EndpointFleet::limited()
+{
+    std::vector<FleetEndpoint *> out;
+    for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (entry.second.limiter.isActive())
+            out.push_back(&entry.second);
+    }
+    return out;
+}
+
 EndpointLimiter *EndpointFleet::limiter(const EndpointLife &life)
 {
     FleetEndpoint *endpoint = at(life);
@@ -476,11 +525,29 @@
     return sum;
 }
 
+std::optional<ServiceLimit> EndpointFleet::limitOf(const ServiceName &service, TimeMs now) const
+{
+    ServiceLimit out;
+    bool any = false;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (!takesWork(entry.second, service) || !isInUse(entry.second))
+            continue;
+        const EndpointLimiter &limiter = entry.second.limiter;
+        if (!limiter.limit())
+            return std::nullopt;
+        any = true;
+        out.rate.perSecond += EndpointLimiter::effectivePerSecond(*limiter.limit());
+        out.waiting = std::max(out.waiting, limiter.waiting(now));
+    }
+    return any ? std::optional<ServiceLimit>(out) : std::nullopt;
+}
+
 uint32_t EndpointFleet::count(const ServiceName &service) const
 {
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_)
-        sum += takesWork(entry.second, service) && isInUse(entry.second) ? 1 : 0;
+        sum += takesWork(entry.second, service) && isInUse(entry.second) && !entry.second.limiter.limit() ? 1
+                                                                                                          : 0;
     return sum;
 }
 
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpointfleet.h
@@ -58,6 +58,7 @@
     EndpointId endpoint;
     uint64_t prefillTokens = 0; ///< That the endpoint is expected to read for this request.
     double waitMs = 0; ///< Expected until it begins to read them.
+    bool isReserved = false; ///< Counted against the endpoint's limit before.
 };
 
 /// Why no endpoint was chosen.
@@ -66,6 +67,13 @@
 struct PlacementResult {
     std::optional<PlacementChoice> choice;
     PlacementProblem problem = PlacementProblem::NoEndpoint;
+    std::optional<EndpointLife> heldBack; ///< Would have been chosen, but for its limit.
+};
+
+/// What a service's endpoints take, all of which name limits.
+struct ServiceLimit {
+    RequestRate rate;
+    uint32_t waiting = 0; ///< Requests, at all daemons, as far as is known.
 };
 
 /// The endpoints of all services, what runs on them, and the choice among them.
@@ -101,6 +109,8 @@
     /// It answered, with a failure of its own.
     void answeredWithError(const EndpointLife &life);
     void wrongInstance(const EndpointLife &life);
+    /// The request at its way there, counted now against its limit.
+    void reserve(const EndpointLife &life, TimeMs now);
     EndpointLimiter *limiter(const EndpointLife &life); ///< nullptr: not the newest life that is known.
     /// True if the endpoint has started again since that life, and what that one sent has had time to arrive.
     bool isOver(const EndpointLife &life, TimeMs now) const;
@@ -123,7 +133,12 @@
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
     /// Requests that the service's endpoints take side by side.
     uint32_t places(const ServiceName &service) const;
-    uint32_t count(const ServiceName &service) const; ///< Endpoints that take requests.
+    /// Endpoints that take requests, as many as come.
+    uint32_t count(const ServiceName &service) const;
+    /// Empty: some endpoint takes as many as come, or there is none.
+    std::optional<ServiceLimit> limitOf(const ServiceName &service, TimeMs now) const;
+    /// All that name a limit, or did until lately.
+    std::vector<FleetEndpoint *> limited();
     /// The newest list was true at or after this time.
     TimeMs listedAt() const { return listedAt_; }
     bool known() const { return known_; }
@@ -139,9 +154,16 @@
     void takeUpAgain(FleetEndpoint &endpoint, const EndpointEntry &entry, TimeMs now) const;
     static void startAgain(FleetEndpoint &endpoint, EndpointStart start, TimeMs now);
     FleetEndpoint *at(const EndpointLife &life);
-    bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
     static bool takesWork(const FleetEndpoint &endpoint, const ServiceName &service);
     static bool mayTake(const FleetEndpoint &endpoint, const PlacementQuestion &question);
+    bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
+    bool isAwake(const FleetEndpoint &endpoint, TimeMs now) const;
+    struct PricedChoice {
+        PlacementChoice choice;
+        double cost = 0;
+    };
+    const FleetEndpoint *homeOf(const PlacementQuestion &question, TimeMs now) const;
+    static PricedChoice priced(const FleetEndpoint &endpoint, bool isHome, const PlacementQuestion &question);
     static bool hasRoom(const FleetEndpoint &endpoint, const PlacementQuestion &question);
 
     std::map<EndpointId, FleetEndpoint> endpoints_;
--- a/src/gateway/endpointlimits.cpp
+++ b/src/gateway/endpointlimits.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// Coordinators change with the daemons that are heard; a change may be seen so much later.
+constexpr DurationMs CoordinatorsPace{200};
+/// A request that waits so long for the endpoint that suits it best may go to any. Asked for at once at all,
+/// most of what is granted would lie unused.
+constexpr DurationMs PatienceForBest{100};
 /// In a log line, for an endpoint that has no limit any more.
 constexpr double NoLimit = -1;
 
@@ -31,6 +36,7 @@
     const std::optional<RequestRate> before = limiter->limit();
     if (!limiter->hear(exchange.head.limit, exchange.sentAt, now))
         return;
+    coordinatorsAt_ = now;
     log(LogWeight::State, "endpoint_limit", exchange,
         {{"start", exchange.at.start.unixMs},
          {"per_s", loggedLimit(limiter->limit())},
@@ -38,6 +44,160 @@
          {"learned_from", "own"}});
 }
 
+// Another daemon's word on an endpoint.
+void Gateway::onLimitNotice(const LimitNotice &notice, TimeMs now)
+{
+    for (const LimitWord &word : notice.words) {
+        EndpointLimiter *limiter = fleet_.limiter(word.endpoint);
+        const std::optional<RequestRate> before = limiter ? limiter->limit() : std::nullopt;
+        if (!limiter || !limiter->learn(word, now))
+            continue;
+        log_.write(LogWeight::State, "endpoint_limit",
+                   {{"endpoint", word.endpoint.id.value},
+                    {"start", word.endpoint.start.unixMs},
+                    {"per_s", loggedLimit(word.limit)},
+                    {"before_per_s", loggedLimit(before)},
+                    {"learned_from", "peer"}});
+    }
+    coordinatorsAt_ = now;
+}
+
+void Gateway::onLimitAsk(const LimitAsk &ask, const Address &from, TimeMs now)
+{
+    EndpointLimiter *limiter = fleet_.limiter(ask.endpoint);
+    if (!limiter)
+        return;
+    // The asker missed that the limit is over.
+    if (!limiter->limit())
+        actions_.emplace_back(TellPeer{from, LimitNotice{{limiter->word(ask.endpoint, now)}}});
+    if (!limiter->isCoordinator())
+        return;
+    limiter->onAsk(from, ask, now);
+    shareOut(ask.endpoint, now);
+}
+
+void Gateway::onLimitGrant(const LimitGrant &grant, TimeMs now)
+{
+    EndpointLimiter *limiter = fleet_.limiter(grant.endpoint);
+    if (!limiter)
+        return;
+    limiter->take(grant, now);
+    if (grant.requests > 0)
+        runQueue(now);
+}
+
+void Gateway::tickEndpointLimits(TimeMs now)
+{
+    tellOfLimits(now);
+    const std::vector<FleetEndpoint *> limited = fleet_.limited();
+    if (limited.empty())
+        return;
+    if (now >= coordinatorsAt_)
+        findCoordinators(limited, now);
+    askForShares(limited, now);
+}
+
+void Gateway::findCoordinators(const std::vector<FleetEndpoint *> &limited, TimeMs now)
+{
+    coordinatorsAt_ = now + CoordinatorsPace;
+    coordinators_.clear();
+    const std::vector<const MemberEntry *> daemons = peers_.presentSharers(now);
+    for (FleetEndpoint *endpoint : limited) {
+        const EndpointLife life = endpoint->life();
+        const MemberEntry *coordinator = coordinatorOf(life, daemons);
+        const bool isSelf = coordinator && coordinator->incarnation == settings_.incarnation;
+        if (isSelf != endpoint->limiter.isCoordinator())
+            log_.write(LogWeight::State, "endpoint_limit_coordinator",
+                       {{"endpoint", life.id.value}, {"coordinates", isSelf}});
+        endpoint->limiter.setCoordinator(isSelf, now);
+        if (coordinator && !isSelf)
+            coordinators_[life] = coordinator->peerAddress;
+    }
+}
+
+// Requests that have waited for a while may go to any endpoint: each round asks as many endpoints as there
+// are requests, the next ones in turn.
+void Gateway::spreadWaiting(const std::vector<FleetEndpoint *> &limited, TimeMs now)
+{
+    std::map<ServiceName, uint32_t> waiting;
+    for (CallerId id : queue_.inOrder(now)) {
+        const Exchange &exchange = exchanges_.at(id);
+        waiting[exchange.service] += now - exchange.arrivedAt > PatienceForBest ? 1 : 0;
+    }
+    if (now - askRoundAt_ >= EndpointLimiter::AskPace) {
+        askRoundAt_ = now;
+        ++askRound_;
+    }
+    std::map<ServiceName, std::vector<FleetEndpoint *>> byService;
+    for (FleetEndpoint *endpoint : limited)
+        byService[endpoint->entry.service].push_back(endpoint);
+    for (const std::pair<const ServiceName, std::vector<FleetEndpoint *>> &each : byService) {
+        const size_t count = each.second.size();
+        const size_t requests = waiting[each.first];
+        const size_t from = askRound_ * requests % count;
+        for (size_t i = 0; i < count; ++i)
+            each.second[(from + i) % count]->limiter.want(
+                static_cast<uint32_t>((requests + count - 1 - i) / count));
+    }
+}
+
+void Gateway::askForShares(const std::vector<FleetEndpoint *> &limited, TimeMs now)
+{
+    spreadWaiting(limited, now);
+    for (FleetEndpoint *endpoint : limited) {
+        const auto coordinator = coordinators_.find(endpoint->life());
+        if (endpoint->limiter.isCoordinator())
+            shareOut(endpoint->life(), now);
+        else if (coordinator != coordinators_.end()) {
+            if (const std::optional<LimitAsk> ask = endpoint->limiter.dueAsk(endpoint->life(), now))
+                actions_.emplace_back(TellPeer{coordinator->second, *ask});
+        }
+    }
+}
+
+void Gateway::shareOut(const EndpointLife &endpoint, TimeMs now)
+{
+    EndpointLimiter *limiter = fleet_.limiter(endpoint);
+    for (const EndpointLimiter::Share &share : limiter->share(endpoint, settings_.incarnation, now)) {
+        if (share.grant.requests > 0)
+            log_.write(LogWeight::Ordinary, "endpoint_limit_granted",
+                       {{"endpoint", endpoint.id.value},
+                        {"to", toText(share.to)},
+                        {"requests", share.grant.requests},
+                        {"waiting", share.grant.waiting}});
+        actions_.emplace_back(TellPeer{share.to, share.grant});
+    }
+}
+
+void Gateway::tellOfLimits(TimeMs now)
+{
+    LimitNotice notice;
+    for (FleetEndpoint *endpoint : fleet_.limited()) {
+        if (endpoint->limiter.isTellingDue(now))
+            notice.words.push_back(endpoint->limiter.word(endpoint->life(), now));
+    }
+    if (!notice.words.empty())
+        tell(peers_.reportTargets(), notice);
+}
+
+LimitNotice Gateway::knownLimits(TimeMs now)
+{
+    LimitNotice notice;
+    for (const FleetEndpoint *endpoint : fleet_.limited())
+        notice.words.push_back(endpoint->limiter.word(endpoint->life(), now));
+    return notice;
+}
+
+PlacementResult Gateway::place(Exchange &exchange, PlacementQuestion &question, TimeMs now)
+{
+    PlacementResult result = placeByVersion(exchange, question, now);
+    if (result.heldBack) {
+        if (EndpointLimiter *limiter = fleet_.limiter(*result.heldBack))
+            limiter->wish(now);
+    }
+    return result;
+}
+
 // What a `send` line says of the endpoint's limit: with it the lines of all daemons tell who sent too much,
 // and whether they knew.
 boost::json::object Gateway::limitFields(const FleetEndpoint &endpoint, TimeMs now)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -349,6 +349,7 @@
 void Gateway::tick(TimeMs now)
 {
     fleet_.tick(now);
+    tickEndpointLimits(now);
     tellOfSuspects(now);
     tickTrials(now);
     leaveSilentEndpoints(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,6 +69,9 @@
     void onQuotaAsk(const QuotaAsk &ask, const Address &from);
     void onQuotaGift(const QuotaGift &gift, TimeMs now);
     void onCrashNotice(const CrashNotice &notice, TimeMs now);
+    void onLimitNotice(const LimitNotice &notice, TimeMs now);
+    void onLimitAsk(const LimitAsk &ask, const Address &from, TimeMs now);
+    void onLimitGrant(const LimitGrant &grant, TimeMs now);
     void onQuarantine(const std::vector<QuarantinedRequest> &list, VerdictSource source, TimeMs now);
     /// The requests that are kept from endpoints, for the store and the daemons that ask.
     const std::vector<QuarantinedRequest> &quarantine(TimeMs now);
@@ -160,6 +163,18 @@
     double mostWaitMs(const Exchange &exchange, TimeMs now) const;
     ReadingPace readingPace(const ServiceName &service, TimeMs now) const;
     DurationMs expectedWait(const Exchange &exchange, TimeMs now) const;
+    /// Requests that wait here for endpoints that all name limits.
+    struct LimitedQueue {
+        std::optional<ServiceLimit> limit; ///< Empty: not all do.
+        size_t own = 0;
+        size_t position = 0; ///< Reached in a walk through the queue.
+
+        /// Until the request at that position, from 1 on, is at the head of all that wait.
+        DurationMs waitAt(size_t position) const;
+    };
+    LimitedQueue limitedQueue(const ServiceName &service, TimeMs now) const;
+    /// Refuses a request that these endpoints can't take in its time. True if it did.
+    bool refuseBeyondLimit(Exchange &exchange, DurationMs wait, TimeMs now);
     bool isHopeless(const Exchange &exchange, TimeMs now) const;
     DurationMs retryAfter(DurationMs least);
 
@@ -181,6 +196,7 @@
     void noteVersions(const EndpointsRead &read);
     /// Chooses an endpoint of a version that the request may go to.
     PlacementResult place(Exchange &exchange, PlacementQuestion &question, TimeMs now);
+    PlacementResult placeByVersion(Exchange &exchange, PlacementQuestion &question, TimeMs now);
     PlacementResult placeAtTarget(const RolloutView::Rule &rule, PlacementQuestion question,
                                   std::set<EndpointId> among, TimeMs now) const;
     PlacementResult placeAsLoad(Exchange &exchange, const RolloutView::Rule &rule, PlacementQuestion question,
@@ -233,10 +249,22 @@
     OwnAnswer quarantineAnswer(const Exchange &exchange, TimeMs now) const;
     void tellOfSuspects(TimeMs now);
     void tellNewServing(TimeMs now);
-    void tell(const std::vector<const MemberEntry *> &members, const CrashNotice &notice);
+    template <typename Notice>
+    void tell(const std::vector<const MemberEntry *> &members, const Notice &notice)
+    {
+        for (const MemberEntry *member : members)
+            actions_.emplace_back(TellPeer{member->peerAddress, notice});
+    }
 
     // Endpoints that take only so many requests a second (endpointlimits.cpp).
     void noteLimit(const Exchange &exchange, TimeMs now);
+    void tickEndpointLimits(TimeMs now);
+    void findCoordinators(const std::vector<FleetEndpoint *> &limited, TimeMs now);
+    void spreadWaiting(const std::vector<FleetEndpoint *> &limited, TimeMs now);
+    void askForShares(const std::vector<FleetEndpoint *> &limited, TimeMs now);
+    void shareOut(const EndpointLife &endpoint, TimeMs now);
+    void tellOfLimits(TimeMs now);
+    LimitNotice knownLimits(TimeMs now);
     static boost::json::object limitFields(const FleetEndpoint &endpoint, TimeMs now);
 
     // Runs on leaving engines (runmoves.cpp).
@@ -289,6 +317,10 @@
     UsualTimes usualTimes_;
     std::map<ServiceName, Trial> trials_;
     TimeMs trialsAt_; ///< Next look.
+    TimeMs coordinatorsAt_; ///< Next look at who shares out what limited endpoints take.
+    TimeMs askRoundAt_;
+    uint64_t askRound_ = 0;
+    std::map<EndpointLife, Address> coordinators_; ///< Other daemons that do.
     std::map<ServiceName, double> answerMs_; ///< Moving mean of a whole answer's time at a service.
     std::map<uint64_t, CallerId> limitAsks_; ///< Open questions for units, with who waits.
     std::set<std::tuple<Incarnation, bool, uint64_t>> giftsTaken_; ///< Giver, deposit or not, number.
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -17,6 +17,7 @@
     OverLimit, ///< The organisation's own limit.
     NoEndpoint,
     Overloaded,
+    EndpointsLimited, ///< All its endpoints name limits, and what waits takes longer than the caller has.
     NotExecuted, ///< Every endpoint asked stated that it did not run the request.
     EndpointBroken, ///< The outcome at the endpoint is unknown.
     TimedOut,
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -142,6 +142,36 @@
     std::vector<QuarantinedRequest> quarantined;
 };
 
+/// What an endpoint said of how many requests it takes from all daemons together.
+struct LimitWord {
+    EndpointLife endpoint;
+    std::optional<RequestRate> limit; ///< Empty: none any more.
+    DurationMs age; ///< Since it was heard.
+    DurationMs standing; ///< Since it first named a limit.
+};
+
+/// What a daemon tells the others that serve of such words.
+struct LimitNotice {
+    std::vector<LimitWord> words;
+};
+
+/// "So many of my requests could go to this endpoint." To the daemon that shares out what it takes.
+struct LimitAsk {
+    EndpointLife endpoint;
+    uint64_t number = 0;
+    uint32_t waiting = 0;
+};
+
+/// "Send so many there, soon." Taken once; a lost one is lost to the endpoint.
+struct LimitGrant {
+    EndpointLife endpoint;
+    Incarnation from;
+    uint64_t ask = 0; ///< Number of the question.
+    uint64_t number = 0; ///< Rises with each grant of its sender.
+    uint32_t requests = 0;
+    uint32_t waiting = 0; ///< At all daemons.
+};
+
 /// The store's configuration, new or the same as before.
 struct ConfigurationRead {
     ServingConfigurationPtr configuration;
@@ -397,7 +427,7 @@
 /// A word to one other daemon.
 struct TellPeer {
     Address to;
-    std::variant<QuotaAsk, QuotaGift, CrashNotice> message;
+    std::variant<QuotaAsk, QuotaGift, CrashNotice, LimitNotice, LimitAsk, LimitGrant> message;
 };
 
 using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peerdatagrams.cpp
@@ -439,6 +439,77 @@
     return notice;
 }
 
+/// In a row, for an endpoint that has no limit any more.
+constexpr double NoLimit = -1;
+
+json::object encoded(const LimitNotice &notice)
+{
+    json::array words;
+    for (const LimitWord &word : notice.words)
+        words.push_back({word.endpoint.id.value, word.endpoint.start.unixMs,
+                         word.limit ? word.limit->perSecond : NoLimit, word.age.count, word.standing.count});
+    return {{"kind", "limits"}, {"words", std::move(words)}};
+}
+
+LimitNotice decodedLimits(const json::object &object)
+{
+    LimitNotice notice;
+    for (const json::value &value : object.at("words").as_array()) {
+        const json::array &fields = row(value, 5);
+        LimitWord word;
+        word.endpoint = {EndpointId{text(fields[0])}, {fields[1].to_number<int64_t>()}};
+        const double perSecond = fields[2].to_number<double>();
+        if (perSecond >= 0)
+            word.limit = RequestRate{perSecond};
+        word.age.count = std::max<int64_t>(fields[3].to_number<int64_t>(), 0);
+        word.standing.count = std::max<int64_t>(fields[4].to_number<int64_t>(), 0);
+        notice.words.push_back(std::move(word));
+    }
+    return notice;
+}
+
+json::object encoded(const LimitAsk &ask)
+{
+    return {{"kind", "limitAsk"},
+            {"endpoint", ask.endpoint.id.value},
+            {"start", ask.endpoint.start.unixMs},
+            {"number", ask.number},
+            {"waiting", ask.waiting}};
+}
+
+EndpointLife decodedLife(const json::object &object)
+{
+    return {EndpointId{text(object.at("endpoint"))}, {object.at("start").to_number<int64_t>()}};
+}
+
+LimitAsk decodedLimitAsk(const json::object &object)
+{
+    return {decodedLife(object), object.at("number").to_number<uint64_t>(),
+            object.at("waiting").to_number<uint32_t>()};
+}
+
+json::object encoded(const LimitGrant &grant)
+{
+    return {{"kind", "limitGrant"},
+            {"endpoint", grant.endpoint.id.value},
+            {"start", grant.endpoint.start.unixMs},
+            {"id", grant.from.value},
+            {"ask", grant.ask},
+            {"number", grant.number},
+            {"requests", grant.requests},
+            {"waiting", grant.waiting}};
+}
+
+LimitGrant decodedLimitGrant(const json::object &object)
+{
+    return {decodedLife(object),
+            Incarnation{object.at("id").to_number<uint64_t>()},
+            object.at("ask").to_number<uint64_t>(),
+            object.at("number").to_number<uint64_t>(),
+            object.at("requests").to_number<uint32_t>(),
+            object.at("waiting").to_number<uint32_t>()};
+}
+
 std::optional<PeerDatagram> decoded(const json::object &object)
 {
     const std::string kind = text(object.at("kind"));
@@ -454,6 +525,12 @@
         return decodedGift(object);
     if (kind == "crash")
         return decodedCrash(object);
+    if (kind == "limits")
+        return decodedLimits(object);
+    if (kind == "limitAsk")
+        return decodedLimitAsk(object);
+    if (kind == "limitGrant")
+        return decodedLimitGrant(object);
     return std::nullopt;
 }
 
--- a/src/gateway/peerdatagrams.h
+++ b/src/gateway/peerdatagrams.h
@@ -4,8 +4,8 @@
 
 namespace cranberry {
 
-using PeerDatagram
-    = std::variant<PeerReport, FreshnessQuestion, FreshnessAnswer, QuotaAsk, QuotaGift, CrashNotice>;
+using PeerDatagram = std::variant<PeerReport, FreshnessQuestion, FreshnessAnswer, QuotaAsk, QuotaGift,
+                                  CrashNotice, LimitNotice, LimitAsk, LimitGrant>;
 
 /// What daemons tell each other, as one datagram's text, and back. Nothing is returned for any other text.
 std::string encodeDatagram(const PeerDatagram &datagram);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -202,6 +202,19 @@
     return peer && !takesRequests(peer->report);
 }
 
+bool PeerTable::isPresent(const MemberEntry &member, TimeMs now) const
+{
+    return isSelf(member) || isHeardReady(member, now) || (!isTarget_ && !saidItLeaves(member, now));
+}
+
+std::vector<const MemberEntry *> PeerTable::presentSharers(TimeMs now) const
+{
+    MemberPtrs out;
+    std::copy_if(sharers_.begin(), sharers_.end(), std::back_inserter(out),
+                 [&](const MemberEntry *member) { return isPresent(*member, now); });
+    return out.size() * 2 <= sharers_.size() ? MemberPtrs() : out;
+}
+
 size_t PeerTable::heardSharers(TimeMs now) const
 {
     return static_cast<size_t>(
@@ -303,9 +316,7 @@
         return known.keepers;
     known.rankedAt = now;
     known.keepers.clear();
-    const auto isThere = [&](const MemberEntry *member) {
-        return isSelf(*member) || isHeardReady(*member, now) || (!isTarget_ && !saidItLeaves(*member, now));
-    };
+    const auto isThere = [&](const MemberEntry *member) { return isPresent(*member, now); };
     // In a part that hears less than half of the daemons nobody gathers: each part would have keepers of its
     // own, and together they could save more than the burst.
     const auto there = std::count_if(sharers_.begin(), sharers_.end(), isThere);
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -63,6 +63,9 @@
     /// The few daemons where what is left of an organisation's limit is gathered, best known first; all
     /// daemons rank them alike. May name this one.
     std::vector<const MemberEntry *> keepers(const OrganisationName &organisation, TimeMs now) const;
+    /// Those that share the limits and are there, this daemon among them if it does; none where this part
+    /// hears less than half of them: several parts would each share out the whole of a limit.
+    std::vector<const MemberEntry *> presentSharers(TimeMs now) const;
     /// What another daemon said it can spare of an organisation's limit.
     struct Spare {
         Address address;
@@ -100,6 +103,7 @@
     const Peer *heard(const MemberEntry &member, TimeMs now) const;
     bool isHeardReady(const MemberEntry &member, TimeMs now) const;
     bool saidItLeaves(const MemberEntry &member, TimeMs now) const;
+    bool isPresent(const MemberEntry &member, TimeMs now) const;
     bool mayRead(const MemberEntry &member, TimeMs now) const;
     MemberPtrs readers(bool canRead, const std::set<Address> &silent, TimeMs now) const;
     size_t readerCount() const;
--- a/src/gateway/runmoves.cpp
+++ b/src/gateway/runmoves.cpp
@@ -137,6 +137,7 @@
     move.source = source->entry.address;
     move.startedAt = now;
     exchange.move = move;
+    fleet_.reserve(move.target, now);
     log(LogWeight::Failure, "move", exchange,
         {{"attempt", exchange.attempt.value},
          {"target", move.target.id.value},
@@ -182,6 +183,7 @@
     counters_.add(GatewayRetry::Moved);
     PlacementChoice choice;
     choice.endpoint = move.target.id;
+    choice.isReserved = true;
     send(exchange, questionOf(exchange), choice, now, RunMemory{move.source, *move.handle});
 }
 
--- a/src/gateway/trials.cpp
+++ b/src/gateway/trials.cpp
@@ -116,7 +116,7 @@
 // A request that was drawn for the target, and finds no room there, goes where all others go. What was sent
 // before goes to the versions that are known. While the others are to get empty, it waits for the target
 // instead.
-PlacementResult Gateway::place(Exchange &exchange, PlacementQuestion &question, TimeMs now)
+PlacementResult Gateway::placeByVersion(Exchange &exchange, PlacementQuestion &question, TimeMs now)
 {
     exchange.trialRole = TrialRole::Ordinary;
     const RolloutView::Rule rule = rollouts_.rule(exchange.service, wallAt(now));
--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -45,6 +45,9 @@
     if (*problem == PlacementProblem::NoEndpoint)
         return giveUp(exchange, GatewayRefusal::NoEndpoint, now);
     exchange.phase = ExchangePhase::Queued;
+    const LimitedQueue limited = limitedQueue(exchange.service, now);
+    if (refuseBeyondLimit(exchange, limited.waitAt(limited.own + 1), now))
+        return;
     if (isHopeless(exchange, now))
         return giveUp(exchange, GatewayRefusal::Overloaded, now);
     counters_.add(GatewayCount::Queued);
@@ -115,6 +118,36 @@
     return {static_cast<int64_t>(mean->second * shared / places)};
 }
 
+Gateway::LimitedQueue Gateway::limitedQueue(const ServiceName &service, TimeMs now) const
+{
+    LimitedQueue queue;
+    queue.limit = fleet_.limitOf(service, now);
+    if (!queue.limit)
+        return queue;
+    for (CallerId id : queue_.inOrder(now))
+        queue.own += exchanges_.at(id).service == service ? 1 : 0;
+    return queue;
+}
+
+// The daemons' queues drain side by side, each by its part of all that wait.
+DurationMs Gateway::LimitedQueue::waitAt(size_t position) const
+{
+    if (!limit)
+        return {0};
+    const double mine = static_cast<double>(std::max(own, position));
+    const double all = std::max(static_cast<double>(limit->waiting), mine);
+    const double before = static_cast<double>(position) * all / mine - 1;
+    return {static_cast<int64_t>(1000 * before / limit->rate.perSecond)};
+}
+
+bool Gateway::refuseBeyondLimit(Exchange &exchange, DurationMs wait, TimeMs now)
+{
+    if (now + wait <= std::min(exchange.callerWaitsUntil, exchange.timeoutAt))
+        return false;
+    giveUp(exchange, GatewayRefusal::EndpointsLimited, now, wait);
+    return true;
+}
+
 bool Gateway::isHopeless(const Exchange &exchange, TimeMs now) const
 {
     return now + expectedWait(exchange, now) > std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
@@ -130,11 +163,17 @@
     std::map<ServiceName, size_t> inVain;
     std::map<ServiceName, DurationMs> lateAhead;
     std::map<ServiceName, ReadingPace> paces; // Of services for which late requests wait.
+    std::map<ServiceName, LimitedQueue> limited;
     for (CallerId id : queue_.inOrder(now)) {
         const auto found = exchanges_.find(id);
         if (found == exchanges_.end() || found->second.phase != ExchangePhase::Queued)
             continue;
         Exchange &exchange = found->second;
+        auto queue = limited.find(exchange.service);
+        if (queue == limited.end())
+            queue = limited.emplace(exchange.service, limitedQueue(exchange.service, now)).first;
+        if (refuseBeyondLimit(exchange, queue->second.waitAt(++queue->second.position), now))
+            continue;
         if (now > exchange.inTimeUntil) {
             const auto known = paces.find(exchange.service);
             const ReadingPace &pace = known != paces.end()
--- a/src/io/gatewaypeers.cpp
+++ b/src/io/gatewaypeers.cpp
@@ -170,6 +170,15 @@
     } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&*read)) {
         gateway.onCrashNotice(*notice, now);
         runActions();
+    } else if (const LimitNotice *limits = std::get_if<LimitNotice>(&*read)) {
+        gateway.onLimitNotice(*limits, now);
+        runActions();
+    } else if (const LimitAsk *limitAsk = std::get_if<LimitAsk>(&*read)) {
+        gateway.onLimitAsk(*limitAsk, peerAddress(), now);
+        runActions();
+    } else if (const LimitGrant *grant = std::get_if<LimitGrant>(&*read)) {
+        gateway.onLimitGrant(*grant, now);
+        runActions();
     } else if (const FreshnessQuestion *question = std::get_if<FreshnessQuestion>(&*read)) {
         sync.onQuestion(*question, peerAddress(), now);
         sendOutgoing();
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -1,12 +1,21 @@
 // Endpoints that say with their answers how many requests a second they take from all daemons together.
 #include "engineload.h"
 
+#include "gateway/peerdatagrams.h"
+
+#include <algorithm>
+
 using namespace cranberry;
 
 namespace {
 
-/// Nine engines with three requests a second each, through so many daemons; two of them name a limit.
-LoadPlan limitedPlan(size_t daemons, double perSecond, uint64_t seed)
+constexpr Incarnation Self{7};
+const EndpointLife engine{EndpointId{"m1"}, {}};
+const Address otherDaemon{"10.0.0.2", 2};
+const Address thirdDaemon{"10.0.0.2", 3};
+
+/// Nine engines with three requests a second each, through so many daemons; some of them name a limit.
+LoadPlan limitedPlan(size_t daemons, size_t limited, double perSecond, uint64_t seed)
 {
     LoadPlan plan;
     plan.kinds = {{"review", 9.86, 13'300, 65, 3720, 120, {1200}, {12000}, 0, true},
@@ -14,21 +23,450 @@
                   {"draft", 11.1, 350, 111, 1110, 172, {2500}, {12000}, 2, true}};
     plan.engines = 9;
     plan.daemons = daemons;
-    plan.limits = {{0, 2, {5000}, {25000}, perSecond}};
+    plan.allServe = true;
+    plan.limits = {{0, limited, {5000}, {25000}, perSecond}};
     plan.seed = seed;
     return plan;
 }
 
+/// A limiter, told of a limit, in virtual time.
+class LimiterFixture
+{
+public:
+    /// Lets time pass; what the coordinator has granted to others by then.
+    uint32_t pass(DurationMs duration)
+    {
+        uint32_t granted = 0;
+        const TimeMs until = now + duration;
+        while (now < until) {
+            now = now + DurationMs{25};
+            limiter.setCoordinator(coordinates, now);
+            for (const EndpointLimiter::Share &share : limiter.share(engine, Self, now)) {
+                granted += share.grant.requests;
+                shares.push_back(share);
+            }
+        }
+        return granted;
+    }
+    void name(double perSecond) { limiter.hear(RequestRate{perSecond}, now, now); }
+
+    EndpointLimiter limiter;
+    TimeMs now{100'000};
+    bool coordinates = true;
+    std::vector<EndpointLimiter::Share> shares;
+};
+
+/// The fixture's daemon, alone, with the limits of its two plain endpoints.
+class LimitedGatewayFixture : public GatewayFixture
+{
+public:
+    LimitedGatewayFixture()
+    {
+        MemberEntry self;
+        self.instance.value = "entry-1";
+        members = {self};
+        gateway.onMembers(members, now);
+    }
+
+    /// An answer of the endpoint that has the attempt, with or without a limit.
+    void answer(const SendAttempt &attempt, std::optional<RequestRate> limit, int status = 200)
+    {
+        AttemptHead answered;
+        answered.attempt = attempt.attempt;
+        answered.status = status;
+        answered.limit = limit;
+        answered.wrongInstance = status == 421;
+        gateway.onHead(answered, now);
+        gateway.onEnd({attempt.attempt}, now);
+        drainActions();
+    }
+
+    /// Both plain endpoints name a limit.
+    void limitPlain(double perSecond)
+    {
+        request("/lookup/1");
+        request("/lookup/2");
+        REQUIRE(sent.size() == 2);
+        REQUIRE(sent[0].endpoint != sent[1].endpoint);
+        answer(sent[0], RequestRate{perSecond});
+        answer(sent[1], RequestRate{perSecond});
+        sent.clear();
+    }
+
+    CallerId lookUp(DurationMs deadline)
+    {
+        CallerRequest lookup = makeRequest("/lookup/3");
+        lookup.deadline = deadline;
+        return request(lookup);
+    }
+
+    std::vector<MemberEntry> members;
+};
+
 } // namespace
 
+// ---- Many daemons, one load ----
+
 // Guards against an engine in need that gets more than it takes because no daemon goes by the limit it names.
 TEST_CASE("engines that name a limit get no more than that from all daemons together")
 {
     for (const size_t daemons : {size_t{1}, size_t{2}, size_t{6}, size_t{19}}) {
         for (const uint64_t seed : {1U, 2U, 3U}) {
-            const LoadResult result = playLoad(limitedPlan(daemons, 1, seed));
+            const LoadResult result = playLoad(limitedPlan(daemons, 2, 1, seed));
             INFO("daemons " << daemons << " seed " << seed << "\n" << result.text());
             CHECK(result.limited.beyond == 0);
         }
     }
 }
+
+// Guards against the excess moving on to the engines beside the limited ones.
+TEST_CASE("callers are served as before when two engines of nine name a limit")
+{
+    for (const uint64_t seed : {1U, 2U, 3U}) {
+        const LoadResult result = playLoad(limitedPlan(6, 2, 1, seed));
+        INFO("seed " << seed << "\n" << result.text());
+        CHECK(result.total().inTimeShare() > 0.98);
+        CHECK(result.total().refused == 0);
+    }
+}
+
+// Guards against a limit that is kept by leaving endpoints unused: each daemon has too little of it.
+TEST_CASE("where all engines name limits, what they take is used by however many daemons")
+{
+    for (const size_t daemons : {size_t{1}, size_t{6}, size_t{19}, size_t{71}}) {
+        const LoadResult result = playLoad(limitedPlan(daemons, 9, 2, 1));
+        INFO("daemons " << daemons << "\n" << result.text());
+        CHECK(result.limited.beyond == 0);
+        CHECK(static_cast<double>(result.limited.got) > 0.8 * result.limited.expected);
+    }
+}
+
+// Guards against lost datagrams that let an endpoint get more, or nothing.
+TEST_CASE("a limit holds while a third of the datagrams between daemons is lost")
+{
+    for (const uint64_t seed : {1U, 2U, 3U}) {
+        LoadPlan plan = limitedPlan(6, 9, 2, seed);
+        plan.lostNotices = 33;
+        const LoadResult result = playLoad(plan);
+        INFO("seed " << seed << "\n" << result.text());
+        CHECK(result.limited.beyond == 0);
+        CHECK(static_cast<double>(result.limited.got) > 0.6 * result.limited.expected);
+    }
+}
+
+// ---- One limiter ----
+
+// Guards against a coordinator that grants more than the endpoint's rate and what little it may save up.
+TEST_CASE_FIXTURE(LimiterFixture, "a coordinator shares out the rate and no more")
+{
+    name(2);
+    uint32_t granted = 0;
+    for (uint64_t number = 1; number <= 100; ++number) {
+        limiter.onAsk(otherDaemon, {engine, number, 50}, now);
+        granted += pass({100});
+    }
+    CHECK(granted >= 18);
+    CHECK(granted <= 22);
+}
+
+// Guards against one daemon that takes all while the others' callers are refused.
+TEST_CASE_FIXTURE(LimiterFixture, "those that wait are served in turn, the coordinator among them")
+{
+    name(2);
+    for (uint64_t number = 1; number <= 60; ++number) {
+        limiter.onAsk(otherDaemon, {engine, number, 50}, now);
+        limiter.onAsk(thirdDaemon, {engine, number, 1}, now);
+        limiter.want(50);
+        pass({100});
+        if (limiter.maySend(now))
+            limiter.sent(now);
+    }
+    std::map<Address, uint32_t> granted;
+    for (const EndpointLimiter::Share &share : shares)
+        granted[share.to] += share.grant.requests;
+    CHECK(granted[otherDaemon] >= 3);
+    CHECK(granted[otherDaemon] <= 5);
+    CHECK(granted[thirdDaemon] >= 3);
+}
+
+// Guards against two daemons that both share out the whole while the role passes from one to the other.
+TEST_CASE_FIXTURE(LimiterFixture, "a new coordinator waits until nothing that was granted before it is left")
+{
+    coordinates = false;
+    name(5);
+    pass({5000});
+    coordinates = true;
+    limiter.onAsk(otherDaemon, {engine, 1, 50}, now);
+    pass({25});
+    CHECK_FALSE(limiter.maySend(now));
+    uint32_t granted = 0;
+    for (uint64_t number = 1; number <= 19; ++number) {
+        limiter.onAsk(otherDaemon, {engine, number, 50}, now);
+        granted += pass({100});
+    }
+    CHECK(granted == 0);
+    for (uint64_t number = 20; number <= 30; ++number) {
+        limiter.onAsk(otherDaemon, {engine, number, 50}, now);
+        granted += pass({100});
+    }
+    CHECK(granted > 0);
+}
+
+// Guards against a daemon that stood still, is the coordinator no more, and goes on with what it had saved.
+TEST_CASE_FIXTURE(LimiterFixture, "a coordinator that stood still begins anew")
+{
+    name(5);
+    pass({3000});
+    REQUIRE(limiter.maySend(now));
+    now = now + DurationMs{4000};
+    pass({25});
+    CHECK_FALSE(limiter.maySend(now));
+}
+
+// Guards against grants that are used twice, or long after the coordinator has shared out the next ones.
+TEST_CASE_FIXTURE(LimiterFixture, "a grant is taken once, and in time")
+{
+    coordinates = false;
+    name(1);
+    pass({25});
+    CHECK_FALSE(limiter.maySend(now));
+    limiter.want(3);
+    const std::optional<LimitAsk> ask = limiter.dueAsk(engine, now);
+    REQUIRE(ask);
+    CHECK(ask->waiting == 3);
+    CHECK_FALSE(limiter.dueAsk(engine, now));
+    const LimitGrant grant{engine, {9}, ask->number, 1, 1, 4};
+    limiter.take(grant, now);
+    limiter.take(grant, now);
+    CHECK(limiter.waiting(now) == 4);
+    REQUIRE(limiter.maySend(now));
+    limiter.sent(now);
+    CHECK_FALSE(limiter.maySend(now));
+    limiter.take({engine, {9}, ask->number, 2, 1, 4}, now);
+    now = now + DurationMs{600};
+    CHECK_FALSE(limiter.maySend(now));
+    limiter.take({engine, {9}, ask->number, 3, 1, 4}, now);
+    CHECK_FALSE(limiter.maySend(now));
+}
+
+// Guards against a limit that an older answer lifts: all daemons would be back at once.
+TEST_CASE_FIXTURE(LimiterFixture, "only an answer to a request that was sent since lifts a limit")
+{
+    const TimeMs before = now;
+    now = now + DurationMs{100};
+    name(1);
+    CHECK_FALSE(limiter.hear(std::nullopt, before, now + DurationMs{50}));
+    CHECK(limiter.limit());
+    CHECK(limiter.hear(std::nullopt, now + DurationMs{10}, now + DurationMs{50}));
+    CHECK_FALSE(limiter.limit());
+    // What another daemon heard before that does not bring it back.
+    CHECK_FALSE(limiter.learn({engine, RequestRate{1}, {80}, {500}}, now + DurationMs{60}));
+    CHECK(limiter.learn({engine, RequestRate{2}, {1}, {1}}, now + DurationMs{60}));
+    CHECK(limiter.limit() == RequestRate{2});
+}
+
+// Guards against an endpoint that takes nothing for now, and so can never say that it is well again.
+TEST_CASE_FIXTURE(LimiterFixture, "an endpoint that takes nothing is tried now and then")
+{
+    name(0);
+    uint32_t tries = 0;
+    for (int i = 0; i < 200; ++i) {
+        pass({100});
+        if (limiter.maySend(now)) {
+            limiter.sent(now);
+            ++tries;
+        }
+    }
+    CHECK(tries >= 3);
+    CHECK(tries <= 4);
+}
+
+// Guards against a daemon that lost the first words on a limit, and goes on.
+TEST_CASE_FIXTURE(LimiterFixture, "the others are told of a limit at once, again, and reminded")
+{
+    name(1);
+    std::vector<int64_t> toldAfter;
+    const TimeMs start = now;
+    while (now < start + DurationMs{12500}) {
+        if (limiter.isTellingDue(now))
+            toldAfter.push_back((now - start).count);
+        pass({25});
+    }
+    CHECK(toldAfter == std::vector<int64_t>{0, 300, 600, 5600, 10600});
+}
+
+// Guards against daemons that disagree on who shares out what an endpoint takes, and one that does it all.
+TEST_CASE("all daemons name the same coordinator, and coordinators are spread")
+{
+    std::vector<MemberEntry> members(18);
+    std::vector<const MemberEntry *> forward;
+    for (size_t i = 0; i < members.size(); ++i) {
+        members[i].incarnation.value = 1000 + i;
+        forward.push_back(&members[i]);
+    }
+    const std::vector<const MemberEntry *> backward(forward.rbegin(), forward.rend());
+    std::map<Incarnation, int> load;
+    for (int i = 0; i < 240; ++i) {
+        const EndpointLife endpoint{EndpointId{"i-" + std::to_string(i)}, {}};
+        const MemberEntry *coordinator = coordinatorOf(endpoint, forward);
+        REQUIRE(coordinator);
+        CHECK(coordinator == coordinatorOf(endpoint, backward));
+        ++load[coordinator->incarnation];
+    }
+    for (const std::pair<const Incarnation, int> &each : load)
+        CHECK(each.second < 30);
+    CHECK(coordinatorOf(engine, {}) == nullptr);
+}
+
+// ---- One daemon ----
+
+// Guards against callers that wait until their deadline for endpoints that can't take them in time.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "what limited endpoints can't take in its time is refused at once")
+{
+    limitPlain(1);
+    pass({1000});
+    size_t refused = 0;
+    std::vector<CallerId> callers;
+    callers.reserve(12);
+    for (int i = 0; i < 12; ++i)
+        callers.push_back(lookUp({1500}));
+    pass({25});
+    for (const CallerId caller : callers) {
+        if (statusOf(caller) == 0)
+            continue;
+        ++refused;
+        CHECK(statusOf(caller) == 503);
+        CHECK(answers[caller].body.find("endpoints_limited") != std::string::npos);
+        CHECK_FALSE(headerOfAnswer(caller, "Retry-After").empty());
+    }
+    CHECK(refused >= 6);
+    CHECK(refused < 12);
+    // The others are sent within their time.
+    pass({1475});
+    CHECK(sent.size() + refused == 12);
+}
+
+// Guards against a limit that outlives the need: an answer without it is its end.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "an answer without a limit ends it")
+{
+    limitPlain(1);
+    pass({2000});
+    lookUp({1500});
+    lookUp({1500});
+    REQUIRE(sent.size() == 2);
+    answer(sent[0], std::nullopt);
+    answer(sent[1], std::nullopt);
+    sent.clear();
+    for (int i = 0; i < 4; ++i)
+        lookUp({1500});
+    CHECK(sent.size() == 4);
+}
+
+// Guards against the word of another endpoint that has taken over the address.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "an answer of another instance says nothing of this one's limit")
+{
+    request("/lookup/1");
+    answer(sent[0], RequestRate{1}, 421);
+    CHECK_FALSE(gateway.fleet().find(sent[0].endpoint)->limiter.limit());
+}
+
+// Guards against a limit that outlives its process.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "an endpoint that starts again under its name has no limit")
+{
+    limitPlain(1);
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 5;
+    listEndpoints();
+    for (int i = 0; i < 4; ++i)
+        lookUp({1500});
+    CHECK(sent.size() == 4);
+}
+
+// Guards against repeats that walk past the limit.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "a repeat goes to no limited endpoint without its share")
+{
+    request("/lookup/1");
+    request("/lookup/2");
+    REQUIRE(sent.size() == 2);
+    answer(sent[0], RequestRate{0.5});
+    broken(sent[1].attempt);
+    CHECK(sent.size() == 2);
+}
+
+// Guards against runs that leave a reclaimed engine for one that takes only so many.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "a run moves to a limited engine only with a share, counted once")
+{
+    configuration->services[0].engine->movesRuns = true;
+    for (int i = 0; i < 12; ++i) {
+        CallerRequest draft = makeRequest("/draft/1");
+        draft.outputTokens = 300;
+        request(draft);
+    }
+    for (const SendAttempt &attempt : std::vector<SendAttempt>(sent)) {
+        AttemptHead begun;
+        begun.attempt = attempt.attempt;
+        begun.status = 200;
+        begun.eventStream = true;
+        if (attempt.endpoint.value != "m1")
+            begun.limit = RequestRate{0.5};
+        gateway.onHead(begun, now);
+        events(attempt.attempt, 1, 3);
+    }
+    const auto atFirst = std::count_if(
+        sent.begin(), sent.end(), [](const SendAttempt &attempt) { return attempt.endpoint.value == "m1"; });
+    REQUIRE(atFirst > 3);
+    // Time for each of the two to have one to spare, while the streams go on.
+    for (uint64_t event = 4; event <= 6; ++event) {
+        pass({600});
+        for (const SendAttempt &attempt : std::vector<SendAttempt>(sent))
+            events(attempt.attempt, event, event);
+    }
+    pass({600});
+    for (EndpointEntry &entry : endpoints) {
+        if (entry.id.value != "m1")
+            continue;
+        entry.leaving = true;
+        entry.leavesAfter = DurationMs{1500};
+    }
+    listEndpoints();
+    pass({25});
+    REQUIRE(moves.size() == 2);
+    const size_t before = sent.size();
+    for (const MoveRun &move : std::vector<MoveRun>(moves)) {
+        broken(move.attempt);
+        gateway.onRunMoved({move.attempt, MoveOutcome::Moved, "h1"}, now);
+        drainActions();
+    }
+    CHECK(sent.size() == before + 2);
+    pass({500});
+    CHECK(moves.size() == 2);
+}
+
+// Guards against words that are not what was said, or that end the process.
+TEST_CASE("words on limits come through a datagram, and nothing else does")
+{
+    const LimitNotice notice{{{engine, RequestRate{1.1}, {250}, {900}}, {engine, std::nullopt, {0}, {0}}}};
+    const std::optional<PeerDatagram> read = decodeDatagram(encodeDatagram(notice));
+    REQUIRE(read);
+    const LimitNotice *words = std::get_if<LimitNotice>(&*read);
+    REQUIRE(words);
+    REQUIRE(words->words.size() == 2);
+    CHECK(words->words[0].endpoint == engine);
+    CHECK(words->words[0].limit == RequestRate{1.1});
+    CHECK(words->words[0].age == DurationMs{250});
+    CHECK(words->words[0].standing == DurationMs{900});
+    CHECK_FALSE(words->words[1].limit);
+    const std::optional<PeerDatagram> ask = decodeDatagram(encodeDatagram(LimitAsk{engine, 4, 2}));
+    REQUIRE((ask && std::get_if<LimitAsk>(&*ask)));
+    CHECK(std::get_if<LimitAsk>(&*ask)->waiting == 2);
+    const std::optional<PeerDatagram> grant
+        = decodeDatagram(encodeDatagram(LimitGrant{engine, {9}, 4, 11, 1, 3}));
+    REQUIRE((grant && std::get_if<LimitGrant>(&*grant)));
+    CHECK(std::get_if<LimitGrant>(&*grant)->number == 11);
+    for (
+        const char *bad :
+        {R"({"kind":"limits"})", R"({"kind":"limits","words":[["i"]]})",
+         R"({"kind":"limits","words":[["i",0,"x",0,0]]})", R"({"kind":"limitAsk","endpoint":"i"})",
+         R"({"kind":"limitGrant","endpoint":"i","start":0,"id":1,"ask":1,"number":1,"requests":-1,"waiting":0})"})
+        CHECK_FALSE(decodeDatagram(bad));
+}
--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -63,6 +63,12 @@
     }
 };
 
+struct Word {
+    size_t from = 0;
+    size_t to = 0;
+    TellPeer told;
+};
+
 struct Asked {
     const LoadKind *kind = nullptr;
     TimeMs at;
@@ -173,6 +179,7 @@
         member.instance = settings.instance;
         member.incarnation = settings.incarnation;
         member.peerAddress = {"10.0.0.2", static_cast<uint16_t>(i)};
+        member.serving = plan_.allServe;
         members_.push_back(member);
         requests_.emplace_back();
     }
@@ -294,9 +301,9 @@
             daemons_[unsent.first]->onBroken({unsent.second, false}, now_);
             takeActions(unsent.first);
         }
-        for (const std::pair<size_t, CrashNotice> &told : std::exchange(notices_, {})) {
-            daemons_[told.first]->onCrashNotice(told.second, now_);
-            takeActions(told.first);
+        for (const Word &word : std::exchange(words_, {})) {
+            deliver(word);
+            takeActions(word.to);
         }
         for (const std::pair<size_t, EndpointId> &probe : std::exchange(probes_, {})) {
             const bool ended = engineOf(probe.second).endedAt.has_value();
@@ -310,11 +317,24 @@
         }
     }
 
-    void tell(const TellPeer &word)
+    void tell(size_t from, const TellPeer &word)
+    {
+        if (random_.below(100) >= plan_.lostNotices)
+            words_.push_back({from, word.to.port, word});
+    }
+
+    void deliver(const Word &word)
     {
-        const CrashNotice *notice = std::get_if<CrashNotice>(&word.message);
-        if (notice && random_.below(100) >= plan_.lostNotices)
-            notices_.emplace_back(word.to.port, *notice);
+        Gateway &daemon = *daemons_[word.to];
+        const auto &message = word.told.message;
+        if (const CrashNotice *notice = std::get_if<CrashNotice>(&message))
+            daemon.onCrashNotice(*notice, now_);
+        else if (const LimitNotice *limits = std::get_if<LimitNotice>(&message))
+            daemon.onLimitNotice(*limits, now_);
+        else if (const LimitAsk *ask = std::get_if<LimitAsk>(&message))
+            daemon.onLimitAsk(*ask, members_[word.from].peerAddress, now_);
+        else if (const LimitGrant *grant = std::get_if<LimitGrant>(&message))
+            daemon.onLimitGrant(*grant, now_);
     }
 
     Engine &engineOf(const EndpointId &id)
@@ -431,7 +451,7 @@
     {
         for (const GatewayAction &action : daemons_[daemon]->takeActions()) {
             if (const TellPeer *word = std::get_if<TellPeer>(&action))
-                tell(*word);
+                tell(daemon, *word);
             else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
                 probes_.emplace_back(daemon, probe->endpoint);
             else if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
@@ -639,7 +659,7 @@
     std::vector<std::pair<size_t, AttemptId>> unsent_;
     std::vector<Asked> repeats_;
     std::vector<std::pair<size_t, EndpointId>> probes_;
-    std::vector<std::pair<size_t, CrashNotice>> notices_;
+    std::vector<Word> words_; ///< Between daemons, under way.
     uint64_t callers_ = 0;
     LoadResult result_;
 };
--- a/tests/engineload.h
+++ b/tests/engineload.h
@@ -69,6 +69,7 @@
     size_t daemons = 3;
     DurationMs length{30000};
     DurationMs reportPace{200};
+    bool allServe = false; ///< As the members' list says; else it says nothing of it.
     /// Engines that are gone from `lossAt` on, announced `lossNotice` before; 0: none.
     size_t enginesLost = 0;
     DurationMs lossAt{15000};
