--- a/src/fields.cpp
+++ b/src/common/fields.cpp
@@ -1,4 +1,4 @@
-#include "fields.h"
+#include "common/fields.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/fields.h
+++ b/src/common/fields.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "types.h"
+#include "common/types.h"
 
 #include <boost/json.hpp>
 #include <boost/leaf.hpp>
--- a/src/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -1,4 +1,4 @@
-#include "httpfields.h"
+#include "common/httpfields.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
--- a/src/types.cpp
+++ b/src/common/types.cpp
@@ -1,4 +1,4 @@
-#include "types.h"
+#include "common/types.h"
 
 #include <array>
 #include <charconv>
--- a/src/budgets.cpp
+++ b/src/daemon/budgets.cpp
@@ -1,4 +1,4 @@
-#include "budgets.h"
+#include "daemon/budgets.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/budgets.h
+++ b/src/daemon/budgets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration.h"
+#include "daemon/configuration.h"
 
 #include <map>
 
--- a/src/configchange.cpp
+++ b/src/daemon/configchange.cpp
@@ -1,6 +1,6 @@
-#include "configchange.h"
+#include "daemon/configchange.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #include <algorithm>
 
--- a/src/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -1,4 +1,4 @@
-#include "configuration.h"
+#include "daemon/configuration.h"
 
 #include <fmt/format.h>
 #include <map>
--- a/src/configuration.h
+++ b/src/daemon/configuration.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "fields.h"
-#include "types.h"
+#include "common/fields.h"
+#include "common/types.h"
 
 #include <memory>
 #include <vector>
--- a/src/counters.cpp
+++ b/src/daemon/counters.cpp
@@ -1,4 +1,4 @@
-#include "counters.h"
+#include "daemon/counters.h"
 
 #include <fmt/format.h>
 
--- a/src/cranberryd.cpp
+++ b/src/daemon/cranberryd.cpp
@@ -1,4 +1,4 @@
-#include "io/server.h"
+#include "daemon/io/server.h"
 #include "io/settingsfile.h"
 
 #include <fmt/format.h>
--- a/src/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "daemon/daemon.h"
 
 namespace cranberry {
 
--- a/src/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "world.h"
+#include "daemon/world.h"
 
 namespace cranberry {
 
--- a/src/io/adminapi.cpp
+++ b/src/daemon/io/adminapi.cpp
@@ -1,7 +1,7 @@
-#include "adminapi.h"
+#include "daemon/io/adminapi.h"
 
-#include "logging.h"
-#include "server.h"
+#include "daemon/io/logging.h"
+#include "daemon/io/server.h"
 
 #include <boost/json.hpp>
 
--- a/src/io/adminapi.h
+++ b/src/daemon/io/adminapi.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "configchange.h"
-#include "httpserver.h"
+#include "daemon/configchange.h"
+#include "io/httpserver.h"
 
 #include <list>
 
--- a/src/io/callerapi.cpp
+++ b/src/daemon/io/callerapi.cpp
@@ -1,4 +1,4 @@
-#include "callerapi.h"
+#include "daemon/io/callerapi.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/src/io/callerapi.h
+++ b/src/daemon/io/callerapi.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "httpserver.h"
-#include "latency.h"
-#include "messages.h"
+#include "daemon/messages.h"
+#include "io/httpserver.h"
+#include "io/latency.h"
 
 #include <map>
 
--- a/src/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -1,6 +1,6 @@
-#include "endpointlink.h"
+#include "daemon/io/endpointlink.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/src/io/endpointlink.h
+++ b/src/daemon/io/endpointlink.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "httpclient.h"
-#include "messages.h"
+#include "daemon/messages.h"
+#include "io/httpclient.h"
 
 #include <map>
 
--- a/src/io/jsonread.cpp
+++ b/src/daemon/io/jsonread.cpp
@@ -1,6 +1,6 @@
-#include "jsonread.h"
+#include "daemon/io/jsonread.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 namespace json = boost::json;
 
--- a/src/io/logging.cpp
+++ b/src/daemon/io/logging.cpp
@@ -1,4 +1,4 @@
-#include "logging.h"
+#include "daemon/io/logging.h"
 
 #include <chrono>
 #include <cstdio>
--- a/src/io/peerlink.cpp
+++ b/src/daemon/io/peerlink.cpp
@@ -1,4 +1,4 @@
-#include "peerlink.h"
+#include "daemon/io/peerlink.h"
 
 #include "peers.grpc.pb.h"
 
--- a/src/io/peerlink.h
+++ b/src/daemon/io/peerlink.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peercodec.h"
+#include "daemon/peercodec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/src/io/platform.cpp
+++ b/src/daemon/io/platform.cpp
@@ -1,7 +1,7 @@
-#include "platform.h"
+#include "daemon/io/platform.h"
 
-#include "jsonread.h"
-#include "logging.h"
+#include "daemon/io/jsonread.h"
+#include "daemon/io/logging.h"
 
 #include <openssl/evp.h>
 
--- a/src/io/platform.h
+++ b/src/daemon/io/platform.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "configchange.h"
-#include "httpclient.h"
-#include "messages.h"
+#include "daemon/configchange.h"
+#include "daemon/messages.h"
+#include "io/httpclient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
--- a/src/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -1,7 +1,7 @@
-#include "server.h"
+#include "daemon/io/server.h"
 
-#include "adminapi.h"
-#include "logging.h"
+#include "daemon/io/adminapi.h"
+#include "daemon/io/logging.h"
 
 #include <boost/asio/post.hpp>
 #include <csignal>
--- a/src/io/server.h
+++ b/src/daemon/io/server.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "callerapi.h"
-#include "daemon.h"
-#include "endpointlink.h"
-#include "peerlink.h"
-#include "platform.h"
-#include "settings.h"
+#include "daemon/daemon.h"
+#include "daemon/io/callerapi.h"
+#include "daemon/io/endpointlink.h"
+#include "daemon/io/peerlink.h"
+#include "daemon/io/platform.h"
+#include "daemon/settings.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <deque>
--- a/src/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -1,4 +1,4 @@
-#include "membership.h"
+#include "daemon/membership.h"
 
 #include <algorithm>
 #include <set>
--- a/src/membership.h
+++ b/src/daemon/membership.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "counters.h"
-#include "messages.h"
-#include "random.h"
+#include "common/random.h"
+#include "daemon/counters.h"
+#include "daemon/messages.h"
 
 #include <map>
 
--- a/src/messages.h
+++ b/src/daemon/messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "onceregister.h"
-#include "types.h"
+#include "common/types.h"
+#include "daemon/onceregister.h"
 
 #include <memory>
 #include <variant>
--- a/src/onceattempt.cpp
+++ b/src/daemon/onceattempt.cpp
@@ -1,6 +1,6 @@
-#include "onceattempt.h"
+#include "daemon/onceattempt.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 namespace cranberry {
 
--- a/src/onceattempt.h
+++ b/src/daemon/onceattempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "onceregister.h"
+#include "daemon/onceregister.h"
 
 namespace cranberry {
 
--- a/src/onceregister.cpp
+++ b/src/daemon/onceregister.cpp
@@ -1,6 +1,6 @@
-#include "onceregister.h"
+#include "daemon/onceregister.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #include <algorithm>
 
--- a/src/peercodec.cpp
+++ b/src/daemon/peercodec.cpp
@@ -1,4 +1,4 @@
-#include "peercodec.h"
+#include "daemon/peercodec.h"
 
 #include "peers.pb.h"
 
--- a/src/peercodec.h
+++ b/src/daemon/peercodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "messages.h"
+#include "daemon/messages.h"
 
 namespace cranberry {
 
--- a/src/request.cpp
+++ b/src/daemon/request.cpp
@@ -1,6 +1,6 @@
-#include "request.h"
+#include "daemon/request.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #include <algorithm>
 
--- a/src/request.h
+++ b/src/daemon/request.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/requestdigest.h"
-#include "messages.h"
-#include "onceattempt.h"
+#include "daemon/messages.h"
+#include "daemon/onceattempt.h"
+#include "gateway/requests/requestdigest.h"
 
 #include <unordered_map>
 
--- a/src/routing.cpp
+++ b/src/daemon/routing.cpp
@@ -1,6 +1,6 @@
-#include "routing.h"
+#include "daemon/routing.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/routing.h
+++ b/src/daemon/routing.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "configuration.h"
-#include "membership.h"
-#include "random.h"
+#include "common/random.h"
+#include "daemon/configuration.h"
+#include "daemon/membership.h"
 
 #include <map>
 #include <memory>
--- a/src/safeguards.cpp
+++ b/src/daemon/safeguards.cpp
@@ -1,4 +1,4 @@
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #ifdef CRANBERRY_SAFEGUARD_SWITCHES
 
--- a/src/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "daemon/settings.h"
 
 namespace cranberry {
 
--- a/src/witness.cpp
+++ b/src/daemon/witness.cpp
@@ -1,5 +1,5 @@
-#include "safeguards.h"
-#include "world.h"
+#include "daemon/safeguards.h"
+#include "daemon/world.h"
 
 #include <algorithm>
 
--- a/src/world.h
+++ b/src/daemon/world.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "budgets.h"
-#include "configuration.h"
-#include "counters.h"
-#include "gateway/crashsuspects.h"
-#include "membership.h"
-#include "messages.h"
-#include "onceregister.h"
-#include "random.h"
-#include "request.h"
-#include "routing.h"
+#include "common/random.h"
+#include "daemon/budgets.h"
+#include "daemon/configuration.h"
+#include "daemon/counters.h"
+#include "daemon/membership.h"
+#include "daemon/messages.h"
+#include "daemon/onceregister.h"
+#include "daemon/request.h"
+#include "daemon/routing.h"
+#include "gateway/endpoints/crashsuspects.h"
 
 #include <deque>
 #include <map>
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "httpfields.h"
-#include "types.h"
+#include "common/httpfields.h"
+#include "common/types.h"
 
 #include <memory>
 
--- a/src/gateway/usageduty.cpp
+++ b/src/gateway/duties/usageduty.cpp
@@ -1,6 +1,6 @@
-#include "gateway/usageduty.h"
+#include "gateway/duties/usageduty.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 #include <fmt/format.h>
 
--- a/src/gateway/usageduty.h
+++ b/src/gateway/duties/usageduty.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gateway/decisionlog.h"
-#include "gateway/dutycalls.h"
-#include "gateway/peertable.h"
-#include "gateway/storecalls.h"
-#include "gateway/storesync.h"
-#include "gateway/usagewindows.h"
+#include "gateway/duties/dutycalls.h"
+#include "gateway/duties/usagewindows.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/store/storecalls.h"
+#include "gateway/store/storesync.h"
 
 #include <map>
 #include <utility>
--- a/src/gateway/usagewindows.cpp
+++ b/src/gateway/duties/usagewindows.cpp
@@ -1,4 +1,4 @@
-#include "gateway/usagewindows.h"
+#include "gateway/duties/usagewindows.h"
 
 namespace cranberry {
 
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/endpoints/crashsuspects.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crashsuspects.h"
+#include "gateway/endpoints/crashsuspects.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/gateway/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointfleet.h"
+#include "gateway/endpoints/endpointfleet.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/endpointlimiter.h"
-#include "random.h"
+#include "common/random.h"
+#include "gateway/endpoints/endpointlimiter.h"
 
 #include <map>
 #include <set>
--- a/src/gateway/endpointlimiter.cpp
+++ b/src/gateway/endpoints/endpointlimiter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointlimiter.h"
+#include "gateway/endpoints/endpointlimiter.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpoints/endpointlist.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointlist.h"
+#include "gateway/endpoints/endpointlist.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/gateway/endpointquestions.cpp
+++ b/src/gateway/endpoints/endpointquestions.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointquestions.h"
+#include "gateway/endpoints/endpointquestions.h"
 
 #include <utility>
 
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/endpoints/quarantine.cpp
@@ -1,6 +1,6 @@
-#include "gateway/quarantine.h"
+#include "gateway/endpoints/quarantine.h"
 
-#include "gateway/quarantinelist.h"
+#include "gateway/endpoints/quarantinelist.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/quarantine.h
+++ b/src/gateway/endpoints/quarantine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/crashsuspects.h"
+#include "gateway/endpoints/crashsuspects.h"
 
 namespace cranberry {
 
--- a/src/gateway/quarantinelist.cpp
+++ b/src/gateway/endpoints/quarantinelist.cpp
@@ -1,6 +1,6 @@
-#include "gateway/quarantinelist.h"
+#include "gateway/endpoints/quarantinelist.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 #include <algorithm>
 #include <map>
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/endpointfleet.h"
-#include "gateway/eventstream.h"
+#include "gateway/endpoints/endpointfleet.h"
+#include "gateway/requests/eventstream.h"
 
 namespace cranberry {
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "gateway/admissionqueue.h"
+#include "common/random.h"
 #include "gateway/decisionlog.h"
-#include "gateway/demandmeter.h"
-#include "gateway/endpointquestions.h"
-#include "gateway/enginecapacity.h"
+#include "gateway/duties/usagewindows.h"
+#include "gateway/endpoints/endpointquestions.h"
+#include "gateway/endpoints/quarantine.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaycounters.h"
-#include "gateway/peertable.h"
-#include "gateway/quarantine.h"
-#include "gateway/quotas.h"
-#include "gateway/repeatbudget.h"
+#include "gateway/limits/quotas.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/requests/admissionqueue.h"
+#include "gateway/requests/repeatbudget.h"
 #include "gateway/rollout/rolloutduty.h"
 #include "gateway/rollout/rolloutview.h"
 #include "gateway/rollout/trialcounts.h"
-#include "gateway/usagewindows.h"
-#include "random.h"
+#include "gateway/sizing/demandmeter.h"
+#include "gateway/sizing/enginecapacity.h"
 
 #include <map>
 #include <utility>
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "fields.h"
+#include "common/fields.h"
 #include "gateway/callerrequest.h"
-#include "gateway/requestdigest.h"
+#include "gateway/requests/requestdigest.h"
 #include "gateway/rollout/rollout.h"
 #include "gateway/serving.h"
 
--- a/src/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -1,4 +1,4 @@
-#include "gatewaysettings.h"
+#include "gateway/gatewaysettings.h"
 
 namespace cranberry {
 
--- a/src/io/clocksource.cpp
+++ b/src/gateway/io/clocksource.cpp
@@ -1,4 +1,4 @@
-#include "io/clocksource.h"
+#include "gateway/io/clocksource.h"
 
 #include <ctime>
 
--- a/src/io/clocksource.h
+++ b/src/gateway/io/clocksource.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "clock.h"
+#include "common/clock.h"
 
 namespace cranberry {
 
--- a/src/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -1,6 +1,6 @@
 // Callers and endpoints: exchanges into events of the core, its actions into answers and attempts.
 
-#include "io/gatewaystate.h"
+#include "gateway/io/gatewaystate.h"
 
 #include <fmt/format.h>
 
--- a/src/io/gatewaypeers.cpp
+++ b/src/gateway/io/gatewaypeers.cpp
@@ -1,6 +1,6 @@
 // The store, the receiver of duties and the other daemons.
 
-#include "io/gatewaystate.h"
+#include "gateway/io/gatewaystate.h"
 
 #include <sys/resource.h>
 
--- a/src/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -1,4 +1,4 @@
-#include "io/gatewaystate.h"
+#include "gateway/io/gatewaystate.h"
 
 #include "io/commandline.h"
 
--- a/src/io/gatewayserver.h
+++ b/src/gateway/io/gatewayserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gatewaysettings.h"
+#include "gateway/gatewaysettings.h"
 
 #include <memory>
 #include <string>
--- a/src/io/logsink.cpp
+++ b/src/gateway/io/logsink.cpp
@@ -1,4 +1,4 @@
-#include "io/logsink.h"
+#include "gateway/io/logsink.h"
 
 #include <cerrno>
 #include <poll.h>
--- a/src/gateway/quotas.cpp
+++ b/src/gateway/limits/quotas.cpp
@@ -1,4 +1,4 @@
-#include "gateway/quotas.h"
+#include "gateway/limits/quotas.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/entrychoice.cpp
+++ b/src/gateway/peers/entrychoice.cpp
@@ -1,4 +1,4 @@
-#include "gateway/entrychoice.h"
+#include "gateway/peers/entrychoice.h"
 
 #include <algorithm>
 
--- a/src/gateway/entrychoice.h
+++ b/src/gateway/peers/entrychoice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "clock.h"
-#include "types.h"
+#include "common/clock.h"
+#include "common/types.h"
 
 #include <optional>
 #include <vector>
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/peers/fleetview.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleetview.h"
+#include "gateway/peers/fleetview.h"
 
 #include <utility>
 
--- a/src/gateway/fleetview.h
+++ b/src/gateway/peers/fleetview.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/gateway.h"
-#include "gateway/reportschedule.h"
-#include "gateway/storesync.h"
+#include "gateway/peers/reportschedule.h"
+#include "gateway/store/storesync.h"
 
 namespace cranberry {
 
--- a/src/gateway/memberentry.cpp
+++ b/src/gateway/peers/memberentry.cpp
@@ -1,6 +1,6 @@
-#include "gateway/memberentry.h"
+#include "gateway/peers/memberentry.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/gateway/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -1,6 +1,6 @@
-#include "gateway/peerdatagrams.h"
+#include "gateway/peers/peerdatagrams.h"
 
-#include "gateway/quarantinelist.h"
+#include "gateway/endpoints/quarantinelist.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -1,6 +1,6 @@
-#include "gateway/peertable.h"
+#include "gateway/peers/peertable.h"
 
-#include "gateway/memberentry.h"
+#include "gateway/peers/memberentry.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/gateway/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/entrychoice.h"
 #include "gateway/gatewayevents.h"
+#include "gateway/peers/entrychoice.h"
 
 #include <map>
 #include <set>
--- a/src/gateway/reportschedule.cpp
+++ b/src/gateway/peers/reportschedule.cpp
@@ -1,4 +1,4 @@
-#include "gateway/reportschedule.h"
+#include "gateway/peers/reportschedule.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/reportschedule.h
+++ b/src/gateway/peers/reportschedule.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/peertable.h"
+#include "gateway/peers/peertable.h"
 
 namespace cranberry {
 
--- a/src/gateway/eventstream.cpp
+++ b/src/gateway/requests/eventstream.cpp
@@ -1,4 +1,4 @@
-#include "gateway/eventstream.h"
+#include "gateway/requests/eventstream.h"
 
 #include <charconv>
 
--- a/src/gateway/repeatbudget.cpp
+++ b/src/gateway/requests/repeatbudget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/repeatbudget.h"
+#include "gateway/requests/repeatbudget.h"
 
 #include <algorithm>
 
--- a/src/gateway/requestdigest.cpp
+++ b/src/gateway/requests/requestdigest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/requestdigest.h"
+#include "gateway/requests/requestdigest.h"
 
 #include <charconv>
 #include <fmt/format.h>
--- a/src/gateway/requestdigest.h
+++ b/src/gateway/requests/requestdigest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "types.h"
+#include "common/types.h"
 
 namespace cranberry {
 
--- a/src/gateway/rollout/rollout.cpp
+++ b/src/gateway/rollout/rollout.cpp
@@ -1,6 +1,6 @@
 #include "gateway/rollout/rollout.h"
 
-#include "fields.h"
+#include "common/fields.h"
 
 #include <algorithm>
 #include <array>
--- a/src/gateway/rollout/rolloutduty.h
+++ b/src/gateway/rollout/rolloutduty.h
@@ -2,8 +2,8 @@
 
 #include "gateway/decisionlog.h"
 #include "gateway/rollout/versionjudge.h"
-#include "gateway/storecalls.h"
-#include "gateway/storesync.h"
+#include "gateway/store/storecalls.h"
+#include "gateway/store/storesync.h"
 
 #include <utility>
 
--- a/src/gateway/demandmeter.cpp
+++ b/src/gateway/sizing/demandmeter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/demandmeter.h"
+#include "gateway/sizing/demandmeter.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/enginecapacity.cpp
+++ b/src/gateway/sizing/enginecapacity.cpp
@@ -1,4 +1,4 @@
-#include "gateway/enginecapacity.h"
+#include "gateway/sizing/enginecapacity.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/engineplan.cpp
+++ b/src/gateway/sizing/engineplan.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engineplan.h"
+#include "gateway/sizing/engineplan.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/engineplan.h
+++ b/src/gateway/sizing/engineplan.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/enginecapacity.h"
+#include "gateway/sizing/enginecapacity.h"
 
 #include <map>
 #include <vector>
--- a/src/gateway/enginesizing.h
+++ b/src/gateway/sizing/enginesizing.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gateway/decisionlog.h"
-#include "gateway/dutycalls.h"
-#include "gateway/endpointfleet.h"
-#include "gateway/engineplan.h"
+#include "gateway/duties/dutycalls.h"
+#include "gateway/endpoints/endpointfleet.h"
 #include "gateway/rollout/rolloutview.h"
-#include "gateway/storesync.h"
+#include "gateway/sizing/engineplan.h"
+#include "gateway/store/storesync.h"
 
 #include <deque>
 #include <map>
--- a/src/gateway/storeera.cpp
+++ b/src/gateway/store/storeera.cpp
@@ -1,8 +1,8 @@
 // A store that comes back from an older copy of itself: what this daemon may still believe, and what it does
 // anew.
 
-#include "gateway/storeera.h"
-#include "gateway/storesync.h"
+#include "gateway/store/storeera.h"
+#include "gateway/store/storesync.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/gateway/storequarantine.cpp
+++ b/src/gateway/store/storequarantine.cpp
@@ -1,7 +1,7 @@
 // Requests that are kept from endpoints: as the store has them, and as daemons tell each other.
 
-#include "gateway/quarantinelist.h"
-#include "gateway/storesync.h"
+#include "gateway/endpoints/quarantinelist.h"
+#include "gateway/store/storesync.h"
 
 #include <algorithm>
 
--- a/src/gateway/storequestions.cpp
+++ b/src/gateway/store/storequestions.cpp
@@ -1,7 +1,7 @@
 // Asking another daemon about the store instead of reading it, and answering those that ask.
 
-#include "gateway/memberentry.h"
-#include "gateway/storesync.h"
+#include "gateway/peers/memberentry.h"
+#include "gateway/store/storesync.h"
 
 #include <algorithm>
 
--- a/src/gateway/storerollouts.cpp
+++ b/src/gateway/store/storerollouts.cpp
@@ -1,7 +1,7 @@
 // Roll-outs: orders and records as the store has them, and as daemons tell each other.
 
-#include "gateway/memberentry.h"
-#include "gateway/storesync.h"
+#include "gateway/peers/memberentry.h"
+#include "gateway/store/storesync.h"
 
 #include <fmt/format.h>
 
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -1,10 +1,10 @@
 // Reads, the lease, the own entry and the leadership of the duties. Questions to other daemons are in
 // storequestions.cpp.
 
-#include "gateway/storesync.h"
+#include "gateway/store/storesync.h"
 
-#include "gateway/memberentry.h"
-#include "gateway/storeera.h"
+#include "gateway/peers/memberentry.h"
+#include "gateway/store/storeera.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/gateway/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "common/random.h"
 #include "gateway/decisionlog.h"
-#include "gateway/endpointlist.h"
-#include "gateway/peertable.h"
-#include "gateway/storecalls.h"
-#include "random.h"
+#include "gateway/endpoints/endpointlist.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/store/storecalls.h"
 
 #include <map>
 #include <set>
--- a/src/io/commandline.cpp
+++ b/src/io/commandline.cpp
@@ -1,4 +1,4 @@
-#include "commandline.h"
+#include "io/commandline.h"
 
 #include <fmt/format.h>
 #include <fstream>
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -1,6 +1,6 @@
-#include "httpclient.h"
+#include "io/httpclient.h"
 
-#include "socketoptions.h"
+#include "io/socketoptions.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "httpfields.h"
+#include "common/httpfields.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -1,6 +1,6 @@
-#include "httpserver.h"
+#include "io/httpserver.h"
 
-#include "socketoptions.h"
+#include "io/socketoptions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
--- a/src/io/latency.cpp
+++ b/src/io/latency.cpp
@@ -1,4 +1,4 @@
-#include "latency.h"
+#include "io/latency.h"
 
 #include <boost/histogram.hpp>
 #include <fmt/format.h>
--- a/src/io/settingsfile.h
+++ b/src/io/settingsfile.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fields.h"
+#include "common/fields.h"
 #include "io/commandline.h"
 
 #include <fmt/format.h>
--- a/src/io/socketoptions.cpp
+++ b/src/io/socketoptions.cpp
@@ -1,4 +1,4 @@
-#include "socketoptions.h"
+#include "io/socketoptions.h"
 
 #include <cerrno>
 #include <netinet/in.h>
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -17,7 +17,7 @@
 // is "crash" ends the endpoint that begins to run it, with all that it has; it is back under another id after
 // crashMs. POST /copy keeps a copy of the store, POST /return brings it back from there, in the next era.
 
-#include "base64.h"
+#include "io/base64.h"
 #include "standin.h"
 #include "storestate.h"
 
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "commandline.h"
-#include "httpserver.h"
+#include "io/commandline.h"
+#include "io/httpserver.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/admissionqueue_test.cpp
+++ b/tests/admissionqueue_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/admissionqueue.h"
+#include "gateway/requests/admissionqueue.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/change_explorer_test.cpp
+++ b/tests/change_explorer_test.cpp
@@ -1,5 +1,5 @@
-#include "configchange.h"
-#include "safeguards.h"
+#include "daemon/configchange.h"
+#include "daemon/safeguards.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/crashsuspects_test.cpp
+++ b/tests/crashsuspects_test.cpp
@@ -1,6 +1,6 @@
 // Which of the requests that were at an endpoint when it ended is kept from further ones.
 
-#include "gateway/crashsuspects.h"
+#include "gateway/endpoints/crashsuspects.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/decoders_random_test.cpp
+++ b/tests/decoders_random_test.cpp
@@ -1,12 +1,12 @@
 // What comes from outside is decoded, or refused with a reason, whatever it is.
 
-#include "gateway/peerdatagrams.h"
+#include "common/random.h"
+#include "gateway/peers/peerdatagrams.h"
 #include "gatewayfixture.h"
 #include "platform/documents.h"
 #include "platform/duties.h"
 #include "platform/requests.h"
 #include "platform/storecodec.h"
-#include "random.h"
 
 using namespace cranberry;
 
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -1,7 +1,7 @@
 #include "fakestore.h"
-#include "gateway/memberentry.h"
-#include "gateway/storesync.h"
-#include "gateway/usageduty.h"
+#include "gateway/duties/usageduty.h"
+#include "gateway/peers/memberentry.h"
+#include "gateway/store/storesync.h"
 #include "gatewayfixture.h"
 
 #include <fmt/format.h>
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -1,7 +1,7 @@
 // Endpoints that say with their answers how many requests a second they take from all daemons together.
 #include "engineload.h"
 
-#include "gateway/peerdatagrams.h"
+#include "gateway/peers/peerdatagrams.h"
 
 #include <algorithm>
 
--- a/tests/engineload.h
+++ b/tests/engineload.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/random.h"
 #include "gateway/gateway.h"
 #include "gatewayfixture.h"
-#include "random.h"
 
 #include <deque>
 #include <list>
--- a/tests/enginesizing_test.cpp
+++ b/tests/enginesizing_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/enginesizing.h"
+#include "gateway/sizing/enginesizing.h"
 #include "gatewayfixture.h"
 
 using namespace cranberry;
--- a/tests/explorer_test.cpp
+++ b/tests/explorer_test.cpp
@@ -1,5 +1,5 @@
-#include "onceattempt.h"
-#include "safeguards.h"
+#include "daemon/onceattempt.h"
+#include "daemon/safeguards.h"
 
 #include <array>
 #include <doctest/doctest.h>
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/storecalls.h"
-#include "gateway/storeera.h"
-#include "random.h"
+#include "common/random.h"
+#include "gateway/store/storecalls.h"
+#include "gateway/store/storeera.h"
 
 #include <deque>
 #include <map>
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -1,8 +1,8 @@
 // What daemons know of each other: at 30 to 890 daemons, with kills, losses and cuts, in virtual time.
 
 #include "fakestore.h"
-#include "gateway/fleetview.h"
-#include "gateway/peerdatagrams.h"
+#include "gateway/peers/fleetview.h"
+#include "gateway/peers/peerdatagrams.h"
 #include "gatewayfixture.h"
 
 #include <algorithm>
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -1,12 +1,12 @@
-#include "gateway/endpointfleet.h"
-#include "gateway/endpointlist.h"
-#include "gateway/eventstream.h"
-#include "gateway/peerdatagrams.h"
-#include "gateway/peertable.h"
-#include "gateway/quarantinelist.h"
-#include "gateway/quotas.h"
-#include "gateway/repeatbudget.h"
-#include "gateway/usagewindows.h"
+#include "gateway/duties/usagewindows.h"
+#include "gateway/endpoints/endpointfleet.h"
+#include "gateway/endpoints/endpointlist.h"
+#include "gateway/endpoints/quarantinelist.h"
+#include "gateway/limits/quotas.h"
+#include "gateway/peers/peerdatagrams.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/requests/eventstream.h"
+#include "gateway/requests/repeatbudget.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "configchange.h"
-#include "daemon.h"
+#include "daemon/configchange.h"
+#include "daemon/daemon.h"
 
 #include <functional>
 #include <map>
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,6 @@
-#include "endpointlink.h"
-#include "httpclient.h"
-#include "httpserver.h"
+#include "daemon/io/endpointlink.h"
+#include "io/httpclient.h"
+#include "io/httpserver.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
--- a/tests/limits_explorer_test.cpp
+++ b/tests/limits_explorer_test.cpp
@@ -1,6 +1,6 @@
-#include "gateway/peertable.h"
-#include "gateway/quotas.h"
-#include "random.h"
+#include "common/random.h"
+#include "gateway/limits/quotas.h"
+#include "gateway/peers/peertable.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/onedaemon.h
+++ b/tests/onedaemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon.h"
+#include "daemon/daemon.h"
 
 #include <set>
 #include <string>
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -3,8 +3,8 @@
 #include "platform/requests.h"
 #include "platform/storecodec.h"
 
+#include "gateway/gatewaysettings.h"
 #include "gatewayfixture.h"
-#include "gatewaysettings.h"
 
 using namespace cranberry;
 
--- a/tests/safeguards_test.cpp
+++ b/tests/safeguards_test.cpp
@@ -1,6 +1,6 @@
 #include "harness.h"
 
-#include "safeguards.h"
+#include "daemon/safeguards.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/storeera_test.cpp
+++ b/tests/storeera_test.cpp
@@ -2,7 +2,7 @@
 // start just after it, may believe.
 
 #include "fakestore.h"
-#include "gateway/storesync.h"
+#include "gateway/store/storesync.h"
 #include "gatewayfixture.h"
 
 #include <memory>
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -1,9 +1,9 @@
-#include "budgets.h"
-#include "configuration.h"
-#include "membership.h"
-#include "request.h"
-#include "routing.h"
-#include "settings.h"
+#include "daemon/budgets.h"
+#include "daemon/configuration.h"
+#include "daemon/membership.h"
+#include "daemon/request.h"
+#include "daemon/routing.h"
+#include "daemon/settings.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/versionjudge_test.cpp
+++ b/tests/versionjudge_test.cpp
@@ -1,8 +1,8 @@
 // Judging a version under trial: how soon a bad one is found, and how often a good one is taken for bad,
 // while endpoints crash, fail by themselves and are overloaded. Two ways are compared.
 
+#include "common/random.h"
 #include "gateway/rollout/versionjudge.h"
-#include "random.h"
 
 #include <array>
 #include <cmath>
--- a/tools/caller.cpp
+++ b/tools/caller.cpp
@@ -1,6 +1,6 @@
 #include "caller.h"
 
-#include "jsonread.h"
+#include "daemon/io/jsonread.h"
 #include "tokens.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/tools/caller.h
+++ b/tools/caller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "httpclient.h"
+#include "io/httpclient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/tools/cranberrybench.cpp
+++ b/tools/cranberrybench.cpp
@@ -1,5 +1,5 @@
 #include "checker.h"
-#include "commandline.h"
+#include "io/commandline.h"
 #include "load.h"
 #include "slopes.h"
 
--- a/tools/cranberryctl.cpp
+++ b/tools/cranberryctl.cpp
@@ -1,6 +1,6 @@
-#include "commandline.h"
-#include "httpclient.h"
-#include "jsonread.h"
+#include "daemon/io/jsonread.h"
+#include "io/commandline.h"
+#include "io/httpclient.h"
 #include "trace.h"
 
 #include <boost/algorithm/string/split.hpp>
--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -1,7 +1,7 @@
 #include "slopes.h"
 
-#include "daemon.h"
-#include "peercodec.h"
+#include "daemon/daemon.h"
+#include "daemon/peercodec.h"
 
 #include <algorithm>
 #include <chrono>
