--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,7 +3,7 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 build=$root/build
 packages="g++ cmake ninja-build pkg-config curl clang-format clang-tidy libboost1.81-dev libboost-json1.81-dev \
-libgrpc++-dev libprotobuf-dev libpopt-dev libfmt-dev doctest-dev libxxhash-dev libssl-dev python3"
+libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libpopt-dev libfmt-dev doctest-dev libxxhash-dev libssl-dev python3"
 
 install_packages() {
     local missing=""
