--- /dev/null
+++ b/tests/endpointlimits_explorer_test.cpp
@@ -0,0 +1,393 @@
+// One endpoint that names a limit, many daemons that all want more of it, in virtual time.
+#include "common/random.h"
+#include "gateway/endpoints/endpointlimiter.h"
+#include "gateway/peers/peertable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <memory>
+#include <variant>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr DurationMs Step{25};
+constexpr DurationMs AnswerTime{100};
+constexpr DurationMs MessageTime{25};
+constexpr DurationMs Window{4000};
+constexpr DurationMs SettleTime{3000};
+constexpr DurationMs TellTime{500};
+constexpr DurationMs LeaseTime{3000};
+constexpr DurationMs ListPace{600};
+constexpr DurationMs CoordinatorsPace{200};
+constexpr uint32_t MostQueued = 20;
+
+const EndpointLife endpoint{EndpointId{"i-1"}, {}};
+
+/// How the daemons go by what the endpoint takes.
+enum class Way : uint8_t {
+    Coordinator, ///< The one that is built.
+    EqualParts, ///< Each sends its part of the rate.
+    EachForItself ///< Each sends the whole rate.
+};
+
+struct World {
+    size_t daemons = 6;
+    size_t serving = 6; ///< The rest stands by: it is told nothing, and has few requests.
+    double perSecond = 1;
+    double demand = 30; ///< Requests a second that all daemons together would send there.
+    Way way = Way::Coordinator;
+    bool tells = true; ///< Daemons tell each other of the limit.
+    uint64_t lossPercent = 0;
+};
+
+/// Plays a world, with what tests do to its daemons.
+class LimitPlay
+{
+public:
+    LimitPlay(const World &world, uint64_t seed) : world_(world), random_(seed)
+    {
+        group.resize(world.daemons);
+        daemons_.resize(world.daemons);
+        for (size_t i = 0; i < world.daemons; ++i)
+            start(i);
+    }
+
+    void pass(DurationMs duration)
+    {
+        const TimeMs until = now + duration;
+        while (now < until) {
+            now = now + Step;
+            answer();
+            deliver();
+            for (size_t i = 0; i < world_.daemons; ++i) {
+                if (now >= daemons_[i]->awayUntil)
+                    run(i);
+            }
+        }
+    }
+
+    void kill(size_t i, DurationMs away)
+    {
+        start(i);
+        daemons_[i]->awayUntil = now + away;
+    }
+    void freeze(size_t i, DurationMs away) { daemons_[i]->awayUntil = now + away; }
+    /// What the endpoint takes while it says so.
+    double used() const { return static_cast<double>(settled_) / std::max(settledSeconds(), 0.001); }
+    double allowed() const { return 1.5 * world_.perSecond * 4 + 5; }
+
+    Random &random() { return random_; }
+    TimeMs now{100'000};
+    std::vector<uint32_t> group; ///< Daemons hear those of their own group.
+    size_t most = 0; ///< In any window, from daemons that were told.
+    size_t mostAtOnce = 0; ///< In any window, from all.
+
+private:
+    struct Daemon {
+        explicit Daemon(const InstanceName &name) : peers(name) { }
+        PeerTable peers;
+        EndpointLimiter limiter;
+        Incarnation incarnation;
+        std::optional<Address> coordinator;
+        TimeMs coordinatorAt;
+        std::optional<TimeMs> toldAt;
+        TimeMs awayUntil;
+        TimeMs listAt;
+        TimeMs reportAt;
+        TimeMs startedAt;
+        uint64_t sequence = 0;
+        uint32_t queued = 0;
+        double tokens = 0; ///< Of the ways that need no coordinator.
+    };
+    struct Answer {
+        size_t to = 0;
+        TimeMs sentAt;
+        TimeMs at;
+        Incarnation incarnation;
+    };
+    using Message = std::variant<PeerReport, LimitNotice, LimitAsk, LimitGrant>;
+    struct Envelope {
+        size_t from = 0;
+        size_t to = 0;
+        TimeMs at;
+        Message message;
+    };
+
+    bool serves(size_t i) const { return i < world_.serving; }
+    static std::string nameOf(size_t i) { return fmt::format("entry-{}", i); }
+    Address addressOf(size_t i) const { return {"10.0.0.1", static_cast<uint16_t>(i + 1)}; }
+    double settledSeconds() const
+    {
+        return namedAt_ ? static_cast<double>((now - *namedAt_ - SettleTime).count) / 1000.0 : 0;
+    }
+
+    void start(size_t i)
+    {
+        daemons_[i] = std::make_unique<Daemon>(InstanceName{nameOf(i)});
+        daemons_[i]->incarnation.value = ++incarnations_;
+        daemons_[i]->startedAt = now;
+    }
+
+    void tell(size_t from, const Address &to, const Message &message)
+    {
+        const size_t index = to.port - 1U;
+        if (group[from] == group[index] && random_.below(100) >= world_.lossPercent)
+            messages_.push_back({from, index, now + MessageTime, message});
+    }
+
+    void deliver()
+    {
+        while (!messages_.empty() && messages_.front().at <= now) {
+            const Envelope envelope = std::move(messages_.front());
+            messages_.pop_front();
+            Daemon &daemon = *daemons_[envelope.to];
+            if (now < daemon.awayUntil)
+                continue;
+            if (const PeerReport *report = std::get_if<PeerReport>(&envelope.message))
+                daemon.peers.take(*report, now);
+            else if (const LimitNotice *notice = std::get_if<LimitNotice>(&envelope.message))
+                daemon.limiter.learn(notice->words.front(), now);
+            else if (const LimitAsk *ask = std::get_if<LimitAsk>(&envelope.message))
+                daemon.limiter.onAsk(addressOf(envelope.from), *ask, now);
+            else if (const LimitGrant *grant = std::get_if<LimitGrant>(&envelope.message))
+                daemon.limiter.take(*grant, now);
+        }
+    }
+
+    void answer()
+    {
+        while (!answers_.empty() && answers_.front().at <= now) {
+            const Answer answer = answers_.front();
+            answers_.pop_front();
+            Daemon &daemon = *daemons_[answer.to];
+            if (now < daemon.awayUntil || daemon.incarnation != answer.incarnation)
+                continue;
+            if (!daemon.toldAt)
+                daemon.toldAt = now;
+            daemon.limiter.hear(RequestRate{world_.perSecond}, answer.sentAt, now);
+        }
+    }
+
+    void send(size_t i)
+    {
+        Daemon &daemon = *daemons_[i];
+        answers_.push_back({i, now, now + AnswerTime, daemon.incarnation});
+        if (!namedAt_)
+            namedAt_ = now;
+        const bool isTold = daemon.toldAt && now - *daemon.toldAt >= TellTime;
+        arrivals_.emplace_back(now, isTold);
+        while (now - arrivals_.front().first >= Window)
+            arrivals_.pop_front();
+        if (now - *namedAt_ < SettleTime)
+            return;
+        ++settled_;
+        const auto told = std::count_if(arrivals_.begin(), arrivals_.end(),
+                                        [](const std::pair<TimeMs, bool> &each) { return each.second; });
+        most = std::max(most, static_cast<size_t>(told));
+        mostAtOnce = std::max(mostAtOnce, arrivals_.size());
+    }
+
+    void run(size_t i)
+    {
+        Daemon &daemon = *daemons_[i];
+        if (now >= daemon.listAt) {
+            daemon.listAt = now + ListPace;
+            list(daemon);
+        }
+        const double part = serves(i) ? 0.95 / static_cast<double>(world_.serving)
+                                      : 0.05 / static_cast<double>(world_.daemons - world_.serving);
+        const double arrivals = world_.demand * part * static_cast<double>(Step.count) / 1000.0;
+        const uint64_t chance = static_cast<uint64_t>(arrivals * 1'000'000);
+        if (random_.below(1'000'000) < chance && daemon.queued < MostQueued)
+            ++daemon.queued;
+        coordinate(i);
+        while (daemon.queued > 0 && maySend(daemon)) {
+            --daemon.queued;
+            daemon.limiter.sent(now);
+            daemon.tokens -= 1;
+            send(i);
+        }
+        report(i);
+    }
+
+    void list(Daemon &daemon) const
+    {
+        std::vector<MemberEntry> members;
+        for (size_t j = 0; j < world_.daemons; ++j) {
+            // A killed daemon's entry stands until its lease is over.
+            const bool isListed = now >= daemons_[j]->awayUntil || now - daemons_[j]->startedAt < LeaseTime;
+            if (isListed && (serves(j) || daemons_[j].get() == &daemon))
+                members.push_back(
+                    {{nameOf(j)}, daemons_[j]->incarnation, {}, {}, addressOf(j), 1, serves(j)});
+        }
+        daemon.peers.setMembers(std::move(members), now, world_.daemons);
+    }
+
+    bool maySend(const Daemon &daemon) const
+    {
+        if (world_.way == Way::Coordinator || !daemon.limiter.limit())
+            return daemon.limiter.maySend(now);
+        return daemon.tokens >= 1;
+    }
+
+    void coordinate(size_t i)
+    {
+        Daemon &daemon = *daemons_[i];
+        if (world_.way != Way::Coordinator) {
+            const double part = world_.way == Way::EqualParts ? static_cast<double>(world_.daemons) : 1.0;
+            daemon.tokens = std::min(
+                1.0, daemon.tokens + world_.perSecond / part * static_cast<double>(Step.count) / 1000);
+            return;
+        }
+        if (!daemon.limiter.isActive())
+            return;
+        if (now >= daemon.coordinatorAt) {
+            daemon.coordinatorAt = now + CoordinatorsPace;
+            const MemberEntry *chosen = coordinatorOf(endpoint, daemon.peers.presentSharers(now));
+            daemon.limiter.setCoordinator(chosen && chosen->incarnation == daemon.incarnation, now);
+            daemon.coordinator = chosen ? std::optional<Address>(chosen->peerAddress) : std::nullopt;
+        }
+        daemon.limiter.want(daemon.queued);
+        for (const EndpointLimiter::Share &share : daemon.limiter.share(endpoint, daemon.incarnation, now))
+            tell(i, share.to, share.grant);
+        if (daemon.coordinator) {
+            if (const std::optional<LimitAsk> ask = daemon.limiter.dueAsk(endpoint, now))
+                tell(i, *daemon.coordinator, *ask);
+        }
+        if (world_.tells && daemon.limiter.isTellingDue(now)) {
+            for (const MemberEntry *target : daemon.peers.reportTargets())
+                tell(i, target->peerAddress, LimitNotice{{daemon.limiter.word(endpoint, now)}});
+        }
+    }
+
+    void report(size_t i)
+    {
+        Daemon &daemon = *daemons_[i];
+        if (!serves(i) || now < daemon.reportAt)
+            return;
+        daemon.reportAt = now + daemon.peers.reportPace();
+        PeerReport report;
+        report.incarnation = daemon.incarnation;
+        report.sequence = ++daemon.sequence;
+        report.ready = true;
+        for (const MemberEntry *target : daemon.peers.reportTargets())
+            tell(i, target->peerAddress, report);
+    }
+
+    const World world_;
+    Random random_;
+    std::vector<std::unique_ptr<Daemon>> daemons_;
+    uint64_t incarnations_ = 0;
+    std::deque<Envelope> messages_;
+    std::deque<Answer> answers_;
+    std::deque<std::pair<TimeMs, bool>>
+        arrivals_; ///< Of the newest window; true: from a daemon that was told.
+    std::optional<TimeMs> namedAt_;
+    size_t settled_ = 0;
+};
+
+World worldOf(size_t daemons, size_t serving, double perSecond)
+{
+    World world;
+    world.daemons = daemons;
+    world.serving = serving;
+    world.perSecond = perSecond;
+    world.demand = std::max(30.0, 3 * perSecond);
+    return world;
+}
+
+} // namespace
+
+// Guards against a sum over many daemons that is not what the endpoint takes, whether they tell each other or
+// not.
+TEST_CASE("the sum over all daemons is kept, however many they are")
+{
+    struct Size {
+        size_t daemons;
+        size_t serving;
+    };
+    for (const Size size :
+         {Size{2, 2}, Size{19, 19}, Size{71, 71}, Size{71, 18}, Size{295, 18}, Size{890, 18}}) {
+        for (const double perSecond : {0.1, 1.0, 20.0}) {
+            for (const bool tells : {true, false}) {
+                World world = worldOf(size.daemons, size.serving, perSecond);
+                world.tells = tells;
+                LimitPlay play(world, 1);
+                play.pass({20000});
+                INFO(fmt::format(
+                    "{} daemons, {} serve, {}/s, tell each other: {}, most {} (from all {}), {:.2f} used",
+                    size.daemons, size.serving, perSecond, tells, play.most, play.mostAtOnce, play.used()));
+                CHECK(static_cast<double>(play.most) <= play.allowed());
+            }
+        }
+    }
+}
+
+// Guards against an endpoint in need that is left with a small part of what it takes.
+TEST_CASE("what the endpoint takes is used, however many daemons there are")
+{
+    for (const size_t daemons : {2, 19, 71}) {
+        LimitPlay play(worldOf(daemons, daemons, 2), 1);
+        play.pass({30000});
+        INFO(daemons << " daemons, used " << play.used());
+        CHECK(play.used() > 1.6);
+        CHECK(play.used() < 2.2);
+    }
+}
+
+// Guards against parts cut off from each other, kills, standstills and losses in which more than one shares
+// out the whole.
+TEST_CASE("the limit holds through cuts, kills, standstills and losses")
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        World world = worldOf(6, 6, seed % 3 == 0 ? 10 : 1);
+        world.lossPercent = seed % 4 * 10;
+        LimitPlay play(world, seed);
+        play.pass({6000});
+        for (int i = 0; i < 8; ++i) {
+            const size_t which = play.random().below(6);
+            const DurationMs away{static_cast<int64_t>(500 + play.random().below(5000))};
+            switch (play.random().below(4)) {
+            case 0:
+                play.kill(which, away);
+                break;
+            case 1:
+                play.freeze(which, away);
+                break;
+            case 2:
+                for (uint32_t &each : play.group)
+                    each = static_cast<uint32_t>(play.random().below(2));
+                break;
+            default:
+                std::fill(play.group.begin(), play.group.end(), 0);
+                break;
+            }
+            play.pass({static_cast<int64_t>(200 + play.random().below(4000))});
+        }
+        INFO("seed " << seed << " most " << play.most);
+        CHECK(static_cast<double>(play.most) <= play.allowed());
+    }
+}
+
+// Guards against parts or copies of the rate at each daemon: they leave most of it unused, or add up.
+TEST_CASE("neither equal parts nor each for itself keeps one request a second over many daemons")
+{
+    const auto playWay = [](Way way) {
+        World world = worldOf(19, 19, 1);
+        world.way = way;
+        LimitPlay play(world, 1);
+        play.pass({40000});
+        return play;
+    };
+    const LimitPlay coordinated = playWay(Way::Coordinator);
+    CHECK(coordinated.used() > 0.95);
+    CHECK(static_cast<double>(coordinated.most) <= coordinated.allowed());
+    CHECK(playWay(Way::EqualParts).used() < 0.7);
+    const LimitPlay each = playWay(Way::EachForItself);
+    CHECK(static_cast<double>(each.most) > each.allowed());
+}
