--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -15,7 +15,9 @@
 // id; POST /spoil?endpoint=ID&entry=TEXT writes TEXT as its entry, until it is called without one. Fault
 // advertiseOffset: endpoints are listed at ports so much higher, where a proxy listens. A request whose body
 // is "crash" ends the endpoint that begins to run it, with all that it has; it is back under another id after
-// crashMs. POST /copy keeps a copy of the store, POST /return brings it back from there, in the next era.
+// crashMs. POST /limit?endpoint=N&perSecond=TEXT: the Nth names that limit with its answers, until it is
+// called without one. POST /copy keeps a copy of the store, POST /return brings it back from there, in the
+// next era.
 
 #include "io/base64.h"
 #include "standin.h"
@@ -120,6 +122,12 @@
             replace(index);
             return exchange->respond(200, {}, "");
         }
+        if (target.path == "/limit") {
+            const size_t index = std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10);
+            if (index < EndpointCount)
+                limits_[index] = headerOf(target.query, "perSecond");
+            return exchange->respond(200, {}, "");
+        }
         if (target.path == "/rollout") {
             const std::string service = headerOf(target.query, "service");
             const json::object order{
@@ -267,8 +275,10 @@
                                  headerOf(request.headers, "Authorization"),
                                  headerOf(request.headers, "X-Deadline-Ms"),
                                  headerOf(request.headers, "Last-Event-Id"), request.body.size()));
-        const cranberry::HttpHeaders headers{{"X-Request-Id", id},
-                                             {"X-Server-Stamp", "stamp-" + idOf(index)}};
+        cranberry::HttpHeaders headers{{"X-Request-Id", id}, {"X-Server-Stamp", "stamp-" + idOf(index)}};
+        const std::string &limit = limits_[static_cast<size_t>(index)];
+        if (!limit.empty())
+            headers.push_back({"Server-Limit", limit});
         open_[index].push_back(exchange);
         std::erase_if(open_[index],
                       [](const std::weak_ptr<cranberry::HttpExchange> &each) { return each.expired(); });
@@ -325,6 +335,7 @@
     std::array<int64_t, EndpointCount> startedAtMs_ = {};
     std::array<std::string, EndpointCount> versions_
         = {FirstVersion, FirstVersion, FirstVersion, FirstVersion, FirstVersion};
+    std::array<std::string, EndpointCount> limits_; ///< As named; empty: none.
     std::map<std::string, std::string> spoiled_; ///< What another writer put in an endpoint's entry.
     uint64_t sequence_ = 0;
     int64_t lostReplies_ = 0;
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -246,6 +246,54 @@
     expect "broken is seen as broken" "$((code != 0))" 1
     expect "whole events only" "$(tail -c 15 "$run_dir/cut.out" | tr '\n' ' ')" "data: token 4  "
     ;;
+limit)
+    # Both endpoints of the plain service say that they take one request a second from all daemons together, while
+    # three daemons' callers ask for thirty. They get that and no more; the other callers are told at once when to
+    # come back. A limit that can't be read changes nothing, and an answer without one ends it.
+    begin
+    limit() { for i in 3 4; do curl -sf -o /dev/null -X POST "http://$store/limit?endpoint=$i&perSecond=$1"; done; }
+    press() { # SECONDS NAME: ten calls a second to each daemon, each call's status and time to a file
+        local until=$((SECONDS + $1)) n=0 i
+        while ((SECONDS < until)); do
+            n=$((n + 1))
+            for i in $daemons; do
+                curl -s -o /dev/null -m 5 -w '%{http_code} %{time_total} %header{retry-after}\n' -H "Host: desk.example" -H "X-Request-Id: $2-$i-$n" \
+                    -H "Authorization: Bearer key-a" -H "X-Deadline-Ms: 1000" -X POST "http://127.0.0.1:2110$i/lookup/1" >>"$run_dir/$2.calls" &
+            done
+            sleep 0.1
+        done
+        sleep 1.2
+    }
+    most_in_4s() { # NAME ENDPOINT FROM_MS
+        grep "run id=$1-" "$run_dir/deployment.log" | grep "endpoint=$2 " | awk -v from="$3" '$1 >= from {
+            at[++n] = $1; while (at[n] - at[low + 1] >= 4000) ++low; if (n - low > most) most = n - low } END { print most + 0 }'
+    }
+    wait_for "addresses of all daemons" addresses 1 3
+    limit 1
+    named=$(date +%s%3N)
+    press 12 limited
+    for endpoint in i-3 i-4; do
+        most=$(most_in_4s limited "$endpoint" $((named + 3500)))
+        expect "$endpoint got no more than it takes ($most)" "$((most <= 11))" 1
+        expect "$endpoint is not left alone ($most)" "$((most >= 3))" 1
+    done
+    refused=$(grep -c '^503 ' "$run_dir/limited.calls")
+    expect "the others are refused ($refused)" "$((refused > 100))" 1
+    expect "with when to come back" "$(grep '^503 ' "$run_dir/limited.calls" | awk '$3 == ""' | wc -l)" 0
+    expect "nobody is kept beyond its time" "$(awk '$2 > 1.5' "$run_dir/limited.calls" | wc -l)" 0
+    expect "all daemons know" "$(grep -l '"event":"endpoint_limit"' "$run_dir"/daemon-*.out | wc -l)" 3
+    limit 1e9
+    sleep 3
+    press 1 spoiled
+    expect "a limit that can't be read is told" "$(($(cat "$run_dir"/daemon-*.out | grep -c endpoint_limit_unreadable) > 0))" 1
+    expect "and changes nothing" "$(($(grep -c '^503 ' "$run_dir/spoiled.calls") > 0))" 1
+    limit ""
+    sleep 2
+    for i in $daemons; do status "$i" "lift-$i" /lookup/1 >/dev/null; done
+    sleep 2
+    press 1 lifted
+    expect "an answer without one ends it" "$(grep -vc '^200 ' "$run_dir/lifted.calls")" 0
+    ;;
 crash)
     # A request ends each engine that begins to run it, with what others have there. Its caller comes again, to one
     # daemon after the other: after three engines it is sent to no further one, also when all daemons were killed and
