A key or route that an older store may lack is not refused for good

The store had come back from a copy without that version, one daemon had not read it yet, and its view of the copy was fresh, so "no such key" passed for certain. Now it is no certainty for 5 s after the era rose: 503 with when to come back, and by then the operators have written it again. gateway_test: 401 and 404 before, 503 after, 401 and 404 again 6 s later. Daemons that start then wait for a version to be vouched for, as before.

--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -142,6 +142,8 @@
     /// The newest list was true at or after this time.
     TimeMs listedAt() const { return listedAt_; }
     bool known() const { return known_; }
+    /// The store came back from an older copy then; zero: it has not.
+    TimeMs olderStoreSince() const { return eraSince_; }
 
 private:
     /// An endpoint that was left out of a list, as it was then.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,8 @@
 constexpr DurationMs RevokeMargin{250};
 /// A refusal "no such route" or "no such key" is only final while the configuration is this fresh at most.
 constexpr DurationMs CertainAge{1500};
+/// A store that came back older has what operators wrote meanwhile again after so long.
+constexpr DurationMs WrittenAgainAfter{5000};
 /// What callers are told when no better figure is known.
 constexpr DurationMs DefaultRetryAfter{400};
 /// Another daemon can serve at once.
@@ -62,6 +64,12 @@
     return configuration_ && now - confirmedAt_ < bound;
 }
 
+// A store that came back older may lack the newest configuration until the operators have written it again.
+bool Gateway::isStoreIncomplete(TimeMs now) const
+{
+    return fleet_.olderStoreSince().count > 0 && now - fleet_.olderStoreSince() < WrittenAgainAfter;
+}
+
 bool Gateway::isReady(TimeMs now) const
 {
     return !leavingSince_ && fleet_.known() && isFresh(now, settings_.revokeBound - RevokeMargin);
@@ -90,7 +98,7 @@
 {
     if (!knowsStore())
         return OwnAnswer{503, GatewayRefusal::NoConfiguration, DefaultRetryAfter};
-    const bool certain = isFresh(now, CertainAge);
+    const bool certain = isFresh(now, CertainAge) && !isStoreIncomplete(now);
     const CallerRequest &request = *exchange.request;
     exchange.configuration = configuration_;
     exchange.route = configuration_->findRoute(request.host, request.path);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,6 +122,7 @@
     std::optional<OwnAnswer> judge(Exchange &exchange, TimeMs now) const;
     std::optional<OwnAnswer> judgeKey(Exchange &exchange, bool certain, TimeMs now) const;
     bool isFresh(TimeMs now, DurationMs bound) const;
+    bool isStoreIncomplete(TimeMs now) const;
     bool knowsStore() const { return configuration_ && fleet_.known(); }
     void admit(Exchange &exchange, TimeMs now);
     void admitAwaiting(TimeMs now);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -63,6 +63,22 @@
     CHECK(sent.empty());
 }
 
+// Guards against a valid key that is refused for good, since an older store lacks the version that added it.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "no key and no route is unknown for good while an older store may lack a version")
+{
+    gateway.onEndpoints({endpoints, now, 1}, now);
+    REQUIRE(statusOf(request(Order, "key-new")) == 401);
+    gateway.onEndpoints({endpoints, now, 2}, now);
+    const CallerId early = request(Order, "key-new");
+    CHECK(statusOf(early) == 503);
+    CHECK_FALSE(headerOfAnswer(early, "Retry-After").empty());
+    CHECK(statusOf(request("/added/1")) == 503);
+    pass({6000});
+    CHECK(statusOf(request(Order, "key-new")) == 401);
+    CHECK(statusOf(request("/added/1")) == 404);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a daemon cut off from the store stops serving keys before one may be dead")
 {
     // A key is removed while this daemon can't read the store. Its callers go on using the key. Five seconds
