--- a/src/gateway/endpoints/endpointlimits.cpp
+++ b/src/gateway/endpoints/endpointlimits.cpp
@@ -88,10 +88,10 @@
 
 void Gateway::tickEndpointLimits(TimeMs now)
 {
-    tellOfLimits(now);
     const std::vector<FleetEndpoint *> limited = fleet_.limited();
     if (limited.empty())
         return;
+    tellOfLimits(limited, now);
     if (now >= coordinatorsAt_)
         findCoordinators(limited, now);
     askForShares(limited, now);
@@ -169,10 +169,10 @@
     }
 }
 
-void Gateway::tellOfLimits(TimeMs now)
+void Gateway::tellOfLimits(const std::vector<FleetEndpoint *> &limited, TimeMs now)
 {
     LimitNotice notice;
-    for (FleetEndpoint *endpoint : fleet_.limited()) {
+    for (FleetEndpoint *endpoint : limited) {
         if (endpoint->limiter.isTellingDue(now))
             notice.words.push_back(endpoint->limiter.word(endpoint->life(), now));
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -264,7 +264,7 @@
     void spreadWaiting(const std::vector<FleetEndpoint *> &limited, TimeMs now);
     void askForShares(const std::vector<FleetEndpoint *> &limited, TimeMs now);
     void shareOut(const EndpointLife &endpoint, TimeMs now);
-    void tellOfLimits(TimeMs now);
+    void tellOfLimits(const std::vector<FleetEndpoint *> &limited, TimeMs now);
     LimitNotice knownLimits(TimeMs now);
     static boost::json::object limitFields(const FleetEndpoint &endpoint, TimeMs now);
 
