A daemon that starts on an older store waits for what the operators have to write again

Cause: the copy was older than the store's first settling, and a store that was never settled passed for one that never came back; besides, a holder settled an era as soon as its own records were whole, though the operators' newest configuration was still missing there. Now the first is believed of the first era alone, and an era is settled only when the store has a configuration no older than its holder's.

--- a/src/gateway/store/storeera.cpp
+++ b/src/gateway/store/storeera.cpp
@@ -18,6 +18,8 @@
 /// Each daemon asks for a lease and writes its entry again: 890 of them in so long each are 500 writes a
 /// second.
 constexpr DurationMs ReturnSpreadEach{4};
+/// A store that states this era, or none, has never come back from a copy.
+constexpr uint64_t FirstEra = 1;
 
 } // namespace
 
@@ -99,7 +101,7 @@
 // The key of an earlier life of this daemon may be of long ago, too: somebody else can have won after it.
 void StoreSync::noteFirstView(TimeMs now)
 {
-    startedUnsettled_ = !settings_.firstStart && settledEra_ != 0 && settledEra_ != era_;
+    startedUnsettled_ = !settings_.firstStart && !isSettled();
     if (startedUnsettled_)
         keepQuiet(now);
 }
@@ -120,11 +122,17 @@
 
 // A daemon that starts can't know whether the store came back just before, and whether what it reads is older
 // than what the others have seen. This key tells: it is of the present era only once a holder of the duties
-// has made its records whole there. A store without it has never been settled, so nothing of before is lost.
+// has made its records whole there, and the operators have written theirs again, as far as that holder knows.
+// In the first era nothing of before is lost, whether it was settled or not.
+bool StoreSync::isSettled() const
+{
+    return settledEra_ == era_ || (settledEra_ == 0 && era_ <= FirstEra);
+}
+
 void StoreSync::settleEra(TimeMs now)
 {
     const bool isDue = era_ != 0 && sharedEra_ == era_ && settledEra_ != era_ && recordsAreWhole_
-        && leadership(now).held && now >= settleAt_;
+        && storedVersion_ >= knownVersion() && leadership(now).held && now >= settleAt_;
     if (!isDue || tooManyOpen(Purpose::Settle))
         return;
     settleAt_ = now + RetryPause;
@@ -140,7 +148,7 @@
     const uint64_t version = configuration_ ? configuration_->version : 0;
     if (version < leastVersion_ && now - startedAt_ < RewriteTime)
         return false;
-    return vouchedFor_ || settledEra_ == 0 || settledEra_ == era_ || now - startedAt_ > SettleTime;
+    return vouchedFor_ || isSettled() || now - startedAt_ > SettleTime;
 }
 
 } // namespace cranberry
--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -320,6 +320,7 @@
     for (const StoreItem &item : open.pages) {
         if (item.isConfiguration) {
             sawConfiguration = true;
+            storedVersion_ = item.configuration->version;
             // An older store holds an older one until the operators have written theirs again.
             if (!configuration_ || item.configuration->version >= configuration_->version)
                 configuration_ = item.configuration;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -200,6 +200,7 @@
     void noteFirstView(TimeMs now);
     void keepQuiet(TimeMs now);
     void tickEra(TimeMs now);
+    bool isSettled() const;
     void settleEra(TimeMs now);
     bool knowsPresentEra() const { return sharedEra_ == era_ && endpointsEra_ == era_; }
     DurationMs quietTime() const;
@@ -278,6 +279,7 @@
     uint64_t sharedEra_ = 0; ///< Of the newest views.
     uint64_t endpointsEra_ = 0;
     uint64_t settledEra_ = 0; ///< As the store says.
+    uint64_t storedVersion_ = 0; ///< Of the configuration, as the store had it last.
     bool recordsAreWhole_ = false;
     TimeMs settleAt_; ///< Not before.
     /// This daemon held the duties when the era rose: so long nobody else can have won them.
--- a/tests/storeera_test.cpp
+++ b/tests/storeera_test.cpp
@@ -41,6 +41,8 @@
         versions.push_back(0);
         return i;
     }
+    /// If it holds the duties, its records are whole.
+    void makeRecordsWhole(size_t i) { syncs_[i]->setRecordsWhole(true); }
     void ask(size_t asker, size_t asked) { syncs_[asker]->setSource(addressOf(asked)); }
 
     void pass(DurationMs duration)
@@ -132,6 +134,48 @@
     CHECK(world.versions[first] == 8);
 }
 
+// Guards against a removed key that is served again: the holder had settled the era before the operators'
+// turn.
+TEST_CASE("an era is not settled while the store lacks a configuration that its holder has seen")
+{
+    EraWorld world;
+    const size_t first = world.start();
+    world.makeRecordsWhole(first);
+    world.pass({8000});
+    world.store.saveCopy();
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({2000});
+    world.store.comeBackFromCopy();
+    world.pass({2500});
+    const size_t late = world.start();
+    world.pass({2500});
+    CHECK(world.versions[late] == 0);
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({2500});
+    CHECK(world.versions[late] == 8);
+}
+
+// Guards against a removed key that is served again: a store that came back from before its first settling.
+TEST_CASE("a later era that was never settled is not believed at once")
+{
+    EraWorld world;
+    world.store.remove(StoreSpace::Shared, SettledEraKey);
+    world.start();
+    world.pass({3000});
+    world.store.saveCopy();
+    world.store.settle();
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({2000});
+    world.store.comeBackFromCopy();
+    world.pass({200});
+    const size_t late = world.start();
+    world.pass({3000});
+    CHECK(world.versions[late] == 0);
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({2500});
+    CHECK(world.versions[late] == 8);
+}
+
 TEST_CASE("a daemon that starts just after the return, with none to ask, serves after the time of rewriting")
 {
     // All were killed in the same moment: nobody knows more than the store.
