A limit is lifted step by step: one answer that leaves it out does not bring all daemons back

After a real end the rate is back within some two seconds at 1 a second, and not all daemons return in the same moment.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -536,7 +536,7 @@
         if (!limiter.limit())
             return std::nullopt;
         any = true;
-        out.rate.perSecond += EndpointLimiter::effectivePerSecond(*limiter.limit());
+        out.rate.perSecond += limiter.perSecond();
         out.waiting = std::max(out.waiting, limiter.waiting(now));
     }
     return any ? std::optional<ServiceLimit>(out) : std::nullopt;
--- a/src/gateway/endpoints/endpointlimiter.cpp
+++ b/src/gateway/endpoints/endpointlimiter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoints/endpointlimiter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace cranberry {
@@ -23,6 +24,7 @@
 /// Of its rate a coordinator may save so much up, and one request at least.
 constexpr double MostSavedSeconds = 0.5;
 constexpr double LeastPerSecond = 0.2;
+constexpr uint32_t ClearsToLift = 4;
 constexpr uint32_t Tellings = 3;
 constexpr DurationMs TellAgainAfter{300};
 /// For daemons that lost all of that.
@@ -36,8 +38,13 @@
 {
     if (!stated && sentAt < heardAt_)
         return false;
-    const bool isNews = stated != limit_;
-    set(stated, stated ? now : sentAt, now);
+    const bool isNews = stated ? stated != limit_ || clears_ > 0 : limit_.has_value();
+    if (stated) {
+        set(stated, 0, now, now);
+    } else {
+        const uint32_t clears = clears_ + 1;
+        set(clears < ClearsToLift ? limit_ : std::nullopt, clears, sentAt, now);
+    }
     if (isNews) {
         tellAt_ = now;
         tellingsLeft_ = Tellings;
@@ -50,22 +57,29 @@
     const TimeMs heardAt = now - word.age;
     if (heardAt <= heardAt_)
         return false;
-    const bool isNews = word.limit != limit_;
-    set(word.limit, heardAt, now - word.standing);
+    const bool isNews = word.limit != limit_ || (word.limit && word.clears != clears_);
+    set(word.limit, word.clears, heardAt, now - word.standing);
     return isNews;
 }
 
-void EndpointLimiter::set(std::optional<RequestRate> limit, TimeMs heardAt, TimeMs standsSince)
+void EndpointLimiter::set(std::optional<RequestRate> limit, uint32_t clears, TimeMs heardAt,
+                          TimeMs standsSince)
 {
     if (!limit_)
         standsSince_ = standsSince;
     limit_ = limit;
+    clears_ = limit ? clears : 0;
     heardAt_ = heardAt;
 }
 
+double EndpointLimiter::perSecond() const
+{
+    return limit_ ? std::ldexp(std::max(limit_->perSecond, LeastPerSecond), static_cast<int>(clears_)) : 0;
+}
+
 LimitWord EndpointLimiter::word(const EndpointLife &endpoint, TimeMs now) const
 {
-    return {endpoint, limit_, now - heardAt_, now - standsSince_};
+    return {endpoint, limit_, clears_, now - heardAt_, now - standsSince_};
 }
 
 bool EndpointLimiter::isTellingDue(TimeMs now)
@@ -78,11 +92,6 @@
     return true;
 }
 
-double EndpointLimiter::effectivePerSecond(RequestRate limit)
-{
-    return std::max(limit.perSecond, LeastPerSecond);
-}
-
 // ---- Sending ----
 
 uint32_t EndpointLimiter::granted(TimeMs now) const
@@ -159,9 +168,8 @@
 {
     if (!limit_ || now <= filledAt_)
         return;
-    const double perSecond = effectivePerSecond(*limit_);
-    const double most = std::max(1.0, perSecond * MostSavedSeconds);
-    tokens_ = std::min(most, tokens_ + perSecond * static_cast<double>((now - filledAt_).count) / 1000.0);
+    const double most = std::max(1.0, perSecond() * MostSavedSeconds);
+    tokens_ = std::min(most, tokens_ + perSecond() * static_cast<double>((now - filledAt_).count) / 1000.0);
     filledAt_ = now;
 }
 
--- a/src/gateway/endpoints/endpointlimiter.h
+++ b/src/gateway/endpoints/endpointlimiter.h
@@ -20,11 +20,15 @@
 
     /// An own attempt, sent at `sentAt`, was answered; `stated` is empty where the answer names no limit.
     /// True if that changes what is known. An answer without one is no newer than its request, for all that
-    /// is known: it can't lift a limit that was named since.
+    /// is known: it says nothing against a limit that was named since. Each that does doubles the rate, and a
+    /// few in a row lift the limit: one may leave it out by chance, and all daemons would be back at once.
     bool hear(std::optional<RequestRate> stated, TimeMs sentAt, TimeMs now);
     /// Another daemon heard it. True if that changes what is known.
     bool learn(const LimitWord &word, TimeMs now);
     const std::optional<RequestRate> &limit() const { return limit_; } ///< Empty: none.
+    /// Requests a second that it gets while it has a limit. One that takes nothing is tried now and then:
+    /// only answers tell that its limit is over.
+    double perSecond() const;
     TimeMs heardAt() const { return heardAt_; } ///< The newest word.
     /// It has a limit, or the others are still to be told that it has none any more.
     bool isActive() const { return limit_ || tellingsLeft_ > 0; }
@@ -59,10 +63,6 @@
     /// Shares out what the endpoint takes by now. What is returned is to be told to other daemons.
     std::vector<Share> share(const EndpointLife &endpoint, Incarnation self, TimeMs now);
 
-    /// How much an endpoint with such a limit gets. One that takes nothing is tried now and then: only an
-    /// answer tells that its limit is over.
-    static double effectivePerSecond(RequestRate limit);
-
 private:
     /// A daemon with requests that could go there.
     struct Demand {
@@ -80,9 +80,10 @@
     Demand *nextDemand();
     void forgetOldDemands(TimeMs now);
 
-    void set(std::optional<RequestRate> limit, TimeMs heardAt, TimeMs standsSince);
+    void set(std::optional<RequestRate> limit, uint32_t clears, TimeMs heardAt, TimeMs standsSince);
 
     std::optional<RequestRate> limit_;
+    uint32_t clears_ = 0; ///< Answers in a row since then that named none.
     TimeMs heardAt_;
     TimeMs standsSince_; ///< It first named a limit then.
     TimeMs tellAt_;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -146,6 +146,7 @@
 struct LimitWord {
     EndpointLife endpoint;
     std::optional<RequestRate> limit; ///< Empty: none any more.
+    uint32_t clears = 0; ///< Answers in a row since then that named none.
     DurationMs age; ///< Since it was heard.
     DurationMs standing; ///< Since it first named a limit.
 };
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -447,7 +447,8 @@
     json::array words;
     for (const LimitWord &word : notice.words)
         words.push_back({word.endpoint.id.value, word.endpoint.start.unixMs,
-                         word.limit ? word.limit->perSecond : NoLimit, word.age.count, word.standing.count});
+                         word.limit ? word.limit->perSecond : NoLimit, word.clears, word.age.count,
+                         word.standing.count});
     return {{"kind", "limits"}, {"words", std::move(words)}};
 }
 
@@ -455,14 +456,15 @@
 {
     LimitNotice notice;
     for (const json::value &value : object.at("words").as_array()) {
-        const json::array &fields = row(value, 5);
+        const json::array &fields = row(value, 6);
         LimitWord word;
         word.endpoint = {EndpointId{text(fields[0])}, {fields[1].to_number<int64_t>()}};
         const double perSecond = fields[2].to_number<double>();
         if (perSecond >= 0)
             word.limit = RequestRate{perSecond};
-        word.age.count = std::max<int64_t>(fields[3].to_number<int64_t>(), 0);
-        word.standing.count = std::max<int64_t>(fields[4].to_number<int64_t>(), 0);
+        word.clears = fields[3].to_number<uint32_t>();
+        word.age.count = std::max<int64_t>(fields[4].to_number<int64_t>(), 0);
+        word.standing.count = std::max<int64_t>(fields[5].to_number<int64_t>(), 0);
         notice.words.push_back(std::move(word));
     }
     return notice;
--- a/tests/engineload.h
+++ b/tests/engineload.h
@@ -49,6 +49,7 @@
     DurationMs from{5000};
     DurationMs until{25000};
     double perSecond = 1;
+    uint64_t silentAnswers = 0; ///< Of a hundred answers, so many don't name it.
 };
 
 /// An engine as far as placing can see it: reads prompts one after the other, keeps shared parts, and
