The time of rewriting begins with a daemon's first view of the store

All had been killed while the store was away after its return, so their five seconds were over when they read it for the first time, and they took its older configuration at once.

--- a/src/gateway/store/storeera.cpp
+++ b/src/gateway/store/storeera.cpp
@@ -101,6 +101,7 @@
 // The key of an earlier life of this daemon may be of long ago, too: somebody else can have won after it.
 void StoreSync::noteFirstView(TimeMs now)
 {
+    firstViewAt_ = now;
     startedUnsettled_ = !settings_.firstStart && !isSettled();
     if (startedUnsettled_)
         keepQuiet(now);
@@ -148,7 +149,7 @@
     const uint64_t version = configuration_ ? configuration_->version : 0;
     if (version < leastVersion_ && now - startedAt_ < RewriteTime)
         return false;
-    return vouchedFor_ || isSettled() || now - startedAt_ > SettleTime;
+    return vouchedFor_ || isSettled() || now - firstViewAt_ > SettleTime;
 }
 
 } // namespace cranberry
--- a/src/gateway/store/storerollouts.cpp
+++ b/src/gateway/store/storerollouts.cpp
@@ -70,7 +70,7 @@
 const StoreSync::Rollouts &StoreSync::rollouts(TimeMs now)
 {
     const bool hasJustRisen = eraSeenAt_.count != 0 && now - eraSeenAt_ < SettleTime;
-    rollouts_.mayBeOlder = hasJustRisen || (startedUnsettled_ && now - startedAt_ < SettleTime);
+    rollouts_.mayBeOlder = hasJustRisen || (startedUnsettled_ && now - firstViewAt_ < SettleTime);
     return rollouts_;
 }
 
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -286,6 +286,7 @@
     std::optional<TimeMs> heldUntil_;
     TimeMs ledSince_; ///< Without a gap in which another one could have led; zero: it does not lead.
     TimeMs actsFrom_; ///< An earlier holder may act until then, whatever the store says.
+    TimeMs firstViewAt_; ///< This daemon read the store for the first time.
     bool startedUnsettled_ = false; ///< It may have risen shortly before this daemon started.
     bool vouchedFor_ = false;
     uint64_t leastVersion_ = 0; ///< Of the configuration, as another daemon has seen it.
--- a/tests/storeera_test.cpp
+++ b/tests/storeera_test.cpp
@@ -176,6 +176,24 @@
     CHECK(world.versions[late] == 8);
 }
 
+// Guards against a removed key that is served again: the time of rewriting ran out before the store could be
+// read.
+TEST_CASE("the time of rewriting begins with a daemon's first view of the store")
+{
+    EraWorld world;
+    world.store.saveCopy();
+    world.store.comeBackFromCopy();
+    world.store.faults.down = true;
+    const size_t late = world.start();
+    world.pass({6000});
+    world.store.faults.down = false;
+    world.pass({2500});
+    CHECK(world.versions[late] == 0);
+    world.store.putConfiguration(makeConfiguration(8));
+    world.pass({5000});
+    CHECK(world.versions[late] == 8);
+}
+
 TEST_CASE("a daemon that starts just after the return, with none to ask, serves after the time of rewriting")
 {
     // All were killed in the same moment: nobody knows more than the store.
