The limiter in three parts: what is stated, what is shared out, what may be sent

StatedLimit has the belief, LimitShares the coordinator's bucket, EndpointLimiter what this daemon may send. Notices are cut into 256 words.

--- a/src/gateway/endpoints/endpointends.cpp
+++ b/src/gateway/endpoints/endpointends.cpp
@@ -165,9 +165,13 @@
 {
     if (const std::optional<CrashNotice> notice = quarantine_.forNewcomer(usage_.offset(), now))
         tell(peers_.newTargets(), *notice);
-    const LimitNotice limits = knownLimits(now);
-    if (!limits.words.empty())
-        tell(peers_.newTargets(), limits);
+    tellNewServingOfLimits(now);
+}
+
+void Gateway::tell(const std::vector<const MemberEntry *> &members, const CrashNotice &notice)
+{
+    for (const MemberEntry *member : members)
+        actions_.emplace_back(TellPeer{member->peerAddress, notice});
 }
 
 } // namespace cranberry
--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -265,7 +265,7 @@
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!mayTake(entry.second, question) || entry.second.endedUntil > now)
             continue;
-        const std::pair<bool, uint64_t> rank{!entry.second.limiter.limit(),
+        const std::pair<bool, uint64_t> rank{!entry.second.limiter.isLimited(),
                                              rendezvousWeight(key, entry.first)};
         if (!home || rank > most) {
             home = &entry.second;
@@ -533,10 +533,10 @@
         if (!takesWork(entry.second, service) || !isInUse(entry.second))
             continue;
         const EndpointLimiter &limiter = entry.second.limiter;
-        if (!limiter.limit())
+        if (!limiter.isLimited())
             return std::nullopt;
         any = true;
-        out.rate.perSecond += limiter.perSecond();
+        out.rate.perSecond += limiter.stated.perSecond();
         out.waiting = std::max(out.waiting, limiter.waiting(now));
     }
     return any ? std::optional<ServiceLimit>(out) : std::nullopt;
@@ -546,8 +546,9 @@
 {
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_)
-        sum += takesWork(entry.second, service) && isInUse(entry.second) && !entry.second.limiter.limit() ? 1
-                                                                                                          : 0;
+        sum += takesWork(entry.second, service) && isInUse(entry.second) && !entry.second.limiter.isLimited()
+            ? 1
+            : 0;
     return sum;
 }
 
--- a/src/gateway/endpoints/endpointlimits.cpp
+++ b/src/gateway/endpoints/endpointlimits.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/gateway.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -11,6 +13,7 @@
 /// A request that waits so long for the endpoint that suits it best may go to any. Asked for at once at all,
 /// most of what is granted would lie unused.
 constexpr DurationMs PatienceForBest{100};
+constexpr size_t MostWordsAtOnce = 256; ///< 13 KB in one datagram.
 /// In a log line, for an endpoint that has no limit any more.
 constexpr double NoLimit = -1;
 
@@ -33,14 +36,15 @@
         return;
     if (exchange.head.limit)
         counters_.add(GatewayCount::AnswersNamedLimit);
-    const std::optional<RequestRate> before = limiter->limit();
-    if (!limiter->hear(exchange.head.limit, exchange.sentAt, now))
+    const std::optional<RequestRate> before = limiter->stated.limit();
+    if (!limiter->stated.hear(exchange.head.limit, exchange.sentAt, now))
         return;
     coordinatorsAt_ = now;
     log(LogWeight::State, "endpoint_limit", exchange,
         {{"start", exchange.at.start.unixMs},
-         {"per_s", loggedLimit(limiter->limit())},
+         {"per_s", loggedLimit(limiter->stated.limit())},
          {"before_per_s", loggedLimit(before)},
+         {"gets_per_s", limiter->stated.perSecond()},
          {"learned_from", "own"}});
 }
 
@@ -49,17 +53,18 @@
 {
     for (const LimitWord &word : notice.words) {
         EndpointLimiter *limiter = fleet_.limiter(word.endpoint);
-        const std::optional<RequestRate> before = limiter ? limiter->limit() : std::nullopt;
-        if (!limiter || !limiter->learn(word, now))
+        const std::optional<RequestRate> before = limiter ? limiter->stated.limit() : std::nullopt;
+        if (!limiter || !limiter->stated.learn(word, now))
             continue;
+        coordinatorsAt_ = now;
         log_.write(LogWeight::State, "endpoint_limit",
                    {{"endpoint", word.endpoint.id.value},
                     {"start", word.endpoint.start.unixMs},
                     {"per_s", loggedLimit(word.limit)},
                     {"before_per_s", loggedLimit(before)},
+                    {"gets_per_s", limiter->stated.perSecond()},
                     {"learned_from", "peer"}});
     }
-    coordinatorsAt_ = now;
 }
 
 void Gateway::onLimitAsk(const LimitAsk &ask, const Address &from, TimeMs now)
@@ -68,8 +73,8 @@
     if (!limiter)
         return;
     // The asker missed that the limit is over.
-    if (!limiter->limit())
-        actions_.emplace_back(TellPeer{from, LimitNotice{{limiter->word(ask.endpoint, now)}}});
+    if (!limiter->isLimited())
+        actions_.emplace_back(TellPeer{from, LimitNotice{{limiter->stated.word(ask.endpoint, now)}}});
     if (!limiter->isCoordinator())
         return;
     limiter->onAsk(from, ask, now);
@@ -158,7 +163,7 @@
 void Gateway::shareOut(const EndpointLife &endpoint, TimeMs now)
 {
     EndpointLimiter *limiter = fleet_.limiter(endpoint);
-    for (const EndpointLimiter::Share &share : limiter->share(endpoint, settings_.incarnation, now)) {
+    for (const EndpointLimiter::Grant &share : limiter->share(endpoint, settings_.incarnation, now)) {
         if (share.grant.requests > 0)
             log_.write(LogWeight::Ordinary, "endpoint_limit_granted",
                        {{"endpoint", endpoint.id.value},
@@ -171,41 +176,42 @@
 
 void Gateway::tellOfLimits(const std::vector<FleetEndpoint *> &limited, TimeMs now)
 {
-    LimitNotice notice;
+    std::vector<LimitWord> due;
     for (FleetEndpoint *endpoint : limited) {
-        if (endpoint->limiter.isTellingDue(now))
-            notice.words.push_back(endpoint->limiter.word(endpoint->life(), now));
+        if (endpoint->limiter.stated.isTellingDue(endpoint->limiter.isCoordinator(), now))
+            due.push_back(endpoint->limiter.stated.word(endpoint->life(), now));
     }
-    if (!notice.words.empty())
-        tell(peers_.reportTargets(), notice);
+    tell(peers_.reportTargets(), due);
 }
 
-LimitNotice Gateway::knownLimits(TimeMs now)
+// Daemons that begin to serve have missed what was told.
+void Gateway::tellNewServingOfLimits(TimeMs now)
 {
-    LimitNotice notice;
+    std::vector<LimitWord> known;
     for (const FleetEndpoint *endpoint : fleet_.limited())
-        notice.words.push_back(endpoint->limiter.word(endpoint->life(), now));
-    return notice;
+        known.push_back(endpoint->limiter.stated.word(endpoint->life(), now));
+    tell(peers_.newTargets(), known);
 }
 
-PlacementResult Gateway::place(Exchange &exchange, PlacementQuestion &question, TimeMs now)
+void Gateway::tell(const std::vector<const MemberEntry *> &members, const std::vector<LimitWord> &words)
 {
-    PlacementResult result = placeByVersion(exchange, question, now);
-    if (result.heldBack) {
-        if (EndpointLimiter *limiter = fleet_.limiter(*result.heldBack))
-            limiter->wish(now);
+    for (size_t from = 0; from < words.size(); from += MostWordsAtOnce) {
+        const size_t to = std::min(from + MostWordsAtOnce, words.size());
+        const LimitNotice notice{{words.begin() + static_cast<std::ptrdiff_t>(from),
+                                  words.begin() + static_cast<std::ptrdiff_t>(to)}};
+        for (const MemberEntry *member : members)
+            actions_.emplace_back(TellPeer{member->peerAddress, notice});
     }
-    return result;
 }
 
 // What a `send` line says of the endpoint's limit: with it the lines of all daemons tell who sent too much,
 // and whether they knew.
 boost::json::object Gateway::limitFields(const FleetEndpoint &endpoint, TimeMs now)
 {
-    if (!endpoint.limiter.limit())
+    const StatedLimit &stated = endpoint.limiter.stated;
+    if (!stated.limit())
         return {};
-    return {{"limit_per_s", endpoint.limiter.limit()->perSecond},
-            {"limit_age_ms", (now - endpoint.limiter.heardAt()).count}};
+    return {{"limit_per_s", stated.limit()->perSecond}, {"limit_age_ms", (now - stated.heardAt()).count}};
 }
 
 } // namespace cranberry
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -250,7 +250,7 @@
     if (question.engine)
         demand_.prefill(exchange.service, choice.prefillTokens, exchange.route->latencyTarget);
     counters_.add(GatewayCount::Attempts);
-    if (endpoint.limiter.limit())
+    if (endpoint.limiter.isLimited())
         counters_.add(GatewayCount::SentToLimited);
 
     SendAttempt order;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -250,12 +250,7 @@
     OwnAnswer quarantineAnswer(const Exchange &exchange, TimeMs now) const;
     void tellOfSuspects(TimeMs now);
     void tellNewServing(TimeMs now);
-    template <typename Notice>
-    void tell(const std::vector<const MemberEntry *> &members, const Notice &notice)
-    {
-        for (const MemberEntry *member : members)
-            actions_.emplace_back(TellPeer{member->peerAddress, notice});
-    }
+    void tell(const std::vector<const MemberEntry *> &members, const CrashNotice &notice);
 
     // Endpoints that take only so many requests a second (endpointlimits.cpp).
     void noteLimit(const Exchange &exchange, TimeMs now);
@@ -265,7 +260,8 @@
     void askForShares(const std::vector<FleetEndpoint *> &limited, TimeMs now);
     void shareOut(const EndpointLife &endpoint, TimeMs now);
     void tellOfLimits(const std::vector<FleetEndpoint *> &limited, TimeMs now);
-    LimitNotice knownLimits(TimeMs now);
+    void tellNewServingOfLimits(TimeMs now);
+    void tell(const std::vector<const MemberEntry *> &members, const std::vector<LimitWord> &words);
     static boost::json::object limitFields(const FleetEndpoint &endpoint, TimeMs now);
 
     // Runs on leaving engines (runmoves.cpp).
--- a/src/gateway/requests/waiting.cpp
+++ b/src/gateway/requests/waiting.cpp
@@ -78,6 +78,18 @@
     return std::nullopt;
 }
 
+// One that a limited endpoint would have suited best asks for a share of it, for itself if it waits, or for
+// the next one like it.
+PlacementResult Gateway::place(Exchange &exchange, PlacementQuestion &question, TimeMs now)
+{
+    PlacementResult result = placeByVersion(exchange, question, now);
+    if (result.heldBack) {
+        if (EndpointLimiter *limiter = fleet_.limiter(*result.heldBack))
+            limiter->wish(now);
+    }
+    return result;
+}
+
 // What may wait to be read at an engine that is to get this request, too.
 double Gateway::mostWaitMs(const Exchange &exchange, TimeMs now) const
 {
--- a/tests/endpointlimits_explorer_test.cpp
+++ b/tests/endpointlimits_explorer_test.cpp
@@ -151,7 +151,7 @@
             if (const PeerReport *report = std::get_if<PeerReport>(&envelope.message))
                 daemon.peers.take(*report, now);
             else if (const LimitNotice *notice = std::get_if<LimitNotice>(&envelope.message))
-                daemon.limiter.learn(notice->words.front(), now);
+                daemon.limiter.stated.learn(notice->words.front(), now);
             else if (const LimitAsk *ask = std::get_if<LimitAsk>(&envelope.message))
                 daemon.limiter.onAsk(addressOf(envelope.from), *ask, now);
             else if (const LimitGrant *grant = std::get_if<LimitGrant>(&envelope.message))
@@ -169,7 +169,7 @@
                 continue;
             if (!daemon.toldAt)
                 daemon.toldAt = now;
-            daemon.limiter.hear(RequestRate{world_.perSecond}, answer.sentAt, now);
+            daemon.limiter.stated.hear(RequestRate{world_.perSecond}, answer.sentAt, now);
         }
     }
 
@@ -230,7 +230,7 @@
 
     bool maySend(const Daemon &daemon) const
     {
-        if (world_.way == Way::Coordinator || !daemon.limiter.limit())
+        if (world_.way == Way::Coordinator || !daemon.limiter.stated.limit())
             return daemon.limiter.maySend(now);
         return daemon.tokens >= 1;
     }
@@ -253,15 +253,15 @@
             daemon.coordinator = chosen ? std::optional<Address>(chosen->peerAddress) : std::nullopt;
         }
         daemon.limiter.want(daemon.queued);
-        for (const EndpointLimiter::Share &share : daemon.limiter.share(endpoint, daemon.incarnation, now))
+        for (const EndpointLimiter::Grant &share : daemon.limiter.share(endpoint, daemon.incarnation, now))
             tell(i, share.to, share.grant);
         if (daemon.coordinator) {
             if (const std::optional<LimitAsk> ask = daemon.limiter.dueAsk(endpoint, now))
                 tell(i, *daemon.coordinator, *ask);
         }
-        if (world_.tells && daemon.limiter.isTellingDue(now)) {
+        if (world_.tells && daemon.limiter.stated.isTellingDue(daemon.limiter.isCoordinator(), now)) {
             for (const MemberEntry *target : daemon.peers.reportTargets())
-                tell(i, target->peerAddress, LimitNotice{{daemon.limiter.word(endpoint, now)}});
+                tell(i, target->peerAddress, LimitNotice{{daemon.limiter.stated.word(endpoint, now)}});
         }
     }
 
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -41,19 +41,19 @@
         while (now < until) {
             now = now + DurationMs{25};
             limiter.setCoordinator(coordinates, now);
-            for (const EndpointLimiter::Share &share : limiter.share(engine, Self, now)) {
+            for (const EndpointLimiter::Grant &share : limiter.share(engine, Self, now)) {
                 granted += share.grant.requests;
                 shares.push_back(share);
             }
         }
         return granted;
     }
-    void name(double perSecond) { limiter.hear(RequestRate{perSecond}, now, now); }
+    void name(double perSecond) { limiter.stated.hear(RequestRate{perSecond}, now, now); }
 
     EndpointLimiter limiter;
     TimeMs now{100'000};
     bool coordinates = true;
-    std::vector<EndpointLimiter::Share> shares;
+    std::vector<EndpointLimiter::Grant> shares;
 };
 
 /// The fixture's daemon, alone, with the limits of its two plain endpoints.
@@ -182,7 +182,7 @@
             limiter.sent(now);
     }
     std::map<Address, uint32_t> granted;
-    for (const EndpointLimiter::Share &share : shares)
+    for (const EndpointLimiter::Grant &share : shares)
         granted[share.to] += share.grant.requests;
     CHECK(granted[otherDaemon] >= 3);
     CHECK(granted[otherDaemon] <= 5);
@@ -255,15 +255,15 @@
     const TimeMs before = now;
     now = now + DurationMs{100};
     name(1);
-    CHECK_FALSE(limiter.hear(std::nullopt, before, now + DurationMs{50}));
-    CHECK(limiter.limit());
+    CHECK_FALSE(limiter.stated.hear(std::nullopt, before, now + DurationMs{50}));
+    CHECK(limiter.stated.limit());
     for (int i = 0; i < 4; ++i)
-        CHECK(limiter.hear(std::nullopt, now + DurationMs{10}, now + DurationMs{50}));
-    CHECK_FALSE(limiter.limit());
+        CHECK(limiter.stated.hear(std::nullopt, now + DurationMs{10}, now + DurationMs{50}));
+    CHECK_FALSE(limiter.stated.limit());
     // What another daemon heard before that does not bring it back.
-    CHECK_FALSE(limiter.learn({engine, RequestRate{1}, 0, {80}, {500}}, now + DurationMs{60}));
-    CHECK(limiter.learn({engine, RequestRate{2}, 0, {1}, {1}}, now + DurationMs{60}));
-    CHECK(limiter.limit() == RequestRate{2});
+    CHECK_FALSE(limiter.stated.learn({engine, RequestRate{1}, 0, {80}, {500}}, now + DurationMs{60}));
+    CHECK(limiter.stated.learn({engine, RequestRate{2}, 0, {1}, {1}}, now + DurationMs{60}));
+    CHECK(limiter.stated.limit() == RequestRate{2});
 }
 
 // Guards against answers that leave the limit out by chance: all daemons would be back at an endpoint in
@@ -274,17 +274,17 @@
     name(1);
     for (const double perSecond : {2.0, 4.0, 8.0}) {
         now = now + DurationMs{500};
-        limiter.hear(std::nullopt, now, now);
-        CHECK(limiter.perSecond() == perSecond);
+        limiter.stated.hear(std::nullopt, now, now);
+        CHECK(limiter.stated.perSecond() == perSecond);
     }
     name(1);
-    CHECK(limiter.perSecond() == 1);
+    CHECK(limiter.stated.perSecond() == 1);
     EndpointLimiter other;
     now = now + DurationMs{500};
-    limiter.hear(std::nullopt, now, now);
+    limiter.stated.hear(std::nullopt, now, now);
     now = now + DurationMs{1};
-    CHECK(other.learn(limiter.word(engine, now), now));
-    CHECK(other.perSecond() == 2);
+    CHECK(other.stated.learn(limiter.stated.word(engine, now), now));
+    CHECK(other.stated.perSecond() == 2);
 }
 
 // Guards against kinds of answers, failures for instance, that never name the limit.
@@ -322,7 +322,7 @@
     std::vector<int64_t> toldAfter;
     const TimeMs start = now;
     while (now < start + DurationMs{12500}) {
-        if (limiter.isTellingDue(now))
+        if (limiter.stated.isTellingDue(limiter.isCoordinator(), now))
             toldAfter.push_back((now - start).count);
         pass({25});
     }
@@ -404,7 +404,7 @@
 {
     request("/lookup/1");
     answer(sent[0], RequestRate{1}, 421);
-    CHECK_FALSE(gateway.fleet().find(sent[0].endpoint)->limiter.limit());
+    CHECK_FALSE(gateway.fleet().find(sent[0].endpoint)->limiter.stated.limit());
 }
 
 // Guards against a limit that outlives its process.
