--- a/tests/endpointlimits_explorer_test.cpp
+++ b/tests/endpointlimits_explorer_test.cpp
@@ -303,8 +303,7 @@
 
 } // namespace
 
-// Guards against a sum over many daemons that is not what the endpoint takes, whether they tell each other or
-// not.
+// Guards against a sum over many daemons, told of each other's words or not, beyond what the endpoint takes.
 TEST_CASE("the sum over all daemons is kept, however many they are")
 {
     struct Size {
@@ -340,8 +339,7 @@
     }
 }
 
-// Guards against parts cut off from each other, kills, standstills and losses in which more than one shares
-// out the whole.
+// Guards against cuts, kills, standstills and losses after which two daemons share out the whole.
 TEST_CASE("the limit holds through cuts, kills, standstills and losses")
 {
     for (uint64_t seed = 1; seed <= 60; ++seed) {
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -266,8 +266,7 @@
     CHECK(limiter.stated.limit() == RequestRate{2});
 }
 
-// Guards against answers that leave the limit out by chance: all daemons would be back at an endpoint in
-// need.
+// Guards against answers that leave the limit out by chance, and bring all daemons back at once.
 TEST_CASE_FIXTURE(LimiterFixture,
                   "a limit is lifted step by step, and the next answer that names it restores it")
 {
--- a/tests/storeera_test.cpp
+++ b/tests/storeera_test.cpp
@@ -134,8 +134,7 @@
     CHECK(world.versions[first] == 8);
 }
 
-// Guards against a removed key that is served again: the holder had settled the era before the operators'
-// turn.
+// Guards against a removed key that is served again because the holder settled the era too early.
 TEST_CASE("an era is not settled while the store lacks a configuration that its holder has seen")
 {
     EraWorld world;
@@ -176,8 +175,7 @@
     CHECK(world.versions[late] == 8);
 }
 
-// Guards against a removed key that is served again: the time of rewriting ran out before the store could be
-// read.
+// Guards against a removed key that is served again because the store was read for the first time late.
 TEST_CASE("the time of rewriting begins with a daemon's first view of the store")
 {
     EraWorld world;
