--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -129,6 +129,13 @@
     uint64_t reserveId() { return nextCall_++; }
 
 private:
+    /// Interval between reads of the configuration. A change must be in force within two seconds of its
+    /// acknowledgement, so two reads in a row may fail.
+    static constexpr DurationMs SharedReadInterval{600};
+    /// Interval between reads of the endpoints. An endpoint that reports that it is leaving must get no new
+    /// work after two seconds.
+    static constexpr DurationMs EndpointsReadInterval{500};
+    static constexpr const char *MemberPrefix = "members/";
     static constexpr DurationMs WriteTimeout{2000};
     static constexpr DurationMs RetryPause{500}; ///< Between two attempts of a write.
     /// A leader stops this long before its lease may have expired, to allow for calls in transit.
