--- /dev/null
+++ b/src/gateway/store/storereaders.cpp
@@ -0,0 +1,132 @@
+// The store readers of a large fleet: the control key that names them.
+
+#include "gateway/store/namedreaders.h"
+#include "gateway/store/storesync.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <functional>
+
+namespace cranberry {
+
+namespace {
+
+namespace json = boost::json;
+
+/// While a fleet starts, the readers change all the time.
+constexpr DurationMs WritePause{1000};
+/// Without a reply for this time, no named reader is there any more. A reader that was killed is back sooner.
+constexpr DurationMs MaxSilence{4000};
+
+} // namespace
+
+std::string readersText(const std::vector<Address> &readers)
+{
+    json::array addresses;
+    for (const Address &reader : readers)
+        addresses.push_back(json::value(toText(reader)));
+    return json::serialize(json::object{{"readers", std::move(addresses)}});
+}
+
+std::vector<Address> readersFromText(const std::string &text)
+{
+    std::vector<Address> out;
+    json::error_code code;
+    const json::value value = json::parse(text, code);
+    const json::object *object = code ? nullptr : value.if_object();
+    const json::value *rows = object ? object->if_contains("readers") : nullptr;
+    if (!rows || !rows->is_array())
+        return out;
+    for (const json::value &row : rows->as_array()) {
+        const std::optional<Address> address
+            = row.is_string() ? addressFromText(std::string(row.as_string())) : std::nullopt;
+        if (address)
+            out.push_back(*address);
+    }
+    return out;
+}
+
+// A daemon that named itself because it is cut off from its peers is no right choice: a reader that knows all
+// members puts that right.
+std::optional<std::vector<Address>> StoreSync::readersToCheck(TimeMs now) const
+{
+    const bool knowsAll = isStoreReader_ && newestControl_ == newestShared_ && newestShared_.count != 0;
+    if (!isLargeFleet() || !knowsAll || now < nameReadersAt_)
+        return std::nullopt;
+    return namedItself_ ? std::vector<Address>() : readers_.addresses;
+}
+
+void StoreSync::nameReaders(const std::vector<Address> &readers, TimeMs now)
+{
+    if (readers == readers_.addresses)
+        namedItself_ = false;
+    else if (!readers.empty())
+        writeReaders(readers, now);
+}
+
+// All daemons of a fleet that starts for the first time do so at once. The condition lets one win, and the
+// others learn of it from the reply.
+void StoreSync::nameItselfIfAlone(TimeMs now)
+{
+    const bool isSilent = now - std::max(repliedAt_, startedAt_) > MaxSilence;
+    const bool isAlone = listsArePaged_ && !isStoreReader_ && (readers_.addresses.empty() || isSilent);
+    if (isAlone && now >= nameReadersAt_ && newestControl_.count != 0)
+        writeReaders({settings_.self.peerAddress}, now);
+}
+
+void StoreSync::writeReaders(const std::vector<Address> &readers, TimeMs now)
+{
+    if (tooManyOpen(Purpose::NameReaders))
+        return;
+    nameReadersAt_ = now + WritePause;
+    writtenReaders_ = readers;
+    StoreCall call;
+    call.verb = StoreVerb::Write;
+    call.conditions.push_back({StoreSpace::Control, ReadersKey, readers_.revision});
+    call.puts.push_back({StoreSpace::Control, ReadersKey, readersText(readers), 0});
+    call.timeout = WriteTimeout;
+    send(std::move(call), {Purpose::NameReaders, now, now, {}, 0}, now);
+}
+
+void StoreSync::onReadersWritten(const StoreReply &reply)
+{
+    if (reply.outcome == StoreOutcome::Done) {
+        readers_ = {writtenReaders_, reply.revision};
+        namedItself_ = writtenReaders_.size() == 1 && isNamedReader();
+        log_.write(LogPriority::State, "readers_named",
+                   {{"count", writtenReaders_.size()}, {"itself", namedItself_}});
+    }
+    if (reply.outcome != StoreOutcome::Conflict)
+        return;
+    for (const StoreItem &item : reply.items)
+        takeReaders({readersFromText(item.value), item.revision});
+}
+
+// Revisions of two eras can't be compared; the readers write the key again in the new era.
+void StoreSync::takeReaders(const NamedReaders &readers)
+{
+    if (readers.revision <= readers_.revision)
+        return;
+    readers_ = readers;
+    namedItself_ = namedItself_ && isNamedReader();
+}
+
+bool StoreSync::isNamedReader() const
+{
+    const std::vector<Address> &named = readers_.addresses;
+    return std::find(named.begin(), named.end(), settings_.self.peerAddress) != named.end();
+}
+
+// The daemons are distributed over the readers by a hash of their own names.
+std::optional<Address> StoreSync::namedReader(const std::set<Address> &silent) const
+{
+    std::vector<Address> heard = readers_.addresses;
+    std::erase_if(heard, [&](const Address &reader) {
+        return silent.contains(reader) || reader == settings_.self.peerAddress;
+    });
+    if (heard.empty())
+        return std::nullopt;
+    return heard[std::hash<std::string>()(settings_.self.instance.value) % heard.size()];
+}
+
+} // namespace cranberry
