--- a/src/gateway/endpoints/endpointlist.cpp
+++ b/src/gateway/endpoints/endpointlist.cpp
@@ -65,11 +65,12 @@
     }
     entries_ = std::move(entries);
     digest_ = digest;
+    base_ = digest;
 }
 
 bool EndpointList::apply(uint64_t base, const EndpointChanges &changes)
 {
-    if (base != digest_)
+    if (base != base_)
         return false;
     std::set<EndpointId> replaced(changes.gone.begin(), changes.gone.end());
     for (const EndpointEntry &entry : changes.changed)
@@ -81,18 +82,36 @@
     return true;
 }
 
-bool EndpointList::addPart(uint64_t digest, size_t from, size_t total, const std::vector<EndpointEntry> &part)
+// What changed while the parts were on their way is among the changes since the version of the first one, so
+// endpoints that come and go all the time don't keep the list from being completed.
+bool EndpointList::addPart(uint64_t digest, const EndpointPart &part)
 {
-    if (digest != partsDigest_ || from == 0)
+    if (part.after.value.empty()) {
         parts_.clear();
-    partsDigest_ = digest;
-    if (from != parts_.size())
-        return false;
-    parts_.insert(parts_.end(), part.begin(), part.end());
-    if (parts_.size() < total)
+        partsBase_ = digest;
+    } else if (lastReceived() != part.after) {
         return false;
+    }
+    parts_.insert(parts_.end(), part.entries.begin(), part.entries.end());
+    if (!part.isLast)
+        return true;
     replace(std::exchange(parts_, {}));
-    return digest_ == digest;
+    base_ = partsBase_;
+    return true;
+}
+
+EndpointId EndpointList::lastReceived() const
+{
+    return parts_.empty() ? EndpointId{} : parts_.back().id;
+}
+
+EndpointPart EndpointList::partAfter(const EndpointId &id, size_t count) const
+{
+    const auto isAfter = [](const EndpointId &each, const EndpointEntry &entry) { return each < entry.id; };
+    const auto first = std::upper_bound(entries_.begin(), entries_.end(), id, isAfter);
+    const auto left = static_cast<size_t>(entries_.end() - first);
+    const auto end = first + static_cast<std::ptrdiff_t>(std::min(count, left));
+    return {id, {first, end}, end == entries_.end()};
 }
 
 std::optional<EndpointChanges> EndpointList::changesSince(uint64_t base) const
--- a/src/gateway/endpoints/endpointlist.h
+++ b/src/gateway/endpoints/endpointlist.h
@@ -21,13 +21,18 @@
     /// not `base`.
     bool apply(uint64_t base, const EndpointChanges &changes);
 
-    /// Adds a part of version `digest`, which has `total` entries. Returns true if the part completes the
-    /// version, which then becomes the list. Parts must arrive in order; one that does not is dropped with
-    /// those before it.
-    bool addPart(uint64_t digest, size_t from, size_t total, const std::vector<EndpointEntry> &part);
+    /// Adds a part of version `digest`. Returns false if it is not the next one; it is ignored then. The last
+    /// part completes the list. If the version changed between the parts, the list is inconsistent until the
+    /// changes since the version of the first part were applied.
+    bool addPart(uint64_t digest, const EndpointPart &part);
+    EndpointId lastReceived() const; ///< Last entry of the parts so far; empty: none.
+    bool isComplete() const { return parts_.empty() && base_ == digest_; }
 
     const std::vector<EndpointEntry> &entries() const { return entries_; } ///< Sorted by id.
     uint64_t digest() const { return digest_; } ///< 0 if there is no list yet.
+    uint64_t base() const { return base_; } ///< Version to which changes can be applied.
+    /// Returns up to `count` entries after `id`.
+    EndpointPart partAfter(const EndpointId &id, size_t count) const;
     /// Returns the changes for a daemon that has version `base`, or nothing if that version is too old.
     std::optional<EndpointChanges> changesSince(uint64_t base) const;
 
@@ -40,8 +45,9 @@
     std::vector<EndpointEntry> entries_;
     uint64_t digest_ = 0;
     std::deque<Step> steps_;
-    std::vector<EndpointEntry> parts_; ///< Parts of the version `partsDigest_` received so far.
-    uint64_t partsDigest_ = 0;
+    uint64_t base_ = 0;
+    std::vector<EndpointEntry> parts_; ///< Received so far.
+    uint64_t partsBase_ = 0; ///< Version of the first part.
 };
 
 } // namespace cranberry
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -304,17 +304,25 @@
     uint64_t era = 0; ///< Era of the store when the key was read.
 };
 
+/// Control key of the store that names the store readers of a large fleet.
+struct NamedReaders {
+    std::vector<Address> addresses; ///< Their addresses for peers.
+    uint64_t revision = 0; ///< 0: the key does not exist.
+};
+
 /// Query for a peer's copy of the store's data and its age, sent instead of reading the store.
 struct FreshnessQuery {
     Incarnation from;
     uint64_t number = 0;
     uint64_t era = 0; ///< Era of the store as known to the sender.
-    uint64_t endpointsDigest = 0; ///< Digest of the sender's endpoint list.
+    uint64_t endpointsDigest = 0; ///< Version of the endpoint list to which the sender can apply changes.
+    EndpointId endpointsAfter; ///< Last entry of the parts that it has received; empty: none.
     uint64_t sharedDigest = 0; ///< Digest of its configuration, members and leader.
     uint64_t configurationVersion = 0;
     uint64_t entriesDigest = 0; ///< Digest of the caller addresses that it received.
     uint64_t quarantineDigest = 0; ///< Digest of the quarantined requests that it received.
     uint64_t rolloutsDigest = 0; ///< Digest of the roll-outs that it knows.
+    uint64_t readersRevision = 0; ///< Revision of the named readers that it knows.
 };
 
 /// Difference between two versions of the endpoint list.
@@ -323,6 +331,13 @@
     std::vector<EndpointId> gone;
 };
 
+/// Part of the endpoint list, which is sorted by id.
+struct EndpointPart {
+    EndpointId after; ///< The part begins after this id; empty: at the start.
+    std::vector<EndpointEntry> entries;
+    bool isLast = false;
+};
+
 /// Reply to a FreshnessQuery. Ages are measured at the replying daemon when it replies. The receiver
 /// subtracts them from the time at which it sent the query, so that no network delay makes data look fresher
 /// than it was.
@@ -341,14 +356,11 @@
     LeaderEntry leader;
     DurationMs endpointsAge;
     uint64_t endpointsDigest = 0;
-    /// If the sender's list differs: the changes since its version `endpointsBase`, or else the full list, in
-    /// as many replies as necessary.
+    /// If the sender's list differs: the changes since its version `endpointsBase`, or else the part of the
+    /// list that it lacks.
     std::optional<EndpointChanges> endpointChanges;
     uint64_t endpointsBase = 0;
-    bool hasEndpoints = false;
-    std::vector<EndpointEntry> endpoints; ///< Part of the list, from index `endpointsFrom` on.
-    size_t endpointsFrom = 0;
-    size_t endpointsTotal = 0;
+    std::optional<EndpointPart> endpointsPart;
     uint64_t entriesDigest = 0;
     bool hasEntries = false; ///< `entries` is included, since the sender's differ.
     std::vector<Address> entries; ///< Caller addresses.
@@ -357,6 +369,10 @@
     std::vector<QuarantinedRequest> quarantine;
     uint64_t rolloutsDigest = 0;
     std::optional<RolloutsKnown> rollouts; ///< Included if the sender's differ.
+    std::optional<NamedReaders> readers; ///< Included if the sender's are older.
+    /// The replying daemon is no store reader of a large fleet. It only names the readers, to one of which
+    /// the query is to be sent instead.
+    bool isRedirect = false;
 };
 
 /// Caller addresses as received from another daemon that gets the reports of the serving daemons.
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -54,6 +54,7 @@
                 given.callerAddress, given.peerAddress, given.cores};
     out.leaseTime = given.leaseTime;
     out.configurationBound = given.configurationBound;
+    out.drainTime = given.drainTime;
     out.firstStart = given.firstStart;
     out.seed = seed;
     return out;
--- a/src/gateway/peers/fleetview.cpp
+++ b/src/gateway/peers/fleetview.cpp
@@ -4,18 +4,32 @@
 
 namespace cranberry {
 
-// The leader orders engines, so it reads the endpoint list from the store itself, not through a peer,
-// whenever it can.
 void FleetView::beforeStoreTick(TimeMs now)
 {
     const std::set<Address> silent = sync_.silentSources(now);
-    const bool canRead = !sync_.readsFail(now);
+    const PeerTable &peers = gateway_.peers();
     sync_.setQuarantine(gateway_.quarantine(now), now);
-    sync_.setStoreReader(gateway_.peers().isStoreReader(silent, now), now);
-    const bool isViewConfirmed = sync_.isViewConfirmed(now);
-    sync_.setSource(canRead && isViewConfirmed && sync_.leadership(now).held
-                        ? std::nullopt
-                        : gateway_.peers().readerToQuery(canRead && isViewConfirmed, silent, now));
+    const bool isReader = sync_.isNamedReader() || peers.isStoreReader(silent, now);
+    sync_.setStoreReader(isReader, now);
+    sync_.setSource(sourceToQuery(silent, now));
+    if (const std::optional<std::vector<Address>> named = sync_.readersToCheck(now))
+        sync_.nameReaders(peers.readersToName(*named, now), now);
+}
+
+// The leader orders engines, so it reads the endpoint list from the store itself, not through a peer,
+// whenever it can, except in a large fleet.
+std::optional<Address> FleetView::sourceToQuery(const std::set<Address> &silent, TimeMs now) const
+{
+    const bool canRead = !sync_.readsFail(now) && sync_.isViewConfirmed(now);
+    if (sync_.isLargeFleet()) {
+        if (canRead && sync_.isNamedReader())
+            return std::nullopt;
+        if (const std::optional<Address> named = sync_.namedReader(silent))
+            return named;
+    } else if (canRead && sync_.leadership(now).held) {
+        return std::nullopt;
+    }
+    return gateway_.peers().readerToQuery(canRead, silent, now);
 }
 
 ReportSchedule::Due FleetView::takeUpdates(TimeMs now)
--- a/src/gateway/peers/fleetview.h
+++ b/src/gateway/peers/fleetview.h
@@ -29,6 +29,8 @@
     std::vector<Address> entryAddresses(const EntryCandidate &own, double ownCoresUsed, TimeMs now);
 
 private:
+    std::optional<Address> sourceToQuery(const std::set<Address> &silent, TimeMs now) const;
+
     StoreSync &sync_;
     Gateway &gateway_;
     ReportSchedule reports_;
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -207,11 +207,13 @@
             {"number", query.number},
             {"era", query.era},
             {"endpointsDigest", query.endpointsDigest},
+            {"endpointsAfter", query.endpointsAfter.value},
             {"sharedDigest", query.sharedDigest},
             {"configurationVersion", query.configurationVersion},
             {"entriesDigest", query.entriesDigest},
             {"quarantineDigest", query.quarantineDigest},
-            {"rolloutsDigest", query.rolloutsDigest}};
+            {"rolloutsDigest", query.rolloutsDigest},
+            {"readersRevision", query.readersRevision}};
 }
 
 FreshnessQuery decodedFreshnessQuery(const json::object &object)
@@ -221,14 +223,24 @@
     query.number = object.at("number").to_number<uint64_t>();
     query.era = object.at("era").to_number<uint64_t>();
     query.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
+    query.endpointsAfter.value = text(object.at("endpointsAfter"));
     query.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
     query.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     query.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
     query.quarantineDigest = object.at("quarantineDigest").to_number<uint64_t>();
     query.rolloutsDigest = object.at("rolloutsDigest").to_number<uint64_t>();
+    query.readersRevision = object.at("readersRevision").to_number<uint64_t>();
     return query;
 }
 
+json::array rowsOf(const std::vector<Address> &addresses)
+{
+    json::array rows;
+    for (const Address &address : addresses)
+        rows.push_back(json::value(toText(address)));
+    return rows;
+}
+
 json::array rowsOf(const std::vector<EndpointEntry> &entries)
 {
     json::array rows;
@@ -258,11 +270,12 @@
         out["rollouts"] = rowsOf(*reply.rollouts);
     if (reply.hasQuarantine)
         out["quarantine"] = quarantineRows(reply.quarantine);
-    if (reply.hasEntries) {
-        json::array entries;
-        for (const Address &address : reply.entries)
-            entries.push_back(json::value(toText(address)));
-        out["entries"] = std::move(entries);
+    if (reply.hasEntries)
+        out["entries"] = rowsOf(reply.entries);
+    if (reply.readers) {
+        out["readers"] = rowsOf(reply.readers->addresses);
+        out["readersRevision"] = reply.readers->revision;
+        out["isRedirect"] = reply.isRedirect;
     }
     if (reply.hasMembers) {
         json::array members;
@@ -274,10 +287,10 @@
         out["listed"] = reply.listed;
         out["leader"] = {reply.leader.value, reply.leader.revision, reply.leader.lease};
     }
-    if (reply.hasEndpoints) {
-        out["endpoints"] = rowsOf(reply.endpoints);
-        out["endpointsFrom"] = reply.endpointsFrom;
-        out["endpointsTotal"] = reply.endpointsTotal;
+    if (reply.endpointsPart) {
+        out["endpoints"] = rowsOf(reply.endpointsPart->entries);
+        out["endpointsAfter"] = reply.endpointsPart->after.value;
+        out["endpointsEnd"] = reply.endpointsPart->isLast;
     }
     if (reply.endpointChanges) {
         out["endpointsBase"] = reply.endpointsBase;
@@ -316,6 +329,14 @@
     return out;
 }
 
+std::vector<Address> decodedAddresses(const json::value &rows)
+{
+    std::vector<Address> out;
+    for (const json::value &value : rows.as_array())
+        out.push_back(addressFromText(text(value)).value_or(Address{}));
+    return out;
+}
+
 MemberEntry decodedMember(const json::array &fields)
 {
     MemberEntry member;
@@ -351,8 +372,12 @@
     }
     if (const json::value *entries = object.if_contains("entries")) {
         reply.hasEntries = true;
-        for (const json::value &value : entries->as_array())
-            reply.entries.push_back(addressFromText(text(value)).value_or(Address{}));
+        reply.entries = decodedAddresses(*entries);
+    }
+    if (const json::value *readers = object.if_contains("readers")) {
+        reply.readers
+            = NamedReaders{decodedAddresses(*readers), object.at("readersRevision").to_number<uint64_t>()};
+        reply.isRedirect = object.at("isRedirect").as_bool();
     }
     if (const json::value *members = object.if_contains("members")) {
         reply.hasMembers = true;
@@ -364,10 +389,11 @@
             = {text(leader[0]), leader[1].to_number<uint64_t>(), leader[2].to_number<uint64_t>(), reply.era};
     }
     if (const json::value *rows = object.if_contains("endpoints")) {
-        reply.hasEndpoints = true;
-        reply.endpoints = decodedEndpoints(*rows);
-        reply.endpointsFrom = object.at("endpointsFrom").to_number<size_t>();
-        reply.endpointsTotal = object.at("endpointsTotal").to_number<size_t>();
+        EndpointPart part;
+        part.entries = decodedEndpoints(*rows);
+        part.after.value = text(object.at("endpointsAfter"));
+        part.isLast = object.at("endpointsEnd").as_bool();
+        reply.endpointsPart = std::move(part);
     }
     if (const json::value *changed = object.if_contains("changed")) {
         EndpointChanges changes;
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -22,12 +22,9 @@
 /// A peer counts as absent after this many missed reports.
 constexpr int64_t MaxMissedReports = 6;
 /// Store readers; each of the other daemons queries one of them. Their number grows with that of the daemons,
-/// so that one reader replies to about a hundred. Standby daemons do not appear in all member lists, so
-/// while daemons serve, the number of readers follows from that of the serving ones. There may be sixteen
-/// times as many standby daemons as serving ones.
+/// so that one reader replies to some three hundred queries a second at most.
 constexpr size_t MinReaders = 3;
-constexpr size_t ServingPerReader = 6;
-constexpr size_t MembersPerReader = 100;
+constexpr size_t MembersPerReader = 150;
 /// The quota pool changes with the daemons that are ready; a change may be noticed this much later.
 constexpr DurationMs QuotaPoolRefreshInterval{200};
 constexpr size_t MaxWindowsPerPeer = 12; ///< Windows kept per peer; older ones are reported or expired.
@@ -142,8 +139,7 @@
 
 size_t PeerTable::readerCount() const
 {
-    const size_t wanted = anyServes_ ? serving_.size() / ServingPerReader : listed_ / MembersPerReader;
-    return std::max(wanted, MinReaders);
+    return std::max(listed_ / MembersPerReader, MinReaders);
 }
 
 // A daemon that receives reports counts only the peers that it hears. Otherwise peers count unless they are
@@ -173,6 +169,31 @@
     return out;
 }
 
+bool PeerTable::reportedNoReads(const MemberEntry &member, TimeMs now) const
+{
+    const Peer *peer = heardPeer(member, now);
+    return peer && (peer->report.leaving || !peer->report.readsStore);
+}
+
+std::vector<Address> PeerTable::readersToName(const std::vector<Address> &named, TimeMs now) const
+{
+    const size_t wanted = readerCount();
+    std::vector<Address> kept;
+    std::vector<Address> others;
+    for (const MemberEntry *member : order_) {
+        if (reportedNoReads(*member, now))
+            continue;
+        const bool isNamed = std::find(named.begin(), named.end(), member->peerAddress) != named.end();
+        (isNamed ? kept : others).push_back(member->peerAddress);
+    }
+    const bool isSizeFit = kept.size() * 2 >= wanted && kept.size() <= wanted * 2;
+    if (isSizeFit && kept.size() == named.size())
+        return named;
+    kept.insert(kept.end(), others.begin(), others.end());
+    kept.resize(std::min(kept.size(), wanted));
+    return kept;
+}
+
 bool PeerTable::isStoreReader(const std::set<Address> &silent, TimeMs now) const
 {
     const MemberPtrs all = readers(true, silent, now);
--- a/src/gateway/peers/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -49,6 +49,10 @@
     /// store readers. A reader whose own reads fail (`canRead` is false) also queries a peer, if there is
     /// one. Daemons in `silent` are excluded: they did not reply to recent queries.
     std::optional<Address> readerToQuery(bool canRead, const std::set<Address> &silent, TimeMs now) const;
+    /// Returns the store readers that are to be named for a large fleet, given those that are named now. They
+    /// change only if one of them is gone or reports that it can't read, or if they are by far too few or too
+    /// many: daemons whose views differ a little must not keep renaming them.
+    std::vector<Address> readersToName(const std::vector<Address> &named, TimeMs now) const;
     /// This daemon is one of the few store readers, provided that its reads succeed.
     bool isStoreReader(const std::set<Address> &silent, TimeMs now) const;
     // Reports have arrived recently from all, or from more than half, of the serving daemons.
@@ -108,6 +112,7 @@
     bool reportedLeaving(const MemberEntry &member, TimeMs now) const;
     bool isPresent(const MemberEntry &member, TimeMs now) const;
     bool mayRead(const MemberEntry &member, TimeMs now) const;
+    bool reportedNoReads(const MemberEntry &member, TimeMs now) const;
     MemberPtrs readers(bool canRead, const std::set<Address> &silent, TimeMs now) const;
     size_t readerCount() const;
     size_t heardServingCount(TimeMs now) const;
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -36,6 +36,10 @@
 void Gateway::onEndpoints(const EndpointsRead &event, TimeMs now)
 {
     const std::map<EndpointId, FleetEndpoint> &known = fleet_.all();
+    // Thousands of lines at the start of each daemon would tell what the store's list shows.
+    const bool isFirst = !fleet_.hasList();
+    if (isFirst)
+        log_.write(LogPriority::State, "endpoints", {{"count", event.entries.size()}});
     for (const EndpointEntry &entry : event.entries) {
         const auto found = known.find(entry.id);
         if (!entry.readable) {
@@ -43,6 +47,8 @@
                 counters_.add(GatewayCount::EntriesUnreadable);
             continue;
         }
+        if (isFirst)
+            continue;
         if (found == known.end() || found->second.entry.leaving != entry.leaving
             || found->second.entry.start < entry.start) {
             log_.write(LogPriority::State, "endpoint",
@@ -167,7 +173,10 @@
             candidates.push_back({own.address, own.cores, servingRole_.serves()});
         entries = chooseEntries(std::move(candidates), used);
     }
-    servingRole_.recordChoice(std::find(entries.begin(), entries.end(), own.address) != entries.end(), now);
+    // A daemon that knows no member yet would choose itself, and so would all others.
+    if (!peers_.members().empty())
+        servingRole_.recordChoice(std::find(entries.begin(), entries.end(), own.address) != entries.end(),
+                                  now);
     if (std::exchange(entryCount_, entries.size()) != entries.size())
         log_.write(LogPriority::State, "entries",
                    {{"count", entries.size()},
--- a/src/gateway/rollout/rolloutcontroller.cpp
+++ b/src/gateway/rollout/rolloutcontroller.cpp
@@ -234,8 +234,8 @@
     call.id = nextCall_++;
     call.verb = StoreVerb::Write;
     const std::string key = RolloutKeyPrefix + record.service.value;
-    call.conditions = {{StoreSpace::Shared, key, storedRevision}, leadership.leaderCondition};
-    call.puts.push_back({StoreSpace::Shared, key, recordText(record), 0});
+    call.conditions = {{StoreSpace::Control, key, storedRevision}, leadership.leaderCondition};
+    call.puts.push_back({StoreSpace::Control, key, recordText(record), 0});
     call.rolloutStatus = RolloutStatus{record.service, record.target, record.stage};
     call.timeout = CallTimeout;
     calls_[call.id] = record;
--- a/src/gateway/store/storecalls.h
+++ b/src/gateway/store/storecalls.h
@@ -6,7 +6,10 @@
 
 /// Parts of the store, by who writes them.
 enum class StoreSpace : uint8_t {
-    Shared, ///< The configuration and the state shared by the daemons.
+    Shared, ///< Lists the next three as one, the members last. No key is written to it.
+    Configuration, ///< The configuration and the orders of roll-outs.
+    Control, ///< A few keys of the daemons, such as the leader's.
+    Members,
     Endpoints,
     Archive ///< Records that daemons keep for their successors; not read regularly.
 };
@@ -15,20 +18,20 @@
 
 /// A write's precondition: the key has this revision. Revision 0: the key does not exist.
 struct StoreCondition {
-    StoreSpace space = StoreSpace::Shared;
+    StoreSpace space = StoreSpace::Control;
     std::string key;
     uint64_t revision = 0;
 };
 
 struct StorePut {
-    StoreSpace space = StoreSpace::Shared;
+    StoreSpace space = StoreSpace::Control;
     std::string key;
     std::string value;
     uint64_t lease = 0; ///< 0: the key stays until it is deleted.
 };
 
 struct StoreKey {
-    StoreSpace space = StoreSpace::Shared;
+    StoreSpace space = StoreSpace::Control;
     std::string key;
 };
 
@@ -57,7 +60,7 @@
 
 /// An item of the store, decoded by its kind.
 struct StoreItem {
-    StoreSpace space = StoreSpace::Shared;
+    StoreSpace space = StoreSpace::Control;
     std::string key; ///< Without the prefix of the space.
     std::string value; ///< Only for keys that daemons write.
     uint64_t revision = 0;
--- a/src/gateway/store/storeera.cpp
+++ b/src/gateway/store/storeera.cpp
@@ -84,6 +84,7 @@
     leader_ = {};
     leaderIsSelf_ = false;
     leaderIsEarlierIncarnation_ = false;
+    readers_.revision = 0;
     quarantineRevision_ = 0;
     storedQuarantine_.clear();
     compareQuarantine();
@@ -142,7 +143,7 @@
     settleAt_ = now + RetryPause;
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.puts.push_back({StoreSpace::Shared, SettledEraKey, eraText(era_), 0});
+    call.puts.push_back({StoreSpace::Control, SettledEraKey, eraText(era_), 0});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Settle, now, now, {}, 0}, now);
 }
--- a/src/gateway/store/storelease.cpp
+++ b/src/gateway/store/storelease.cpp
@@ -27,8 +27,8 @@
     registerAt_ = now + RetryPause;
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.puts.push_back({StoreSpace::Shared, MemberPrefix + settings_.self.instance.value,
-                         memberText(settings_.self), lease_});
+    call.puts.push_back(
+        {StoreSpace::Members, settings_.self.instance.value, memberText(settings_.self), lease_});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Register, now, now, {}, lease_, settings_.self.serving}, now);
 }
@@ -97,7 +97,7 @@
     out.fencingToken = (leader_.era << RevisionBits) + leader_.revision;
     out.held = !leaving_ && leaderIsSelf_ && leader_.lease == lease_ && now < out.validUntil
         && now >= mayLeadFrom_;
-    out.leaderCondition = {StoreSpace::Shared, LeaderKey, leader_.revision};
+    out.leaderCondition = {StoreSpace::Control, LeaderKey, leader_.revision};
     // What it wrote itself since it became leader, it writes again.
     const bool ledThroughEra = ledSince_.count != 0 && ledSince_ < eraSeenAt_;
     if (startedUnsettled_)
@@ -112,7 +112,7 @@
     if (reclaimUntil_)
         return !leaderIsSelf_ && now >= campaignAt_;
     const DurationMs delay = settings_.self.serving ? DurationMs{0} : StandbyCampaignDelay;
-    return leader_.revision == 0 ? now >= campaignAt_ + delay
+    return leader_.revision == 0 ? listed_ > 0 && now >= campaignAt_ + delay
                                  : leaderIsEarlierIncarnation_ && now >= reclaimAt_;
 }
 
@@ -142,8 +142,8 @@
     campaignAt_ = now + RetryPause + jitter(CampaignJitter);
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Shared, LeaderKey, leader_.revision});
-    call.puts.push_back({StoreSpace::Shared, LeaderKey, ownLeaderValue(), lease_});
+    call.conditions.push_back({StoreSpace::Control, LeaderKey, leader_.revision});
+    call.puts.push_back({StoreSpace::Control, LeaderKey, ownLeaderValue(), lease_});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Campaign, now, now, {}, lease_}, now);
 }
--- a/src/gateway/store/storequarantine.cpp
+++ b/src/gateway/store/storequarantine.cpp
@@ -55,8 +55,8 @@
     writtenQuarantine_ = mergedQuarantine(storedQuarantine_, quarantine_);
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Shared, QuarantineKey, quarantineRevision_});
-    call.puts.push_back({StoreSpace::Shared, QuarantineKey, quarantineText(writtenQuarantine_), 0});
+    call.conditions.push_back({StoreSpace::Control, QuarantineKey, quarantineRevision_});
+    call.puts.push_back({StoreSpace::Control, QuarantineKey, quarantineText(writtenQuarantine_), 0});
     call.timeout = WriteTimeout;
     send(std::move(call), {Purpose::Quarantine, now, now, {}, 0}, now);
 }
--- a/src/gateway/store/storequeries.cpp
+++ b/src/gateway/store/storequeries.cpp
@@ -13,9 +13,13 @@
 constexpr DurationMs QueryInterval{300};
 /// A standby daemon sends queries less often: only callers with outdated addresses connect to it.
 constexpr DurationMs StandbyQueryInterval{500};
+/// A daemon that has no list of endpoints yet can't accept requests.
+constexpr DurationMs StartQueryInterval{250};
 /// A view older than this is refreshed by reading the store, whatever the peer replies.
 constexpr DurationMs MaxPeerViewAge{1300};
 constexpr DurationMs StandbyMaxPeerViewAge{1800};
+/// A reader whose view is older than this can't read the store; another one may have a newer view.
+constexpr DurationMs MaxReaderViewAge{2500};
 /// A standby daemon reads configuration changes at most this many times within the bound in which they must
 /// be in force: with changes in quick succession, hundreds of daemons would read each one.
 constexpr int64_t StandbyReadsPerBound = 3;
@@ -27,8 +31,11 @@
 /// Maximum number of members in a reply: more don't fit into a datagram together with the list of endpoints.
 /// They are read from the store instead.
 constexpr size_t MaxMembersPerReply = 120;
-/// Maximum number of endpoint entries in one reply: each takes about 90 B, and a datagram holds 60 KB.
-constexpr size_t MaxEndpointsPerReply = 400;
+/// Maximum number of changed endpoints in one reply: each takes about 90 B, and a datagram holds 60 KB.
+constexpr size_t MaxChangesPerReply = 400;
+/// Endpoints in one part of a full list. Hundreds of daemons request parts at the same time after a start; a
+/// part for each must not fill the reader's link for long.
+constexpr size_t EndpointsPerPart = 100;
 constexpr size_t MaxOpenQueries = 16;
 
 uint64_t digestOfEntries(const std::vector<Address> &entries)
@@ -43,7 +50,9 @@
 
 void StoreSync::sendQuery(TimeMs now)
 {
-    queryAt_ = now + (settings_.self.serving ? QueryInterval : StandbyQueryInterval);
+    const DurationMs interval = settings_.self.serving ? QueryInterval : StandbyQueryInterval;
+    const bool hasEndpoints = endpoints_.digest() != 0 && endpoints_.isComplete();
+    queryAt_ = now + (hasEndpoints ? interval : StartQueryInterval);
     while (openQueries_.size() >= MaxOpenQueries)
         openQueries_.erase(openQueries_.begin());
     openQueries_[nextQuery_] = {now, *source_};
@@ -55,14 +64,16 @@
     unanswered.askedAt = now;
     outgoing_.push_back(
         {*source_,
-         FreshnessQuery{settings_.self.incarnation, nextQuery_, era_, endpoints_.digest(), sharedDigest_,
-                        knownVersion(), peerEntriesDigest_, peerQuarantineDigest_, rolloutsDigest_}});
+         FreshnessQuery{settings_.self.incarnation, nextQuery_, era_, endpoints_.base(),
+                        endpoints_.lastReceived(), sharedDigest_, knownVersion(), peerEntriesDigest_,
+                        peerQuarantineDigest_, rolloutsDigest_, readers_.revision}});
     ++nextQuery_;
 }
 
 DurationMs StoreSync::maxPeerViewAge() const
 {
-    return settings_.self.serving ? MaxPeerViewAge : StandbyMaxPeerViewAge;
+    const DurationMs readLater = sharedReadInterval() - SharedReadInterval;
+    return (settings_.self.serving ? MaxPeerViewAge : StandbyMaxPeerViewAge) + readLater;
 }
 
 std::set<Address> StoreSync::silentSources(TimeMs now) const
@@ -101,17 +112,22 @@
 {
     // A view that is already too old is of no use, since the peer would have to read in any case. A view that
     // merely could not be refreshed just now is still sent: without a reply, all peers would read from a busy
-    // store.
+    // store. In a large fleet peers don't read lists, and an old view is better than none.
     if (query.era > era_)
         enterEra(query.era, now);
+    if (isLargeFleet() && !isNamedReader() && query.readersRevision < readers_.revision)
+        return redirect(query, from);
     const TimeMs oldest = std::min(newestShared_, newestEndpoints_);
-    if (!knowsPresentEra() || !isViewConfirmed(now))
+    if (namedItself_ || !knowsPresentEra() || !isViewConfirmed(now) || !endpoints_.isComplete())
         return;
-    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || now - oldest > MaxPeerViewAge)
+    const bool isTooOld = now - oldest > MaxPeerViewAge && !isLargeFleet();
+    if (newestShared_.count == 0 || newestEndpoints_.count == 0 || isTooOld)
         return;
     FreshnessReply reply;
     reply.number = query.number;
     reply.era = era_;
+    if (query.readersRevision < readers_.revision)
+        reply.readers = readers_;
     reply.sharedAge = now - newestShared_;
     reply.sharedDigest = sharedDigest_;
     reply.configurationVersion = knownVersion();
@@ -140,6 +156,17 @@
         sendEndpoints(query, from, std::move(reply));
 }
 
+// The sender's list of readers is outdated, or it would not have sent the query here.
+void StoreSync::redirect(const FreshnessQuery &query, const Address &from)
+{
+    FreshnessReply reply;
+    reply.number = query.number;
+    reply.era = era_;
+    reply.readers = readers_;
+    reply.isRedirect = true;
+    outgoing_.push_back({from, std::move(reply)});
+}
+
 // The time of the reply's view is when the query was sent, less the age that the view had at the replying
 // daemon. So a late reply, also one that waited during a process pause, claims nothing that was not true at
 // that time.
@@ -149,22 +176,28 @@
     if (found == openQueries_.end())
         return;
     const TimeMs askedAt = found->second.sentAt;
-    unanswered_.erase(found->second.to);
-    const bool isLast
-        = !reply.hasEndpoints || reply.endpointsFrom + reply.endpoints.size() >= reply.endpointsTotal;
-    if (isLast)
-        openQueries_.erase(found);
+    if (std::max(reply.sharedAge, reply.endpointsAge) <= MaxReaderViewAge)
+        unanswered_.erase(found->second.to);
+    openQueries_.erase(found);
     if (reply.era > era_)
         enterEra(reply.era, now);
     if (reply.era < era_)
         return; // What it describes is lost.
+    repliedAt_ = now;
+    if (reply.readers)
+        takeReaders(*reply.readers);
+    if (reply.isRedirect) {
+        queryAt_ = now;
+        return;
+    }
     minVersion_ = std::max(minVersion_, reply.configurationVersion);
     viewConfirmed_ = viewConfirmed_ || knownVersion() >= minVersion_;
     takeEntriesReply(reply, askedAt);
     takeQuarantineReply(reply);
     takeRolloutsReply(reply, askedAt - reply.sharedAge);
     takeSharedReply(reply, askedAt - reply.sharedAge, now);
-    takeEndpointsReply(reply, askedAt - reply.endpointsAge);
+    if (takeEndpointsReply(reply, askedAt - reply.endpointsAge) && source_)
+        sendQuery(now);
 }
 
 void StoreSync::takeSharedReply(const FreshnessReply &reply, TimeMs sharedAt, TimeMs now)
@@ -179,6 +212,7 @@
         if (sameConfiguration && reply.hasMembers && sharedAt > newestShared_) {
             newestShared_ = sharedAt;
             sharedEra_ = reply.era;
+            controlEra_ = reply.era;
             sharedDigest_ = reply.sharedDigest;
             listed_ = reply.listed;
             takeMembers(reply.members, reply.leader, sharedAt, now);
@@ -186,52 +220,49 @@
         const bool mayWait = configuration_ && !settings_.self.serving;
         const DurationMs interval = settings_.configurationBound / StandbyReadsPerBound;
         const bool isTooSoon = mayWait && now - sharedReadAt_ < interval;
+        // Only members that no reply can hold are a reason to read all.
+        const bool isConfigurationOnly = isLargeFleet() && (!sameConfiguration || reply.hasMembers);
         if (sharedAt > newestShared_ && !isTooSoon && !tooManyOpen(Purpose::ReadShared))
-            readShared(now);
+            readShared(isConfigurationOnly ? StoreSpace::Configuration : StoreSpace::Shared,
+                       !isConfigurationOnly, now);
     } else if (sharedAt > newestShared_ && configuration_) {
         newestShared_ = sharedAt;
         sharedEra_ = reply.era;
+        controlEra_ = reply.era;
         publishConfiguration(sharedAt, now);
     }
 }
 
-// Changes are sent with the reply; a full list is sent in as many replies as needed.
+// Changes are sent with the reply. A full list is sent in parts, each on a query of its own: the receiver
+// sets the pace, and a lost part is requested again alone.
 void StoreSync::sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply)
 {
     reply.endpointChanges = endpoints_.changesSince(query.endpointsDigest);
     reply.endpointsBase = query.endpointsDigest;
-    if (reply.endpointChanges
-        && reply.endpointChanges->changed.size() + reply.endpointChanges->gone.size()
-            <= MaxEndpointsPerReply) {
-        outgoing_.push_back({from, std::move(reply)});
-        return;
+    if (!reply.endpointChanges
+        || reply.endpointChanges->changed.size() + reply.endpointChanges->gone.size() > MaxChangesPerReply) {
+        reply.endpointChanges.reset();
+        reply.endpointsPart = endpoints_.partAfter(query.endpointsAfter, EndpointsPerPart);
     }
-    const std::vector<EndpointEntry> &all = endpoints_.entries();
-    reply.endpointChanges.reset();
-    reply.hasEndpoints = true;
-    reply.endpointsTotal = all.size();
-    do {
-        const size_t end = std::min(reply.endpointsFrom + MaxEndpointsPerReply, all.size());
-        reply.endpoints.assign(all.begin() + static_cast<std::ptrdiff_t>(reply.endpointsFrom),
-                               all.begin() + static_cast<std::ptrdiff_t>(end));
-        outgoing_.push_back({from, reply});
-        reply.endpointsFrom = end;
-    } while (reply.endpointsFrom < all.size());
+    outgoing_.push_back({from, std::move(reply)});
 }
 
-void StoreSync::takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt)
+// Returns true if the reply had the next part of the list, and more is to be requested.
+bool StoreSync::takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt)
 {
     if (endpointsAt <= newestEndpoints_)
-        return;
-    if (reply.hasEndpoints)
-        endpoints_.addPart(reply.endpointsDigest, reply.endpointsFrom, reply.endpointsTotal, reply.endpoints);
+        return false;
+    bool isNext = false;
+    if (reply.endpointsPart)
+        isNext = endpoints_.addPart(reply.endpointsDigest, *reply.endpointsPart);
     else if (reply.endpointChanges)
         endpoints_.apply(reply.endpointsBase, *reply.endpointChanges);
     if (reply.endpointsDigest != endpoints_.digest())
-        return;
+        return isNext;
     newestEndpoints_ = endpointsAt;
     endpointsEra_ = reply.era;
     updates_.endpoints.push_back({endpoints_.entries(), endpointsAt, reply.era});
+    return false;
 }
 
 // The reply to an earlier query may arrive later; the digest shows whether the list is still the current one.
--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -1,6 +1,7 @@
 // Reads of the store: when they are due, and what they found.
 
 #include "gateway/peers/memberentry.h"
+#include "gateway/store/namedreaders.h"
 #include "gateway/store/storeera.h"
 #include "gateway/store/storesync.h"
 
@@ -22,6 +23,8 @@
 constexpr uint32_t MaxReadDoublings = 2;
 /// A read that takes longer than this counts as lost; the slowest store that still replies is faster.
 constexpr DurationMs ReadTimeout{2500};
+/// A daemon whose reads fail, but whose view peers keep fresh, reads at intervals longer by this factor.
+constexpr int64_t FailingReadSlowdown = 3;
 
 } // namespace
 
@@ -33,20 +36,70 @@
            });
 }
 
-void StoreSync::readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now)
+void StoreSync::readSpace(OpenCall open, const std::string &after, TimeMs now)
 {
     StoreCall call;
     call.verb = StoreVerb::List;
-    call.space = space;
+    call.space = open.space;
     call.after = after;
     call.timeout = ReadTimeout;
     send(std::move(call), std::move(open), now);
 }
 
-void StoreSync::readShared(TimeMs now)
+// In a large fleet a list takes many pages, so it is read as seldom as the bounds allow: a change reaches the
+// readers within a fifth or a quarter of its bound, and the rest is left for the way to all others.
+DurationMs StoreSync::sharedReadInterval() const
+{
+    return isLargeFleet() ? std::max(SharedReadInterval, settings_.configurationBound / 5)
+                          : SharedReadInterval;
+}
+
+DurationMs StoreSync::endpointsReadInterval() const
+{
+    return isLargeFleet() ? std::max(EndpointsReadInterval, settings_.drainTime / 4) : EndpointsReadInterval;
+}
+
+// Before a list is read, the control keys and the members tell whether lists are left to the readers.
+void StoreSync::readIfDue(TimeMs now)
+{
+    const bool failing = readsFail(now);
+    const DurationMs oldest = maxPeerViewAge();
+    const bool fresh = now - std::min(newestShared_, newestEndpoints_) < oldest;
+    const int64_t slower = failing && fresh ? FailingReadSlowdown : 1;
+    const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
+    if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
+        sharedAt_ = now + std::max(sharedReadInterval() * slower, readPause(sharedReadInterval()));
+        readShared(sharedSpaceToRead(), isStoreReader_, now);
+    }
+    const bool leftToReaders = newestShared_.count == 0 || (isLargeFleet() && !isStoreReader_);
+    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
+    if (now >= endpointsAt_ && endpointsAreOld && !leftToReaders && !tooManyOpen(Purpose::ReadEndpoints)) {
+        endpointsAt_ = now + std::max(endpointsReadInterval() * slower, readPause(endpointsReadInterval()));
+        OpenCall open{Purpose::ReadEndpoints, now, now, {}, 0};
+        open.space = StoreSpace::Endpoints;
+        open.readsAllPages = isStoreReader_;
+        readSpace(open, "", now);
+    }
+}
+
+StoreSpace StoreSync::sharedSpaceToRead() const
+{
+    if (newestControl_.count == 0)
+        return StoreSpace::Control;
+    if (!isLargeFleet() || isStoreReader_)
+        return StoreSpace::Shared;
+    // A daemon that has no endpoints accepts no request, and needs no newer configuration meanwhile.
+    const bool needsNewer = !configuration_ || endpoints_.digest() != 0;
+    return needsNewer && newestShared_ < newestControl_ ? StoreSpace::Configuration : StoreSpace::Control;
+}
+
+void StoreSync::readShared(StoreSpace space, bool allPages, TimeMs now)
 {
     sharedReadAt_ = now;
-    readSpace(StoreSpace::Shared, {Purpose::ReadShared, now, now, {}, 0}, "", now);
+    OpenCall open{Purpose::ReadShared, now, now, {}, 0};
+    open.space = space;
+    open.readsAllPages = allPages;
+    readSpace(open, "", now);
 }
 
 void StoreSync::recordReadTime(const OpenCall &open, bool done, TimeMs now)
@@ -102,72 +155,113 @@
     open.era = era;
     open.pages.insert(open.pages.end(), reply.items.begin(), reply.items.end());
     const bool shared = open.purpose == Purpose::ReadShared;
-    if (!reply.nextPage.empty())
-        return readSpace(shared ? StoreSpace::Shared : StoreSpace::Endpoints, std::move(open), reply.nextPage,
-                         now);
-    // Reads overlap: the result of an older read must not replace that of a newer one.
-    TimeMs &newest = shared ? newestShared_ : newestEndpoints_;
-    if (open.readStartedAt < newest)
-        return;
-    newest = open.readStartedAt;
+    if (!reply.nextPage.empty()) {
+        listsArePaged_ = true;
+        if (open.readsAllPages)
+            return readSpace(std::move(open), reply.nextPage, now);
+        open.isCut = true;
+    }
     if (shared)
         takeShared(open, now);
-    else
+    else if (!open.isCut)
         takeEndpoints(open);
 }
 
-void StoreSync::takeShared(const OpenCall &open, TimeMs now)
+StoreSync::SharedRead StoreSync::sharedReadOf(const OpenCall &open)
 {
-    std::vector<MemberEntry> members;
-    LeaderEntry leader;
-    bool sawConfiguration = false;
-    const bool isFirst = sharedDigest_ == 0;
-    sharedEra_ = open.era;
-    settledEra_ = 0;
+    SharedRead out;
     for (const StoreItem &item : open.pages) {
         if (item.isConfiguration) {
-            sawConfiguration = true;
-            storedVersion_ = item.configuration->version;
-            // After a restore the store holds an older configuration until the operators write theirs again.
-            if (!configuration_ || item.configuration->version >= configuration_->version)
-                configuration_ = item.configuration;
+            out.configuration = item.configuration;
+        } else if (item.space == StoreSpace::Members) {
+            std::optional<MemberEntry> member = memberFromText(item.key, item.value);
+            if (member)
+                out.members.push_back(std::move(*member));
+            else
+                log_.write(LogPriority::Failure, "member_unreadable", {{"key", item.key}});
         } else if (item.key == SettledEraKey) {
-            settledEra_ = eraFromText(item.value).value_or(0);
+            out.settledEra = eraFromText(item.value).value_or(0);
         } else if (item.key == QuarantineKey) {
             takeQuarantine(item.value, item.revision);
         } else if (item.key == LeaderKey) {
-            leader = {item.value, item.revision, item.lease, open.era};
-        } else if (item.key.starts_with(MemberPrefix)) {
-            std::optional<MemberEntry> member
-                = memberFromText(item.key.substr(std::string_view(MemberPrefix).size()), item.value);
-            if (member)
-                members.push_back(std::move(*member));
-            else
-                log_.write(LogPriority::Failure, "member_unreadable", {{"key", item.key}});
+            out.leader = {item.value, item.revision, item.lease, open.era};
+        } else if (item.key == ReadersKey) {
+            out.readers = {readersFromText(item.value), item.revision};
         }
     }
-    takeRollouts(open);
-    if (sawConfiguration != sawConfiguration_)
-        log_.write(LogPriority::State, sawConfiguration ? "configuration_there" : "configuration_missing",
-                   {});
-    sawConfiguration_ = sawConfiguration;
+    return out;
+}
+
+// Reads overlap: the result of an older read must not replace that of a newer one.
+void StoreSync::takeShared(const OpenCall &open, TimeMs now)
+{
+    const TimeMs readAt = open.readStartedAt;
+    const bool hasControl = open.space != StoreSpace::Configuration && readAt >= newestControl_;
+    const bool hasConfiguration = open.space != StoreSpace::Control && readAt >= newestShared_;
+    const bool hasMembers = open.space == StoreSpace::Shared && hasConfiguration && !open.isCut;
+    const bool isFirst = hasControl && newestControl_.count == 0;
+    if (!hasControl && !hasConfiguration)
+        return;
+    SharedRead read = sharedReadOf(open);
+    if (hasControl) {
+        newestControl_ = readAt;
+        controlEra_ = open.era;
+        settledEra_ = read.settledEra;
+        takeReaders(read.readers);
+    }
+    if (open.space == StoreSpace::Shared && hasConfiguration)
+        takeRollouts(open);
     if (isFirst)
         onFirstView(now);
-    if (sawConfiguration)
-        publishConfiguration(open.readStartedAt, now);
-    sharedDigest_ = sharedStateDigest(knownVersion(), members, leader);
-    listed_ = members.size();
-    takeMembers(std::move(members), leader, open.readStartedAt, now);
+    if (hasConfiguration)
+        takeConfiguration(read.configuration, readAt, now);
+    if (hasMembers) {
+        sharedEra_ = open.era;
+        listed_ = read.members.size();
+        takeMembers(std::move(read.members), read.leader, readAt, now);
+    } else if (hasControl) {
+        takeLeader(read.leader, readAt, now);
+    }
+    // Without members there is no view yet that could equal that of a peer.
+    sharedDigest_ = listed_ == 0 ? 0 : sharedStateDigest(knownVersion(), members_, leader_);
+    if (!isFirst || open.space != StoreSpace::Control)
+        return;
+    sharedAt_ = now;
+    readIfDue(now);
+}
+
+// After a restore the store holds an older configuration until the operators write theirs again.
+void StoreSync::takeConfiguration(const ServingConfigurationPtr &configuration, TimeMs askedAt, TimeMs now)
+{
+    newestShared_ = askedAt;
+    const bool isThere = configuration != nullptr;
+    if (isThere != sawConfiguration_)
+        log_.write(LogPriority::State, isThere ? "configuration_there" : "configuration_missing", {});
+    sawConfiguration_ = isThere;
+    if (!isThere)
+        return;
+    storedVersion_ = configuration->version;
+    if (!configuration_ || configuration->version >= configuration_->version)
+        configuration_ = configuration;
+    publishConfiguration(askedAt, now);
 }
 
 void StoreSync::takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt,
                             TimeMs now)
 {
+    // Daemons of a large fleet know the members late; those that are to serve must find the time to.
+    if (members_.empty())
+        campaignAt_ = std::max(campaignAt_, now);
     members_ = members;
     checkOwnEntry(askedAt);
     updates_.members = std::move(members);
     updates_.listed = listed_;
     updates_.leader = leaderInstance(leader);
+    takeLeader(leader, askedAt, now);
+}
+
+void StoreSync::takeLeader(const LeaderEntry &leader, TimeMs askedAt, TimeMs now)
+{
     // A read that was sent before the own win can't show it.
     const bool staleView = leaderIsSelf_ && leader.era == leader_.era && leader.revision < leader_.revision;
     if (staleView && lease_ == leader_.lease && askedAt + WriteTimeout > now)
@@ -194,6 +288,9 @@
 
 void StoreSync::takeEndpoints(const OpenCall &open)
 {
+    if (open.readStartedAt < newestEndpoints_)
+        return;
+    newestEndpoints_ = open.readStartedAt;
     std::vector<EndpointEntry> entries;
     for (const StoreItem &item : open.pages) {
         if (item.endpoint)
--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// A daemon whose reads fail, but whose view peers keep fresh, reads at intervals longer by this factor.
-constexpr int64_t FailingReadSlowdown = 3;
 /// Maximum number of open reads of one kind: they overlap while the store is slow, but must not pile up.
 constexpr size_t MaxOverlappingReads = 4;
 /// The lease is renewed at a third of its time, so two renewals may be lost.
@@ -56,22 +54,10 @@
     tickEra(now);
     if (source_ && now >= queryAt_)
         sendQuery(now);
-    const bool failing = readsFail(now);
-    const DurationMs oldest = maxPeerViewAge();
-    const bool fresh = now - std::min(newestShared_, newestEndpoints_) < oldest;
-    const int64_t slower = failing && fresh ? FailingReadSlowdown : 1;
-    const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
-    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
-    if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        sharedAt_ = now + std::max(SharedReadInterval * slower, readPause(SharedReadInterval));
-        readShared(now);
-    }
-    if (now >= endpointsAt_ && endpointsAreOld && !tooManyOpen(Purpose::ReadEndpoints)) {
-        endpointsAt_ = now + std::max(EndpointsReadInterval * slower, readPause(EndpointsReadInterval));
-        readSpace(StoreSpace::Endpoints, {Purpose::ReadEndpoints, now, now, {}, 0}, "", now);
-    }
+    readIfDue(now);
     if (leaving_)
         return;
+    nameItselfIfAlone(now);
     if (now >= renewAt_ && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
         renewAt_ = now + settings_.leaseTime / RenewalsPerLease;
         StoreCall call;
@@ -83,7 +69,7 @@
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
-    const bool knowsShared = newestShared_ >= startedAt_ && sharedEra_ == era_;
+    const bool knowsShared = newestControl_ >= startedAt_ && controlEra_ == era_;
     if (now >= quarantineWriteAt_ && knowsShared && storeLacksQuarantine_
         && !tooManyOpen(Purpose::Quarantine))
         writeQuarantine(now);
@@ -129,6 +115,8 @@
         return;
     case Purpose::Quarantine:
         return onQuarantineReply(reply, now);
+    case Purpose::NameReaders:
+        return onReadersWritten(reply);
     case Purpose::Settle:
     case Purpose::Leave:
         return;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -16,6 +16,8 @@
 constexpr const char *QuarantineKey = "quarantine";
 /// Shared key of the leader.
 constexpr const char *LeaderKey = "leader";
+/// Control key with the addresses of the store readers, for daemons that start in a large fleet.
+constexpr const char *ReadersKey = "readers";
 /// Prefix of the keys of roll-out records; the service's name follows.
 constexpr const char *RolloutKeyPrefix = "rollout/";
 
@@ -37,6 +39,8 @@
     DurationMs leaseTime{3000};
     /// Time after which a new configuration must be in force everywhere.
     DurationMs configurationBound{2000};
+    /// Time after which an endpoint that leaves must get no new work.
+    DurationMs drainTime{2000};
     bool firstStart = false; ///< The system starts for the first time: there was no leader before.
     uint64_t seed = 1;
 };
@@ -48,6 +52,11 @@
 /// of its view, and read themselves where the view differs from theirs or where no reply arrives. So the load
 /// of the store does not grow with the number of daemons.
 ///
+/// In a large fleet, one whose lists take the store more than a page, lists are left to the readers: if each
+/// daemon that starts read them, the bytes would grow with the square of the fleet. A control key names the
+/// readers, so that daemons that know no member find them. The readers keep it up to date; a daemon that gets
+/// no reply from any of them names itself until it knows the members.
+///
 /// Reads overlap: one that hangs on an unresponsive connection does not delay the next. The age of a view is
 /// counted from when the read or query was sent, since the store may have replied at any time after that.
 class StoreSync
@@ -97,6 +106,16 @@
     /// Sets whether this daemon is a store reader. Readers keep their read interval whatever the store does.
     /// The others, which may be hundreds, read less often while it is slow.
     void setStoreReader(bool isReader, TimeMs now);
+    /// Lists take the store more than a page.
+    bool isLargeFleet() const { return listsArePaged_ || !readers_.addresses.empty(); }
+    /// Returns the named readers if this daemon is a reader of a large fleet and is to check now whether they
+    /// are still right.
+    std::optional<std::vector<Address>> readersToCheck(TimeMs now) const;
+    /// Names the readers in the store if they differ from those that are named.
+    void nameReaders(const std::vector<Address> &readers, TimeMs now);
+    bool isNamedReader() const; ///< The control key names this daemon.
+    /// Returns a named store reader that is not among the silent ones, or nothing.
+    std::optional<Address> namedReader(const std::set<Address> &silent) const;
     /// Daemons that did not reply to the last queries. After a while they are tried again.
     std::set<Address> silentSources(TimeMs now) const;
     /// Sets whether this daemon's own entry lists it as serving.
@@ -135,7 +154,8 @@
     /// Interval between reads of the endpoints. An endpoint that reports that it is leaving must get no new
     /// work after two seconds.
     static constexpr DurationMs EndpointsReadInterval{500};
-    static constexpr const char *MemberPrefix = "members/";
+    DurationMs sharedReadInterval() const;
+    DurationMs endpointsReadInterval() const;
     static constexpr DurationMs WriteTimeout{2000};
     static constexpr DurationMs RetryPause{500}; ///< Between two attempts of a write.
     /// A leader stops this long before its lease may have expired, to allow for calls in transit.
@@ -153,7 +173,8 @@
         Campaign,
         Leave,
         Quarantine,
-        Settle
+        Settle,
+        NameReaders
     };
     struct OpenCall {
         Purpose purpose = Purpose::ReadShared;
@@ -163,6 +184,9 @@
         uint64_t lease = 0;
         bool serving = false; ///< The `serving` value that was sent.
         uint64_t era = 0; ///< Era of the first page.
+        StoreSpace space = StoreSpace::Shared; ///< That is read.
+        bool readsAllPages = false; ///< Otherwise a list that takes more than a page is left to the readers.
+        bool isCut = false; ///< Further pages were left to the readers.
     };
 
     static bool isRead(Purpose purpose)
@@ -170,17 +194,36 @@
         return purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
     }
     void send(StoreCall call, OpenCall open, TimeMs now);
-    void readShared(TimeMs now);
+    void readIfDue(TimeMs now);
+    StoreSpace sharedSpaceToRead() const;
+    void readShared(StoreSpace space, bool allPages, TimeMs now);
     void recordReadTime(const OpenCall &open, bool done, TimeMs now);
     DurationMs readPause(DurationMs interval);
-    void readSpace(StoreSpace space, OpenCall open, const std::string &after, TimeMs now);
+    void readSpace(OpenCall open, const std::string &after, TimeMs now);
     bool tooManyOpen(Purpose purpose) const;
     void onRead(OpenCall &open, const StoreReply &reply, TimeMs now);
+    /// Keys that are taken from the pages of a read.
+    struct SharedRead {
+        ServingConfigurationPtr configuration;
+        std::vector<MemberEntry> members;
+        LeaderEntry leader;
+        uint64_t settledEra = 0;
+        NamedReaders readers;
+    };
+    // The readers of a large fleet (storereaders.cpp).
+    void writeReaders(const std::vector<Address> &readers, TimeMs now);
+    void onReadersWritten(const StoreReply &reply);
+    void takeReaders(const NamedReaders &readers);
+    void nameItselfIfAlone(TimeMs now);
+    SharedRead sharedReadOf(const OpenCall &open);
     void takeShared(const OpenCall &open, TimeMs now);
+    void takeConfiguration(const ServingConfigurationPtr &configuration, TimeMs askedAt, TimeMs now);
     void takeMembers(std::vector<MemberEntry> members, const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
+    void takeLeader(const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
     void takeSharedReply(const FreshnessReply &reply, TimeMs sharedAt, TimeMs now);
+    void redirect(const FreshnessQuery &query, const Address &from);
     void sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply);
-    void takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt);
+    bool takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt);
     void takeEntriesReply(const FreshnessReply &reply, TimeMs askedAt);
     // Requests in quarantine (storequarantine.cpp).
     void takeQuarantine(const std::string &text, uint64_t revision);
@@ -235,6 +278,13 @@
     uint32_t slowReads_ = 0; ///< In a row, failed ones included.
     TimeMs newestShared_; ///< The view was current in the store at or after this time.
     TimeMs newestEndpoints_;
+    TimeMs newestControl_; ///< The control keys were read at or after this time.
+    bool listsArePaged_ = false;
+    NamedReaders readers_; ///< As in the store.
+    std::vector<Address> writtenReaders_; ///< Content of this daemon's last write.
+    bool namedItself_ = false; ///< Until it knows the members, it does not reply to queries.
+    TimeMs nameReadersAt_; ///< Not before.
+    TimeMs repliedAt_; ///< When a peer last replied.
     bool storeAvailable_ = false;
     bool sawConfiguration_ = true; ///< The newest read found one; a missing configuration is logged.
 
@@ -289,6 +339,7 @@
     uint64_t era_ = 0; ///< Era of the store; 0: not stated yet.
     TimeMs eraSeenAt_; ///< When the era increased; zero: not since this daemon started.
     uint64_t sharedEra_ = 0; ///< Era of the newest shared view.
+    uint64_t controlEra_ = 0; ///< Era of the newest control keys.
     uint64_t endpointsEra_ = 0;
     uint64_t settledEra_ = 0; ///< As read from the store.
     uint64_t storedVersion_ = 0; ///< Version of the configuration as last read from the store.
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -589,7 +589,7 @@
     QuerySimulation world;
     world.pass({5000});
     world.store.refusedClients = {1};
-    world.store.put(StoreSpace::Shared, "members/entry-9",
+    world.store.put(StoreSpace::Members, "entry-9",
                     memberText({{"entry-9"}, {9}, {"north"}, {"10.0.0.9", 80}, {"10.0.0.9", 90}}));
     for (int i = 0; i < 16; ++i) {
         world.pass({500});
@@ -620,7 +620,7 @@
     const size_t before = world.reads[1];
     for (uint64_t i = 2; i < 12; ++i) {
         const std::string name = fmt::format("entry-{}", i);
-        world.store.put(StoreSpace::Shared, "members/" + name,
+        world.store.put(StoreSpace::Members, name,
                         memberText({{name}, {i}, {"north"}, {"10.0.0.3", 80}, {"10.0.0.3", 90}}));
         world.pass({1000});
     }
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr uint64_t MostLateMs = 6000;
+constexpr uint64_t CallBytes = 300;
+constexpr uint64_t ItemBytes = 380; ///< A member's or an endpoint's entry in a list.
 
 } // namespace
 
@@ -48,7 +50,7 @@
 
 void FakeStore::submit(size_t client, const StoreCall &call, TimeMs now)
 {
-    Pending pending{now + faults.delay, client, call, true, true, now + call.timeout};
+    Pending pending{now + faults.delay, client, call, true, true, now + call.timeout, false};
     if (call.verb == StoreVerb::List && faults.listsPerSecond > 0) {
         const double asked = static_cast<double>(pending.at.count);
         listsSentAt_ = std::max(listsSentAt_, asked) + 1000.0 / static_cast<double>(faults.listsPerSecond);
@@ -67,6 +69,35 @@
     pending_.push_back(std::move(pending));
 }
 
+bool FakeStore::isOverRate(const StoreCall &call, TimeMs now)
+{
+    const bool writes = call.verb == StoreVerb::Write || call.verb == StoreVerb::GrantLease;
+    const uint64_t limit = writes ? faults.writesPerSecond : faults.readsPerSecond;
+    Rate &rate = writes ? writes_ : reads_;
+    if (rate.second != now.count / 1000)
+        rate = {now.count / 1000, 0};
+    if (limit == 0 || ++rate.calls <= limit)
+        return false;
+    ++refusedCalls_;
+    return true;
+}
+
+TimeMs FakeStore::sentAt(const StoreReply &reply, TimeMs now)
+{
+    uint64_t bytes = CallBytes;
+    for (const StoreItem &item : reply.items)
+        bytes += item.isConfiguration ? faults.configurationBytes : ItemBytes;
+    bytesSent_ += bytes;
+    if (faults.linkBytesPerMs == 0)
+        return now;
+    const double size = static_cast<double>(bytes);
+    linkFreeAt_ = std::max(linkFreeAt_, static_cast<double>(now.count))
+        + size / static_cast<double>(faults.linkBytesPerMs);
+    const double atClient
+        = faults.clientBytesPerMs == 0 ? 0 : size / static_cast<double>(faults.clientBytesPerMs);
+    return {static_cast<int64_t>(linkFreeAt_ + atClient)};
+}
+
 std::vector<std::pair<size_t, StoreReply>> FakeStore::replies(TimeMs now)
 {
     std::vector<std::pair<size_t, StoreReply>> out;
@@ -79,11 +110,20 @@
     std::deque<Pending> still;
     for (Pending &pending : std::exchange(pending_, {})) {
         if (pending.execute && pending.at <= now && !faults.down) {
-            pending.execute = false;
-            StoreReply reply = execute(pending.call, now);
+            const bool isOver = !pending.isSending && isOverRate(pending.call, now);
+            StoreReply reply = isOver ? StoreReply{} : execute(pending.call, now);
+            if (isOver)
+                reply.outcome = StoreOutcome::Refused;
+            // A list is carried out once more when it has left: keeping all that are on their way takes too
+            // much memory.
+            if (pending.call.verb == StoreVerb::List && !pending.isSending && !isOver) {
+                pending.isSending = true;
+                pending.at = sentAt(reply, now);
+            }
+            pending.execute = pending.at > now;
             reply.id = pending.call.id;
             reply.era = era_;
-            if (pending.answer && now < pending.givenUpAt) {
+            if (!pending.execute && pending.answer && now < pending.givenUpAt) {
                 out.emplace_back(pending.client, std::move(reply));
                 continue;
             }
@@ -178,15 +218,27 @@
 {
     StoreReply reply;
     reply.outcome = StoreOutcome::Done;
-    if (call.space == StoreSpace::Shared && content_.configuration) {
+    const bool isShared = call.space == StoreSpace::Shared;
+    const bool hasConfiguration = isShared || call.space == StoreSpace::Configuration;
+    if (hasConfiguration && call.after.empty() && content_.configuration) {
         StoreItem item;
         item.isConfiguration = true;
         item.configuration = content_.configuration;
         reply.items.push_back(std::move(item));
     }
-    for (const std::pair<const Key, Item> &entry : content_.items) {
-        if (entry.first.first == call.space)
-            reply.items.push_back(itemOf(entry.first));
+    // The next page of the shared space begins among the members: there are few keys before them.
+    const bool isFirstPage = call.after.empty();
+    const StoreSpace first
+        = isShared ? (isFirstPage ? StoreSpace::Control : StoreSpace::Members) : call.space;
+    const StoreSpace last = isShared ? StoreSpace::Members : call.space;
+    const auto start = isFirstPage ? content_.items.lower_bound({first, ""})
+                                   : content_.items.upper_bound({first, call.after});
+    for (auto entry = start; entry != content_.items.end() && entry->first.first <= last; ++entry) {
+        if (reply.items.size() >= faults.pageItems) {
+            reply.nextPage = reply.items.back().key;
+            break;
+        }
+        reply.items.push_back(itemOf(entry->first));
     }
     return reply;
 }
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -20,6 +20,16 @@
     /// Lists leave the store one after the other, this many a second; 0: no bound. One that its client gave
     /// up takes its time all the same.
     uint64_t listsPerSecond = 0;
+    /// Bytes that leave the store's link in a millisecond, and those that enter a client's; 0: no bound.
+    /// Replies wait for each other, and one that its client gave up takes its time all the same.
+    uint64_t linkBytesPerMs = 0;
+    uint64_t clientBytesPerMs = 0;
+    /// Calls beyond these are refused; 0: no bound.
+    uint64_t readsPerSecond = 0;
+    uint64_t writesPerSecond = 0;
+    /// A list is cut into pages of this many items.
+    size_t pageItems = 500;
+    size_t configurationBytes = 0; ///< The configuration's part of a page.
 };
 
 /// The platform's store in virtual time: keys with revisions, leases, conditional writes.
@@ -40,8 +50,10 @@
     void saveCopy();
     void comeBackFromCopy();
     /// The daemons have run before, and their records of the present era are whole.
-    void settle() { put(StoreSpace::Shared, SettledEraKey, eraText(era_)); }
+    void settle() { put(StoreSpace::Control, SettledEraKey, eraText(era_)); }
     std::optional<std::string> valueOf(StoreSpace space, const std::string &key) const;
+    uint64_t refusedCalls() const { return refusedCalls_; } ///< For the rates of calls.
+    uint64_t bytesSent() const { return bytesSent_; }
     size_t keyCount(StoreSpace space) const;
 
     /// Takes a call of `client`; its reply comes out of `replies` after the delay, unless a fault eats it.
@@ -69,6 +81,7 @@
         bool execute = true;
         bool answer = true;
         TimeMs givenUpAt; ///< The client hears "no reply" then.
+        bool isSending = false; ///< Executed, and on its way.
     };
     using Key = std::pair<StoreSpace, std::string>;
     struct Content {
@@ -83,6 +96,9 @@
     StoreReply execute(const StoreCall &call, TimeMs now);
     StoreReply write(const StoreCall &call);
     StoreReply list(const StoreCall &call) const;
+    bool isOverRate(const StoreCall &call, TimeMs now);
+    /// Time at which a reply of that size has reached its client.
+    TimeMs sentAt(const StoreReply &reply, TimeMs now);
     StoreItem itemOf(const Key &key) const;
     void endLeases(TimeMs now);
 
@@ -91,6 +107,16 @@
     Content copy_;
     uint64_t era_ = 1;
     std::deque<Pending> pending_;
+    /// Calls of the present second, against the bounds of the rates.
+    struct Rate {
+        int64_t second = 0;
+        uint64_t calls = 0;
+    };
+    Rate reads_;
+    Rate writes_;
+    uint64_t refusedCalls_ = 0;
+    uint64_t bytesSent_ = 0;
+    double linkFreeAt_ = 0; ///< In milliseconds: all replies before have left.
     double listsSentAt_ = 0; ///< In milliseconds: the last list that was asked for will have left.
     TimeMs lastNow_;
 };
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -25,8 +25,12 @@
 class FleetSimulation
 {
 public:
-    FleetSimulation(size_t count, size_t strong) : store_(1), random_(1)
+    FleetSimulation(size_t count, size_t strong, size_t engines = 0, const StoreFaults &faults = {})
+        : store_(1), random_(1)
     {
+        store_.faults = faults;
+        for (size_t i = 0; i < engines; ++i)
+            startEngine(i);
         configure(1);
         daemons_.resize(count);
         for (size_t i = 0; i < count; ++i) {
@@ -128,7 +132,7 @@
     }
     std::string stored(const std::string &key) const
     {
-        return store_.valueOf(StoreSpace::Shared, key).value_or("");
+        return store_.valueOf(StoreSpace::Control, key).value_or("");
     }
     void slowStore(DurationMs delay) { store_.faults.delay = delay; }
     void limitStore(uint64_t listsPerSecond) { store_.faults.listsPerSecond = listsPerSecond; }
@@ -182,7 +186,7 @@
     }
     void saveStore() { store_.saveCopy(); }
     void restoreStoreCopy() { store_.comeBackFromCopy(); }
-    size_t members() const { return store_.keyCount(StoreSpace::Shared); }
+    size_t members() const { return store_.keyCount(StoreSpace::Members); }
     /// Maximum number of writes sent within one second since the last `resetTraffic`.
     size_t maxWritesPerSecond() const
     {
@@ -192,6 +196,8 @@
         return highest;
     }
     double storeReads() const { return static_cast<double>(storeReads_); }
+    uint64_t storeCalls() const { return storeCalls_; }
+    uint64_t storeMegabytes() const { return store_.bytesSent() / 1'000'000; }
     /// Number of daemons that are up and advertise a daemon that is down to callers.
     size_t countAdvertisingDown()
     {
@@ -215,6 +221,7 @@
     void resetTraffic()
     {
         storeReads_ = 0;
+        storeCalls_ = 0;
         writes_.clear();
         for (SimulatedDaemon &daemon : daemons_)
             daemon.traffic = {};
@@ -279,6 +286,7 @@
     {
         SimulatedDaemon &daemon = daemons_[i];
         for (const StoreCall &call : daemon.sync->takeCalls()) {
+            ++storeCalls_;
             storeReads_ += call.verb == StoreVerb::List ? 1 : 0;
             const bool writes = call.verb == StoreVerb::Write || call.verb == StoreVerb::GrantLease;
             writes_[now.count / 1000] += writes ? 1 : 0;
@@ -343,12 +351,45 @@
     uint64_t incarnations_ = 0;
     std::map<int64_t, size_t> writes_; ///< Number of writes, by second.
     uint64_t storeReads_ = 0;
+    uint64_t storeCalls_ = 0;
 };
 
 constexpr size_t StrongCount = 18;
 
+/// The store of a whole fleet: a link of 1 Gbit/s, instances on 20 Mbit/s, and a configuration with hundreds
+/// of routes and organisations.
+StoreFaults limitedStore()
+{
+    StoreFaults faults;
+    faults.linkBytesPerMs = 125'000;
+    faults.clientBytesPerMs = 2'500;
+    faults.readsPerSecond = 16'000;
+    faults.writesPerSecond = 3'200;
+    faults.configurationBytes = 160'000;
+    return faults;
+}
+
 } // namespace
 
+TEST_CASE("a whole fleet starts before a store with a limited link and limited rates of calls")
+{
+    // All daemons start at once. When each of them read all members and all endpoints itself, the store's
+    // link was busy with lists that nobody waited for any more: most daemons were not ready half a minute
+    // later.
+    for (const size_t count : {300U, 985U}) {
+        FleetSimulation world(count, count / 16, 3 * count, limitedStore());
+        DurationMs after;
+        while (world.countReady() < count && after < DurationMs{24000}) {
+            world.advance({250});
+            after = after + DurationMs{250};
+        }
+        MESSAGE(count << " daemons: " << world.countReady() << " ready after " << after.count << " ms, "
+                      << world.storeCalls() << " calls, " << world.storeMegabytes() << " MB");
+        CHECK(world.countReady() == count);
+        CHECK(after.count <= 10000);
+    }
+}
+
 TEST_CASE("the traffic of a daemon does not grow with the number of daemons")
 {
     // Eighteen daemons serve, the rest are on standby. When each daemon reported to every other one, a daemon
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -367,10 +367,11 @@
 
 TEST_CASE("questions and answers about freshness survive their way")
 {
-    const FreshnessQuery question{{77}, 5, 2, 1234567890123456789ULL, 77, 3, 99};
+    const FreshnessQuery question{{77}, 5, 2, 1234567890123456789ULL, {"i-4"}, 77, 3, 99};
     const std::optional<PeerDatagram> asked = decodeDatagram(encodeDatagram(question));
     REQUIRE(asked);
     CHECK(std::get<FreshnessQuery>(*asked).endpointsDigest == question.endpointsDigest);
+    CHECK(std::get<FreshnessQuery>(*asked).endpointsAfter.value == "i-4");
     CHECK(std::get<FreshnessQuery>(*asked).sharedDigest == 77);
     CHECK(std::get<FreshnessQuery>(*asked).configurationVersion == 3);
     CHECK(std::get<FreshnessQuery>(*asked).entriesDigest == 99);
@@ -385,15 +386,12 @@
     answer.listed = 295;
     answer.leader = {"entry-2", 17, 4};
     answer.sharedAge = {300};
-    answer.hasEndpoints = true;
     EndpointEntry entry;
     entry.id.value = "i-1";
     entry.address = {"10.0.0.1", 80};
     entry.leaving = true;
     entry.leavesAfter = DurationMs{2000};
-    answer.endpoints = {entry};
-    answer.endpointsFrom = 3;
-    answer.endpointsTotal = 4;
+    answer.endpointsPart = EndpointPart{{"i-0"}, {entry}, true};
     answer.rolloutsDigest = 12;
     RolloutRecord record;
     record.service.value = "model";
@@ -415,18 +413,19 @@
     CHECK(read.leader.value == "entry-2");
     CHECK(read.leader.revision == 17);
     CHECK(read.leader.lease == 4);
-    REQUIRE(read.endpoints.size() == 1);
-    CHECK(read.endpoints[0].leavesAfter->count == 2000);
+    REQUIRE(read.endpointsPart);
+    REQUIRE(read.endpointsPart->entries.size() == 1);
+    CHECK(read.endpointsPart->entries[0].leavesAfter->count == 2000);
+    CHECK(read.endpointsPart->after.value == "i-0");
+    CHECK(read.endpointsPart->isLast);
     CHECK_FALSE(read.endpointChanges);
-    CHECK(read.endpointsFrom == 3);
-    CHECK(read.endpointsTotal == 4);
-    answer.hasEndpoints = false;
+    answer.endpointsPart.reset();
     answer.endpointsBase = 55;
     answer.endpointChanges = EndpointChanges{{entry}, {{"i-2"}, {"i-3"}}};
     const std::optional<PeerDatagram> changed = decodeDatagram(encodeDatagram(answer));
     REQUIRE(changed);
     const FreshnessReply &readChanges = std::get<FreshnessReply>(*changed);
-    CHECK_FALSE(readChanges.hasEndpoints);
+    CHECK_FALSE(readChanges.endpointsPart);
     CHECK(readChanges.endpointsBase == 55);
     REQUIRE(readChanges.endpointChanges);
     CHECK(readChanges.endpointChanges->changed.at(0).id.value == "i-1");
@@ -475,26 +474,67 @@
         CHECK(asker.apply(base, *changes));
         CHECK(asker.digest() == reader.digest());
     }
-    // The whole list in three parts; a lost or late one leaves the list as it was.
-    const std::vector<EndpointEntry> all = reader.entries();
-    REQUIRE(all.size() > 9);
-    const auto part = [&](size_t from, size_t to) {
-        return std::vector<EndpointEntry>(all.begin() + static_cast<std::ptrdiff_t>(from),
-                                          all.begin() + static_cast<std::ptrdiff_t>(to));
-    };
+    // The whole list in parts; a part that was lost, comes twice or too early leaves the list as it was.
+    const size_t total = reader.entries().size();
+    REQUIRE(total > 9);
+    const EndpointPart first = reader.partAfter({}, 4);
+    const EndpointPart second = reader.partAfter(first.entries.back().id, 4);
+    const EndpointPart rest = reader.partAfter(second.entries.back().id, total);
+    CHECK_FALSE(first.isLast);
+    CHECK(rest.isLast);
     EndpointList starting;
-    CHECK_FALSE(starting.addPart(reader.digest(), 0, all.size(), part(0, 4)));
-    CHECK_FALSE(starting.addPart(reader.digest(), 8, all.size(), part(8, all.size())));
-    CHECK_FALSE(starting.addPart(reader.digest(), 0, all.size(), part(0, 4)));
-    CHECK_FALSE(starting.addPart(reader.digest(), 4, all.size(), part(4, 8)));
+    CHECK_FALSE(starting.addPart(reader.digest(), second));
+    CHECK(starting.addPart(reader.digest(), first));
+    CHECK_FALSE(starting.addPart(reader.digest(), rest));
+    CHECK(starting.addPart(reader.digest(), second));
+    CHECK_FALSE(starting.addPart(reader.digest(), second));
     CHECK(starting.digest() == 0);
-    CHECK(starting.addPart(reader.digest(), 8, all.size(), part(8, all.size())));
+    CHECK_FALSE(starting.isComplete());
+    CHECK(starting.addPart(reader.digest(), rest));
+    CHECK(starting.isComplete());
     CHECK(starting.digest() == reader.digest());
     // Whole lists would have been about 25 entries each time.
     CHECK(told < 2000 * 3);
     CHECK_FALSE(reader.changesSince(1));
 }
 
+TEST_CASE(
+    "a list of endpoints that changes while its parts are sent is completed by the changes since the first")
+{
+    // Engines come and go all the time in a large fleet: if each change began the transfer anew, a daemon
+    // that starts would never have a list.
+    Random random(5);
+    for (int round = 0; round < 50; ++round) {
+        EndpointList reader;
+        EndpointList starting;
+        std::vector<EndpointEntry> entries;
+        for (int i = 0; i < 60; ++i)
+            entries.push_back(makeEndpoint("i-" + std::to_string(2 * random.below(100)), 1, false));
+        std::sort(entries.begin(), entries.end(),
+                  [](const EndpointEntry &a, const EndpointEntry &b) { return a.id < b.id; });
+        entries.erase(
+            std::unique(entries.begin(), entries.end(),
+                        [](const EndpointEntry &a, const EndpointEntry &b) { return a.id == b.id; }),
+            entries.end());
+        reader.replace(entries);
+        int next = 0;
+        bool isLast = false;
+        while (!isLast) {
+            const EndpointPart part = reader.partAfter(starting.lastReceived(), 7);
+            isLast = part.isLast;
+            REQUIRE(starting.addPart(reader.digest(), part));
+            entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(random.below(entries.size())));
+            entries.push_back(makeEndpoint("i-" + std::to_string(2 * next++ + 1), 1, true));
+            reader.replace(entries);
+        }
+        const std::optional<EndpointChanges> changes = reader.changesSince(starting.base());
+        REQUIRE(changes);
+        REQUIRE(starting.apply(starting.base(), *changes));
+        CHECK(starting.isComplete());
+        CHECK(starting.digest() == reader.digest());
+    }
+}
+
 TEST_CASE("asks and gifts of units survive their way")
 {
     const std::optional<PeerDatagram> ask = decodeDatagram(encodeDatagram(QuotaRequest{4, {"a"}, 12.5}));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -240,8 +240,8 @@
     platform::StoreCodec codec(log);
     StoreCall call;
     call.verb = StoreVerb::Write;
-    call.conditions.push_back({StoreSpace::Shared, "leader", 0});
-    call.puts.push_back({StoreSpace::Shared, "leader", "node-1", 77});
+    call.conditions.push_back({StoreSpace::Control, "leader", 0});
+    call.puts.push_back({StoreSpace::Control, "leader", "node-1", 77});
     const HttpRequest request = platform::StoreCodec::encode(call);
     CHECK(request.target == "/kv-txn");
     CHECK(request.body.find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -61,8 +61,8 @@
         leadership.held = true;
         leadership.fencingToken = 1;
         leadership.validUntil = {1'000'000'000};
-        store.put(StoreSpace::Shared, LeaderKey, "self");
-        leadership.leaderCondition = {StoreSpace::Shared, LeaderKey, 1};
+        store.put(StoreSpace::Control, LeaderKey, "self");
+        leadership.leaderCondition = {StoreSpace::Control, LeaderKey, 1};
         facts[modelService] = {};
         facts[modelService].otherEndpoints = 60;
         facts[modelService].requestsPerSecond = 150;
@@ -289,11 +289,11 @@
     bench.pass({3000});
     REQUIRE(bench.stage() == RolloutStage::Trial);
     const RolloutRecord before = bench.rollouts.known.records.at(modelService);
-    bench.store.put(StoreSpace::Shared, LeaderKey, "another");
+    bench.store.put(StoreSpace::Control, LeaderKey, "another");
     bench.facts[modelService].isBad = true;
     bench.pass({3000});
     CHECK(bench.rollouts.known.records.at(modelService) == before);
-    bench.leadership.leaderCondition = {StoreSpace::Shared, "another-holder", 0}; // This condition holds.
+    bench.leadership.leaderCondition = {StoreSpace::Control, "another-holder", 0}; // This condition holds.
     bench.pass({1000});
     CHECK(bench.stage() == RolloutStage::RolledBack);
 }
--- a/tests/storeera_test.cpp
+++ b/tests/storeera_test.cpp
@@ -159,7 +159,7 @@
 TEST_CASE("the view of a later era that was never settled is not used at once")
 {
     EraSimulation world;
-    world.store.remove(StoreSpace::Shared, SettledEraKey);
+    world.store.remove(StoreSpace::Control, SettledEraKey);
     world.start();
     world.advance({3000});
     world.store.saveCopy();
