Rejections that state no limit do not lift an endpoint's limit

A rejection without a limit now says nothing about it; answers of requests that ran still lift it. The new test has eight rejections: the limit was lifted before, and stands now.

--- a/src/gateway/endpoints/endpointlimits.cpp
+++ b/src/gateway/endpoints/endpointlimits.cpp
@@ -31,8 +31,10 @@
             {{"error", toText(*exchange.head.limitError)}});
         return;
     }
+    // An endpoint that is full rejects requests before it looks at its limit.
+    const bool saysNothing = exchange.head.notExecuted && !exchange.head.limit;
     EndpointLimiter *limiter = fleet_.limiter(exchange.sentTo);
-    if (!limiter)
+    if (!limiter || saysNothing)
         return;
     if (exchange.head.limit)
         counters_.add(GatewayCount::AnswersNamedLimit);
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -77,6 +77,7 @@
         answered.status = status;
         answered.limit = limit;
         answered.wrongInstance = status == 421;
+        answered.notExecuted = status == 429;
         gateway.onHead(answered, now);
         gateway.onEnd({attempt.attempt}, now);
         drainActions();
@@ -405,6 +406,31 @@
     CHECK(sent.size() == 4);
 }
 
+// Guards against exceeding the limit of an endpoint that is full: it rejects requests before it looks at its
+// limit.
+TEST_CASE_FIXTURE(LimitedGatewayFixture, "rejections without a limit do not lift it")
+{
+    limitPlain(3);
+    std::vector<const FleetEndpoint *> limited;
+    for (const std::pair<const EndpointId, FleetEndpoint> &each : gateway.fleet().all()) {
+        if (each.second.limiter.stated.limit())
+            limited.push_back(&each.second);
+    }
+    REQUIRE(limited.size() == 2);
+    size_t rejections = 0;
+    for (int round = 0; round < 8; ++round) {
+        pass({2000});
+        lookUp({1500});
+        for (const SendAttempt &attempt : std::exchange(sent, {})) {
+            answer(attempt, std::nullopt, 429);
+            ++rejections;
+        }
+    }
+    CHECK(rejections >= 8);
+    for (const FleetEndpoint *endpoint : limited)
+        CHECK(endpoint->limiter.stated.perSecond() == 3);
+}
+
 // Guards against the limit of another endpoint that has taken over the address.
 TEST_CASE_FIXTURE(LimitedGatewayFixture, "an answer of another instance does not set this one's limit")
 {
