Ticks and confirmed lists do not walk over all endpoints

Cause: a profile of the simulated start (985 daemons, 3,000 endpoints) had 42 of 100 samples in walks over all endpoints at each tick of 25 ms: those that are gone, the limited ones, due probes, the peers' load. After that the rest was the list itself, passed on in full at each reply of a reader, though it had not changed. Change: the fleet knows whether an endpoint is unlisted or unreadable, which limiters are in use and which endpoints have a load of peers, and walks over these only. A reply that only confirms the list passes on its time and no entries. Besides, a daemon that waits for the lists of a large fleet reads the control keys every 2.5 s instead of 0.6 s: 4,438 of the 12,686 calls of a start in virtual time were these reads; it learns of new readers from its peers.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -93,7 +93,7 @@
     return request.parts.size() < 2 ? std::string() : request.parts[request.parts.size() - 2].id;
 }
 
-void EndpointFleet::applyList(const EndpointsRead &read, TimeMs now)
+void EndpointFleet::confirmList(const EndpointsRead &read, TimeMs now)
 {
     const bool isOlderStore = hasList_ && era_ != 0 && read.era > era_;
     if (isOlderStore)
@@ -101,8 +101,14 @@
     if (isOlderStore || (hasList_ && read.askedAt - listedAt_ > ListInterruption))
         listRegainedAt_ = now;
     era_ = std::max(era_, read.era);
-    hasList_ = true;
     listedAt_ = std::max(listedAt_, read.askedAt);
+}
+
+void EndpointFleet::applyList(const EndpointsRead &read, TimeMs now)
+{
+    confirmList(read, now);
+    hasList_ = true;
+    hasUnreadable_ = false;
     std::set<EndpointId> listedIds;
     for (const EndpointEntry &entry : read.entries) {
         listedIds.insert(entry.id);
@@ -111,7 +117,9 @@
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!listedIds.contains(entry.first))
             entry.second.listed = false;
+        hasUnreadable_ = hasUnreadable_ || !entry.second.readable;
     }
+    updateGone(now);
     tick(now);
 }
 
@@ -206,6 +214,15 @@
     if (now - tickedAt_ > ProcessPauseGap)
         resumedAt_ = now;
     tickedAt_ = now;
+    if (hasUnlisted_)
+        updateGone(now);
+    std::erase_if(removed_, [now](const std::pair<const EndpointId, RemovedEndpoint> &entry) {
+        return now - entry.second.at > RemovedRetention;
+    });
+}
+
+void EndpointFleet::updateGone(TimeMs now)
+{
     const bool inGrace = now - listRegainedAt_ < RelistGrace && listRegainedAt_.count > 0;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         entry.second.gone = !entry.second.listed && !inGrace;
@@ -216,12 +233,12 @@
         if (entry.second.gone)
             removed_[entry.first] = {entry.second.entry.start, entry.second.entry.leaving, now};
     }
-    std::erase_if(removed_, [now](const std::pair<const EndpointId, RemovedEndpoint> &entry) {
-        return now - entry.second.at > RemovedRetention;
-    });
     std::erase_if(endpoints_, [](const std::pair<const EndpointId, FleetEndpoint> &entry) {
         return entry.second.gone && entry.second.running == 0;
     });
+    hasUnlisted_ = std::any_of(
+        endpoints_.begin(), endpoints_.end(),
+        [](const std::pair<const EndpointId, FleetEndpoint> &entry) { return !entry.second.listed; });
 }
 
 bool EndpointFleet::isSilent(const FleetEndpoint &endpoint, TimeMs now) const
@@ -448,17 +465,23 @@
 std::vector<FleetEndpoint *> EndpointFleet::limited()
 {
     std::vector<FleetEndpoint *> out;
-    for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        if (entry.second.limiter.isActive())
-            out.push_back(&entry.second);
-    }
+    std::erase_if(usedLimiters_, [&](const EndpointId &id) {
+        const auto found = endpoints_.find(id);
+        const bool isActive = found != endpoints_.end() && found->second.limiter.isActive();
+        if (isActive)
+            out.push_back(&found->second);
+        return !isActive;
+    });
     return out;
 }
 
 EndpointLimiter *EndpointFleet::limiter(const EndpointIncarnation &incarnation)
 {
     FleetEndpoint *endpoint = at(incarnation);
-    return endpoint ? &endpoint->limiter : nullptr;
+    if (!endpoint)
+        return nullptr;
+    usedLimiters_.insert(incarnation.id);
+    return &endpoint->limiter;
 }
 
 void EndpointFleet::setLeaving(const EndpointIncarnation &incarnation, DurationMs after, TimeMs now)
@@ -475,7 +498,7 @@
 {
     std::vector<EndpointEntry> due;
     const bool listIsOld = now - listedAt_ >= StaleListAge;
-    if (!hasList_)
+    if (!hasList_ || (!listIsOld && !hasUnreadable_))
         return due;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         FleetEndpoint &endpoint = entry.second;
@@ -498,12 +521,22 @@
                                    static_cast<double>((now - peersLoadAt_).count)
                                        / static_cast<double>(PeersPrefillTimeConstant.count));
     peersLoadAt_ = now;
-    for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        const auto found = sums.find(entry.second.incarnation());
-        entry.second.peersRunning = found == sums.end() ? 0 : found->second.running;
+    for (const std::pair<const EndpointIncarnation, EndpointLoad> &sum : sums)
+        loadedByPeers_.insert(sum.first.id);
+    std::erase_if(loadedByPeers_, [&](const EndpointId &id) {
+        const auto entry = endpoints_.find(id);
+        if (entry == endpoints_.end())
+            return true;
+        FleetEndpoint &endpoint = entry->second;
+        const auto found = sums.find(endpoint.incarnation());
+        endpoint.peersRunning = found == sums.end() ? 0 : found->second.running;
         const double newest = found == sums.end() ? 0 : static_cast<double>(found->second.prefillTokens);
-        entry.second.peersPrefillTokens += weight * (newest - entry.second.peersPrefillTokens);
-    }
+        endpoint.peersPrefillTokens += weight * (newest - endpoint.peersPrefillTokens);
+        const bool isDecayed = found == sums.end() && endpoint.peersPrefillTokens < 1;
+        if (isDecayed)
+            endpoint.peersPrefillTokens = 0;
+        return isDecayed;
+    });
 }
 
 std::vector<EndpointId> EndpointFleet::ranked(const ServiceName &service,
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -91,6 +91,8 @@
     void setDrainTime(DurationMs time) { drainTime_ = time; }
     /// Applies a complete list. Entries that are missing after an interruption of the list get a grace time.
     void applyList(const EndpointsRead &read, TimeMs now);
+    /// Records that the list is still the one that was last applied.
+    void confirmList(const EndpointsRead &read, TimeMs now);
     void tick(TimeMs now);
 
     /// Sets the versions of each service that currently get none of its requests; their endpoints don't count
@@ -166,6 +168,7 @@
         TimeMs at;
     };
     void applyEntry(const EndpointEntry &entry, TimeMs askedAt, TimeMs now);
+    void updateGone(TimeMs now);
     void restoreRemoved(FleetEndpoint &endpoint, const EndpointEntry &entry, TimeMs now) const;
     static void resetForRestart(FleetEndpoint &endpoint, EndpointStartTime start, TimeMs now);
     FleetEndpoint *at(const EndpointIncarnation &incarnation);
@@ -193,6 +196,12 @@
     bool hasList_ = false;
     uint64_t era_ = 0; ///< Era of the store that the newest list came from.
     TimeMs storeRestoredAt_; ///< When the era last rose; zero if it has not.
+    // A tick must not walk over thousands of endpoints of which none has changed. So it is known which of
+    // them it concerns.
+    bool hasUnlisted_ = false;
+    bool hasUnreadable_ = false;
+    std::set<EndpointId> usedLimiters_; ///< Endpoints whose limiter may be active.
+    std::set<EndpointId> loadedByPeers_; ///< Endpoints with a load of other daemons.
     std::map<EndpointId, RemovedEndpoint> removed_; ///< Endpoints that were removed recently.
     std::map<ServiceName, std::set<SoftwareVersion>> inactiveVersions_;
 };
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -198,6 +198,7 @@
         uint32_t loadSent = 0; ///< Load requests that this daemon sent.
     };
     int64_t wallTimeAt(TimeMs now) const; ///< Wall-clock time in Unix milliseconds.
+    void applyEndpoints(const EndpointsRead &event, TimeMs now);
     void recordListedVersions(const EndpointsRead &read);
     /// Selects an endpoint of a version that the request may be sent to.
     PlacementResult place(Exchange &exchange, PlacementQuery &query, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -188,6 +188,8 @@
     std::vector<EndpointEntry> entries; ///< The complete list.
     TimeMs askedAt;
     uint64_t era = 0; ///< Era of the store; it increases when the store is restored from an older copy.
+    /// The list is still that of the update before, and `entries` is empty.
+    bool isUnchanged = false;
 };
 
 /// The roll-outs as read from the store, changed or not.
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -34,6 +34,16 @@
 }
 
 void Gateway::onEndpoints(const EndpointsRead &event, TimeMs now)
+{
+    if (event.isUnchanged)
+        fleet_.confirmList(event, now);
+    else
+        applyEndpoints(event, now);
+    admitAwaiting(now);
+    runQueue(now);
+}
+
+void Gateway::applyEndpoints(const EndpointsRead &event, TimeMs now)
 {
     const std::map<EndpointId, FleetEndpoint> &known = fleet_.all();
     // Thousands of lines at the start of each daemon would tell what the store's list shows.
@@ -63,8 +73,6 @@
     }
     recordListedVersions(event);
     fleet_.applyList(event, now);
-    admitAwaiting(now);
-    runQueue(now);
 }
 
 void Gateway::onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed)
--- a/src/gateway/store/storequeries.cpp
+++ b/src/gateway/store/storequeries.cpp
@@ -260,11 +260,22 @@
     if (reply.endpointsDigest != endpoints_.digest())
         return isNext;
     newestEndpoints_ = endpointsAt;
+    const bool isUnchanged = publishedEndpoints_ == endpoints_.digest() && endpointsEra_ == reply.era;
     endpointsEra_ = reply.era;
-    updates_.endpoints.push_back({endpoints_.entries(), endpointsAt, reply.era});
+    publishEndpoints(endpointsAt, isUnchanged);
     return false;
 }
 
+// Most replies only confirm the list. Thousands of entries are not passed on for that.
+void StoreSync::publishEndpoints(TimeMs askedAt, bool isUnchanged)
+{
+    publishedEndpoints_ = endpoints_.digest();
+    EndpointsRead read{{}, askedAt, endpointsEra_, isUnchanged};
+    if (!isUnchanged)
+        read.entries = endpoints_.entries();
+    updates_.endpoints.push_back(std::move(read));
+}
+
 // The reply to an earlier query may arrive later; the digest shows whether the list is still the current one.
 void StoreSync::takeEntriesReply(const FreshnessReply &reply, TimeMs askedAt)
 {
--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -25,6 +25,9 @@
 constexpr DurationMs ReadTimeout{2500};
 /// A daemon whose reads fail, but whose view peers keep fresh, reads at intervals longer by this factor.
 constexpr int64_t FailingReadSlowdown = 3;
+/// Interval at which a daemon that waits for the lists of a large fleet reads the control keys: it learns of
+/// new readers from its peers.
+constexpr DurationMs AwaitReadersInterval{2500};
 
 } // namespace
 
@@ -68,7 +71,9 @@
     const int64_t slower = failing && fresh ? FailingReadSlowdown : 1;
     const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        sharedAt_ = now + std::max(sharedReadInterval() * slower, readPause(sharedReadInterval()));
+        const bool awaitsReaders = isLargeFleet() && configuration_ && endpoints_.digest() == 0;
+        const DurationMs interval = awaitsReaders ? AwaitReadersInterval : sharedReadInterval();
+        sharedAt_ = now + std::max(interval * slower, readPause(interval));
         readShared(sharedSpaceToRead(), isStoreReader_, now);
     }
     const bool leftToReaders = newestShared_.count == 0 || (isLargeFleet() && !isStoreReader_);
@@ -298,7 +303,7 @@
     }
     endpoints_.replace(std::move(entries));
     endpointsEra_ = open.era;
-    updates_.endpoints.push_back({endpoints_.entries(), open.readStartedAt, open.era});
+    publishEndpoints(open.readStartedAt, false);
 }
 
 } // namespace cranberry
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -223,6 +223,7 @@
     void takeSharedReply(const FreshnessReply &reply, TimeMs sharedAt, TimeMs now);
     void redirect(const FreshnessQuery &query, const Address &from);
     void sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply);
+    void publishEndpoints(TimeMs askedAt, bool isUnchanged);
     bool takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt);
     void takeEntriesReply(const FreshnessReply &reply, TimeMs askedAt);
     // Requests in quarantine (storequarantine.cpp).
@@ -341,6 +342,7 @@
     uint64_t sharedEra_ = 0; ///< Era of the newest shared view.
     uint64_t controlEra_ = 0; ///< Era of the newest control keys.
     uint64_t endpointsEra_ = 0;
+    uint64_t publishedEndpoints_ = 0; ///< Digest of the list that the last update had.
     uint64_t settledEra_ = 0; ///< As read from the store.
     uint64_t storedVersion_ = 0; ///< Version of the configuration as last read from the store.
     bool recordsComplete_ = false;
