A daemon that becomes a store reader while it receives the list in parts replies to queries

Cause: parts received before the own read stayed, so the list counted as incomplete for good and the new reader never replied. Change: an own read drops the parts. New readers get time to read the lists before they count as silent, 8 s from when a daemon learned of them, and a named reader that is weaker than those that would be chosen is replaced.

--- a/src/gateway/endpoints/endpointlist.cpp
+++ b/src/gateway/endpoints/endpointlist.cpp
@@ -66,6 +66,7 @@
     entries_ = std::move(entries);
     digest_ = digest;
     base_ = digest;
+    parts_.clear();
 }
 
 bool EndpointList::apply(uint64_t base, const EndpointChanges &changes)
--- a/src/gateway/endpoints/endpointlist.h
+++ b/src/gateway/endpoints/endpointlist.h
@@ -15,7 +15,7 @@
 class EndpointList
 {
 public:
-    /// Replaces the list by one read from the store.
+    /// Replaces the list by one read from the store. Parts received so far are of no use then.
     void replace(std::vector<EndpointEntry> entries);
     /// Applies the changes since version `base`. Returns false without any change if the current version is
     /// not `base`.
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -178,10 +178,14 @@
 std::vector<Address> PeerTable::readersToName(const std::vector<Address> &named, TimeMs now) const
 {
     const size_t wanted = readerCount();
+    if (order_.empty())
+        return named;
+    // A daemon that named itself may be a weak one.
+    const double minCores = order_[std::min(wanted, order_.size()) - 1]->cores;
     std::vector<Address> kept;
     std::vector<Address> others;
     for (const MemberEntry *member : order_) {
-        if (reportedNoReads(*member, now))
+        if (reportedNoReads(*member, now) || member->cores < minCores)
             continue;
         const bool isNamed = std::find(named.begin(), named.end(), member->peerAddress) != named.end();
         (isNamed ? kept : others).push_back(member->peerAddress);
--- a/src/gateway/store/storequeries.cpp
+++ b/src/gateway/store/storequeries.cpp
@@ -185,7 +185,7 @@
         return; // What it describes is lost.
     repliedAt_ = now;
     if (reply.readers)
-        takeReaders(*reply.readers);
+        takeReaders(*reply.readers, now);
     if (reply.isRedirect) {
         queryAt_ = now;
         return;
--- a/src/gateway/store/storereaders.cpp
+++ b/src/gateway/store/storereaders.cpp
@@ -15,8 +15,9 @@
 
 /// While a fleet starts, the readers change all the time.
 constexpr DurationMs WritePause{1000};
-/// Without a reply for this time, no named reader is there any more. A reader that was killed is back sooner.
-constexpr DurationMs MaxSilence{4000};
+/// Without a reply for this time since they were named, no named reader is there any more. Those that are killed
+/// or lost are replaced sooner, as long as one is left.
+constexpr DurationMs MaxSilence{8000};
 
 } // namespace
 
@@ -68,7 +69,7 @@
 // others learn of it from the reply.
 void StoreSync::nameItselfIfAlone(TimeMs now)
 {
-    const bool isSilent = now - std::max(repliedAt_, startedAt_) > MaxSilence;
+    const bool isSilent = now - std::max(repliedAt_, readersTakenAt_) > MaxSilence;
     const bool isAlone = listsArePaged_ && !isStoreReader_ && (readers_.addresses.empty() || isSilent);
     if (isAlone && now >= nameReadersAt_ && newestControl_.count != 0)
         writeReaders({settings_.self.peerAddress}, now);
@@ -88,7 +89,7 @@
     send(std::move(call), {Purpose::NameReaders, now, now, {}, 0}, now);
 }
 
-void StoreSync::onReadersWritten(const StoreReply &reply)
+void StoreSync::onReadersWritten(const StoreReply &reply, TimeMs now)
 {
     if (reply.outcome == StoreOutcome::Done) {
         readers_ = {writtenReaders_, reply.revision};
@@ -99,15 +100,18 @@
     if (reply.outcome != StoreOutcome::Conflict)
         return;
     for (const StoreItem &item : reply.items)
-        takeReaders({readersFromText(item.value), item.revision});
+        takeReaders({readersFromText(item.value), item.revision}, now);
 }
 
-// Revisions of two eras can't be compared; the readers write the key again in the new era.
-void StoreSync::takeReaders(const NamedReaders &readers)
+// New readers get the time to read the lists before they count as silent: otherwise hundreds of daemons that
+// wait for them would name themselves one after the other. Revisions of two eras can't be compared; the first
+// read in a new era is taken.
+void StoreSync::takeReaders(const NamedReaders &readers, TimeMs now)
 {
     if (readers.revision <= readers_.revision)
         return;
     readers_ = readers;
+    readersTakenAt_ = now;
     namedItself_ = namedItself_ && isNamedReader();
 }
 
--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -212,7 +212,7 @@
         newestControl_ = readAt;
         controlEra_ = open.era;
         settledEra_ = read.settledEra;
-        takeReaders(read.readers);
+        takeReaders(read.readers, now);
     }
     if (open.space == StoreSpace::Shared && hasConfiguration)
         takeRollouts(open);
--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -116,7 +116,7 @@
     case Purpose::Quarantine:
         return onQuarantineReply(reply, now);
     case Purpose::NameReaders:
-        return onReadersWritten(reply);
+        return onReadersWritten(reply, now);
     case Purpose::Settle:
     case Purpose::Leave:
         return;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -212,8 +212,8 @@
     };
     // The readers of a large fleet (storereaders.cpp).
     void writeReaders(const std::vector<Address> &readers, TimeMs now);
-    void onReadersWritten(const StoreReply &reply);
-    void takeReaders(const NamedReaders &readers);
+    void onReadersWritten(const StoreReply &reply, TimeMs now);
+    void takeReaders(const NamedReaders &readers, TimeMs now);
     void nameItselfIfAlone(TimeMs now);
     SharedRead sharedReadOf(const OpenCall &open);
     void takeShared(const OpenCall &open, TimeMs now);
@@ -285,6 +285,7 @@
     std::vector<Address> writtenReaders_; ///< Content of this daemon's last write.
     bool namedItself_ = false; ///< Until it knows the members, it does not reply to queries.
     TimeMs nameReadersAt_; ///< Not before.
+    TimeMs readersTakenAt_; ///< When this daemon learned of them.
     TimeMs repliedAt_; ///< When a peer last replied.
     bool storeAvailable_ = false;
     bool sawConfiguration_ = true; ///< The newest read found one; a missing configuration is logged.
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -492,6 +492,11 @@
     CHECK_FALSE(starting.isComplete());
     CHECK(starting.addPart(reader.digest(), rest));
     CHECK(starting.isComplete());
+    // A daemon that becomes a store reader meanwhile reads the list itself.
+    CHECK(starting.addPart(reader.digest(), first));
+    CHECK_FALSE(starting.isComplete());
+    starting.replace(reader.entries());
+    CHECK(starting.isComplete());
     CHECK(starting.digest() == reader.digest());
     // Whole lists would have been about 25 entries each time.
     CHECK(told < 2000 * 3);
