After a start of a large fleet, configurations wait for the readers' lists

Cause: when 985 daemons start again, each read the configuration at once, 160 KB; the lists of the six readers waited behind them on the store's link for 1.3 s. Change: a daemon without endpoints reads the configuration when a reader replies for the first time.

--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -71,7 +71,7 @@
     const int64_t slower = failing && fresh ? FailingReadSlowdown : 1;
     const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        const bool awaitsReaders = isLargeFleet() && configuration_ && endpoints_.digest() == 0;
+        const bool awaitsReaders = isLargeFleet() && endpoints_.digest() == 0;
         const DurationMs interval = awaitsReaders ? AwaitReadersInterval : sharedReadInterval();
         sharedAt_ = now + std::max(interval * slower, readPause(interval));
         readShared(sharedSpaceToRead(), isStoreReader_, now);
@@ -93,9 +93,10 @@
         return StoreSpace::Control;
     if (!isLargeFleet() || isStoreReader_)
         return StoreSpace::Shared;
-    // A daemon that has no endpoints accepts no request, and needs no newer configuration meanwhile.
-    const bool needsNewer = !configuration_ || endpoints_.digest() != 0;
-    return needsNewer && newestShared_ < newestControl_ ? StoreSpace::Configuration : StoreSpace::Control;
+    // A daemon that has no endpoints accepts no request. It reads the configuration when a reader replies, so
+    // that after a start of all daemons the readers' lists don't wait for hundreds of configurations.
+    const bool needsConfiguration = endpoints_.digest() != 0 && newestShared_ < newestControl_;
+    return needsConfiguration ? StoreSpace::Configuration : StoreSpace::Control;
 }
 
 void StoreSync::readShared(StoreSpace space, bool allPages, TimeMs now)
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -390,6 +390,34 @@
     }
 }
 
+TEST_CASE("a whole fleet serves soon after all its daemons were killed")
+{
+    // The control key still names the readers, which read the lists first; all others query them. When each
+    // daemon read its configuration at once, the readers' lists waited for hundreds of them on the store's
+    // link.
+    for (const size_t count : {300U, 985U}) {
+        FleetSimulation world(count, count / 16, 3 * count, limitedStore());
+        world.advance({14000});
+        REQUIRE(world.countReady() == count);
+        world.killAll();
+        world.advance({500});
+        world.startAll();
+        world.resetTraffic();
+        DurationMs after;
+        DurationMs first;
+        while (world.countReady() < count && after < DurationMs{24000}) {
+            world.advance({100});
+            after = after + DurationMs{100};
+            if (first.count == 0 && world.countReady() > 0)
+                first = after;
+        }
+        MESSAGE(count << " daemons: the first ready after " << first.count << " ms, " << world.countReady()
+                      << " after " << after.count << " ms, " << world.storeCalls() << " calls");
+        CHECK(world.countReady() == count);
+        CHECK(after.count <= 10000);
+    }
+}
+
 TEST_CASE("the traffic of a daemon does not grow with the number of daemons")
 {
     // Eighteen daemons serve, the rest are on standby. When each daemon reported to every other one, a daemon
