A large fleet that loses all its readers finds new ones; its readers keep their pace

Cause, found by reading the diff: a daemon named itself only if it had seen a list of more than a page itself, which those that query readers never do; and each fast read set the interval back to that of a small fleet. Change: a daemon that knows of named readers and hears none names itself too; the interval after a fast read is that of the fleet, and of a daemon that waits for the lists. Result: with the strong instances gone for good after all were killed, 0 of 282 daemons were ready 18 s later, all are now (the new test fails before).

--- a/src/gateway/store/storereaders.cpp
+++ b/src/gateway/store/storereaders.cpp
@@ -15,8 +15,8 @@
 
 /// While a fleet starts, the readers change all the time.
 constexpr DurationMs WritePause{1000};
-/// Without a reply for this time since they were named, no named reader is there any more. Those that are killed
-/// or lost are replaced sooner, as long as one is left.
+/// Without a reply for this time since they were named, no named reader is there any more. Those that are
+/// killed or lost are replaced sooner, as long as one is left.
 constexpr DurationMs MaxSilence{8000};
 
 } // namespace
@@ -70,7 +70,7 @@
 void StoreSync::nameItselfIfAlone(TimeMs now)
 {
     const bool isSilent = now - std::max(repliedAt_, readersTakenAt_) > MaxSilence;
-    const bool isAlone = listsArePaged_ && !isStoreReader_ && (readers_.addresses.empty() || isSilent);
+    const bool isAlone = isLargeFleet() && !isStoreReader_ && (readers_.addresses.empty() || isSilent);
     if (isAlone && now >= nameReadersAt_ && newestControl_.count != 0)
         writeReaders({settings_.self.peerAddress}, now);
 }
--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -53,8 +53,11 @@
 // readers within a fifth or a quarter of its bound, and the rest is left for the way to all others.
 DurationMs StoreSync::sharedReadInterval() const
 {
-    return isLargeFleet() ? std::max(SharedReadInterval, settings_.configurationBound / 5)
-                          : SharedReadInterval;
+    if (!isLargeFleet())
+        return SharedReadInterval;
+    const bool awaitsReaders = !isStoreReader_ && endpoints_.digest() == 0;
+    return awaitsReaders ? AwaitReadersInterval
+                         : std::max(SharedReadInterval, settings_.configurationBound / 5);
 }
 
 DurationMs StoreSync::endpointsReadInterval() const
@@ -71,8 +74,7 @@
     const int64_t slower = failing && fresh ? FailingReadSlowdown : 1;
     const bool sharedIsOld = !source_ || failing || now - newestShared_ > oldest;
     if (now >= sharedAt_ && sharedIsOld && !tooManyOpen(Purpose::ReadShared)) {
-        const bool awaitsReaders = isLargeFleet() && endpoints_.digest() == 0;
-        const DurationMs interval = awaitsReaders ? AwaitReadersInterval : sharedReadInterval();
+        const DurationMs interval = sharedReadInterval();
         sharedAt_ = now + std::max(interval * slower, readPause(interval));
         readShared(sharedSpaceToRead(), isStoreReader_, now);
     }
@@ -115,8 +117,8 @@
     if (wasSlow)
         return;
     // The intervals were chosen before this read showed that the store is fast again.
-    sharedAt_ = std::min(sharedAt_, open.sentAt + SharedReadInterval);
-    endpointsAt_ = std::min(endpointsAt_, open.sentAt + EndpointsReadInterval);
+    sharedAt_ = std::min(sharedAt_, open.sentAt + sharedReadInterval());
+    endpointsAt_ = std::min(endpointsAt_, open.sentAt + endpointsReadInterval());
 }
 
 // All daemons find the store busy at the same moment, so their next reads are spread by jitter.
--- a/tests/fleetview_test.cpp
+++ b/tests/fleetview_test.cpp
@@ -418,6 +418,29 @@
     }
 }
 
+TEST_CASE("a whole fleet that loses all its store readers for good finds new ones")
+{
+    // All daemons are killed, and the strong instances, which the control key names as readers, don't return.
+    // The others know no member, and nobody replies to their queries.
+    constexpr size_t Count = 300;
+    FleetSimulation world(Count, StrongCount, 3 * Count, limitedStore());
+    world.advance({14000});
+    REQUIRE(world.countReady() == Count);
+    world.killAll();
+    world.advance({500});
+    for (size_t i = StrongCount; i < Count; ++i)
+        world.start(i);
+    world.advance({18000});
+    CHECK(world.countReady() == Count - StrongCount);
+    // The readers are lost one by one, while daemons know the members.
+    for (size_t i = StrongCount; i < StrongCount + 3; ++i) {
+        world.kill(i);
+        world.advance({4000});
+    }
+    world.advance({6000});
+    CHECK(world.countReady() == Count - StrongCount - 3);
+}
+
 TEST_CASE("the traffic of a daemon does not grow with the number of daemons")
 {
     // Eighteen daemons serve, the rest are on standby. When each daemon reported to every other one, a daemon
