--- a/src/gateway/peers/fleetview.cpp
+++ b/src/gateway/peers/fleetview.cpp
@@ -24,7 +24,7 @@
     if (sync_.isLargeFleet()) {
         if (canRead && sync_.isNamedReader())
             return std::nullopt;
-        if (const std::optional<Address> named = sync_.namedReader(silent))
+        if (std::optional<Address> named = sync_.namedReader(silent))
             return named;
     } else if (canRead && sync_.leadership(now).held) {
         return std::nullopt;
