Whoever misses the first page of a large fleet's lists reads the control keys

Cause: with 2,000 daemons and 6,000 endpoints in virtual time none was ready after 24 s (70,412 calls, 3,488 MB): the first pages of all take the store's link 5.6 s, more than the 2.5 s after which a read counts as lost, and all asked for pages again and again. Change: a daemon that got no first page in time reads the control keys next, which name the readers by then.

--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -91,7 +91,11 @@
 
 StoreSpace StoreSync::sharedSpaceToRead() const
 {
-    if (newestControl_.count == 0)
+    // While a fleet starts, the store's link may be too busy for first pages. Whoever got none in time learns
+    // from the few control keys whether readers are named by now; otherwise all would ask for pages again and
+    // again.
+    const bool missedFirstPage = newestShared_.count == 0 && failedReads_ > 0;
+    if (newestControl_.count == 0 || missedFirstPage)
         return StoreSpace::Control;
     if (!isLargeFleet() || isStoreReader_)
         return StoreSpace::Shared;
--- a/tests/gatewayparts_test.cpp
+++ b/tests/gatewayparts_test.cpp
@@ -513,6 +513,7 @@
         EndpointList reader;
         EndpointList starting;
         std::vector<EndpointEntry> entries;
+        entries.reserve(80);
         for (int i = 0; i < 60; ++i)
             entries.push_back(makeEndpoint("i-" + std::to_string(2 * random.below(100)), 1, false));
         std::sort(entries.begin(), entries.end(),
