A fleet counts as large by its members, not by its endpoints

Change: lists are left to the readers only where the members take more than a page, which is where the bytes of a start outgrow the store.

--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -84,7 +84,7 @@
         endpointsAt_ = now + std::max(endpointsReadInterval() * slower, readPause(endpointsReadInterval()));
         OpenCall open{Purpose::ReadEndpoints, now, now, {}, 0};
         open.space = StoreSpace::Endpoints;
-        open.readsAllPages = isStoreReader_;
+        open.readsAllPages = isStoreReader_ || !isLargeFleet();
         readSpace(open, "", now);
     }
 }
@@ -168,7 +168,7 @@
     open.pages.insert(open.pages.end(), reply.items.begin(), reply.items.end());
     const bool shared = open.purpose == Purpose::ReadShared;
     if (!reply.nextPage.empty()) {
-        listsArePaged_ = true;
+        membersArePaged_ = membersArePaged_ || shared;
         if (open.readsAllPages)
             return readSpace(std::move(open), reply.nextPage, now);
         open.isCut = true;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -52,10 +52,11 @@
 /// of its view, and read themselves where the view differs from theirs or where no reply arrives. So the load
 /// of the store does not grow with the number of daemons.
 ///
-/// In a large fleet, one whose lists take the store more than a page, lists are left to the readers: if each
-/// daemon that starts read them, the bytes would grow with the square of the fleet. A control key names the
-/// readers, so that daemons that know no member find them. The readers keep it up to date; a daemon that gets
-/// no reply from any of them names itself until it knows the members.
+/// In a large fleet, one whose members take the store more than a page, lists are left to the readers: if
+/// each daemon that starts read them, the bytes would grow with the square of the fleet. In a smaller one the
+/// store sends the lists to all sooner than a few readers can. A control key names the readers, so that
+/// daemons that know no member find them. The readers keep it up to date; a daemon that gets no reply from
+/// any of them names itself until it knows the members.
 ///
 /// Reads overlap: one that hangs on an unresponsive connection does not delay the next. The age of a view is
 /// counted from when the read or query was sent, since the store may have replied at any time after that.
@@ -106,8 +107,8 @@
     /// Sets whether this daemon is a store reader. Readers keep their read interval whatever the store does.
     /// The others, which may be hundreds, read less often while it is slow.
     void setStoreReader(bool isReader, TimeMs now);
-    /// Lists take the store more than a page.
-    bool isLargeFleet() const { return listsArePaged_ || !readers_.addresses.empty(); }
+    /// The members take the store more than a page.
+    bool isLargeFleet() const { return membersArePaged_ || !readers_.addresses.empty(); }
     /// Returns the named readers if this daemon is a reader of a large fleet and is to check now whether they
     /// are still right.
     std::optional<std::vector<Address>> readersToCheck(TimeMs now) const;
@@ -185,8 +186,8 @@
         bool serving = false; ///< The `serving` value that was sent.
         uint64_t era = 0; ///< Era of the first page.
         StoreSpace space = StoreSpace::Shared; ///< That is read.
-        bool readsAllPages = false; ///< Otherwise a list that takes more than a page is left to the readers.
-        bool isCut = false; ///< Further pages were left to the readers.
+        bool readsAllPages = false; ///< Otherwise members that take more than a page are left to the readers.
+        bool isCut = false; ///< Further pages were not read.
     };
 
     static bool isRead(Purpose purpose)
@@ -280,7 +281,7 @@
     TimeMs newestShared_; ///< The view was current in the store at or after this time.
     TimeMs newestEndpoints_;
     TimeMs newestControl_; ///< The control keys were read at or after this time.
-    bool listsArePaged_ = false;
+    bool membersArePaged_ = false;
     NamedReaders readers_; ///< As in the store.
     std::vector<Address> writtenReaders_; ///< Content of this daemon's last write.
     bool namedItself_ = false; ///< Until it knows the members, it does not reply to queries.
