--- a/src/gateway/endpoints/endpointlist.h
+++ b/src/gateway/endpoints/endpointlist.h
@@ -17,8 +17,8 @@
 public:
     /// Replaces the list by one read from the store. Parts received so far are of no use then.
     void replace(std::vector<EndpointEntry> entries);
-    /// Applies the changes since version `base`. Returns false without any change if the current version is
-    /// not `base`.
+    /// Applies the changes since version `base`. Returns false without any change if that is not the version
+    /// returned by `base()`.
     bool apply(uint64_t base, const EndpointChanges &changes);
 
     /// Adds a part of version `digest`. Returns false if it is not the next one; it is ignored then. The last
--- a/src/gateway/sizing/enginecapacity.cpp
+++ b/src/gateway/sizing/enginecapacity.cpp
@@ -13,8 +13,7 @@
 constexpr double DefaultBaseMs = 100;
 constexpr double DefaultQueuedTokens = 5000; ///< Mean prefill that a new request waits behind.
 constexpr double DefaultTargetMs = 600;
-/// Min samples for the linear fit. Fits through 77 to 173 samples, in windows of 10 s, gave 26 to 43 tokens
-/// per ms for the engines of one deployment.
+/// Min samples for the linear fit; with fewer, single slow prefills change its slope.
 constexpr double MinPrefillSamples = 30;
 /// A fitted speed outside these bounds is an artefact of prompt parts that were cached without our knowledge,
 /// or of a stalled engine.
@@ -22,12 +21,11 @@
 constexpr double MaxTokensPerMs = 2000;
 /// Max share of requests whose first event is late for lack of engines, by the estimate in `maxUtilization`,
 /// when only the minimum number of engines is left (after a reclaim). The estimate ignores priorities and the
-/// choice of the shortest queue: outside of outages 1 to 3 in 100 requests were late.
+/// choice of the shortest queue, so fewer are late.
 constexpr double MaxLateShare = 0.09;
 /// Bounds of the share of an engine's time spent on prefill. After a reclaim the shared prompt parts that
 /// were cached there are prefilled again, which adds a third or more to the usual prefill for some seconds,
-/// whatever the targets are. With a max of 0.75, two deployments with long shared parts and lenient targets
-/// served 1 in 100 requests fewer per day than with 0.6.
+/// whatever the targets are.
 constexpr double MinUtilization = 0.2;
 constexpr double MaxUtilization = 0.62;
 constexpr double MinSlackMs = 20;
--- a/src/gateway/sizing/enginesizing.cpp
+++ b/src/gateway/sizing/enginesizing.cpp
@@ -13,9 +13,8 @@
 /// Engines are sized for the peak demand of this period: starting an engine takes seconds, and stopping one
 /// may interrupt requests.
 constexpr DurationMs PeakWindow{30000};
-/// The engines found at the start are kept for this time, because the peak demand is not known before. With
-/// half of it, a third of 90 engines were stopped while the demand was still rising, and the prompts cached
-/// there were prefilled again.
+/// The engines found at the start are kept for this time, because the peak demand is not known before. Those
+/// stopped while the demand still rises take their cached prompts along, which are then prefilled again.
 constexpr DurationMs LearningTime = PeakWindow;
 constexpr DurationMs SampleInterval{500};
 /// Planning is cheap, and after a reclaim each attempt to find available engines waits for the next plan.
