Evidence of new connections to endpoints: log lines, metrics, and a verdict that is only logged

From the logs nobody could tell whether any connection was established meanwhile, whether connections were refused or hung, or since when the daemon reached nobody.

Change: each new connection to an endpoint counts by its outcome; attempt_broken says how a connection failed; EndpointPaths judges from new connections alone (two endpoints fail, then a probe of a third decides) and the daemon logs endpoints_unreached and endpoints_reached_again. A service whose endpoints are all silent while requests are open is probed by one connection, which is kept for a later attempt. No request is handled differently yet.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -449,6 +449,16 @@
     return out;
 }
 
+std::vector<EndpointId> EndpointFleet::accepting(const ServiceName &service) const
+{
+    std::vector<EndpointId> out;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (acceptsRequests(entry.second, service) && !entry.second.addressReused)
+            out.push_back(entry.first);
+    }
+    return out;
+}
+
 bool EndpointFleet::isVersionActive(const FleetEndpoint &endpoint) const
 {
     const auto found = inactiveVersions_.find(endpoint.entry.service);
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -196,6 +196,8 @@
     /// Returns the endpoints of a version that take a service's requests, in an order that is the same at all
     /// daemons.
     std::vector<EndpointId> ranked(const ServiceName &service, const SoftwareVersion &version) const;
+    /// Returns the endpoints that take a service's requests.
+    std::vector<EndpointId> accepting(const ServiceName &service) const;
     const FleetEndpoint *find(const EndpointId &id) const;
     /// Returns nullptr also if this is not the newest known incarnation.
     const FleetEndpoint *find(const EndpointIncarnation &incarnation) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,7 @@
 
 Gateway::Gateway(const GatewaySettings &settings, DecisionLog &log)
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
-      usage_(settings.usageWindow)
+      usage_(settings.usageWindow), paths_(settings.seed)
 {
     applyBounds(settings);
 }
@@ -398,6 +398,7 @@
     tickEndpointLimits(now);
     sendCrashNotice(now);
     evaluateTrials(now);
+    tickPaths(now);
     abandonSilentEndpoints(now);
     tickLimits(now);
     probeEngines(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/decisionlog.h"
 #include "gateway/duties/checkpointwriter.h"
 #include "gateway/duties/usagewindows.h"
+#include "gateway/endpoints/endpointpaths.h"
 #include "gateway/endpoints/endpointprobes.h"
 #include "gateway/endpoints/quarantine.h"
 #include "gateway/exchange.h"
@@ -60,6 +61,7 @@
     void onConnectionFailed(const AttemptConnectionFailed &event, TimeMs now);
     void onGenerationMigrated(const GenerationMigrated &event, TimeMs now);
     void onEngineProbed(const EngineProbed &event, TimeMs now);
+    void onEndpointConnected(const EndpointConnected &event, TimeMs now);
 
     // Data from the store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
@@ -125,6 +127,7 @@
     const GatewayCounters &counters() const { return counters_; }
     const EndpointFleet &fleet() const { return fleet_; }
     const PeerTable &peers() const { return peers_; }
+    const EndpointPaths &paths() const { return paths_; }
     UsageWindows &usage() { return usage_; }
     ServingConfigurationPtr configuration() const { return configuration_; }
 
@@ -265,7 +268,7 @@
     void forwardFullResponse(Exchange &exchange, TimeMs now);
     bool forwardEvents(Exchange &exchange, TimeMs now);
     void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
-    void closeFailedAttempt(Exchange &exchange, bool sent, TimeMs now);
+    void closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void continueAfterFailure(Exchange &exchange, bool sent, TimeMs now);
     void abandonSilentEndpoints(TimeMs now);
     bool canContinueElsewhere(Exchange &exchange, TimeMs now);
@@ -285,6 +288,22 @@
     void notifyNewServing(TimeMs now);
     void sendToMembers(const std::vector<const MemberEntry *> &members, const CrashNotice &notice);
 
+    // Endpoints that this daemon does not reach (endpointreach.cpp).
+
+    /// Signs of life of a service's endpoints.
+    struct ServiceContact {
+        TimeMs lastByteAt; ///< Of any response.
+        TimeMs connectedAt; ///< Of the newest new connection.
+        TimeMs probedAt; ///< Of the newest probe for silence.
+        std::optional<EndpointId> silentProbe; ///< Endpoint of an open probe for silence.
+    };
+    void tickPaths(TimeMs now);
+    void recordConnectFailure(const EndpointId &id, ConnectFailure failure, TimeMs now);
+    void applyPathChange(const ServiceName &service, EndpointPaths::Change change, TimeMs now);
+    void probePath(const ServiceName &service, TimeMs now);
+    void sendPathProbe(const FleetEndpoint &endpoint);
+    void probeSilentServices(TimeMs now);
+
     // Endpoints with a limited request rate (endpointlimits.cpp).
     void recordLimit(const Exchange &exchange, TimeMs now);
     void tickEndpointLimits(TimeMs now);
@@ -355,6 +374,8 @@
     std::map<CallerId, Exchange> exchanges_;
     std::map<AttemptId, CallerId> attempts_;
     EndpointProbes endpointQuestions_;
+    EndpointPaths paths_;
+    std::map<ServiceName, ServiceContact> contacts_;
     Quarantine quarantine_;
     RolloutView rollouts_;
     TrialCounts trialCounts_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -46,7 +46,12 @@
        "kv_fetch_tokens",
        "queued_behind_others",
        "returns_scheduled",
-       "returns_too_late"};
+       "returns_too_late",
+       "endpoint_connections",
+       "endpoint_connects_refused",
+       "endpoint_connects_timed_out",
+       "path_probes",
+       "partitions"};
 
 } // namespace
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -74,6 +74,11 @@
     QueuedBehindOthers, ///< Queued on arrival, since requests of other organisations were to be served first.
     ReturnsScheduled, ///< Refusals with a return time that the caller can use.
     ReturnsTooLate, ///< Refusals with a return time later than their callers wait.
+    EndpointConnections, ///< New connections to endpoints that were established.
+    EndpointConnectsRefused, ///< New connections that an endpoint's instance refused.
+    EndpointConnectsTimedOut, ///< New connections that were not established for another reason.
+    PathProbes, ///< Connections that were opened only to find out whether endpoints are reached.
+    Partitions, ///< Times at which this daemon lost all paths to a service's endpoints.
     Count
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -98,6 +98,13 @@
     std::string handle; ///< Identifies the KV cache at the target; valid once.
 };
 
+/// Why a new connection could not be established.
+enum class ConnectFailure : uint8_t {
+    None, ///< It was established.
+    Refused,
+    TimedOut ///< Or failed otherwise, without an answer from the endpoint's instance.
+};
+
 /// Result of a probe of an endpoint's process.
 enum class EndpointProcess : uint8_t {
     Unknown, ///< No reply: the endpoint may be unreachable, frozen or without power.
@@ -114,11 +121,19 @@
     std::optional<DurationMs> leavesAfter;
     EndpointProcess process = EndpointProcess::Unknown;
     bool afterConnectionFailure = false; ///< Copied from the ProbeEngine action.
+    ConnectFailure connect = ConnectFailure::None;
 };
 
 struct AttemptConnectionFailed {
     AttemptId attempt;
     bool sent = true; ///< False: no byte of the request was sent.
+    ConnectFailure connect = ConnectFailure::TimedOut; ///< Valid if nothing was sent.
+};
+
+/// A new connection to an endpoint was established or failed, for an attempt or for a probe.
+struct EndpointConnected {
+    EndpointId endpoint;
+    ConnectFailure failure = ConnectFailure::None;
 };
 
 /// An endpoint that exited while it processed a request.
@@ -468,6 +483,13 @@
     bool afterConnectionFailure = false;
 };
 
+/// Opens a connection to an endpoint without a request. It is kept for a later attempt.
+struct ProbePath {
+    EndpointId endpoint;
+    Address address;
+    DurationMs timeout;
+};
+
 /// Sends a request to an endpoint.
 struct SendAttempt {
     AttemptId attempt;
@@ -493,7 +515,8 @@
         message;
 };
 
-using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
-                                   SendAttempt, CancelSent, MigrateGeneration, ProbeEngine, SendToPeer>;
+using GatewayAction
+    = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream, SendAttempt,
+                   CancelSent, MigrateGeneration, ProbeEngine, ProbePath, SendToPeer>;
 
 } // namespace cranberry
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -21,6 +21,13 @@
     return response.failure == HttpFailure::None ? response.status : 0;
 }
 
+ConnectFailure connectFailureOf(HttpFailure failure)
+{
+    if (mayHaveArrived(failure))
+        return ConnectFailure::None;
+    return failure == HttpFailure::Refused ? ConnectFailure::Refused : ConnectFailure::TimedOut;
+}
+
 } // namespace
 
 void GatewayServer::State::onCaller(const HttpExchangePtr &exchange)
@@ -145,6 +152,10 @@
     call.progressTimeout = AttemptBackstop;
     const AttemptId attempt = action.attempt;
     HttpCallbacks callbacks;
+    callbacks.onConnected = [this, endpoint = action.endpoint] {
+        gateway.onEndpointConnected({endpoint}, steadyNow());
+        runActions();
+    };
     callbacks.onHead = [this, attempt, request = action.request](int status, const HttpHeaders &headers) {
         gateway.onHead(platform::decodeHead(attempt, *request, status, headers), steadyNow());
         runActions();
@@ -158,7 +169,8 @@
         if (failure == HttpFailure::None)
             gateway.onEnd({attempt}, steadyNow());
         else
-            gateway.onConnectionFailed({attempt, mayHaveArrived(failure)}, steadyNow());
+            gateway.onConnectionFailed({attempt, mayHaveArrived(failure), connectFailureOf(failure)},
+                                       steadyNow());
         runActions();
     };
     calls[attempt] = endpoints.start(std::move(call), std::move(callbacks));
@@ -209,10 +221,20 @@
                   afterConnectionFailure = action.afterConnectionFailure](const HttpResponse &reply) {
                      EngineProbed probed = platform::decodeProbe(endpoint, completeStatus(reply), reply.body);
                      probed.afterConnectionFailure = afterConnectionFailure;
+                     probed.connect = connectFailureOf(reply.failure);
                      if (reply.failure == HttpFailure::Refused)
                          probed.process = EndpointProcess::Exited;
                      gateway.onEngineProbed(probed, steadyNow());
                  });
 }
 
+void GatewayServer::State::run(ProbePath &action)
+{
+    endpoints.connect(action.address, action.timeout,
+                      [this, endpoint = action.endpoint](HttpFailure failure) {
+                          gateway.onEndpointConnected({endpoint, connectFailureOf(failure)}, steadyNow());
+                          runActions();
+                      });
+}
+
 } // namespace cranberry
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -53,6 +53,7 @@
     void run(CancelSent &action);
     void run(MigrateGeneration &action);
     void run(ProbeEngine &action);
+    void run(ProbePath &action);
     void run(SendToPeer &action);
 
     void callEndpoint(HttpCall call, DurationMs timeout, std::function<void(const HttpResponse &)> onReply);
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+namespace json = boost::json;
+
 /// Maximum number of rejections of one request by endpoints that state that they did not run it. These sends
 /// don't count against the route's attempts.
 constexpr uint32_t MaxRejections = 2;
@@ -85,6 +87,7 @@
     if (!event.matchesRequest) {
         return cancelAsFailed(event.attempt, now);
     }
+    contacts_[exchange->service].lastByteAt = now;
     exchange->head = event;
     if (!event.wrongInstance)
         recordLimit(*exchange, now);
@@ -124,6 +127,7 @@
     Exchange *exchange = findByAttempt(event.attempt);
     if (!exchange)
         return;
+    contacts_[exchange->service].lastByteAt = now;
     if (!exchange->head.eventStream) {
         exchange->body += event.bytes;
         if (exchange->body.size() > MaxBufferedBody)
@@ -275,27 +279,33 @@
             continueAtTarget(*exchange, now);
         return;
     }
+    if (!event.sent)
+        recordConnectFailure(exchange->sentTo.id, event.connect, now);
     const bool waits = event.sent && recordInterruptedAttempt(*exchange, now);
-    closeFailedAttempt(*exchange, event.sent, now);
+    closeFailedAttempt(*exchange, event, now);
     if (!waits)
         continueAfterFailure(*exchange, event.sent, now);
 }
 
 void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
 {
-    closeFailedAttempt(exchange, sent, now);
+    closeFailedAttempt(exchange, {exchange.attempt, sent}, now);
     continueAfterFailure(exchange, sent, now);
 }
 
 // Closes an attempt whose outcome is unknown, or of which nothing was sent.
-void Gateway::closeFailedAttempt(Exchange &exchange, bool sent, TimeMs now)
+void Gateway::closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now)
 {
-    log(LogPriority::Failure, "attempt_broken", exchange,
-        {{"attempt", exchange.attempt.value}, {"sent", sent}, {"after_ms", (now - exchange.sentAt).count}});
+    json::object fields{{"attempt", exchange.attempt.value},
+                        {"sent", failure.sent},
+                        {"after_ms", (now - exchange.sentAt).count}};
+    if (!failure.sent)
+        fields["connect"] = toText(failure.connect);
+    log(LogPriority::Failure, "attempt_broken", exchange, std::move(fields));
     recordBadOutcome(exchange, true, now);
     fleet_.failed(exchange.sentTo, now);
     detach(exchange);
-    if (!sent)
+    if (!failure.sent)
         return;
     exchange.mayHaveRun = true;
     ++exchange.sends;
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -50,6 +50,13 @@
     return std::chrono::milliseconds(seconds * 1000) - IdleMargin;
 }
 
+HttpFailure connectFailureOf(beast::error_code code)
+{
+    if (!code)
+        return HttpFailure::None;
+    return code == asio::error::connection_refused ? HttpFailure::Refused : HttpFailure::NotSent;
+}
+
 class ClientCall;
 
 } // namespace
@@ -145,10 +152,12 @@
         if (finished_)
             return;
         if (code)
-            return done(code == asio::error::connection_refused ? HttpFailure::Refused
-                                                                : HttpFailure::NotSent);
+            return done(connectFailureOf(code));
         setSocketOptions(stream_->socket().native_handle());
-        write();
+        if (callbacks_.onConnected)
+            callbacks_.onConnected();
+        if (!finished_)
+            write();
     }
 
     void write()
@@ -318,6 +327,32 @@
     running->cancel();
 }
 
+void HttpClient::connect(const Address &address, DurationMs timeout, std::function<void(HttpFailure)> onDone)
+{
+    beast::error_code code;
+    const asio::ip::address ip = asio::ip::make_address(address.host, code);
+    if (code) {
+        asio::post(state_->io, [onDone = std::move(onDone)] { onDone(HttpFailure::NotSent); });
+        return;
+    }
+    std::shared_ptr<beast::tcp_stream> stream = std::make_shared<beast::tcp_stream>(state_->io);
+    stream->expires_after(toChrono(timeout));
+    stream->async_connect(tcp::endpoint(ip, address.port),
+                          [stream, address, weak = std::weak_ptr<State>(state_),
+                           onDone = std::move(onDone)](beast::error_code error) {
+                              const std::shared_ptr<State> state = weak.lock();
+                              if (!state)
+                                  return;
+                              if (!error) {
+                                  setSocketOptions(stream->socket().native_handle());
+                                  state->putIdle(address,
+                                                 std::make_unique<beast::tcp_stream>(std::move(*stream)),
+                                                 DefaultIdleLimit);
+                              }
+                              onDone(connectFailureOf(error));
+                          });
+}
+
 void HttpClient::fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone)
 {
     std::shared_ptr<HttpResponse> response = std::make_shared<HttpResponse>();
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -37,6 +37,7 @@
 };
 
 struct HttpCallbacks {
+    std::function<void()> onConnected; ///< A new connection was established; not called for a reused one.
     std::function<void(int status, const HttpHeaders &headers)> onHead;
     std::function<void(const char *data, size_t size)> onData;
     std::function<void(HttpFailure failure)> onDone; ///< Called once, unless cancelled.
@@ -61,6 +62,8 @@
     uint64_t start(HttpCall call, HttpCallbacks callbacks);
     void cancel(uint64_t call); ///< No callback is called afterwards.
     void fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone);
+    /// Opens a connection and keeps it idle for a later call. `onDone` gets None, Refused or NotSent.
+    void connect(const Address &address, DurationMs timeout, std::function<void(HttpFailure)> onDone);
 
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
