Failing test: callers of daemons that reach no endpoint

Daemons, engines, plain endpoints and the connections between them in virtual time; two of six daemons lose all endpoints from 5 s to 17 s.

--- /dev/null
+++ b/tests/partitionload.cpp
@@ -0,0 +1,636 @@
+#include "partitionload.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cranberry {
+
+namespace {
+
+constexpr int64_t StartMs = 100'000;
+constexpr DurationMs Hop{1}; ///< Between two instances.
+constexpr DurationMs TickInterval{25};
+constexpr DurationMs ListInterval{500};
+constexpr DurationMs ConnectTimeout{350};
+constexpr DurationMs IdleLimit{3000}; ///< Of a kept connection.
+constexpr DurationMs DeadConnectionTimeout{4000}; ///< Keep-alive probes end a hanging connection.
+constexpr DurationMs PlainWork{30};
+constexpr DurationMs EngineWork{200}; ///< To the first event.
+constexpr DurationMs EventInterval{60};
+constexpr uint64_t Events = 15;
+constexpr DurationMs StableTime{3000};
+constexpr DurationMs Deadline{1500};
+constexpr DurationMs StreamDeadline{12000};
+constexpr DurationMs EntryTtl{1000};
+constexpr size_t Callers = 400;
+
+struct Endpoint {
+    EndpointEntry entry;
+    bool isDead = false;
+    TimeMs silentFrom;
+    TimeMs silentUntil;
+};
+
+/// One attempt at an endpoint.
+struct Open {
+    size_t daemon = 0;
+    size_t carrier = 0; ///< Daemon whose connection it uses.
+    AttemptId attempt;
+    EndpointId endpoint;
+    std::string request;
+    TimeMs connectedAt;
+    bool isSent = false;
+};
+
+struct Connection {
+    TimeMs openedAt;
+    TimeMs usedAt;
+};
+
+struct Daemon {
+    std::unique_ptr<RecordingLog> log;
+    std::unique_ptr<Gateway> gateway;
+    std::map<EndpointId, std::vector<Connection>> idle;
+    bool isGone = false;
+};
+
+struct Caller {
+    std::vector<size_t> daemons;
+    TimeMs askedAt;
+    DurationMs ttl = EntryTtl;
+};
+
+struct Asked {
+    size_t daemon = 0;
+    TimeMs at;
+    bool mayRepeat = false;
+    uint64_t runs = 0;
+    int status = 0;
+    bool isWhole = false;
+    bool isAnswered = false;
+};
+
+class PartitionLoad
+{
+public:
+    explicit PartitionLoad(const PartitionPlan &plan) : plan_(plan), random_(plan.seed) { }
+
+    PartitionResult play()
+    {
+        configure();
+        for (size_t i = 0; i < plan_.engines + plan_.plainEndpoints; ++i)
+            addEndpoint(i);
+        for (size_t i = 0; i < plan_.daemons; ++i)
+            startDaemon(i);
+        for (size_t i = 0; i < Callers; ++i)
+            callers_.push_back({{}, {}, i % 3 == 0 ? EntryTtl * 3 : EntryTtl});
+        scheduleFaults();
+        every(ListInterval, [this] { list(); });
+        every(TickInterval, [this] { tick(); });
+        every(plan_.reportInterval, [this] { report(); });
+        at(now_ + DurationMs{1000}, [this] { arrive(); });
+        const TimeMs end = TimeMs{StartMs} + plan_.length + StreamDeadline;
+        while (!events_.empty() && events_.begin()->first <= end) {
+            now_ = events_.begin()->first;
+            const std::function<void()> event = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            event();
+        }
+        evaluate();
+        return result_;
+    }
+
+private:
+    void at(TimeMs time, std::function<void()> event) { events_.emplace(time, std::move(event)); }
+    void every(DurationMs interval, const std::function<void()> &event)
+    {
+        event();
+        at(now_ + interval, [this, interval, event] { every(interval, event); });
+    }
+
+    void configure()
+    {
+        configuration_ = std::make_shared<ServingConfiguration>();
+        configuration_->version = 1;
+        const auto addRoute
+            = [this](const char *name, RouteKind kind, const char *service, DurationMs timeout) {
+                  Route route;
+                  route.name = name;
+                  route.host = "portal.example";
+                  route.prefix = fmt::format("/{}/", name);
+                  route.kind = kind;
+                  route.targets.push_back({ServiceName{service}, 1});
+                  route.timeout = timeout;
+                  route.latencyTarget = {1000};
+                  route.attempts = 2;
+                  route.resumable = kind == RouteKind::Streaming;
+                  route.anonymous = true;
+                  configuration_->routes.push_back(route);
+              };
+        addRoute("review", RouteKind::Streaming, "model", StreamDeadline);
+        addRoute("order", RouteKind::NonIdempotent, "plain", Deadline);
+        addRoute("lookup", RouteKind::Idempotent, "plain", Deadline);
+        ServedService model;
+        model.name.value = "model";
+        model.engine = EngineFigures{64, 500'000, 3};
+        ServedService plain;
+        plain.name.value = "plain";
+        configuration_->services = {model, plain};
+        configuration_->index();
+    }
+
+    void addEndpoint(size_t i)
+    {
+        Endpoint endpoint;
+        const bool isEngine = i < plan_.engines;
+        endpoint.entry.id.value = fmt::format("{}-{}", isEngine ? "engine" : "plain", i);
+        endpoint.entry.service.value = isEngine ? "model" : "plain";
+        endpoint.entry.address = {"10.0.0.1", static_cast<uint16_t>(1000 + i)};
+        endpoint.entry.failureDomain.value = fmt::format("domain-{}", i % 4);
+        endpoint.entry.slots = isEngine ? 64 : 40;
+        order_.push_back(endpoint.entry.id);
+        endpoints_[endpoint.entry.id] = endpoint;
+    }
+
+    void startDaemon(size_t i)
+    {
+        GatewaySettings settings;
+        settings.instance.value = fmt::format("entry-{}", i);
+        settings.incarnation.value = i + 1;
+        settings.failureDomain.value = fmt::format("domain-{}", i % 4);
+        settings.retryLimits = {0.2, 52, {10000}};
+        settings.seed = plan_.seed * 1000 + i;
+        Daemon daemon;
+        daemon.log = std::make_unique<RecordingLog>();
+        daemon.gateway = std::make_unique<Gateway>(settings, *daemon.log);
+        daemons_.push_back(std::move(daemon));
+        MemberEntry member;
+        member.instance = settings.instance;
+        member.incarnation = settings.incarnation;
+        member.failureDomain = settings.failureDomain;
+        member.peerAddress = {"10.0.0.2", static_cast<uint16_t>(i)};
+        member.serving = true;
+        members_.push_back(member);
+    }
+
+    void scheduleFaults()
+    {
+        for (const Cut &cut : plan_.cuts) {
+            at(TimeMs{StartMs} + cut.from, [this, &cut] { beginCut(cut); });
+        }
+        for (const std::pair<const size_t, DurationMs> &each : plan_.killed)
+            at(TimeMs{StartMs} + each.second, [this, daemon = each.first] { kill(daemon); });
+        for (const std::pair<const size_t, DurationMs> &each : plan_.endpointsDead)
+            at(TimeMs{StartMs} + each.second, [this, id = order_[each.first]] { end(id); });
+        for (const std::pair<const size_t, std::pair<DurationMs, DurationMs>> &each : plan_.endpointsSilent) {
+            endpoints_[order_[each.first]].silentFrom = TimeMs{StartMs} + each.second.first;
+            endpoints_[order_[each.first]].silentUntil = TimeMs{StartMs} + each.second.second;
+        }
+    }
+
+    // ---- Faults ----
+
+    const Cut *cutOf(size_t daemon, const EndpointId &endpoint) const
+    {
+        const DurationMs since = now_ - TimeMs{StartMs};
+        const std::string &service = endpoints_.at(endpoint).entry.service.value;
+        for (const Cut &cut : plan_.cuts) {
+            if (cut.daemons.contains(daemon) && since >= cut.from && since < cut.until
+                && (cut.services.empty() || cut.services.contains(service)))
+                return &cut;
+        }
+        return nullptr;
+    }
+
+    void beginCut(const Cut &cut)
+    {
+        if (cut.kind == CutKind::Refused)
+            breakWhere([&](const Open &open) {
+                return cut.daemons.contains(open.carrier) && cutOf(open.carrier, open.endpoint) == &cut;
+            });
+        if (cut.kind == CutKind::Hanging)
+            at(now_ + DeadConnectionTimeout, [this, &cut, began = now_] {
+                breakWhere([&](const Open &open) {
+                    return cut.daemons.contains(open.carrier) && open.connectedAt < began
+                        && cutOf(open.carrier, open.endpoint) == &cut;
+                });
+            });
+        for (size_t daemon : cut.daemons) {
+            if (cut.kind != CutKind::OldLiveOn)
+                std::erase_if(daemons_[daemon].idle, [&](const auto &each) {
+                    return cut.kind == CutKind::Refused && cutOf(daemon, each.first) == &cut;
+                });
+        }
+    }
+
+    void breakWhere(const std::function<bool(const Open &)> &isBroken)
+    {
+        std::vector<uint64_t> broken;
+        for (const std::pair<const uint64_t, Open> &each : open_) {
+            if (each.second.isSent && isBroken(each.second))
+                broken.push_back(each.first);
+        }
+        for (uint64_t number : broken)
+            fail(number, true, ConnectFailure::None);
+    }
+
+    void kill(size_t daemon)
+    {
+        daemons_[daemon].isGone = true;
+        std::erase_if(open_, [daemon](const auto &each) { return each.second.daemon == daemon; });
+        breakWhere([daemon](const Open &open) { return open.carrier == daemon; });
+    }
+
+    void end(const EndpointId &id)
+    {
+        endpoints_[id].isDead = true;
+        for (Daemon &daemon : daemons_)
+            daemon.idle.erase(id);
+        breakWhere([&id](const Open &open) { return open.endpoint == id; });
+    }
+
+    // ---- The store and the reports ----
+
+    void list()
+    {
+        EndpointsRead read;
+        read.askedAt = now_;
+        for (const std::pair<const EndpointId, Endpoint> &each : endpoints_)
+            read.entries.push_back(each.second.entry);
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            Gateway &gateway = *daemons_[i].gateway;
+            gateway.onMembers(members_, now_);
+            gateway.onConfiguration({configuration_, now_}, now_);
+            gateway.onEndpoints(read, now_);
+            takeActions(i);
+        }
+    }
+
+    void tick()
+    {
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (daemons_[i].isGone)
+                continue;
+            daemons_[i].gateway->tick(now_);
+            takeActions(i);
+        }
+    }
+
+    void report()
+    {
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (daemons_[i].isGone)
+                continue;
+            const PeerReport report = daemons_[i].gateway->report(true, now_);
+            for (size_t other = 0; other < daemons_.size(); ++other) {
+                if (other != i && !daemons_[other].isGone)
+                    daemons_[other].gateway->onPeerReport(report, now_);
+            }
+        }
+    }
+
+    // ---- Callers ----
+
+    void arrive()
+    {
+        if (now_ - TimeMs{StartMs} >= plan_.length)
+            return;
+        ask();
+        const auto meanMs
+            = static_cast<uint64_t>(1000.0 * 1000.0 / (plan_.perSecond * static_cast<double>(plan_.daemons)));
+        pendingUs_ += random_.below(2 * meanMs);
+        const DurationMs pause{static_cast<int64_t>(pendingUs_ / 1000)};
+        pendingUs_ %= 1000;
+        at(now_ + pause, [this] { arrive(); });
+    }
+
+    size_t daemonFor(Caller &caller)
+    {
+        if (!plan_.callersFollowEntries)
+            return random_.below(daemons_.size());
+        if (caller.daemons.empty() || now_ - caller.askedAt >= caller.ttl) {
+            caller.askedAt = now_;
+            caller.daemons.clear();
+            for (size_t i = 0; i < daemons_.size(); ++i) {
+                if (daemons_[i].gateway->paths().unreached().empty())
+                    caller.daemons.push_back(i);
+            }
+            if (caller.daemons.empty())
+                caller.daemons.push_back(random_.below(daemons_.size()));
+        }
+        return caller.daemons[random_.below(caller.daemons.size())];
+    }
+
+    void ask()
+    {
+        const size_t daemon = daemonFor(callers_[random_.below(callers_.size())]);
+        if (daemons_[daemon].isGone)
+            return;
+        std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>();
+        const CallerId caller{++requests_};
+        const uint64_t kind = random_.below(6);
+        const char *path = kind < 4 ? "/review/" : kind == 4 ? "/order/" : "/lookup/";
+        request->id = fmt::format("request-{}", caller.value);
+        request->method = "POST";
+        request->path = request->target = path;
+        request->host = "portal.example";
+        request->body = request->id;
+        request->deadline = kind < 4 ? StreamDeadline : Deadline;
+        request->statesTokens = true;
+        request->promptTokens = 1000;
+        request->outputTokens = Events * 3;
+        Asked asked;
+        asked.daemon = daemon;
+        asked.at = now_;
+        asked.mayRepeat = kind != 4;
+        asked_[request->id] = asked;
+        callerRequests_[daemon][caller] = request->id;
+        daemons_[daemon].gateway->onRequest({caller, request}, now_);
+        takeActions(daemon);
+    }
+
+    void answered(size_t daemon, CallerId caller, int status, bool isWhole)
+    {
+        Asked &asked = asked_[callerRequests_[daemon][caller]];
+        asked.isAnswered = true;
+        asked.status = status;
+        asked.isWhole = isWhole;
+    }
+
+    // ---- Actions of the daemons ----
+
+    void takeActions(size_t daemon)
+    {
+        for (const GatewayAction &action : daemons_[daemon].gateway->takeActions()) {
+            if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
+                start(daemon, *attempt);
+            else if (const CancelSent *cancel = std::get_if<CancelSent>(&action))
+                std::erase_if(open_, [&](const auto &each) {
+                    return each.second.daemon == daemon && each.second.attempt == cancel->attempt;
+                });
+            else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
+                probeEngine(daemon, *probe);
+            else if (const ProbePath *path = std::get_if<ProbePath>(&action))
+                probePath(daemon, *path);
+            else if (const AnswerCaller *answer = std::get_if<AnswerCaller>(&action))
+                answered(daemon, answer->caller, answer->status, answer->status == 200);
+            else if (const EndCallerStream *end = std::get_if<EndCallerStream>(&action))
+                answered(daemon, end->caller, 200, end->complete);
+            else if (const SendToPeer *word = std::get_if<SendToPeer>(&action))
+                tell(*word);
+        }
+    }
+
+    void tell(const SendToPeer &word)
+    {
+        const CrashNotice *notice = std::get_if<CrashNotice>(&word.message);
+        if (!notice)
+            return;
+        at(now_ + Hop, [this, to = word.to.port, notice = *notice] {
+            daemons_[to].gateway->onCrashNotice(notice, now_);
+            takeActions(to);
+        });
+    }
+
+    /// Outcome of a new connection, and when it is known.
+    std::pair<ConnectFailure, DurationMs> connect(size_t carrier, const EndpointId &endpoint) const
+    {
+        if (const Cut *cut = cutOf(carrier, endpoint))
+            return cut->kind == CutKind::Hanging ? std::pair(ConnectFailure::TimedOut, ConnectTimeout)
+                                                 : std::pair(ConnectFailure::Refused, Hop);
+        return {endpoints_.at(endpoint).isDead ? ConnectFailure::Refused : ConnectFailure::None, Hop};
+    }
+
+    void connected(size_t carrier, const EndpointId &endpoint)
+    {
+        ++result_.connections;
+        ++result_.connectionsBySecond[second(now_)];
+        daemons_[carrier].gateway->onEndpointConnected({endpoint}, now_);
+        takeActions(carrier);
+    }
+
+    void start(size_t daemon, const SendAttempt &attempt)
+    {
+        const uint64_t number = ++opened_;
+        open_[number] = {daemon, daemon, attempt.attempt, attempt.endpoint, attempt.request->id, now_, false};
+        sendFrom(number, attempt);
+    }
+
+    void sendFrom(uint64_t number, const SendAttempt &attempt)
+    {
+        Open &open = open_[number];
+        std::vector<Connection> &idle = daemons_[open.carrier].idle[attempt.endpoint];
+        std::erase_if(idle, [this](const Connection &each) { return now_ - each.usedAt >= IdleLimit; });
+        if (!idle.empty()) {
+            open.connectedAt = idle.back().openedAt;
+            idle.pop_back();
+            at(now_ + Hop, [this, number, attempt] { arriveAtEndpoint(number, attempt); });
+            open.isSent = true;
+            return;
+        }
+        const auto [failure, after] = connect(open.carrier, attempt.endpoint);
+        at(now_ + after, [this, number, attempt, failure = failure] {
+            const auto found = open_.find(number);
+            if (found == open_.end())
+                return;
+            if (failure != ConnectFailure::None)
+                return fail(number, false, failure);
+            found->second.connectedAt = now_;
+            found->second.isSent = true;
+            connected(found->second.carrier, attempt.endpoint);
+            at(now_ + Hop, [this, number, attempt] { arriveAtEndpoint(number, attempt); });
+        });
+    }
+
+    /// True if bytes pass on the attempt's connection.
+    bool passes(const Open &open) const
+    {
+        const Cut *cut = cutOf(open.carrier, open.endpoint);
+        return !cut || cut->kind == CutKind::OldLiveOn || open.connectedAt >= TimeMs{StartMs} + cut->from;
+    }
+
+    void arriveAtEndpoint(uint64_t number, const SendAttempt &attempt)
+    {
+        const auto found = open_.find(number);
+        if (found == open_.end() || !passes(found->second) || endpoints_[attempt.endpoint].isDead)
+            return;
+        ++result_.attempts;
+        ++asked_[attempt.request->id].runs;
+        const bool isEngine = endpoints_[attempt.endpoint].entry.service.value == "model";
+        if (!isEngine)
+            return at(now_ + PlainWork, [this, number] { respond(number, false, 0); });
+        at(now_ + EngineWork,
+           [this, number, next = attempt.resumeAfter.value_or(0) + 1] { respond(number, true, next); });
+    }
+
+    void respond(uint64_t number, bool isStream, uint64_t event)
+    {
+        const auto found = open_.find(number);
+        if (found == open_.end())
+            return;
+        const Open open = found->second;
+        const Endpoint &endpoint = endpoints_[open.endpoint];
+        if (now_ >= endpoint.silentFrom && now_ < endpoint.silentUntil)
+            return at(endpoint.silentUntil,
+                      [this, number, isStream, event] { respond(number, isStream, event); });
+        if (!passes(open))
+            return; // Ended by keep-alive probes at both ends.
+        Gateway &gateway = *daemons_[open.daemon].gateway;
+        if (!isStream || streaming_.insert(number).second) {
+            AttemptHead head;
+            head.attempt = open.attempt;
+            head.status = 200;
+            head.eventStream = isStream;
+            gateway.onHead(head, now_);
+        }
+        const bool isLast = !isStream || event >= Events;
+        if (isStream)
+            gateway.onData({open.attempt, fmt::format("id: {}\ndata: x\n\n", event)}, now_);
+        if (isLast) {
+            open_.erase(number);
+            daemons_[open.carrier].idle[open.endpoint].push_back({open.connectedAt, now_});
+            gateway.onEnd({open.attempt}, now_);
+        } else {
+            at(now_ + EventInterval, [this, number, event] { respond(number, true, event + 1); });
+        }
+        takeActions(open.daemon);
+    }
+
+    void fail(uint64_t number, bool sent, ConnectFailure failure)
+    {
+        const auto found = open_.find(number);
+        if (found == open_.end())
+            return;
+        const Open open = found->second;
+        open_.erase(found);
+        if (daemons_[open.daemon].isGone)
+            return;
+        daemons_[open.daemon].gateway->onConnectionFailed({open.attempt, sent, failure}, now_);
+        takeActions(open.daemon);
+    }
+
+    void probeEngine(size_t daemon, const ProbeEngine &probe)
+    {
+        const auto [failure, after] = connect(daemon, probe.endpoint);
+        at(now_ + after, [this, daemon, probe, failure = failure] {
+            EngineProbed probed;
+            probed.endpoint = probe.endpoint;
+            probed.connect = failure;
+            probed.answered = failure == ConnectFailure::None;
+            probed.process = failure == ConnectFailure::None ? EndpointProcess::Running
+                : failure == ConnectFailure::Refused         ? EndpointProcess::Exited
+                                                             : EndpointProcess::Unknown;
+            probed.afterConnectionFailure = probe.afterConnectionFailure;
+            daemons_[daemon].gateway->onEngineProbed(probed, now_);
+            takeActions(daemon);
+        });
+    }
+
+    void probePath(size_t daemon, const ProbePath &probe)
+    {
+        const auto [failure, after] = connect(daemon, probe.endpoint);
+        at(now_ + after, [this, daemon, probe, failure = failure] {
+            if (failure == ConnectFailure::None) {
+                daemons_[daemon].idle[probe.endpoint].push_back({now_, now_});
+                return connected(daemon, probe.endpoint);
+            }
+            daemons_[daemon].gateway->onEndpointConnected({probe.endpoint, failure}, now_);
+            takeActions(daemon);
+        });
+    }
+
+    // ---- Results ----
+
+    static int64_t second(TimeMs time) { return (time.count - StartMs) / 1000; }
+
+    void evaluate()
+    {
+        for (const std::pair<const std::string, Asked> &entry : asked_)
+            count(entry.second);
+        for (size_t i = 0; i < daemons_.size(); ++i) {
+            const RecordingLog &log = *daemons_[i].log;
+            result_.quarantined += log.count("request_quarantined");
+            result_.endpointsTakenForDead += log.count("endpoint_ended");
+            result_.ejections += log.count("engine_ejected");
+            result_.regained += log.count("endpoints_reached_again");
+            result_.partitions += log.count("endpoints_unreached");
+            if (log.count("endpoints_unreached") > 0)
+                result_.reportedPartition.insert(i);
+            result_.pathProbes += daemons_[i].gateway->counters().of(GatewayCount::PathProbes);
+        }
+    }
+
+    void count(const Asked &asked)
+    {
+        if (daemons_[asked.daemon].isGone)
+            return;
+        const bool isServed = asked.status == 200 && asked.isWhole;
+        const DurationMs since = asked.at - TimeMs{StartMs};
+        bool isCut = false;
+        bool isStable = false;
+        for (const Cut &cut : plan_.cuts) {
+            isCut = isCut || (cut.daemons.contains(asked.daemon) && since >= cut.from && since < cut.until);
+            isStable = isStable || (since >= cut.from + StableTime && since < cut.until);
+        }
+        std::map<int64_t, TryCount> &bySecond = isCut ? result_.cutOffBySecond : result_.othersBySecond;
+        add(bySecond[second(asked.at)], isServed);
+        if (isStable)
+            add(isCut ? result_.cutOff : result_.others, isServed);
+        result_.unanswered += asked.isAnswered ? 0 : 1;
+        if (asked.mayRepeat)
+            return;
+        result_.ranTwice += asked.runs > 1 ? 1 : 0;
+        result_.ranThoughRefused += asked.runs > 0 && (asked.status == 503 || asked.status == 429) ? 1 : 0;
+    }
+
+    static void add(TryCount &count, bool isServed)
+    {
+        ++count.asked;
+        count.served += isServed ? 1 : 0;
+    }
+
+    const PartitionPlan plan_;
+    Random random_;
+    TimeMs now_{StartMs};
+    std::multimap<TimeMs, std::function<void()>> events_;
+    std::shared_ptr<ServingConfiguration> configuration_;
+    std::vector<EndpointId> order_;
+    std::map<EndpointId, Endpoint> endpoints_;
+    std::vector<Daemon> daemons_;
+    std::vector<MemberEntry> members_;
+    std::vector<Caller> callers_;
+    std::map<std::string, Asked> asked_;
+    std::map<size_t, std::map<CallerId, std::string>> callerRequests_;
+    std::map<uint64_t, Open> open_;
+    std::set<uint64_t> streaming_;
+    uint64_t opened_ = 0;
+    uint64_t requests_ = 0;
+    uint64_t pendingUs_ = 0;
+    PartitionResult result_;
+};
+
+} // namespace
+
+std::string PartitionResult::text() const
+{
+    std::string out = fmt::format(
+        "from 3 s after the cut: cut off {} of {}, others {} of {}\nran twice {}, ran though refused {}, "
+        "unanswered {}; quarantined {}, endpoints taken for dead {}, ejections {}; partitions {}, regained "
+        "{}, "
+        "path probes {}; attempts {}, connections {}\n",
+        cutOff.served, cutOff.asked, others.served, others.asked, ranTwice, ranThoughRefused, unanswered,
+        quarantined, endpointsTakenForDead, ejections, partitions, regained, pathProbes, attempts,
+        connections);
+    for (const std::pair<const int64_t, TryCount> &each : cutOffBySecond)
+        out += fmt::format("{} s: {} of {}\n", each.first, each.second.served, each.second.asked);
+    for (const std::pair<const size_t, uint64_t> &each : relayedBy)
+        out += fmt::format("daemon {} carried {}\n", each.first, each.second);
+    return out;
+}
+
+PartitionResult playPartition(const PartitionPlan &plan)
+{
+    return PartitionLoad(plan).play();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/tests/partitionload.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "gatewayfixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace cranberry {
+
+/// How the connections of a partitioned daemon to endpoints fail.
+enum class CutKind : uint8_t {
+    Refused, ///< Open connections are reset, new ones refused.
+    Hanging, ///< Nothing arrives any more, new connections time out.
+    OldLiveOn ///< Open connections work on, new ones are refused.
+};
+
+/// Some daemons lose all their endpoints for a time.
+struct Cut {
+    std::set<size_t> daemons;
+    CutKind kind = CutKind::Refused;
+    DurationMs from{5000};
+    DurationMs until{17000};
+    std::set<std::string> services = {}; ///< Empty: all.
+};
+
+/// Daemons, engines and plain endpoints in virtual time, with the connections between them.
+struct PartitionPlan {
+    size_t daemons = 6; ///< All serve.
+    size_t engines = 9;
+    size_t plainEndpoints = 4;
+    std::vector<Cut> cuts;
+    double perSecond = 7; ///< Requests that arrive at each daemon.
+    DurationMs length{20000};
+    DurationMs reportInterval{200};
+    std::map<size_t, DurationMs> killed; ///< Daemons that are gone from this time on.
+    std::map<size_t, DurationMs>
+        endpointsDead; ///< Endpoints (engines first) whose process ends at this time.
+    std::map<size_t, std::pair<DurationMs, DurationMs>> endpointsSilent; ///< Frozen between these times.
+    bool callersFollowEntries
+        = false; ///< Callers leave daemons that report a partition, once their answer expires.
+    uint64_t seed = 1;
+};
+
+struct TryCount {
+    uint64_t asked = 0;
+    uint64_t served = 0;
+    double share() const { return asked == 0 ? 1 : static_cast<double>(served) / static_cast<double>(asked); }
+};
+
+struct PartitionResult {
+    /// First tries that were sent from 3 s after the begin of a cut to its end, at the daemons that were cut
+    /// off and at the others.
+    TryCount cutOff;
+    TryCount others;
+    std::map<int64_t, TryCount> cutOffBySecond; ///< By the second of the day in which they were sent.
+    std::map<int64_t, TryCount> othersBySecond;
+    uint64_t ranTwice = 0; ///< Requests that must not be repeated and ran twice.
+    uint64_t ranThoughRefused = 0; ///< Of those, answered with "not run".
+    uint64_t unanswered = 0;
+    uint64_t quarantined = 0; ///< Log lines of all daemons.
+    uint64_t endpointsTakenForDead = 0;
+    uint64_t partitions = 0;
+    uint64_t regained = 0;
+    uint64_t ejections = 0;
+    uint64_t pathProbes = 0;
+    uint64_t attempts = 0; ///< At endpoints.
+    uint64_t connections = 0; ///< To endpoints, established.
+    std::map<int64_t, uint64_t> connectionsBySecond;
+    std::map<size_t, uint64_t> relayedBy; ///< Attempts that each daemon carried for others.
+    std::set<size_t> reportedPartition; ///< Daemons that wrote `endpoints_unreached`.
+
+    std::string text() const;
+};
+
+PartitionResult playPartition(const PartitionPlan &plan);
+
+} // namespace cranberry
