A daemon that reaches no endpoint sends its requests through others

Cause: a daemon reached endpoints over its own connections only. Not one new connection was established during the cut (endpoint_connections), so each request failed at one endpoint after the other. Ruled out: avoidance of endpoints that could be reached (no `no_endpoint`, no connection between the failures) and quarantine as what these callers met (one refusal; mended next).

Change: once two endpoints and a probe of a third fail to connect, or the service is silent and two fail, attempts go to another daemon that reports to reach the service. It passes the bytes on and decides nothing: admission, limits, retry budget, usage, deadline, placing and the log stay with the daemon that has the caller. What the relay could not send is known to be unsent; all else may have run. Probes with jitter find the end; two connections in a row end it.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -17,7 +17,7 @@
 
 // A request that is already a suspect is not retried before the probe's result is known: the result comes
 // within two milliseconds, and the retry could crash another endpoint.
-bool Gateway::recordInterruptedAttempt(const Exchange &exchange, TimeMs now)
+bool Gateway::recordInterruptedAttempt(Exchange &exchange, TimeMs now)
 {
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
     if (!endpoint)
@@ -46,7 +46,7 @@
     for (const InterruptedAttempt &attempt : probe->attempts) {
         const auto exchange = exchanges_.find(attempt.caller);
         if (attempt.retryAfterProbe && exchange != exchanges_.end())
-            continueAfterFailure(exchange->second, true, now);
+            continueAfterFailure(exchange->second, {}, now);
     }
 }
 
--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -326,6 +326,15 @@
     ++endpoint->failuresInRow;
 }
 
+void EndpointFleet::pardon(const EndpointId &id)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    found->second.failuresInRow = 0;
+    found->second.avoidUntil = found->second.crashedUntil;
+}
+
 void EndpointFleet::crashed(const EndpointIncarnation &incarnation, TimeMs now)
 {
     FleetEndpoint *endpoint = at(incarnation);
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -100,7 +100,11 @@
 };
 
 /// Why no endpoint was chosen.
-enum class PlacementProblem : uint8_t { NoEndpoint, AllBusy };
+enum class PlacementProblem : uint8_t {
+    NoEndpoint,
+    AllBusy,
+    Unreached ///< There are endpoints, but neither this daemon nor another one reaches them.
+};
 
 struct PlacementResult {
     std::optional<PlacementChoice> choice;
@@ -155,6 +159,8 @@
     bool isSilent(const EndpointIncarnation &incarnation, DurationMs pause, TimeMs now) const;
     void succeeded(const EndpointIncarnation &incarnation);
     void failed(const EndpointIncarnation &incarnation, TimeMs now);
+    /// Forgets the last failures of an endpoint that were this daemon's own.
+    void pardon(const EndpointId &id);
     /// Records that a probe found the endpoint's process exited.
     void crashed(const EndpointIncarnation &incarnation, TimeMs now);
     /// Records an error response of the endpoint itself.
--- a/src/gateway/endpoints/endpointpaths.cpp
+++ b/src/gateway/endpoints/endpointpaths.cpp
@@ -18,7 +18,6 @@
 constexpr uint64_t ProbeJitterMs = 300;
 /// Time until the second probe after a successful one.
 constexpr DurationMs ConfirmInterval{100};
-constexpr size_t ConnectionsKept = 2;
 
 } // namespace
 
@@ -38,13 +37,6 @@
 EndpointPaths::Change EndpointPaths::connected(const ServiceName &service, const EndpointId &endpoint,
                                                TimeMs now)
 {
-    connectedAt_[endpoint] = now;
-    if (connectedAt_.size() > ConnectionsKept)
-        connectedAt_.erase(std::min_element(
-            connectedAt_.begin(), connectedAt_.end(),
-            [](const std::pair<const EndpointId, TimeMs> &a, const std::pair<const EndpointId, TimeMs> &b) {
-                return a.second < b.second;
-            }));
     const auto found = paths_.find(service);
     if (found == paths_.end())
         return Change::None;
@@ -72,25 +64,24 @@
         std::erase_if(path.failedSince, [now](const std::pair<const EndpointId, TimeMs> &each) {
             return now - each.second > FailureMemory;
         });
-    const bool isNew = path.failedSince.try_emplace(endpoint, now).second;
+    path.failedSince.try_emplace(endpoint, now);
     path.newestFailure = failure;
     path.successes = 0;
-    switch (path.state) {
-    case State::Sound:
-        if (path.failedSince.size() >= std::min(MinFailedEndpoints, listed) || isOtherPartitioned)
-            return suspect(path, now);
-        return Change::None;
-    case State::Suspected:
-        if (!isNew && path.failedSince.size() < listed)
-            return Change::None;
-        path.state = State::Partitioned;
-        path.nextProbeAt
-            = now + ProbeInterval + DurationMs{static_cast<int64_t>(random_.below(ProbeJitterMs))};
-        return Change::Partitioned;
-    case State::Partitioned:
-        return Change::None;
-    }
-    return Change::None;
+    const bool isEnough
+        = path.failedSince.size() >= std::min(MinFailedEndpoints, listed) || isOtherPartitioned;
+    return path.state == State::Sound && isEnough ? suspect(path, now) : Change::None;
+}
+
+EndpointPaths::Change EndpointPaths::probeFailed(const ServiceName &service, const EndpointId &endpoint,
+                                                 ConnectFailure failure, size_t listed, TimeMs now)
+{
+    if (state(service) != State::Suspected)
+        return connectFailed(service, endpoint, failure, listed, now);
+    Path &path = paths_[service];
+    path.failedSince.try_emplace(endpoint, now);
+    path.newestFailure = failure;
+    path.state = State::Partitioned;
+    return Change::Partitioned;
 }
 
 EndpointPaths::Change EndpointPaths::silentAndUnreached(const ServiceName &service,
@@ -165,16 +156,6 @@
     return out;
 }
 
-TimeMs EndpointPaths::connectedAt(const EndpointId &except) const
-{
-    TimeMs newest;
-    for (const std::pair<const EndpointId, TimeMs> &each : connectedAt_) {
-        if (each.first != except)
-            newest = std::max(newest, each.second);
-    }
-    return newest;
-}
-
 std::vector<ServiceName> EndpointPaths::takeDueProbes(TimeMs now)
 {
     std::vector<ServiceName> due;
--- a/src/gateway/endpoints/endpointpaths.h
+++ b/src/gateway/endpoints/endpointpaths.h
@@ -29,9 +29,12 @@
 
     /// Records a new connection to an endpoint.
     Change connected(const ServiceName &service, const EndpointId &endpoint, TimeMs now);
-    /// Records a failed one. `listed`: number of the service's endpoints.
+    /// Records a failed one of an attempt. `listed`: number of the service's endpoints.
     Change connectFailed(const ServiceName &service, const EndpointId &endpoint, ConnectFailure failure,
                          size_t listed, TimeMs now);
+    /// Records a failed one of a probe, which decides where there is doubt.
+    Change probeFailed(const ServiceName &service, const EndpointId &endpoint, ConnectFailure failure,
+                       size_t listed, TimeMs now);
     /// Records that an endpoint was not reached while all endpoints of the service are silent.
     Change silentAndUnreached(const ServiceName &service, const EndpointId &endpoint, TimeMs now);
 
@@ -47,9 +50,6 @@
     bool hasFailed(const ServiceName &service, const EndpointId &endpoint) const;
     /// Endpoints to which the newest connection failed.
     std::vector<EndpointId> failed(const ServiceName &service) const;
-    /// Time of the newest connection to an endpoint other than `except`; zero if there is none.
-    TimeMs connectedAt(const EndpointId &except) const;
-
     /// Returns the services of which an endpoint is to be probed now. Counts as sent.
     std::vector<ServiceName> takeDueProbes(TimeMs now);
 
@@ -66,7 +66,6 @@
     bool isAnyPartitioned() const;
 
     std::map<ServiceName, Path> paths_;
-    std::map<EndpointId, TimeMs> connectedAt_; ///< The newest two, for `connectedAt()`.
     Random random_;
 };
 
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -13,6 +13,8 @@
 constexpr DurationMs SilenceBeforeProbe{400};
 /// A new connection to one of the service's endpoints shows for this time that they are reached.
 constexpr DurationMs ConnectionValidity{1000};
+/// Relays of one request. More than one, since a relay may be cut off as well and not know it yet.
+constexpr uint32_t MaxRelayedSends = 4;
 
 } // namespace
 
@@ -27,7 +29,7 @@
     if (wasSilent)
         contact.silentProbe.reset();
     if (event.failure != ConnectFailure::None) {
-        recordConnectFailure(event.endpoint, event.failure, now);
+        recordConnectFailure(event, now);
         if (wasSilent)
             applyPathChange(service, paths_.silentAndUnreached(service, event.endpoint, now), now);
         return;
@@ -40,16 +42,20 @@
                    {{"service", service.value}, {"after_ms", (now - since).count}});
 }
 
-void Gateway::recordConnectFailure(const EndpointId &id, ConnectFailure failure, TimeMs now)
+// An endpoint that leaves refuses connections as planned.
+void Gateway::recordConnectFailure(const EndpointConnected &event, TimeMs now)
 {
-    counters_.add(failure == ConnectFailure::Refused ? GatewayCount::EndpointConnectsRefused
-                                                     : GatewayCount::EndpointConnectsTimedOut);
-    const FleetEndpoint *endpoint = fleet_.find(id);
-    if (!endpoint)
+    counters_.add(event.failure == ConnectFailure::Refused ? GatewayCount::EndpointConnectsRefused
+                                                           : GatewayCount::EndpointConnectsTimedOut);
+    const FleetEndpoint *endpoint = fleet_.find(event.endpoint);
+    if (!endpoint || endpoint->entry.leaving || endpoint->gone)
         return;
     const ServiceName service = endpoint->entry.service;
+    const size_t listed = fleet_.accepting(service).size();
     applyPathChange(service,
-                    paths_.connectFailed(service, id, failure, fleet_.accepting(service).size(), now), now);
+                    event.isProbe ? paths_.probeFailed(service, event.endpoint, event.failure, listed, now)
+                                  : paths_.connectFailed(service, event.endpoint, event.failure, listed, now),
+                    now);
 }
 
 void Gateway::applyPathChange(const ServiceName &service, EndpointPaths::Change change, TimeMs now)
@@ -60,9 +66,12 @@
     case EndpointPaths::Change::Regained:
         return;
     case EndpointPaths::Change::Suspected:
+        contacts_[service].doubtedAt = now;
         return tickPaths(now);
     case EndpointPaths::Change::Partitioned:
+        contacts_[service].doubtedAt = now;
         counters_.add(GatewayCount::Partitions);
+        leavePaths(service);
         log_.write(LogPriority::State, "endpoints_unreached",
                    {{"service", service.value},
                     {"since_ms", (now - paths_.since(service)).count},
@@ -72,6 +81,17 @@
     }
 }
 
+// Connections of before may hang or break, also once the partition is over.
+void Gateway::leavePaths(const ServiceName &service)
+{
+    CloseIdleConnections close;
+    for (const EndpointId &id : fleet_.accepting(service))
+        close.addresses.push_back(fleet_.find(id)->entry.address);
+    actions_.emplace_back(std::move(close));
+    for (const EndpointId &id : paths_.failed(service))
+        fleet_.pardon(id);
+}
+
 void Gateway::tickPaths(TimeMs now)
 {
     for (const ServiceName &service : paths_.takeDueProbes(now))
@@ -126,4 +146,100 @@
     }
 }
 
+// ---- Relays ----
+
+std::optional<Address> Gateway::relayFor(const ServiceName &service, TimeMs now)
+{
+    if (!paths_.isDoubtful(service))
+        return std::nullopt;
+    const MemberEntry *relay = relays_.choose(peers_.relayCandidates(service, now), {}, now);
+    return relay ? std::optional<Address>(relay->peerAddress) : std::nullopt;
+}
+
+std::optional<Address> Gateway::relayFor(const Exchange &exchange, TimeMs now)
+{
+    if (exchange.relayedSends >= MaxRelayedSends
+        || (!exchange.needsRelay && !paths_.isDoubtful(exchange.service)))
+        return std::nullopt;
+    const MemberEntry *relay
+        = relays_.choose(peers_.relayCandidates(exchange.service, now), exchange.triedRelays, now);
+    return relay ? std::optional<Address>(relay->peerAddress) : std::nullopt;
+}
+
+bool Gateway::isOutOfReach(const ServiceName &service, TimeMs now) const
+{
+    return paths_.state(service) == EndpointPaths::State::Partitioned
+        && !relays_.isAvailable(peers_.relayCandidates(service, now), now);
+}
+
+// Endpoints to which this daemon could send nothing may get the request through a relay.
+void Gateway::allowUnsentAgain(Exchange &exchange, TimeMs now)
+{
+    if (exchange.relayedSends >= MaxRelayedSends
+        || !relays_.isAvailable(peers_.relayCandidates(exchange.service, now), now))
+        return;
+    exchange.needsRelay = true;
+    for (const EndpointId &id : std::exchange(exchange.unsentTo, {}))
+        exchange.tried.erase(id);
+}
+
+// A daemon whose own path is in doubt must not hold its failures against the endpoints.
+bool Gateway::isEndpointsFault(const Exchange &exchange, const AttemptConnectionFailed &failure) const
+{
+    if (exchange.relay)
+        return failure.relay != RelayFailure::Unavailable;
+    return !paths_.isDoubtful(exchange.service);
+}
+
+bool Gateway::isUnheard(const Exchange &exchange) const
+{
+    if (exchange.relay)
+        return false;
+    const auto contact = contacts_.find(exchange.service);
+    return paths_.isDoubtful(exchange.service)
+        || (contact != contacts_.end()
+            && std::max(contact->second.lastByteAt, contact->second.connectedAt) < exchange.sentAt);
+}
+
+// The response can't arrive over this connection any more. A request that must not be repeated waits on: its
+// connection may come back to life.
+bool Gateway::isLostInPartition(const Exchange &exchange, TimeMs now) const
+{
+    const bool isRepeatable = exchange.route->kind == RouteKind::Idempotent
+        || (exchange.route->kind == RouteKind::Streaming && exchange.route->resumable);
+    return !exchange.relay && isRepeatable && exchange.sends + 1 < exchange.route->attempts
+        && paths_.isHanging(exchange.service)
+        && now - std::max(exchange.sentAt, exchange.newestEventAt) > SilenceBeforeProbe;
+}
+
+// ---- For other daemons ----
+
+// Requests are passed on to listed endpoints alone, and never to a further daemon, so none goes in circles.
+std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint, TimeMs now) const
+{
+    const FleetEndpoint *found = isReady(now) ? fleet_.find(endpoint) : nullptr;
+    if (!found || found->gone || found->addressReused || !found->readable)
+        return std::nullopt;
+    return found->entry.address;
+}
+
+std::optional<ProbePath> Gateway::controlProbe(const EndpointId &refused, TimeMs now)
+{
+    const FleetEndpoint *endpoint = fleet_.find(refused);
+    std::vector<const FleetEndpoint *> ofService;
+    std::vector<const FleetEndpoint *> others;
+    for (const std::pair<const EndpointId, FleetEndpoint> &each : fleet_.all()) {
+        const FleetEndpoint &other = each.second;
+        if (each.first == refused || other.gone || other.entry.leaving || other.crashedUntil > now)
+            continue;
+        (endpoint && other.entry.service == endpoint->entry.service ? ofService : others).push_back(&other);
+    }
+    const std::vector<const FleetEndpoint *> &candidates = ofService.empty() ? others : ofService;
+    if (candidates.empty())
+        return std::nullopt;
+    const EndpointEntry &entry = candidates[random_.below(candidates.size())]->entry;
+    counters_.add(GatewayCount::PathProbes);
+    return ProbePath{entry.id, entry.address, PathProbeTimeout};
+}
+
 } // namespace cranberry
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,6 +57,12 @@
     uint32_t rejections = 0; ///< Number of endpoints that stated that they did not run the request.
     std::set<EndpointId> tried;
 
+    std::set<EndpointId> unsentTo; ///< Endpoints in `tried` that nothing was sent to.
+    std::optional<Address> relay; ///< Daemon that carries the open attempt.
+    std::set<Address> triedRelays;
+    uint32_t relayedSends = 0;
+    bool needsRelay = false; ///< This daemon's own connections for this request failed.
+
     AttemptId attempt;
     EndpointIncarnation sentTo; ///< Endpoint of the open attempt, else of the last one.
     TimeMs sentAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,8 @@
 
 Gateway::Gateway(const GatewaySettings &settings, DecisionLog &log)
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
-      usage_(settings.usageWindow), paths_(settings.seed)
+      usage_(settings.usageWindow), paths_(settings.seed),
+      relays_(settings.instance, settings.failureDomain, settings.seed)
 {
     applyBounds(settings);
 }
@@ -251,6 +252,7 @@
     exchange.phase
         = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
     exchange.tried.insert(choice.endpoint);
+    exchange.relay = relayFor(exchange, now);
     exchange.body.clear();
     exchange.splitter.clear();
     exchange.attemptEvents = 0;
@@ -285,10 +287,17 @@
     if (question.engine)
         order.urgency = std::min<uint32_t>(exchange.priority, 9);
     order.resumeAfter = exchange.lastEvent;
+    order.relay = exchange.relay;
     order.migratedKvCache = kvCache;
     json::object fields = limitLogFields(endpoint, now);
     if (choice.fetch)
         addFetch(exchange, order, fields);
+    if (exchange.relay) {
+        counters_.add(GatewayCount::AttemptsRelayed);
+        ++exchange.relayedSends;
+        exchange.triedRelays.insert(*exchange.relay);
+        fields["relay"] = toText(*exchange.relay);
+    }
     fields.insert({{"attempt", exchange.attempt.value},
                    {"service", exchange.service.value},
                    {"organisation", exchange.organisation.value},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/gatewaycounters.h"
 #include "gateway/limits/quotas.h"
 #include "gateway/peers/peertable.h"
+#include "gateway/peers/relaychoice.h"
 #include "gateway/requests/admissionqueue.h"
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/returnschedule.h"
@@ -128,6 +129,14 @@
     const EndpointFleet &fleet() const { return fleet_; }
     const PeerTable &peers() const { return peers_; }
     const EndpointPaths &paths() const { return paths_; }
+
+    // For other daemons, whose requests this one passes on.
+
+    /// Returns the endpoint for a request of another daemon, or nothing if this daemon does not relay.
+    std::optional<Address> relayTarget(const EndpointId &endpoint, TimeMs now) const;
+    /// Returns the probe of another endpoint that shows whether a refused connection is the endpoint's fault
+    /// or this daemon's; nothing if there is no other endpoint.
+    std::optional<ProbePath> controlProbe(const EndpointId &refused, TimeMs now);
     UsageWindows &usage() { return usage_; }
     ServingConfigurationPtr configuration() const { return configuration_; }
 
@@ -269,14 +278,15 @@
     bool forwardEvents(Exchange &exchange, TimeMs now);
     void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
     void closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
-    void continueAfterFailure(Exchange &exchange, bool sent, TimeMs now);
+    void continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void abandonSilentEndpoints(TimeMs now);
     bool canContinueElsewhere(Exchange &exchange, TimeMs now);
 
     // Endpoints that exit while they process requests (endpointcrashes.cpp).
 
     /// Returns true if the request has to wait for the result of a probe of the endpoint.
-    bool recordInterruptedAttempt(const Exchange &exchange, TimeMs now);
+    bool recordInterruptedAttempt(Exchange &exchange, TimeMs now);
+    bool probeThroughRelay(const EndpointId &id, TimeMs now);
     void onProcessProbed(const EngineProbed &event, TimeMs now);
     void onEndpointCrash(const EndpointProbes::ProbeResult &probe, TimeMs now);
     void clearSuspicion(const Exchange &exchange, TimeMs now);
@@ -296,13 +306,26 @@
         TimeMs connectedAt; ///< Of the newest new connection.
         TimeMs probedAt; ///< Of the newest probe for silence.
         std::optional<EndpointId> silentProbe; ///< Endpoint of an open probe for silence.
+        TimeMs doubtedAt; ///< Begin of the newest doubt that its endpoints are reached.
     };
     void tickPaths(TimeMs now);
-    void recordConnectFailure(const EndpointId &id, ConnectFailure failure, TimeMs now);
+    void recordConnectFailure(const EndpointConnected &event, TimeMs now);
     void applyPathChange(const ServiceName &service, EndpointPaths::Change change, TimeMs now);
+    void leavePaths(const ServiceName &service);
     void probePath(const ServiceName &service, TimeMs now);
     void sendPathProbe(const FleetEndpoint &endpoint);
     void probeSilentServices(TimeMs now);
+    /// Returns the daemon that is to carry the request's next attempt; none if its own connections will do.
+    std::optional<Address> relayFor(const Exchange &exchange, TimeMs now);
+    std::optional<Address> relayFor(const ServiceName &service, TimeMs now);
+    /// Neither this daemon nor any other reaches the service's endpoints.
+    bool isOutOfReach(const ServiceName &service, TimeMs now) const;
+    void allowUnsentAgain(Exchange &exchange, TimeMs now);
+    bool isEndpointsFault(const Exchange &exchange, const AttemptConnectionFailed &failure) const;
+    /// No byte has come from the service's endpoints since the attempt was sent, and no new connection shows
+    /// that they are reached.
+    bool isUnheard(const Exchange &exchange) const;
+    bool isLostInPartition(const Exchange &exchange, TimeMs now) const;
 
     // Endpoints with a limited request rate (endpointlimits.cpp).
     void recordLimit(const Exchange &exchange, TimeMs now);
@@ -375,6 +398,7 @@
     std::map<AttemptId, CallerId> attempts_;
     EndpointProbes endpointQuestions_;
     EndpointPaths paths_;
+    RelayChoice relays_;
     std::map<ServiceName, ServiceContact> contacts_;
     Quarantine quarantine_;
     RolloutView rollouts_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -9,7 +9,7 @@
 constexpr std::array<const char *, static_cast<size_t>(GatewayRefusal::Count)> RefusalNames
     = {"no_configuration", "stale_configuration", "bad_request", "unknown_route",     "unknown_key",
        "over_limit",       "no_endpoint",         "overloaded",  "endpoints_limited", "not_executed",
-       "endpoint_broken",  "timed_out",           "leaving",     "quarantined"};
+       "endpoint_broken",  "timed_out",           "leaving",     "quarantined",       "endpoints_unreached"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames = {
     "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
@@ -51,7 +51,10 @@
        "endpoint_connects_refused",
        "endpoint_connects_timed_out",
        "path_probes",
-       "partitions"};
+       "partitions",
+       "attempts_relayed",
+       "relays_failed",
+       "relayed_for_peers"};
 
 } // namespace
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -24,6 +24,7 @@
     TimedOut,
     Leaving, ///< This daemon is about to stop.
     Quarantined, ///< Endpoints crashed while they processed this request before.
+    EndpointsUnreached, ///< Neither this daemon nor any other reaches the service's endpoints.
     Count
 };
 
@@ -79,6 +80,9 @@
     EndpointConnectsTimedOut, ///< New connections that were not established for another reason.
     PathProbes, ///< Connections that were opened only to find out whether endpoints are reached.
     Partitions, ///< Times at which this daemon lost all paths to a service's endpoints.
+    AttemptsRelayed, ///< Attempts that another daemon carried.
+    RelaysFailed, ///< Of these, those that the other daemon did not accept or pass on.
+    RelayedForPeers, ///< Attempts that this daemon carried for others.
     Count
 };
 
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -105,6 +105,13 @@
     TimedOut ///< Or failed otherwise, without an answer from the endpoint's instance.
 };
 
+/// Why a relay, i.e. another daemon, did not pass a request on to an endpoint. Nothing was sent to it.
+enum class RelayFailure : uint8_t {
+    None,
+    Unavailable, ///< The relay was not reached or did not accept the request.
+    EndpointUnreached ///< The relay does not reach the endpoint either.
+};
+
 /// Result of a probe of an endpoint's process.
 enum class EndpointProcess : uint8_t {
     Unknown, ///< No reply: the endpoint may be unreachable, frozen or without power.
@@ -121,19 +128,23 @@
     std::optional<DurationMs> leavesAfter;
     EndpointProcess process = EndpointProcess::Unknown;
     bool afterConnectionFailure = false; ///< Copied from the ProbeEngine action.
-    ConnectFailure connect = ConnectFailure::None;
+    ConnectFailure connect = ConnectFailure::None; ///< Of this daemon's own connection.
+    std::optional<Address> relay = std::nullopt; ///< Copied from the ProbeEngine action.
+    RelayFailure relayFailure = RelayFailure::None;
 };
 
 struct AttemptConnectionFailed {
     AttemptId attempt;
-    bool sent = true; ///< False: no byte of the request was sent.
-    ConnectFailure connect = ConnectFailure::TimedOut; ///< Valid if nothing was sent.
+    bool sent = true; ///< False: no byte of the request was sent to the endpoint.
+    ConnectFailure connect = ConnectFailure::TimedOut; ///< Valid if nothing was sent without a relay.
+    RelayFailure relay = RelayFailure::None;
 };
 
 /// A new connection to an endpoint was established or failed, for an attempt or for a probe.
 struct EndpointConnected {
     EndpointId endpoint;
     ConnectFailure failure = ConnectFailure::None;
+    bool isProbe = false; ///< Outcome of a ProbePath action.
 };
 
 /// An endpoint that exited while it processed a request.
@@ -323,6 +334,7 @@
     std::vector<ServiceDemand> demands;
     std::vector<TrialCount> trials;
     std::vector<EngineSpeedRow> speeds; ///< Only in full reports.
+    std::vector<ServiceName> unreached; ///< Services of which the sender reaches no endpoint.
 };
 
 /// One incarnation of a daemon and the instance that it runs on.
@@ -471,6 +483,8 @@
     Address target;
     std::string requestId;
     DurationMs timeout;
+    std::optional<Address> relay; ///< Daemon that passes the call on.
+    EndpointId sourceId;
 };
 
 /// Requests an engine's state.
@@ -481,6 +495,12 @@
     /// Connections of attempts failed there. The probe then uses a new connection: only that distinguishes an
     /// endpoint that exited from a broken keep-alive connection.
     bool afterConnectionFailure = false;
+    std::optional<Address> relay = std::nullopt; ///< Daemon that probes instead of this one.
+};
+
+/// Closes the connections to these endpoints that are not in use.
+struct CloseIdleConnections {
+    std::vector<Address> addresses;
 };
 
 /// Opens a connection to an endpoint without a request. It is kept for a later attempt.
@@ -502,6 +522,8 @@
     std::optional<uint64_t> resumeAfter;
     std::optional<MigratedKvCache> migratedKvCache; ///< Continue the generation from this KV cache.
     std::optional<Address> fetchFrom; ///< Engine from which cached prompt parts are to be fetched.
+    std::optional<Address>
+        relay; ///< Daemon that passes the request on, if this one does not reach the endpoint.
 };
 
 struct CancelSent {
@@ -517,6 +539,6 @@
 
 using GatewayAction
     = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream, SendAttempt,
-                   CancelSent, MigrateGeneration, ProbeEngine, ProbePath, SendToPeer>;
+                   CancelSent, MigrateGeneration, ProbeEngine, ProbePath, CloseIdleConnections, SendToPeer>;
 
 } // namespace cranberry
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -160,6 +160,8 @@
         gateway.onHead(platform::decodeHead(attempt, *request, status, headers), steadyNow());
         runActions();
     };
+    if (action.relay)
+        return sendThroughRelay(action, std::move(call), std::move(callbacks));
     callbacks.onData = [this, attempt](const char *data, size_t size) {
         gateway.onData({attempt, std::string(data, size)}, steadyNow());
         runActions();
@@ -173,7 +175,42 @@
                                        steadyNow());
         runActions();
     };
-    calls[attempt] = endpoints.start(std::move(call), std::move(callbacks));
+    calls[attempt] = {endpoints.start(std::move(call), std::move(callbacks)), false};
+}
+
+// The endpoint's response comes back as it is. Whether the relay reached the endpoint is known from its own
+// header alone; without it, the request may have been sent.
+void GatewayServer::State::sendThroughRelay(const SendAttempt &action, HttpCall call, HttpCallbacks callbacks)
+{
+    const AttemptId attempt = action.attempt;
+    call.address = *action.relay;
+    addRelayHeaders(call.request, action.endpoint, false);
+    const std::shared_ptr<std::optional<RelayOutcome>> outcome
+        = std::make_shared<std::optional<RelayOutcome>>();
+    callbacks.onConnected = nullptr;
+    callbacks.onHead
+        = [outcome, forward = std::move(callbacks.onHead)](int status, const HttpHeaders &headers) {
+              *outcome = relayOutcomeOf(headers);
+              if (*outcome == RelayOutcome::Reached)
+                  forward(status, withoutRelayHeaders(headers));
+          };
+    callbacks.onData = [this, attempt, outcome](const char *data, size_t size) {
+        if (*outcome == RelayOutcome::Reached) {
+            gateway.onData({attempt, std::string(data, size)}, steadyNow());
+            runActions();
+        }
+    };
+    callbacks.onDone = [this, attempt, outcome](HttpFailure failure) {
+        calls.erase(attempt);
+        const RelayFailure relayed = relayFailureOf(failure, *outcome);
+        if (failure == HttpFailure::None && *outcome == RelayOutcome::Reached)
+            gateway.onEnd({attempt}, steadyNow());
+        else
+            gateway.onConnectionFailed(
+                {attempt, relayed == RelayFailure::None, ConnectFailure::TimedOut, relayed}, steadyNow());
+        runActions();
+    };
+    calls[attempt] = {relays.start(std::move(call), std::move(callbacks)), true};
 }
 
 void GatewayServer::State::run(CancelSent &action)
@@ -181,18 +218,24 @@
     const auto found = calls.find(action.attempt);
     if (found == calls.end())
         return;
-    endpoints.cancel(found->second);
+    (found->second.isRelayed ? relays : endpoints).cancel(found->second.call);
     calls.erase(found);
 }
 
 // Sends a short call to an endpoint that is no attempt of a request.
-void GatewayServer::State::callEndpoint(HttpCall call, DurationMs timeout,
-                                        std::function<void(const HttpResponse &)> onReply)
+void GatewayServer::State::callEndpoint(EndpointCall order, std::function<void(const HttpResponse &)> onReply)
 {
-    call.connectTimeout = std::min(ConnectTimeout, timeout);
-    call.progressTimeout = timeout;
-    call.totalTimeout = timeout;
-    endpoints.fetch(std::move(call), [this, onReply = std::move(onReply)](const HttpResponse &response) {
+    HttpCall &call = order.call;
+    call.connectTimeout = std::min(ConnectTimeout, order.timeout);
+    call.progressTimeout = order.timeout;
+    call.totalTimeout = order.timeout;
+    if (order.relay) {
+        call.address = *order.relay;
+        addRelayHeaders(call.request, order.endpoint, call.freshConnection);
+        call.freshConnection = false;
+    }
+    HttpClient &client = order.relay ? relays : endpoints;
+    client.fetch(std::move(call), [this, onReply = std::move(onReply)](const HttpResponse &response) {
         onReply(response);
         runActions();
     });
@@ -200,41 +243,56 @@
 
 void GatewayServer::State::run(MigrateGeneration &action)
 {
-    HttpCall call;
-    call.address = action.source;
-    call.request = platform::encodeMigration(action);
-    callEndpoint(
-        std::move(call), action.timeout, [this, attempt = action.attempt](const HttpResponse &reply) {
-            gateway.onGenerationMigrated(
-                platform::decodeMigrationReply(attempt, completeStatus(reply), reply.body), steadyNow());
-        });
+    EndpointCall order{action.sourceId, {}, action.timeout, action.relay};
+    order.call.address = action.source;
+    order.call.request = platform::encodeMigration(action);
+    callEndpoint(std::move(order), [this, action](const HttpResponse &reply) {
+        const bool isReached = !action.relay || relayOutcomeOf(reply.headers) == RelayOutcome::Reached;
+        gateway.onGenerationMigrated(
+            platform::decodeMigrationReply(action.attempt, isReached ? completeStatus(reply) : 0, reply.body),
+            steadyNow());
+    });
 }
 
 void GatewayServer::State::run(ProbeEngine &action)
 {
-    HttpCall call;
-    call.address = action.address;
-    call.request = platform::encodeProbe();
-    call.freshConnection = action.afterConnectionFailure;
-    callEndpoint(std::move(call), action.timeout,
-                 [this, endpoint = action.endpoint,
-                  afterConnectionFailure = action.afterConnectionFailure](const HttpResponse &reply) {
-                     EngineProbed probed = platform::decodeProbe(endpoint, completeStatus(reply), reply.body);
-                     probed.afterConnectionFailure = afterConnectionFailure;
-                     probed.connect = connectFailureOf(reply.failure);
-                     if (reply.failure == HttpFailure::Refused)
-                         probed.process = EndpointProcess::Exited;
-                     gateway.onEngineProbed(probed, steadyNow());
-                 });
+    EndpointCall order{action.endpoint, {}, action.timeout, action.relay};
+    order.call.address = action.address;
+    order.call.request = platform::encodeProbe();
+    order.call.freshConnection = action.afterConnectionFailure;
+    callEndpoint(std::move(order), [this, action](const HttpResponse &reply) {
+        const std::optional<RelayOutcome> outcome
+            = action.relay ? relayOutcomeOf(reply.headers) : RelayOutcome::Reached;
+        const int status = outcome == RelayOutcome::Reached ? completeStatus(reply) : 0;
+        EngineProbed probed = platform::decodeProbe(action.endpoint, status, reply.body);
+        probed.afterConnectionFailure = action.afterConnectionFailure;
+        probed.relay = action.relay;
+        if (action.relay) {
+            probed.relayFailure = relayFailureOf(reply.failure, outcome);
+            if (outcome == RelayOutcome::EndpointExited)
+                probed.process = EndpointProcess::Exited;
+        } else {
+            probed.connect = connectFailureOf(reply.failure);
+            if (reply.failure == HttpFailure::Refused)
+                probed.process = EndpointProcess::Exited;
+        }
+        gateway.onEngineProbed(probed, steadyNow());
+    });
+}
+
+void GatewayServer::State::run(CloseIdleConnections &action)
+{
+    for (const Address &address : action.addresses)
+        endpoints.closeIdle(address);
 }
 
 void GatewayServer::State::run(ProbePath &action)
 {
-    endpoints.connect(action.address, action.timeout,
-                      [this, endpoint = action.endpoint](HttpFailure failure) {
-                          gateway.onEndpointConnected({endpoint, connectFailureOf(failure)}, steadyNow());
-                          runActions();
-                      });
+    endpoints.connect(
+        action.address, action.timeout, [this, endpoint = action.endpoint](HttpFailure failure) {
+            gateway.onEndpointConnected({endpoint, connectFailureOf(failure), true}, steadyNow());
+            runActions();
+        });
 }
 
 } // namespace cranberry
--- a/src/gateway/io/gatewaypeers.cpp
+++ b/src/gateway/io/gatewaypeers.cpp
@@ -153,6 +153,7 @@
         // connection while the caller sends on it.
         callerServer->setLimits({limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout,
                                  limits.idleTimeout + limits.idleTimeout / 4, true});
+        relayServer->setLimits(EndpointRelay::limitsFor(limits));
     }
     runActions();
 }
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -71,7 +71,8 @@
       usageReporter(settings.usageDue, log),
       checkpointReader({settings.instance, incarnation}, gateway.counters(), log),
       checkpointWriter(gateway.counters(), log), engineSizing(settings.firstStart, log),
-      rolloutController(log), storeCodec(log), endpoints(io), store(io), leaderCallClient(io)
+      rolloutController(log), storeCodec(log), endpoints(io), relays(io),
+      relay(endpoints, gateway, [this] { runActions(); }), store(io), leaderCallClient(io)
 {
     rolloutController.setBounds({settings.exposeShare, settings.exposeSlack});
 }
@@ -166,6 +167,7 @@
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
     callerServer->closeAfterResponses();
+    relayServer->closeAfterResponses();
     sendReports(ReportSchedule::toAll(gateway.peers()), stopStartedAt);
 }
 
@@ -173,7 +175,8 @@
 {
     const DurationMs since = steadyNow() - stopStartedAt;
     const bool graceOver = since >= settings.stopGrace - StopMargin;
-    const bool idle = since >= MinStopTime && gateway.isIdle() && callerServer->openConnections() == 0;
+    const bool idle = since >= MinStopTime && gateway.isIdle() && callerServer->openConnections() == 0
+        && relay.openCalls() == 0;
     if (!graceOver && !idle)
         return;
     log.write(LogPriority::State, "stopped", {{"open_requests", callers.size()}, {"after_ms", since.count}});
@@ -207,6 +210,9 @@
                 state.io, withPort(settings.callerAddress, settings.metricsPort), limits,
                 [&state](const HttpExchangePtr &each) { state.onMetrics(each); }));
         }
+        state.relayServer = std::make_unique<HttpServer>(
+            state.io, settings.peerAddress, EndpointRelay::limitsFor({}),
+            [&state](const HttpExchangePtr &each) { state.relay.onRequest(each); });
         state.openPeerSocket();
     } catch (const boost::system::system_error &error) {
         state.log.write(LogPriority::State, "cannot_listen", {{"error", error.what()}});
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -5,6 +5,7 @@
 #include "gateway/duties/usagereporter.h"
 #include "gateway/gateway.h"
 #include "gateway/io/clocksource.h"
+#include "gateway/io/endpointrelay.h"
 #include "gateway/io/gatewayserver.h"
 #include "gateway/io/logsink.h"
 #include "gateway/peers/fleetview.h"
@@ -54,9 +55,18 @@
     void run(MigrateGeneration &action);
     void run(ProbeEngine &action);
     void run(ProbePath &action);
+    void run(CloseIdleConnections &action);
     void run(SendToPeer &action);
 
-    void callEndpoint(HttpCall call, DurationMs timeout, std::function<void(const HttpResponse &)> onReply);
+    /// Sends a short call to an endpoint, or to the daemon that passes it on.
+    struct EndpointCall {
+        EndpointId endpoint;
+        HttpCall call;
+        DurationMs timeout;
+        std::optional<Address> relay;
+    };
+    void callEndpoint(EndpointCall order, std::function<void(const HttpResponse &)> onReply);
+    void sendThroughRelay(const SendAttempt &action, HttpCall call, HttpCallbacks callbacks);
 
     // The store.
     void runStoreCalls();
@@ -102,15 +112,22 @@
     RolloutController rolloutController;
     platform::StoreCodec storeCodec;
     HttpClient endpoints;
+    HttpClient relays; ///< To the daemons that carry attempts for this one.
+    EndpointRelay relay; ///< Carries attempts of other daemons.
     HttpClient store;
     HttpClient leaderCallClient;
     LatencyHistograms latency;
     std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> relayServer;
     std::vector<std::unique_ptr<HttpServer>> otherServers;
 
     std::map<CallerId, HttpExchangePtr> callers;
     std::map<CallerId, TimeMs> arrivals;
-    std::map<AttemptId, uint64_t> calls;
+    struct AttemptCall {
+        uint64_t call = 0;
+        bool isRelayed = false; ///< A call of `relays`, else of `endpoints`.
+    };
+    std::map<AttemptId, AttemptCall> calls;
     uint64_t nextCaller = 1;
 
     boost::asio::ip::udp::socket peerSocket{io};
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -233,6 +233,10 @@
         report.demands.push_back(decodedDemand(value));
     if (const json::value *rows = object.if_contains("speeds"))
         report.speeds = decodedSpeeds(*rows);
+    if (const json::value *unreached = object.if_contains("unreached")) {
+        for (const json::value &service : unreached->as_array())
+            report.unreached.push_back(ServiceName{text(service)});
+    }
     return report;
 }
 
@@ -255,6 +259,12 @@
                      {"trials", rowsOf(report.trials)}};
     if (!report.speeds.empty())
         out["speeds"] = rowsOf(report.speeds);
+    if (!report.unreached.empty()) {
+        json::array unreached;
+        for (const ServiceName &service : report.unreached)
+            unreached.push_back(json::value(service.value));
+        out["unreached"] = std::move(unreached);
+    }
     return out;
 }
 
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -292,6 +292,21 @@
     return out;
 }
 
+std::vector<const MemberEntry *> PeerTable::relayCandidates(const ServiceName &service, TimeMs now) const
+{
+    MemberPtrs out;
+    for (const MemberEntry *member : serving_) {
+        const Peer *peer = heardPeer(*member, now);
+        const bool reaches = peer ? takesRequests(peer->report)
+                && std::find(peer->report.unreached.begin(), peer->report.unreached.end(), service)
+                    == peer->report.unreached.end()
+                                  : !isTarget_;
+        if (!isSelf(*member) && reaches)
+            out.push_back(member);
+    }
+    return out;
+}
+
 std::vector<EntryCandidate> PeerTable::entryCandidates(bool mustHear, TimeMs now) const
 {
     std::vector<EntryCandidate> out;
--- a/src/gateway/peers/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -81,6 +81,9 @@
     };
     /// Returns the reports of the other serving daemons that have reported recently.
     std::vector<ServingReport> servingReports(TimeMs now) const;
+    /// Returns the other serving daemons that may carry requests to the service's endpoints. A daemon that
+    /// receives no reports assumes that all of them can.
+    std::vector<const MemberEntry *> relayCandidates(const ServiceName &service, TimeMs now) const;
     /// Returns the few daemons that pool the unused part of an organisation's limit, in the order of their
     /// rank, which is the same on all daemons. The result may include this daemon.
     std::vector<const MemberEntry *> quotaPool(const OrganisationName &organisation, TimeMs now) const;
--- /dev/null
+++ b/src/gateway/peers/relaychoice.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "common/random.h"
+#include "gateway/gatewayevents.h"
+
+#include <map>
+#include <set>
+
+namespace cranberry {
+
+/// Chooses the daemon through which requests reach endpoints that this daemon does not reach itself.
+///
+/// Each daemon uses only a few relays, so that their connections are reused, and each one other relays than
+/// its neighbours. Relays in other failure domains go first: those in its own may be cut off with it.
+class RelayChoice
+{
+public:
+    RelayChoice(InstanceName self, FailureDomainName ownDomain, uint64_t seed)
+        : self_(std::move(self)), ownDomain_(std::move(ownDomain)), random_(seed)
+    { }
+
+    /// Returns nullptr if there is none. `tried` ones are chosen only if there are no others.
+    const MemberEntry *choose(const std::vector<const MemberEntry *> &candidates,
+                              const std::set<Address> &tried, TimeMs now);
+    bool isAvailable(const std::vector<const MemberEntry *> &candidates, TimeMs now) const;
+    /// Records that a relay was not reached or did not accept a request.
+    void failed(const Address &relay, TimeMs now);
+
+private:
+    bool isAvoided(const Address &relay, TimeMs now) const;
+
+    InstanceName self_;
+    FailureDomainName ownDomain_;
+    Random random_;
+    std::map<Address, TimeMs> avoidedUntil_;
+};
+
+} // namespace cranberry
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -122,6 +122,7 @@
     out.leaving = leavingSince_.has_value();
     out.ready = isReady(now);
     out.sequence = ++reports_;
+    out.unreached = paths_.unreached();
     std::map<ServiceName, OpenRequests> open;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
         if (entry.second.phase == ExchangePhase::AwaitingStart)
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -57,6 +57,7 @@
     fleet_.attemptFinished(exchange.sentTo, std::exchange(exchange.streaming, false));
     fleet_.contextReleased(exchange.sentTo, *exchange.request, std::exchange(exchange.contextTokens, 0));
     exchange.prefillTokens = 0;
+    exchange.relay.reset();
     attempts_.erase(exchange.attempt);
     exchange.attempt = {};
 }
@@ -87,7 +88,8 @@
     if (!event.matchesRequest) {
         return cancelAsFailed(event.attempt, now);
     }
-    contacts_[exchange->service].lastByteAt = now;
+    if (!exchange->relay)
+        contacts_[exchange->service].lastByteAt = now;
     exchange->head = event;
     if (!event.wrongInstance)
         recordLimit(*exchange, now);
@@ -127,7 +129,8 @@
     Exchange *exchange = findByAttempt(event.attempt);
     if (!exchange)
         return;
-    contacts_[exchange->service].lastByteAt = now;
+    if (!exchange->relay)
+        contacts_[exchange->service].lastByteAt = now;
     if (!exchange->head.eventStream) {
         exchange->body += event.bytes;
         if (exchange->body.size() > MaxBufferedBody)
@@ -174,10 +177,12 @@
     if (!std::exchange(exchange.streaming, true)) {
         exchange.firstEventAt = now;
         recordFirstEvent(exchange, now);
-        if (exchange.usualFirstEventMs > 0)
+        // What a partition delayed shows nothing of the engine.
+        const bool isDelayed = contacts_[exchange.service].doubtedAt >= exchange.sentAt;
+        if (exchange.usualFirstEventMs > 0 && !isDelayed)
             speeds_.recordFirstEvent(exchange.service, exchange.sentTo, exchange.usualFirstEventMs,
                                      now - exchange.sentAt, now);
-        if (exchange.foundNoQueue && exchange.prefillTokens > 0)
+        if (exchange.foundNoQueue && exchange.prefillTokens > 0 && !isDelayed)
             demand_.recordFirstEvent(exchange.service, exchange.prefillTokens, now - exchange.sentAt);
         fleet_.streamStarted(exchange.sentTo);
         releaseFetch(exchange);
@@ -279,18 +284,23 @@
             continueAtTarget(*exchange, now);
         return;
     }
-    if (!event.sent)
-        recordConnectFailure(exchange->sentTo.id, event.connect, now);
+    if (exchange->relay && event.relay != RelayFailure::None)
+        counters_.add(GatewayCount::RelaysFailed);
+    if (exchange->relay && event.relay == RelayFailure::Unavailable)
+        relays_.failed(*exchange->relay, now);
+    if (!event.sent && !exchange->relay)
+        recordConnectFailure({exchange->sentTo.id, event.connect}, now);
     const bool waits = event.sent && recordInterruptedAttempt(*exchange, now);
     closeFailedAttempt(*exchange, event, now);
     if (!waits)
-        continueAfterFailure(*exchange, event.sent, now);
+        continueAfterFailure(*exchange, event, now);
 }
 
 void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
 {
-    closeFailedAttempt(exchange, {exchange.attempt, sent}, now);
-    continueAfterFailure(exchange, sent, now);
+    const AttemptConnectionFailed failure{exchange.attempt, sent};
+    closeFailedAttempt(exchange, failure, now);
+    continueAfterFailure(exchange, failure, now);
 }
 
 // Closes an attempt whose outcome is unknown, or of which nothing was sent.
@@ -301,19 +311,29 @@
                         {"after_ms", (now - exchange.sentAt).count}};
     if (!failure.sent)
         fields["connect"] = toText(failure.connect);
+    if (exchange.relay)
+        fields["relay"] = toText(*exchange.relay);
     log(LogPriority::Failure, "attempt_broken", exchange, std::move(fields));
     recordBadOutcome(exchange, true, now);
-    fleet_.failed(exchange.sentTo, now);
+    if (isEndpointsFault(exchange, failure))
+        fleet_.failed(exchange.sentTo, now);
     detach(exchange);
-    if (!failure.sent)
+    if (!failure.sent) {
+        exchange.unsentTo.insert(exchange.sentTo.id);
         return;
+    }
     exchange.mayHaveRun = true;
     ++exchange.sends;
 }
 
-void Gateway::continueAfterFailure(Exchange &exchange, bool sent, TimeMs now)
+void Gateway::continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now)
 {
-    if (!sent) {
+    if (!failure.sent) {
+        if (failure.relay != RelayFailure::EndpointUnreached && paths_.isDoubtful(exchange.service))
+            allowUnsentAgain(exchange, now);
+        if (retry(exchange, GatewayRetry::ConnectFailed, now))
+            return;
+        allowUnsentAgain(exchange, now);
         if (retry(exchange, GatewayRetry::ConnectFailed, now))
             return;
     } else {
@@ -358,6 +378,8 @@
         log(LogPriority::Failure, "repeat_denied", exchange, {{"reason", "quarantined"}});
         return false;
     }
+    if (isOutOfReach(exchange.service, now))
+        return false;
     PlacementQuery question = placementQuery(exchange);
     const PlacementResult result = place(exchange, question, now);
     if (!result.choice)
@@ -400,6 +422,8 @@
         if (exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts
             && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now))
             silent.push_back(entry.first);
+        else if (isLostInPartition(exchange, now))
+            silent.push_back(entry.first);
     }
     for (AttemptId attempt : silent) {
         Exchange *exchange = findByAttempt(attempt);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -28,7 +28,8 @@
     for (const EndpointEntry &entry : fleet_.dueProbes(now)) {
         const ServedService *service = configuration_ ? configuration_->findService(entry.service) : nullptr;
         if (service && service->engine)
-            actions_.emplace_back(ProbeEngine{entry.id, entry.address, ProbeTimeout});
+            actions_.emplace_back(
+                ProbeEngine{entry.id, entry.address, ProbeTimeout, false, relayFor(entry.service, now)});
     }
 }
 
@@ -146,7 +147,8 @@
          {"events", exchange.events},
          {"leaves_in_ms", (evacuationDeadline(*source, now).value_or(now) - now).count}});
     actions_.emplace_back(MigrateGeneration{exchange.attempt, migration.source, target->entry.address,
-                                            exchange.request->id, MigrationTimeout});
+                                            exchange.request->id, MigrationTimeout,
+                                            relayFor(exchange.service, now), source->entry.id});
 }
 
 void Gateway::onGenerationMigrated(const GenerationMigrated &event, TimeMs now)
--- a/src/gateway/requests/waiting.cpp
+++ b/src/gateway/requests/waiting.cpp
@@ -39,6 +39,20 @@
     });
 }
 
+/// Returns nothing for a request that may wait.
+std::optional<GatewayRefusal> refusalFor(PlacementProblem problem)
+{
+    switch (problem) {
+    case PlacementProblem::NoEndpoint:
+        return GatewayRefusal::NoEndpoint;
+    case PlacementProblem::Unreached:
+        return GatewayRefusal::EndpointsUnreached;
+    case PlacementProblem::AllBusy:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 // Sends the request at once, or queues it if all endpoints are busy. Gives up if there is no endpoint, or if
@@ -60,8 +74,8 @@
         const std::optional<PlacementProblem> problem = trySend(exchange, now);
         if (!problem)
             return;
-        if (*problem == PlacementProblem::NoEndpoint)
-            return giveUp(exchange, GatewayRefusal::NoEndpoint, now);
+        if (const std::optional<GatewayRefusal> refusal = refusalFor(*problem))
+            return giveUp(exchange, *refusal, now);
     }
     exchange.phase = ExchangePhase::Queued;
     const LimitedQueue limited = limitedQueue(exchange.service, now);
@@ -105,6 +119,8 @@
 // for these requests.
 std::optional<PlacementProblem> Gateway::trySend(Exchange &exchange, TimeMs now)
 {
+    if (isOutOfReach(exchange.service, now))
+        return PlacementProblem::Unreached;
     PlacementQuery question = placementQuery(exchange);
     const bool yields = question.engine && yieldsToOthers(exchange, now);
     if (yields && now < nextYieldingSendAt_[exchange.service])
@@ -274,8 +290,8 @@
         const std::optional<PlacementProblem> problem = trySend(exchange, now);
         if (!problem)
             queue_.remove(id);
-        else if (*problem == PlacementProblem::NoEndpoint)
-            giveUp(exchange, GatewayRefusal::NoEndpoint, now);
+        else if (const std::optional<GatewayRefusal> refusal = refusalFor(*problem))
+            giveUp(exchange, *refusal, now);
         else
             ++failedPlacements[exchange.service];
     }
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -327,6 +327,11 @@
     running->cancel();
 }
 
+void HttpClient::closeIdle(const Address &address)
+{
+    state_->idle.erase(address);
+}
+
 void HttpClient::connect(const Address &address, DurationMs timeout, std::function<void(HttpFailure)> onDone)
 {
     beast::error_code code;
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -62,6 +62,7 @@
     uint64_t start(HttpCall call, HttpCallbacks callbacks);
     void cancel(uint64_t call); ///< No callback is called afterwards.
     void fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone);
+    void closeIdle(const Address &address); ///< Closes the connections that are not in use.
     /// Opens a connection and keeps it idle for a later call. `onDone` gets None, Refused or NotSent.
     void connect(const Address &address, DurationMs timeout, std::function<void(HttpFailure)> onDone);
 
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -71,6 +71,7 @@
     uint64_t connections = 0; ///< To endpoints, established.
     std::map<int64_t, uint64_t> connectionsBySecond;
     std::map<size_t, uint64_t> relayedBy; ///< Attempts that each daemon carried for others.
+    std::map<int64_t, uint64_t> relayedBySecond;
     std::set<size_t> reportedPartition; ///< Daemons that wrote `endpoints_unreached`.
 
     std::string text() const;
