A refused connection shows a crash only if another daemon is refused, too

What callers saw: a request that had crashed nothing was refused by all daemons for ten minutes.

Cause: the daemon judged endpoints by its own broken path and told the others. The same held for the outcomes of a version on trial: connections that broke with the path, and answers overdue for want of one, counted against the version at all daemons.

Change: after a refused probe another daemon probes, and says "exited" only if it reaches some other endpoint at that moment. Where none can tell, the result is unknown. Interrupted attempts count in a trial with the probe's result; silence counts only where something was heard of the service since.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -22,22 +22,67 @@
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
     if (!endpoint)
         return false;
-    InterruptedAttempt attempt{exchange.caller, exchange.request->id, exchange.digest, std::nullopt, false};
+    InterruptedAttempt attempt{exchange.caller, exchange.request->id, exchange.digest, std::nullopt,
+                               false,           std::nullopt};
+    if (!std::exchange(exchange.startIsEvaluated, true))
+        attempt.start = {exchange.service, exchange.route->name, trialGroupOf(*endpoint)};
     if (exchange.streaming)
         attempt.firstEventAt = exchange.firstEventAt;
     attempt.retryAfterProbe
         = quarantine_.suspects().isSuspected(exchange.digest) && !isQuarantined(exchange, now);
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        actions_.emplace_back(
-            ProbeEngine{exchange.sentTo.id, endpoint->entry.address, ProcessProbeTimeout, true});
+        actions_.emplace_back(ProbeEngine{exchange.sentTo.id, endpoint->entry.address, ProcessProbeTimeout,
+                                          true, relayFor(exchange.service, now)});
     return attempt.retryAfterProbe;
 }
 
+// Lets another daemon probe the endpoint. Returns false if there is none that can.
+bool Gateway::probeThroughRelay(const EndpointId &id, TimeMs now)
+{
+    const FleetEndpoint *endpoint = fleet_.find(id);
+    if (!endpoint)
+        return false;
+    const MemberEntry *relay = relays_.choose(peers_.relayCandidates(endpoint->entry.service, now), {}, now);
+    if (!relay)
+        return false;
+    actions_.emplace_back(
+        ProbeEngine{id, endpoint->entry.address, ProcessProbeTimeout, true, relay->peerAddress});
+    return true;
+}
+
+// A refused connection looks the same whether the endpoint's process exited or this daemon is partitioned. A
+// daemon that took its own partition for crashes would have innocent requests quarantined by all daemons. So
+// another daemon probes the endpoint, too, and where none can, the result is unknown.
 void Gateway::onProcessProbed(const EngineProbed &event, TimeMs now)
 {
-    const std::optional<EndpointProbes::ProbeResult> probe = endpointQuestions_.take(event);
+    EngineProbed result = event;
+    if (!event.relay) {
+        const bool isRefused = event.process == EndpointProcess::Exited;
+        onEndpointConnected({event.endpoint, isRefused ? ConnectFailure::Refused : event.connect}, now);
+        if (event.process == EndpointProcess::Exited) {
+            if (probeThroughRelay(event.endpoint, now))
+                return;
+            if (peers_.servingCount(now) > 1)
+                result.process = EndpointProcess::Unknown;
+        }
+    } else if (event.relayFailure == RelayFailure::Unavailable) {
+        relays_.failed(*event.relay, now);
+        if (probeThroughRelay(event.endpoint, now))
+            return;
+    }
+    const std::optional<EndpointProbes::ProbeResult> probe = endpointQuestions_.take(result);
     if (!probe)
         return;
+    // A connection that broke at an endpoint that only others reach broke with this daemon's own path.
+    const FleetEndpoint *endpoint = fleet_.find(probe->incarnation);
+    const bool isOwnPath = probe->process == EndpointProcess::Unknown
+        || (probe->process == EndpointProcess::Running && endpoint
+            && paths_.isDoubtful(endpoint->entry.service));
+    for (const InterruptedAttempt &attempt : probe->attempts) {
+        if (attempt.start && !isOwnPath)
+            trialCounts_.recordInterrupted(attempt.start->service, attempt.start->route,
+                                           attempt.start->trialGroup, probe->incarnation.id.value, now);
+    }
     if (probe->process == EndpointProcess::Exited)
         onEndpointCrash(*probe, now);
     else
--- a/src/gateway/endpoints/endpointprobes.h
+++ b/src/gateway/endpoints/endpointprobes.h
@@ -6,6 +6,13 @@
 
 namespace cranberry {
 
+/// Where an interrupted attempt counts in a trial.
+struct InterruptedStart {
+    ServiceName service;
+    std::string route;
+    uint32_t trialGroup = 0;
+};
+
 /// An attempt that was interrupted at an endpoint that is being probed.
 struct InterruptedAttempt {
     CallerId caller;
@@ -13,6 +20,8 @@
     RequestDigest digest;
     std::optional<TimeMs> firstEventAt;
     bool retryAfterProbe = false; ///< Its request is retried only after the probe's result.
+    /// Counted as a bad outcome if the probe shows that this daemon's own path is not to blame.
+    std::optional<InterruptedStart> start;
 };
 
 /// Distinguishes endpoints that crash under their requests from failed connections.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,7 +375,8 @@
     if (exchange.phase == ExchangePhase::AwaitingStart)
         return answer(exchange, {503, GatewayRefusal::NoConfiguration, DefaultRetryAfter}, now);
     if (exchange.attempt.value != 0) {
-        recordBadOutcome(exchange, false, now);
+        if (!isUnheard(exchange))
+            recordBadOutcome(exchange, false, now);
         cancelAttempt(exchange);
     }
     if (exchange.phase == ExchangePhase::Streaming)
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -299,6 +299,8 @@
 void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
 {
     const AttemptConnectionFailed failure{exchange.attempt, sent};
+    if (!isUnheard(exchange))
+        recordBadOutcome(exchange, true, now);
     closeFailedAttempt(exchange, failure, now);
     continueAfterFailure(exchange, failure, now);
 }
@@ -314,7 +316,6 @@
     if (exchange.relay)
         fields["relay"] = toText(*exchange.relay);
     log(LogPriority::Failure, "attempt_broken", exchange, std::move(fields));
-    recordBadOutcome(exchange, true, now);
     if (isEndpointsFault(exchange, failure))
         fleet_.failed(exchange.sentTo, now);
     detach(exchange);
--- a/src/gateway/rollout/trials.cpp
+++ b/src/gateway/rollout/trials.cpp
@@ -272,7 +272,8 @@
 {
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         Exchange &exchange = exchanges_.at(entry.second);
-        if (exchange.startIsEvaluated || exchange.streaming || !trialCounts_.isOn(exchange.service))
+        if (exchange.startIsEvaluated || exchange.streaming || !trialCounts_.isOn(exchange.service)
+            || isUnheard(exchange))
             continue;
         const bool isStream = exchange.route->kind == RouteKind::Streaming;
         const bool isSlow = isStream
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -128,3 +128,32 @@
             CHECK_MESSAGE(each.second <= 2 * usual, each.first);
     }
 }
+
+// Guards against quarantine of innocent requests by all daemons, since one took its own partition for
+// crashes.
+TEST_CASE("a daemon that reaches no endpoint takes none for crashed")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        for (size_t count = 1; count <= 6; ++count) {
+            const PartitionResult result = playPartition(planWith({everyNth(1, count), kind}));
+            INFO(result.text());
+            CHECK(result.endpointsTakenForDead == 0);
+            CHECK(result.quarantined == 0);
+            CHECK(result.reportedPartition.size() == count);
+        }
+    }
+}
+
+// Guards against missing a crash beside a partition.
+TEST_CASE("an endpoint that crashes beside a partition is found")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        PartitionPlan plan = planWith({{0, 1}, kind});
+        plan.endpointsDead = {{0, {7000}}, {1, {9000}}, {9, {9000}}};
+        const PartitionResult result = playPartition(plan);
+        checkServedAlike(result);
+        CHECK(result.endpointsTakenForDead > 0);
+    }
+}
