Brittle endpoints: their slots are divided among the serving daemons

Nothing read the header.

Cause of the crashes that it threatens: each daemon sees the others' requests 0.2 to 0.7 s late. All of them fill the same free slots; an endpoint that crashes moves its load to the next, which crashes in turn.

Change: the header is read from all answers but 421, of one incarnation; odd values are logged and change nothing. While a service is brittle, as seen here or reported by a peer, a daemon uses only its share of each endpoint's slots and keeps the rest of its requests waiting. The shares of all daemons with the same view add up to the slots. A rejection all the same holds the endpoint for a time that doubles up to 2 x daemons / N seconds.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -312,6 +312,7 @@
     if (!endpoint)
         return;
     endpoint->failuresInRow = 0;
+    endpoint->brittleness.accepted();
     endpoint->failureShare *= 1 - FailureWeight;
 }
 
@@ -326,6 +327,16 @@
     ++endpoint->failuresInRow;
 }
 
+void EndpointFleet::rejected(const EndpointIncarnation &incarnation, TimeMs now)
+{
+    failed(incarnation, now);
+    FleetEndpoint *endpoint = at(incarnation);
+    const auto brittle = endpoint ? brittle_.find(endpoint->entry.service) : brittle_.end();
+    if (brittle == brittle_.end())
+        return;
+    endpoint->brittleness.rejected(brittleSharers_, brittle->second.maxRejections, now);
+}
+
 void EndpointFleet::pardon(const EndpointId &id)
 {
     const auto found = endpoints_.find(id);
@@ -353,6 +364,48 @@
         endpoint->failureShare += FailureWeight * (1 - endpoint->failureShare);
 }
 
+bool EndpointFleet::updateBrittleness(const EndpointIncarnation &incarnation, std::optional<uint32_t> stated,
+                                      TimeMs sentAt, TimeMs now)
+{
+    FleetEndpoint *endpoint = at(incarnation);
+    if (!endpoint || !endpoint->brittleness.updateFromAnswer(stated, sentAt, now))
+        return false;
+    brittleEndpoints_.insert(incarnation.id);
+    return true;
+}
+
+std::map<ServiceName, uint32_t> EndpointFleet::ownBrittleServices()
+{
+    std::map<ServiceName, uint32_t> out;
+    std::erase_if(brittleEndpoints_, [&](const EndpointId &id) {
+        const auto found = endpoints_.find(id);
+        if (found == endpoints_.end() || !found->second.brittleness.isBrittle())
+            return true;
+        const uint32_t stated = *found->second.brittleness.maxRejections();
+        uint32_t &smallest = out.try_emplace(found->second.entry.service, stated).first->second;
+        smallest = std::min(smallest, stated);
+        return false;
+    });
+    return out;
+}
+
+void EndpointFleet::setBrittleServices(std::map<ServiceName, uint32_t> services,
+                                       const std::vector<Incarnation> &daemons, Incarnation self)
+{
+    std::erase_if(brittle_, [&services](const std::pair<const ServiceName, BrittleService> &each) {
+        return !services.contains(each.first);
+    });
+    brittleSharers_ = std::max<size_t>(daemons.size(), 1);
+    for (const std::pair<const ServiceName, uint32_t> &each : services) {
+        std::map<std::string, uint32_t> slots;
+        for (const EndpointId &id : accepting(each.first))
+            slots[id.value] = endpoints_.at(id).entry.slots;
+        BrittleService &service = brittle_[each.first];
+        service.maxRejections = each.second;
+        service.shares = RoomShares::of(daemons, self, slots);
+    }
+}
+
 void EndpointFleet::wrongInstance(const EndpointIncarnation &incarnation)
 {
     if (FleetEndpoint *endpoint = at(incarnation))
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/random.h"
+#include "gateway/endpoints/brittleness.h"
 #include "gateway/endpoints/endpointlimiter.h"
 #include "gateway/endpoints/enginespeeds.h"
 #include "gateway/endpoints/partfetch.h"
@@ -58,6 +59,7 @@
     TimeMs crashedUntil; ///< Its process exited; the list drops its entry by this time.
 
     EndpointLimiter limiter;
+    Brittleness brittleness;
     /// Prompt parts prefilled here, as prefix chains by the id of the last part, with the time of last use.
     std::map<std::string, TimeMs> cachedParts;
     FetchLink link;
@@ -161,6 +163,8 @@
     void failed(const EndpointIncarnation &incarnation, TimeMs now);
     /// Forgets the last failures of an endpoint that were this daemon's own.
     void pardon(const EndpointId &id);
+    /// Records that the endpoint rejected a request.
+    void rejected(const EndpointIncarnation &incarnation, TimeMs now);
     /// Records that a probe found the endpoint's process exited.
     void crashed(const EndpointIncarnation &incarnation, TimeMs now);
     /// Records an error response of the endpoint itself.
@@ -191,6 +195,16 @@
     /// to an ejected engine.
     std::vector<EjectionChange> applySpeeds(const EngineSpeeds &speeds, DurationMs interval, Random &random,
                                             TimeMs now);
+    /// Records what an answer of the endpoint states. Returns true if it changed.
+    bool updateBrittleness(const EndpointIncarnation &incarnation, std::optional<uint32_t> stated,
+                           TimeMs sentAt, TimeMs now);
+    /// Services whose endpoints state that they are brittle, with the smallest number of rejections.
+    std::map<ServiceName, uint32_t> ownBrittleServices();
+    /// Sets the brittle services, as known to this daemon and its peers, and the daemons that share their
+    /// room.
+    void setBrittleServices(std::map<ServiceName, uint32_t> services, const std::vector<Incarnation> &daemons,
+                            Incarnation self);
+    bool isBrittle(const ServiceName &service) const { return brittle_.contains(service); }
     /// Sets the number of daemons that share the engines' links.
     void setServingDaemons(size_t count) { servingDaemons_ = count; }
     void setPeersLoad(const std::map<EndpointIncarnation, EndpointLoad> &sums, TimeMs now);
@@ -249,6 +263,7 @@
     static ChoiceWithCost withCost(const FleetEndpoint &endpoint, bool isPreferred,
                                    const PlacementQuery &query, const PartFetch &partFetch);
     static bool hasFreeSlot(const FleetEndpoint &endpoint, const PlacementQuery &query);
+    bool hasOwnRoom(const FleetEndpoint &endpoint, TimeMs now) const;
     static void holdContext(FleetEndpoint &endpoint, const CallerRequest &request);
     static void addStrain(ChoiceWithCost &found, const FleetEndpoint &endpoint, const PlacementQuery &query);
     static bool isProbeDue(const FleetEndpoint &endpoint, const PlacementQuery &query, TimeMs now);
@@ -278,6 +293,13 @@
     size_t servingDaemons_ = 1;
     std::map<EndpointId, RemovedEndpoint> removed_; ///< Endpoints that were removed recently.
     std::map<ServiceName, std::set<SoftwareVersion>> inactiveVersions_;
+    struct BrittleService {
+        uint32_t maxRejections = 0;
+        RoomShares shares;
+    };
+    std::map<ServiceName, BrittleService> brittle_;
+    size_t brittleSharers_ = 1;
+    std::set<EndpointId> brittleEndpoints_; ///< Endpoints that may be brittle.
     std::set<ServiceName> unevenServices_; ///< Services whose engines differ in speed.
 };
 
--- a/src/gateway/endpoints/endpointlimits.cpp
+++ b/src/gateway/endpoints/endpointlimits.cpp
@@ -13,6 +13,7 @@
 /// A request that has waited this long for its best endpoint may go to any. If it requested shares from all
 /// endpoints at once, most of the grants would be unused.
 constexpr DurationMs BestEndpointWait{100};
+constexpr DurationMs BrittleUpdateInterval{200};
 constexpr size_t MaxUpdatesPerDatagram = 256; ///< 13 KB in one datagram.
 /// Logged in place of a rate for an endpoint that has no limit any more.
 constexpr double NoLimit = -1;
@@ -217,4 +218,42 @@
     return {{"limit_per_s", stated.limit()->perSecond}, {"limit_age_ms", (now - stated.updatedAt()).count}};
 }
 
+// ---- Brittle endpoints ----
+
+void Gateway::recordBrittleness(const Exchange &exchange, TimeMs now)
+{
+    if (exchange.head.maxRejectionsError) {
+        log(LogPriority::Failure, "endpoint_brittle_unreadable", exchange,
+            {{"error", toText(*exchange.head.maxRejectionsError)}});
+        return;
+    }
+    if (!fleet_.updateBrittleness(exchange.sentTo, exchange.head.maxRejections, exchange.sentAt, now))
+        return;
+    nextBrittleUpdateAt_ = now;
+    log(LogPriority::State, "endpoint_brittle", exchange,
+        {{"service", exchange.service.value}, {"rejections_per_s", exchange.head.maxRejections.value_or(0)}});
+}
+
+void Gateway::updateBrittleServices(TimeMs now)
+{
+    if (now < nextBrittleUpdateAt_)
+        return;
+    nextBrittleUpdateAt_ = now + BrittleUpdateInterval;
+    std::map<ServiceName, uint32_t> services = fleet_.ownBrittleServices();
+    for (const PeerTable::ServingReport &each : peers_.servingReports(now)) {
+        for (const std::pair<const ServiceName, uint32_t> &brittle : each.report->brittle) {
+            uint32_t &smallest = services.try_emplace(brittle.first, brittle.second).first->second;
+            smallest = std::min(smallest, brittle.second);
+        }
+    }
+    if (services.empty())
+        return fleet_.setBrittleServices({}, {}, settings_.incarnation);
+    std::vector<Incarnation> daemons{settings_.incarnation};
+    for (const MemberEntry *member : peers_.presentServing(now)) {
+        if (member->incarnation != settings_.incarnation)
+            daemons.push_back(member->incarnation);
+    }
+    fleet_.setBrittleServices(std::move(services), daemons, settings_.incarnation);
+}
+
 } // namespace cranberry
--- a/src/gateway/endpoints/endpointplacement.cpp
+++ b/src/gateway/endpoints/endpointplacement.cpp
@@ -129,6 +129,15 @@
     return runningAt(endpoint) < slotsOf(endpoint, query);
 }
 
+// The room of a brittle service is shared among the daemons. What exceeds this daemon's share waits here.
+bool EndpointFleet::hasOwnRoom(const FleetEndpoint &endpoint, TimeMs now) const
+{
+    const auto found = brittle_.find(endpoint.entry.service);
+    return found == brittle_.end()
+        || (!endpoint.brittleness.isHeld(now)
+            && endpoint.running < found->second.shares.at(endpoint.entry.id.value));
+}
+
 // Beyond the size of its KV cache an engine preempts a running stream.
 bool EndpointFleet::hasFreeCache(const FleetEndpoint &endpoint, const PlacementQuery &query)
 {
@@ -272,7 +281,7 @@
         result.problem = PlacementProblem::AllBusy;
         const bool isExcluded = (anyResponsive && !isResponsive(endpoint, now))
             || (anyUsual && endpoint.isEjected && !isProbeDue(endpoint, query, now));
-        if (isExcluded || !hasFreeSlot(endpoint, query))
+        if (isExcluded || !hasFreeSlot(endpoint, query) || !hasOwnRoom(endpoint, now))
             continue;
         const ChoiceWithCost found = withCost(endpoint, &endpoint == preferred, query, fetch);
         if (!endpoint.limiter.maySend(now)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -406,6 +406,7 @@
 {
     fleet_.tick(now);
     tickEndpointLimits(now);
+    updateBrittleServices(now);
     sendCrashNotice(now);
     evaluateTrials(now);
     tickPaths(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -338,6 +338,8 @@
     void sendLimitsToNewServing(TimeMs now);
     void sendLimitUpdates(const std::vector<const MemberEntry *> &members,
                           const std::vector<LimitUpdate> &updates);
+    void recordBrittleness(const Exchange &exchange, TimeMs now);
+    void updateBrittleServices(TimeMs now);
     static boost::json::object limitLogFields(const FleetEndpoint &endpoint, TimeMs now);
 
     // Generations on leaving engines (migrations.cpp).
@@ -406,6 +408,7 @@
     BaselineTimes baselineTimes_;
     std::map<ServiceName, Trial> trials_;
     TimeMs nextTrialCheckAt_; ///< Next check of the trials.
+    TimeMs nextBrittleUpdateAt_;
     TimeMs nextCoordinatorCheckAt_; ///< Next search for the coordinators of limited endpoints.
     TimeMs nextShareRequestAt_;
     uint64_t shareRequestRound_ = 0;
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -6,6 +6,7 @@
 #include "gateway/rollout/rollout.h"
 #include "gateway/serving.h"
 
+#include <map>
 #include <variant>
 
 namespace cranberry {
@@ -72,6 +73,9 @@
     bool eventStream = false;
     std::optional<RequestRate> limit; ///< Maximum rate that the endpoint accepts from all daemons together.
     std::optional<FieldError> limitError; ///< The stated limit can't be parsed.
+    /// The endpoint crashes if it has to reject more requests than this in a second for lack of room.
+    std::optional<uint32_t> maxRejections = std::nullopt;
+    std::optional<FieldError> maxRejectionsError = std::nullopt; ///< It can't be parsed.
 };
 
 struct AttemptData {
@@ -335,6 +339,7 @@
     std::vector<TrialCount> trials;
     std::vector<EngineSpeedRow> speeds; ///< Only in full reports.
     std::vector<ServiceName> unreached; ///< Services of which the sender reaches no endpoint.
+    std::map<ServiceName, uint32_t> brittle; ///< Services with brittle endpoints: rejections in a second.
 };
 
 /// One incarnation of a daemon and the instance that it runs on.
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -237,6 +237,10 @@
         for (const json::value &service : unreached->as_array())
             report.unreached.push_back(ServiceName{text(service)});
     }
+    if (const json::value *brittle = object.if_contains("brittle")) {
+        for (const json::key_value_pair &each : brittle->as_object())
+            report.brittle[ServiceName{std::string(each.key())}] = each.value().to_number<uint32_t>();
+    }
     return report;
 }
 
@@ -265,6 +269,12 @@
             unreached.push_back(json::value(service.value));
         out["unreached"] = std::move(unreached);
     }
+    if (!report.brittle.empty()) {
+        json::object brittle;
+        for (const std::pair<const ServiceName, uint32_t> &each : report.brittle)
+            brittle[each.first.value] = each.second;
+        out["brittle"] = std::move(brittle);
+    }
     return out;
 }
 
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -123,6 +123,7 @@
     out.ready = isReady(now);
     out.sequence = ++reports_;
     out.unreached = paths_.unreached();
+    out.brittle = fleet_.ownBrittleServices();
     std::map<ServiceName, OpenRequests> open;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
         if (entry.second.phase == ExchangePhase::AwaitingStart)
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -91,8 +91,10 @@
     if (!exchange->relay)
         contacts_[exchange->service].lastByteAt = now;
     exchange->head = event;
-    if (!event.wrongInstance)
+    if (!event.wrongInstance) {
         recordLimit(*exchange, now);
+        recordBrittleness(*exchange, now);
+    }
     if (event.notExecuted || event.wrongInstance)
         return onRejected(*exchange, now);
     if (!event.eventStream)
@@ -112,7 +114,7 @@
     if (exchange.head.wrongInstance)
         fleet_.wrongInstance(exchange.sentTo);
     else
-        fleet_.failed(exchange.sentTo, now);
+        fleet_.rejected(exchange.sentTo, now);
     detach(exchange);
     ++exchange.rejections;
     const GatewayRetry reason
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -1,6 +1,7 @@
 #include "partitionload.h"
 
 #include <algorithm>
+#include <deque>
 #include <fmt/format.h>
 
 namespace cranberry {
@@ -30,6 +31,8 @@
     bool isDead = false;
     TimeMs silentFrom;
     TimeMs silentUntil;
+    uint32_t running = 0;
+    std::deque<TimeMs> rejectedAt; ///< In the last second.
 };
 
 /// One attempt at an endpoint.
@@ -41,6 +44,7 @@
     std::string request;
     TimeMs connectedAt;
     bool isSent = false;
+    bool isRunning = false; ///< Takes a slot of a plain endpoint.
 };
 
 struct Connection {
@@ -148,7 +152,7 @@
         endpoint.entry.service.value = isEngine ? "model" : "plain";
         endpoint.entry.address = {"10.0.0.1", static_cast<uint16_t>(FirstPort + i)};
         endpoint.entry.failureDomain.value = fmt::format("domain-{}", i % 4);
-        endpoint.entry.slots = isEngine ? 64 : 40;
+        endpoint.entry.slots = isEngine ? 64 : plan_.brittle ? plan_.brittle->slots : 40;
         order_.push_back(endpoint.entry.id);
         endpoints_[endpoint.entry.id] = endpoint;
     }
@@ -329,7 +333,7 @@
             return;
         std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>();
         const CallerId caller{++requests_};
-        const uint64_t kind = random_.below(6);
+        const uint64_t kind = plan_.onlyPlain ? 4 + random_.below(2) : random_.below(6);
         const char *path = kind < 4 ? "/review/" : kind == 4 ? "/order/" : "/lookup/";
         request->id = fmt::format("request-{}", caller.value);
         request->method = "POST";
@@ -366,9 +370,7 @@
             if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action))
                 start(daemon, *attempt);
             else if (const CancelSent *cancel = std::get_if<CancelSent>(&action))
-                std::erase_if(open_, [&](const auto &each) {
-                    return each.second.daemon == daemon && each.second.attempt == cancel->attempt;
-                });
+                cancelAttempt(daemon, cancel->attempt);
             else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
                 probeEngine(daemon, *probe);
             else if (const CloseIdleConnections *close = std::get_if<CloseIdleConnections>(&action))
@@ -384,6 +386,25 @@
         }
     }
 
+    // Endpoints drop a request whose connection closes.
+    void cancelAttempt(size_t daemon, AttemptId attempt)
+    {
+        std::erase_if(open_, [&](const auto &each) {
+            const Open &open = each.second;
+            if (open.daemon != daemon || open.attempt != attempt)
+                return false;
+            if (open.isRunning)
+                at(now_ + Hop, [this, id = open.endpoint] { release(id); });
+            return true;
+        });
+    }
+
+    void release(const EndpointId &id)
+    {
+        Endpoint &endpoint = endpoints_[id];
+        endpoint.running -= std::min(endpoint.running, 1U);
+    }
+
     void tell(const SendToPeer &word)
     {
         const CrashNotice *notice = std::get_if<CrashNotice>(&word.message);
@@ -415,7 +436,8 @@
     void start(size_t daemon, const SendAttempt &attempt)
     {
         const uint64_t number = ++opened_;
-        open_[number] = {daemon, daemon, attempt.attempt, attempt.endpoint, attempt.request->id, now_, false};
+        open_[number]
+            = {daemon, daemon, attempt.attempt, attempt.endpoint, attempt.request->id, now_, false, false};
         if (!attempt.relay)
             return sendFrom(number, attempt);
         open_[number].carrier = attempt.relay->port;
@@ -490,12 +512,68 @@
         ++result_.attempts;
         ++asked_[attempt.request->id].runs;
         const bool isEngine = endpoints_[attempt.endpoint].entry.service.value == "model";
-        if (!isEngine)
-            return at(now_ + PlainWork, [this, number] { respond(number, false, 0); });
+        if (!isEngine && isFull(endpoints_[attempt.endpoint]))
+            return reject(number);
+        if (!isEngine) {
+            ++endpoints_[attempt.endpoint].running;
+            found->second.isRunning = true;
+            return at(now_ + PlainWork, [this, number, id = attempt.endpoint] {
+                if (open_.contains(number))
+                    release(id);
+                respond(number, false, 0);
+            });
+        }
         at(now_ + EngineWork,
            [this, number, next = attempt.resumeAfter.value_or(0) + 1] { respond(number, true, next); });
     }
 
+    bool isBrittle() const
+    {
+        return plan_.brittle && now_ - TimeMs{StartMs} >= plan_.brittle->from - StableTime;
+    }
+
+    // Room for waiting requests goes some seconds after the endpoints say that they are brittle.
+    bool isFull(const Endpoint &endpoint) const
+    {
+        return plan_.brittle && now_ - TimeMs{StartMs} >= plan_.brittle->from
+            && endpoint.running >= plan_.brittle->slots;
+    }
+
+    // An endpoint that has rejected too many in a second crashes.
+    void reject(uint64_t number)
+    {
+        const Open open = open_[number];
+        open_.erase(number);
+        --asked_[open.request].runs;
+        ++result_.rejections;
+        Endpoint &endpoint = endpoints_[open.endpoint];
+        endpoint.rejectedAt.push_back(now_);
+        while (now_ - endpoint.rejectedAt.front() >= DurationMs{1000})
+            endpoint.rejectedAt.pop_front();
+        result_.mostRejections = std::max(result_.mostRejections, endpoint.rejectedAt.size());
+        AttemptHead head;
+        head.attempt = open.attempt;
+        head.status = 503;
+        head.notExecuted = true;
+        head.maxRejections = plan_.brittle->maxRejections;
+        daemons_[open.daemon].gateway->onHead(head, now_);
+        takeActions(open.daemon);
+        if (endpoint.rejectedAt.size() > plan_.brittle->maxRejections)
+            fall(open.endpoint);
+    }
+
+    void fall(const EndpointId &id)
+    {
+        ++result_.falls;
+        endpoints_[id].rejectedAt.clear();
+        endpoints_[id].running = 0;
+        end(id);
+        at(now_ + plan_.brittle->downtime, [this, id] {
+            endpoints_[id].isDead = false;
+            endpoints_[id].entry.start.unixMs = now_.count;
+        });
+    }
+
     void respond(uint64_t number, bool isStream, uint64_t event)
     {
         const auto found = open_.find(number);
@@ -514,6 +592,8 @@
             head.attempt = open.attempt;
             head.status = 200;
             head.eventStream = isStream;
+            if (!isStream && isBrittle())
+                head.maxRejections = plan_.brittle->maxRejections;
             gateway.onHead(head, now_);
         }
         const bool isLast = !isStream || event >= Events;
@@ -639,6 +719,8 @@
         add(bySecond[second(asked.at)], isServed);
         if (isStable && !isBroken)
             add(isCut ? result_.cutOff : result_.others, isServed);
+        if (plan_.brittle && since >= plan_.brittle->from)
+            add(result_.whileBrittle, isServed);
         result_.unanswered += asked.isAnswered ? 0 : 1;
         if (asked.mayRepeat)
             return;
@@ -680,10 +762,11 @@
         "from 3 s after the cut: cut off {} of {}, others {} of {}\nran twice {}, ran though refused {}, "
         "unanswered {}; quarantined {}, endpoints taken for dead {}, ejections {}; partitions {}, regained "
         "{}, "
-        "path probes {}; attempts {}, connections {}\n",
+        "path probes {}; attempts {}, connections {}; rejections {}, most in a second {}, falls {}, served "
+        "while brittle {} of {}\n",
         cutOff.served, cutOff.asked, others.served, others.asked, ranTwice, ranThoughRefused, unanswered,
         quarantined, endpointsTakenForDead, ejections, partitions, regained, pathProbes, attempts,
-        connections);
+        connections, rejections, mostRejections, falls, whileBrittle.served, whileBrittle.asked);
     for (const std::pair<const int64_t, TryCount> &each : cutOffBySecond)
         out += fmt::format("{} s: {} of {}\n", each.first, each.second.served, each.second.asked);
     for (const std::pair<const size_t, uint64_t> &each : relayedBy)
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -27,6 +27,14 @@
     std::set<std::string> services = {}; ///< Empty: all.
 };
 
+/// Plain endpoints that crash when they have to reject too many requests in a second.
+struct BrittleEndpoints {
+    uint32_t maxRejections = 10; ///< In a second. Stated in all answers.
+    uint32_t slots = 6;
+    DurationMs from{3000}; ///< Before, they have room for all.
+    DurationMs downtime{3000};
+};
+
 /// Daemons, engines and plain endpoints in virtual time, with the connections between them.
 struct PartitionPlan {
     size_t daemons = 6; ///< All serve.
@@ -40,6 +48,8 @@
     std::map<size_t, DurationMs>
         endpointsDead; ///< Endpoints (engines first) whose process ends at this time.
     std::map<size_t, std::pair<DurationMs, DurationMs>> endpointsSilent; ///< Frozen between these times.
+    std::optional<BrittleEndpoints> brittle;
+    bool onlyPlain = false; ///< All requests are for plain endpoints.
     bool callersFollowEntries
         = false; ///< Callers leave daemons that report a partition, once their answer expires.
     uint64_t seed = 1;
@@ -72,6 +82,10 @@
     std::map<int64_t, uint64_t> connectionsBySecond;
     std::map<size_t, uint64_t> relayedBy; ///< Attempts that each daemon carried for others.
     std::map<int64_t, uint64_t> relayedBySecond;
+    uint64_t rejections = 0; ///< By brittle endpoints, for lack of room.
+    uint64_t mostRejections = 0; ///< By one of them in a second.
+    uint64_t falls = 0; ///< Brittle endpoints that crashed.
+    TryCount whileBrittle;
     std::set<size_t> reportedPartition; ///< Daemons that wrote `endpoints_unreached`.
 
     std::string text() const;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -192,6 +192,29 @@
     CHECK(decode({"x", "1"}).limitError);
 }
 
+TEST_CASE("an invalid Server-Brittle header gives an error and no number of rejections")
+{
+    const CallerRequestPtr request = *decoded(makeHttp());
+    const auto decode = [&request](const std::vector<std::string> &values) {
+        HttpHeaders headers = {{"X-Request-Id", "9c41"}};
+        for (const std::string &value : values)
+            headers.push_back({"server-brittle", value});
+        return platform::decodeHead({1}, *request, 503, headers);
+    };
+    CHECK_FALSE(decode({}).maxRejections);
+    CHECK_FALSE(decode({}).maxRejectionsError);
+    CHECK(decode({"12"}).maxRejections == 12);
+    CHECK(decode({"12", "12"}).maxRejections == 12);
+    for (const char *bad : {"", "0", "-1", "+1", "1.5", "nan", "inf", "1e3", "0x1", "two", "99999999999"}) {
+        INFO(bad);
+        CHECK_FALSE(decode({bad}).maxRejections);
+        REQUIRE(decode({bad}).maxRejectionsError);
+        CHECK(decode({bad}).maxRejectionsError->path == "Server-Brittle");
+    }
+    CHECK_FALSE(decode({"1", "2"}).maxRejections);
+    CHECK(decode({"1", "2"}).maxRejectionsError);
+}
+
 TEST_CASE("the configuration is decoded; unknown fields are ignored")
 {
     const std::optional<ServingConfigurationPtr> read = configurationFrom(ConfigurationText);
