--- a/src/io/socketoptions.cpp
+++ b/src/io/socketoptions.cpp
@@ -12,7 +12,8 @@
 constexpr int KeepAliveIdleSeconds = 2; ///< Longer than any pause of a healthy stream.
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
-constexpr int UserTimeoutMs = 4000; ///< Equals idle time + interval * probes.
+/// Equals idle time + interval * probes: a user time-out also ends keep-alive, whatever the number of probes.
+constexpr int UserTimeoutMs = 1000 * (KeepAliveIdleSeconds + KeepAliveIntervalSeconds * KeepAliveProbes);
 
 void set(int socket, int level, int name, int value)
 {
