--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -447,7 +447,8 @@
     void relay(uint64_t number, const SendAttempt &attempt)
     {
         const size_t carrier = attempt.relay->port;
-        if (daemons_[carrier].isGone || !daemons_[carrier].gateway->relayTarget(attempt.endpoint, now_))
+        if (!plan_.relaysAccept || daemons_[carrier].isGone
+            || !daemons_[carrier].gateway->relayTarget(attempt.endpoint, now_))
             return fail(number, false, ConnectFailure::None, RelayFailure::Unavailable);
         ++result_.relayedBy[carrier];
         ++result_.relayedBySecond[second(now_)];
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -49,6 +49,7 @@
         endpointsDead; ///< Endpoints (engines first) whose process ends at this time.
     std::map<size_t, std::pair<DurationMs, DurationMs>> endpointsSilent; ///< Frozen between these times.
     std::optional<BrittleEndpoints> brittle;
+    bool relaysAccept = true; ///< False: no daemon carries requests of others.
     bool onlyPlain = false; ///< All requests are for plain endpoints.
     bool callersFollowEntries
         = false; ///< Callers leave daemons that report a partition, once their answer expires.
