Relay in short functions; one place tells which requests may be sent again

Wording and layout only: EndpointRelay::onRequest in three steps, the mapping of a failed connection stands once, isRetryable moves to serving.h where the partition code needs it, too.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -205,9 +205,7 @@
 // connection may come back to life.
 bool Gateway::isLostInPartition(const Exchange &exchange, TimeMs now) const
 {
-    const bool isRepeatable = exchange.route->kind == RouteKind::Idempotent
-        || (exchange.route->kind == RouteKind::Streaming && exchange.route->resumable);
-    return !exchange.relay && isRepeatable && exchange.sends + 1 < exchange.route->attempts
+    return !exchange.relay && isRetryable(*exchange.route) && exchange.sends + 1 < exchange.route->attempts
         && paths_.isHanging(exchange.service)
         && now - std::max(exchange.sentAt, exchange.newestEventAt) > SilenceBeforeProbe;
 }
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/io/endpointrelay.h"
 
 #include "gateway/io/clocksource.h"
+#include "gateway/io/connectfailure.h"
 
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
@@ -38,6 +39,13 @@
                        [&header](const char *name) { return boost::algorithm::iequals(header.name, name); });
 }
 
+HttpHeaders forwardedHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders out = headers;
+    std::erase_if(out, [](const HttpHeader &header) { return isRelayHeader(header) || isHopByHop(header); });
+    return out;
+}
+
 HttpHeader outcomeHeader(RelayOutcome outcome)
 {
     return {OutcomeHeader, OutcomeNames.at(static_cast<size_t>(outcome))};
@@ -103,94 +111,85 @@
 void EndpointRelay::onRequest(const HttpExchangePtr &exchange)
 {
     const HttpRequest &request = exchange->request();
-    const EndpointId endpoint{headerOf(request.headers, EndpointHeader)};
+    const std::shared_ptr<Passed> passed = std::make_shared<Passed>();
+    passed->exchange = exchange;
+    passed->endpoint.value = headerOf(request.headers, EndpointHeader);
+    passed->isProbe = !headerOf(request.headers, FreshHeader).empty();
     const std::string method = headerOf(request.headers, MethodHeader);
-    const std::optional<Address> target = gateway_.relayTarget(endpoint, steadyNow());
+    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint, steadyNow());
     if (!target || method.empty() || openCalls_ >= MaxOpenCalls)
         return respond(exchange, RelayOutcome::Unavailable);
-    const bool isProbe = !headerOf(request.headers, FreshHeader).empty();
     HttpCall call;
     call.address = *target;
     call.request = request;
     call.request.method = method;
-    std::erase_if(call.request.headers,
-                  [](const HttpHeader &header) { return isRelayHeader(header) || isHopByHop(header); });
+    call.request.headers = forwardedHeaders(request.headers);
     call.connectTimeout = EndpointConnectTimeout;
     call.progressTimeout = RelayBackstop;
-    call.freshConnection = isProbe;
+    call.freshConnection = passed->isProbe;
+    exchange->onClosed([this, passed] {
+        if (std::exchange(passed->isOver, true))
+            return;
+        --openCalls_;
+        endpoints_.cancel(passed->call);
+    });
+    ++openCalls_;
+    gateway_.counters().add(GatewayCount::RelayedForPeers);
+    passed->call = endpoints_.start(std::move(call), callbacksFor(passed));
+}
+
+HttpCallbacks EndpointRelay::callbacksFor(const PassedPtr &passed)
+{
     HttpCallbacks callbacks;
-    callbacks.onConnected = [this, endpoint] {
-        gateway_.onEndpointConnected({endpoint}, steadyNow());
+    callbacks.onConnected = [this, passed] {
+        gateway_.onEndpointConnected({passed->endpoint}, steadyNow());
         runActions_();
     };
-    callbacks.onHead = [exchange](int status, const HttpHeaders &headers) {
-        HttpHeaders out = headers;
-        std::erase_if(out,
-                      [](const HttpHeader &header) { return isRelayHeader(header) || isHopByHop(header); });
+    callbacks.onHead = [passed](int status, const HttpHeaders &headers) {
+        HttpHeaders out = forwardedHeaders(headers);
         out.push_back(outcomeHeader(RelayOutcome::Reached));
-        exchange->beginStream(status, out);
+        passed->exchange->beginStream(status, out);
     };
-    const std::shared_ptr<uint64_t> number = std::make_shared<uint64_t>(0);
-    const std::shared_ptr<bool> isOver = std::make_shared<bool>(false);
-    callbacks.onData = [exchange](const char *data, size_t size) {
-        exchange->write(std::string(data, size));
-        if (exchange->pendingBytes() > MaxUnsentBytes)
-            exchange->abort();
+    callbacks.onData = [passed](const char *data, size_t size) {
+        passed->exchange->write(std::string(data, size));
+        if (passed->exchange->pendingBytes() > MaxUnsentBytes)
+            passed->exchange->abort();
     };
-    callbacks.onDone = [this, exchange, endpoint, isProbe, isOver](HttpFailure failure) {
-        *isOver = true;
+    callbacks.onDone = [this, passed](HttpFailure failure) {
+        passed->isOver = true;
         --openCalls_;
-        exchange->onClosed(nullptr);
-        finish(exchange, endpoint, isProbe, failure);
+        passed->exchange->onClosed(nullptr);
+        finish(*passed, failure);
     };
-    exchange->onClosed([this, number, isOver] {
-        if (std::exchange(*isOver, true))
-            return;
-        --openCalls_;
-        endpoints_.cancel(*number);
-    });
-    ++openCalls_;
-    gateway_.counters().add(GatewayCount::RelayedForPeers);
-    *number = endpoints_.start(std::move(call), std::move(callbacks));
+    return callbacks;
 }
 
-void EndpointRelay::finish(const HttpExchangePtr &exchange, const EndpointId &endpoint, bool isProbe,
-                           HttpFailure failure)
+void EndpointRelay::finish(const Passed &passed, HttpFailure failure)
 {
-    switch (failure) {
-    case HttpFailure::None:
-        return exchange->finish();
-    case HttpFailure::Refused:
-    case HttpFailure::NotSent:
-        gateway_.onEndpointConnected(
-            {endpoint, failure == HttpFailure::Refused ? ConnectFailure::Refused : ConnectFailure::TimedOut},
-            steadyNow());
-        runActions_();
-        if (isProbe && failure == HttpFailure::Refused)
-            return confirmRefusal(exchange, endpoint);
-        return respond(exchange, RelayOutcome::EndpointUnreached);
-    case HttpFailure::Interrupted:
-    case HttpFailure::ProgressTimeout:
-        return exchange->abort(); // The endpoint may have run the request.
-    }
+    if (failure == HttpFailure::None)
+        return passed.exchange->finish();
+    if (mayHaveArrived(failure))
+        return passed.exchange->abort();
+    gateway_.onEndpointConnected({passed.endpoint, connectFailureOf(failure)}, steadyNow());
+    runActions_();
+    if (passed.isProbe && failure == HttpFailure::Refused)
+        return confirmRefusal(passed);
+    respond(passed.exchange, RelayOutcome::EndpointUnreached);
 }
 
 // This daemon may be cut off as well. Only a connection to another endpoint shows that it is not.
-void EndpointRelay::confirmRefusal(const HttpExchangePtr &exchange, const EndpointId &endpoint)
+void EndpointRelay::confirmRefusal(const Passed &passed)
 {
-    const std::optional<ProbePath> control = gateway_.controlProbe(endpoint, steadyNow());
+    const std::optional<ProbePath> control = gateway_.controlProbe(passed.endpoint, steadyNow());
     if (!control)
-        return respond(exchange, RelayOutcome::EndpointExited);
+        return respond(passed.exchange, RelayOutcome::EndpointExited);
     endpoints_.connect(control->address, control->timeout,
-                       [this, exchange, id = control->endpoint](HttpFailure failure) {
-                           const ConnectFailure connect = failure == HttpFailure::None ? ConnectFailure::None
-                               : failure == HttpFailure::Refused ? ConnectFailure::Refused
-                                                                 : ConnectFailure::TimedOut;
-                           gateway_.onEndpointConnected({id, connect, true}, steadyNow());
+                       [this, exchange = passed.exchange, id = control->endpoint](HttpFailure failure) {
+                           gateway_.onEndpointConnected({id, connectFailureOf(failure), true}, steadyNow());
                            runActions_();
                            respond(exchange,
-                                   connect == ConnectFailure::None ? RelayOutcome::EndpointExited
-                                                                   : RelayOutcome::EndpointUnreached);
+                                   failure == HttpFailure::None ? RelayOutcome::EndpointExited
+                                                                : RelayOutcome::EndpointUnreached);
                        });
 }
 
--- a/src/gateway/io/endpointrelay.h
+++ b/src/gateway/io/endpointrelay.h
@@ -41,9 +41,19 @@
     static HttpServerLimits limitsFor(const CallerLimits &limits);
 
 private:
-    void finish(const HttpExchangePtr &exchange, const EndpointId &endpoint, bool isProbe,
-                HttpFailure failure);
-    void confirmRefusal(const HttpExchangePtr &exchange, const EndpointId &endpoint);
+    /// A request that is being passed on.
+    struct Passed {
+        HttpExchangePtr exchange;
+        EndpointId endpoint;
+        bool isProbe = false;
+        uint64_t call = 0; ///< Of `endpoints_`.
+        bool isOver = false;
+    };
+    using PassedPtr = std::shared_ptr<Passed>;
+
+    HttpCallbacks callbacksFor(const PassedPtr &passed);
+    void finish(const Passed &passed, HttpFailure failure);
+    void confirmRefusal(const Passed &passed);
 
     HttpClient &endpoints_;
     Gateway &gateway_;
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -1,6 +1,7 @@
 // Connections to callers and endpoints: turns HTTP exchanges into events of the core, and actions of the core
 // into responses and attempts.
 
+#include "gateway/io/connectfailure.h"
 #include "gateway/io/gatewaystate.h"
 
 #include <fmt/format.h>
@@ -21,13 +22,6 @@
     return response.failure == HttpFailure::None ? response.status : 0;
 }
 
-ConnectFailure connectFailureOf(HttpFailure failure)
-{
-    if (mayHaveArrived(failure))
-        return ConnectFailure::None;
-    return failure == HttpFailure::Refused ? ConnectFailure::Refused : ConnectFailure::TimedOut;
-}
-
 } // namespace
 
 void GatewayServer::State::onCaller(const HttpExchangePtr &exchange)
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -28,11 +28,6 @@
 constexpr int FirstServerError = 500;
 constexpr std::array NotRunStatuses = {408, 421, 429, 503};
 
-bool isRetryable(const Route &route)
-{
-    return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.resumable);
-}
-
 } // namespace
 
 Exchange *Gateway::findByAttempt(AttemptId attempt)
@@ -332,10 +327,11 @@
 void Gateway::continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now)
 {
     if (!failure.sent) {
-        if (failure.relay != RelayFailure::EndpointUnreached && paths_.isDoubtful(exchange.service))
+        if (paths_.isDoubtful(exchange.service) && failure.relay != RelayFailure::EndpointUnreached)
             allowUnsentAgain(exchange, now);
         if (retry(exchange, GatewayRetry::ConnectFailed, now))
             return;
+        // All endpoints were tried: a relay may reach what this daemon does not.
         allowUnsentAgain(exchange, now);
         if (retry(exchange, GatewayRetry::ConnectFailed, now))
             return;
--- a/src/gateway/serving.cpp
+++ b/src/gateway/serving.cpp
@@ -4,6 +4,11 @@
 
 namespace cranberry {
 
+bool isRetryable(const Route &route)
+{
+    return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.resumable);
+}
+
 void ServingConfiguration::index()
 {
     for (size_t i = 0; i < routes.size(); ++i)
--- a/src/gateway/serving.h
+++ b/src/gateway/serving.h
@@ -39,6 +39,9 @@
     bool resumable = false; ///< An interrupted stream may be resumed at another endpoint.
 };
 
+/// Returns whether a request that may have run may be sent again.
+bool isRetryable(const Route &route);
+
 /// Properties of a service's engines, as configured by the operators.
 struct EngineFigures {
     uint32_t slots = 64; ///< Maximum number of requests in one batch.
