Relays carry requests while the store is away

What callers would see: 503 from daemons that reach no endpoint as soon as no daemon has had word from the store for 4.75 s, though requests without a key are served by all others.

Cause: a relay passed requests on only while it was ready for callers of its own, and was chosen only while it reported so. The daemon that has the caller has checked the key; a relay needs the list of endpoints alone.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -213,9 +213,10 @@
 // ---- For other daemons ----
 
 // Requests are passed on to listed endpoints alone, and never to a further daemon, so none goes in circles.
-std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint, TimeMs now) const
+// The other daemon has checked the key, so this one needs no word from the store.
+std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint) const
 {
-    const FleetEndpoint *found = isReady(now) ? fleet_.find(endpoint) : nullptr;
+    const FleetEndpoint *found = leavingSince_ ? nullptr : fleet_.find(endpoint);
     if (!found || found->gone || found->addressReused || !found->readable)
         return std::nullopt;
     return found->entry.address;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -133,7 +133,7 @@
     // For other daemons, whose requests this one passes on.
 
     /// Returns the endpoint for a request of another daemon, or nothing if this daemon does not relay.
-    std::optional<Address> relayTarget(const EndpointId &endpoint, TimeMs now) const;
+    std::optional<Address> relayTarget(const EndpointId &endpoint) const;
     /// Returns the probe of another endpoint that shows whether a refused connection is the endpoint's fault
     /// or this daemon's; nothing if there is no other endpoint.
     std::optional<ProbePath> controlProbe(const EndpointId &refused, TimeMs now);
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -71,7 +71,8 @@
 {
     std::string text = prometheusText(gateway.counters()) + latency.prometheusText();
     text += engineSizing.prometheusText();
-    text += fmt::format("cranberry_gateway_endpoints {}\n", gateway.fleet().all().size());
+    text += fmt::format("cranberry_gateway_endpoints {}\ncranberry_gateway_unreached_services {}\n",
+                        gateway.fleet().all().size(), gateway.paths().unreached().size());
     text
         += fmt::format("cranberry_gateway_peer_bytes_sent_total {}\ncranberry_gateway_store_calls_total {}\n",
                        peerBytesSent, storeCalls);
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -297,11 +297,11 @@
     MemberPtrs out;
     for (const MemberEntry *member : serving_) {
         const Peer *peer = heardPeer(*member, now);
-        const bool reaches = peer ? takesRequests(peer->report)
-                && std::find(peer->report.unreached.begin(), peer->report.unreached.end(), service)
-                    == peer->report.unreached.end()
-                                  : !isTarget_;
-        if (!isSelf(*member) && reaches)
+        if (isSelf(*member) || (!peer && isTarget_))
+            continue;
+        const bool isUnreached
+            = peer && std::count(peer->report.unreached.begin(), peer->report.unreached.end(), service) > 0;
+        if (!isUnreached && !(peer && peer->report.leaving))
             out.push_back(member);
     }
     return out;
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -92,6 +92,31 @@
     }
 }
 
+// Guards against relays that refuse to help since the store is away, though requests without a key need no
+// store.
+TEST_CASE("relays carry requests while the store is away")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        PartitionPlan plan = planWith({{0, 1}, kind});
+        plan.storeAway = {{3000}, {20000}};
+        checkServedAlike(playPartition(plan));
+    }
+}
+
+// Guards against swinging between own connections and relays on links that lose packets.
+TEST_CASE("links that lose packets make no daemon believe that it is partitioned")
+{
+    PartitionPlan plan;
+    plan.lostConnects = 5;
+    for (plan.seed = 1; plan.seed <= 5; ++plan.seed) {
+        const PartitionResult result = playPartition(plan);
+        INFO(result.text());
+        CHECK(result.partitions == 0);
+        CHECK(result.unanswered == 0);
+    }
+}
+
 // Guards against a sound endpoint's silence of a second being taken for a partition.
 TEST_CASE("an endpoint that is silent for a second makes no daemon believe that it is partitioned")
 {
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -258,6 +258,9 @@
 
     void list()
     {
+        const DurationMs since = now_ - TimeMs{StartMs};
+        if (plan_.storeAway && since >= plan_.storeAway->first && since < plan_.storeAway->second)
+            return;
         EndpointsRead read;
         read.askedAt = now_;
         for (const std::pair<const EndpointId, Endpoint> &each : endpoints_)
@@ -417,11 +420,13 @@
     }
 
     /// Outcome of a new connection, and when it is known.
-    std::pair<ConnectFailure, DurationMs> connect(size_t carrier, const EndpointId &endpoint) const
+    std::pair<ConnectFailure, DurationMs> connect(size_t carrier, const EndpointId &endpoint)
     {
         if (const Cut *cut = cutOf(carrier, endpoint))
             return cut->kind == CutKind::Hanging ? std::pair(ConnectFailure::TimedOut, ConnectTimeout)
                                                  : std::pair(ConnectFailure::Refused, Hop);
+        if (plan_.lostConnects > 0 && lossRandom_.below(100) < plan_.lostConnects)
+            return {ConnectFailure::TimedOut, ConnectTimeout};
         return {endpoints_.at(endpoint).isDead ? ConnectFailure::Refused : ConnectFailure::None, Hop};
     }
 
@@ -448,7 +453,7 @@
     {
         const size_t carrier = attempt.relay->port;
         if (!plan_.relaysAccept || daemons_[carrier].isGone
-            || !daemons_[carrier].gateway->relayTarget(attempt.endpoint, now_))
+            || !daemons_[carrier].gateway->relayTarget(attempt.endpoint))
             return fail(number, false, ConnectFailure::None, RelayFailure::Unavailable);
         ++result_.relayedBy[carrier];
         ++result_.relayedBySecond[second(now_)];
@@ -648,7 +653,7 @@
     void askRelay(EngineProbed &probed, size_t carrier, ConnectFailure failure)
     {
         Gateway &gateway = *daemons_[carrier].gateway;
-        if (daemons_[carrier].isGone || !gateway.relayTarget(probed.endpoint, now_)) {
+        if (daemons_[carrier].isGone || !gateway.relayTarget(probed.endpoint)) {
             probed.relayFailure = RelayFailure::Unavailable;
             probed.process = EndpointProcess::Unknown;
             return;
@@ -737,6 +742,7 @@
 
     const PartitionPlan plan_;
     Random random_;
+    Random lossRandom_{9}; ///< So that callers ask the same whatever is lost.
     TimeMs now_{StartMs};
     std::multimap<TimeMs, std::function<void()>> events_;
     std::shared_ptr<ServingConfiguration> configuration_;
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -48,6 +48,8 @@
     std::map<size_t, DurationMs>
         endpointsDead; ///< Endpoints (engines first) whose process ends at this time.
     std::map<size_t, std::pair<DurationMs, DurationMs>> endpointsSilent; ///< Frozen between these times.
+    std::optional<std::pair<DurationMs, DurationMs>> storeAway; ///< No daemon hears from the store.
+    uint64_t lostConnects = 0; ///< Of a hundred new connections to sound endpoints, so many time out.
     std::optional<BrittleEndpoints> brittle;
     bool relaysAccept = true; ///< False: no daemon carries requests of others.
     bool onlyPlain = false; ///< All requests are for plain endpoints.
