Conditions and parameters as the linter asks

bugprone-branch-clone in abandonSilentEndpoints (the three reasons to leave an endpoint are one condition now), two parameters of a test by reference.

--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -414,14 +414,10 @@
     std::vector<AttemptId> silent;
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
-        if (fleet_.isSuperseded(exchange.sentTo, now)) {
-            silent.push_back(entry.first);
-            continue;
-        }
-        if (exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts
-            && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now))
-            silent.push_back(entry.first);
-        else if (isLostInPartition(exchange, now))
+        const bool isSilentStream = exchange.streaming && exchange.route->resumable
+            && exchange.sends + 1 < exchange.route->attempts
+            && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now);
+        if (fleet_.isSuperseded(exchange.sentTo, now) || isSilentStream || isLostInPartition(exchange, now))
             silent.push_back(entry.first);
     }
     for (AttemptId attempt : silent) {
--- a/tests/endpointrelay_test.cpp
+++ b/tests/endpointrelay_test.cpp
@@ -29,7 +29,7 @@
 class RelayFixture
 {
 public:
-    explicit RelayFixture(std::set<int> listening, HttpHandler handler) : gateway_(settings(), log_)
+    RelayFixture(const std::set<int> &listening, const HttpHandler &handler) : gateway_(settings(), log_)
     {
         std::shared_ptr<ServingConfiguration> configuration = std::make_shared<ServingConfiguration>();
         configuration->version = 1;
