Relays of the own failure domain only where there are no others; units for paths and relays

What callers would see: an attempt that takes a hop for nothing when a whole failure domain is cut off and the daemon has not heard so yet.

Found on reading the change; the test failed before and passes now.

RelayChoice returns the address that its three callers used. EndpointPaths and RelayChoice have units of their own.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -42,11 +42,11 @@
     const FleetEndpoint *endpoint = fleet_.find(id);
     if (!endpoint)
         return false;
-    const MemberEntry *relay = relays_.choose(peers_.relayCandidates(endpoint->entry.service, now), {}, now);
+    const std::optional<Address> relay
+        = relays_.choose(peers_.relayCandidates(endpoint->entry.service, now), {}, now);
     if (!relay)
         return false;
-    actions_.emplace_back(
-        ProbeEngine{id, endpoint->entry.address, ProcessProbeTimeout, true, relay->peerAddress});
+    actions_.emplace_back(ProbeEngine{id, endpoint->entry.address, ProcessProbeTimeout, true, relay});
     return true;
 }
 
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -152,8 +152,7 @@
 {
     if (!paths_.isDoubtful(service))
         return std::nullopt;
-    const MemberEntry *relay = relays_.choose(peers_.relayCandidates(service, now), {}, now);
-    return relay ? std::optional<Address>(relay->peerAddress) : std::nullopt;
+    return relays_.choose(peers_.relayCandidates(service, now), {}, now);
 }
 
 std::optional<Address> Gateway::relayFor(const Exchange &exchange, TimeMs now)
@@ -161,9 +160,7 @@
     if (exchange.relayedSends >= MaxRelayedSends
         || (!exchange.needsRelay && !paths_.isDoubtful(exchange.service)))
         return std::nullopt;
-    const MemberEntry *relay
-        = relays_.choose(peers_.relayCandidates(exchange.service, now), exchange.triedRelays, now);
-    return relay ? std::optional<Address>(relay->peerAddress) : std::nullopt;
+    return relays_.choose(peers_.relayCandidates(exchange.service, now), exchange.triedRelays, now);
 }
 
 bool Gateway::isOutOfReach(const ServiceName &service, TimeMs now) const
--- a/src/gateway/peers/relaychoice.cpp
+++ b/src/gateway/peers/relaychoice.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-const MemberEntry *RelayChoice::choose(const std::vector<const MemberEntry *> &candidates,
-                                       const std::set<Address> &tried, TimeMs now)
+std::optional<Address> RelayChoice::choose(const std::vector<const MemberEntry *> &candidates,
+                                           const std::set<Address> &tried, TimeMs now)
 {
     struct Ranked {
         bool wasTried = false;
@@ -32,16 +32,16 @@
                  member});
     }
     if (ranked.empty())
-        return nullptr;
+        return std::nullopt;
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
         return std::tie(a.wasTried, a.isInOwnDomain, a.weight)
             < std::tie(b.wasTried, b.isInOwnDomain, b.weight);
     });
     size_t usable = 1;
-    while (usable < std::min(ranked.size(), RelaysInUse)
-           && ranked[usable].wasTried == ranked.front().wasTried)
+    while (usable < std::min(ranked.size(), RelaysInUse) && ranked[usable].wasTried == ranked.front().wasTried
+           && ranked[usable].isInOwnDomain == ranked.front().isInOwnDomain)
         ++usable;
-    return ranked[random_.below(usable)].member;
+    return ranked[random_.below(usable)].member->peerAddress;
 }
 
 bool RelayChoice::isAvailable(const std::vector<const MemberEntry *> &candidates, TimeMs now) const
--- a/src/gateway/peers/relaychoice.h
+++ b/src/gateway/peers/relaychoice.h
@@ -19,9 +19,9 @@
         : self_(std::move(self)), ownDomain_(std::move(ownDomain)), random_(seed)
     { }
 
-    /// Returns nullptr if there is none. `tried` ones are chosen only if there are no others.
-    const MemberEntry *choose(const std::vector<const MemberEntry *> &candidates,
-                              const std::set<Address> &tried, TimeMs now);
+    /// Returns nothing if there is none. `tried` ones are chosen only if there are no others.
+    std::optional<Address> choose(const std::vector<const MemberEntry *> &candidates,
+                                  const std::set<Address> &tried, TimeMs now);
     bool isAvailable(const std::vector<const MemberEntry *> &candidates, TimeMs now) const;
     /// Records that a relay was not reached or did not accept a request.
     void failed(const Address &relay, TimeMs now);
--- /dev/null
+++ b/tests/endpointpaths_test.cpp
@@ -0,0 +1,108 @@
+#include "gateway/endpoints/endpointpaths.h"
+#include "gateway/peers/relaychoice.h"
+
+#include <doctest/doctest.h>
+
+using namespace cranberry;
+
+namespace {
+
+using State = EndpointPaths::State;
+using Change = EndpointPaths::Change;
+
+const ServiceName service{"model"};
+const EndpointId first{"e1"};
+const EndpointId second{"e2"};
+const EndpointId third{"e3"};
+constexpr size_t Listed = 5;
+
+/// Two endpoints and a probe of a third have failed.
+EndpointPaths partitioned(TimeMs now)
+{
+    EndpointPaths paths(1);
+    paths.connectFailed(service, first, ConnectFailure::Refused, Listed, now);
+    paths.connectFailed(service, second, ConnectFailure::Refused, Listed, now);
+    paths.probeFailed(service, third, ConnectFailure::Refused, Listed, now);
+    return paths;
+}
+
+MemberEntry member(uint64_t number, const std::string &domain)
+{
+    MemberEntry out;
+    out.incarnation.value = number;
+    out.failureDomain.value = domain;
+    out.peerAddress = {"10.0.0.2", static_cast<uint16_t>(number)};
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("two endpoints that fail raise a doubt, and the probe of another one decides")
+{
+    EndpointPaths paths(1);
+    CHECK(paths.connectFailed(service, first, ConnectFailure::Refused, Listed, {1000}) == Change::None);
+    CHECK(paths.connectFailed(service, first, ConnectFailure::Refused, Listed, {1010}) == Change::None);
+    CHECK(paths.connectFailed(service, second, ConnectFailure::Refused, Listed, {1020}) == Change::Suspected);
+    CHECK(paths.takeDueProbes({1020}) == std::vector<ServiceName>{service});
+    CHECK(paths.unreached().empty());
+    SUBCASE("it fails")
+    {
+        CHECK(paths.probeFailed(service, third, ConnectFailure::Refused, Listed, {1030})
+              == Change::Partitioned);
+        CHECK(paths.unreached() == std::vector<ServiceName>{service});
+        CHECK(paths.since(service) == TimeMs{1000});
+        CHECK_FALSE(paths.isHanging(service));
+    }
+    SUBCASE("it connects")
+    {
+        CHECK(paths.connected(service, third, {1030}) == Change::Cleared);
+        CHECK(paths.state(service) == State::Sound);
+    }
+}
+
+TEST_CASE("a failure of long ago and one of now raise no doubt")
+{
+    EndpointPaths paths(1);
+    paths.connectFailed(service, first, ConnectFailure::TimedOut, Listed, {1000});
+    CHECK(paths.connectFailed(service, second, ConnectFailure::TimedOut, Listed, {6000}) == Change::None);
+}
+
+// Guards against a daemon that returns to its own connections after a single one that passed by chance.
+TEST_CASE("two new connections in a row end a partition")
+{
+    EndpointPaths paths = partitioned({1000});
+    CHECK(paths.connected(service, first, {2000}) == Change::None);
+    paths.probeFailed(service, second, ConnectFailure::TimedOut, Listed, {2100});
+    CHECK(paths.connected(service, first, {2200}) == Change::None);
+    CHECK(paths.connected(service, second, {2300}) == Change::Regained);
+    CHECK(paths.state(service) == State::Sound);
+}
+
+TEST_CASE("a silent service that is not reached is in doubt at once, and hangs")
+{
+    EndpointPaths paths(1);
+    CHECK(paths.silentAndUnreached(service, first, {1000}) == Change::Suspected);
+    CHECK(paths.probeFailed(service, second, ConnectFailure::TimedOut, Listed, {1400})
+          == Change::Partitioned);
+    CHECK(paths.isHanging(service));
+}
+
+// Guards against relays that are cut off together with the daemon that asks.
+TEST_CASE("relays in other failure domains go first, failed and tried ones last")
+{
+    const std::vector<MemberEntry> members{member(1, "north"), member(2, "south"), member(3, "south")};
+    const std::vector<const MemberEntry *> candidates{&members[0], &members[1], &members[2]};
+    RelayChoice relays({"entry-9"}, {"north"}, 1);
+    CHECK_FALSE(relays.choose({}, {}, {1000}));
+    CHECK(relays.choose(candidates, {members[0].peerAddress, members[1].peerAddress}, {1000})
+          == members[2].peerAddress);
+    CHECK(relays.choose({&members[0], &members[2]}, {members[2].peerAddress}, {1000})
+          == members[0].peerAddress);
+    for (int i = 0; i < 30; ++i)
+        CHECK(relays.choose(candidates, {}, {1000}) != members[0].peerAddress);
+    relays.failed(members[1].peerAddress, {1000});
+    relays.failed(members[2].peerAddress, {1000});
+    CHECK(relays.choose(candidates, {}, {1500}) == members[0].peerAddress);
+    CHECK(relays.isAvailable({&members[1]}, {2000}));
+    CHECK_FALSE(relays.isAvailable({&members[1]}, {1999}));
+}
