--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -204,7 +204,6 @@
     /// room.
     void setBrittleServices(std::map<ServiceName, uint32_t> services, const std::vector<Incarnation> &daemons,
                             Incarnation self);
-    bool isBrittle(const ServiceName &service) const { return brittle_.contains(service); }
     /// Sets the number of daemons that share the engines' links.
     void setServingDaemons(size_t count) { servingDaemons_ = count; }
     void setPeersLoad(const std::map<EndpointIncarnation, EndpointLoad> &sums, TimeMs now);
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -3,6 +3,7 @@
 #include "gateway/io/clocksource.h"
 #include "gateway/io/connectfailure.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
 
--- a/src/gateway/sizing/usualfigures.h
+++ b/src/gateway/sizing/usualfigures.h
@@ -35,7 +35,7 @@
     EngineCapacity capacity_;
     double missShare_ = 0.1; ///< A typical share until it is known.
     bool isCalm_ = false;
-    bool isLearned_ = false; ///< The capacity was measured in a calm time.
+    bool isLearned_ = false; ///< The capacity is that of a calm time.
 };
 
 } // namespace cranberry
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -304,7 +304,7 @@
         if (now_ - TimeMs{StartMs} >= plan_.length)
             return;
         ask();
-        const auto meanMs
+        const uint64_t meanMs
             = static_cast<uint64_t>(1000.0 * 1000.0 / (plan_.perSecond * static_cast<double>(plan_.daemons)));
         pendingUs_ += random_.below(2 * meanMs);
         const DurationMs pause{static_cast<int64_t>(pendingUs_ / 1000)};
