A relay asks several endpoints before it calls a refused one unreached

Cause: a crash counts only if a relay is refused, too, and reaches some other endpoint at that moment. The relay tried one other endpoint of the service, chosen at random; the engine that the same request had crashed 60 ms before was as likely as the sound one, and its refusal made the second crash unknown. The control's refusal also counted as a deciding probe, so the relay could take itself for partitioned.

Change: up to three endpoints are asked, not those that are known to have crashed; one connection is enough. Their refusals raise suspicion as those of attempts do, and the path's own probe decides.

--- a/src/gateway/endpoints/crashsuspects.cpp
+++ b/src/gateway/endpoints/crashsuspects.cpp
@@ -85,6 +85,16 @@
     return found == suspects_.end() ? 0 : found->second.crashPoints.size();
 }
 
+std::set<EndpointIncarnation> CrashSuspects::crashedEndpoints() const
+{
+    std::set<EndpointIncarnation> out;
+    for (const std::pair<const RequestDigest, Suspect> &each : suspects_) {
+        for (const std::pair<const EndpointIncarnation, uint32_t> &crash : each.second.crashPoints)
+            out.insert(crash.first);
+    }
+    return out;
+}
+
 bool CrashSuspects::quarantine(RequestDigest request, TimeMs until, TimeMs now)
 {
     until = std::min(until, now + QuarantineTime);
--- a/src/gateway/endpoints/crashsuspects.h
+++ b/src/gateway/endpoints/crashsuspects.h
@@ -3,6 +3,7 @@
 #include "gateway/gatewayevents.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace cranberry {
@@ -30,6 +31,9 @@
     DurationMs timeLeft(RequestDigest request, TimeMs now) const;
     size_t crashCount(RequestDigest request) const; ///< Number of endpoints known to have crashed under it.
 
+    /// Returns the endpoints that are known to have crashed under requests that are still suspected.
+    std::set<EndpointIncarnation> crashedEndpoints() const;
+
     /// Applies another daemon's quarantine. Returns true if it was not known. A quarantine that began before
     /// the answer that cleared the request is ignored.
     bool quarantine(RequestDigest request, TimeMs until, TimeMs now);
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/gateway.h"
 
+#include <utility>
+
 namespace cranberry {
 
 namespace {
@@ -15,6 +17,8 @@
 constexpr DurationMs ConnectionValidity{1000};
 /// Relays of one request. More than one, since a relay may be cut off as well and not know it yet.
 constexpr uint32_t MaxRelayedSends = 4;
+/// More than one, since other endpoints may have crashed as well.
+constexpr size_t MaxControlProbes = 3;
 
 } // namespace
 
@@ -219,23 +223,31 @@
     return found->entry.address;
 }
 
-std::optional<ProbePath> Gateway::controlProbe(const EndpointId &refused, TimeMs now)
+// Not endpoints that are known to have crashed: one request may crash several within milliseconds, and their
+// refusals would pass for this daemon's partition.
+std::vector<ProbePath> Gateway::controlProbes(const EndpointId &refused, TimeMs now)
 {
     const FleetEndpoint *endpoint = fleet_.find(refused);
+    const std::set<EndpointIncarnation> crashed = quarantine_.suspects().crashedEndpoints();
     std::vector<const FleetEndpoint *> ofService;
     std::vector<const FleetEndpoint *> others;
     for (const std::pair<const EndpointId, FleetEndpoint> &each : fleet_.all()) {
         const FleetEndpoint &other = each.second;
-        if (each.first == refused || other.gone || other.entry.leaving || other.crashedUntil > now)
+        if (each.first == refused || other.gone || other.entry.leaving || other.crashedUntil > now
+            || crashed.contains(other.incarnation()))
             continue;
         (endpoint && other.entry.service == endpoint->entry.service ? ofService : others).push_back(&other);
     }
-    const std::vector<const FleetEndpoint *> &candidates = ofService.empty() ? others : ofService;
-    if (candidates.empty())
-        return std::nullopt;
-    const EndpointEntry &entry = candidates[random_.below(candidates.size())]->entry;
-    counters_.add(GatewayCount::PathProbes);
-    return ProbePath{entry.id, entry.address, PathProbeTimeout};
+    std::vector<const FleetEndpoint *> &candidates = ofService.empty() ? others : ofService;
+    std::vector<ProbePath> probes;
+    while (!candidates.empty() && probes.size() < MaxControlProbes) {
+        std::swap(candidates[random_.below(candidates.size())], candidates.back());
+        const EndpointEntry &entry = candidates.back()->entry;
+        probes.push_back({entry.id, entry.address, PathProbeTimeout});
+        candidates.pop_back();
+    }
+    counters_.add(GatewayCount::PathProbes, probes.size());
+    return probes;
 }
 
 } // namespace cranberry
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -134,9 +134,9 @@
 
     /// Returns the endpoint for a request of another daemon, or nothing if this daemon does not relay.
     std::optional<Address> relayTarget(const EndpointId &endpoint) const;
-    /// Returns the probe of another endpoint that shows whether a refused connection is the endpoint's fault
-    /// or this daemon's; nothing if there is no other endpoint.
-    std::optional<ProbePath> controlProbe(const EndpointId &refused, TimeMs now);
+    /// Returns the probes of other endpoints that show whether a refused connection is the endpoint's fault
+    /// or this daemon's: it is the endpoint's if one of them succeeds. None if there is no other endpoint.
+    std::vector<ProbePath> controlProbes(const EndpointId &refused, TimeMs now);
     UsageWindows &usage() { return usage_; }
     ServingConfigurationPtr configuration() const { return configuration_; }
 
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -181,17 +181,27 @@
 // This daemon may be cut off as well. Only a connection to another endpoint shows that it is not.
 void EndpointRelay::confirmRefusal(const Passed &passed)
 {
-    const std::optional<ProbePath> control = gateway_.controlProbe(passed.endpoint, steadyNow());
-    if (!control)
+    const std::vector<ProbePath> controls = gateway_.controlProbes(passed.endpoint, steadyNow());
+    if (controls.empty())
         return respond(passed.exchange, RelayOutcome::EndpointExited);
-    endpoints_.connect(control->address, control->timeout,
-                       [this, exchange = passed.exchange, id = control->endpoint](HttpFailure failure) {
-                           gateway_.onEndpointConnected({id, connectFailureOf(failure), true}, steadyNow());
-                           runActions_();
-                           respond(exchange,
-                                   failure == HttpFailure::None ? RelayOutcome::EndpointExited
-                                                                : RelayOutcome::EndpointUnreached);
-                       });
+    const std::shared_ptr<size_t> pending = std::make_shared<size_t>(controls.size());
+    for (const ProbePath &control : controls) {
+        endpoints_.connect(
+            control.address, control.timeout,
+            [this, exchange = passed.exchange, id = control.endpoint, pending](HttpFailure failure) {
+                gateway_.onEndpointConnected({id, connectFailureOf(failure)}, steadyNow());
+                runActions_();
+                if (*pending == 0)
+                    return;
+                --*pending;
+                if (failure == HttpFailure::None) {
+                    *pending = 0;
+                    respond(exchange, RelayOutcome::EndpointExited);
+                } else if (*pending == 0) {
+                    respond(exchange, RelayOutcome::EndpointUnreached);
+                }
+            });
+    }
 }
 
 } // namespace cranberry
--- a/tests/endpointrelay_test.cpp
+++ b/tests/endpointrelay_test.cpp
@@ -147,6 +147,18 @@
           == RelayOutcome::EndpointUnreached);
 }
 
+// Guards against a crash that passes for unknown, since the endpoint that should confirm it crashed just before.
+TEST_CASE("a relay confirms the crashes of all but one of a service's endpoints")
+{
+    RelayFixture fixture({0}, [](const HttpExchangePtr &exchange) { exchange->respond(200, {}, "ok"); });
+    for (int i = 0; i < 20; ++i) {
+        CAPTURE(i);
+        CHECK(fixture.ask(request, i % 2 == 0 ? "endpoint-1" : "endpoint-2", true).outcome
+              == RelayOutcome::EndpointExited);
+    }
+    CHECK(fixture.log_.count("endpoints_unreached") == 0);
+}
+
 // Guards against endpoints that work on for callers that have gone.
 TEST_CASE("a relay closes its connection when the asking daemon closes")
 {
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -661,12 +661,14 @@
         gateway.onEndpointConnected({probed.endpoint, failure}, now_);
         if (failure != ConnectFailure::Refused)
             return takeActions(carrier);
-        const std::optional<ProbePath> control = gateway.controlProbe(probed.endpoint, now_);
-        const ConnectFailure other
-            = control ? connect(carrier, control->endpoint).first : ConnectFailure::None;
-        if (control)
-            gateway.onEndpointConnected({control->endpoint, other, true}, now_);
-        if (other != ConnectFailure::None)
+        const std::vector<ProbePath> controls = gateway.controlProbes(probed.endpoint, now_);
+        bool reachesOther = controls.empty();
+        for (const ProbePath &control : controls) {
+            const ConnectFailure other = connect(carrier, control.endpoint).first;
+            gateway.onEndpointConnected({control.endpoint, other}, now_);
+            reachesOther = reachesOther || other == ConnectFailure::None;
+        }
+        if (!reachesOther)
             probed.process = EndpointProcess::Unknown;
         takeActions(carrier);
     }
