--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -15,9 +15,13 @@
 SETTINGS
 }
 
+# The links of the daemon $faulty_links to the endpoints fail as the file "links" says.
 start_daemon() { # NUMBER
+    local preload=()
+    [ "${faulty_links:-}" != "$1" ] || preload=(env LD_PRELOAD="$build/liblinkfaults.so"
+        LINK_FAULT_FILE="$run_dir/links" LINK_FAULT_PORTS=21001-21005)
     settings "$1" >"$run_dir/settings-$1.json"
-    start "daemon-$1" "$build/cranberrygated" --settings "$run_dir/settings-$1.json"
+    start "daemon-$1" "${preload[@]}" "$build/cranberrygated" --settings "$run_dir/settings-$1.json"
 }
 
 wait_for() { # WHAT COMMAND...
@@ -319,6 +323,46 @@
     for i in $daemons; do wait_for "daemon $i" curl -sf "http://127.0.0.1:2120$i/ready"; done
     expect "known after all were killed" "$(status 1 bad-4 /review/1 -d crash) $(crashes)" "503 3"
     ;;
+partition)
+    # A daemon loses its links to all endpoints, each kind of loss in turn. Its callers are served through the other
+    # daemons, nothing runs twice, no endpoint is taken for crashed, and its own links are used again after each.
+    links() { # STATE
+        echo "$1" >"$run_dir/links.new"
+        mv "$run_dir/links.new" "$run_dir/links"
+    }
+    relayed() {
+        curl -s http://127.0.0.1:2150{2,3}/metrics | awk '/^cranberry_gateway_relayed_for_peers_total/ { s += $2 } END { print s + 0 }'
+    }
+    reached_again() {
+        local lost
+        lost=$(grep -c '"event":"endpoints_unreached"' "$run_dir/daemon-1.out")
+        [ "$(grep -c '"event":"endpoints_reached_again"' "$run_dir/daemon-1.out")" = "$lost" ]
+    }
+    # Ten requests one after the other, half of them non-idempotent; prints how many got their whole answer.
+    served_of_ten() { # NAME
+        local served=0
+        for n in 1 2 3 4 5; do
+            [[ $(call 1 "$1-order$n" /order/1 -d x) != "answer to $1-order$n 200" ]] || served=$((served + 1))
+            [[ $(call 1 "$1-stream$n" /review/1) != *"token 10"*200 ]] || served=$((served + 1))
+        done
+        echo "$served"
+    }
+    faulty_links=1
+    begin
+    wait_for "addresses of all daemons" addresses 1 3
+    for kind in refused hanging old_live_on; do
+        before=$(relayed)
+        expect "over sound links before: $kind" "$(served_of_ten "before-$kind") $(relayed)" "10 $before"
+        links "$kind"
+        echo "in the first moments of $kind: $(served_of_ten "first-$kind") of 10"
+        [ "$kind" != old_live_on ] || sleep 4 # Until the kept connections are closed.
+        expect "through other daemons: $kind" "$(served_of_ten "cut-$kind") $(($(relayed) >= before + 10))" "10 1"
+        links sound
+        wait_for "own links again: $kind" reached_again
+    done
+    expect "no endpoint is taken for crashed" "$(cat "$run_dir"/daemon-*.out | grep -c -e endpoint_ended -e request_quarantined || true)" 0
+    expect "nothing ran twice" "$(grep -o 'run id=[a-z_-]*-order[0-9]' "$run_dir/deployment.log" | sort | uniq -d | wc -l)" 0
+    ;;
 badinput)
     # Malformed requests get a clear answer or a closed connection, nothing of them reaches an endpoint, and the
     # daemon goes on. Settings that are wrong end the process with one line that names the field.
