Requests leave a relay that falls silent

Cause: only the daemon's own connections were watched for silence. A frozen relay keeps its connections, and its reports are missed after 6.5 intervals (6.6 s with 84 daemons). An attempt that broke with its relay also counted as the endpoint's failure, and an overdue one against a version on trial: the incident's class of fault, one hop further.

Change: a relay that has sent nothing for 0.4 s is asked for nothing in particular; without an answer it is avoided and probed until it is heard, and requests that may be repeated go on through another one. What a relay does not state is not held against the endpoint.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -10,6 +10,8 @@
 
 /// Endpoints accept a connection within milliseconds.
 constexpr DurationMs PathProbeTimeout{350};
+/// Daemons answer within milliseconds.
+constexpr DurationMs RelayProbeTimeout{350};
 /// While requests are open at a service and none of its endpoints has sent a byte for this time, one of them
 /// is probed. The first event of a long prompt takes longer, so silence alone shows nothing.
 constexpr DurationMs SilenceBeforeProbe{400};
@@ -101,6 +103,7 @@
     for (const ServiceName &service : paths_.takeDueProbes(now))
         probePath(service, now);
     probeSilentServices(now);
+    probeSilentRelays(now);
 }
 
 // Prefers an endpoint to which no connection has failed: one that crashed shows nothing.
@@ -184,18 +187,19 @@
         exchange.tried.erase(id);
 }
 
-// A daemon whose own path is in doubt must not hold its failures against the endpoints.
+// A daemon whose own path is in doubt must not hold its failures against the endpoints, nor those of a relay
+// that broke off.
 bool Gateway::isEndpointsFault(const Exchange &exchange, const AttemptConnectionFailed &failure) const
 {
     if (exchange.relay)
-        return failure.relay != RelayFailure::Unavailable;
+        return failure.relay == RelayFailure::EndpointUnreached;
     return !paths_.isDoubtful(exchange.service);
 }
 
 bool Gateway::isUnheard(const Exchange &exchange) const
 {
     if (exchange.relay)
-        return false;
+        return relayContacts_.isSilent(*exchange.relay);
     const auto contact = contacts_.find(exchange.service);
     return paths_.isDoubtful(exchange.service)
         || (contact != contacts_.end()
@@ -206,11 +210,46 @@
 // connection may come back to life.
 bool Gateway::isLostInPartition(const Exchange &exchange, TimeMs now) const
 {
-    return !exchange.relay && isRetryable(*exchange.route) && exchange.sends + 1 < exchange.route->attempts
-        && paths_.isHanging(exchange.service)
+    const bool isPathLost
+        = exchange.relay ? relayContacts_.isSilent(*exchange.relay) : paths_.isHanging(exchange.service);
+    return isPathLost && isRetryable(*exchange.route) && exchange.sends + 1 < exchange.route->attempts
         && now - std::max(exchange.sentAt, exchange.newestEventAt) > SilenceBeforeProbe;
 }
 
+void Gateway::recordContact(const Exchange &exchange, TimeMs now)
+{
+    if (exchange.relay)
+        relayContacts_.heard(*exchange.relay, now);
+    else
+        contacts_[exchange.service].lastByteAt = now;
+}
+
+void Gateway::probeSilentRelays(TimeMs now)
+{
+    std::map<Address, TimeMs> oldestSent;
+    for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
+        const Exchange &exchange = exchanges_.at(entry.second);
+        if (!exchange.relay)
+            continue;
+        TimeMs &oldest = oldestSent.try_emplace(*exchange.relay, exchange.sentAt).first->second;
+        oldest = std::min(oldest, exchange.sentAt);
+    }
+    for (const Address &relay : relayContacts_.takeDueProbes(oldestSent, now))
+        actions_.emplace_back(ProbeRelay{relay, RelayProbeTimeout});
+}
+
+void Gateway::onRelayProbed(const RelayProbed &event, TimeMs now)
+{
+    if (event.answered)
+        return relayContacts_.heard(event.relay, now);
+    if (!relayContacts_.isSilent(event.relay)) {
+        counters_.add(GatewayCount::RelaysSilent);
+        log_.write(LogPriority::State, "relay_silent", {{"relay", toText(event.relay)}});
+    }
+    relayContacts_.probeFailed(event.relay, now);
+    relays_.failed(event.relay, now);
+}
+
 // ---- For other daemons ----
 
 // Requests are passed on to listed endpoints alone, and never to a further daemon, so none goes in circles.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/limits/quotas.h"
 #include "gateway/peers/peertable.h"
 #include "gateway/peers/relaychoice.h"
+#include "gateway/peers/relaycontacts.h"
 #include "gateway/requests/admissionqueue.h"
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/returnschedule.h"
@@ -63,6 +64,7 @@
     void onGenerationMigrated(const GenerationMigrated &event, TimeMs now);
     void onEngineProbed(const EngineProbed &event, TimeMs now);
     void onEndpointConnected(const EndpointConnected &event, TimeMs now);
+    void onRelayProbed(const RelayProbed &event, TimeMs now);
 
     // Data from the store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
@@ -315,6 +317,8 @@
     void probePath(const ServiceName &service, TimeMs now);
     void sendPathProbe(const FleetEndpoint &endpoint);
     void probeSilentServices(TimeMs now);
+    void probeSilentRelays(TimeMs now);
+    void recordContact(const Exchange &exchange, TimeMs now);
     /// Returns the daemon that is to carry the request's next attempt; none if its own connections will do.
     std::optional<Address> relayFor(const Exchange &exchange, TimeMs now);
     std::optional<Address> relayFor(const ServiceName &service, TimeMs now);
@@ -401,6 +405,7 @@
     EndpointProbes endpointQuestions_;
     EndpointPaths paths_;
     RelayChoice relays_;
+    RelayContacts relayContacts_;
     std::map<ServiceName, ServiceContact> contacts_;
     Quarantine quarantine_;
     RolloutView rollouts_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -54,6 +54,7 @@
        "partitions",
        "attempts_relayed",
        "relays_failed",
+       "relays_silent",
        "relayed_for_peers"};
 
 } // namespace
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -82,6 +82,7 @@
     Partitions, ///< Times at which this daemon lost all paths to a service's endpoints.
     AttemptsRelayed, ///< Attempts that another daemon carried.
     RelaysFailed, ///< Of these, those that the other daemon did not accept or pass on.
+    RelaysSilent, ///< Daemons that carried attempts for this one and did nothing more.
     RelayedForPeers, ///< Attempts that this daemon carried for others.
     Count
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -151,6 +151,12 @@
     bool isProbe = false; ///< Outcome of a ProbePath action.
 };
 
+/// Outcome of a ProbeRelay action.
+struct RelayProbed {
+    Address relay;
+    bool answered = false;
+};
+
 /// An endpoint that exited while it processed a request.
 struct EndpointCrash {
     RequestDigest request;
@@ -515,6 +521,12 @@
     DurationMs timeout;
 };
 
+/// Asks a daemon that carries attempts for this one whether it is still at work.
+struct ProbeRelay {
+    Address relay;
+    DurationMs timeout;
+};
+
 /// Sends a request to an endpoint.
 struct SendAttempt {
     AttemptId attempt;
@@ -542,8 +554,8 @@
         message;
 };
 
-using GatewayAction
-    = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream, SendAttempt,
-                   CancelSent, MigrateGeneration, ProbeEngine, ProbePath, CloseIdleConnections, SendToPeer>;
+using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
+                                   SendAttempt, CancelSent, MigrateGeneration, ProbeEngine, ProbePath,
+                                   ProbeRelay, CloseIdleConnections, SendToPeer>;
 
 } // namespace cranberry
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -281,6 +281,16 @@
         endpoints.closeIdle(address);
 }
 
+// A request for no endpoint, which a relay declines at once.
+void GatewayServer::State::run(ProbeRelay &action)
+{
+    EndpointCall order{{}, {}, action.timeout, action.relay};
+    order.call.request = platform::encodeProbe();
+    callEndpoint(std::move(order), [this, relay = action.relay](const HttpResponse &reply) {
+        gateway.onRelayProbed({relay, relayOutcomeOf(reply.headers).has_value()}, steadyNow());
+    });
+}
+
 void GatewayServer::State::run(ProbePath &action)
 {
     endpoints.connect(
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -55,6 +55,7 @@
     void run(MigrateGeneration &action);
     void run(ProbeEngine &action);
     void run(ProbePath &action);
+    void run(ProbeRelay &action);
     void run(CloseIdleConnections &action);
     void run(SendToPeer &action);
 
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -83,8 +83,7 @@
     if (!event.matchesRequest) {
         return cancelAsFailed(event.attempt, now);
     }
-    if (!exchange->relay)
-        contacts_[exchange->service].lastByteAt = now;
+    recordContact(*exchange, now);
     exchange->head = event;
     if (!event.wrongInstance) {
         recordLimit(*exchange, now);
@@ -126,8 +125,7 @@
     Exchange *exchange = findByAttempt(event.attempt);
     if (!exchange)
         return;
-    if (!exchange->relay)
-        contacts_[exchange->service].lastByteAt = now;
+    recordContact(*exchange, now);
     if (!exchange->head.eventStream) {
         exchange->body += event.bytes;
         if (exchange->body.size() > MaxBufferedBody)
--- a/tests/endpointpaths_test.cpp
+++ b/tests/endpointpaths_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoints/endpointpaths.h"
 #include "gateway/peers/relaychoice.h"
+#include "gateway/peers/relaycontacts.h"
 
 #include <doctest/doctest.h>
 
@@ -106,3 +107,31 @@
     CHECK(relays.isAvailable({&members[1]}, {2000}));
     CHECK_FALSE(relays.isAvailable({&members[1]}, {1999}));
 }
+
+// Guards against requests that wait for a relay that does nothing any more, and against probes without need.
+TEST_CASE("a relay that sends nothing is probed until it is heard again")
+{
+    const Address relay{"10.0.0.2", 1};
+    RelayContacts contacts;
+    TimeMs now{10'000};
+    std::map<Address, TimeMs> sent = {{relay, now}};
+    const auto probesUntil = [&](TimeMs until) {
+        size_t probes = 0;
+        for (; now < until; now = now + DurationMs{25})
+            probes += contacts.takeDueProbes(sent, now).size();
+        return probes;
+    };
+    CHECK(probesUntil({10'400}) == 0);
+    CHECK(probesUntil({10'500}) == 1);
+    contacts.heard(relay, now);
+    CHECK_FALSE(contacts.isSilent(relay));
+    CHECK(probesUntil({10'850}) == 0);
+    CHECK(probesUntil({11'300}) == 1);
+    contacts.probeFailed(relay, now);
+    CHECK(contacts.isSilent(relay));
+    sent.clear();
+    CHECK(probesUntil({14'000}) >= 3);
+    contacts.heard(relay, now);
+    CHECK_FALSE(contacts.isSilent(relay));
+    CHECK(probesUntil({20'000}) == 0);
+}
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -92,6 +92,54 @@
     }
 }
 
+// Guards against requests that are cut off or lost with a relay that was only told to stop.
+TEST_CASE("relays that stop as planned cost no request")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        PartitionPlan plan = planWith({{0, 1}, kind});
+        plan.stopped = {{2, {9000}}, {3, {10000}}, {4, {11000}}};
+        checkServedAlike(playPartition(plan));
+    }
+}
+
+// Guards against requests that wait for a relay that is frozen or has lost power.
+TEST_CASE("a relay that falls silent keeps no request that may be sent again")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        SUBCASE("six daemons")
+        {
+            PartitionPlan plan = planWith({{0, 1}, kind});
+            plan.frozen = {{2, {{9000}, {15000}}}};
+            checkServedAlike(playPartition(plan));
+        }
+        SUBCASE("84 daemons")
+        {
+            PartitionPlan plan = largePlan({everyNth(4, 21), kind, {4000}, {14000}});
+            plan.length = {15000};
+            plan.reportInterval = {1000};
+            for (const size_t daemon : everyNth(4, 21))
+                plan.frozen[daemon + 1] = {{8000}, {14000}};
+            checkServedAlike(playPartition(plan));
+        }
+    }
+}
+
+// Guards against a request that counts at the daemon that has its caller and at the relay.
+TEST_CASE("a request that a relay carries counts once as usage")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        PartitionPlan plan = planWith({{0, 1, 2}, kind});
+        plan.withKeys = true;
+        const PartitionResult result = playPartition(plan);
+        checkServedAlike(result);
+        CHECK(result.countedAsUsage >= result.served);
+        CHECK(result.countedAsUsage <= result.begun); // Not those whose answer was lost with the links.
+    }
+}
+
 // Guards against relays that refuse to help since the store is away, though requests without a key need no
 // store.
 TEST_CASE("relays carry requests while the store is away")
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -20,10 +20,12 @@
 constexpr DurationMs EventInterval{60};
 constexpr uint64_t Events = 15;
 constexpr DurationMs StableTime{3000};
+constexpr DurationMs StopTime{7300}; ///< In which a daemon that stops finishes its requests.
 constexpr DurationMs Deadline{1500};
 constexpr DurationMs StreamDeadline{12000};
 constexpr DurationMs EntryTtl{1000};
 constexpr size_t Callers = 400;
+constexpr const char *ApiKey = "key";
 constexpr uint16_t FirstPort = 1000; ///< Of the endpoints.
 
 struct Endpoint {
@@ -57,6 +59,7 @@
     std::unique_ptr<Gateway> gateway;
     std::map<EndpointId, std::vector<Connection>> idle;
     bool isGone = false;
+    bool isStopping = false; ///< Gets no new callers.
 };
 
 struct Caller {
@@ -129,7 +132,7 @@
                   route.latencyTarget = {1000};
                   route.attempts = 2;
                   route.resumable = kind == RouteKind::Streaming;
-                  route.anonymous = true;
+                  route.anonymous = !plan_.withKeys;
                   configuration_->routes.push_back(route);
               };
         addRoute("review", RouteKind::Streaming, "model", StreamDeadline);
@@ -141,6 +144,10 @@
         ServedService plain;
         plain.name.value = "plain";
         configuration_->services = {model, plain};
+        ServedOrganisation organisation;
+        organisation.name.value = "organisation";
+        organisation.keys = {ApiKey};
+        configuration_->organisations = {organisation};
         configuration_->index();
     }
 
@@ -174,7 +181,7 @@
         member.incarnation = settings.incarnation;
         member.failureDomain = settings.failureDomain;
         member.peerAddress = {"10.0.0.2", static_cast<uint16_t>(i)};
-        member.serving = true;
+        member.serving = i + plan_.standby < plan_.daemons;
         members_.push_back(member);
     }
 
@@ -185,6 +192,11 @@
         }
         for (const std::pair<const size_t, DurationMs> &each : plan_.killed)
             at(TimeMs{StartMs} + each.second, [this, daemon = each.first] { kill(daemon); });
+        for (const std::pair<const size_t, DurationMs> &each : plan_.stopped)
+            at(TimeMs{StartMs} + each.second, [this, daemon = each.first] {
+                daemons_[daemon].isStopping = true;
+                daemons_[daemon].gateway->startLeaving(now_, now_ + StopTime);
+            });
         for (const std::pair<const size_t, DurationMs> &each : plan_.endpointsDead)
             at(TimeMs{StartMs} + each.second, [this, id = order_[each.first]] { end(id); });
         for (const std::pair<const size_t, std::pair<DurationMs, DurationMs>> &each : plan_.endpointsSilent) {
@@ -254,6 +266,14 @@
         breakWhere([&id](const Open &open) { return open.endpoint == id; });
     }
 
+    bool isFrozen(size_t daemon) const
+    {
+        const auto found = plan_.frozen.find(daemon);
+        return found != plan_.frozen.end() && now_ - TimeMs{StartMs} >= found->second.first
+            && now_ - TimeMs{StartMs} < found->second.second;
+    }
+    TimeMs thawOf(size_t daemon) const { return TimeMs{StartMs} + plan_.frozen.at(daemon).second; }
+
     // ---- The store and the reports ----
 
     void list()
@@ -277,7 +297,7 @@
     void tick()
     {
         for (size_t i = 0; i < daemons_.size(); ++i) {
-            if (daemons_[i].isGone)
+            if (daemons_[i].isGone || isFrozen(i))
                 continue;
             daemons_[i].gateway->tick(now_);
             takeActions(i);
@@ -286,11 +306,12 @@
 
     void report()
     {
-        for (size_t i = 0; i < daemons_.size(); ++i) {
-            if (daemons_[i].isGone)
+        const size_t serving = daemons_.size() - plan_.standby;
+        for (size_t i = 0; i < serving; ++i) {
+            if (daemons_[i].isGone || isFrozen(i))
                 continue;
             const PeerReport report = daemons_[i].gateway->report(true, now_);
-            for (size_t other = 0; other < daemons_.size(); ++other) {
+            for (size_t other = 0; other < serving; ++other) {
                 if (other != i && !daemons_[other].isGone)
                     daemons_[other].gateway->onPeerReport(report, now_);
             }
@@ -315,7 +336,7 @@
     size_t daemonFor(Caller &caller)
     {
         if (!plan_.callersFollowEntries)
-            return random_.below(daemons_.size());
+            return random_.below(daemons_.size() - plan_.standby);
         if (caller.daemons.empty() || now_ - caller.askedAt >= caller.ttl) {
             caller.askedAt = now_;
             caller.daemons.clear();
@@ -332,7 +353,7 @@
     void ask()
     {
         const size_t daemon = daemonFor(callers_[random_.below(callers_.size())]);
-        if (daemons_[daemon].isGone)
+        if (daemons_[daemon].isGone || daemons_[daemon].isStopping || isFrozen(daemon))
             return;
         std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>();
         const CallerId caller{++requests_};
@@ -342,6 +363,8 @@
         request->method = "POST";
         request->path = request->target = path;
         request->host = "portal.example";
+        if (plan_.withKeys)
+            request->key = ApiKey;
         request->body = request->id;
         request->deadline = kind < 4 ? StreamDeadline : Deadline;
         request->statesTokens = true;
@@ -380,6 +403,8 @@
                 closeIdle(daemon, *close);
             else if (const ProbePath *path = std::get_if<ProbePath>(&action))
                 probePath(daemon, *path);
+            else if (const ProbeRelay *probe = std::get_if<ProbeRelay>(&action))
+                probeRelay(daemon, *probe);
             else if (const AnswerCaller *answer = std::get_if<AnswerCaller>(&action))
                 answered(daemon, answer->caller, answer->status, answer->status == 200);
             else if (const EndCallerStream *end = std::get_if<EndCallerStream>(&action))
@@ -452,6 +477,8 @@
     void relay(uint64_t number, const SendAttempt &attempt)
     {
         const size_t carrier = attempt.relay->port;
+        if (isFrozen(carrier))
+            return at(thawOf(carrier), [this, number, attempt] { relay(number, attempt); });
         if (!plan_.relaysAccept || daemons_[carrier].isGone
             || !daemons_[carrier].gateway->relayTarget(attempt.endpoint))
             return fail(number, false, ConnectFailure::None, RelayFailure::Unavailable);
@@ -592,6 +619,9 @@
                       [this, number, isStream, event] { respond(number, isStream, event); });
         if (!passes(open))
             return; // Ended by keep-alive probes at both ends.
+        if (isFrozen(open.carrier))
+            return at(thawOf(open.carrier),
+                      [this, number, isStream, event] { respond(number, isStream, event); });
         Gateway &gateway = *daemons_[open.daemon].gateway;
         if (!isStream || streaming_.insert(number).second) {
             AttemptHead head;
@@ -686,6 +716,15 @@
         });
     }
 
+    void probeRelay(size_t daemon, const ProbeRelay &probe)
+    {
+        const bool answers = !daemons_[probe.relay.port].isGone && !isFrozen(probe.relay.port);
+        at(now_ + (answers ? Hop * 2 : probe.timeout), [this, daemon, probe, answers] {
+            daemons_[daemon].gateway->onRelayProbed({probe.relay, answers}, now_);
+            takeActions(daemon);
+        });
+    }
+
     // ---- Results ----
 
     static int64_t second(TimeMs time) { return (time.count - StartMs) / 1000; }
@@ -695,6 +734,10 @@
         for (const std::pair<const std::string, Asked> &entry : asked_)
             count(entry.second);
         for (size_t i = 0; i < daemons_.size(); ++i) {
+            for (const auto &window : daemons_[i].gateway->usage().counts()) {
+                for (const std::pair<const OrganisationName, uint64_t> &each : window.second)
+                    result_.countedAsUsage += each.second;
+            }
             const RecordingLog &log = *daemons_[i].log;
             result_.quarantined += log.count("request_quarantined");
             result_.endpointsTakenForDead += log.count("endpoint_ended");
@@ -730,6 +773,8 @@
         if (plan_.brittle && since >= plan_.brittle->from)
             add(result_.whileBrittle, isServed);
         result_.unanswered += asked.isAnswered ? 0 : 1;
+        result_.served += isServed ? 1 : 0;
+        result_.begun += asked.runs > 0 ? 1 : 0;
         if (asked.mayRepeat)
             return;
         result_.ranTwice += asked.runs > 1 ? 1 : 0;
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -37,7 +37,8 @@
 
 /// Daemons, engines and plain endpoints in virtual time, with the connections between them.
 struct PartitionPlan {
-    size_t daemons = 6; ///< All serve.
+    size_t daemons = 6;
+    size_t standby = 0; ///< Of these, the last ones do not serve: no reports, no callers.
     size_t engines = 9;
     size_t plainEndpoints = 4;
     std::vector<Cut> cuts;
@@ -45,6 +46,8 @@
     DurationMs length{20000};
     DurationMs reportInterval{200};
     std::map<size_t, DurationMs> killed; ///< Daemons that are gone from this time on.
+    std::map<size_t, DurationMs> stopped; ///< Daemons that are told to stop at this time.
+    std::map<size_t, std::pair<DurationMs, DurationMs>> frozen; ///< Daemons that do nothing between these.
     std::map<size_t, DurationMs>
         endpointsDead; ///< Endpoints (engines first) whose process ends at this time.
     std::map<size_t, std::pair<DurationMs, DurationMs>> endpointsSilent; ///< Frozen between these times.
@@ -52,6 +55,7 @@
     uint64_t lostConnects = 0; ///< Of a hundred new connections to sound endpoints, so many time out.
     std::optional<BrittleEndpoints> brittle;
     bool relaysAccept = true; ///< False: no daemon carries requests of others.
+    bool withKeys = false; ///< The requests have an organisation's key and count as its usage.
     bool onlyPlain = false; ///< All requests are for plain endpoints.
     bool callersFollowEntries
         = false; ///< Callers leave daemons that report a partition, once their answer expires.
@@ -74,6 +78,9 @@
     uint64_t ranTwice = 0; ///< Requests that must not be repeated and ran twice.
     uint64_t ranThoughRefused = 0; ///< Of those, answered with "not run".
     uint64_t unanswered = 0;
+    uint64_t served = 0; ///< In the whole time.
+    uint64_t begun = 0; ///< Requests that an endpoint began to run.
+    uint64_t countedAsUsage = 0; ///< In all daemons' counts.
     uint64_t quarantined = 0; ///< Log lines of all daemons.
     uint64_t endpointsTakenForDead = 0;
     uint64_t partitions = 0;
