Daemons on standby carry requests, too

What callers saw: where all daemons that serve were cut off, 503, though daemons on standby beside them reached every endpoint.

Cause: relays were chosen among the daemons that serve and have been heard. On small deployments and at night few serve, and they may all be in the part that is cut off; right after a daemon begins to serve it has heard nobody. And a daemon that counted itself as the only one that serves trusted its own refused probe. Evidence: `refused reason="endpoints_unreached"` from the `members` line on, with two sound daemons listed.

Change: with no such relay left, one of six other listed daemons is taken, other failure domains first. A refused probe counts by itself only where no other daemon is listed. Since standby daemons don't report what they reach, a relay that does not reach two endpoints in a row is avoided for that service, so requests for a service that is gone are still rejected at once.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -43,7 +43,7 @@
     if (!endpoint)
         return false;
     const std::optional<Address> relay
-        = relays_.choose(peers_.relayCandidates(endpoint->entry.service, now), {}, now);
+        = relays_.choose(endpoint->entry.service, relayCandidates(endpoint->entry.service, now), {}, now);
     if (!relay)
         return false;
     actions_.emplace_back(ProbeEngine{id, endpoint->entry.address, ProcessProbeTimeout, true, relay});
@@ -62,7 +62,7 @@
         if (event.process == EndpointProcess::Exited) {
             if (probeThroughRelay(event.endpoint, now))
                 return;
-            if (peers_.servingCount(now) > 1)
+            if (peers_.members().size() > 1)
                 result.process = EndpointProcess::Unknown;
         }
     } else if (event.relayFailure == RelayFailure::Unavailable) {
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -155,11 +155,18 @@
 
 // ---- Relays ----
 
+// Where only a few daemons serve, all of them may be cut off while those on standby are not.
+std::vector<const MemberEntry *> Gateway::relayCandidates(const ServiceName &service, TimeMs now) const
+{
+    std::vector<const MemberEntry *> serving = peers_.servingRelays(service, now);
+    return relays_.isAvailable(service, serving, now) ? serving : peers_.fallbackRelays(service, now);
+}
+
 std::optional<Address> Gateway::relayFor(const ServiceName &service, TimeMs now)
 {
     if (!paths_.isDoubtful(service))
         return std::nullopt;
-    return relays_.choose(peers_.relayCandidates(service, now), {}, now);
+    return relays_.choose(service, relayCandidates(service, now), {}, now);
 }
 
 std::optional<Address> Gateway::relayFor(const Exchange &exchange, TimeMs now)
@@ -167,20 +174,21 @@
     if (exchange.relayedSends >= MaxRelayedSends
         || (!exchange.needsRelay && !paths_.isDoubtful(exchange.service)))
         return std::nullopt;
-    return relays_.choose(peers_.relayCandidates(exchange.service, now), exchange.triedRelays, now);
+    return relays_.choose(exchange.service, relayCandidates(exchange.service, now), exchange.triedRelays,
+                          now);
 }
 
 bool Gateway::isOutOfReach(const ServiceName &service, TimeMs now) const
 {
     return paths_.state(service) == EndpointPaths::State::Partitioned
-        && !relays_.isAvailable(peers_.relayCandidates(service, now), now);
+        && !relays_.isAvailable(service, relayCandidates(service, now), now);
 }
 
 // Endpoints to which this daemon could send nothing may get the request through a relay.
 void Gateway::allowUnsentAgain(Exchange &exchange, TimeMs now)
 {
     if (exchange.relayedSends >= MaxRelayedSends
-        || !relays_.isAvailable(peers_.relayCandidates(exchange.service, now), now))
+        || !relays_.isAvailable(exchange.service, relayCandidates(exchange.service, now), now))
         return;
     exchange.needsRelay = true;
     for (const EndpointId &id : std::exchange(exchange.unsentTo, {}))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -319,6 +319,7 @@
     void probeSilentServices(TimeMs now);
     void probeSilentRelays(TimeMs now);
     void recordContact(const Exchange &exchange, TimeMs now);
+    std::vector<const MemberEntry *> relayCandidates(const ServiceName &service, TimeMs now) const;
     /// Returns the daemon that is to carry the request's next attempt; none if its own connections will do.
     std::optional<Address> relayFor(const Exchange &exchange, TimeMs now);
     std::optional<Address> relayFor(const ServiceName &service, TimeMs now);
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peers/peertable.h"
 
+#include "gateway/peers/relaychoice.h"
+
 #include "gateway/peers/memberentry.h"
 
 #include <algorithm>
@@ -25,6 +27,7 @@
 /// so that one reader replies to some three hundred queries a second at most.
 constexpr size_t MinReaders = 3;
 constexpr size_t MembersPerReader = 150;
+constexpr size_t MaxFallbackRelays = 6;
 /// The quota pool changes with the daemons that are ready; a change may be noticed this much later.
 constexpr DurationMs QuotaPoolRefreshInterval{200};
 constexpr size_t MaxWindowsPerPeer = 12; ///< Windows kept per peer; older ones are reported or expired.
@@ -292,21 +295,47 @@
     return out;
 }
 
-std::vector<const MemberEntry *> PeerTable::relayCandidates(const ServiceName &service, TimeMs now) const
+bool PeerTable::mayRelay(const MemberEntry &member, const ServiceName &service, TimeMs now) const
+{
+    if (isSelf(member))
+        return false;
+    const Peer *peer = heardPeer(member, now);
+    return !peer
+        || (!peer->report.leaving
+            && std::count(peer->report.unreached.begin(), peer->report.unreached.end(), service) == 0);
+}
+
+std::vector<const MemberEntry *> PeerTable::servingRelays(const ServiceName &service, TimeMs now) const
 {
     MemberPtrs out;
     for (const MemberEntry *member : serving_) {
-        const Peer *peer = heardPeer(*member, now);
-        if (isSelf(*member) || (!peer && isTarget_))
-            continue;
-        const bool isUnreached
-            = peer && std::count(peer->report.unreached.begin(), peer->report.unreached.end(), service) > 0;
-        if (!isUnreached && !(peer && peer->report.leaving))
+        if (mayRelay(*member, service, now) && (!isTarget_ || heardPeer(*member, now)))
             out.push_back(member);
     }
     return out;
 }
 
+// Only a few, so that requests for a service whose endpoints are gone are soon rejected at once.
+std::vector<const MemberEntry *> PeerTable::fallbackRelays(const ServiceName &service, TimeMs now) const
+{
+    MemberPtrs out;
+    for (const MemberEntry &member : members_) {
+        if (mayRelay(member, service, now))
+            out.push_back(&member);
+    }
+    const auto isInOwnDomain = [this](const MemberEntry &member) {
+        return selfEntry_ && member.failureDomain == selfEntry_->failureDomain;
+    };
+    const size_t count = std::min(out.size(), MaxFallbackRelays);
+    std::partial_sort(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(count), out.end(),
+                      [&](const MemberEntry *a, const MemberEntry *b) {
+                          return std::pair(isInOwnDomain(*a), relayRank(self_, *a))
+                              < std::pair(isInOwnDomain(*b), relayRank(self_, *b));
+                      });
+    out.resize(count);
+    return out;
+}
+
 std::vector<EntryCandidate> PeerTable::entryCandidates(bool mustHear, TimeMs now) const
 {
     std::vector<EntryCandidate> out;
--- a/src/gateway/peers/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -83,7 +83,10 @@
     std::vector<ServingReport> servingReports(TimeMs now) const;
     /// Returns the other serving daemons that may carry requests to the service's endpoints. A daemon that
     /// receives no reports assumes that all of them can.
-    std::vector<const MemberEntry *> relayCandidates(const ServiceName &service, TimeMs now) const;
+    std::vector<const MemberEntry *> servingRelays(const ServiceName &service, TimeMs now) const;
+    /// Returns a few other daemons that may do so, whether they serve and report or not; the same ones each
+    /// time.
+    std::vector<const MemberEntry *> fallbackRelays(const ServiceName &service, TimeMs now) const;
     /// Returns the few daemons that pool the unused part of an organisation's limit, in the order of their
     /// rank, which is the same on all daemons. The result may include this daemon.
     std::vector<const MemberEntry *> quotaPool(const OrganisationName &organisation, TimeMs now) const;
@@ -135,6 +138,8 @@
     bool isHeardReady(const MemberEntry &member, TimeMs now) const;
     bool reportedLeaving(const MemberEntry &member, TimeMs now) const;
     bool isPresent(const MemberEntry &member, TimeMs now) const;
+    /// Has not reported that it leaves or does not reach the service's endpoints.
+    bool mayRelay(const MemberEntry &member, const ServiceName &service, TimeMs now) const;
     bool mayRead(const MemberEntry &member, TimeMs now) const;
     bool reportedNoReads(const MemberEntry &member, TimeMs now) const;
     MemberPtrs readers(bool canRead, const std::set<Address> &silent, TimeMs now) const;
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -84,6 +84,8 @@
         return cancelAsFailed(event.attempt, now);
     }
     recordContact(*exchange, now);
+    if (exchange->relay)
+        relays_.reached(exchange->service, *exchange->relay);
     exchange->head = event;
     if (!event.wrongInstance) {
         recordLimit(*exchange, now);
@@ -283,6 +285,8 @@
         counters_.add(GatewayCount::RelaysFailed);
     if (exchange->relay && event.relay == RelayFailure::Unavailable)
         relays_.failed(*exchange->relay, now);
+    if (exchange->relay && event.relay == RelayFailure::EndpointUnreached)
+        relays_.unreached(exchange->service, *exchange->relay, now);
     if (!event.sent && !exchange->relay)
         recordConnectFailure({exchange->sentTo.id, event.connect}, now);
     const bool waits = event.sent && recordInterruptedAttempt(*exchange, now);
--- a/tests/endpointpaths_test.cpp
+++ b/tests/endpointpaths_test.cpp
@@ -94,18 +94,35 @@
     const std::vector<MemberEntry> members{member(1, "north"), member(2, "south"), member(3, "south")};
     const std::vector<const MemberEntry *> candidates{&members[0], &members[1], &members[2]};
     RelayChoice relays({"entry-9"}, {"north"}, 1);
-    CHECK_FALSE(relays.choose({}, {}, {1000}));
-    CHECK(relays.choose(candidates, {members[0].peerAddress, members[1].peerAddress}, {1000})
+    CHECK_FALSE(relays.choose(service, {}, {}, {1000}));
+    CHECK(relays.choose(service, candidates, {members[0].peerAddress, members[1].peerAddress}, {1000})
           == members[2].peerAddress);
-    CHECK(relays.choose({&members[0], &members[2]}, {members[2].peerAddress}, {1000})
+    CHECK(relays.choose(service, {&members[0], &members[2]}, {members[2].peerAddress}, {1000})
           == members[0].peerAddress);
     for (int i = 0; i < 30; ++i)
-        CHECK(relays.choose(candidates, {}, {1000}) != members[0].peerAddress);
+        CHECK(relays.choose(service, candidates, {}, {1000}) != members[0].peerAddress);
     relays.failed(members[1].peerAddress, {1000});
     relays.failed(members[2].peerAddress, {1000});
-    CHECK(relays.choose(candidates, {}, {1500}) == members[0].peerAddress);
-    CHECK(relays.isAvailable({&members[1]}, {2000}));
-    CHECK_FALSE(relays.isAvailable({&members[1]}, {1999}));
+    CHECK(relays.choose(service, candidates, {}, {1500}) == members[0].peerAddress);
+    CHECK(relays.isAvailable(service, {&members[1]}, {2000}));
+    CHECK_FALSE(relays.isAvailable(service, {&members[1]}, {1999}));
+}
+
+// Guards against requests that go from relay to relay of a service that no daemon reaches.
+TEST_CASE("a relay that reaches no endpoint of a service is avoided for that service")
+{
+    const std::vector<MemberEntry> members{member(1, "north")};
+    const std::vector<const MemberEntry *> candidates{&members[0]};
+    const Address relay = members[0].peerAddress;
+    RelayChoice relays({"entry-9"}, {"south"}, 1);
+    relays.unreached(service, relay, {1000});
+    relays.reached(service, relay);
+    relays.unreached(service, relay, {1100});
+    CHECK(relays.isAvailable(service, candidates, {1100}));
+    relays.unreached(service, relay, {1200});
+    CHECK_FALSE(relays.isAvailable(service, candidates, {1200}));
+    CHECK(relays.isAvailable(ServiceName{"other"}, candidates, {1200}));
+    CHECK(relays.isAvailable(service, candidates, {2200}));
 }
 
 // Guards against requests that wait for a relay that does nothing any more, and against probes without need.
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -81,6 +81,22 @@
     }
 }
 
+// Guards against 503 where all daemons that serve are cut off while the ones on standby reach the endpoints.
+TEST_CASE("daemons on standby carry requests for those that serve")
+{
+    for (const CutKind kind : AllKinds) {
+        CAPTURE(static_cast<int>(kind));
+        for (size_t serving = 1; serving <= 3; ++serving) {
+            CAPTURE(serving);
+            PartitionPlan plan = planWith({everyNth(1, serving), kind});
+            plan.standby = plan.daemons - serving;
+            const PartitionResult result = playPartition(plan);
+            checkServedAlike(result);
+            CHECK(result.endpointsTakenForDead == 0);
+        }
+    }
+}
+
 // Guards against losing the requests that a relay carries when it dies.
 TEST_CASE("a relay that is killed costs at most the requests that it carried")
 {
