--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -246,3 +246,20 @@
         CHECK(result.endpointsTakenForDead > 0);
     }
 }
+
+// Guards against requests that go from relay to relay though no daemon reaches the service.
+TEST_CASE("requests for a service whose endpoints are gone are rejected at once")
+{
+    PartitionPlan plan;
+    plan.standby = 3;
+    plan.onlyPlain = true;
+    plan.perSecond = 14;
+    for (size_t i = 0; i < plan.plainEndpoints; ++i)
+        plan.endpointsDead[plan.engines + i] = {5000};
+    const PartitionResult result = playPartition(plan);
+    INFO(result.text());
+    CHECK(result.unanswered == 0);
+    // Of each daemon that serves, two attempts at six relays in a second.
+    for (const std::pair<const int64_t, uint64_t> &each : result.relayedBySecond)
+        CHECK_MESSAGE(each.second <= 3 * 2 * 6, each.first);
+}
