--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -18,7 +18,8 @@
     CHECK(result.unanswered == 0);
 }
 
-constexpr std::array AllKinds = {CutKind::Refused, CutKind::Hanging, CutKind::OldLiveOn};
+constexpr std::array AllKinds
+    = {CutKind::Refused, CutKind::Hanging, CutKind::AnswersLost, CutKind::OldLiveOn};
 
 std::set<size_t> everyNth(size_t step, size_t count)
 {
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -219,13 +219,18 @@
         return nullptr;
     }
 
+    static bool hangs(const Cut &cut)
+    {
+        return cut.kind == CutKind::Hanging || cut.kind == CutKind::AnswersLost;
+    }
+
     void beginCut(const Cut &cut)
     {
         if (cut.kind == CutKind::Refused)
             breakWhere([&](const Open &open) {
                 return cut.daemons.contains(open.carrier) && cutOf(open.carrier, open.endpoint) == &cut;
             });
-        if (cut.kind == CutKind::Hanging)
+        if (hangs(cut))
             at(now_ + DeadConnectionTimeout, [this, &cut, began = now_] {
                 breakWhere([&](const Open &open) {
                     return cut.daemons.contains(open.carrier) && open.connectedAt < began
@@ -448,8 +453,8 @@
     std::pair<ConnectFailure, DurationMs> connect(size_t carrier, const EndpointId &endpoint)
     {
         if (const Cut *cut = cutOf(carrier, endpoint))
-            return cut->kind == CutKind::Hanging ? std::pair(ConnectFailure::TimedOut, ConnectTimeout)
-                                                 : std::pair(ConnectFailure::Refused, Hop);
+            return hangs(*cut) ? std::pair(ConnectFailure::TimedOut, ConnectTimeout)
+                               : std::pair(ConnectFailure::Refused, Hop);
         if (plan_.lostConnects > 0 && lossRandom_.below(100) < plan_.lostConnects)
             return {ConnectFailure::TimedOut, ConnectTimeout};
         return {endpoints_.at(endpoint).isDead ? ConnectFailure::Refused : ConnectFailure::None, Hop};
@@ -540,7 +545,10 @@
     void arriveAtEndpoint(uint64_t number, const SendAttempt &attempt)
     {
         const auto found = open_.find(number);
-        if (found == open_.end() || !passes(found->second) || endpoints_[attempt.endpoint].isDead)
+        if (found == open_.end() || endpoints_[attempt.endpoint].isDead)
+            return;
+        const Cut *cut = cutOf(found->second.carrier, attempt.endpoint);
+        if (!passes(found->second) && (!cut || cut->kind != CutKind::AnswersLost))
             return;
         ++result_.attempts;
         ++asked_[attempt.request->id].runs;
--- a/tests/partitionload.h
+++ b/tests/partitionload.h
@@ -15,6 +15,7 @@
 enum class CutKind : uint8_t {
     Refused, ///< Open connections are reset, new ones refused.
     Hanging, ///< Nothing arrives any more, new connections time out.
+    AnswersLost, ///< One way only: requests on open connections arrive and run. New connections time out.
     OldLiveOn ///< Open connections work on, new ones are refused.
 };
 
