--- a/standins/linkfaults.cpp
+++ b/standins/linkfaults.cpp
@@ -31,7 +31,8 @@
 constexpr size_t MaxDescriptors = 4096;
 std::array<std::atomic<Tracked>, MaxDescriptors> tracked;
 
-template <typename Function> Function real(const char *name)
+template <typename Function>
+Function real(const char *name)
 {
     return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
 }
@@ -73,8 +74,9 @@
         out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         socklen_t size = sizeof out;
-        ::bind(listener, reinterpret_cast<const sockaddr *>(&out), size);
-        ::listen(listener, 0);
+        if (::bind(listener, reinterpret_cast<const sockaddr *>(&out), size) != 0
+            || ::listen(listener, 0) != 0)
+            std::abort();
         ::getsockname(listener, reinterpret_cast<sockaddr *>(&out), &size);
         for (int i = 0; i < 2; ++i) {
             const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
--- a/tests/endpointrelay_test.cpp
+++ b/tests/endpointrelay_test.cpp
@@ -147,7 +147,7 @@
           == RelayOutcome::EndpointUnreached);
 }
 
-// Guards against a crash that passes for unknown, since the endpoint that should confirm it crashed just before.
+// Guards against a crash that passes for unknown, since the endpoint that was to confirm it crashed, too.
 TEST_CASE("a relay confirms the crashes of all but one of a service's endpoints")
 {
     RelayFixture fixture({0}, [](const HttpExchangePtr &exchange) { exchange->respond(200, {}, "ok"); });
