A relay that was heard since its probe was sent is not silent

What callers would see: streams that leave a relay in the middle of its work and are resumed elsewhere, since one short request to that relay was late.

Cause: a probe that failed made the relay silent whatever it had sent meanwhile; a busy relay that streams bytes may answer a new request after 0.35 s.

Change: what was heard after the probe was sent goes before its outcome.

endpointpaths_test, "a relay that was heard since its probe was sent is not silent", failed before and passes now.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -250,11 +250,13 @@
 {
     if (event.answered)
         return relayContacts_.heard(event.relay, now);
-    if (!relayContacts_.isSilent(event.relay)) {
+    const bool wasSilent = relayContacts_.isSilent(event.relay);
+    if (!relayContacts_.probeFailed(event.relay, now))
+        return;
+    if (!wasSilent) {
         counters_.add(GatewayCount::RelaysSilent);
         log_.write(LogPriority::State, "relay_silent", {{"relay", toText(event.relay)}});
     }
-    relayContacts_.probeFailed(event.relay, now);
     relays_.failed(event.relay, now);
 }
 
--- a/src/gateway/peers/relaycontacts.cpp
+++ b/src/gateway/peers/relaycontacts.cpp
@@ -23,11 +23,14 @@
     contact.silentSince = {};
 }
 
-void RelayContacts::probeFailed(const Address &relay, TimeMs now)
+bool RelayContacts::probeFailed(const Address &relay, TimeMs now)
 {
     Contact &contact = contacts_[relay];
+    if (contact.heardAt > contact.probedAt)
+        return false;
     if (contact.silentSince.count == 0)
         contact.silentSince = now;
+    return true;
 }
 
 bool RelayContacts::isSilent(const Address &relay) const
--- a/src/gateway/peers/relaycontacts.h
+++ b/src/gateway/peers/relaycontacts.h
@@ -17,7 +17,8 @@
 public:
     /// Records that the relay sent something, or answered a probe.
     void heard(const Address &relay, TimeMs now);
-    void probeFailed(const Address &relay, TimeMs now);
+    /// Returns whether the relay is silent. It is not if it sent something since the probe was sent.
+    bool probeFailed(const Address &relay, TimeMs now);
     /// The newest probe failed, and nothing was heard since.
     bool isSilent(const Address &relay) const;
     /// Returns the relays to be probed now: those that have sent nothing since the given time, at which the
--- a/tests/endpointpaths_test.cpp
+++ b/tests/endpointpaths_test.cpp
@@ -144,7 +144,7 @@
     CHECK_FALSE(contacts.isSilent(relay));
     CHECK(probesUntil({10'850}) == 0);
     CHECK(probesUntil({11'300}) == 1);
-    contacts.probeFailed(relay, now);
+    CHECK(contacts.probeFailed(relay, now));
     CHECK(contacts.isSilent(relay));
     sent.clear();
     CHECK(probesUntil({14'000}) >= 3);
@@ -152,3 +152,14 @@
     CHECK_FALSE(contacts.isSilent(relay));
     CHECK(probesUntil({20'000}) == 0);
 }
+
+// Guards against leaving a relay that is at work, since its answer to a probe was late.
+TEST_CASE("a relay that was heard since its probe was sent is not silent")
+{
+    const Address relay{"10.0.0.2", 1};
+    RelayContacts contacts;
+    REQUIRE(contacts.takeDueProbes({{relay, {10'000}}}, {10'400}).size() == 1);
+    contacts.heard(relay, {10'500});
+    CHECK_FALSE(contacts.probeFailed(relay, {10'750}));
+    CHECK_FALSE(contacts.isSilent(relay));
+}
