--- a/src/gateway/endpoints/brittleness.cpp
+++ b/src/gateway/endpoints/brittleness.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr uint32_t AnswersToEnd = 3;
-/// Part (1/2) of the allowed rejections that the daemons use; the rest is for those that don't know yet.
+/// The daemons that know use one part in this many of the allowed rejections; the rest is for the others.
 constexpr int64_t RejectionDivisor = 2;
 constexpr DurationMs MinHold{250};
 constexpr uint32_t MaxDoublings = 10;
--- a/src/gateway/endpoints/endpointpaths.cpp
+++ b/src/gateway/endpoints/endpointpaths.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Failed connections of which fewer than this are known may be the endpoint's fault.
+/// With fewer endpoints not reached than this, those may be at fault.
 constexpr size_t MinFailedEndpoints = 2;
 /// A failed connection that is older than this says nothing about a new one.
 constexpr DurationMs FailureMemory{4000};
--- a/src/gateway/endpoints/endpointpaths.h
+++ b/src/gateway/endpoints/endpointpaths.h
@@ -41,7 +41,7 @@
     State state(const ServiceName &service) const;
     /// Requests for the service are better sent through another daemon.
     bool isDoubtful(const ServiceName &service) const { return state(service) != State::Sound; }
-    /// Bytes on connections of before the partition can't be expected any more.
+    /// Nothing can be expected on connections from before the partition.
     bool isHanging(const ServiceName &service) const;
     /// Time of the first failed connection of the current partition.
     TimeMs since(const ServiceName &service) const;
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -87,7 +87,7 @@
     }
 }
 
-// Connections of before may hang or break, also once the partition is over.
+// Connections from before the partition may hang or break, also once it is over.
 void Gateway::leavePaths(const ServiceName &service)
 {
     CloseIdleConnections close;
@@ -127,7 +127,7 @@
     actions_.emplace_back(ProbePath{endpoint.entry.id, endpoint.entry.address, PathProbeTimeout});
 }
 
-// Requests that were sent over connections of before a partition get no answer and no error.
+// Requests on connections from before a partition get no answer and no error.
 void Gateway::probeSilentServices(TimeMs now)
 {
     std::map<ServiceName, const Exchange *> oldest;
--- a/tests/endpointrelay_test.cpp
+++ b/tests/endpointrelay_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/io/clocksource.h"
+#include "gateway/io/connectfailure.h"
 #include "gateway/io/endpointrelay.h"
 #include "gatewayfixture.h"
 #include "io/socketoptions.h"
@@ -137,6 +138,15 @@
     CHECK(fixture.relay_.openCalls() == 0);
 }
 
+// Guards against an endpoint that was reached and passes for out of reach, since it broke off later.
+TEST_CASE("only failures before a connection was established are failures to connect")
+{
+    CHECK(connectFailureOf(HttpFailure::Refused) == ConnectFailure::Refused);
+    CHECK(connectFailureOf(HttpFailure::NotSent) == ConnectFailure::TimedOut);
+    CHECK(connectFailureOf(HttpFailure::Interrupted) == ConnectFailure::None);
+    CHECK(connectFailureOf(HttpFailure::None) == ConnectFailure::None);
+}
+
 // Guards against a crash that is reported by a daemon that reaches no endpoint itself.
 TEST_CASE("a relay calls an endpoint exited only if it reaches another one")
 {
