--- a/tests/versionload.cpp
+++ b/tests/versionload.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/peers/peerdatagrams.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <functional>
 #include <memory>
@@ -46,6 +47,7 @@
     size_t stream = 0;
     bool isResumption = false;
     bool hasEvents = false;
+    bool hasArrived = false; ///< At an engine.
 };
 
 struct Open {
@@ -60,6 +62,7 @@
     std::unique_ptr<RecordingLog> log;
     std::unique_ptr<Gateway> gateway;
     std::map<CallerId, std::string> callers;
+    bool isDown = false;
 };
 
 class VersionLoad
@@ -83,7 +86,7 @@
         schedule_.every(ListInterval, [this] { list(); });
         schedule_.every(StoreInterval, [this] { stored_ = daemons_.front().gateway->versionRecord(); });
         schedule_.every(TickInterval, [this] { tick(); });
-        schedule_.every(ReportInterval, [this] { report(); });
+        report();
         at(schedule_.now() + DurationMs{1000}, [this] { arrive(); });
         const TimeMs end = TimeMs{StartMs} + plan_.length + StreamDeadline;
         schedule_.runUntil(end);
@@ -140,16 +143,17 @@
         settings.instance.value = fmt::format("entry-{}", i);
         settings.incarnation.value = ++incarnations_;
         settings.failureDomain.value = fmt::format("domain-{}", i % 4);
-        settings.retryLimits = {0.2, 52, {10000}};
+        settings.retryLimits = plan_.retryLimits;
         settings.seed = plan_.seed * 1000 + incarnations_;
         daemons_[i].callers.clear();
+        daemons_[i].isDown = false;
         daemons_[i].log = std::make_unique<RecordingLog>();
         daemons_[i].gateway = std::make_unique<Gateway>(settings, *daemons_[i].log);
         members_[i].instance = settings.instance;
         members_[i].incarnation = settings.incarnation;
         members_[i].failureDomain = settings.failureDomain;
         members_[i].peerAddress = {"10.0.0.2", static_cast<uint16_t>(i)};
-        members_[i].serving = true;
+        members_[i].serving = i < servingCount();
     }
 
     // ---- Faults ----
@@ -202,17 +206,29 @@
         });
     }
 
+    size_t servingCount() const { return plan_.serving == 0 ? plan_.daemons : plan_.serving; }
+
     void killDaemons(const DaemonKill &kill)
     {
-        const size_t count = (daemons_.size() * kill.percent + 99) / 100;
-        const size_t first = random_.below(daemons_.size());
+        const size_t count = (servingCount() * kill.percent + 99) / 100;
+        const size_t first = random_.below(servingCount());
         std::vector<std::string> cut;
         for (size_t i = 0; i < count; ++i) {
-            const size_t daemon = (first + i) % daemons_.size();
+            const size_t daemon = (first + i) % servingCount();
+            if (daemons_[daemon].isDown)
+                continue;
             std::erase_if(open_, [daemon](const auto &each) { return each.second.daemon == daemon; });
             for (const std::pair<const CallerId, std::string> &caller : daemons_[daemon].callers)
                 cut.push_back(caller.second);
-            startDaemon(daemon);
+            daemons_[daemon].callers.clear();
+            daemons_[daemon].isDown = true;
+            if (kill.downtime.count == 0)
+                startDaemon(daemon);
+            else
+                at(schedule_.now() + kill.downtime, [this, daemon] {
+                    startDaemon(daemon);
+                    list();
+                });
         }
         for (const std::string &request : cut)
             returnLater(request);
@@ -228,11 +244,16 @@
 
     void list()
     {
+        const DurationMs since = schedule_.now() - TimeMs{StartMs};
+        if (plan_.storeAway && since >= plan_.storeAway->first && since < plan_.storeAway->second)
+            return;
         EndpointsRead read;
         read.askedAt = schedule_.now();
         for (const std::pair<const EndpointId, Engine> &each : engines_)
             read.entries.push_back(each.second.entry);
         for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (daemons_[i].isDown)
+                continue;
             Gateway &gateway = *daemons_[i].gateway;
             gateway.onMembers(members_, schedule_.now());
             gateway.onConfiguration({configuration_, schedule_.now()}, schedule_.now());
@@ -248,6 +269,8 @@
     void tick()
     {
         for (size_t i = 0; i < daemons_.size(); ++i) {
+            if (daemons_[i].isDown)
+                continue;
             daemons_[i].gateway->tick(schedule_.now());
             takeActions(i);
         }
@@ -255,12 +278,16 @@
 
     void report()
     {
-        if (areApart() || daemons_.size() > MaxReporting)
+        at(schedule_.now() + std::max(ReportInterval, daemons_.front().gateway->peers().reportInterval()),
+           [this] { report(); });
+        if (areApart())
             return;
-        for (size_t i = 0; i < daemons_.size(); ++i) {
+        for (size_t i = 0; i < servingCount(); ++i) {
+            if (daemons_[i].isDown)
+                continue;
             const PeerReport report = daemons_[i].gateway->report(true, schedule_.now());
-            for (size_t other = 0; other < daemons_.size(); ++other) {
-                if (other != i)
+            for (size_t other = 0; other < servingCount(); ++other) {
+                if (other != i && !daemons_[other].isDown)
                     daemons_[other].gateway->onPeerReport(report, schedule_.now());
             }
         }
@@ -275,7 +302,7 @@
         streams_.push_back({});
         ++result_.asked;
         ask(streams_.size() - 1, false);
-        const double meanUs = 1e6 / (plan_.perSecond * static_cast<double>(plan_.daemons));
+        const double meanUs = 1e6 / (plan_.perSecond * static_cast<double>(servingCount()));
         pendingUs_ += random_.below(static_cast<uint64_t>(2 * meanUs));
         const DurationMs pause{static_cast<int64_t>(pendingUs_ / 1000)};
         pendingUs_ %= 1000;
@@ -284,7 +311,9 @@
 
     void ask(size_t stream, bool isResumption)
     {
-        const size_t daemon = random_.below(daemons_.size());
+        size_t daemon = random_.below(servingCount());
+        for (size_t i = 0; i < servingCount() && daemons_[daemon].isDown; ++i)
+            daemon = (daemon + 1) % servingCount();
         std::shared_ptr<CallerRequest> request = std::make_shared<CallerRequest>();
         const CallerId caller{++requestCount_};
         request->id = fmt::format("request-{}", caller.value);
@@ -301,6 +330,9 @@
             request->resumeAfter = streams_[stream].lastEvent;
         }
         requests_[request->id] = {stream, isResumption, false};
+        askedAt_.push_back(schedule_.now());
+        if (daemons_[daemon].isDown)
+            return returnLater(request->id);
         daemons_[daemon].callers[caller] = request->id;
         daemons_[daemon].gateway->onRequest({caller, request}, schedule_.now());
         takeActions(daemon);
@@ -373,6 +405,7 @@
         const std::string request = found->second;
         daemons_[daemon].callers.erase(found);
         result_.whole += isWhole ? 1 : 0;
+        result_.broken += !isWhole && requests_[request].hasArrived ? 1 : 0;
         if (!isWhole)
             returnLater(request);
     }
@@ -397,6 +430,8 @@
             });
             return;
         }
+        if (std::exchange(requests_[attempt.request->id].hasArrived, true))
+            result_.retriedAt.push_back(schedule_.now());
         const uint64_t next = attempt.resumeAfter.value_or(0) + 1;
         at(schedule_.now() + FirstEventTime, [this, number, next] { respond(number, next, true); });
     }
@@ -408,6 +443,11 @@
             return;
         const Open open = found->second;
         Gateway &gateway = *daemons_[open.daemon].gateway;
+        if (isFirst && isReset()) {
+            open_.erase(found);
+            gateway.onConnectionFailed({open.attempt, true}, schedule_.now());
+            return takeActions(open.daemon);
+        }
         if (isFirst) {
             AttemptHead head;
             head.attempt = open.attempt;
@@ -426,6 +466,13 @@
         takeActions(open.daemon);
     }
 
+    bool isReset()
+    {
+        const DurationMs since = schedule_.now() - TimeMs{StartMs};
+        return plan_.resets && since >= plan_.resets->from && since < plan_.resets->until
+            && random_.below(100) < plan_.resets->percent;
+    }
+
     void answerProbe(size_t daemon, const ProbeEngine &probe)
     {
         const auto engine = engines_.find(probe.endpoint);
@@ -440,7 +487,7 @@
             probed.start = engine->second.entry.start;
         const Gateway *asker = daemons_[daemon].gateway.get();
         at(schedule_.now() + Hop * 2, [this, daemon, probed, asker] {
-            if (daemons_[daemon].gateway.get() != asker)
+            if (daemons_[daemon].gateway.get() != asker || daemons_[daemon].isDown)
                 return;
             daemons_[daemon].gateway->onEngineProbed(probed, schedule_.now());
             takeActions(daemon);
@@ -461,6 +508,8 @@
 
     void deliver(size_t from, const SendToPeer &word)
     {
+        if (daemons_[word.to.port].isDown)
+            return;
         Gateway &gateway = *daemons_[word.to.port].gateway;
         const Address sender{"10.0.0.2", static_cast<uint16_t>(from)};
         if (const CrashNotice *crash = std::get_if<CrashNotice>(&word.message))
@@ -478,14 +527,31 @@
     {
         for (const Stream &stream : streams_)
             result_.mixed += stream.isMixed ? 1 : 0;
+        evaluateRetries();
         const double daemonSeconds
             = static_cast<double>(plan_.daemons) * static_cast<double>(plan_.length.count) / 1000;
         result_.noticesPerSecond = static_cast<double>(notices_) / daemonSeconds;
         result_.bytesPerSecond = static_cast<double>(noteBytes_) / daemonSeconds;
     }
 
-    /// With more daemons the reports, which this load needs little, would take most of a play's time.
-    static constexpr size_t MaxReporting = 20;
+    static double countBetween(const std::vector<TimeMs> &times, TimeMs after, TimeMs until)
+    {
+        const auto begin = std::upper_bound(times.begin(), times.end(), after);
+        return static_cast<double>(std::upper_bound(begin, times.end(), until) - begin);
+    }
+
+    void evaluateRetries()
+    {
+        const GatewayRetryLimits &limits = plan_.retryLimits;
+        for (TimeMs end : result_.retriedAt) {
+            double asked = 0;
+            for (const DurationMs back : {DurationMs{0}, limits.window / 2, limits.window})
+                asked = std::max(asked, countBetween(askedAt_, end - back - limits.window, end - back));
+            const double retried = countBetween(result_.retriedAt, end - limits.window, end);
+            result_.retriesOfAllowed
+                = std::max(result_.retriesOfAllowed, retried / (limits.ratio * asked + limits.slack));
+        }
+    }
 
     const VersionPlan plan_;
     Random random_;
@@ -499,6 +565,7 @@
     uint64_t incarnations_ = 0;
     std::vector<Stream> streams_;
     std::map<std::string, Request> requests_;
+    std::vector<TimeMs> askedAt_; ///< Of all requests.
     std::map<uint64_t, Open> open_;
     uint64_t opened_ = 0;
     uint64_t requestCount_ = 0;
@@ -514,8 +581,10 @@
 std::string VersionResult::text() const
 {
     std::string out = fmt::format(
-        "begun {} of {}, whole {}; taken up {}, went on {}, mixed {}; notices {:.2f}/s, {:.0f} B/s a daemon",
-        begun, asked, whole, takenUp, wentOn, mixed, noticesPerSecond, bytesPerSecond);
+        "begun {} of {}, whole {}; taken up {}, went on {}, mixed {}; notices {:.2f}/s, {:.0f} B/s a daemon; "
+        "broken {}, retries {}, at most {:.2f} of what is allowed",
+        begun, asked, whole, takenUp, wentOn, mixed, noticesPerSecond, bytesPerSecond, broken,
+        retriedAt.size(), retriesOfAllowed);
     for (const std::pair<const std::string, uint64_t> &reason : refusedResumptions)
         out += fmt::format("; {} {}", reason.second, reason.first);
     return out;
--- a/tests/versionload.h
+++ b/tests/versionload.h
@@ -18,6 +18,14 @@
 struct DaemonKill {
     DurationMs at{8000};
     size_t percent = 60;
+    DurationMs downtime{0};
+};
+
+/// Engines reset the connections of their streams at the first event.
+struct EngineResets {
+    DurationMs from{300};
+    DurationMs until{9300};
+    uint64_t percent = 100; ///< Of the streams.
 };
 
 /// Daemons, engines of several software versions, and callers that resume broken streams at any daemon, in
@@ -31,6 +39,11 @@
     DurationMs length{20000};
     std::vector<EngineLoss> losses;
     std::vector<DaemonKill> kills;
+    std::optional<EngineResets> resets;
+    size_t serving = 0; ///< Daemons that get callers; 0: all.
+    /// No daemon hears from the store between these times.
+    std::optional<std::pair<DurationMs, DurationMs>> storeAway;
+    GatewayRetryLimits retryLimits{0.2, 52, {10000}};
     uint64_t lostDatagrams = 0; ///< Of a hundred between daemons, besides reports.
     /// From this time on no daemon hears another one.
     std::optional<DurationMs> daemonsApartFrom;
@@ -51,6 +64,11 @@
     double noticesPerSecond = 0; ///< Of each daemon.
     double bytesPerSecond = 0; ///< Of each daemon, with queries and replies.
     std::map<std::string, uint64_t> refusedResumptions; ///< By reason.
+    /// Arrivals at engines beyond the first of each request, by time; the most in a window, relative to what
+    /// the requests in it, in the window before or in the one half a window before allow.
+    std::vector<TimeMs> retriedAt;
+    double retriesOfAllowed = 0;
+    uint64_t broken = 0; ///< Streams that their daemons broke off, or refused after they had been sent.
     double shareWentOn() const { return share(wentOn, takenUp); }
     double shareBegun() const { return share(begun, asked); }
     static double share(uint64_t part, uint64_t all)
