Retries are shared among daemons that have been there for a window; others draw them from a pool in the store

Callers' services got up to 1.31 times the retries that they allow in 10 s while engines reset their runs and daemons were killed. Cause: each daemon counted what it spent since its own start, so each start brought a whole share of the slack and the ratio of its own requests again.

0.45 of what a service allows is divided equally by the highest number of sharers in the last window, and only among daemons that have shared for all of it: whoever uses a share in a window was a sharer at its start, so the shares can't add up to more, whatever is killed, stopped or cut off. 0.5 is a pool in the store: a draw is a conditional write of the draws of the window, used once it is acknowledged, within a second. A request waits at most 0.4 s for its draw. Requests are those of all daemons, by their full reports. A quarter of a share is kept for retries that save work.

Daemons of the fixtures draw from a store that answers at once.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/endpoints/endpointfleet.h"
+#include "gateway/gatewaycounters.h"
 #include "gateway/requests/eventstream.h"
 
 namespace cranberry {
@@ -68,6 +69,9 @@
     uint32_t rejections = 0; ///< Number of endpoints that stated that they did not run the request.
     std::set<EndpointId> tried;
 
+    std::optional<GatewayRetry> awaitedRetry; ///< It waits for a draw of retries to be sent again.
+    std::optional<TimeMs> drawUntil; ///< End of all its waits for draws since the last send.
+
     std::set<EndpointId> unsentTo; ///< Endpoints in `tried` that nothing was sent to.
     std::optional<Address> relay; ///< Daemon that carries the open attempt.
     std::set<Address> triedRelays;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,7 @@
 
 Gateway::Gateway(const GatewaySettings &settings, DecisionLog &log)
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
-      usage_(settings.usageWindow), paths_(settings.seed),
+      retryLedger_(settings.seed), usage_(settings.usageWindow), paths_(settings.seed),
       relays_(settings.instance, settings.failureDomain, settings.seed)
 {
     applyBounds(settings);
@@ -55,7 +55,9 @@
 {
     settings_.revokeBound = settings.revokeBound;
     settings_.drainTime = settings.drainTime;
+    settings_.retryLimits = settings.retryLimits;
     retryBudget_.setLimits(settings.retryLimits);
+    retryLedger_.setLimits(settings.retryLimits);
     quotas_.setTolerance(settings.quotaTolerance);
     fleet_.setDrainTime(settings.drainTime);
 }
@@ -281,6 +283,7 @@
     exchange.fetch = choice.fetch;
     exchange.phase
         = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
+    exchange.drawUntil.reset();
     exchange.tried.insert(choice.endpoint);
     exchange.relay = relayFor(exchange, now);
     exchange.body.clear();
@@ -425,6 +428,7 @@
 void Gateway::finish(Exchange &exchange)
 {
     queue_.remove(exchange.caller);
+    awaitingDraw_.erase(exchange.caller);
     std::erase(awaitingStart_, exchange.caller);
     unitRequests_.erase(exchange.unitRequest);
     if (exchange.originSearch)
@@ -452,6 +456,7 @@
     abandonSilentEndpoints(now);
     tickLimits(now);
     tickResumptions(now);
+    tickRetries(now);
     probeEngines(now);
     migrateFromLeavingEngines(now);
     fleet_.setPeersLoad(peers_.loadSums(now), now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/peers/relaycontacts.h"
 #include "gateway/requests/admissionqueue.h"
 #include "gateway/requests/gatewayretrybudget.h"
+#include "gateway/requests/retryledger.h"
 #include "gateway/requests/returnschedule.h"
 #include "gateway/requests/streamorigins.h"
 #include "gateway/rollout/rolloutcontroller.h"
@@ -93,6 +94,9 @@
     void startLeaving(TimeMs now, TimeMs endsAt);
 
     std::vector<GatewayAction> takeActions() { return std::exchange(actions_, {}); }
+    /// Returns the calls to the store that draw retries; their replies go to `onStoreReply`.
+    std::vector<StoreCall> takeStoreCalls() { return retryLedger_.takeStoreCalls(); }
+    void onStoreReply(const StoreReply &reply, TimeMs now);
 
     /// Returns whether it takes requests: its configuration was confirmed recently and it is not leaving.
     bool isReady(TimeMs now) const;
@@ -297,12 +301,11 @@
     void detach(Exchange &exchange);
     void cancelAttempt(Exchange &exchange);
     bool mayRetry(const Exchange &exchange) const;
-    double slackShare(TimeMs now) const;
-    bool retry(Exchange &exchange, GatewayRetry reason, TimeMs now);
     /// Cancels an attempt and treats it as failed; the endpoint may already have run the request.
     void cancelAsFailed(AttemptId attempt, TimeMs now);
     void onRejected(Exchange &exchange, TimeMs now);
     void forwardFullResponse(Exchange &exchange, TimeMs now);
+    void passFullResponse(Exchange &exchange, TimeMs now); ///< Without a retry.
     bool forwardEvents(Exchange &exchange, TimeMs now);
     void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
     void closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
@@ -310,6 +313,17 @@
     void abandonSilentEndpoints(TimeMs now);
     bool canContinueElsewhere(Exchange &exchange, TimeMs now);
 
+    // Retries (retries.cpp).
+    bool retry(Exchange &exchange, GatewayRetry reason, TimeMs now);
+    void logDenied(const Exchange &exchange, const char *reason) const;
+    bool awaitDraw(Exchange &exchange, GatewayRetry reason, TimeMs now);
+    bool drawRetries(const ServiceName &service, uint32_t more, TimeMs now);
+    std::vector<CallerId> awaitingDrawOf(const ServiceName &service) const;
+    void continueAfterDraw(CallerId id, TimeMs now);
+    void endWithoutRetry(Exchange &exchange, GatewayRetry reason, TimeMs now);
+    void tickRetries(TimeMs now);
+    void logRetries(TimeMs now);
+
     // Endpoints that exit while they process requests (endpointcrashes.cpp).
 
     /// Returns true if the request has to wait for the result of a probe of the endpoint.
@@ -387,7 +401,8 @@
     void migrateFromLeavingEngines(TimeMs now);
     bool isTooLateToStart(const Exchange &exchange, TimeMs now) const;
     bool shouldMigrate(const Exchange &exchange, TimeMs now) const;
-    void startMigration(Exchange &exchange, TimeMs now);
+    /// `others`: streams that are to be migrated as well.
+    void startMigration(Exchange &exchange, size_t others, TimeMs now);
     void continueAtTarget(Exchange &exchange, TimeMs now);
     void onMigrationFailed(Exchange &exchange, TimeMs now);
     void abortStream(Exchange &exchange, TimeMs now);
@@ -428,6 +443,10 @@
     PeerTable peers_;
     Quotas quotas_;
     GatewayRetryBudget retryBudget_;
+    RetryLedger retryLedger_;
+    std::set<CallerId> awaitingDraw_; ///< Requests with an `awaitedRetry`.
+    TimeMs nextSharersAt_;
+    int64_t retriesLoggedSecond_ = 0;
     UsageWindows usage_;
     DemandMeter demand_;
     EngineSpeeds speeds_;
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -49,6 +49,10 @@
     StreamsBroken,
     CallersGone,
     RetriesDenied, ///< The shared retry budget was used up.
+    RetriesAwaitingDraw, ///< Requests that waited for a draw of retries from the pool.
+    RetryDraws, ///< Draws from the pool.
+    RetryDrawsFailed, ///< The pool was used up, or the store did not reply.
+    RetriesDrawn, ///< Retries that were drawn from the pool, used or not.
     Queued,
     PeerReports,
     ConfigurationsTaken,
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -399,6 +399,8 @@
     std::vector<EngineSpeedRow> speeds; ///< Only in full reports.
     std::vector<ServiceName> unreached; ///< Services of which the sender reaches no endpoint.
     std::map<ServiceName, uint32_t> brittle; ///< Services with brittle endpoints: rejections in a second.
+    /// Requests of callers in the newest window of the retry budget. Only in full reports.
+    std::map<ServiceName, uint32_t> requests;
 };
 
 /// One incarnation of a daemon and the instance that it runs on.
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -85,6 +85,12 @@
 {
     for (GatewayAction &action : gateway.takeActions())
         std::visit([this](auto &each) { run(each); }, action);
+    for (const StoreCall &order : gateway.takeStoreCalls()) {
+        callStore(order, [this](const StoreReply &reply) {
+            gateway.onStoreReply(reply, steadyNow());
+            runActions();
+        });
+    }
 }
 
 // Removes a caller's exchange for its final response; returns nullptr if the caller is gone.
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -181,6 +181,22 @@
     return out;
 }
 
+json::object encodedCounts(const std::map<ServiceName, uint32_t> &counts)
+{
+    json::object out;
+    for (const std::pair<const ServiceName, uint32_t> &each : counts)
+        out[each.first.value] = each.second;
+    return out;
+}
+
+std::map<ServiceName, uint32_t> decodedCounts(const json::value &value)
+{
+    std::map<ServiceName, uint32_t> out;
+    for (const json::key_value_pair &each : value.as_object())
+        out[ServiceName{std::string(each.key())}] = each.value().to_number<uint32_t>();
+    return out;
+}
+
 PeerReport decodedReport(const json::object &object)
 {
     PeerReport report;
@@ -219,10 +235,10 @@
         for (const json::value &service : unreached->as_array())
             report.unreached.push_back(ServiceName{text(service)});
     }
-    if (const json::value *brittle = object.if_contains("brittle")) {
-        for (const json::key_value_pair &each : brittle->as_object())
-            report.brittle[ServiceName{std::string(each.key())}] = each.value().to_number<uint32_t>();
-    }
+    if (const json::value *brittle = object.if_contains("brittle"))
+        report.brittle = decodedCounts(*brittle);
+    if (const json::value *requests = object.if_contains("requests"))
+        report.requests = decodedCounts(*requests);
     return report;
 }
 
@@ -251,12 +267,10 @@
             unreached.push_back(json::value(service.value));
         out["unreached"] = std::move(unreached);
     }
-    if (!report.brittle.empty()) {
-        json::object brittle;
-        for (const std::pair<const ServiceName, uint32_t> &each : report.brittle)
-            brittle[each.first.value] = each.second;
-        out["brittle"] = std::move(brittle);
-    }
+    if (!report.brittle.empty())
+        out["brittle"] = encodedCounts(report.brittle);
+    if (!report.requests.empty())
+        out["requests"] = encodedCounts(report.requests);
     return out;
 }
 
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -358,6 +358,7 @@
 {
     report.demands = before.demands;
     report.trials = before.trials;
+    report.requests = before.requests;
     for (const OrganisationBalance &old : before.balances) {
         const bool isReported = std::any_of(
             report.balances.begin(), report.balances.end(),
@@ -495,6 +496,18 @@
     return sums;
 }
 
+std::map<ServiceName, uint64_t> PeerTable::retryRequestSums(TimeMs now) const
+{
+    std::map<ServiceName, uint64_t> sums;
+    for (const std::pair<const Incarnation, Peer> &entry : peers_) {
+        if (now - entry.second.heardAt >= silenceTimeout())
+            continue;
+        for (const std::pair<const ServiceName, uint32_t> &each : entry.second.report.requests)
+            sums[each.first] += each.second;
+    }
+    return sums;
+}
+
 std::vector<TrialCount> PeerTable::trialCounts() const
 {
     std::vector<TrialCount> out;
--- a/src/gateway/peers/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -35,6 +35,10 @@
     /// Number of daemons that share the limits and the engines: those that serve, or all while none is listed
     /// as serving. At least 1. A decrease takes effect only after some seconds.
     size_t servingCount(TimeMs now) const;
+    size_t currentServingCount() const; ///< The same, without the delay of a decrease.
+    bool anyServes() const { return anyServes_; }
+    /// This daemon is listed, and shares the limits.
+    bool isListedSharer() const { return selfEntry_ && isServing_; }
     /// All daemons were killed, and `sharers` shared the limits before. For some seconds the count is at
     /// least that, and the count of all listed daemons, found while none is listed as serving yet, is not
     /// held.
@@ -105,6 +109,8 @@
     /// Sum of the load at each endpoint over the daemons that have reported recently.
     const std::map<EndpointIncarnation, EndpointLoad> &loadSums(TimeMs now);
     std::map<ServiceName, ServiceDemand> demandSums(TimeMs now) const;
+    /// Requests of the other daemons in a window of the retry budget.
+    std::map<ServiceName, uint64_t> retryRequestSums(TimeMs now) const;
     /// Trial counts of roll-outs from all daemons that are still remembered, including ones that are gone.
     std::vector<TrialCount> trialCounts() const;
     /// Total number of cores used by the other daemons that have reported recently.
@@ -132,7 +138,6 @@
     void updateTargets();
     bool isSelf(const MemberEntry &member) const { return &member == selfEntry_; }
     DurationMs silenceTimeout() const;
-    size_t currentServingCount() const;
     void applyLoads(Peer &peer, bool add);
     const Peer *heardPeer(const MemberEntry &member, TimeMs now) const;
     bool isHeardReady(const MemberEntry &member, TimeMs now) const;
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -151,6 +151,7 @@
     out.demands = demand_.values();
     out.trials = trialCounts_.rows();
     out.speeds = speeds_.rows(now);
+    out.requests = retryBudget_.requests(now);
     // Only the newest windows: the leader needs them within some seconds after their end.
     const int64_t oldest = usage_.windowAt(now) - 1;
     for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -16,15 +16,11 @@
 /// Maximum number of rejections of one request by endpoints that state that they did not run it. These sends
 /// don't count against the route's attempts.
 constexpr uint32_t MaxRejections = 2;
-/// An attempt with less time left than this could not be answered in time and is not sent.
-constexpr DurationMs MinUsefulTime{20};
 constexpr size_t MaxBufferedBody = 8U
     << 20; ///< An attempt with a larger response body is cancelled as failed.
 /// Weight of the newest response in the moving mean of a service's response times. It averages over about
 /// the last 20 responses.
 constexpr double ResponseTimeWeight = 0.05;
-/// Fraction of the retry slack that is divided among the serving daemons.
-constexpr double SharedSlackFraction = 0.8;
 constexpr int FirstServerError = 500;
 constexpr std::array NotRunStatuses = {408, 421, 429, 503};
 
@@ -254,6 +250,11 @@
             && retry(exchange, GatewayRetry::ServerError, now))
             return;
     }
+    passFullResponse(exchange, now);
+}
+
+void Gateway::passFullResponse(Exchange &exchange, TimeMs now)
+{
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
     // These statuses tell the caller that the request did not run. The endpoint did not state that, so the
@@ -264,6 +265,7 @@
         return giveUp(exchange, GatewayRefusal::EndpointBroken, now);
     }
     counters_.add(GatewayCount::AnswersPassed);
+    const bool failed = exchange.head.status >= FirstServerError;
     log(failed ? LogPriority::Failure : LogPriority::Ordinary, "answered", exchange,
         {{"status", exchange.head.status}, {"after_ms", (now - exchange.arrivedAt).count}});
     actions_.emplace_back(
@@ -363,48 +365,6 @@
     return exchange.sends < exchange.route->attempts && isRetryable(*exchange.route);
 }
 
-// Returns this daemon's share of the retry slack, i.e. of the retries allowed beyond the ratio. Only serving
-// daemons get a share: with equal shares for all 83 daemons, the 10 that held all streams of a reclaimed
-// failure domain got 2 retries each, and most of these streams were cut. A fraction is left undivided for the
-// moments in which a daemon begins to serve and others don't count it yet.
-double Gateway::slackShare(TimeMs now) const
-{
-    if (!peers_.isServing())
-        return 0;
-    const size_t servingDaemons = peers_.servingCount(now);
-    return servingDaemons == 1 ? 1 : SharedSlackFraction / static_cast<double>(servingDaemons);
-}
-
-// Sends the request again if enough time, retry budget and an endpoint are available.
-bool Gateway::retry(Exchange &exchange, GatewayRetry reason, TimeMs now)
-{
-    // Applies also if the last endpoint stated that it did not run the request: an earlier one may have run
-    // it.
-    if (exchange.mayHaveRun && !isRetryable(*exchange.route))
-        return false;
-    if (std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now < MinUsefulTime)
-        return false;
-    if (isQuarantined(exchange, now)) {
-        log(LogPriority::Failure, "repeat_denied", exchange, {{"reason", "quarantined"}});
-        return false;
-    }
-    if (isOutOfReach(exchange.service, now))
-        return false;
-    PlacementQuery question = placementQuery(exchange);
-    const PlacementResult result = place(exchange, question, now);
-    if (!result.choice)
-        return false;
-    if (reason != GatewayRetry::ConnectFailed && !retryBudget_.take(exchange.service, slackShare(now), now)) {
-        counters_.add(GatewayCount::RetriesDenied);
-        log(LogPriority::Failure, "repeat_denied", exchange, {{"reason", toText(reason)}});
-        return false;
-    }
-    counters_.add(reason);
-    log(LogPriority::Failure, "repeat", exchange, {{"reason", toText(reason)}, {"sends", exchange.sends}});
-    send(exchange, question, *result.choice, now);
-    return true;
-}
-
 // Closes the caller's stream without the end mark, which shows the caller that its response is incomplete.
 void Gateway::abortStream(Exchange &exchange, TimeMs now)
 {
@@ -445,8 +405,12 @@
 bool Gateway::canContinueElsewhere(Exchange &exchange, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
-    return !isQuarantined(exchange, now) && retryBudget_.allows(exchange.service, slackShare(now), now)
-        && place(exchange, question, now).choice;
+    if (isQuarantined(exchange, now) || !place(exchange, question, now).choice)
+        return false;
+    const bool isAllowed = retryBudget_.allows(exchange.service, GatewayRetry::StreamResumed, now);
+    if (!isAllowed)
+        drawRetries(exchange.service, 1, now);
+    return isAllowed;
 }
 
 } // namespace cranberry
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -64,8 +64,8 @@
             && now - exchange.migration->startedAt > MigrationTimeout + LastBytesTimeout)
             late.push_back(entry.second);
     }
-    for (CallerId id : toMigrate)
-        startMigration(exchanges_.at(id), now);
+    for (size_t i = 0; i < toMigrate.size(); ++i)
+        startMigration(exchanges_.at(toMigrate[i]), toMigrate.size() - i - 1, now);
     for (AttemptId attempt : unstarted)
         cancelAsFailed(attempt, now);
     for (CallerId id : late)
@@ -104,7 +104,7 @@
     return now + rest + MigrationMargin > *endpoint->leavesAt;
 }
 
-void Gateway::startMigration(Exchange &exchange, TimeMs now)
+void Gateway::startMigration(Exchange &exchange, size_t others, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
     question.tried = exchange.migrationTargets;
@@ -114,11 +114,12 @@
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
     if (!source || !target)
         return;
-    if (!retryBudget_.take(exchange.service, slackShare(now), now)) {
+    if (!retryBudget_.take(exchange.service, GatewayRetry::Moved, now)) {
+        drawRetries(exchange.service, static_cast<uint32_t>(others) + 1, now);
         // Tried again with each tick, but logged only once.
         if (!std::exchange(exchange.migrationDenied, true)) {
             counters_.add(GatewayCount::RetriesDenied);
-            log(LogPriority::Failure, "repeat_denied", exchange, {{"reason", toText(GatewayRetry::Moved)}});
+            logDenied(exchange, toText(GatewayRetry::Moved));
         }
         return;
     }
--- a/tests/engineload.cpp
+++ b/tests/engineload.cpp
@@ -641,6 +641,7 @@
 
     void takeActions(size_t daemon)
     {
+        answerDraws(*daemons_[daemon], store_, now_);
         for (const GatewayAction &action : daemons_[daemon]->takeActions()) {
             if (const SendToPeer *word = std::get_if<SendToPeer>(&action))
                 tell(daemon, *word);
@@ -983,6 +984,7 @@
     }
 
     const LoadPlan plan_;
+    FakeStore store_{1};
     Random random_;
     Random stallRandom_{7}; ///< So that callers ask the same whatever the engines do.
     RecordingLog log_;
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -56,6 +56,18 @@
         }));
 }
 
+void answerDraws(Gateway &gateway, FakeStore &store, TimeMs now)
+{
+    store.faults.delay = {0};
+    for (std::vector<StoreCall> calls = gateway.takeStoreCalls(); !calls.empty();
+         calls = gateway.takeStoreCalls()) {
+        for (const StoreCall &call : calls)
+            store.submit(0, call, now);
+        for (const std::pair<size_t, StoreReply> &reply : store.replies(now))
+            gateway.onStoreReply(reply.second, now);
+    }
+}
+
 GatewayFixture::GatewayFixture() : gateway(testSettings(), log)
 {
     endpoints = {makeEndpoint("m1", "model", "north", 1), makeEndpoint("m2", "model", "south", 2),
@@ -107,6 +119,12 @@
     drainActions();
 }
 
+void GatewayFixture::serveForWindow()
+{
+    gateway.onMembers({{{"entry-1"}, {1}, {"north"}, {}, {"10.0.0.1", 90}, 1, true}}, now);
+    pass(DurationMs{12000});
+}
+
 void GatewayFixture::pass(DurationMs duration)
 {
     const TimeMs until = now + duration;
@@ -207,6 +225,8 @@
 
 void GatewayFixture::drainActions()
 {
+    if (storeReachable)
+        answerDraws(gateway, store, now);
     for (const GatewayAction &action : gateway.takeActions()) {
         if (const AnswerCaller *answer = std::get_if<AnswerCaller>(&action))
             answers[answer->caller] = *answer;
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakestore.h"
 #include "gateway/gateway.h"
 
 #include <doctest/doctest.h>
@@ -22,6 +23,9 @@
     std::vector<boost::json::object> lines;
 };
 
+/// Carries out a daemon's draws of retries at once.
+void answerDraws(Gateway &gateway, FakeStore &store, TimeMs now);
+
 /// A gateway with one model service (three engines) and one plain service (two endpoints), in virtual time.
 ///
 /// Routes: /review/ streams and can be resumed, /draft/ streams and can't, /order/ is not idempotent,
@@ -36,6 +40,9 @@
     std::shared_ptr<ServingConfiguration> makeConfiguration(uint64_t version) const;
     void configure(const std::shared_ptr<ServingConfiguration> &configuration);
     void listEndpoints();
+    /// Lists this daemon as the only one that serves, and lets so much time pass that it has its share of the
+    /// retries.
+    void serveForWindow();
     /// Lets time pass: confirms configuration and endpoints each half second, as the store does, unless cut
     /// off.
     void pass(DurationMs duration);
@@ -74,6 +81,7 @@
     std::vector<EndpointEntry> endpoints;
     std::shared_ptr<ServingConfiguration> configuration;
     bool storeReachable = true;
+    FakeStore store{1};
 
 private:
     uint64_t nextCaller_ = 1;
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -138,6 +138,7 @@
     // The store is down when the reclaim notice arrives, so the endpoint list does not change. The engine of
     // the stream is probed, reports that it leaves, and the stream is migrated in time.
     configuration->services[0].engine->migratesGenerations = true;
+    serveForWindow();
     CallerRequest request = makeRequest(PlainStream);
     request.outputTokens = 600;
     this->request(request);
--- a/tests/versionload.h
+++ b/tests/versionload.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakestore.h"
 #include "gatewayfixture.h"
 
 #include <string>
@@ -44,6 +45,8 @@
     /// No daemon hears from the store between these times.
     std::optional<std::pair<DurationMs, DurationMs>> storeAway;
     GatewayRetryLimits retryLimits{0.2, 52, {10000}};
+    DurationMs lead{0}; ///< Time for which the daemons have run before the day begins.
+    StoreFaults storeFaults;
     uint64_t lostDatagrams = 0; ///< Of a hundred between daemons, besides reports.
     /// From this time on no daemon hears another one.
     std::optional<DurationMs> daemonsApartFrom;
@@ -68,6 +71,7 @@
     /// the requests in it, in the window before or in the one half a window before allow.
     std::vector<TimeMs> retriedAt;
     double retriesOfAllowed = 0;
+    uint64_t storeCalls = 0; ///< That draw retries.
     uint64_t broken = 0; ///< Streams that their daemons broke off, or refused after they had been sent.
     double shareWentOn() const { return share(wentOn, takenUp); }
     double shareBegun() const { return share(begun, asked); }
