Endpoints that ask a daemon for a rest get one, and those that say that they leave get no more requests

Callers' services turned requests away with 503 and Retry-After and got the next ones within the rest (the users' record: 3 requests in 3 s); the response's Server-Leaving was not read either. Cause: no header of an endpoint's rejection was read; it was avoided for 0.25 s as after a failure.

A rest is kept for the endpoint's process, at this daemon, until the latest end that was asked for (at most 300 s) and up to a quarter of it (0.5 s at most) longer, so that daemons don't return together; then one request at a time, two, four. It is no failure. Probes and moves to it: one in a rest. A daemon that carries requests for others keeps what it passed on. While all endpoints rest, a request waits if the first rest ends in its time, else it is refused at once with that time. An endpoint whose response says that it leaves is as one that the list names so, at once: its streams are moved.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -31,7 +31,7 @@
 bool Gateway::recordInterruptedAttempt(Exchange &exchange, TimeMs now)
 {
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
-    if (!endpoint)
+    if (!endpoint || !endpoint->rest.mayCall(now))
         return false;
     InterruptedAttempt attempt = interruptedAttempt(exchange);
     if (!std::exchange(exchange.startIsEvaluated, true))
@@ -39,8 +39,7 @@
     attempt.retryAfterProbe
         = quarantine_.suspects().isSuspected(exchange.digest) && !isQuarantined(exchange, now);
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        actions_.emplace_back(ProbeEngine{exchange.sentTo.id, endpoint->entry.address, ProcessProbeTimeout,
-                                          true, relayFor(exchange.service, now)});
+        probeProcess(*endpoint, now);
     return attempt.retryAfterProbe;
 }
 
@@ -56,11 +55,19 @@
 void Gateway::awaitEndpointState(Exchange &exchange, TimeMs now)
 {
     const FleetEndpoint &endpoint = *fleet_.find(exchange.sentTo);
+    if (!endpoint.rest.mayCall(now))
+        return endUnframedResponse(exchange.attempt, false, now);
     InterruptedAttempt attempt = interruptedAttempt(exchange);
     attempt.ended = exchange.attempt;
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        actions_.emplace_back(ProbeEngine{exchange.sentTo.id, endpoint.entry.address, ProcessProbeTimeout,
-                                          true, relayFor(exchange.service, now)});
+        probeProcess(endpoint, now);
+}
+
+void Gateway::probeProcess(const FleetEndpoint &endpoint, TimeMs now)
+{
+    fleet_.takeCall(endpoint.entry.id, now);
+    actions_.emplace_back(ProbeEngine{endpoint.entry.id, endpoint.entry.address, ProcessProbeTimeout, true,
+                                      relayFor(endpoint.entry.service, now)});
 }
 
 void Gateway::endUnframedResponse(AttemptId attempt, bool isComplete, TimeMs now)
--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -331,11 +331,61 @@
 void EndpointFleet::rejected(const EndpointIncarnation &incarnation, TimeMs now)
 {
     failed(incarnation, now);
+    if (FleetEndpoint *endpoint = at(incarnation))
+        recordBrittleRejection(*endpoint, now);
+}
+
+void EndpointFleet::recordBrittleRejection(FleetEndpoint &endpoint, TimeMs now) const
+{
+    const auto brittle = brittle_.find(endpoint.entry.service);
+    if (brittle != brittle_.end())
+        endpoint.brittleness.rejected(brittleSharers_, brittle->second.maxRejections, now);
+}
+
+bool EndpointFleet::askedForRest(const EndpointIncarnation &incarnation, DurationMs duration,
+                                 DurationMs jitter, TimeMs now)
+{
     FleetEndpoint *endpoint = at(incarnation);
-    const auto brittle = endpoint ? brittle_.find(endpoint->entry.service) : brittle_.end();
-    if (brittle == brittle_.end())
-        return;
-    endpoint->brittleness.rejected(brittleSharers_, brittle->second.maxRejections, now);
+    if (!endpoint)
+        return false;
+    endpoint->rest.begin(duration, jitter, now);
+    recordBrittleRejection(*endpoint, now);
+    return true;
+}
+
+void EndpointFleet::accepted(const EndpointIncarnation &incarnation, TimeMs now)
+{
+    if (FleetEndpoint *endpoint = at(incarnation))
+        endpoint->rest.accepted(now);
+}
+
+bool EndpointFleet::takeCall(const EndpointId &id, TimeMs now)
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() || found->second.rest.takeCall(now);
+}
+
+std::optional<TimeMs> EndpointFleet::restEndsAt(const ServiceName &service, TimeMs now) const
+{
+    std::optional<TimeMs> first;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (!acceptsRequests(entry.second, service) || entry.second.addressReused)
+            continue;
+        if (!entry.second.rest.isResting(now))
+            return std::nullopt;
+        first = std::min(first.value_or(entry.second.rest.endsAt()), entry.second.rest.endsAt());
+    }
+    return first;
+}
+
+std::map<ServiceName, uint32_t> EndpointFleet::resting(TimeMs now) const
+{
+    std::map<ServiceName, uint32_t> out;
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (entry.second.rest.isResting(now) && !entry.second.gone)
+            ++out[entry.second.entry.service];
+    }
+    return out;
 }
 
 void EndpointFleet::pardon(const EndpointId &id)
@@ -461,7 +511,8 @@
         FleetEndpoint &endpoint = entry.second;
         if (!listIsOld && endpoint.readable)
             continue;
-        if (endpoint.streaming == 0 || endpoint.entry.leaving || now - endpoint.probedAt < ProbeInterval)
+        if (endpoint.streaming == 0 || endpoint.entry.leaving || now - endpoint.probedAt < ProbeInterval
+            || !endpoint.rest.takeCall(now))
             continue;
         endpoint.probedAt = now;
         due.push_back(endpoint.entry);
@@ -528,11 +579,12 @@
     return found == inactiveVersions_.end() || !found->second.contains(endpoint.entry.version);
 }
 
-uint32_t EndpointFleet::totalSlots(const ServiceName &service) const
+uint32_t EndpointFleet::totalSlots(const ServiceName &service, TimeMs now) const
 {
     uint32_t sum = 0;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_)
         sum += acceptsRequests(entry.second, service) && isVersionActive(entry.second)
+                && !entry.second.rest.isResting(now)
             ? entry.second.entry.slots
             : 0;
     return sum;
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -3,6 +3,7 @@
 #include "common/random.h"
 #include "gateway/endpoints/brittleness.h"
 #include "gateway/endpoints/endpointlimiter.h"
+#include "gateway/endpoints/endpointrest.h"
 #include "gateway/endpoints/enginespeeds.h"
 #include "gateway/endpoints/partfetch.h"
 
@@ -60,6 +61,7 @@
 
     EndpointLimiter limiter;
     Brittleness brittleness;
+    EndpointRest rest;
     /// Prompt parts prefilled here, as prefix chains by the id of the last part, with the time of last use.
     std::map<std::string, TimeMs> cachedParts;
     FetchLink link;
@@ -106,12 +108,15 @@
 enum class PlacementProblem : uint8_t {
     NoEndpoint,
     AllBusy,
+    AllResting, ///< All that would be used asked this daemon for a rest.
+    RestTooLong, ///< The same, and the rest ends after the caller's deadline.
     Unreached ///< There are endpoints, but neither this daemon nor another one reaches them.
 };
 
 struct PlacementResult {
     std::optional<PlacementChoice> choice;
     PlacementProblem problem = PlacementProblem::NoEndpoint;
+    TimeMs restEndsAt; ///< With AllResting: when the first of them may be used again.
     /// Endpoint that would have been chosen if its rate limit allowed it.
     std::optional<EndpointIncarnation> limitedEndpoint;
 };
@@ -166,6 +171,17 @@
     void pardon(const EndpointId &id);
     /// Records that the endpoint rejected a request.
     void rejected(const EndpointIncarnation &incarnation, TimeMs now);
+    /// Records that the endpoint rejected a request and asked this daemon for a rest. It works as it should,
+    /// so this is no failure. Returns false for an earlier incarnation.
+    bool askedForRest(const EndpointIncarnation &incarnation, DurationMs duration, DurationMs jitter,
+                      TimeMs now);
+    /// Records that the endpoint began to answer a request that it ran.
+    void accepted(const EndpointIncarnation &incarnation, TimeMs now);
+    /// Returns whether a call that is no request may be sent to the endpoint, and counts it.
+    bool takeCall(const EndpointId &id, TimeMs now);
+    /// Returns when a service's first endpoint can be used again if all of them rest, else nothing.
+    std::optional<TimeMs> restEndsAt(const ServiceName &service, TimeMs now) const;
+    std::map<ServiceName, uint32_t> resting(TimeMs now) const; ///< Number of endpoints at rest.
     /// Records that a probe found the endpoint's process exited.
     void crashed(const EndpointIncarnation &incarnation, TimeMs now);
     /// Records an error response of the endpoint itself.
@@ -223,7 +239,7 @@
     const FleetEndpoint *find(const EndpointIncarnation &incarnation) const;
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
     /// Number of requests that the service's endpoints can run concurrently.
-    uint32_t totalSlots(const ServiceName &service) const;
+    uint32_t totalSlots(const ServiceName &service, TimeMs now) const;
     /// Number of endpoints that take requests without a rate limit.
     uint32_t unlimitedCount(const ServiceName &service) const;
     /// Returns nothing if some endpoint of the service has no limit, or if there are no endpoints.
@@ -254,6 +270,7 @@
     static void resetForRestart(FleetEndpoint &endpoint, EndpointStartTime start, TimeMs now);
     FleetEndpoint *at(const EndpointIncarnation &incarnation);
     void fetchStarted(FleetEndpoint &endpoint, const KvFetch &fetch, TimeMs now);
+    void recordBrittleRejection(FleetEndpoint &endpoint, TimeMs now) const;
     static bool acceptsRequests(const FleetEndpoint &endpoint, const ServiceName &service);
     static bool isEligible(const FleetEndpoint &endpoint, const PlacementQuery &query);
     bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
--- a/src/gateway/endpoints/endpointplacement.cpp
+++ b/src/gateway/endpoints/endpointplacement.cpp
@@ -62,6 +62,16 @@
     return std::max(tokens / query.usualTokensPerMs * endpoint.slowness - query.maxPauseMs, 0.0);
 }
 
+void recordResting(PlacementResult &result, TimeMs endsAt)
+{
+    if (result.problem == PlacementProblem::NoEndpoint) {
+        result.problem = PlacementProblem::AllResting;
+        result.restEndsAt = endsAt;
+    } else if (result.problem == PlacementProblem::AllResting) {
+        result.restEndsAt = std::min(result.restEndsAt, endsAt);
+    }
+}
+
 double slotsOf(const FleetEndpoint &endpoint, const PlacementQuery &query)
 {
     return query.engine ? query.engine->slots : endpoint.entry.slots;
@@ -174,7 +184,8 @@
     const FleetEndpoint *preferred = nullptr;
     std::pair<bool, double> bestRank;
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        if (!isEligible(entry.second, query) || entry.second.crashedUntil > now || entry.second.isEjected)
+        if (!isEligible(entry.second, query) || entry.second.crashedUntil > now || entry.second.isEjected
+            || entry.second.rest.isResting(now))
             continue;
         const std::pair<bool, double> rank{!entry.second.limiter.isLimited(),
                                            weightedRank(key, entry.first, entry.second.homeWeight)};
@@ -267,7 +278,7 @@
     bool anyUsual = false; // Responsive and not ejected: without one, ejected engines are used like others.
     for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
         if (!isEligible(entry.second, query) || !isResponsive(entry.second, now)
-            || !entry.second.limiter.maySend(now))
+            || !entry.second.limiter.maySend(now) || entry.second.rest.isResting(now))
             continue;
         anyResponsive = true;
         anyUsual = anyUsual || !entry.second.isEjected;
@@ -279,10 +290,15 @@
         const FleetEndpoint &endpoint = entry.second;
         if (!isEligible(endpoint, query))
             continue;
+        if (endpoint.rest.isResting(now)) {
+            recordResting(result, endpoint.rest.endsAt());
+            continue;
+        }
         result.problem = PlacementProblem::AllBusy;
         const bool isExcluded = (anyResponsive && !isResponsive(endpoint, now))
             || (anyUsual && endpoint.isEjected && !isProbeDue(endpoint, query, now));
-        if (isExcluded || !hasFreeSlot(endpoint, query) || !hasOwnRoom(endpoint, now))
+        if (isExcluded || !hasFreeSlot(endpoint, query) || !hasOwnRoom(endpoint, now)
+            || !endpoint.rest.maySend(endpoint.running, now))
             continue;
         const ChoiceWithCost found = withCost(endpoint, &endpoint == preferred, query, fetch);
         if (!endpoint.limiter.maySend(now)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -145,7 +145,9 @@
     // For other daemons, whose requests this one passes on.
 
     /// Returns the endpoint for a request of another daemon, or nothing if this daemon does not relay.
-    std::optional<Address> relayTarget(const EndpointId &endpoint) const;
+    std::optional<Address> relayTarget(const EndpointId &endpoint, TimeMs now) const;
+    /// What an endpoint said of itself in a response that this daemon passes on to another one.
+    void onRelayedNotice(const EndpointId &endpoint, const EndpointNotice &notice, TimeMs now);
     /// Returns the probes of other endpoints that show whether a refused connection is the endpoint's fault
     /// or this daemon's: it is the endpoint's if one of them succeeds. None if there is no other endpoint.
     std::vector<ProbePath> controlProbes(const EndpointId &refused, TimeMs now);
@@ -220,6 +222,9 @@
         DurationMs drainTime(DurationMs prefill) const { return prefill * daemons / engines; }
     };
     void dispatch(Exchange &exchange, TimeMs now);
+    void enqueue(Exchange &exchange, TimeMs now);
+    bool isRestTooLong(const Exchange &exchange, TimeMs now) const;
+    bool isTooLate(const Exchange &exchange, TimeMs sentAt) const;
     void recordOffered(const Exchange &exchange);
     bool yieldsToOthers(const Exchange &exchange, TimeMs now) const;
     /// Sends the request, or returns why it can't be sent now.
@@ -332,6 +337,7 @@
     /// The response ended with its connection, as it also does when its endpoint crashes.
     bool mayBeBrokenOff(const Exchange &exchange) const;
     void awaitEndpointState(Exchange &exchange, TimeMs now);
+    void probeProcess(const FleetEndpoint &endpoint, TimeMs now);
     void endUnframedResponse(AttemptId attempt, bool isComplete, TimeMs now);
     bool probeThroughRelay(const EndpointId &id, TimeMs now);
     void onProcessProbed(const EngineProbed &event, TimeMs now);
@@ -396,6 +402,11 @@
     void updateBrittleServices(TimeMs now);
     static boost::json::object limitLogFields(const FleetEndpoint &endpoint, TimeMs now);
 
+    // Endpoints that ask for a rest or say that they leave (endpointnotices.cpp).
+    void recordNotice(const EndpointIncarnation &endpoint, const EndpointNotice &notice,
+                      const std::string &request, TimeMs now);
+    bool waitForRest(Exchange &exchange, TimeMs now);
+
     // Generations on leaving engines (migrations.cpp).
     void probeEngines(TimeMs now);
     void migrateFromLeavingEngines(TimeMs now);
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -10,7 +10,7 @@
     = {"no_configuration",  "stale_configuration", "bad_request",         "unknown_route",
        "unknown_key",       "over_limit",          "no_endpoint",         "overloaded",
        "endpoints_limited", "not_executed",        "endpoint_broken",     "timed_out",
-       "leaving",           "quarantined",         "endpoints_unreached", "origin_unknown"};
+       "leaving",           "quarantined",         "endpoints_unreached", "endpoints_resting", "origin_unknown"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames = {
     "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
@@ -23,6 +23,8 @@
        "streams_broken",
        "callers_gone",
        "retries_denied",
+       "rests_asked",
+       "endpoints_said_leaving",
        "retries_awaiting_draw",
        "retry_draws",
        "retry_draws_failed",
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -25,6 +25,7 @@
     Leaving, ///< This daemon is about to stop.
     Quarantined, ///< Endpoints crashed while they processed this request before.
     EndpointsUnreached, ///< Neither this daemon nor any other reaches the service's endpoints.
+    EndpointsResting, ///< All endpoints asked this daemon for a rest that the caller can't wait for.
     OriginUnknown, ///< It resumes a stream of which no daemon that was asked knows the version.
     Count
 };
@@ -49,6 +50,8 @@
     StreamsBroken,
     CallersGone,
     RetriesDenied, ///< The shared retry budget was used up.
+    RestsAsked, ///< Requests that an endpoint turned away with a rest.
+    EndpointsSaidLeaving, ///< Endpoints whose own responses first told that they leave.
     RetriesAwaitingDraw, ///< Requests that waited for a draw of retries from the pool.
     RetryDraws, ///< Draws from the pool.
     RetryDrawsFailed, ///< The pool was used up, or the store did not reply.
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -62,6 +62,13 @@
     CallerId caller;
 };
 
+/// What an endpoint says of itself in a response.
+struct EndpointNotice {
+    std::optional<DurationMs> rest; ///< It wants nothing from this daemon for so long.
+    std::optional<FieldError> restError; ///< The time that it asks for can't be parsed.
+    bool leaving = false;
+};
+
 /// Status line and headers of an endpoint's response.
 struct AttemptHead {
     AttemptId attempt;
@@ -77,6 +84,7 @@
     /// The endpoint crashes if it has to reject more requests than this in a second for lack of room.
     std::optional<uint32_t> maxRejections = std::nullopt;
     std::optional<FieldError> maxRejectionsError = std::nullopt; ///< It can't be parsed.
+    EndpointNotice notice = {};
 };
 
 struct AttemptData {
@@ -136,6 +144,7 @@
     ConnectFailure connect = ConnectFailure::None; ///< Of this daemon's own connection.
     std::optional<Address> relay = std::nullopt; ///< Copied from the ProbeEngine action.
     RelayFailure relayFailure = RelayFailure::None;
+    EndpointNotice notice = {}; ///< Of the reply, if there was one.
 };
 
 struct AttemptConnectionFailed {
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/io/clocksource.h"
 #include "gateway/io/connectfailure.h"
+#include "platform/requests.h"
 
 #include <algorithm>
 #include <array>
@@ -122,7 +123,7 @@
     passed->endpoint.value = headerOf(request.headers, EndpointHeader);
     passed->isProbe = !headerOf(request.headers, FreshHeader).empty();
     const std::string method = headerOf(request.headers, MethodHeader);
-    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint);
+    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint, steadyNow());
     if (!target || method.empty() || openCalls_ >= MaxOpenCalls)
         return respond(exchange, RelayOutcome::Unavailable);
     HttpCall call;
@@ -151,7 +152,8 @@
         gateway_.onEndpointConnected({passed->endpoint}, steadyNow());
         runActions_();
     };
-    callbacks.onHead = [passed](int status, const HttpHeaders &headers) {
+    callbacks.onHead = [this, passed](int status, const HttpHeaders &headers) {
+        gateway_.onRelayedNotice(passed->endpoint, platform::decodeNotice(status, headers), steadyNow());
         HttpHeaders out = forwardedHeaders(headers);
         out.push_back(outcomeHeader(RelayOutcome::Reached));
         if (!isFramed(headers))
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -73,6 +73,9 @@
     text += engineSizing.prometheusText();
     text += fmt::format("cranberry_gateway_endpoints {}\ncranberry_gateway_unreached_services {}\n",
                         gateway.fleet().all().size(), gateway.paths().unreached().size());
+    for (const std::pair<const ServiceName, uint32_t> &each : gateway.fleet().resting(steadyNow()))
+        text += fmt::format("cranberry_gateway_endpoints_at_rest{{service=\"{}\"}} {}\n", each.first.value,
+                            each.second);
     text
         += fmt::format("cranberry_gateway_peer_bytes_sent_total {}\ncranberry_gateway_store_calls_total {}\n",
                        peerBytesSent, storeCalls);
@@ -265,7 +268,7 @@
         const std::optional<RelayOutcome> outcome
             = action.relay ? relayOutcomeOf(reply.headers) : RelayOutcome::Reached;
         const int status = outcome == RelayOutcome::Reached ? completeStatus(reply) : 0;
-        EngineProbed probed = platform::decodeProbe(action.endpoint, status, reply.body);
+        EngineProbed probed = platform::decodeProbe(action.endpoint, status, reply.headers, reply.body);
         probed.afterConnectionFailure = action.afterConnectionFailure;
         probed.relay = action.relay;
         if (action.relay) {
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -86,9 +86,11 @@
     if (!event.wrongInstance) {
         recordLimit(*exchange, now);
         recordBrittleness(*exchange, now);
+        recordNotice(exchange->sentTo, event.notice, exchange->request->id, now);
     }
     if (event.notExecuted || event.wrongInstance)
         return onRejected(*exchange, now);
+    fleet_.accepted(exchange->sentTo, now);
     if (!event.eventStream)
         countUsage(*exchange, exchange->sentAt);
 }
@@ -99,19 +101,20 @@
     log(LogPriority::Failure, "rejected", exchange,
         {{"attempt", exchange.attempt.value},
          {"status", exchange.head.status},
-         {"wrong_instance", exchange.head.wrongInstance}});
+         {"wrong_instance", exchange.head.wrongInstance},
+         {"rest_ms", exchange.head.notice.rest.value_or(DurationMs{0}).count}});
     actions_.emplace_back(CancelSent{exchange.attempt});
     if (!exchange.head.wrongInstance)
         recordBadOutcome(exchange, false, now);
     if (exchange.head.wrongInstance)
         fleet_.wrongInstance(exchange.sentTo);
-    else
+    else if (!exchange.head.notice.rest)
         fleet_.rejected(exchange.sentTo, now);
     detach(exchange);
     ++exchange.rejections;
     const GatewayRetry reason
         = exchange.head.wrongInstance ? GatewayRetry::WrongInstance : GatewayRetry::NotExecuted;
-    if (exchange.rejections <= MaxRejections && retry(exchange, reason, now))
+    if (exchange.rejections <= MaxRejections && (retry(exchange, reason, now) || waitForRest(exchange, now)))
         return;
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -34,6 +34,8 @@
 {
     if (event.afterConnectionFailure)
         onProcessProbed(event, now);
+    if (const FleetEndpoint *known = fleet_.find(event.endpoint))
+        recordNotice(known->incarnation(), event.notice, "", now);
     const EndpointIncarnation incarnation{event.endpoint, event.start};
     if (!event.answered || !fleet_.confirmIncarnation(incarnation, now) || !event.leaving)
         return;
@@ -112,7 +114,7 @@
     const PlacementResult result = place(exchange, question, now);
     const FleetEndpoint *source = fleet_.find(exchange.sentTo);
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
-    if (!source || !target)
+    if (!source || !target || !fleet_.takeCall(source->entry.id, now))
         return;
     if (!retryBudget_.take(exchange.service, GatewayRetry::Moved, now)) {
         drawRetries(exchange.service, static_cast<uint32_t>(others) + 1, now);
--- a/src/gateway/requests/waiting.cpp
+++ b/src/gateway/requests/waiting.cpp
@@ -47,7 +47,10 @@
         return GatewayRefusal::NoEndpoint;
     case PlacementProblem::Unreached:
         return GatewayRefusal::EndpointsUnreached;
+    case PlacementProblem::RestTooLong:
+        return GatewayRefusal::EndpointsResting;
     case PlacementProblem::AllBusy:
+    case PlacementProblem::AllResting:
         return std::nullopt;
     }
     return std::nullopt;
@@ -67,17 +70,25 @@
             = exchange.arrivedAt + std::max(exchange.route->latencyTarget - prefill, DurationMs{0});
         recordOffered(exchange);
     }
-    const WaitingRequest waiting = waitingRequest(exchange);
-    const std::vector<const WaitingRequest *> ahead = queue_.ahead(waiting, now, shares_);
-    const bool isBehindOthers = hasOthers(ahead, exchange.organisation);
-    if (!isBehindOthers) {
+    if (!hasOthers(queue_.ahead(waitingRequest(exchange), now, shares_), exchange.organisation)) {
         const std::optional<PlacementProblem> problem = trySend(exchange, now);
         if (!problem)
             return;
         if (const std::optional<GatewayRefusal> refusal = refusalFor(*problem))
             return giveUp(exchange, *refusal, now);
     }
+    enqueue(exchange, now);
+}
+
+// Queues the request unless it could not be served before its deadline.
+void Gateway::enqueue(Exchange &exchange, TimeMs now)
+{
+    const WaitingRequest waiting = waitingRequest(exchange);
+    const std::vector<const WaitingRequest *> ahead = queue_.ahead(waiting, now, shares_);
+    const bool isBehindOthers = hasOthers(ahead, exchange.organisation);
     exchange.phase = ExchangePhase::Queued;
+    if (isRestTooLong(exchange, now))
+        return giveUp(exchange, GatewayRefusal::EndpointsResting, now);
     const LimitedQueue limited = limitedQueue(exchange.service, now);
     if (refuseBeyondLimit(exchange, limited.waitAt(limited.own + 1), now))
         return;
@@ -131,7 +142,9 @@
     question.waitedMs = static_cast<double>((now - exchange.arrivedAt).count);
     const PlacementResult result = place(exchange, question, now);
     if (!result.choice)
-        return result.problem;
+        return result.problem == PlacementProblem::AllResting && isTooLate(exchange, result.restEndsAt)
+            ? PlacementProblem::RestTooLong
+            : result.problem;
     if (yields) {
         const PrefillRate rate = prefillRate(exchange.service, now);
         nextYieldingSendAt_[exchange.service] = now + rate.drainTime(rate.prefillTime(*exchange.request));
@@ -205,7 +218,7 @@
         return rate.drainTime(prefill) + rate.prefillTime(*exchange.request);
     }
     const auto mean = responseMs_.find(service);
-    const uint32_t slots = fleet_.totalSlots(service);
+    const uint32_t slots = fleet_.totalSlots(service, now);
     if (mean == responseMs_.end() || slots == 0)
         return {0};
     // The other daemons' callers wait for the same slots.
@@ -235,6 +248,20 @@
     return {static_cast<int64_t>(1000 * before / limit->rate.perSecond)};
 }
 
+bool Gateway::isRestTooLong(const Exchange &exchange, TimeMs now) const
+{
+    const std::optional<TimeMs> restEndsAt = fleet_.restEndsAt(exchange.service, now);
+    return restEndsAt && isTooLate(exchange, *restEndsAt);
+}
+
+// Returns whether a request that is sent at that time is answered after its caller has given up.
+bool Gateway::isTooLate(const Exchange &exchange, TimeMs sentAt) const
+{
+    const auto mean = responseMs_.find(exchange.service);
+    const DurationMs response{mean == responseMs_.end() ? 0 : static_cast<int64_t>(mean->second)};
+    return sentAt + response >= std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
+}
+
 bool Gateway::refuseBeyondLimit(Exchange &exchange, DurationMs wait, TimeMs now)
 {
     if (now + wait <= std::min(exchange.callerWaitsUntil, exchange.timeoutAt))
@@ -265,6 +292,10 @@
             queue = limited.emplace(exchange.service, limitedQueue(exchange.service, now)).first;
         if (refuseBeyondLimit(exchange, queue->second.waitAt(++queue->second.position), now))
             continue;
+        if (isRestTooLong(exchange, now)) {
+            giveUp(exchange, GatewayRefusal::EndpointsResting, now);
+            continue;
+        }
         if (now > exchange.inTimeUntil) {
             const auto known = prefillRates.find(exchange.service);
             const PrefillRate &rate = known != prefillRates.end()
@@ -332,7 +363,7 @@
         work.unitsPerMs = static_cast<double>(prefill->engines) / daemons;
     } else if (reason == GatewayRefusal::Overloaded) {
         const auto mean = responseMs_.find(exchange.service);
-        const uint32_t slots = fleet_.totalSlots(exchange.service);
+        const uint32_t slots = fleet_.totalSlots(exchange.service, now);
         work.unitsPerMs = mean == responseMs_.end() ? 0 : slots / (std::max(mean->second, 1.0) * daemons);
     }
     if (work.unitsPerMs <= 0)
@@ -354,6 +385,9 @@
 {
     const bool lacksCapacity
         = reason == GatewayRefusal::Overloaded || reason == GatewayRefusal::EndpointsLimited;
+    // Callers that return together when the rest ends would meet the next one.
+    if (const std::optional<TimeMs> restEndsAt = fleet_.restEndsAt(exchange.service, now))
+        return *restEndsAt - now + returnJitter();
     const RefusedWork work = lacksCapacity ? refusedWork(exchange, reason, now) : RefusedWork{};
     if (work.unitsPerMs <= 0)
         return MinRetryAfter + returnJitter();
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -11,7 +11,9 @@
 //   POST /spoil?endpoint=ID&entry=TEXT stores TEXT as the endpoint's entry until called without an entry.
 //   POST /limit?endpoint=N&perSecond=TEXT makes the Nth endpoint send that rate limit with its responses,
 //   until called without perSecond.
-//   POST /copy saves a copy of the store, POST /return restores it as the next era.
+//   POST /rest?endpoint=N&seconds=TEXT makes the Nth endpoint turn all requests away and ask for a rest of
+//   that time, until called without seconds. POST /sayleaving?endpoint=N makes it say in all responses that
+//   it leaves. POST /copy saves a copy of the store, POST /return restores it as the next era.
 //
 // Faults of the store and the receiver: down, silent, slowMs. Faults of the store: loseReplies (the next N
 // writes are executed but not answered).
@@ -132,6 +134,14 @@
                 limits_[index] = headerOf(target.query, "perSecond");
             return exchange->respond(200, {}, "");
         }
+        if (target.path == "/rest" || target.path == "/sayleaving") {
+            const size_t index = std::strtoull(headerOf(target.query, "endpoint").c_str(), nullptr, 10);
+            if (index < EndpointCount && target.path == "/rest")
+                rests_[index] = headerOf(target.query, "seconds");
+            else if (index < EndpointCount)
+                saysLeaving_[index] = true;
+            return exchange->respond(200, {}, "");
+        }
         if (target.path == "/rollout") {
             const std::string service = headerOf(target.query, "service");
             const json::object rolloutOrder{
@@ -272,6 +282,11 @@
             return exchange->respond(400, {{"X-Not-Executed", "1"}}, "");
         if (standin_.fault("full"))
             return exchange->respond(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
+        if (const std::string &rest = rests_[static_cast<size_t>(index)]; !rest.empty()) {
+            standin_.log(fmt::format("turned_away id={} endpoint={}", id, idOf(index)));
+            return exchange->respond(
+                503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}, {"Retry-After", rest}}, "");
+        }
         if (standin_.fault("newFails") && versions_[static_cast<size_t>(index)] != FirstVersion) {
             standin_.log(fmt::format("failed id={} endpoint={}", id, idOf(index)));
             return exchange->respond(500, {{"X-Request-Id", id}, {"X-Server-Stamp", "stamp"}}, "");
@@ -285,6 +300,8 @@
         const std::string &limit = limits_[static_cast<size_t>(index)];
         if (!limit.empty())
             headers.push_back({"Server-Limit", limit});
+        if (saysLeaving_[static_cast<size_t>(index)])
+            headers.push_back({"Server-Leaving", "1"});
         openExchanges_[index].push_back(exchange);
         std::erase_if(openExchanges_[index],
                       [](const std::weak_ptr<cranberry::HttpExchange> &each) { return each.expired(); });
@@ -343,6 +360,8 @@
     std::array<std::string, EndpointCount> versions_
         = {FirstVersion, FirstVersion, FirstVersion, FirstVersion, FirstVersion};
     std::array<std::string, EndpointCount> limits_; ///< Rate limit per second; empty: none.
+    std::array<std::string, EndpointCount> rests_; ///< Rest in seconds; empty: none.
+    std::array<bool, EndpointCount> saysLeaving_ = {};
     std::map<std::string, std::string> entryOverrides_; ///< By endpoint id: text that replaces its entry.
     uint64_t sequence_ = 0;
     int64_t lostReplies_ = 0;
--- a/tests/decoders_random_test.cpp
+++ b/tests/decoders_random_test.cpp
@@ -125,7 +125,7 @@
                 checkReply(codec, mutated(Reply, random), random.below(2) == 0 ? 200 : 412);
                 break;
             case 3:
-                CHECK(platform::decodeProbe({"i-7"}, 200, mutated(Report, random)).start.unixMs >= 0);
+                CHECK(platform::decodeProbe({"i-7"}, 200, {}, mutated(Report, random)).start.unixMs >= 0);
                 break;
             default:
                 platform::decodeMigrationReply({1}, 200, mutated(Move, random));
--- a/tests/endpointrest_test.cpp
+++ b/tests/endpointrest_test.cpp
@@ -69,3 +69,129 @@
     answer(200, {{"Server-Leaving", "1"}});
     CHECK(sentTo(endpoint, {4000}) == 0);
 }
+
+TEST_CASE_FIXTURE(RestFixture,
+                  "only a time in seconds is a rest; anything else is neither obeyed nor an error")
+{
+    const std::vector<std::pair<std::string, bool>> values{{"0.5", true},
+                                                           {"1", true},
+                                                           {"1e9", false},
+                                                           {"99999999999999999999", true},
+                                                           {"0", false},
+                                                           {"-1", false},
+                                                           {"", false},
+                                                           {"soon", false},
+                                                           {"Fri, 04 Dec 2026 05:25:04 GMT", false},
+                                                           {"nan", false}};
+    for (const std::pair<std::string, bool> &value : values) {
+        const EndpointNotice notice
+            = platform::decodeNotice(503, {{"X-Not-Executed", "1"}, {"Retry-After", value.first}});
+        INFO(value.first);
+        CHECK((notice.rest && notice.rest->count > 0) == value.second);
+        CHECK(notice.restError.has_value() == (!value.second && value.first != "0"));
+    }
+    CHECK_FALSE(platform::decodeNotice(503, {{"Retry-After", "3"}}).rest); // Of something on the way.
+    CHECK_FALSE(platform::decodeNotice(429, {{"X-Not-Executed", "1"}, {"Retry-After", "3"}}).rest);
+    const HttpHeaders twice{{"X-Not-Executed", "1"}, {"Retry-After", "3"}, {"Retry-After", "4"}};
+    CHECK_FALSE(platform::decodeNotice(503, twice).rest);
+}
+
+TEST_CASE("a shorter rest that is asked for later does not end a longer one, and a very long one ends")
+{
+    EndpointRest rest;
+    rest.begin({3000}, {0}, {1000});
+    rest.begin({500}, {0}, {1500});
+    CHECK(rest.isResting({3999}));
+    CHECK_FALSE(rest.isResting({4000}));
+    rest.begin({1'000'000'000'000}, {0}, {5000});
+    CHECK(rest.endsAt() == TimeMs{5000} + EndpointRest::MaxDuration);
+}
+
+TEST_CASE_FIXTURE(RestFixture, "requests return one, two, four at a time after a rest")
+{
+    const EndpointId endpoint = turnedAway({{"Retry-After", "1"}});
+    pass({1500});
+    std::vector<size_t> open;
+    for (int round = 0; round < 2; ++round) {
+        const size_t before = sent.size();
+        for (int i = 0; i < 10; ++i)
+            request("/lookup/1");
+        open.push_back(0);
+        const size_t after = sent.size();
+        for (size_t i = before; i < after; ++i)
+            open.back() += sent[i].endpoint == endpoint ? 1 : 0;
+        for (size_t i = before; i < sent.size(); ++i)
+            answer(SendAttempt(sent[i]), 200, {});
+    }
+    CHECK(open == std::vector<size_t>{1, 2}); // It has two slots.
+}
+
+TEST_CASE_FIXTURE(
+    RestFixture,
+    "while all endpoints rest, a request waits if the rest is short, and is refused at once if not")
+{
+    const auto turnAllAway = [this](const char *seconds) {
+        request("/lookup/1");
+        answer(503, {{"Retry-After", seconds}});
+        answer(503, {{"Retry-After", seconds}});
+    };
+    turnAllAway("0.4");
+    const size_t before = sent.size();
+    const CallerId waiting = request("/lookup/1");
+    pass({300});
+    CHECK(sent.size() == before);
+    pass({400});
+    CHECK(sent.size() > before);
+    CHECK_FALSE(answers.contains(waiting));
+    for (size_t i = before; i < sent.size(); ++i)
+        answer(SendAttempt(sent[i]), 200, {});
+    CHECK(statusOf(waiting) == 200);
+    turnAllAway("20");
+    const CallerId refused = request("/lookup/1");
+    CHECK(statusOf(refused) == 503);
+    CHECK(std::stod(headerOfAnswer(refused, "Retry-After")) >= 20);
+}
+
+TEST_CASE_FIXTURE(RestFixture, "a new process of an endpoint needs no rest, and does not leave")
+{
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1;
+    listEndpoints();
+    const EndpointId endpoint = turnedAway({{"Retry-After", "30"}, {"Server-Leaving", "1"}});
+    CHECK(sentTo(endpoint, {500}) == 0);
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 2;
+    listEndpoints();
+    CHECK(sentTo(endpoint, {500}) > 0);
+}
+
+TEST_CASE_FIXTURE(RestFixture,
+                  "this daemon carries nothing for others to an endpoint at rest, or once one has left")
+{
+    const EndpointId endpoint = turnedAway({{"Retry-After", "3"}});
+    CHECK_FALSE(gateway.relayTarget(endpoint, now));
+    CHECK(gateway.relayTarget(endpoint, now + DurationMs{4000}));
+    gateway.onRelayedNotice(endpoint, {std::nullopt, std::nullopt, true}, now);
+    CHECK_FALSE(gateway.relayTarget(endpoint, now + DurationMs{4000}));
+}
+
+TEST_CASE_FIXTURE(RestFixture, "an engine that says that it leaves while it streams has its streams migrated")
+{
+    configuration->services[0].engine->migratesGenerations = true;
+    configure(configuration);
+    CallerRequest stream = makeRequest("/draft/1");
+    stream.outputTokens = 600;
+    request(stream);
+    const SendAttempt attempt = lastSent();
+    gateway.onHead(platform::decodeHead(attempt.attempt, *attempt.request, 200,
+                                        {{"X-Request-Id", attempt.request->id},
+                                         {"Content-Type", "text/event-stream"},
+                                         {"Transfer-Encoding", "chunked"},
+                                         {"Server-Leaving", "1"}}),
+                   now);
+    for (uint64_t id = 1; id < 10; ++id) {
+        events(attempt.attempt, id, id);
+        pass({100});
+    }
+    CHECK(moves.size() == 1);
+}
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -449,6 +449,31 @@
     expect "wrong settings" "$code $(grep -c 'storeAddress: must be a string' "$run_dir/wrong.err")" "2 1"
     expect "checked settings" "$("$build/cranberrygated" --check --settings "$run_dir/settings-1.json" | grep -c ': ok')" 1
     ;;
+rest)
+    # An endpoint asks each daemon for a rest, says that it leaves, and in the end all rest.
+    begin
+    control() { curl -sf -o /dev/null -X POST "http://$store/$1"; }
+    serve_all() { # NAME: 30 requests at each daemon; prints how many were served
+        for i in $(seq 30); do for d in $daemons; do status "$d" "$1-$i-$d" /order/1; done; done | grep -c '^200'
+    }
+    control "rest?endpoint=3&seconds=4"
+    expect "served while one rests" "$(serve_all rest)" 90
+    expect "turned away once by each daemon at most" "$(($(grep -c turned_away "$run_dir/deployment.log") <= 3))" 1
+    control "rest?endpoint=3"
+    sleep 5
+    expect "served after the rest" "$(serve_all back)" 90
+    resting=$(sed -n 's/.*turned_away .*endpoint=//p' "$run_dir/deployment.log" | head -n 1)
+    expect "used again" "$(($(grep -c "run id=back-.* endpoint=$resting " "$run_dir/deployment.log") > 0))" 1
+    control "sayleaving?endpoint=3"
+    expect "served while one leaves" "$(serve_all leave)" 90
+    sleep 2
+    expect "served without it" "$(serve_all left)" 90
+    expect "nothing to the one that leaves" "$(grep -c "run id=left-.* endpoint=$resting " "$run_dir/deployment.log" || true)" 0
+    control "rest?endpoint=4&seconds=30"
+    call 1 last-1 /order/1 -D "$run_dir/head" >/dev/null
+    expect "refused at once" "$(status 1 last-2 /order/1)" 503
+    expect "told when to return" "$(($(sed -n 's/^Retry-After: \([0-9]*\).*/\1/p' "$run_dir/head") >= 29))" 1
+    ;;
 unread)
     # Nobody reads the daemon's standard output. It serves on; lines are dropped and counted, nothing blocks.
     begin
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -479,12 +479,12 @@
 TEST_CASE("a report identifies the engine's process by its start time")
 {
     const EngineProbed probed
-        = platform::decodeProbe({"i-7"}, 200, R"({"State":"draining","born":17,"leaves_ms":900})");
+        = platform::decodeProbe({"i-7"}, 200, {}, R"({"State":"draining","born":17,"leaves_ms":900})");
     CHECK(probed.answered);
     CHECK(probed.leaving);
     CHECK(probed.start.unixMs == 17);
-    CHECK(platform::decodeProbe({"i-7"}, 200, R"({"born":"17"})").start.unixMs == 0);
-    CHECK(platform::decodeProbe({"i-7"}, 200, R"({"born":1.5})").start.unixMs == 0);
+    CHECK(platform::decodeProbe({"i-7"}, 200, {}, R"({"born":"17"})").start.unixMs == 0);
+    CHECK(platform::decodeProbe({"i-7"}, 200, {}, R"({"born":1.5})").start.unixMs == 0);
 }
 
 TEST_CASE("leader tasks and migrations are encoded, and their replies decoded")
