--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRefusal::Count)> RefusalNames
-    = {"no_configuration",  "stale_configuration", "bad_request",         "unknown_route",
-       "unknown_key",       "over_limit",          "no_endpoint",         "overloaded",
-       "endpoints_limited", "not_executed",        "endpoint_broken",     "timed_out",
-       "leaving",           "quarantined",         "endpoints_unreached", "endpoints_resting", "origin_unknown"};
+    = {"no_configuration",  "stale_configuration", "bad_request", "unknown_route",     "unknown_key",
+       "over_limit",        "no_endpoint",         "overloaded",  "endpoints_limited", "not_executed",
+       "endpoint_broken",   "timed_out",           "leaving",     "quarantined",       "endpoints_unreached",
+       "endpoints_resting", "origin_unknown"};
 
 constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames = {
     "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
--- a/tests/endpointrest_test.cpp
+++ b/tests/endpointrest_test.cpp
@@ -45,7 +45,7 @@
     EndpointId turnedAway(const HttpHeaders &headers)
     {
         request("/lookup/1");
-        const EndpointId endpoint = lastSent().endpoint;
+        EndpointId endpoint = lastSent().endpoint;
         answer(503, headers);
         answer(200, {});
         return endpoint;
--- a/tests/retryledger_test.cpp
+++ b/tests/retryledger_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const ServiceName Service{"model"};
+const ServiceName service{"model"};
 constexpr DurationMs Step{20};
 
 /// Daemons that draw and are killed, in virtual time.
@@ -46,7 +46,7 @@
     bool draw(size_t i, uint32_t units = 0)
     {
         const uint32_t wanted = units > 0 ? units : static_cast<uint32_t>(1 + random_.below(12));
-        const bool out = daemons_[i].ledger->draw(Service, wanted, {0, now.count}, now);
+        const bool out = daemons_[i].ledger->draw(service, wanted, {0, now.count}, now);
         submit(i);
         return out;
     }
