A relay that was asked for rest says that it does not reach the endpoint; a name that says what it means

A daemon that carries requests for others and was asked for a rest answered them as one that takes nothing at all, so the other daemon left it for a second for all services. It says now that it does not reach this endpoint: the request goes to another one or through another daemon. Read in the code; endpointrest_test checks what is kept from others.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -264,17 +264,22 @@
 
 // Requests are passed on to listed endpoints alone, and never to a further daemon, so none goes in circles.
 // The other daemon has checked the key, so this one needs no word from the store.
-// What an endpoint asked of this daemon holds for requests of others as well. One that leaves still takes
-// calls about its streams until its time is over.
-std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint, TimeMs now) const
+std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint) const
 {
     const FleetEndpoint *found = leavingSince_ ? nullptr : fleet_.find(endpoint);
-    if (!found || found->gone || found->addressReused || !found->readable || found->rest.isResting(now)
-        || (found->leavesAt && now > *found->leavesAt))
+    if (!found || found->gone || found->addressReused || !found->readable)
         return std::nullopt;
     return found->entry.address;
 }
 
+// What an endpoint asked of this daemon holds for requests of others as well. One that leaves still takes
+// calls about its streams until its time is over.
+bool Gateway::wantsNothing(const EndpointId &endpoint, TimeMs now) const
+{
+    const FleetEndpoint *found = fleet_.find(endpoint);
+    return found && (found->rest.isResting(now) || (found->leavesAt && now > *found->leavesAt));
+}
+
 // Not endpoints that are known to have crashed: one request may crash several within milliseconds, and their
 // refusals would pass for this daemon's partition.
 std::vector<ProbePath> Gateway::controlProbes(const EndpointId &refused, TimeMs now)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -145,7 +145,10 @@
     // For other daemons, whose requests this one passes on.
 
     /// Returns the endpoint for a request of another daemon, or nothing if this daemon does not relay.
-    std::optional<Address> relayTarget(const EndpointId &endpoint, TimeMs now) const;
+    std::optional<Address> relayTarget(const EndpointId &endpoint) const;
+    /// Returns whether the endpoint asked this daemon for a rest, or its time after it said that it leaves is
+    /// over.
+    bool wantsNothing(const EndpointId &endpoint, TimeMs now) const;
     /// What an endpoint said of itself in a response that this daemon passes on to another one.
     void onRelayedNotice(const EndpointId &endpoint, const EndpointNotice &notice, TimeMs now);
     /// Returns the probes of other endpoints that show whether a refused connection is the endpoint's fault
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -123,9 +123,11 @@
     passed->endpoint.value = headerOf(request.headers, EndpointHeader);
     passed->isProbe = !headerOf(request.headers, FreshHeader).empty();
     const std::string method = headerOf(request.headers, MethodHeader);
-    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint, steadyNow());
+    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint);
     if (!target || method.empty() || openCalls_ >= MaxOpenCalls)
         return respond(exchange, RelayOutcome::Unavailable);
+    if (gateway_.wantsNothing(passed->endpoint, steadyNow()))
+        return respond(exchange, RelayOutcome::EndpointUnreached);
     HttpCall call;
     call.address = *target;
     call.request = request;
--- a/src/gateway/requests/gatewayretrybudget.cpp
+++ b/src/gateway/requests/gatewayretrybudget.cpp
@@ -68,7 +68,7 @@
     else if (!sharesSince_ || wasPaused)
         sharesSince_ = now;
     // Before any daemon serves, all are taken for sharers; none of them has been there for a window then.
-    if (sharers.isFinal || now - *startedAt_ >= limits_.window) {
+    if (sharers.knowsServing || now - *startedAt_ >= limits_.window) {
         while (!sharerCounts_.empty() && sharerCounts_.back().second <= sharers.count)
             sharerCounts_.pop_back();
         sharerCounts_.emplace_back(now, sharers.count);
--- a/src/gateway/requests/gatewayretrybudget.h
+++ b/src/gateway/requests/gatewayretrybudget.h
@@ -27,7 +27,7 @@
 struct RetrySharers {
     size_t count = 1;
     bool isSharer = false; ///< This daemon is one of them, by a list that is not older than a window.
-    bool isFinal = true; ///< False: a list from before any daemon serves.
+    bool knowsServing = true; ///< False: no daemon serves yet, and all listed ones are taken for sharers.
 };
 
 /// This daemon's part of the retries that all daemons may make for each service. Prevents retry storms, in
--- a/src/gateway/requests/retries.cpp
+++ b/src/gateway/requests/retries.cpp
@@ -148,7 +148,7 @@
     RetrySharers sharers;
     sharers.count = peers_.currentServingCount();
     sharers.isSharer = peers_.isListedSharer() && isFresh(now, settings_.retryLimits.window);
-    sharers.isFinal = peers_.anyServes();
+    sharers.knowsServing = peers_.anyServes();
     retryBudget_.update(sharers, peers_.retryRequestSums(now), now);
     logRetries(now);
 }
--- a/tests/endpointrest_test.cpp
+++ b/tests/endpointrest_test.cpp
@@ -169,10 +169,10 @@
                   "this daemon carries nothing for others to an endpoint at rest, or once one has left")
 {
     const EndpointId endpoint = turnedAway({{"Retry-After", "3"}});
-    CHECK_FALSE(gateway.relayTarget(endpoint, now));
-    CHECK(gateway.relayTarget(endpoint, now + DurationMs{4000}));
+    CHECK(gateway.wantsNothing(endpoint, now));
+    CHECK_FALSE(gateway.wantsNothing(endpoint, now + DurationMs{4000}));
     gateway.onRelayedNotice(endpoint, {std::nullopt, std::nullopt, true}, now);
-    CHECK_FALSE(gateway.relayTarget(endpoint, now + DurationMs{4000}));
+    CHECK(gateway.wantsNothing(endpoint, now + DurationMs{4000}));
 }
 
 TEST_CASE_FIXTURE(RestFixture, "an engine that says that it leaves while it streams has its streams migrated")
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -485,7 +485,7 @@
         if (isFrozen(carrier))
             return at(thawOf(carrier), [this, number, attempt] { relay(number, attempt); });
         if (!plan_.relaysAccept || daemons_[carrier].isGone
-            || !daemons_[carrier].gateway->relayTarget(attempt.endpoint, schedule_.now()))
+            || !daemons_[carrier].gateway->relayTarget(attempt.endpoint))
             return fail(number, false, ConnectFailure::None, RelayFailure::Unavailable);
         ++result_.relayedBy[carrier];
         ++result_.relayedBySecond[second(schedule_.now())];
@@ -693,7 +693,7 @@
     void askRelay(EngineProbed &probed, size_t carrier, ConnectFailure failure)
     {
         Gateway &gateway = *daemons_[carrier].gateway;
-        if (daemons_[carrier].isGone || !gateway.relayTarget(probed.endpoint, schedule_.now())) {
+        if (daemons_[carrier].isGone || !gateway.relayTarget(probed.endpoint)) {
             probed.relayFailure = RelayFailure::Unavailable;
             probed.process = EndpointProcess::Unknown;
             return;
