Usage counts outlive the daemons that made them, whoever is killed or stopped

Cause: what a daemon has counted was known to itself and, each 0.4 to 1 s, to the others; a leader that starts later has heard nothing of daemons that ended before, and the checkpoint that should tell it is read only where the store states an era. The same class as the retry budget's: a sum of all daemons in the memory of daemons that die. Change: UsageLedger, a grow-only counter by incarnation. Changed counts go to eight keepers and the leader after 50 ms; keepers hand them on to daemons that start, on their first report, and to a new leader; UsageCopy keeps one merged copy in the store, four writes a second at most. The limits' checkpoint no longer has counts.

--- a/src/gateway/duties/checkpointreader.cpp
+++ b/src/gateway/duties/checkpointreader.cpp
@@ -111,8 +111,6 @@
     }
     if (!checkpoint_)
         return reject(CheckpointFault::Unreadable);
-    if (checkpoint_->era == daemon_.era)
-        counts_ = checkpoint_->usage;
     step_ = isLate ? Step::Done : Step::AwaitingProof;
 }
 
--- a/src/gateway/duties/checkpointreader.h
+++ b/src/gateway/duties/checkpointreader.h
@@ -38,8 +38,6 @@
     bool hasRead() const { return step_ != Step::Start && step_ != Step::Reading; }
     bool isAwaitingProof() const { return step_ == Step::AwaitingProof; } ///< `tick` needs `heard`.
     bool isDone() const { return step_ == Step::Done; } ///< `tick` has no effect any more.
-    /// Returns the counts that were read, once.
-    std::optional<UsageCounts> takeCounts() { return std::exchange(counts_, {}); }
     /// Returns the checkpoint that the balances are to be raised by, once.
     std::optional<QuotaCheckpoint> takeUsable() { return std::exchange(usable_, {}); }
 
@@ -65,7 +63,6 @@
     uint64_t revision_ = 0;
     std::optional<CheckpointMark> mark_;
     uint64_t markRevision_ = 0; ///< 0: there is none.
-    std::optional<UsageCounts> counts_;
     std::optional<QuotaCheckpoint> usable_;
     std::vector<StoreCall> storeCalls_;
 };
--- a/src/gateway/duties/checkpointwriter.cpp
+++ b/src/gateway/duties/checkpointwriter.cpp
@@ -110,8 +110,7 @@
 
 bool CheckpointWriter::hasChanged(const QuotaCheckpoint &next, const ObservedBalances &observed) const
 {
-    if (writtenAt_.count == 0 || next.era != written_.era || next.daemons != written_.daemons
-        || next.usage != written_.usage)
+    if (writtenAt_.count == 0 || next.era != written_.era || next.daemons != written_.daemons)
         return true;
     return std::any_of(observed.organisations.begin(), observed.organisations.end(),
                        [this](const std::pair<const OrganisationName, ObservedBalances::Balance> &each) {
@@ -122,9 +121,8 @@
                        });
 }
 
-void CheckpointWriter::tick(const Leadership &leadership, const ObservedBalances &observed,
-                            const std::function<UsageCounts()> &usage, uint64_t era, int64_t wallMs,
-                            TimeMs now)
+void CheckpointWriter::tick(const Leadership &leadership, const ObservedBalances &observed, uint64_t era,
+                            int64_t wallMs, TimeMs now)
 {
     sampleUse(observed, now);
     const bool isDue = now >= writtenAt_ + WriteInterval || hasFallen(observed);
@@ -135,7 +133,6 @@
     next.wallMs = wallMs;
     next.sharers = observed.sharers;
     next.daemons = observed.daemons;
-    next.usage = usage();
     for (const std::pair<const OrganisationName, ObservedBalances::Balance> &each : observed.organisations) {
         const double used = samples_[each.first].usedPerSecond.value_or(each.second.limit.unitsPerSecond);
         next.levels[each.first] = {each.second.units, used};
@@ -148,15 +145,13 @@
 // checkpoint.
 void CheckpointWriter::write(QuotaCheckpoint checkpoint, const Leadership &leadership, TimeMs now)
 {
-    const CheckpointText text = checkpointText(checkpoint);
-    const bool isTooLarge = text.lacksCounts || !text.text;
-    if (isTooLarge)
+    const std::optional<std::string> text = checkpointText(checkpoint);
+    if (!text)
         counters_.add(GatewayCount::CheckpointsTooLarge);
-    if (std::exchange(isTooLarge_, isTooLarge) != isTooLarge)
-        log_.write(LogPriority::State, "quota_checkpoint_size",
-                   {{"lacks_counts", text.lacksCounts}, {"is_written", text.text.has_value()}});
+    if (std::exchange(isTooLarge_, !text) == text.has_value())
+        log_.write(LogPriority::State, "quota_checkpoint_size", {{"is_written", text.has_value()}});
     nextWriteAt_ = now + MinWriteInterval;
-    if (!text.text)
+    if (!text)
         return;
     writtenAt_ = now;
     written_ = std::move(checkpoint);
@@ -164,7 +159,7 @@
     call.id = openCall_ = nextCall_++;
     call.verb = StoreVerb::Write;
     call.conditions = {{StoreSpace::Archive, CheckpointKey, revision_}, leadership.leaderCondition};
-    call.puts.push_back({StoreSpace::Archive, CheckpointKey, *text.text, 0});
+    call.puts.push_back({StoreSpace::Archive, CheckpointKey, *text, 0});
     call.timeout = std::min(CallTimeout, leadership.validUntil - now);
     storeCalls_.push_back(std::move(call));
 }
--- a/src/gateway/duties/checkpointwriter.h
+++ b/src/gateway/duties/checkpointwriter.h
@@ -7,7 +7,6 @@
 #include "gateway/peers/peertable.h"
 #include "gateway/store/storesync.h"
 
-#include <functional>
 #include <utility>
 
 namespace cranberry {
@@ -39,9 +38,8 @@
 
     /// Returns whether `tick` must be called now: observing the balances takes a walk over all reports.
     bool isDue(const Leadership &leadership, const PeerTable &peers, TimeMs now);
-    /// `usage` is called only if a checkpoint is due.
-    void tick(const Leadership &leadership, const ObservedBalances &observed,
-              const std::function<UsageCounts()> &usage, uint64_t era, int64_t wallMs, TimeMs now);
+    void tick(const Leadership &leadership, const ObservedBalances &observed, uint64_t era, int64_t wallMs,
+              TimeMs now);
     void onStoreReply(const StoreReply &reply, TimeMs now);
     std::vector<StoreCall> takeStoreCalls() { return std::exchange(storeCalls_, {}); }
 
--- a/src/gateway/duties/usagereporter.cpp
+++ b/src/gateway/duties/usagereporter.cpp
@@ -53,7 +53,7 @@
 
 } // namespace
 
-void UsageReporter::tick(const Leadership &leadership, const UsageWindows &windows, const PeerTable &peers,
+void UsageReporter::tick(const Leadership &leadership, const UsageLedger &ledger, DurationMs reportInterval,
                          const ServingConfigurationPtr &configuration, TimeMs now)
 {
     recordsComplete_ = false;
@@ -66,20 +66,20 @@
     }
     if (!heldSince_)
         heldSince_ = now;
-    const int64_t first = windows.windowAt(now - due_);
+    const int64_t first = ledger.windowAt(now - due_);
     windows_.erase(windows_.begin(), windows_.lower_bound(first));
     // A new leader has not received the reports of its peers yet: its counts would lack theirs.
-    const DurationMs gatherTime = CountingTime + peers.fullReportInterval() * AwaitedReports;
+    const DurationMs gatherTime = CountingTime + reportInterval * AwaitedReports;
     if (now < *heldSince_ + gatherTime)
         return;
     recordsComplete_ = true;
-    for (int64_t number = first; windows.endOf(number) + gatherTime <= now; ++number) {
+    for (int64_t number = first; ledger.endOf(number) + gatherTime <= now; ++number) {
         Window &window = windows_[number];
         recordsComplete_ = recordsComplete_ && window.step >= Step::Send;
         if (now < window.nextAt)
             continue;
         if (window.step == Step::Count) {
-            chooseCounts(number, window, leadership, windows, peers, configuration);
+            chooseCounts(number, window, leadership, ledger, configuration);
             write(number, window, leadership, now);
         } else if (window.step == Step::LookingUp || window.step == Step::Writing) {
             write(number, window, leadership, now);
@@ -89,11 +89,19 @@
     }
 }
 
+int64_t UsageReporter::oldestUnrecorded(const UsageLedger &ledger, TimeMs now) const
+{
+    int64_t oldest = ledger.oldestOpen(now);
+    for (auto window = windows_.find(oldest); window != windows_.end() && window->second.step >= Step::Send;
+         ++window)
+        oldest = window->first + 1;
+    return oldest;
+}
+
 // Chooses what is written for a window if nothing is stored: the counts that this daemon has sent before, the
 // current counts, or a mark that the window is left out.
 void UsageReporter::chooseCounts(int64_t number, Window &window, const Leadership &leadership,
-                                 const UsageWindows &windows, const PeerTable &peers,
-                                 const ServingConfigurationPtr &configuration)
+                                 const UsageLedger &ledger, const ServingConfigurationPtr &configuration)
 {
     window.step = Step::Writing;
     const auto sent = sent_.find(number);
@@ -101,18 +109,13 @@
         window.counts = sent->second;
         return;
     }
-    if (windows.endOf(number) < leadership.recordsLostBefore) {
+    if (ledger.endOf(number) < leadership.recordsLostBefore) {
         window.step = Step::LookingUp;
         return;
     }
     for (const ServedOrganisation &organisation : configuration->organisations)
         window.counts[organisation.name] = 0;
-    const auto own = windows.counts().find(number);
-    if (own != windows.counts().end()) {
-        for (const std::pair<const OrganisationName, uint64_t> &count : own->second)
-            window.counts[count.first] += count.second;
-    }
-    for (const std::pair<const OrganisationName, uint64_t> &count : peers.windowSums(number))
+    for (const std::pair<const OrganisationName, uint64_t> &count : ledger.sums(number))
         window.counts[count.first] += count.second;
 }
 
--- a/src/gateway/duties/usagereporter.h
+++ b/src/gateway/duties/usagereporter.h
@@ -2,8 +2,8 @@
 
 #include "gateway/decisionlog.h"
 #include "gateway/duties/leadercalls.h"
-#include "gateway/duties/usagewindows.h"
-#include "gateway/peers/peertable.h"
+#include "gateway/duties/usageledger.h"
+#include "gateway/serving.h"
 #include "gateway/store/storecalls.h"
 #include "gateway/store/storesync.h"
 
@@ -24,13 +24,17 @@
 public:
     UsageReporter(DurationMs due, DecisionLog &log) : due_(due), log_(log) { }
 
-    void tick(const Leadership &leadership, const UsageWindows &windows, const PeerTable &peers,
+    /// `reportInterval`: between two full reports of a daemon.
+    void tick(const Leadership &leadership, const UsageLedger &ledger, DurationMs reportInterval,
               const ServingConfigurationPtr &configuration, TimeMs now);
     void onStoreReply(const StoreReply &reply, TimeMs now);
     void onLeaderReply(uint64_t id, LeaderCallOutcome outcome, TimeMs now);
     /// This daemon is the leader, and the store has a record of each window that is due.
     bool recordsComplete() const { return recordsComplete_; }
 
+    /// Oldest window of which the store has no record yet, as far as this daemon knows.
+    int64_t oldestUnrecorded(const UsageLedger &ledger, TimeMs now) const;
+
     std::vector<StoreCall> takeStoreCalls() { return std::exchange(storeCalls_, {}); }
     std::vector<LeaderCall> takeLeaderCalls() { return std::exchange(leaderCalls_, {}); }
 
@@ -41,8 +45,7 @@
         TimeMs nextAt;
         std::map<OrganisationName, uint64_t> counts;
     };
-    void chooseCounts(int64_t number, Window &window, const Leadership &leadership,
-                      const UsageWindows &windows, const PeerTable &peers,
+    void chooseCounts(int64_t number, Window &window, const Leadership &leadership, const UsageLedger &ledger,
                       const ServingConfigurationPtr &configuration);
     void write(int64_t number, Window &window, const Leadership &leadership, TimeMs now);
     void onStored(int64_t number, Window &window, const std::string &text, TimeMs now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,7 @@
 
 Gateway::Gateway(const GatewaySettings &settings, DecisionLog &log)
     : settings_(settings), log_(log), random_(settings.seed), peers_(settings.instance),
-      retryLedger_(settings.seed), usage_(settings.usageWindow), paths_(settings.seed),
+      retryLedger_(settings.seed), usage_(settings.incarnation, settings.usageWindow), paths_(settings.seed),
       relays_(settings.instance, settings.failureDomain, settings.seed)
 {
     applyBounds(settings);
@@ -458,6 +458,7 @@
     tickLimits(now);
     tickResumptions(now);
     tickRetries(now);
+    tickUsage(now);
     probeEngines(now);
     migrateFromLeavingEngines(now);
     fleet_.setPeersLoad(peers_.loadSums(now), now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 #include "common/random.h"
 #include "gateway/decisionlog.h"
 #include "gateway/duties/checkpointwriter.h"
-#include "gateway/duties/usagewindows.h"
+#include "gateway/duties/usageledger.h"
 #include "gateway/endpoints/endpointpaths.h"
 #include "gateway/endpoints/endpointprobes.h"
 #include "gateway/endpoints/quarantine.h"
@@ -73,7 +73,7 @@
     void onEndpoints(const EndpointsRead &event, TimeMs now);
     void onRollouts(const RolloutsRead &read, TimeMs now);
     void onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
-    void onLeader(const InstanceName &holder) { peers_.setLeader(holder); }
+    void onLeader(const InstanceName &holder, TimeMs now);
     void onEntriesFromPeer(const EntriesFromPeer &event);
     void onPeerReport(const PeerReport &report, TimeMs now);
     void onQuotaRequest(const QuotaRequest &request, const Address &from);
@@ -85,11 +85,14 @@
     void onStreamOriginNotice(const StreamOriginNotice &notice, TimeMs now);
     void onStreamOriginQuery(const StreamOriginQuery &query, const Address &from, TimeMs now);
     void onStreamOriginReply(const StreamOriginReply &reply, const Address &from, TimeMs now);
+    void onUsageNotice(const UsageNotice &notice, TimeMs now);
     void onQuarantine(const std::vector<QuarantinedRequest> &list, QuarantineSource source, TimeMs now);
     /// Returns the quarantined requests, for the store and for daemons that query them.
     const std::vector<QuarantinedRequest> &quarantine(TimeMs now);
 
     void tick(TimeMs now);
+    /// Tells the keepers of this daemon's usage counts what has changed; also done by `tick`.
+    void sendUsage(TimeMs now);
     /// The process was asked to stop, and exits at `endsAt` at the latest.
     void startLeaving(TimeMs now, TimeMs endsAt);
 
@@ -123,14 +126,10 @@
     /// that is not reported yet.
     bool mustReport(TimeMs now) const;
 
-    // Balances and counts that survive a restart (gatewaycheckpoints.cpp).
+    // Balances that survive a restart (gatewaycheckpoints.cpp).
 
     /// Returns the balances that this daemon knows, for a checkpoint.
     ObservedBalances observeBalances(TimeMs now);
-    /// Returns the counts of the newest two windows, of all daemons.
-    UsageCounts usageCounts(TimeMs now) const;
-    /// Takes counts of daemons that may be gone. Those of this daemon itself are left out.
-    void restoreCounts(UsageCounts counts);
     /// Returns the versions that the services had recently, for the store.
     VersionRecord versionRecord() const { return versions_.record(usage_.offset()); }
     /// Raises the balances to this daemon's part of a checkpoint of that age.
@@ -154,7 +153,7 @@
     /// Returns the probes of other endpoints that show whether a refused connection is the endpoint's fault
     /// or this daemon's: it is the endpoint's if one of them succeeds. None if there is no other endpoint.
     std::vector<ProbePath> controlProbes(const EndpointId &refused, TimeMs now);
-    UsageWindows &usage() { return usage_; }
+    UsageLedger &usage() { return usage_; }
     ServingConfigurationPtr configuration() const { return configuration_; }
 
 private:
@@ -420,7 +419,19 @@
     void continueAtTarget(Exchange &exchange, TimeMs now);
     void onMigrationFailed(Exchange &exchange, TimeMs now);
     void abortStream(Exchange &exchange, TimeMs now);
+
+    // Usage counts (gatewayusage.cpp).
     void countUsage(Exchange &exchange, TimeMs at);
+    void tickUsage(TimeMs now);
+    struct UsageHandOver {
+        Address to;
+        int64_t since = 0; ///< Oldest window.
+        TimeMs at;
+    };
+    void sendHandOver(const UsageHandOver &order);
+    void handOverUsage(const Address &to, int64_t since, TimeMs now);
+    void handOverUsageToNew(const MemberEntry &added, Incarnation incarnation, TimeMs now);
+    void onFirstReport(const PeerReport &report, TimeMs now);
 
     // Times of streams and speeds of engines (streamtimes.cpp).
     double maxPauseMs(const Exchange &exchange) const;
@@ -461,7 +472,10 @@
     std::set<CallerId> awaitingDraw_; ///< Requests with an `awaitedRetry`.
     TimeMs nextSharersAt_;
     int64_t retriesLoggedSecond_ = 0;
-    UsageWindows usage_;
+    UsageLedger usage_;
+    std::vector<UsageHandOver> usageHandOvers_; ///< That are sent a second time.
+    std::set<Incarnation> usageHandedTo_;
+    TimeMs nextUsageNoticeAt_;
     DemandMeter demand_;
     EngineSpeeds speeds_;
     TimeMs nextSpeedUpdateAt_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -66,6 +66,7 @@
        "resumptions_known",
        "resumptions_learned",
        "resumptions_sole_version",
+       "usage_copies",
        "origin_notices"};
 
 } // namespace
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -95,6 +95,7 @@
     ResumptionsKnown, ///< Requests that resume a stream whose origin this daemon knew.
     ResumptionsLearned, ///< Whose origin another daemon knew.
     ResumptionsSoleVersion, ///< Whose origin nobody knew, but the service had only one version.
+    UsageCopies, ///< Copies of all usage counts written to the store.
     OriginNotices, ///< Messages that told another daemon where streams began.
     Count
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -2,6 +2,7 @@
 
 #include "common/fields.h"
 #include "gateway/callerrequest.h"
+#include "gateway/duties/usageledger.h"
 #include "gateway/requests/requestdigest.h"
 #include "gateway/rollout/rollout.h"
 #include "gateway/serving.h"
@@ -340,11 +341,9 @@
     bool deposit = false; ///< Not requested: the receiver keeps the units for all daemons.
 };
 
-/// Number of requests of one organisation that started in one window.
-struct WindowCount {
-    int64_t window = 0;
-    OrganisationName organisation;
-    uint64_t count = 0;
+/// Usage counts that the receiver keeps, and hands on to daemons that start.
+struct UsageNotice {
+    UsageCounts counts;
 };
 
 /// Sums for a linear regression of the time to the first event over the number of prefill tokens, over
@@ -402,7 +401,7 @@
     double coresUsed = 0; ///< CPU cores used by the sender's process, moving mean.
     std::vector<EndpointLoad> loads;
     std::vector<OrganisationBalance> balances;
-    std::vector<WindowCount> windows;
+    WindowCounts windows; ///< Usage counts of the newest windows.
     std::vector<ServiceDemand> demands;
     std::vector<TrialCount> trials;
     std::vector<EngineSpeedRow> speeds; ///< Only in full reports.
@@ -615,7 +614,7 @@
 struct SendToPeer {
     Address to;
     std::variant<QuotaRequest, QuotaTransfer, CrashNotice, LimitNotice, LimitShareRequest, LimitShareGrant,
-                 StreamOriginNotice, StreamOriginQuery, StreamOriginReply>
+                 StreamOriginNotice, StreamOriginQuery, StreamOriginReply, UsageNotice>
         message;
 };
 
--- a/src/gateway/io/gatewaypeers.cpp
+++ b/src/gateway/io/gatewaypeers.cpp
@@ -80,11 +80,34 @@
         return;
     const TimeMs now = steadyNow();
     const Leadership leadership = sync.leadership(now);
-    usageReporter.tick(leadership, gateway.usage(), gateway.peers(), gateway.configuration(), now);
-    sync.setRecordsComplete(usageReporter.recordsComplete());
+    runUsage(leadership, now);
     engineSizing.tick(leadership, gateway.fleet(), gateway.rollouts(), gateway.demand(now),
                       gateway.configuration(), now);
     runRollouts(leadership, now);
+    for (const LeaderCall &order : engineSizing.takeCalls()) {
+        sendLeaderCall(order, [this, id = order.id](LeaderCallOutcome outcome) {
+            engineSizing.onReply(id, outcome, steadyNow());
+        });
+    }
+}
+
+void GatewayServer::State::runUsage(const Leadership &leadership, TimeMs now)
+{
+    usageCopy.tick(gateway.usage(),
+                   {leadership.held || gateway.peers().actsForLeader(now),
+                    usageReporter.oldestUnrecorded(gateway.usage(), now), sync.era()},
+                   now);
+    // What earlier daemons left in the store is part of the sums.
+    Leadership informed = leadership;
+    informed.held = leadership.held && usageCopy.hasRead();
+    usageReporter.tick(informed, gateway.usage(), gateway.peers().fullReportInterval(),
+                       gateway.configuration(), now);
+    sync.setRecordsComplete(usageReporter.recordsComplete());
+    for (const StoreCall &order : usageCopy.takeStoreCalls()) {
+        callStore(order, [this](const StoreReply &reply) {
+            usageCopy.onStoreReply(reply, gateway.usage(), steadyNow());
+        });
+    }
     for (const StoreCall &order : usageReporter.takeStoreCalls())
         callStore(order, [this](const StoreReply &reply) { usageReporter.onStoreReply(reply, steadyNow()); });
     for (const LeaderCall &order : usageReporter.takeLeaderCalls()) {
@@ -92,11 +115,6 @@
             usageReporter.onLeaderReply(id, outcome, steadyNow());
         });
     }
-    for (const LeaderCall &order : engineSizing.takeCalls()) {
-        sendLeaderCall(order, [this, id = order.id](LeaderCallOutcome outcome) {
-            engineSizing.onReply(id, outcome, steadyNow());
-        });
-    }
 }
 
 void GatewayServer::State::runCheckpoints(const Leadership &leadership, TimeMs now)
@@ -108,14 +126,10 @@
             {sync.era(), wallMs, peers.isListedServing() && gateway.configuration(), leadership.held},
             checkpointReader.isAwaitingProof() ? peers.heardDaemons(now) : std::vector<DaemonIdentity>(),
             now);
-    if (std::optional<UsageCounts> counts = checkpointReader.takeCounts())
-        gateway.restoreCounts(std::move(*counts));
     if (const std::optional<QuotaCheckpoint> checkpoint = checkpointReader.takeUsable())
         gateway.inheritUnits(*checkpoint, {wallMs - checkpoint->wallMs}, now);
     if (checkpointReader.hasRead() && checkpointWriter.isDue(leadership, peers, now))
-        checkpointWriter.tick(
-            leadership, gateway.observeBalances(now), [this, now] { return gateway.usageCounts(now); },
-            sync.era(), wallMs, now);
+        checkpointWriter.tick(leadership, gateway.observeBalances(now), sync.era(), wallMs, now);
     for (const StoreCall &order : checkpointReader.takeStoreCalls())
         callStore(order,
                   [this](const StoreReply &reply) { checkpointReader.onStoreReply(reply, steadyNow()); });
@@ -217,6 +231,8 @@
     } else if (const StreamOriginReply *originReply = std::get_if<StreamOriginReply>(&*read)) {
         gateway.onStreamOriginReply(*originReply, peerAddress(), now);
         runActions();
+    } else if (const UsageNotice *usage = std::get_if<UsageNotice>(&*read)) {
+        gateway.onUsageNotice(*usage, now);
     } else if (const FreshnessQuery *question = std::get_if<FreshnessQuery>(&*read)) {
         sync.onFreshnessQuery(*question, peerAddress(), now);
         sendOutgoing();
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -68,7 +68,7 @@
       log(settings.instance.value, wallNowMs),
       gateway(coreSettings(settings, incarnation, randomSeed()), log),
       sync(syncSettings(settings, incarnation, randomSeed()), log), fleet(sync, gateway),
-      usageReporter(settings.usageDue, log),
+      usageCopy(gateway.counters(), log), usageReporter(settings.usageDue, log),
       checkpointReader({settings.instance, incarnation}, gateway.counters(), log),
       checkpointWriter(gateway.counters(), log), engineSizing(settings.firstStart, log),
       rolloutController(log), storeCodec(log), endpoints(io), relays(io),
@@ -179,6 +179,8 @@
         && relay.openCalls() == 0;
     if (!graceOver && !idle)
         return;
+    gateway.sendUsage(steadyNow());
+    runActions();
     log.write(LogPriority::State, "stopped", {{"open_requests", callers.size()}, {"after_ms", since.count}});
     log.flush();
     io.stop();
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -2,6 +2,7 @@
 
 #include "gateway/duties/checkpointreader.h"
 #include "gateway/duties/checkpointwriter.h"
+#include "gateway/duties/usagecopy.h"
 #include "gateway/duties/usagereporter.h"
 #include "gateway/gateway.h"
 #include "gateway/io/clocksource.h"
@@ -76,6 +77,7 @@
 
     // Tasks of the leader.
     void runLeaderTasks();
+    void runUsage(const Leadership &leadership, TimeMs now);
     void runCheckpoints(const Leadership &leadership, TimeMs now);
     void runRollouts(const Leadership &leadership, TimeMs now);
     void sendLeaderCall(const LeaderCall &order, std::function<void(LeaderCallOutcome)> onReply);
@@ -106,6 +108,7 @@
     Gateway gateway;
     StoreSync sync;
     FleetView fleet;
+    UsageCopy usageCopy;
     UsageReporter usageReporter;
     CheckpointReader checkpointReader;
     CheckpointWriter checkpointWriter;
--- a/src/gateway/limits/gatewaycheckpoints.cpp
+++ b/src/gateway/limits/gatewaycheckpoints.cpp
@@ -1,4 +1,4 @@
-// Balances and counts that survive a restart: what the leader writes, and what a starting daemon takes.
+// Balances that survive a restart: what the leader writes, and what a starting daemon takes.
 
 #include "gateway/gateway.h"
 
@@ -13,22 +13,6 @@
                                       {settings_.instance, settings_.incarnation}, now);
 }
 
-UsageCounts Gateway::usageCounts(TimeMs now) const
-{
-    // An older window is reported or about to be.
-    const int64_t oldest = usage_.windowAt(now) - 1;
-    UsageCounts out = peers_.countsSince(oldest);
-    for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window)
-        out[settings_.incarnation].insert(*window);
-    return out;
-}
-
-void Gateway::restoreCounts(UsageCounts counts)
-{
-    counts.erase(settings_.incarnation);
-    peers_.restoreCounts(counts);
-}
-
 void Gateway::inheritUnits(const QuotaCheckpoint &checkpoint, DurationMs age, TimeMs now)
 {
     if (!configuration_)
--- a/src/gateway/limits/quotacheckpoint.cpp
+++ b/src/gateway/limits/quotacheckpoint.cpp
@@ -87,89 +87,12 @@
             {"levels", std::move(levels)}};
 }
 
-json::array countsOf(const UsageCounts &usage, const std::vector<OrganisationName> &organisations,
-                     int64_t oldest)
-{
-    json::array rows;
-    for (const std::pair<const Incarnation, WindowCounts> &daemon : usage) {
-        for (auto window = daemon.second.lower_bound(oldest); window != daemon.second.end(); ++window) {
-            json::array counts;
-            for (const OrganisationName &organisation : organisations) {
-                const auto count = window->second.find(organisation);
-                counts.emplace_back(count == window->second.end() ? 0 : count->second);
-            }
-            rows.push_back(json::array{daemon.first.value, window->first, std::move(counts)});
-        }
-    }
-    return rows;
-}
-
-std::set<int64_t> windowsOf(const UsageCounts &usage)
-{
-    std::set<int64_t> out;
-    for (const std::pair<const Incarnation, WindowCounts> &daemon : usage) {
-        for (const WindowCounts::value_type &window : daemon.second)
-            out.insert(window.first);
-    }
-    return out;
-}
-
-std::vector<OrganisationName> organisationsOf(const UsageCounts &usage)
-{
-    std::set<OrganisationName> out;
-    for (const std::pair<const Incarnation, WindowCounts> &daemon : usage) {
-        for (const WindowCounts::value_type &window : daemon.second) {
-            for (const std::pair<const OrganisationName, uint64_t> &count : window.second)
-                out.insert(count.first);
-        }
-    }
-    return {out.begin(), out.end()};
-}
-
-void decodeUsage(const json::object &object, QuotaCheckpoint &out, CheckpointDecoder &decoder)
-{
-    std::vector<OrganisationName> organisations;
-    for (const json::value &name : decoder.array(object.if_contains("organisations")))
-        organisations.push_back({decoder.text(&name)});
-    for (const json::value &value : decoder.array(object.if_contains("counts"))) {
-        const json::array &row = decoder.row(value, 3);
-        const json::array &counts = decoder.row(row[2], organisations.size());
-        if (!decoder.isValid)
-            return;
-        std::map<OrganisationName, uint64_t> &window
-            = out.usage[{decoder.number<uint64_t>(&row[0])}][decoder.number<int64_t>(&row[1])];
-        for (size_t i = 0; i < organisations.size(); ++i) {
-            if (const uint64_t count = decoder.number<uint64_t>(&counts[i]); count > 0)
-                window[organisations[i]] = count;
-        }
-    }
-}
-
 } // namespace
 
-CheckpointText checkpointText(const QuotaCheckpoint &checkpoint, size_t maxBytes)
+std::optional<std::string> checkpointText(const QuotaCheckpoint &checkpoint)
 {
-    CheckpointText out;
-    json::object object = levelsObject(checkpoint);
-    const std::vector<OrganisationName> organisations = organisationsOf(checkpoint.usage);
-    json::array names;
-    for (const OrganisationName &organisation : organisations)
-        names.emplace_back(organisation.value);
-    object["organisations"] = std::move(names);
-    // The oldest window is left out first: most daemons that could report it have heard of it.
-    for (const int64_t oldest : windowsOf(checkpoint.usage)) {
-        object["counts"] = countsOf(checkpoint.usage, organisations, oldest);
-        out.text = json::serialize(object);
-        if (out.text->size() <= maxBytes)
-            return out;
-        out.lacksCounts = true;
-    }
-    object["organisations"] = json::array();
-    object["counts"] = json::array();
-    out.text = json::serialize(object);
-    if (out.text->size() > maxBytes)
-        out.text.reset();
-    return out;
+    std::string text = json::serialize(levelsObject(checkpoint));
+    return text.size() <= MaxCheckpointBytes ? std::optional<std::string>(std::move(text)) : std::nullopt;
 }
 
 std::optional<QuotaCheckpoint> checkpointFromText(const std::string &text)
@@ -192,7 +115,6 @@
         const double used = static_cast<double>(decoder.number<int64_t>(&row[2]));
         out.levels[{decoder.text(&row[0])}] = {units, used};
     }
-    decodeUsage(*object, out, decoder);
     const bool isPlausible = out.sharers >= std::max<size_t>(out.daemons.size(), 1);
     return decoder.isValid && isPlausible ? std::optional<QuotaCheckpoint>(std::move(out)) : std::nullopt;
 }
--- a/src/gateway/limits/quotacheckpoint.h
+++ b/src/gateway/limits/quotacheckpoint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/duties/usagewindows.h"
+#include "gateway/gatewayevents.h"
 #include "gateway/limits/quotas.h"
 
 #include <map>
@@ -26,17 +26,12 @@
     size_t sharers = 1; ///< Daemons that shared the limits.
     std::vector<DaemonIdentity> daemons; ///< Those whose balances are counted; never more than `sharers`.
     std::map<OrganisationName, QuotaLevel> levels;
-    UsageCounts usage; ///< Counts of the newest two windows.
 
     friend bool operator==(const QuotaCheckpoint &, const QuotaCheckpoint &) = default;
 };
 
-/// Text of a checkpoint with as much of the usage counts as fits; nothing if the rest alone is too large.
-struct CheckpointText {
-    std::optional<std::string> text;
-    bool lacksCounts = false;
-};
-CheckpointText checkpointText(const QuotaCheckpoint &checkpoint, size_t maxBytes = MaxCheckpointBytes);
+/// Returns nothing if the text would be too large.
+std::optional<std::string> checkpointText(const QuotaCheckpoint &checkpoint);
 /// Returns nothing if any field is missing or invalid.
 std::optional<QuotaCheckpoint> checkpointFromText(const std::string &text);
 
--- a/src/gateway/peers/fleetview.cpp
+++ b/src/gateway/peers/fleetview.cpp
@@ -39,7 +39,7 @@
     const bool membersRead = updates.members.has_value();
     if (updates.members) {
         gateway_.onMembers(std::move(*updates.members), now, updates.listed);
-        gateway_.onLeader(updates.leader);
+        gateway_.onLeader(updates.leader, now);
     }
     if (updates.entries)
         gateway_.onEntriesFromPeer(*updates.entries);
--- a/src/gateway/peers/noticecodec.cpp
+++ b/src/gateway/peers/noticecodec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peers/noticecodec.h"
 
+#include "gateway/duties/usagecodec.h"
+
 #include "gateway/endpoints/quarantinelist.h"
 #include "gateway/peers/datagramfields.h"
 
@@ -243,4 +245,19 @@
     return reply;
 }
 
+json::object encoded(const UsageNotice &notice)
+{
+    json::object out = usageObject(notice.counts);
+    out["kind"] = "usage";
+    return out;
+}
+
+UsageNotice decodedUsageNotice(const json::object &object)
+{
+    std::optional<UsageCounts> counts = usageFromObject(object);
+    if (!counts)
+        throw boost::system::system_error(json::make_error_code(json::error::incomplete));
+    return {std::move(*counts)};
+}
+
 } // namespace cranberry
--- a/src/gateway/peers/noticecodec.h
+++ b/src/gateway/peers/noticecodec.h
@@ -6,8 +6,8 @@
 
 namespace cranberry {
 
-// The short messages between daemons as JSON: moves of balances, crashes, limits of endpoints, and origins of
-// streams. The functions `decoded...` throw for a missing or wrong field.
+// The short messages between daemons as JSON: moves of balances, crashes, limits of endpoints, origins of
+// streams, and usage. The functions `decoded...` throw for a missing or wrong field.
 
 boost::json::object encoded(const QuotaRequest &request);
 boost::json::object encoded(const QuotaTransfer &transfer);
@@ -18,6 +18,7 @@
 boost::json::object encoded(const StreamOriginNotice &notice);
 boost::json::object encoded(const StreamOriginQuery &query);
 boost::json::object encoded(const StreamOriginReply &reply);
+boost::json::object encoded(const UsageNotice &notice);
 
 QuotaRequest decodedQuotaRequest(const boost::json::object &object);
 QuotaTransfer decodedQuotaTransfer(const boost::json::object &object);
@@ -28,5 +29,6 @@
 StreamOriginNotice decodedOriginNotice(const boost::json::object &object);
 StreamOriginQuery decodedOriginQuery(const boost::json::object &object);
 StreamOriginReply decodedOriginReply(const boost::json::object &object);
+UsageNotice decodedUsageNotice(const boost::json::object &object);
 
 } // namespace cranberry
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -54,8 +54,10 @@
                 rows.push_back({balance.organisation.value, compact(balance.spare)});
         }
     } else if (name == "windows") {
-        for (const WindowCount &count : report.windows)
-            rows.push_back({count.window, count.organisation.value, count.count});
+        for (const WindowCounts::value_type &window : report.windows) {
+            for (const std::pair<const OrganisationName, uint64_t> &count : window.second)
+                rows.push_back({window.first, count.first.value, count.second});
+        }
     } else {
         for (const ServiceDemand &demand : report.demands)
             rows.push_back(rowOf(demand));
@@ -222,8 +224,8 @@
     }
     for (const json::value &value : object.at("windows").as_array()) {
         const json::array &count = row(value, 3);
-        report.windows.push_back({count[0].to_number<int64_t>(), OrganisationName{text(count[1])},
-                                  count[2].to_number<uint64_t>()});
+        report.windows[count[0].to_number<int64_t>()][OrganisationName{text(count[1])}]
+            = count[2].to_number<uint64_t>();
     }
     for (const json::value &value : object.at("trials").as_array())
         decodeTrialRow(row(value, 4), report.trials);
@@ -501,6 +503,7 @@
     {"origins", decodedAs<decodedOriginNotice>},
     {"originAsk", decodedAs<decodedOriginQuery>},
     {"originAnswer", decodedAs<decodedOriginReply>},
+    {"usage", decodedAs<decodedUsageNotice>},
 };
 
 } // namespace
--- a/src/gateway/peers/peerdatagrams.h
+++ b/src/gateway/peers/peerdatagrams.h
@@ -6,7 +6,7 @@
 
 using PeerDatagram = std::variant<PeerReport, FreshnessQuery, FreshnessReply, QuotaRequest, QuotaTransfer,
                                   CrashNotice, LimitNotice, LimitShareRequest, LimitShareGrant,
-                                  StreamOriginNotice, StreamOriginQuery, StreamOriginReply>;
+                                  StreamOriginNotice, StreamOriginQuery, StreamOriginReply, UsageNotice>;
 
 /// Encodes a message between daemons as the text of one datagram, and decodes it. Decoding returns nothing
 /// for text that is not a valid message.
--- a/src/gateway/peers/peertable.cpp
+++ b/src/gateway/peers/peertable.cpp
@@ -30,9 +30,8 @@
 constexpr size_t MaxFallbackRelays = 6;
 /// The quota pool changes with the daemons that are ready; a change may be noticed this much later.
 constexpr DurationMs QuotaPoolRefreshInterval{200};
-constexpr size_t MaxWindowsPerPeer = 12; ///< Windows kept per peer; older ones are reported or expired.
-constexpr DurationMs PeerRetention{
-    60000}; ///< Usage windows of a peer that is gone are still needed for a while.
+/// Trial counts of a peer that is gone are still needed for a while.
+constexpr DurationMs PeerRetention{60000};
 /// A decrease of the number of serving daemons takes effect only after this time. When the store fails, all
 /// entries lapse at once and are back about a second after its recovery; if the daemons were taken for gone,
 /// each remaining one would take the full limit.
@@ -71,6 +70,7 @@
         before.insert(target->incarnation);
     members_ = std::move(members);
     listed_ = std::max(listed, members_.size());
+    firstListAt_ = firstListAt_.value_or(now);
     quotaPools_.clear();
     quotaPoolOrders_.clear();
     order_.clear();
@@ -110,6 +110,31 @@
     updateTargets();
 }
 
+const MemberEntry *PeerTable::otherLeader() const
+{
+    const auto found = std::find_if(targets_.begin(), targets_.end(), [this](const MemberEntry *member) {
+        return member->instance == leader_;
+    });
+    return found == targets_.end() ? nullptr : *found;
+}
+
+bool PeerTable::actsForLeader(TimeMs now) const
+{
+    if (leader_ == self_)
+        return true;
+    const MemberEntry *leader = otherLeader();
+    // Sooner than other absences are noticed: a second one that acts does no harm.
+    const Peer *heard = leader ? heardPeer(*leader, now) : nullptr;
+    const DurationMs noticedAfter = reportInterval() * 2 + reportInterval() / 2;
+    const bool isHeard = heard && now - heard->heardAt < noticedAfter;
+    if (!selfEntry_ || !isTarget_ || isHeard || now < firstListAt_.value_or(now) + noticedAfter)
+        return false;
+    const auto first = std::find_if(order_.begin(), order_.end(), [&](const MemberEntry *member) {
+        return isSelf(*member) || heardPeer(*member, now);
+    });
+    return *first == selfEntry_;
+}
+
 // While none serves, after a start, the daemons that rank first get the reports: callers are sent to them.
 void PeerTable::updateTargets()
 {
@@ -379,12 +404,6 @@
     Peer &peer = peers_[report.incarnation];
     if (!isNew && report.sequence <= peer.report.sequence)
         return false;
-    for (const WindowCount &each : report.windows) {
-        uint64_t &highest = peer.windows[each.window][each.organisation];
-        highest = std::max(highest, each.count);
-    }
-    while (peer.windows.size() > MaxWindowsPerPeer)
-        peer.windows.erase(peer.windows.begin());
     if (peer.counted)
         applyLoads(peer, false);
     const PeerReport before = std::exchange(peer.report, report);
@@ -526,37 +545,6 @@
     return sum;
 }
 
-UsageCounts PeerTable::countsSince(int64_t window) const
-{
-    UsageCounts out;
-    const auto addHigher = [&](Incarnation daemon, const WindowCounts &windows) {
-        for (auto each = windows.lower_bound(window); each != windows.end(); ++each) {
-            for (const std::pair<const OrganisationName, uint64_t> &count : each->second) {
-                uint64_t &highest = out[daemon][each->first][count.first];
-                highest = std::max(highest, count.second);
-            }
-        }
-    };
-    for (const std::pair<const Incarnation, Peer> &entry : peers_)
-        addHigher(entry.first, entry.second.windows);
-    for (const std::pair<const Incarnation, WindowCounts> &entry : restoredCounts_)
-        addHigher(entry.first, entry.second);
-    return out;
-}
-
-std::map<OrganisationName, uint64_t> PeerTable::windowSums(int64_t window) const
-{
-    std::map<OrganisationName, uint64_t> sums;
-    for (const std::pair<const Incarnation, WindowCounts> &entry : countsSince(window)) {
-        const auto found = entry.second.find(window);
-        if (found == entry.second.end())
-            continue;
-        for (const std::pair<const OrganisationName, uint64_t> &count : found->second)
-            sums[count.first] += count.second;
-    }
-    return sums;
-}
-
 int64_t PeerTable::medianWallOffset(int64_t ownOffset, TimeMs now) const
 {
     std::vector<int64_t> offsets{ownOffset};
--- a/src/gateway/peers/peertable.h
+++ b/src/gateway/peers/peertable.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "gateway/duties/usagewindows.h"
 #include "gateway/gatewayevents.h"
 #include "gateway/peers/entrychoice.h"
 
@@ -26,9 +25,17 @@
     /// `listed` is the total number of daemons if `members` has only some of them.
     void setMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
     void setLeader(const InstanceName &leader);
+    const InstanceName &leader() const { return leader_; } ///< Empty: there is none.
+    /// The leader's entry; nothing if it is not listed, or is this daemon.
+    const MemberEntry *otherLeader() const;
+    /// The leader is this daemon, or has reported recently. If there is none that does: this daemon is the
+    /// first one, in an order that is the same on all daemons, among those that have reported recently.
+    /// Never at once after the start, when nobody could have reported.
+    bool actsForLeader(TimeMs now) const;
     const std::vector<MemberEntry> &members() const { return members_; }
     /// Stores a report. Returns false for one that is older than, or the same as, the last one of its sender.
     bool take(const PeerReport &report, TimeMs now);
+    bool knows(Incarnation daemon) const { return peers_.contains(daemon); } ///< Has taken a report of it.
 
     // Serving daemons.
 
@@ -51,6 +58,7 @@
     bool isReportTarget() const { return isTarget_; } ///< The other daemons send their reports to this one.
     DurationMs reportInterval() const; ///< Time between two reports to the same daemon.
     DurationMs fullReportInterval() const; ///< Time between two full reports to the same daemon.
+    const MemberEntry *selfEntry() const { return selfEntry_; } ///< Null if this daemon is not listed.
     /// Report targets that were added by the last change of the members.
     const std::vector<const MemberEntry *> &newTargets() const { return newTargets_; }
 
@@ -115,13 +123,6 @@
     std::vector<TrialCount> trialCounts() const;
     /// Total number of cores used by the other daemons that have reported recently.
     double coresUsed(TimeMs now) const;
-    /// Sums, over all remembered daemons, of the highest count each one reported for the window, including
-    /// daemons that are gone, and those whose counts were restored.
-    std::map<OrganisationName, uint64_t> windowSums(int64_t window) const;
-    /// Adds counts of daemons that this one may never have heard. The higher count of an incarnation is used.
-    void restoreCounts(const UsageCounts &counts) { restoredCounts_ = counts; }
-    /// Returns the counts of all other daemons for this window and later ones.
-    UsageCounts countsSince(int64_t window) const;
     /// Median of the offsets between time of day and this daemon's steady clock, over the own offset and
     /// those of the peers.
     int64_t medianWallOffset(int64_t ownOffset, TimeMs now) const;
@@ -132,7 +133,6 @@
         TimeMs heardAt;
         bool counted = false; ///< Its loads are included in `loadSums_`.
         int64_t wallOffset = 0;
-        WindowCounts windows;
     };
     using MemberPtrs = std::vector<const MemberEntry *>;
     void updateTargets();
@@ -165,6 +165,7 @@
     MemberPtrs targets_;
     MemberPtrs newTargets_;
     size_t listed_ = 0;
+    std::optional<TimeMs> firstListAt_; ///< Time of the first list of members.
     bool anyServes_ = false;
     bool isServing_ = true;
     bool isTarget_ = true;
@@ -174,7 +175,6 @@
     mutable std::map<OrganisationName, MemberPtrs> quotaPoolOrders_;
 
     std::map<Incarnation, Peer> peers_;
-    UsageCounts restoredCounts_;
     std::map<EndpointIncarnation, EndpointLoad> loadSums_;
     struct RankedQuotaPool {
         TimeMs rankedAt;
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -88,6 +88,8 @@
     if (!changed)
         return;
     notifyNewServing(now);
+    for (const MemberEntry *added : peers_.newTargets())
+        handOverUsageToNew(*added, added->incarnation, now);
     log_.write(LogPriority::State, "members",
                {{"count", peers_.members().size()},
                 {"sharers", peers_.servingCount(now)},
@@ -103,8 +105,12 @@
 void Gateway::onPeerReport(const PeerReport &report, TimeMs now)
 {
     counters_.add(GatewayCount::PeerReports);
+    usage_.merge({{report.incarnation, report.windows}}, UsageLedger::Source::Report, now);
+    const bool isFirst = !peers_.knows(report.incarnation);
     if (peers_.take(report, now))
         speeds_.takeRows(report.incarnation, report.speeds, now);
+    if (isFirst)
+        onFirstReport(report, now);
 }
 
 void Gateway::refillQuotas(TimeMs now)
@@ -153,11 +159,8 @@
     out.speeds = speeds_.rows(now);
     out.requests = retryBudget_.requests(now);
     // Only the newest windows: the leader needs them within some seconds after their end.
-    const int64_t oldest = usage_.windowAt(now) - 1;
-    for (auto window = usage_.counts().lower_bound(oldest); window != usage_.counts().end(); ++window) {
-        for (const std::pair<const OrganisationName, uint64_t> &count : window->second)
-            out.windows.push_back({window->first, count.first, count.second});
-    }
+    const WindowCounts &own = usage_.own();
+    out.windows = WindowCounts(own.lower_bound(usage_.windowAt(now) - 1), own.end());
     return out;
 }
 
@@ -171,8 +174,9 @@
 
 bool Gateway::mustReport(TimeMs now) const
 {
-    const auto newest = usage_.counts().lower_bound(usage_.windowAt(now) - 1);
-    return peers_.isReportTarget() || !exchanges_.empty() || newest != usage_.counts().end();
+    const WindowCounts &own = usage_.own();
+    const bool hasCounts = own.lower_bound(usage_.windowAt(now) - 1) != own.end();
+    return peers_.isReportTarget() || !exchanges_.empty() || hasCounts;
 }
 
 // A daemon that hears most of the serving daemons chooses the addresses itself. The others use the addresses
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -61,14 +61,6 @@
     detach(exchange);
 }
 
-void Gateway::countUsage(Exchange &exchange, TimeMs at)
-{
-    if (exchange.countedForUsage || exchange.organisation.value.empty())
-        return;
-    exchange.countedForUsage = true;
-    usage_.count(exchange.organisation, at);
-}
-
 // A response to a different request, or one from another instance that took over the address, says nothing
 // about the outcome of this request. The attempt is cancelled and its connection closed.
 void Gateway::onHead(const AttemptHead &event, TimeMs now)
--- a/src/gateway/requests/resumptions.cpp
+++ b/src/gateway/requests/resumptions.cpp
@@ -6,6 +6,8 @@
 
 #include "gateway/gateway.h"
 
+#include "gateway/peers/keepers.h"
+
 #include <algorithm>
 
 namespace cranberry {
@@ -85,7 +87,7 @@
     OriginSearch &search = *exchange.originSearch;
     originSearches_[search.number] = exchange.caller;
     const StreamKey key = exchange.stream.value_or(streamKeyOf(exchange.organisation, exchange.request->id));
-    for (const MemberEntry *member : streamKeepers(key, servingMembers(), DaemonsAsked)) {
+    for (const MemberEntry *member : keepersOf(key.value, servingMembers(), DaemonsAsked)) {
         if (member->instance != settings_.instance)
             search.silent.insert(member->peerAddress);
     }
@@ -198,7 +200,7 @@
     const std::vector<const MemberEntry *> serving = servingMembers();
     std::map<Address, StreamOriginNotice> notices;
     for (const StreamKey stream : streams) {
-        for (const MemberEntry *member : streamKeepers(stream, serving, StreamKeepers)) {
+        for (const MemberEntry *member : keepersOf(stream.value, serving, StreamKeepers)) {
             if (member->instance != settings_.instance)
                 notices.try_emplace(member->peerAddress, StreamOriginNotice{origin, {}})
                     .first->second.streams.push_back(stream);
--- a/src/gateway/requests/streamorigins.cpp
+++ b/src/gateway/requests/streamorigins.cpp
@@ -11,8 +11,6 @@
 constexpr DurationMs Retention{60000};
 /// Some megabytes. A daemon sees far fewer in a minute, with those that others tell it.
 constexpr size_t MaxKnown = 40'000;
-/// Members among which the keepers' failure domains are chosen.
-constexpr size_t CandidatesPerKeeper = 8;
 /// A longer time between two lists may hide a version that came and went.
 constexpr DurationMs ListGap{2500};
 /// An older list may lack a version to which other daemons already send requests.
@@ -26,31 +24,6 @@
     return {XXH3_64bits_withSeed(requestId.data(), requestId.size(), seed)};
 }
 
-std::vector<const MemberEntry *> streamKeepers(StreamKey stream,
-                                               const std::vector<const MemberEntry *> &serving, size_t count)
-{
-    std::vector<std::pair<uint64_t, const MemberEntry *>> ranked;
-    ranked.reserve(serving.size());
-    for (const MemberEntry *member : serving) {
-        const std::string &name = member->instance.value;
-        ranked.emplace_back(XXH3_64bits_withSeed(name.data(), name.size(), stream.value), member);
-    }
-    const size_t kept = std::min(ranked.size(), count * CandidatesPerKeeper);
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
-    ranked.resize(kept);
-    std::vector<const MemberEntry *> out;
-    while (out.size() < count && !ranked.empty()) {
-        std::set<FailureDomainName> chosen;
-        std::erase_if(ranked, [&](const std::pair<uint64_t, const MemberEntry *> &each) {
-            if (out.size() == count || !chosen.insert(each.second->failureDomain).second)
-                return false;
-            out.push_back(each.second);
-            return true;
-        });
-    }
-    return out;
-}
-
 // ---- Origins ----
 
 bool StreamOrigins::record(StreamKey stream, const StreamOrigin &origin, TimeMs now)
--- a/src/gateway/requests/streamorigins.h
+++ b/src/gateway/requests/streamorigins.h
@@ -15,12 +15,6 @@
 /// Returns the key of the stream whose first event a request of the organisation brought.
 StreamKey streamKeyOf(const OrganisationName &organisation, const std::string &requestId);
 
-/// Returns the first `count` daemons of the order in which they keep a stream's origin: by rendezvous hashing
-/// of their instances' names, each failure domain once before one of them comes a second time. The order is
-/// the same at all daemons that list the same ones, also after restarts.
-std::vector<const MemberEntry *> streamKeepers(StreamKey stream,
-                                               const std::vector<const MemberEntry *> &serving, size_t count);
-
 /// Origins of streams that began within the last minute, as this daemon has seen or was told. Memory is
 /// bounded; the oldest are evicted.
 class StreamOrigins
