A daemon that hears no reply of the store lets its lease and its leadership go

Cause: in a one-way cut calls still reach the store. The renewals of the cut-off leader kept its key alive, which it could not use itself as no reply reached it; and a daemon that was cut off, too, won with a campaign that it could not hear the end of. Change: renewals and campaigns only while a reply came within half a lease; they go on with the next reply.

--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -58,7 +58,7 @@
     if (leaving_)
         return;
     nameItselfIfAlone(now);
-    if (now >= renewAt_ && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
+    if (now >= renewAt_ && (lease_ == 0 || hearsStore(now)) && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
         renewAt_ = now + settings_.leaseTime / RenewalsPerLease;
         StoreCall call;
         call.verb = lease_ == 0 ? StoreVerb::GrantLease : StoreVerb::RenewLease;
@@ -77,13 +77,15 @@
         && !tooManyOpen(Purpose::Versions))
         writeVersions(now);
     if (lease_ != 0 && mayCampaign(now) && knowsShared && !tooManyOpen(Purpose::Campaign)
-        && now < leaseValidUntil_)
+        && now < leaseValidUntil_ && hearsStore(now))
         campaign(now);
 }
 
 void StoreSync::onReply(StoreReply reply, TimeMs now)
 {
     checkEra(reply, now);
+    if (reply.outcome != StoreOutcome::NoReply)
+        heardAt_ = now;
     const auto found = open_.find(reply.id);
     if (found == open_.end())
         return;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -204,6 +204,9 @@
         return purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
     }
     void send(StoreCall call, OpenCall open, TimeMs now);
+    /// Replies arrive. Where only calls do, renewals would keep alive the key of a leader that can't act, and
+    /// nobody else could win.
+    bool hearsStore(TimeMs now) const { return now < heardAt_ + settings_.leaseTime / 2; }
     void readIfDue(TimeMs now);
     StoreSpace sharedSpaceToRead() const;
     void readShared(StoreSpace space, bool allPages, TimeMs now);
@@ -340,6 +343,7 @@
 
     uint64_t lease_ = 0;
     TimeMs leaseValidUntil_; ///< On this daemon's clock, counted from when the renewal was sent.
+    TimeMs heardAt_; ///< Time of the newest reply.
     TimeMs renewAt_;
     bool registered_ = false;
     TimeMs registeredAt_;
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -247,6 +247,21 @@
     checkAccepted(world.accepted);
 }
 
+TEST_CASE("a leader whose calls reach the store, and no reply it, keeps its key, and nobody leads")
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        LeaderSimulation world(seed);
+        world.advance({6000});
+        const std::optional<size_t> first = world.leader();
+        REQUIRE(first);
+        world.store.deafClients = {*first};
+        world.advance(LeaseTime * 2 + DurationMs{1500});
+        CHECK(world.leader());
+        CHECK(world.leader() != first);
+        checkAccepted(world.accepted);
+    }
+}
+
 TEST_CASE(
     "an outage of the store ends the leadership, and a leader is back after it, whether leases lapse or not")
 {
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -63,7 +63,8 @@
     } else if (random_.below(100) < faults.latePercent) {
         pending.at = now + DurationMs{static_cast<int64_t>(random_.below(MostLateMs))};
         pending.answer = false;
-    } else if (random_.below(100) < faults.loseReplyPercent) {
+    } else if (random_.below(100) < faults.loseReplyPercent
+               || std::find(deafClients.begin(), deafClients.end(), client) != deafClients.end()) {
         pending.answer = false;
     }
     pending_.push_back(std::move(pending));
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -68,6 +68,7 @@
 
     StoreFaults faults;
     std::vector<size_t> refusedClients; ///< Get no answer, while others are served.
+    std::vector<size_t> deafClients; ///< Their calls are carried out, and not answered.
 
 private:
     struct Item {
