The last daemon that is stopped stays leader until another one can win

Cause: a stopped leader ended its lease at once, and daemons that are stopped do not campaign; one that starts waits for a lease's time. Change: a stopped leader keeps its lease while no other daemon is listed, and until one has been for long enough to win; it ends it before the process exits. Where others are listed, it hands over within a read of the store, as before.

--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -179,6 +179,9 @@
         && relay.openCalls() == 0;
     if (!graceOver && !idle)
         return;
+    // The call that ends the lease leaves before the next tick.
+    if (sync.leaveAtOnce(steadyNow()))
+        return runStoreCalls();
     gateway.sendUsage(steadyNow());
     runActions();
     log.write(LogPriority::State, "stopped", {{"open_requests", callers.size()}, {"after_ms", since.count}});
--- a/src/gateway/store/storelease.cpp
+++ b/src/gateway/store/storelease.cpp
@@ -16,6 +16,8 @@
 /// Serving daemons receive the counts that are to be reported. A standby daemon campaigns this much later,
 /// thus only if no serving daemon does.
 constexpr DurationMs StandbyCampaignDelay{2000};
+/// From a stop on, the entries of daemons that were stopped at the same time may be read for this long.
+constexpr DurationMs LastEntryTime{300};
 /// A fencing token is the revision that won, preceded by the era: revisions alone decrease when the store is
 /// restored from an older copy. No store makes 2^40 changes.
 constexpr unsigned RevisionBits = 40;
@@ -77,8 +79,45 @@
 
 void StoreSync::startLeaving(TimeMs now)
 {
-    if (leaving_)
+    if (leaving_ || leavesFrom_)
         return;
+    leavesFrom_ = now;
+    if (!leaderIsSelf_)
+        leave(now);
+}
+
+bool StoreSync::leaveAtOnce(TimeMs now)
+{
+    if (leaving_ || lease_ == 0)
+        return false;
+    leave(now);
+    return true;
+}
+
+// Where all daemons are stopped within their grace time, nobody could lead, and usage would be reported late.
+// So a leader leaves only once another daemon has been listed for long enough to win.
+void StoreSync::leaveIfReplaced(TimeMs now)
+{
+    if (!leaderIsSelf_)
+        return leave(now);
+    if (newestControl_ <= *leavesFrom_ + LastEntryTime)
+        return;
+    const bool hasOther = std::any_of(members_.begin(), members_.end(), [this](const MemberEntry &member) {
+        return member.instance != settings_.self.instance;
+    });
+    if (!hasOther) {
+        wasLast_ = true;
+        otherListedSince_.reset();
+        return;
+    }
+    otherListedSince_ = otherListedSince_.value_or(now);
+    const DurationMs pause = wasLast_ ? settings_.leaseTime + CampaignJitter * 2 : DurationMs{0};
+    if (now >= *otherListedSince_ + pause)
+        leave(now);
+}
+
+void StoreSync::leave(TimeMs now)
+{
     leaving_ = true;
     if (lease_ == 0)
         return;
--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -55,6 +55,8 @@
     if (source_ && now >= queryAt_)
         sendQuery(now);
     readIfDue(now);
+    if (leavesFrom_ && !leaving_)
+        leaveIfReplaced(now);
     if (leaving_)
         return;
     nameItselfIfAlone(now);
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -150,8 +150,10 @@
 
     Leadership leadership(TimeMs now) const;
     uint64_t era() const { return era_; } ///< Era of the store; 0: not stated yet.
-    /// Ends this daemon's lease before the process exits.
+    /// The process exits soon: ends this daemon's lease, a leader's once another daemon can win.
     void startLeaving(TimeMs now);
+    /// Ends the lease if it is still held. Returns false if there was nothing to end.
+    bool leaveAtOnce(TimeMs now);
 
     /// Reserves the id of a store call that another part sends; its reply is not handled here.
     uint64_t reserveId() { return nextCall_++; }
@@ -204,6 +206,8 @@
         return purpose == Purpose::ReadShared || purpose == Purpose::ReadEndpoints;
     }
     void send(StoreCall call, OpenCall open, TimeMs now);
+    void leaveIfReplaced(TimeMs now);
+    void leave(TimeMs now);
     /// Replies arrive. Where only calls do, renewals would keep alive the key of a leader that can't act, and
     /// nobody else could win.
     bool hearsStore(TimeMs now) const { return now < heardAt_ + settings_.leaseTime / 2; }
@@ -343,6 +347,9 @@
 
     uint64_t lease_ = 0;
     TimeMs leaseValidUntil_; ///< On this daemon's clock, counted from when the renewal was sent.
+    std::optional<TimeMs> leavesFrom_; ///< The process was told to stop.
+    bool wasLast_ = false; ///< No other daemon was listed after that.
+    std::optional<TimeMs> otherListedSince_; ///< Since then, another daemon is listed.
     TimeMs heardAt_; ///< Time of the newest reply.
     TimeMs renewAt_;
     bool registered_ = false;
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -76,6 +76,7 @@
         return std::nullopt;
     }
 
+    void stop(size_t i) { daemons_[i]->sync.startLeaving(now); }
     void freeze(size_t i, DurationMs duration) { daemons_[i]->frozenUntil = now + duration; }
 
     FakeStore store;
@@ -262,6 +263,40 @@
     }
 }
 
+TEST_CASE("nobody leads while all daemons are stopped in turn and have not exited yet")
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        LeaderSimulation world(seed);
+        world.advance({12000});
+        for (size_t i = 0; i < 3; ++i) {
+            world.stop(i);
+            world.advance({800});
+        }
+        DurationMs withoutLeader{0};
+        for (size_t i = 0; i < 3; ++i) {
+            for (size_t step = 0; step < 40; ++step) {
+                world.advance(Step);
+                withoutLeader = world.leader() ? withoutLeader : withoutLeader + Step;
+            }
+        }
+        CHECK(withoutLeader <= DurationMs{1000});
+        checkAccepted(world.accepted);
+    }
+}
+
+TEST_CASE("a leader that is stopped among others stays leader longer than until they can win")
+{
+    LeaderSimulation world(5);
+    world.advance({12000});
+    const std::optional<size_t> first = world.leader();
+    REQUIRE(first);
+    world.stop(*first);
+    world.advance({2000});
+    REQUIRE(world.leader());
+    CHECK(world.leader() != first);
+    checkAccepted(world.accepted);
+}
+
 TEST_CASE(
     "an outage of the store ends the leadership, and a leader is back after it, whether leases lapse or not")
 {
