--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -60,7 +60,8 @@
     if (leaving_)
         return;
     nameItselfIfAlone(now);
-    if (now >= renewAt_ && (lease_ == 0 || hearsStore(now)) && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
+    if (now >= renewAt_ && (lease_ == 0 || hearsStore(now))
+        && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
         renewAt_ = now + settings_.leaseTime / RenewalsPerLease;
         StoreCall call;
         call.verb = lease_ == 0 ? StoreVerb::GrantLease : StoreVerb::RenewLease;
