A daemon that misses the reply to one renewal renews again

Callers could have seen: a daemon that asks its peers instead of the store loses its entry for good, and its callers, after one lost reply. Cause, found by reading once more: no renewal was sent without a reply in the last half lease, and the renewals are all that such a daemon asks the store for. Change: only a leader that hears nothing holds its renewals back, and only until its lease must have ended. Test (duties_test, a daemon that asks the store for nothing but renewals): before, 10 of 10 checks failed; after, none.

--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -60,15 +60,17 @@
     if (leaving_)
         return;
     nameItselfIfAlone(now);
-    if (now >= renewAt_ && (lease_ == 0 || hearsStore(now))
-        && !tooManyOpen(lease_ == 0 ? Purpose::Grant : Purpose::Renew)) {
+    const bool mayRenew
+        = lease_ == 0 || !leaderIsSelf_ || hearsStore(now) || now >= leaseValidUntil_ + settings_.leaseTime;
+    const Purpose purpose = lease_ == 0 ? Purpose::Grant : Purpose::Renew;
+    if (now >= renewAt_ && mayRenew && !tooManyOpen(purpose)) {
         renewAt_ = now + settings_.leaseTime / RenewalsPerLease;
         StoreCall call;
         call.verb = lease_ == 0 ? StoreVerb::GrantLease : StoreVerb::RenewLease;
         call.lease = lease_;
         call.leaseTime = settings_.leaseTime;
         call.timeout = WriteTimeout;
-        send(call, {lease_ == 0 ? Purpose::Grant : Purpose::Renew, now, now, {}, lease_}, now);
+        send(call, {purpose, now, now, {}, lease_}, now);
     }
     if (lease_ != 0 && !registered_ && now >= registerAt_ && !tooManyOpen(Purpose::Register))
         registerSelf(now);
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -209,7 +209,7 @@
     void leaveIfReplaced(TimeMs now);
     void leave(TimeMs now);
     /// Replies arrive. Where only calls do, renewals would keep alive the key of a leader that can't act, and
-    /// nobody else could win.
+    /// nobody else could win: until its lease must have ended it sends none.
     bool hearsStore(TimeMs now) const { return now < heardAt_ + settings_.leaseTime / 2; }
     void readIfDue(TimeMs now);
     StoreSpace sharedSpaceToRead() const;
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -615,6 +615,19 @@
     CHECK(world.version == 2);
 }
 
+TEST_CASE("a daemon that asks the store for nothing but renewals never renews again after a lost reply")
+{
+    QuerySimulation world;
+    world.pass({6000});
+    world.store.deafClients = {1};
+    world.pass({2200});
+    world.store.deafClients.clear();
+    for (size_t second = 0; second < 10; ++second) {
+        world.pass({1000});
+        CHECK(world.store.keyCount(StoreSpace::Members) == 2);
+    }
+}
+
 TEST_CASE("a daemon whose source stops replying reads the store itself")
 {
     QuerySimulation world;
