Usage: a clock that was far ahead keeps no counts out; who was handed counts is forgotten; hand-over of open windows alone

A count under a clock far ahead moved the oldest window forward for good, and the right counts of others were refused from then on (usage_test, counts are refused for good: before, failed). The set of daemons that got a hand-over grew with each restart. A hand-over had all own windows.

--- a/src/gateway/duties/gatewayusage.cpp
+++ b/src/gateway/duties/gatewayusage.cpp
@@ -67,8 +67,9 @@
 void Gateway::sendHandOver(const UsageHandOver &order)
 {
     UsageCounts counts = usage_.keptSince(order.since);
-    if (!usage_.own().empty())
-        counts[settings_.incarnation] = usage_.own();
+    const WindowCounts &own = usage_.own();
+    if (own.lower_bound(order.since) != own.end())
+        counts[settings_.incarnation] = WindowCounts(own.lower_bound(order.since), own.end());
     if (!counts.empty())
         actions_.emplace_back(SendToPeer{order.to, UsageNotice{std::move(counts)}});
 }
@@ -84,6 +85,9 @@
 
 void Gateway::handOverUsageToNew(const MemberEntry &added, Incarnation incarnation, TimeMs now)
 {
+    // Keeps the set from growing with each restart. Who is new is told at most once more.
+    if (usageHandedTo_.size() > 2 * peers_.members().size())
+        usageHandedTo_.clear();
     if (!peers_.selfEntry() || !usageHandedTo_.insert(incarnation).second)
         return;
     std::vector<const MemberEntry *> others = peers_.reportTargets();
--- a/src/gateway/duties/usagecodec.cpp
+++ b/src/gateway/duties/usagecodec.cpp
@@ -50,10 +50,11 @@
         for (const WindowCounts::value_type &window : daemon.second) {
             json::array pairs;
             for (const std::pair<const OrganisationName, uint64_t> &count : window.second) {
-                const auto index = indexes.emplace(count.first, indexes.size());
-                if (index.second)
+                const size_t next = indexes.size();
+                const size_t index = indexes.try_emplace(count.first, next).first->second;
+                if (index == next)
                     names.emplace_back(count.first.value);
-                pairs.emplace_back(index.first->second);
+                pairs.emplace_back(index);
                 pairs.emplace_back(count.second);
             }
             rows.push_back(json::array{daemon.first.value, window.first, std::move(pairs)});
--- a/src/gateway/duties/usageledger.cpp
+++ b/src/gateway/duties/usageledger.cpp
@@ -94,8 +94,9 @@
 
 void UsageLedger::forgetBefore(int64_t window)
 {
-    if (window <= oldest_)
+    if (window == oldest_)
         return;
+    // It also goes back: a clock that was far ahead must not keep counts out for good.
     oldest_ = window;
     for (std::pair<const Incarnation, WindowCounts> &daemon : counts_)
         daemon.second.erase(daemon.second.begin(), daemon.second.lower_bound(window));
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -396,6 +396,29 @@
     CHECK(ledger.keptSince(0).size() == 1);
 }
 
+TEST_CASE("counts are refused for good after the clock was far ahead")
+{
+    UsageLedger ledger({1}, Window);
+    ledger.setOffset(3'600'000);
+    ledger.count({"a"}, {20 * Window.count});
+    ledger.setOffset(0);
+    ledger.merge({{{2}, {{20, {{{"a"}, 5}}}}}}, UsageLedger::Source::Report, {20 * Window.count});
+    CHECK(ledger.sums(20).at({"a"}) == 5);
+}
+
+TEST_CASE("a new leader adds counts of daemons that it never heard, and counts nothing twice")
+{
+    UsageLedger ledger({9}, Window);
+    const TimeMs now{8 * Window.count};
+    UsageCounts copied;
+    for (uint64_t i = 0; i < 3; ++i)
+        copied[{i + 1}] = {{7, {{{"a"}, 10 + i}}}, {8, {{{"a"}, 5}}}};
+    ledger.merge(copied, UsageLedger::Source::Keeping, now);
+    ledger.merge({{{2}, {{7, {{{"a"}, 15}}}, {8, {{{"a"}, 2}}}}}}, UsageLedger::Source::Report, now);
+    CHECK(ledger.sums(7).at({"a"}) == 10 + 15 + 12);
+    CHECK(ledger.sums(8).at({"a"}) == 5 + 5 + 5);
+}
+
 TEST_CASE("a copy of usage loses what another writer, or a store that came back older, has in it")
 {
     FakeStore store(1);
@@ -437,7 +460,7 @@
                                                                          {"80 in 100", every({1000}, 6, 80)},
                                                                          {"all", every({4000}, 3, 100)}};
     for (size_t daemons : {6, 9, 24, 60, 100}) {
-        for (const auto &fault : faults) {
+        for (const std::pair<const char *, std::vector<Kill>> &fault : faults) {
             UsagePlan plan;
             plan.daemons = daemons;
             plan.organisations = daemons * 3;
