--- a/review/stand/plainservers.h
+++ b/review/stand/plainservers.hh
@@ -1,7 +1,7 @@
 // Servers of a plain service, each at its own port, which work for a fixed time on each request.
 #pragma once
 
-#include "world.h"
+#include "world.hh"
 
 #include <map>
 #include <vector>
--- a/review/stand/releases.cpp
+++ b/review/stand/releases.cc
@@ -1,9 +1,9 @@
 // Case 1: releases of a service, one server after the other, under a wave of traffic that stays the same.
 //
-// Usage: releases PORT PID RECORD TROUBLE: the daemon listens from PORT on; the store is at PORT + 10, servers from
-// PORT + 100 on.
+// Usage: releases PORT PID RECORD TROUBLE: the daemon listens from PORT on; the store is at PORT + 10,
+// servers from PORT + 100 on.
 
-#include "world.h"
+#include "world.hh"
 
 #include <algorithm>
 #include <map>
@@ -48,14 +48,15 @@
     void publish()
     {
         if (!gone)
-            platform->put("servers/" + id, {{"Service", "svc-model"},
-                                            {"Address", fmt::format("127.0.0.1:{}", port)},
-                                            {"Zone", "zone-a"},
-                                            {"Version", "v1"},
-                                            {"ColdRemainingMs", 0},
-                                            {"Slots", Slots},
-                                            {"State", leaving ? "draining" : "ready"},
-                                            {"Seq", ++seq}});
+            platform->put("servers/" + id,
+                          {{"Service", "svc-model"},
+                           {"Address", fmt::format("127.0.0.1:{}", port)},
+                           {"Zone", "zone-a"},
+                           {"Version", "v1"},
+                           {"ColdRemainingMs", 0},
+                           {"Slots", Slots},
+                           {"State", leaving ? "draining" : "ready"},
+                           {"Seq", ++seq}});
     }
 
     // Its process ends: the port and all connections are closed.
@@ -273,17 +274,17 @@
         call.request = {"GET", "/ready", {}, ""};
         call.totalTimeout = {1000};
         prober.fetch(std::move(call), [](const cranberry::HttpResponse &response) {
-            record("ready: {}", response.failure == cranberry::HttpFailure::None
-                                    ? fmt::format("{}", response.status)
-                                    : "no answer");
+            record("ready: {}",
+                   response.failure == cranberry::HttpFailure::None ? fmt::format("{}", response.status)
+                                                                    : "no answer");
         });
     });
     every(2000, [pid] {
         std::string text;
         for (const std::pair<const std::string, int> &each : std::exchange(outcomes, {}))
             text += fmt::format(" {}: {}", each.first, each.second);
-        record("descriptors of the daemon {}, runs {}, rejected {}, sent {}, outcomes{}", openDescriptors(pid),
-               runs, rejected, sent.size(), text);
+        record("descriptors of the daemon {}, runs {}, rejected {}, sent {}, outcomes{}",
+               openDescriptors(pid), runs, rejected, sent.size(), text);
     });
     int code = 2;
     after(lastWave + DeadlineMs + 2000, [&code] {
--- a/review/stand/revoke.cpp
+++ b/review/stand/revoke.cc
@@ -1,9 +1,9 @@
-// Case 2: the only tenant's key is taken away, with its tenant.
+// Case 3: the only tenant's key is taken away, with its tenant.
 //
-// Usage: revoke PORT RECORD TROUBLE: the daemon listens from PORT on; the store is at PORT + 200, servers from
-// PORT + 210 on.
+// Usage: revoke PORT RECORD TROUBLE: the daemon listens from PORT on; the store is at PORT + 200, servers
+// from PORT + 210 on.
 
-#include "plainservers.h"
+#include "plainservers.hh"
 
 using namespace review;
 
@@ -92,10 +92,10 @@
             unknown += ran && each.second.key == "key-never" ? 1 : 0;
             served += ran && each.second.at < ChangeMs ? 1 : 0;
         }
-        const std::string verdict
-            = fmt::format("ran before the change {}; ran with a key taken away over RevokeMs before {}; ran with a key "
-                          "that no configuration held {}: rule {}",
-                          served, revoked, unknown, revoked + unknown > 0 ? "BROKEN" : "held");
+        const std::string verdict = fmt::format(
+            "ran before the change {}; ran with a key taken away over RevokeMs before {}; ran with a key "
+            "that no configuration held {}: rule {}",
+            served, revoked, unknown, revoked + unknown > 0 ? "BROKEN" : "held");
         record("{}", verdict);
         fmt::print("{}\n", verdict);
         code = served == 0 ? 2 : revoked + unknown > 0 ? 1 : 0;
--- a/review/stand/world.h
+++ b/review/stand/world.hh
@@ -1,5 +1,5 @@
-// Parts of the review's stand-ins: the platform's store, servers and a clock, on the project's HTTP server and the
-// store state of its own stand-in.
+// Parts of the review's stand-ins: the platform's store, servers and a clock, on the project's HTTP server
+// and the store state of its own stand-in.
 #pragma once
 
 #include "io/base64.h"
@@ -83,10 +83,15 @@
         store_.put(key, cranberry::base64Encoded(json::serialize(value)));
     }
     void remove(const std::string &key) { store_.remove(key); }
+    /// While it is silent, calls get no response, and servers can't write.
+    void setSilent(bool silent) { silent_ = silent; }
+    bool isSilent() const { return silent_; }
 
 private:
     void onRequest(const HttpExchangePtr &exchange)
     {
+        if (silent_)
+            return; // The connection stays open and returns nothing further.
         const cranberry::HttpRequest &request = exchange->request();
         const cranberry::HttpTarget target = cranberry::parseTarget(request.target);
         const json::value body = parsed(request.body);
@@ -113,6 +118,7 @@
     }
 
     standin::StoreState store_;
+    bool silent_ = false;
     cranberry::HttpServer server_;
 };
 
