--- a/review/lib.sh
+++ b/review/lib.sh
@@ -18,28 +18,31 @@
     [ -x target/cranberrygated ] && [ -x "$stand" ] || { echo "build first: deploy file, review/build.sh"; exit 2; }
     folder=$(mktemp -d) || exit 2
     trap end EXIT
-    port=$((21000 + RANDOM % 20 * 400))
+    port=$((21600 + RANDOM % 18 * 400)) # The project's own tests use ports below.
     for _ in $(seq 40); do
         local used=0
         for ((each = port; each < port + $2; each++)); do
             if is_used "$each"; then used=1 && break; fi
         done
         [ "$used" = 1 ] || return 0
-        port=$((21000 + (port - 21000 + 400) % 8000))
+        port=$((21600 + (port - 21600 + 400) % 7200))
     done
     exit 2
 }
 
-# Settings as deploy/settings.template gives them, with the bounds of the small deployments.
+# Bounds of anshs-dakar; a script may set those of another deployment.
+configuration_bound=2000 drain=2000 repeat_slack=52
+
+# Settings as deploy/settings.template gives them.
 start_daemon() { # NUMBER STORE_PORT
     local first=$((port + 20 * $1))
     cat >"$folder/settings-$1.json" <<SETTINGS
 {"instance": "front-$1", "failureDomain": "zone-$1", "callerAddress": "127.0.0.1:$first",
  "readinessAddress": "127.0.0.1:$((first + 1))", "entryAddress": "127.0.0.1:$((first + 2))",
  "peerAddress": "127.0.0.1:$((first + 3))", "metricsPort": $((first + 4)), "dutyAddress": "127.0.0.1:$2",
- "firstStart": true, "cores": 0.25, "revokeBoundMs": 5000, "configurationBoundMs": 2000, "drainMs": 2000,
+ "firstStart": true, "cores": 0.25, "revokeBoundMs": 5000, "configurationBoundMs": $configuration_bound, "drainMs": $drain,
  "leaseMs": 3000, "stopGraceSeconds": 8, "usageWindowSeconds": 5, "usageDueSeconds": 10, "repeatRatio": 0.2,
- "repeatSlack": 56, "repeatWindowSeconds": 10, "quotaOver": 0.1, "quotaSlack": 190000,
+ "repeatSlack": $repeat_slack, "repeatWindowSeconds": 10, "quotaOver": 0.1, "quotaSlack": 190000,
  "storeAddress": "127.0.0.1:$2"}
 SETTINGS
     # A front machine has 4,100 descriptors.
--- a/review/stand/versions.cc
+++ b/review/stand/versions.cc
@@ -16,7 +16,7 @@
 
 constexpr int Daemons = 3;
 constexpr int Servers = 6;
-constexpr int Slots = 64;
+constexpr int Slots = 48;
 constexpr int Pieces = 40; ///< Of a stream, one in 60 ms.
 constexpr int64_t PieceMs = 60;
 constexpr int64_t DeadlineMs = 12000;
@@ -102,7 +102,7 @@
                                   {"Queued", 0},
                                   {"Active", server->running},
                                   {"KvUsed", 0},
-                                  {"KvTotal", 543422},
+                                  {"KvTotal", 444000},
                                   {"Handles", 0},
                                   {"State", "ready"},
                                   {"born", server->born},
@@ -265,8 +265,8 @@
       "Routes": [{"Name": "review", "Host": "desk.example", "Prefix": "/review/", "Kind": "streaming",
         "TimeoutMs": 12000, "TargetLatencyMs": 2500, "Priority": 2, "Service": "svc-model", "Attempts": 2,
         "CanResume": true, "GapTargetMs": 500}],
-      "Services": [{"Name": "svc-model", "MaxConnections": 360,
-        "Engine": {"Slots": 64, "KvCapacityTokens": 543422, "Stride": 3}}],
+      "Services": [{"Name": "svc-model", "MaxConnections": 700,
+        "Engine": {"Slots": 48, "KvCapacityTokens": 444000, "Stride": 6}}],
       "Limits": {"MaxHeaderBytes": 8192, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 15000},
       "Tenants": [{"Name": "org-a", "ApiKeys": ["key-a"], "Unit": "token_stream", "PlainTokens": 200,
         "RatePerS": 10000000, "Burst": 10000000}]})")
