Bytes without end from an endpoint fail the call instead of filling the memory

What callers would see: an endpoint that sends a chunk's size line, trailers or a fetched body without end makes the daemon's buffer grow until its memory limit ends it, and all its requests with it. Cause: the client's read buffer and the bodies that fetch collects (probes, load reports, the store, duties) had no bound; heads had one. Change: 128 KB of unparsed bytes, 16 MB of a collected body; beyond them the call fails and its connection is closed. Attempts had a bound of their own on buffered bodies; streams follow their callers and the route's time. http_test: seven places, each ends with a failure, at most 64 MB sent by the endpoint, 16 MB kept.

--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -25,6 +25,11 @@
 /// connection.
 constexpr std::chrono::milliseconds IdleMargin{1000};
 constexpr size_t ReadBytes = 16U << 10;
+/// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
+/// instead of filling the memory.
+constexpr size_t MaxUnparsedBytes = 128U << 10;
+/// Body of a response that is collected as a whole; the largest ones are pages of the store, of about 1 MB.
+constexpr size_t MaxFetchedBody = 16U << 20;
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
@@ -212,6 +217,9 @@
     void onBody(beast::error_code code)
     {
         const size_t size = chunk_.size() - parser_.get().body().size;
+        received_ += size;
+        if (call_.maxBodyBytes > 0 && received_ > call_.maxBodyBytes)
+            return done(HttpFailure::Interrupted);
         if (size > 0 && callbacks_.onData)
             callbacks_.onData(chunk_.data(), size);
         if (finished_)
@@ -253,8 +261,9 @@
     StreamPtr stream_;
     http::request<http::string_body> message_;
     http::response_parser<http::buffer_body> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{MaxUnparsedBytes};
     std::vector<char> chunk_;
+    size_t received_ = 0; ///< Bytes of the body.
     std::optional<std::chrono::steady_clock::time_point> deadline_;
     std::chrono::milliseconds idleLimit_ = DefaultIdleLimit;
     bool written_ = false;
@@ -360,6 +369,7 @@
 
 void HttpClient::fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone)
 {
+    call.maxBodyBytes = call.maxBodyBytes > 0 ? call.maxBodyBytes : MaxFetchedBody;
     std::shared_ptr<HttpResponse> response = std::make_shared<HttpResponse>();
     HttpCallbacks callbacks;
     callbacks.onHead = [response](int status, const HttpHeaders &headers) {
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -31,6 +31,7 @@
     /// distinguished from one after the request was read.
     bool freshConnection = false;
     DurationMs totalTimeout{0}; ///< Limit for the complete call; 0 means none.
+    size_t maxBodyBytes = 0; ///< A longer response body fails the call; 0 means no limit.
     /// Resets the connection (RST) when the call fails or is cancelled: after a normal close, bytes that are
     /// still in transit could arrive seconds later.
     bool resetOnAbort = false;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,7 +2,9 @@
 #include "io/httpclient.h"
 #include "io/httpserver.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace cranberry;
@@ -100,3 +102,82 @@
     CHECK(failurePhaseAfterAbort(true) == FailurePhase::EndpointExited);
     CHECK(failurePhaseAfterAbort(false) == FailurePhase::AfterSend);
 }
+
+namespace {
+
+/// Sends `begin` on each connection and then bytes without end, until the client closes.
+class EndlessServer
+{
+public:
+    EndlessServer(boost::asio::io_context &io, std::string begin)
+        : acceptor_(io, {boost::asio::ip::make_address(serverAddress.host), serverAddress.port}),
+          begin_(std::move(begin)), filler_(64U << 10, 'a')
+    {
+        accept();
+    }
+
+    size_t sent = 0;
+    bool isClosed = false;
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code code, Socket socket) {
+            if (!code)
+                write(std::make_shared<Socket>(std::move(socket)), begin_);
+        });
+    }
+    void write(const std::shared_ptr<Socket> &socket, const std::string &bytes)
+    {
+        boost::asio::async_write(*socket, boost::asio::buffer(bytes),
+                                 [this, socket](boost::system::error_code code, size_t size) {
+                                     sent += size;
+                                     isClosed = isClosed || code.failed();
+                                     if (!code)
+                                         write(socket, filler_);
+                                 });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string begin_;
+    std::string filler_;
+};
+
+} // namespace
+
+// Guards against memory that grows, and calls that never end, with an endpoint that does not stop sending.
+TEST_CASE("bytes without end fail the call and close its connection")
+{
+    constexpr size_t MaxSent = 64U << 20;
+    const std::vector<std::string> begins
+        = {"",
+           "HTTP/1.1 ",
+           "HTTP/1.1 200 OK\r\nX-Name: ",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ",
+           "HTTP/1.1 200 OK\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"};
+    for (const std::string &begin : begins) {
+        CAPTURE(begin);
+        boost::asio::io_context io;
+        EndlessServer server(io, begin);
+        HttpClient client(io);
+        std::optional<HttpFailure> failure;
+        size_t kept = 0;
+        HttpCall call;
+        call.address = serverAddress;
+        client.fetch(std::move(call), [&](const HttpResponse &response) {
+            failure = response.failure;
+            kept = response.body.size();
+        });
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!server.isClosed && std::chrono::steady_clock::now() < until)
+            io.run_one_for(std::chrono::milliseconds(100));
+        REQUIRE(failure);
+        CHECK(*failure == HttpFailure::Interrupted);
+        CHECK(server.isClosed);
+        CHECK(server.sent <= MaxSent);
+        CHECK(kept <= MaxSent / 4);
+    }
+}
