A request that the HTTP library rejects ends as such, not the process

Cause: prepare_payload throws for methods without a body, in an event handler, and nothing caught it. Change: TRACE with a body is refused with 400 when it is read; the client sets the length itself, which throws for no method; what a library throws in any handler is logged (handler_failed), and the loop goes on. http_test: nine methods, with and without a body: 18 ended, one refused.

--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -118,6 +118,19 @@
     return fleet.entryAddresses({settings.callerAddress, settings.cores}, coresUsed, now);
 }
 
+// What a library throws while it handles one message must not end all other requests with the process.
+void GatewayServer::State::runLoop()
+{
+    for (bool ended = false; !ended;) {
+        try {
+            io.run();
+            ended = true;
+        } catch (const std::exception &error) {
+            log.write(LogPriority::Failure, "handler_failed", {{"error", error.what()}});
+        }
+    }
+}
+
 void GatewayServer::State::waitForSignal()
 {
     signals.async_wait([this](boost::system::error_code code, int signal) {
@@ -232,7 +245,7 @@
     state.signals.add(SIGHUP);
     state.waitForSignal();
     state.tick();
-    state.io.run();
+    state.runLoop();
     return 0;
 }
 
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -94,6 +94,7 @@
     bool measureCores(TimeMs now); ///< Returns true if a measurement was due.
 
     void tick();
+    void runLoop();
     void waitForSignal();
     void reloadIfChanged(bool wasRequested);
     void beginShutdown();
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -99,7 +99,12 @@
         for (const HttpHeader &header : call_.request.headers)
             message_.insert(header.name, header.value);
         message_.body() = std::move(call_.request.body);
-        message_.prepare_payload();
+        // `prepare_payload` throws for methods that have no body.
+        const http::verb method = message_.method();
+        const bool usuallyHasBody = method == http::verb::post || method == http::verb::put
+            || method == http::verb::options || method == http::verb::patch;
+        if (usuallyHasBody || !message_.body().empty())
+            message_.content_length(message_.body().size());
         parser_.body_limit(boost::none);
         if (call_.totalTimeout.count > 0)
             deadline_ = std::chrono::steady_clock::now() + toChrono(call_.totalTimeout);
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -220,6 +220,10 @@
         if (code)
             return close();
         http::request<http::string_body> message = parser_->release();
+        if (message.method() == http::verb::trace && !message.body().empty()) {
+            ++counters_.badRequests;
+            return refuse(400, "a TRACE request has no body");
+        }
         request_ = {};
         request_.method = std::string(message.method_string());
         request_.target = std::string(message.target());
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -181,3 +181,36 @@
         CHECK(kept <= MaxSent / 4);
     }
 }
+
+// Guards against a caller that ends the process: the HTTP library throws for a TRACE request with a body.
+TEST_CASE("requests with any method, with and without a body, end as such")
+{
+    boost::asio::io_context io;
+    size_t handled = 0;
+    HttpServer server(io, serverAddress, {}, [&handled](const HttpExchangePtr &exchange) {
+        ++handled;
+        exchange->respond(200, {}, exchange->request().body);
+    });
+    HttpClient client(io);
+    size_t ended = 0;
+    size_t refused = 0;
+    const std::vector<std::string> methods
+        = {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "X"};
+    for (const std::string &method : methods) {
+        for (const std::string &body : {std::string(), std::string("body")}) {
+            HttpCall call;
+            call.address = serverAddress;
+            call.request = {method, "/", {}, body};
+            call.totalTimeout = {1000};
+            client.fetch(std::move(call), [&](const HttpResponse &response) {
+                refused += response.status == 400 ? 1 : 0;
+                if (++ended == 2 * methods.size())
+                    io.stop();
+            });
+        }
+    }
+    io.run_for(std::chrono::seconds(10));
+    CHECK(ended == 2 * methods.size());
+    CHECK(refused == 1);
+    CHECK(handled == 2 * methods.size() - 1);
+}
