A configuration whose list of tenants is empty accepts no key; one without the list asks for none

Cause: the decoder read a missing and an empty field alike, and a list without organisations meant that nobody needs a key. Change: the configuration says whether the field is there; the change from keys to none by leaving it out is logged (keys_not_required). Tests: gateway_test and platform_test, one each. The age of the list in send lines is the list's own from here on; it was the time of the endpoint's last change.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -150,7 +150,7 @@
 std::optional<Gateway::OwnAnswer> Gateway::checkKey(Exchange &exchange, bool certain, TimeMs now) const
 {
     const CallerRequest &request = *exchange.request;
-    if (exchange.route->anonymous || configuration_->organisations.empty())
+    if (exchange.route->anonymous || !configuration_->requiresKeys())
         return std::nullopt;
     if (!isFresh(now, settings_.revokeBound - RevokeMargin))
         return OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter};
@@ -347,7 +347,7 @@
                    {"running", endpoint.running},
                    {"peers_running", endpoint.peersRunning},
                    {"version", endpoint.entry.version.value},
-                   {"list_age_ms", (now - endpoint.listedAt).count},
+                   {"list_age_ms", (now - fleet_.listedAt()).count},
                    {"configuration", exchange.configuration->version},
                    {"configuration_age_ms", (now - confirmedAt_).count},
                    {"remaining_ms", order.remaining.count}});
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -26,6 +26,8 @@
                 {"age_ms", (now - event.askedAt).count}});
     if (!configuration_)
         startedAt_ = now;
+    else if (configuration_->requiresKeys() && !event.configuration->requiresKeys())
+        log_.write(LogPriority::Failure, "keys_not_required", {{"version", event.configuration->version}});
     configuration_ = event.configuration;
     refillQuotas(now);
     shares_.configure(*configuration_);
--- a/src/gateway/serving.h
+++ b/src/gateway/serving.h
@@ -93,9 +93,12 @@
     uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServedService> services;
-    std::vector<ServedOrganisation> organisations; ///< Empty: no request needs a key.
+    std::vector<ServedOrganisation> organisations;
+    /// The configuration names who holds keys, perhaps nobody. Only one without that field asks for no keys.
+    bool namesOrganisations = false;
     CallerLimits limits;
 
+    bool requiresKeys() const { return namesOrganisations || !organisations.empty(); }
     /// Builds the lookup tables; to be called once after all fields are set.
     void index();
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -637,3 +637,26 @@
     REQUIRE(sent.size() == 4);
     CHECK(lastSent().request->path == "/draft/1");
 }
+
+// Guards against keys that nobody checks any more after the last one was taken away.
+TEST_CASE("a configuration that names nobody accepts no key, one without the field asks for none")
+{
+    GatewayFixture fixture;
+    std::shared_ptr<ServingConfiguration> nobody = fixture.makeConfiguration(2);
+    nobody->organisations.clear();
+    nobody->namesOrganisations = true;
+    nobody->index();
+    fixture.configure(nobody);
+    CHECK(fixture.statusOf(fixture.request("/lookup/a", "key-a")) == 401);
+    CHECK(fixture.statusOf(fixture.request("/lookup/a", "never-held")) == 401);
+    CHECK(fixture.log.count("keys_not_required") == 0);
+    std::shared_ptr<ServingConfiguration> open = fixture.makeConfiguration(3);
+    open->organisations.clear();
+    open->namesOrganisations = false;
+    open->index();
+    fixture.configure(open);
+    const size_t before = fixture.sent.size();
+    fixture.request("/lookup/a", "never-held");
+    CHECK(fixture.sent.size() == before + 1);
+    CHECK(fixture.log.count("keys_not_required") == 1);
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -536,3 +536,13 @@
     CHECK_FALSE(settingsFrom(text, &errorText));
     CHECK(errorText == "stopGraceSecond: is not a known field");
 }
+
+TEST_CASE("an empty list of tenants is told from a missing one")
+{
+    const std::string open = R"({"Version":1,"Routes":[],"Services":[]})";
+    const std::string nobody = R"({"Version":1,"Routes":[],"Services":[],"Tenants":[]})";
+    REQUIRE(configurationFrom(open));
+    REQUIRE(configurationFrom(nobody));
+    CHECK_FALSE((*configurationFrom(open))->requiresKeys());
+    CHECK((*configurationFrom(nobody))->requiresKeys());
+}
