Daemons of a large fleet learn which endpoints leave from any reader, by the time of their list

Cause, in virtual time: a daemon that changes its reader, or whose reader started again, is sent the whole list in parts, from the beginning when the reader changes once more; a silent reader moved all daemons; and with all readers gone nobody read for 8 s. Change: queries state the age of the list, and a reader tells what changed since then; the digest proves the result. A reader without a history is passed over twice. Beside a silent reader others are queried, where none replies those that serve read the list. Readers are chosen by highest hash. Not mended: the whole fleet, where a list arrives at 0.75 s a part; listed.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -49,7 +49,9 @@
     const bool isOlderStore = hasList() && era_ != 0 && read.era > era_;
     if (isOlderStore)
         storeRestoredAt_ = now;
-    if (isOlderStore || (hasList() && read.askedAt - listedAt_ > ListInterruption))
+    // Entries expire with the store, not because this daemon was told late.
+    const bool wasInterrupted = hasList() && !isStoreWell_ && read.askedAt - listedAt_ > ListInterruption;
+    if (isOlderStore || wasInterrupted)
         listRegainedAt_ = now;
     era_ = std::max(era_, read.era);
     listedAt_ = std::max(listedAt_, read.askedAt);
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -133,6 +133,8 @@
 public:
     /// Sets the time for which leaving endpoints continue to serve at least, if they state no other.
     void setDrainTime(DurationMs time) { drainTime_ = time; }
+    /// Sets whether the store is well, so that the list shows what it has.
+    void setStoreWell(bool well) { isStoreWell_ = well; }
     /// Applies a complete list. Entries that are missing after an interruption of the list get a grace time.
     void applyList(const EndpointsRead &read, TimeMs now);
     /// Records that the list is still the one that was last applied.
@@ -295,6 +297,7 @@
 
     std::map<EndpointId, FleetEndpoint> endpoints_;
     TimeMs listedAt_;
+    bool isStoreWell_ = false; ///< Not known at first.
     DurationMs drainTime_{2000};
     DurationMs ejectedInterval_{1000}; ///< Between two requests of this daemon to an ejected engine.
     TimeMs tickedAt_;
--- a/src/gateway/endpoints/endpointlist.cpp
+++ b/src/gateway/endpoints/endpointlist.cpp
@@ -11,6 +11,8 @@
 /// The list changes every half second at most, and daemons query more often than that, so a daemon that lost
 /// several replies still finds its version.
 constexpr size_t MaxSteps = 16;
+/// Longest time from the start of a read to its last page: an entry may be newer than its list by this.
+constexpr DurationMs MaxReadTime{2500};
 
 // Serializes the fields whose changes daemons must receive. Other fields change without being sent.
 std::string digestedText(const EndpointEntry &entry)
@@ -54,22 +56,27 @@
 
 } // namespace
 
-void EndpointList::replace(std::vector<EndpointEntry> entries)
+void EndpointList::replace(std::vector<EndpointEntry> entries, TimeMs asOf)
 {
     std::sort(entries.begin(), entries.end(), isBefore);
     const uint64_t digest = digestOfEntries(entries);
-    if (digest != digest_) {
-        steps_.push_back({digest_, differences(entries_, entries)});
-        if (steps_.size() > MaxSteps)
+    if (digest_ == 0) {
+        historyFrom_ = asOf;
+    } else if (digest != digest_) {
+        steps_.push_back({digest_, differences(entries_, entries), asOf});
+        if (steps_.size() > MaxSteps) {
+            historyFrom_ = steps_.front().asOf;
             steps_.pop_front();
+        }
     }
+    asOf_ = asOf;
     entries_ = std::move(entries);
     digest_ = digest;
     base_ = digest;
     parts_.clear();
 }
 
-bool EndpointList::apply(uint64_t base, const EndpointChanges &changes)
+bool EndpointList::apply(uint64_t base, const EndpointChanges &changes, TimeMs asOf)
 {
     if (base != base_)
         return false;
@@ -79,25 +86,28 @@
     std::vector<EndpointEntry> entries = entries_;
     std::erase_if(entries, [&replaced](const EndpointEntry &entry) { return replaced.contains(entry.id); });
     entries.insert(entries.end(), changes.changed.begin(), changes.changed.end());
-    replace(std::move(entries));
+    replace(std::move(entries), asOf);
     return true;
 }
 
 // What changed while the parts were on their way is among the changes since the version of the first one, so
 // endpoints that come and go all the time don't keep the list from being completed.
-bool EndpointList::addPart(uint64_t digest, const EndpointPart &part)
+bool EndpointList::addPart(uint64_t digest, const EndpointPart &part, TimeMs asOf)
 {
     if (part.after.value.empty()) {
         parts_.clear();
         partsBase_ = digest;
+        partsAsOf_ = asOf;
     } else if (lastReceived() != part.after) {
         return false;
     }
     parts_.insert(parts_.end(), part.entries.begin(), part.entries.end());
     if (!part.isLast)
         return true;
-    replace(std::exchange(parts_, {}));
+    replace(std::exchange(parts_, {}), partsAsOf_);
     base_ = partsBase_;
+    steps_.clear();
+    historyFrom_ = asOf;
     return true;
 }
 
@@ -115,14 +125,24 @@
     return {id, {first, end}, end == entries_.end()};
 }
 
-std::optional<EndpointChanges> EndpointList::changesSince(uint64_t base) const
+std::deque<EndpointList::Step>::const_iterator EndpointList::firstStepSince(uint64_t base,
+                                                                            std::optional<TimeMs> asOf) const
 {
-    const auto first = std::find_if(steps_.rbegin(), steps_.rend(),
+    const auto known = std::find_if(steps_.begin(), steps_.end(),
                                     [base](const Step &step) { return step.before == base; });
-    if (base == 0 || first == steps_.rend())
+    if (known != steps_.end() || !asOf || *asOf < historyFrom_ + MaxReadTime)
+        return known;
+    return std::find_if(steps_.begin(), steps_.end(),
+                        [asOf](const Step &step) { return step.asOf + MaxReadTime >= *asOf; });
+}
+
+std::optional<EndpointChanges> EndpointList::changesSince(uint64_t base, std::optional<TimeMs> asOf) const
+{
+    const auto first = firstStepSince(base, asOf);
+    if (base == 0 || first == steps_.end())
         return std::nullopt;
     std::set<EndpointId> ids;
-    for (auto step = first.base() - 1; step != steps_.end(); ++step)
+    for (auto step = first; step != steps_.end(); ++step)
         ids.insert(step->ids.begin(), step->ids.end());
     EndpointChanges out;
     for (const EndpointEntry &entry : entries_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,8 @@
     // Data from the store and the other daemons (sharedview.cpp).
     void onConfiguration(const ConfigurationRead &event, TimeMs now);
     void onEndpoints(const EndpointsRead &event, TimeMs now);
+    /// Sets whether the store is well: then an endpoint that is missing from the list has gone.
+    void setStoreWell(bool well) { fleet_.setStoreWell(well); }
     void onRollouts(const RolloutsRead &read, TimeMs now);
     void onMembers(std::vector<MemberEntry> members, TimeMs now, size_t listed = 0);
     void onLeader(const InstanceName &holder, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -454,6 +454,8 @@
     uint64_t era = 0; ///< Era of the store as known to the sender.
     uint64_t endpointsDigest = 0; ///< Version of the endpoint list to which the sender can apply changes.
     EndpointId endpointsAfter; ///< Last entry of the parts that it has received; empty: none.
+    /// Age of that list, of its first part if it is being received; empty: only the digest counts.
+    std::optional<DurationMs> endpointsAge;
     uint64_t sharedDigest = 0; ///< Digest of its configuration, members and leader.
     uint64_t configurationVersion = 0;
     uint64_t entriesDigest = 0; ///< Digest of the caller addresses that it received.
--- a/src/gateway/peers/fleetview.cpp
+++ b/src/gateway/peers/fleetview.cpp
@@ -13,6 +13,7 @@
     const bool isReader = sync_.isNamedReader() || peers.isStoreReader(silent, now);
     sync_.setStoreReader(isReader, now);
     sync_.setSource(sourceToQuery(silent, now));
+    gateway_.setStoreWell(sync_.isStoreWell(now));
     if (const std::optional<std::vector<Address>> named = sync_.readersToCheck(now))
         sync_.nameReaders(peers.readersToName(*named, now), now);
 }
--- a/src/gateway/peers/peerdatagrams.cpp
+++ b/src/gateway/peers/peerdatagrams.cpp
@@ -284,6 +284,7 @@
             {"era", query.era},
             {"endpointsDigest", query.endpointsDigest},
             {"endpointsAfter", query.endpointsAfter.value},
+            {"endpointsAgeMs", query.endpointsAge ? query.endpointsAge->count : -1},
             {"sharedDigest", query.sharedDigest},
             {"configurationVersion", query.configurationVersion},
             {"entriesDigest", query.entriesDigest},
@@ -300,6 +301,9 @@
     query.era = object.at("era").to_number<uint64_t>();
     query.endpointsDigest = object.at("endpointsDigest").to_number<uint64_t>();
     query.endpointsAfter.value = text(object.at("endpointsAfter"));
+    const int64_t ageMs = object.at("endpointsAgeMs").to_number<int64_t>();
+    if (ageMs >= 0)
+        query.endpointsAge = DurationMs{ageMs};
     query.sharedDigest = object.at("sharedDigest").to_number<uint64_t>();
     query.configurationVersion = object.at("configurationVersion").to_number<uint64_t>();
     query.entriesDigest = object.at("entriesDigest").to_number<uint64_t>();
--- a/src/gateway/store/storequeries.cpp
+++ b/src/gateway/store/storequeries.cpp
@@ -37,6 +37,14 @@
 /// part for each must not fill the reader's link for long.
 constexpr size_t EndpointsPerPart = 100;
 constexpr size_t MaxOpenQueries = 16;
+/// Readers that did not reply for this part of the bound (1/5) count as silent.
+constexpr int64_t SilencesPerBound = 5;
+/// So many differences in a row that did not lead to the reader's version: the whole list is requested.
+constexpr uint32_t MaxFailedDifferences = 3;
+/// Offers of the whole list that are passed over in a row.
+constexpr uint32_t MaxSkippedLists = 2;
+/// How long a reader that can't tell the changes since a time is passed over for others that can.
+constexpr DurationMs WithoutHistoryPause{3000};
 
 uint64_t digestOfEntries(const std::vector<Address> &entries)
 {
@@ -48,24 +56,64 @@
 
 } // namespace
 
-void StoreSync::sendQuery(TimeMs now)
+DurationMs StoreSync::queryInterval() const
 {
-    const DurationMs interval = settings_.self.serving ? QueryInterval : StandbyQueryInterval;
     const bool hasEndpoints = endpoints_.digest() != 0 && endpoints_.isComplete();
-    queryAt_ = now + (hasEndpoints ? interval : StartQueryInterval);
+    if (!hasEndpoints)
+        return StartQueryInterval;
+    return settings_.self.serving ? QueryInterval : StandbyQueryInterval;
+}
+
+void StoreSync::querySource(TimeMs now)
+{
+    queryAt_ = now + queryInterval();
+    sendQuery(*source_, now);
+}
+
+// When a reader is gone or can't read, its daemons would find out one after the other, by unanswered queries.
+// A list that is older than half of the bound is no reader's usual delay any more, so another reader is
+// queried beside one that is silent, a different one each time. Readers that reply slowly get no more
+// queries. When no reader knew more in time, the daemons that serve read the list themselves, and tell the
+// others.
+void StoreSync::queryAnotherIfLate(TimeMs now)
+{
+    const ListAge age = endpointsAge(now);
+    const bool hearsReaders = now - readerRepliedAt_ < settings_.drainTime / SilencesPerBound;
+    if (!isLargeFleet() || !source_ || hearsReaders || age < ListAge::Late || now < queryAnotherAt_)
+        return;
+    std::vector<Address> others = readers_.addresses;
+    if (age >= ListAge::Overdue) {
+        for (const MemberEntry &member : members_) {
+            if (member.serving)
+                others.push_back(member.peerAddress);
+        }
+    }
+    std::erase_if(others, [this](const Address &other) {
+        return other == *source_ || other == settings_.self.peerAddress;
+    });
+    queryAnotherAt_ = now + QueryInterval;
+    if (!others.empty())
+        sendQuery(others[random_.below(others.size())], now);
+}
+
+void StoreSync::sendQuery(const Address &to, TimeMs now)
+{
     while (openQueries_.size() >= MaxOpenQueries)
         openQueries_.erase(openQueries_.begin());
-    openQueries_[nextQuery_] = {now, *source_};
+    openQueries_[nextQuery_] = {now, to};
     std::erase_if(unanswered_, [now](const std::pair<const Address, Unanswered> &each) {
         return now - each.second.askedAt > UnansweredRetention;
     });
-    Unanswered &unanswered = unanswered_[*source_];
+    Unanswered &unanswered = unanswered_[to];
     ++unanswered.queries;
     unanswered.askedAt = now;
+    std::optional<DurationMs> age;
+    if (endpoints_.digest() != 0 && failedDifferences_ < MaxFailedDifferences)
+        age = now - endpoints_.asOf();
     outgoing_.push_back(
-        {*source_,
+        {to,
          FreshnessQuery{settings_.self.incarnation, nextQuery_, era_, endpoints_.base(),
-                        endpoints_.lastReceived(), sharedDigest_, knownVersion(), peerEntriesDigest_,
+                        endpoints_.lastReceived(), age, sharedDigest_, knownVersion(), peerEntriesDigest_,
                         peerQuarantineDigest_, rolloutsDigest_, readers_.revision}});
     ++nextQuery_;
 }
@@ -153,7 +201,7 @@
     if (query.endpointsDigest == endpoints_.digest())
         outgoing_.push_back({from, std::move(reply)});
     else
-        sendEndpoints(query, from, std::move(reply));
+        sendEndpoints(query, from, std::move(reply), now);
 }
 
 // The sender's list of readers is outdated, or it would not have sent the query here.
@@ -176,6 +224,7 @@
     if (found == openQueries_.end())
         return;
     const TimeMs askedAt = found->second.sentAt;
+    const Address from = found->second.to;
     if (std::max(reply.sharedAge, reply.endpointsAge) <= MaxReaderViewAge)
         unanswered_.erase(found->second.to);
     openQueries_.erase(found);
@@ -184,6 +233,9 @@
     if (reply.era < era_)
         return; // What it describes is lost.
     repliedAt_ = now;
+    const std::vector<Address> &readers = readers_.addresses;
+    if (std::find(readers.begin(), readers.end(), from) != readers.end())
+        readerRepliedAt_ = now;
     if (reply.readers)
         takeReaders(*reply.readers, now);
     if (reply.isRedirect) {
@@ -196,8 +248,26 @@
     takeQuarantineReply(reply);
     takeRolloutsReply(reply, askedAt - reply.sharedAge);
     takeSharedReply(reply, askedAt - reply.sharedAge, now);
-    if (takeEndpointsReply(reply, askedAt - reply.endpointsAge) && source_)
-        sendQuery(now);
+    if (skipsWholeList(reply, from, now))
+        queryAt_ = now;
+    else if (takeEndpointsReply(reply, askedAt - reply.endpointsAge) && source_)
+        querySource(now);
+}
+
+// A reader that started just now knows no changes and sends the whole list, in dozens of parts for each of
+// its daemons. Others can probably tell the changes in one reply. If they can't either, too much has changed.
+bool StoreSync::skipsWholeList(const FreshnessReply &reply, const Address &from, TimeMs now)
+{
+    const bool begins = reply.endpointsPart && reply.endpointsPart->after.value.empty();
+    if (!begins || !isLargeFleet() || endpoints_.digest() == 0 || failedDifferences_ >= MaxFailedDifferences
+        || skippedLists_ >= MaxSkippedLists)
+        return false;
+    ++skippedLists_;
+    std::erase_if(withoutHistory_, [now](const std::pair<const Address, TimeMs> &each) {
+        return now - each.second > WithoutHistoryPause;
+    });
+    withoutHistory_[from] = now;
+    return true;
 }
 
 void StoreSync::takeSharedReply(const FreshnessReply &reply, TimeMs sharedAt, TimeMs now)
@@ -235,9 +305,13 @@
 
 // Changes are sent with the reply. A full list is sent in parts, each on a query of its own: the receiver
 // sets the pace, and a lost part is requested again alone.
-void StoreSync::sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply)
+void StoreSync::sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply,
+                              TimeMs now)
 {
-    reply.endpointChanges = endpoints_.changesSince(query.endpointsDigest);
+    std::optional<TimeMs> asOf;
+    if (query.endpointsAge)
+        asOf = now - *query.endpointsAge;
+    reply.endpointChanges = endpoints_.changesSince(query.endpointsDigest, asOf);
     reply.endpointsBase = query.endpointsDigest;
     if (!reply.endpointChanges
         || reply.endpointChanges->changed.size() + reply.endpointChanges->gone.size() > MaxChangesPerReply) {
@@ -254,11 +328,13 @@
         return false;
     bool isNext = false;
     if (reply.endpointsPart)
-        isNext = endpoints_.addPart(reply.endpointsDigest, *reply.endpointsPart);
+        isNext = endpoints_.addPart(reply.endpointsDigest, *reply.endpointsPart, endpointsAt);
     else if (reply.endpointChanges)
-        endpoints_.apply(reply.endpointsBase, *reply.endpointChanges);
+        takeDifference(reply);
     if (reply.endpointsDigest != endpoints_.digest())
         return isNext;
+    failedDifferences_ = skippedLists_ = 0;
+    endpoints_.confirm(endpointsAt);
     newestEndpoints_ = endpointsAt;
     const bool isUnchanged = publishedEndpoints_ == endpoints_.digest() && endpointsEra_ == reply.era;
     endpointsEra_ = reply.era;
@@ -266,6 +342,16 @@
     return false;
 }
 
+// Two reads of a list that changes overlap: then the changes since a time don't lead to the reader's version
+// at once. They keep the time of the list that they were applied to, so that the next difference has the
+// rest.
+void StoreSync::takeDifference(const FreshnessReply &reply)
+{
+    if (endpoints_.apply(reply.endpointsBase, *reply.endpointChanges, endpoints_.asOf())
+        && reply.endpointsDigest != endpoints_.digest())
+        ++failedDifferences_;
+}
+
 // Most replies only confirm the list. Thousands of entries are not passed on for that.
 void StoreSync::publishEndpoints(TimeMs askedAt, bool isUnchanged)
 {
--- a/src/gateway/store/storereaders.cpp
+++ b/src/gateway/store/storereaders.cpp
@@ -121,16 +121,26 @@
     return std::find(named.begin(), named.end(), settings_.self.peerAddress) != named.end();
 }
 
-// The daemons are distributed over the readers by a hash of their own names.
+// The daemons are distributed over the readers by a hash of both names, so that a reader that falls silent
+// moves its own daemons only: each that moves may need the whole list.
 std::optional<Address> StoreSync::namedReader(const std::set<Address> &silent) const
 {
     std::vector<Address> heard = readers_.addresses;
     std::erase_if(heard, [&](const Address &reader) {
         return silent.contains(reader) || reader == settings_.self.peerAddress;
     });
+    const bool anyHasHistory = std::any_of(heard.begin(), heard.end(), [this](const Address &reader) {
+        return !withoutHistory_.contains(reader);
+    });
+    if (anyHasHistory)
+        std::erase_if(heard, [this](const Address &reader) { return withoutHistory_.contains(reader); });
     if (heard.empty())
         return std::nullopt;
-    return heard[std::hash<std::string>()(settings_.self.instance.value) % heard.size()];
+    const auto rank = [this](const Address &reader) {
+        return std::hash<std::string>()(toText(reader) + " " + settings_.self.instance.value);
+    };
+    return *std::max_element(heard.begin(), heard.end(),
+                             [&rank](const Address &a, const Address &b) { return rank(a) < rank(b); });
 }
 
 } // namespace cranberry
--- a/src/gateway/store/storereads.cpp
+++ b/src/gateway/store/storereads.cpp
@@ -78,13 +78,15 @@
         sharedAt_ = now + std::max(interval * slower, readPause(interval));
         readShared(sharedSpaceToRead(), isStoreReader_, now);
     }
-    const bool leftToReaders = newestShared_.count == 0 || (isLargeFleet() && !isStoreReader_);
-    const bool endpointsAreOld = !source_ || failing || now - newestEndpoints_ > oldest;
+    const bool readsLateList = readsLateListItself(now);
+    const bool leftToReaders
+        = newestShared_.count == 0 || (isLargeFleet() && !isStoreReader_ && !readsLateList);
+    const bool endpointsAreOld = !source_ || failing || readsLateList || now - newestEndpoints_ > oldest;
     if (now >= endpointsAt_ && endpointsAreOld && !leftToReaders && !tooManyOpen(Purpose::ReadEndpoints)) {
         endpointsAt_ = now + std::max(endpointsReadInterval() * slower, readPause(endpointsReadInterval()));
         OpenCall open{Purpose::ReadEndpoints, now, now, {}, 0};
         open.space = StoreSpace::Endpoints;
-        open.readsAllPages = isStoreReader_ || !isLargeFleet();
+        open.readsAllPages = isStoreReader_ || !isLargeFleet() || readsLateList;
         readSpace(open, "", now);
     }
 }
@@ -308,7 +310,7 @@
         if (item.endpoint)
             entries.push_back(*item.endpoint);
     }
-    endpoints_.replace(std::move(entries));
+    endpoints_.replace(std::move(entries), open.readStartedAt);
     endpointsEra_ = open.era;
     publishEndpoints(open.readStartedAt, false);
 }
--- a/src/gateway/store/storesync.cpp
+++ b/src/gateway/store/storesync.cpp
@@ -52,8 +52,11 @@
         viewConfirmed_ = settings_.firstStart;
     }
     tickEra(now);
+    recordTrouble(now);
+    logListAge(now);
     if (source_ && now >= queryAt_)
-        sendQuery(now);
+        querySource(now);
+    queryAnotherIfLate(now);
     readIfDue(now);
     if (leavesFrom_ && !leaving_)
         leaveIfReplaced(now);
@@ -91,6 +94,8 @@
     checkEra(reply, now);
     if (reply.outcome != StoreOutcome::NoReply)
         heardAt_ = now;
+    if (reply.outcome == StoreOutcome::NoReply || reply.outcome == StoreOutcome::Refused)
+        troubledAt_ = now;
     const auto found = open_.find(reply.id);
     if (found == open_.end())
         return;
--- a/src/gateway/store/storesync.h
+++ b/src/gateway/store/storesync.h
@@ -3,6 +3,7 @@
 #include "common/random.h"
 #include "gateway/decisionlog.h"
 #include "gateway/endpoints/endpointlist.h"
+#include "gateway/endpoints/listage.h"
 #include "gateway/peers/peertable.h"
 #include "gateway/store/storecalls.h"
 
@@ -135,6 +136,9 @@
     void setQuarantine(const std::vector<QuarantinedRequest> &list, TimeMs now);
     /// This daemon's own reads fail, though those of others may succeed.
     bool readsFail(TimeMs now) const;
+    /// The store replies, and has for as long as an endpoint that leaves may get requests. While it does not,
+    /// nobody can know which endpoints leave.
+    bool isStoreWell(TimeMs now) const;
     void onFreshnessQuery(const FreshnessQuery &query, const Address &from, TimeMs now);
     void onFreshnessReply(const FreshnessReply &reply, TimeMs now);
 
@@ -239,7 +243,9 @@
     void takeLeader(const LeaderEntry &leader, TimeMs askedAt, TimeMs now);
     void takeSharedReply(const FreshnessReply &reply, TimeMs sharedAt, TimeMs now);
     void redirect(const FreshnessQuery &query, const Address &from);
-    void sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply);
+    void sendEndpoints(const FreshnessQuery &query, const Address &from, FreshnessReply reply, TimeMs now);
+    void takeDifference(const FreshnessReply &reply);
+    bool skipsWholeList(const FreshnessReply &reply, const Address &from, TimeMs now);
     void publishEndpoints(TimeMs askedAt, bool isUnchanged);
     bool takeEndpointsReply(const FreshnessReply &reply, TimeMs endpointsAt);
     void takeEntriesReply(const FreshnessReply &reply, TimeMs askedAt);
@@ -265,7 +271,15 @@
     void loseLease(TimeMs now, const char *why);
     void registerSelf(TimeMs now);
     void campaign(TimeMs now);
-    void sendQuery(TimeMs now);
+    DurationMs queryInterval() const;
+    void querySource(TimeMs now);
+    void queryAnotherIfLate(TimeMs now);
+    void sendQuery(const Address &to, TimeMs now);
+    // The age of the endpoint list (storelistage.cpp).
+    ListAge endpointsAge(TimeMs now) const;
+    bool readsLateListItself(TimeMs now) const;
+    void recordTrouble(TimeMs now);
+    void logListAge(TimeMs now);
     void recordStoreState(bool answered, TimeMs now);
     std::string ownLeaderValue() const;
     bool isEarlierIncarnation(const std::string &leaderValue) const;
@@ -307,6 +321,7 @@
     TimeMs nameReadersAt_; ///< Not before.
     TimeMs readersTakenAt_; ///< When this daemon learned of them.
     TimeMs repliedAt_; ///< When a peer last replied.
+    TimeMs readerRepliedAt_; ///< When a named reader last did.
     bool storeAvailable_ = false;
     bool sawConfiguration_ = true; ///< The newest read found one; a missing configuration is logged.
 
@@ -323,6 +338,13 @@
         TimeMs askedAt; ///< Time of the newest query.
     };
     std::map<Address, Unanswered> unanswered_;
+    std::map<Address, TimeMs> withoutHistory_; ///< Readers that offered the whole list, and when.
+    uint32_t failedDifferences_ = 0; ///< In a row.
+    uint32_t skippedLists_ = 0; ///< In a row.
+    TimeMs queryAnotherAt_; ///< Not before.
+    ListAge loggedAge_ = ListAge::Usual;
+    TimeMs lateSince_; ///< When the list was first late.
+    TimeMs troubledAt_; ///< When a call last had no reply, was refused or was open for long.
     std::vector<Address> entries_; ///< Sent to peers in replies.
     uint64_t entriesDigest_ = 0;
     std::vector<Address> peerEntries_;
