A stop says in its log how late its signal was taken and which phases are open at the exit

`stopping` now gives the signal's age (at most: the clock's newest reading before the signal's handler ran) and the open requests by phase; `stopped` gives the phases, complete responses that are not yet written, and requests that are carried for other daemons. No decision changes.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,8 @@
     Streaming ///< The head of the response was sent to the caller.
 };
 
+const char *toText(ExchangePhase phase);
+
 /// Role of an attempt in the trial of a version.
 enum class TrialRole : uint8_t {
     Ordinary,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,6 +106,8 @@
     /// Returns whether it takes requests: its configuration was confirmed recently and it is not leaving.
     bool isReady(TimeMs now) const;
     bool isIdle() const { return exchanges_.empty(); }
+    /// Returns the number of open requests in each phase, for the log.
+    boost::json::object openByPhase() const;
     /// Returns the report for the other daemons. The caller fills in the wall-clock time, the CPU usage, and
     /// whether it can read the store.
     PeerReport report(bool isFull, TimeMs now);
--- a/src/gateway/io/clocksource.cpp
+++ b/src/gateway/io/clocksource.cpp
@@ -1,11 +1,14 @@
 #include "gateway/io/clocksource.h"
 
+#include <atomic>
 #include <ctime>
 
 namespace cranberry {
 
 namespace {
 
+std::atomic<int64_t> newestSteadyMs{0};
+
 int64_t readMs(clockid_t clock)
 {
     timespec time{};
@@ -17,7 +20,14 @@
 
 TimeMs steadyNow()
 {
-    return {readMs(CLOCK_BOOTTIME)};
+    const int64_t now = readMs(CLOCK_BOOTTIME);
+    newestSteadyMs.store(now, std::memory_order_relaxed);
+    return {now};
+}
+
+TimeMs newestSteadyTime()
+{
+    return {newestSteadyMs.load(std::memory_order_relaxed)};
 }
 
 int64_t wallNowMs()
--- a/src/gateway/io/clocksource.h
+++ b/src/gateway/io/clocksource.h
@@ -8,6 +8,9 @@
 /// instance is suspended.
 TimeMs steadyNow();
 
+/// Returns what `steadyNow` returned last. May be called in signal handlers.
+TimeMs newestSteadyTime();
+
 /// Returns the wall-clock time in milliseconds since 1970. It may jump.
 int64_t wallNowMs();
 
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -1,5 +1,6 @@
 #include "gateway/io/gatewaystate.h"
 
+#include "gateway/io/stopsignal.h"
 #include "io/commandline.h"
 
 #include <random>
@@ -175,7 +176,11 @@
         return;
     stopping = true;
     stopStartedAt = steadyNow();
-    log.write(LogPriority::State, "stopping", {{"open_requests", callers.size()}});
+    const DurationMs signalAge = stopStartedAt - stopSignalledAt().value_or(stopStartedAt);
+    log.write(LogPriority::State, "stopping",
+              {{"open_requests", callers.size()},
+               {"phases", gateway.openByPhase()},
+               {"signal_age_ms", signalAge.count}});
     gateway.startLeaving(stopStartedAt, stopStartedAt + settings.stopGrace - StopMargin);
     sync.startLeaving(stopStartedAt);
     runStoreCalls();
@@ -197,7 +202,12 @@
         return runStoreCalls();
     gateway.sendUsage(steadyNow());
     runActions();
-    log.write(LogPriority::State, "stopped", {{"open_requests", callers.size()}, {"after_ms", since.count}});
+    log.write(LogPriority::State, "stopped",
+              {{"open_requests", callers.size()},
+               {"phases", gateway.openByPhase()},
+               {"unwritten_responses", callerServer->unwrittenResponses()},
+               {"relayed_for_others", relay.openCalls()},
+               {"after_ms", since.count}});
     log.flush();
     io.stop();
 }
@@ -243,6 +253,7 @@
     state.signals.add(SIGTERM);
     state.signals.add(SIGINT);
     state.signals.add(SIGHUP);
+    noteStopSignals();
     state.waitForSignal();
     state.tick();
     state.runLoop();
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -2,11 +2,13 @@
 
 #include "io/socketoptions.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <optional>
+#include <set>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -55,6 +57,8 @@
 
 } // namespace
 
+class HttpConnection;
+
 struct HttpServer::Listener : std::enable_shared_from_this<HttpServer::Listener> {
     Listener(asio::io_context &io, const HttpServerLimits &limits, HttpHandler handler)
         : io(io), acceptor(io), limits(limits), handler(std::move(handler))
@@ -76,6 +80,7 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpServerCounters counters;
+    std::set<const HttpConnection *> connections;
     bool closeAfterResponses = false;
 };
 
@@ -88,10 +93,15 @@
           counters_(listener_->counters)
     {
         ++counters_.open;
+        listener_->connections.insert(this);
         setSocketOptions(stream_.socket().native_handle());
     }
 
-    ~HttpConnection() override { --counters_.open; }
+    ~HttpConnection() override
+    {
+        --counters_.open;
+        listener_->connections.erase(this);
+    }
 
     void readNext()
     {
@@ -154,6 +164,7 @@
     void abort() override { close(); }
     void onClosed(std::function<void()> callback) override { onClosed_ = std::move(callback); }
     size_t pendingBytes() const override { return out_.size() + writing_.size(); }
+    bool hasUnwrittenResponse() const { return finished_ && !closed_ && pendingBytes() > 0; }
 
 private:
     // The read timeout applies to the header and the body separately, so that a slow header does not leave
@@ -382,6 +393,13 @@
     return listener_->counters.open;
 }
 
+size_t HttpServer::unwrittenResponses() const
+{
+    const std::set<const HttpConnection *> &all = listener_->connections;
+    return static_cast<size_t>(std::count_if(
+        all.begin(), all.end(), [](const HttpConnection *each) { return each->hasUnwrittenResponse(); }));
+}
+
 void HttpServer::stopAccepting()
 {
     beast::error_code ignored;
--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -65,6 +65,8 @@
     /// a request.
     void closeAfterResponses();
     size_t openConnections() const;
+    /// Returns the number of complete responses of which bytes are not yet written to the socket.
+    size_t unwrittenResponses() const;
 
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
