What is open shortly before a daemon's exit gets a final response, and the daemon waits until it is written

What callers saw: a stopping daemon's connections closed without a word when its time was over (7.3 s of 8), whatever was open: waiting here, waiting in an engine's queue, between two attempts, or whole in the process's buffers but not yet written. Cause: the exit had a clock of its own, and no request knew it. Now each request without a byte at its caller is due at the exit as it is at its deadline: 503 if it can't have run, else 502. The process then exits once all complete responses are written.

--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -266,7 +266,7 @@
 // The other daemon has checked the key, so this one needs no word from the store.
 std::optional<Address> Gateway::relayTarget(const EndpointId &endpoint) const
 {
-    const FleetEndpoint *found = leavingSince_ ? nullptr : fleet_.find(endpoint);
+    const FleetEndpoint *found = departure_ ? nullptr : fleet_.find(endpoint);
     if (!found || found->gone || found->addressReused || !found->readable)
         return std::nullopt;
     return found->entry.address;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,10 +32,6 @@
 /// A wait shorter than this for the prefill of other requests does not count as a queue.
 constexpr double NoQueueMs = 10;
 
-/// How long a leaving daemon accepts new streams. Callers that connect later use an outdated entry answer,
-/// and their streams might not end before the process exits.
-constexpr DurationMs StreamsAcceptedAfterLeaving{3000};
-
 std::string secondsText(DurationMs duration)
 {
     return fmt::format("{:.2f}", static_cast<double>(duration.count) / 1000.0);
@@ -78,25 +74,7 @@
 
 bool Gateway::isReady(TimeMs now) const
 {
-    return !leavingSince_ && fleet_.hasList() && isFresh(now, settings_.revokeBound - RevokeMargin);
-}
-
-void Gateway::startLeaving(TimeMs now, TimeMs endsAt)
-{
-    leavingSince_ = now;
-    endsAt_ = endsAt;
-}
-
-// Returns whether this process might exit before the request is complete. Callers connect until the exit,
-// since their entry answers are seconds old or they could not get a newer one. A call accepted shortly before
-// the exit would be cut off after it was sent, and its caller could not know whether it ran. If it is
-// refused, the caller retries at another daemon at once. Most streams end long before their timeout, so they
-// are accepted for a fixed time instead.
-bool Gateway::mayExitBefore(const Exchange &exchange, TimeMs now) const
-{
-    if (exchange.route->kind == RouteKind::Streaming)
-        return now - *leavingSince_ > StreamsAcceptedAfterLeaving;
-    return std::min(exchange.timeoutAt, exchange.callerWaitsUntil) > endsAt_;
+    return !departure_ && fleet_.hasList() && isFresh(now, settings_.revokeBound - RevokeMargin);
 }
 
 // Checks a request against the configuration: its route, its key and its deadline. Runs again when the
@@ -116,7 +94,7 @@
     exchange.priority = exchange.route->priority;
     exchange.timeoutAt = exchange.arrivedAt + exchange.route->timeout;
     exchange.callerWaitsUntil = exchange.arrivedAt + request.deadline.value_or(exchange.route->timeout);
-    if (leavingSince_ && exchange.sends == 0 && mayExitBefore(exchange, now))
+    if (departure_ && exchange.sends == 0 && mayExitBefore(exchange, now))
         return OwnAnswer{503, GatewayRefusal::Leaving, ElsewhereRetryAfter};
     if (const std::optional<OwnAnswer> refusal = checkKey(exchange, certain, now))
         return refusal;
@@ -140,7 +118,7 @@
 void Gateway::setParts(Exchange &exchange) const
 {
     const std::vector<PromptPart> &parts = exchange.request->parts;
-    const ServiceName service = exchange.service.value.empty() ? pickService(exchange) : exchange.service;
+    const ServiceName service = serviceOf(exchange);
     exchange.parts.clear();
     for (size_t i = 0; i + 1 < parts.size(); ++i)
         exchange.parts.push_back(partDigestOf(service, parts[i].id));
@@ -184,6 +162,12 @@
     return targets.empty() ? ServiceName{} : targets.front().service;
 }
 
+// A request that is not admitted yet has no service.
+ServiceName Gateway::serviceOf(const Exchange &exchange) const
+{
+    return exchange.service.value.empty() ? pickService(exchange) : exchange.service;
+}
+
 // ---- Callers ----
 
 void Gateway::onRequest(const RequestArrived &event, TimeMs now)
@@ -316,7 +300,7 @@
     order.endpoint = choice.endpoint;
     order.address = endpoint.entry.address;
     order.request = exchange.request;
-    order.remaining = std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now;
+    order.remaining = callersDeadline(exchange) - now;
     order.organisation = exchange.organisation;
     if (question.engine)
         order.urgency = std::min<uint32_t>(exchange.priority, 9);
@@ -407,20 +391,25 @@
         return answer(exchange, quarantineResponse(exchange, now), now);
     if (exchange.mayHaveRun)
         return answer(exchange, {502, reason, {}}, now);
-    answer(exchange, {503, reason, capacityRetryAfter(exchange, reason, now)}, now);
+    const DurationMs retryAfter
+        = reason == GatewayRefusal::Leaving ? ElsewhereRetryAfter : capacityRetryAfter(exchange, reason, now);
+    answer(exchange, {503, reason, retryAfter}, now);
 }
 
 void Gateway::timeOut(Exchange &exchange, TimeMs now)
 {
     if (exchange.phase == ExchangePhase::AwaitingStart)
         return answer(exchange, {503, GatewayRefusal::NoConfiguration, DefaultRetryAfter}, now);
+    const bool isForExit = now < callersDeadline(exchange);
     if (exchange.attempt.value != 0) {
-        if (!isUnheard(exchange))
+        if (!isForExit && !isUnheard(exchange))
             recordBadOutcome(exchange, false, now);
         cancelAttempt(exchange);
     }
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
+    if (isForExit)
+        return giveUp(exchange, GatewayRefusal::Leaving, now);
     if (exchange.mayHaveRun)
         return answer(exchange, {504, GatewayRefusal::TimedOut, {}}, now);
     giveUp(exchange, GatewayRefusal::Overloaded, now);
@@ -466,7 +455,7 @@
     fleet_.setServingDaemons(peers_.servingCount(now));
     std::vector<CallerId> late;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
-        if (now >= std::min(entry.second.timeoutAt, entry.second.callerWaitsUntil))
+        if (now >= deadlineOf(entry.second))
             late.push_back(entry.first);
     }
     // Each timeout processes the queue, which may finish other requests of this list.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/peers/relaychoice.h"
 #include "gateway/peers/relaycontacts.h"
 #include "gateway/requests/admissionqueue.h"
+#include "gateway/requests/departure.h"
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/retryledger.h"
 #include "gateway/requests/returnschedule.h"
@@ -95,8 +96,9 @@
     void tick(TimeMs now);
     /// Tells the keepers of this daemon's usage counts what has changed; also done by `tick`.
     void sendUsage(TimeMs now);
-    /// The process was asked to stop, and exits at `endsAt` at the latest.
-    void startLeaving(TimeMs now, TimeMs endsAt);
+    /// The process was asked to stop, and is killed `grace` after the signal. Called again if that changes.
+    void startLeaving(TimeMs signalledAt, DurationMs grace);
+    const std::optional<Departure> &departure() const { return departure_; }
 
     std::vector<GatewayAction> takeActions() { return std::exchange(actions_, {}); }
     /// Returns the calls to the store that draw retries; their replies go to `onStoreReply`.
@@ -179,7 +181,6 @@
     void admit(Exchange &exchange, TimeMs now);
     void continueAdmission(Exchange &exchange, TimeMs now);
     void admitAwaiting(TimeMs now);
-    bool mayExitBefore(const Exchange &exchange, TimeMs now) const;
     void refillQuotas(TimeMs now);
 
     // Organisations' limits (limits.cpp).
@@ -194,6 +195,13 @@
     bool includesThisDaemon(const std::vector<const MemberEntry *> &members) const;
     QuotaRole quotaRole(const OrganisationName &organisation, TimeMs now) const;
     ServiceName pickService(const Exchange &exchange) const;
+    ServiceName serviceOf(const Exchange &exchange) const;
+
+    // Requests at a daemon that was asked to stop (leaving.cpp).
+    bool mayExitBefore(const Exchange &exchange, TimeMs now) const;
+    static TimeMs callersDeadline(const Exchange &exchange);
+    /// Time at which the final response is due: at the caller's deadline, or before the exit.
+    TimeMs deadlineOf(const Exchange &exchange) const;
 
     // Streams that callers resume (resumptions.cpp).
     bool isResumption(const Exchange &exchange) const;
@@ -465,8 +473,7 @@
     ServingConfigurationPtr configuration_;
     TimeMs startedAt_; ///< Time at which the first configuration was read.
     TimeMs confirmedAt_; ///< The configuration was known to be the newest at or after this time.
-    std::optional<TimeMs> leavingSince_;
-    TimeMs endsAt_; ///< Valid if `leavingSince_` is set.
+    std::optional<Departure> departure_;
 
     EndpointFleet fleet_;
     PeerTable peers_;
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -15,8 +15,6 @@
 /// The settings file is also checked for changes without a signal; reading it takes some microseconds.
 constexpr DurationMs SettingsCheckInterval{2000};
 constexpr DurationMs LogFlushInterval{200};
-/// A stopping daemon exits this long before the end of its grace period, when it would be killed.
-constexpr DurationMs StopMargin{700};
 /// An idle daemon keeps running this long after a stop signal, for callers that still hold its address.
 constexpr DurationMs MinStopTime{5500};
 
@@ -106,7 +104,7 @@
         reloadIfChanged(false);
     }
     if (stopping)
-        checkStopped();
+        checkStopped(now);
     timer.expires_after(std::chrono::milliseconds(TimerInterval.count));
     timer.async_wait([this](boost::system::error_code code) {
         if (!code)
@@ -175,39 +173,44 @@
     if (stopping)
         return;
     stopping = true;
-    stopStartedAt = steadyNow();
-    const DurationMs signalAge = stopStartedAt - stopSignalledAt().value_or(stopStartedAt);
+    const TimeMs now = steadyNow();
+    stopStartedAt = now;
     log.write(LogPriority::State, "stopping",
               {{"open_requests", callers.size()},
                {"phases", gateway.openByPhase()},
-               {"signal_age_ms", signalAge.count}});
-    gateway.startLeaving(stopStartedAt, stopStartedAt + settings.stopGrace - StopMargin);
-    sync.startLeaving(stopStartedAt);
+               {"signal_age_ms", (now - stopSignalledAt().value_or(now)).count}});
+    gateway.startLeaving(stopStartedAt, settings.stopGrace);
+    sync.startLeaving(now);
     runStoreCalls();
     callerServer->closeAfterResponses();
     relayServer->closeAfterResponses();
-    sendReports(ReportSchedule::toAll(gateway.peers()), stopStartedAt);
+    sendReports(ReportSchedule::toAll(gateway.peers()), now);
 }
 
-void GatewayServer::State::checkStopped()
+// Exits when nothing is left to do, else once the core has given its last answers and they are written.
+void GatewayServer::State::checkStopped(TimeMs now)
 {
-    const DurationMs since = steadyNow() - stopStartedAt;
-    const bool graceOver = since >= settings.stopGrace - StopMargin;
-    const bool idle = since >= MinStopTime && gateway.isIdle() && callerServer->openConnections() == 0
-        && relay.openCalls() == 0;
-    if (!graceOver && !idle)
+    const Departure &departure = *gateway.departure();
+    const bool answersGiven = now >= departure.answersDueAt;
+    const bool idle = now - stopStartedAt >= MinStopTime && gateway.isIdle()
+        && callerServer->openConnections() == 0 && relay.openCalls() == 0;
+    if (!answersGiven && !idle)
         return;
+    callerServer->stopAccepting();
     // The call that ends the lease leaves before the next tick.
-    if (sync.leaveAtOnce(steadyNow()))
+    if (sync.leaveAtOnce(now))
         return runStoreCalls();
-    gateway.sendUsage(steadyNow());
+    const size_t unwritten = callerServer->unwrittenResponses();
+    if (unwritten > 0 && now < departure.exitsAt)
+        return;
+    gateway.sendUsage(now);
     runActions();
     log.write(LogPriority::State, "stopped",
               {{"open_requests", callers.size()},
                {"phases", gateway.openByPhase()},
-               {"unwritten_responses", callerServer->unwrittenResponses()},
+               {"unwritten_responses", unwritten},
                {"relayed_for_others", relay.openCalls()},
-               {"after_ms", since.count}});
+               {"after_ms", (now - stopStartedAt).count}});
     log.flush();
     io.stop();
 }
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -98,7 +98,7 @@
     void waitForSignal();
     void reloadIfChanged(bool wasRequested);
     void beginShutdown();
-    void checkStopped();
+    void checkStopped(TimeMs now);
 
     GatewayDaemonSettings settings;
     std::string settingsFile;
--- a/src/gateway/peers/sharedview.cpp
+++ b/src/gateway/peers/sharedview.cpp
@@ -129,7 +129,7 @@
     out.full = isFull;
     out.incarnation = settings_.incarnation;
     out.instance = settings_.instance;
-    out.leaving = leavingSince_.has_value();
+    out.leaving = departure_.has_value();
     out.ready = isReady(now);
     out.sequence = ++reports_;
     out.unreached = paths_.unreached();
--- a/src/gateway/requests/retries.cpp
+++ b/src/gateway/requests/retries.cpp
@@ -28,7 +28,7 @@
     // it.
     if (exchange.mayHaveRun && !isRetryable(*exchange.route))
         return false;
-    if (std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now < MinUsefulTime)
+    if (deadlineOf(exchange) - now < MinUsefulTime)
         return false;
     if (isQuarantined(exchange, now)) {
         logDenied(exchange, "quarantined");
--- a/src/gateway/requests/waiting.cpp
+++ b/src/gateway/requests/waiting.cpp
@@ -92,7 +92,7 @@
     const LimitedQueue limited = limitedQueue(exchange.service, now);
     if (refuseBeyondLimit(exchange, limited.waitAt(limited.own + 1), now))
         return;
-    if (now + expectedWait(exchange, ahead, now) > std::min(exchange.callerWaitsUntil, exchange.timeoutAt))
+    if (now + expectedWait(exchange, ahead, now) > deadlineOf(exchange))
         return giveUp(exchange, GatewayRefusal::Overloaded, now);
     counters_.add(GatewayCount::Queued);
     shares_.recordWaiting(waiting.flow, now);
@@ -259,12 +259,12 @@
 {
     const auto mean = responseMs_.find(exchange.service);
     const DurationMs response{mean == responseMs_.end() ? 0 : static_cast<int64_t>(mean->second)};
-    return sentAt + response >= std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
+    return sentAt + response >= deadlineOf(exchange);
 }
 
 bool Gateway::refuseBeyondLimit(Exchange &exchange, DurationMs wait, TimeMs now)
 {
-    if (now + wait <= std::min(exchange.callerWaitsUntil, exchange.timeoutAt))
+    if (now + wait <= deadlineOf(exchange))
         return false;
     giveUp(exchange, GatewayRefusal::EndpointsLimited, now);
     return true;
@@ -309,7 +309,7 @@
             const DurationMs before = ahead;
             ahead = before + rate.prefillTime(*exchange.request);
             const DurationMs drained = rate.drainTime(ahead);
-            const TimeMs end = std::min(exchange.callerWaitsUntil, exchange.timeoutAt);
+            const TimeMs end = deadlineOf(exchange);
             const DurationMs maxLateWait = (end - exchange.arrivedAt) / LateWaitDivisor;
             if (now > exchange.inTimeUntil + maxLateWait || now + drained > end) {
                 ahead = before; // A refused request does not delay those behind it.
@@ -381,7 +381,7 @@
             ? static_cast<double>(prefill->prefillTime(*exchanges_.at(other.caller).request).count)
             : 1;
     }
-    work.remaining = std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now;
+    work.remaining = callersDeadline(exchange) - now;
     return work;
 }
 
@@ -409,7 +409,7 @@
     work.units = units;
     work.missing = missing / daemons;
     work.unitsPerMs = organisation.ratePerSecond / 1000 / daemons;
-    work.remaining = std::min(exchange.callerWaitsUntil, exchange.timeoutAt) - now;
+    work.remaining = callersDeadline(exchange) - now;
     return countReturn(limitReturns_.next(organisation.name, work, MinRetryAfter, DurationMs{0}, now));
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -400,7 +400,7 @@
 {
     // The daemon is asked to stop. New requests are still served. Three seconds later a new stream is refused
     // with 503 and a short Retry-After, since the exit of the process could cut it.
-    gateway.startLeaving(now, now + DurationMs{7300});
+    gateway.startLeaving(now, DurationMs{8000});
     CHECK_FALSE(gateway.isReady(now));
     request(Model);
     CHECK(sent.size() == 1);
@@ -417,7 +417,7 @@
     // A caller with an outdated entry answer connects shortly before the process exits. Its non-idempotent
     // call would be sent and cut off, with an unknown outcome. If it is refused, the caller retries at
     // another daemon.
-    gateway.startLeaving(now, now + DurationMs{7300});
+    gateway.startLeaving(now, DurationMs{8000});
     pass({5700});
     request(Order);
     REQUIRE(sent.size() == 1);
--- a/tests/partitionload.cpp
+++ b/tests/partitionload.cpp
@@ -22,7 +22,7 @@
 constexpr DurationMs EventInterval{60};
 constexpr uint64_t Events = 15;
 constexpr DurationMs StableTime{3000};
-constexpr DurationMs StopTime{7300}; ///< In which a daemon that stops finishes its requests.
+constexpr DurationMs StopGrace{8000}; ///< In which a daemon that stops finishes its requests.
 constexpr DurationMs Deadline{1500};
 constexpr DurationMs StreamDeadline{12000};
 constexpr DurationMs EntryTtl{1000};
@@ -187,7 +187,7 @@
         for (const std::pair<const size_t, DurationMs> &each : plan_.stopped)
             at(TimeMs{StartMs} + each.second, [this, daemon = each.first] {
                 daemons_[daemon].isStopping = true;
-                daemons_[daemon].gateway->startLeaving(schedule_.now(), schedule_.now() + StopTime);
+                daemons_[daemon].gateway->startLeaving(schedule_.now(), StopGrace);
             });
         for (const std::pair<const size_t, DurationMs> &each : plan_.endpointsDead)
             at(TimeMs{StartMs} + each.second, [this, id = order_[each.first]] { end(id); });
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr DurationMs ExitAfter{7300};
+constexpr DurationMs Grace{8000};
 constexpr DurationMs LongDeadline{20000};
 
 class StoppingFixture : public GatewayFixture
@@ -123,8 +123,8 @@
             const CallerId caller = (fixture.*phase.enter)();
             const DurationMs age{static_cast<int64_t>(25 * random.below(80))};
             fixture.pass(age);
-            fixture.gateway.startLeaving(fixture.now, fixture.now + ExitAfter);
-            fixture.pass(ExitAfter);
+            fixture.gateway.startLeaving(fixture.now, Grace);
+            fixture.pass(fixture.gateway.departure()->answersDueAt - fixture.now);
             CAPTURE(std::string(phase.name));
             CAPTURE(age.count);
             const int status = fixture.statusOf(caller);
@@ -145,15 +145,14 @@
         const uint64_t count = 34; // 100 tokens, three an event
         for (int i = 0; i < 10; ++i)
             REQUIRE(fixture.playStream(first, interval, count));
-        const TimeMs endsAt = fixture.now + ExitAfter;
-        fixture.gateway.startLeaving(fixture.now, endsAt);
+        fixture.gateway.startLeaving(fixture.now, Grace);
         fixture.pass({static_cast<int64_t>(25 * random.below(120))});
         const size_t before = fixture.sent.size();
         const bool isWhole = fixture.playStream(first, interval, count);
         CAPTURE(first.count);
         CAPTURE(interval.count);
         const bool wasTaken = fixture.sent.size() > before;
-        const bool isInTime = isWhole && fixture.now <= endsAt;
+        const bool isInTime = isWhole && fixture.now <= fixture.gateway.departure()->answersDueAt;
         CHECK((!wasTaken || isInTime));
     }
 }
@@ -164,7 +163,7 @@
     StoppingFixture fixture;
     for (int i = 0; i < 10; ++i)
         REQUIRE(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
-    fixture.gateway.startLeaving(fixture.now, fixture.now + ExitAfter);
+    fixture.gateway.startLeaving(fixture.now, Grace);
     fixture.pass({1000});
     CHECK(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
 }
