A stopping daemon takes, repeats and moves only what is expected to end before its exit

What callers saw: streams that were taken after the signal and cut off by the exit. Any stream was taken for 3 s, however long streams took at that time, and a repeat, a resumption or a move asked for no time left at all. Cause: one fixed time, chosen for engines at ease; the queue, repeats and moves each had a clock of their own. Who knows fewer than eight takes none. A request that waits here when the signal comes is asked the same in each tick. The 3 s stay as the upper bound. The case of gateway_test that takes a stream right after the signal now lets the daemon see eight short streams first: one that has seen none can't know.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/retryledger.h"
 #include "gateway/requests/returnschedule.h"
+#include "gateway/requests/streamdurations.h"
 #include "gateway/requests/streamorigins.h"
 #include "gateway/rollout/rolloutcontroller.h"
 #include "gateway/rollout/rolloutview.h"
@@ -199,6 +200,9 @@
 
     // Requests at a daemon that was asked to stop (leaving.cpp).
     bool mayExitBefore(const Exchange &exchange, TimeMs now) const;
+    bool endsBeforeExit(const Exchange &exchange, TimeMs now) const; ///< Also true if no exit is due.
+    std::optional<DurationMs> expectedRest(const Exchange &exchange, TimeMs now) const;
+    void refuseUnfinishable(TimeMs now);
     static TimeMs callersDeadline(const Exchange &exchange);
     /// Time at which the final response is due: at the caller's deadline, or before the exit.
     TimeMs deadlineOf(const Exchange &exchange) const;
@@ -474,6 +478,7 @@
     TimeMs startedAt_; ///< Time at which the first configuration was read.
     TimeMs confirmedAt_; ///< The configuration was known to be the newest at or after this time.
     std::optional<Departure> departure_;
+    StreamDurations streamDurations_;
 
     EndpointFleet fleet_;
     PeerTable peers_;
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -103,7 +103,8 @@
         : static_cast<double>((now - exchange.firstEventAt).count)
             / static_cast<double>(exchange.attemptEvents - 1);
     const DurationMs rest{static_cast<int64_t>(left * eventMs)};
-    return now + rest + MigrationMargin > *endpoint->leavesAt;
+    const bool outlivesExit = departure_ && now + rest > departure_->answersDueAt;
+    return now + rest + MigrationMargin > *endpoint->leavesAt && !outlivesExit;
 }
 
 void Gateway::startMigration(Exchange &exchange, size_t others, TimeMs now)
--- a/src/gateway/requests/retries.cpp
+++ b/src/gateway/requests/retries.cpp
@@ -28,7 +28,7 @@
     // it.
     if (exchange.mayHaveRun && !isRetryable(*exchange.route))
         return false;
-    if (deadlineOf(exchange) - now < MinUsefulTime)
+    if (deadlineOf(exchange) - now < MinUsefulTime || !endsBeforeExit(exchange, now))
         return false;
     if (isQuarantined(exchange, now)) {
         logDenied(exchange, "quarantined");
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -398,8 +398,16 @@
 TEST_CASE_FIXTURE(GatewayFixture,
                   "a leaving daemon continues to serve, but starts no stream that it could not finish")
 {
-    // The daemon is asked to stop. New requests are still served. Three seconds later a new stream is refused
-    // with 503 and a short Retry-After, since the exit of the process could cut it.
+    // The daemon is asked to stop. New requests are still served, streams as long as the newest ones were short.
+    // Three seconds later a new stream is refused with 503 and a short Retry-After, since its caller uses an
+    // outdated entry answer.
+    for (int i = 0; i < 8; ++i) {
+        request(Model);
+        head(lastSent().attempt, 200, true);
+        events(lastSent().attempt, 1, 2);
+        end(lastSent().attempt);
+    }
+    sent.clear();
     gateway.startLeaving(now, DurationMs{8000});
     CHECK_FALSE(gateway.isReady(now));
     request(Model);
