The time that a stop leaves counts from the signal, not from the moment at which the event loop takes it

The users' rule and SIGKILL count from the signal; the daemon counted from the handler that its event loop runs, after a long tick or a wait for the processor. Each ms of that was a ms in which streams were taken that nothing excuses. The signal's own handler notes the newest reading of the process's clock: no step of the process lies between that and the signal.

--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -174,11 +174,11 @@
         return;
     stopping = true;
     const TimeMs now = steadyNow();
-    stopStartedAt = now;
+    stopStartedAt = stopSignalledAt().value_or(now);
     log.write(LogPriority::State, "stopping",
               {{"open_requests", callers.size()},
                {"phases", gateway.openByPhase()},
-               {"signal_age_ms", (now - stopSignalledAt().value_or(now)).count}});
+               {"signal_age_ms", (now - stopStartedAt).count}});
     gateway.startLeaving(stopStartedAt, settings.stopGrace);
     sync.startLeaving(now);
     runStoreCalls();
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -149,7 +149,7 @@
     uint64_t peerBytesSent = 0;
     uint64_t storeCalls = 0;
     bool stopping = false;
-    TimeMs stopStartedAt;
+    TimeMs stopStartedAt; ///< Not later than the signal.
     uint64_t limitsVersion = 0;
 };
 
