A changed grace time is taken over by a reload

A reload now takes it over, also after the signal; then the shorter of the two holds, since which one the platform counts by is not known.

--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -155,6 +155,7 @@
         [&]() -> Result<void> {
             BOOST_LEAF_ASSIGN(const GatewayDaemonSettings changed, parseGatewaySettings(*text));
             gateway.applyBounds(coreSettings(changed, incarnation, 0));
+            changeStopGrace(changed.stopGrace);
             rolloutController.setBounds({changed.exposeShare, changed.exposeSlack});
             log.write(LogPriority::State, "reloaded", {{"asked", wasRequested}});
             return {};
@@ -167,6 +168,14 @@
         });
 }
 
+// After the signal, which of the two grace times holds is not known, so the shorter one does.
+void GatewayServer::State::changeStopGrace(DurationMs grace)
+{
+    settings.stopGrace = stopping ? std::min(settings.stopGrace, grace) : grace;
+    if (stopping)
+        gateway.startLeaving(stopStartedAt, settings.stopGrace);
+}
+
 // Directs callers to other daemons; requests already received, and those that still arrive, are served.
 void GatewayServer::State::beginShutdown()
 {
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -97,6 +97,7 @@
     void runLoop();
     void waitForSignal();
     void reloadIfChanged(bool wasRequested);
+    void changeStopGrace(DurationMs grace);
     void beginShutdown();
     void checkStopped(TimeMs now);
 
