--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -1,10 +1,10 @@
 // What becomes of requests when the process that read them is asked to stop, in virtual time.
 
 #include "common/random.h"
+#include "gateway/requests/departure.h"
+#include "gateway/requests/streamdurations.h"
 #include "gatewayfixture.h"
 
-#include <algorithm>
-
 using namespace cranberry;
 
 namespace {
@@ -54,6 +54,24 @@
         drainActions();
         return longRequest("/lookup/1");
     }
+    CallerId awaitingOrigin()
+    {
+        gateway.onMembers({{{"entry-1"}, {1}, {"north"}, {}, {"10.0.0.1", 90}, 1, true},
+                           {{"entry-2"}, {2}, {"south"}, {}, {"10.0.0.2", 90}, 1, true}},
+                          now);
+        CallerRequest out = makeRequest("/review/1");
+        out.resumeAfter = 3;
+        out.resumes = "begun-elsewhere";
+        return request(out);
+    }
+    CallerId awaitingDraw()
+    {
+        GatewaySettings none;
+        none.retryLimits = {0, 0, {10000}};
+        gateway.applyBounds(none);
+        storeReachable = false;
+        return sentAgain();
+    }
     CallerId sentOnce() { return longRequest("/order/1"); }
     CallerId sentWithoutEvent()
     {
@@ -75,7 +93,7 @@
         return caller;
     }
 
-    /// A stream with a first event after `first` and one event each `interval`; returns whether it ended whole.
+    /// Plays a stream with an event each `interval` after the first; returns whether it ended whole.
     bool playStream(DurationMs first, DurationMs interval, uint64_t count)
     {
         const size_t before = sent.size();
@@ -105,6 +123,8 @@
     {"awaits the start", &StoppingFixture::awaitingStart, false},
     {"queued", &StoppingFixture::queued, false},
     {"awaits the end of a rest", &StoppingFixture::awaitingRest, false},
+    {"awaits the stream's origin", &StoppingFixture::awaitingOrigin, false},
+    {"awaits a draw of retries", &StoppingFixture::awaitingDraw, true},
     {"sent", &StoppingFixture::sentOnce, true},
     {"sent, no event yet", &StoppingFixture::sentWithoutEvent, true},
     {"half answered", &StoppingFixture::halfAnswered, true},
@@ -134,7 +154,7 @@
     }
 }
 
-// Guards against streams that are taken after the signal although all before them lasted longer than the time left.
+// Guards against streams that are taken although all before them lasted longer than the time that is left.
 TEST_CASE("a stream that is taken after the signal ends before the exit")
 {
     Random random(2);
@@ -167,3 +187,30 @@
     fixture.pass({1000});
     CHECK(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
 }
+
+// Guards against a margin that is longer than a short grace.
+TEST_CASE("the last answers and the exit lie in the last sixth of any grace")
+{
+    for (const int64_t ms : {300, 1000, 3000, 8000, 60000}) {
+        const Departure departure = departureOf(TimeMs{50}, DurationMs{ms});
+        CHECK(departure.answersDueAt > TimeMs{50} + DurationMs{ms * 5 / 6});
+        CHECK(departure.exitsAt > departure.answersDueAt);
+        CHECK(departure.exitsAt < TimeMs{50} + DurationMs{ms});
+    }
+}
+
+// Guards against predictions from few streams, or from those of another hour.
+TEST_CASE("a stream's duration is predicted by the slowest of the newest")
+{
+    StreamDurations durations;
+    const ServiceName service{"model"};
+    for (int64_t i = 1; i <= 7; ++i)
+        durations.record(service, DurationMs{100 * i}, DurationMs{300}, 4, TimeMs{1000});
+    CHECK_FALSE(durations.estimate(service, TimeMs{1000}));
+    durations.record(service, DurationMs{10}, DurationMs{200}, 11, TimeMs{2000});
+    const std::optional<StreamEstimate> estimate = durations.estimate(service, TimeMs{2000});
+    REQUIRE(estimate);
+    CHECK(estimate->firstEventAnd(10) == DurationMs{700 + 10 * 100});
+    CHECK(estimate->mostEvents == 11);
+    CHECK_FALSE(durations.estimate(service, TimeMs{61500}));
+}
