The oldest request without a first event is found once a tick, not for each prediction

Each request that waits at a stopping daemon is asked in each tick whether it can still end in time, and each answer walked over all open requests: the square of their number, where many wait. No decision changes but one: the value is up to a tick old. A test holds that such a request counts.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -453,8 +453,7 @@
     fleet_.setPeersLoad(peers_.loadSums(now), now);
     updateEngineSpeeds(now);
     fleet_.setServingDaemons(peers_.servingCount(now));
-    if (departure_)
-        refuseUnfinishable(now);
+    tickLeaving(now);
     std::vector<CallerId> late;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
         if (now >= deadlineOf(entry.second))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -202,6 +202,7 @@
     bool mayExitBefore(const Exchange &exchange, TimeMs now) const;
     bool endsBeforeExit(const Exchange &exchange, TimeMs now) const; ///< Also true if no exit is due.
     std::optional<DurationMs> expectedRest(const Exchange &exchange, TimeMs now) const;
+    void tickLeaving(TimeMs now);
     void refuseUnfinishable(TimeMs now);
     static TimeMs callersDeadline(const Exchange &exchange);
     /// Time at which the final response is due: at the caller's deadline, or before the exit.
@@ -479,6 +480,7 @@
     TimeMs confirmedAt_; ///< The configuration was known to be the newest at or after this time.
     std::optional<Departure> departure_;
     StreamDurations streamDurations_;
+    std::map<ServiceName, TimeMs> oldestSent_; ///< Arrival of a request in phase Sent, while leaving.
 
     EndpointFleet fleet_;
     PeerTable peers_;
--- a/src/gateway/requests/leaving.cpp
+++ b/src/gateway/requests/leaving.cpp
@@ -69,11 +69,8 @@
     std::optional<StreamEstimate> estimate = streamDurations_.estimate(name, now);
     if (!estimate)
         return std::nullopt;
-    for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
-        const Exchange &other = entry.second;
-        if (other.service == name && other.phase == ExchangePhase::Sent)
-            estimate->firstEvent = std::max(estimate->firstEvent, now - other.arrivedAt);
-    }
+    if (const auto oldest = oldestSent_.find(name); oldest != oldestSent_.end())
+        estimate->firstEvent = std::max(estimate->firstEvent, now - oldest->second);
     const ServedService *service = exchange.configuration->findService(name);
     const bool isStated = service && service->engine && exchange.request->statesTokens;
     const uint64_t perEvent = isStated ? std::max(service->engine->tokensPerEvent, 1U) : 1;
@@ -82,6 +79,21 @@
     return estimate->firstEventAnd(events - std::min(events, exchange.events));
 }
 
+void Gateway::tickLeaving(TimeMs now)
+{
+    if (!departure_)
+        return;
+    oldestSent_.clear();
+    for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
+        const Exchange &exchange = entry.second;
+        if (exchange.phase != ExchangePhase::Sent)
+            continue;
+        TimeMs &oldest = oldestSent_.try_emplace(exchange.service, exchange.arrivedAt).first->second;
+        oldest = std::min(oldest, exchange.arrivedAt);
+    }
+    refuseUnfinishable(now);
+}
+
 // Sends callers away whose requests wait here and can't end before the exit.
 void Gateway::refuseUnfinishable(TimeMs now)
 {
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -188,6 +188,20 @@
     CHECK(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
 }
 
+// Guards against predictions from the time before engines became slow: no stream has ended since.
+TEST_CASE("a request that waits long for its first event shows that streams take longer now")
+{
+    StoppingFixture fixture;
+    for (int i = 0; i < 10; ++i)
+        REQUIRE(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
+    fixture.longRequest("/draft/1");
+    fixture.pass({6500});
+    fixture.gateway.startLeaving(fixture.now, Grace);
+    fixture.pass({500});
+    const CallerId caller = fixture.longRequest("/draft/1");
+    CHECK(fixture.statusOf(caller) == 503);
+}
+
 // Guards against a margin that is longer than a short grace.
 TEST_CASE("the last answers and the exit lie in the last sixth of any grace")
 {
