The log tells which requests a daemon's exit cuts off, and what became of those that came after the signal

What could not be told: `stopped` counted open requests by phase. Which requests these were, how long they were in their phase, whether they came before or after the signal, and whether their engine had begun, stood nowhere, so a stream that was taken too late, a request that nobody answered and an answer that was not written looked alike. `refused` did not say where a request was, and refusals on arrival were not told from requests that had waited here or were sent. What is told now: - `open_at_exit`, one line for each request that is open when the process exits (50 at most, those without a byte at their caller first, then the newest; the number of the others follows): phase and time in it, age, arrival against the signal, endpoint, open attempt, whether the stream began, events, and the predicted end. - `refused` names phase and time in it. No decision of the daemon changes.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,17 +6,6 @@
 
 namespace cranberry {
 
-enum class ExchangePhase : uint8_t {
-    AwaitingStart, ///< Waits for this daemon's first reads of the store.
-    AwaitingOrigin, ///< Waits for the other daemons' word where the stream that it resumes began.
-    AwaitingLimit, ///< Waits for units of its organisation's limit from other daemons.
-    Queued, ///< Waits for a free slot at an endpoint.
-    Sent, ///< An attempt is open, nothing was sent to the caller yet.
-    Streaming ///< The head of the response was sent to the caller.
-};
-
-const char *toText(ExchangePhase phase);
-
 /// Role of an attempt in the trial of a version.
 enum class TrialRole : uint8_t {
     Ordinary,
@@ -59,7 +48,8 @@
     TimeMs arrivedAt;
     TimeMs callerWaitsUntil;
     TimeMs timeoutAt; ///< The final response is due at this time.
-    ExchangePhase phase = ExchangePhase::Queued;
+    ExchangePhase phase = ExchangePhase::Arrived;
+    TimeMs phaseSince;
     TimeMs inTimeUntil; ///< If it is sent to an engine later, its first event misses the latency target.
     uint64_t unitRequest = 0; ///< Number of the QuotaRequest in phase AwaitingLimit.
     TimeMs unitRequestUntil;
@@ -117,6 +107,14 @@
     bool migrationDenied = false; ///< The retry budget was used up; logged once.
     std::set<EndpointId> migrationTargets; ///< Targets tried so far.
     std::optional<uint64_t> eventStep; ///< Difference of the ids of two consecutive events.
+    std::optional<TimeMs> expectedEndAt; ///< As predicted at the newest send after a stop signal.
+
+    /// Going on in the same phase does not change `phaseSince`.
+    void enter(ExchangePhase next, TimeMs now)
+    {
+        phaseSince = next == phase ? phaseSince : now;
+        phase = next;
+    }
 };
 
 } // namespace cranberry
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,11 +176,11 @@
     Exchange &exchange = exchanges_[event.caller];
     exchange.caller = event.caller;
     exchange.request = event.request;
-    exchange.arrivedAt = now;
+    exchange.arrivedAt = exchange.phaseSince = now;
     exchange.lastEvent = event.request->resumeAfter;
     if (hasStoreState() || awaitingStart_.size() >= MaxAwaitingStart)
         return admit(exchange, now);
-    exchange.phase = ExchangePhase::AwaitingStart;
+    exchange.enter(ExchangePhase::AwaitingStart, now);
     exchange.timeoutAt = now + StartupWait;
     exchange.callerWaitsUntil = exchange.timeoutAt;
     awaitingStart_.push_back(event.caller);
@@ -188,7 +188,6 @@
 
 void Gateway::admit(Exchange &exchange, TimeMs now)
 {
-    exchange.phase = ExchangePhase::Queued;
     const std::optional<OwnAnswer> refusal = checkRequest(exchange, now);
     // Refused requests count for the retry budget, too. Otherwise a store outage, in which keys are refused,
     // would leave no retries for migrating streams from engines that are reclaimed just after it.
@@ -198,13 +197,14 @@
     }
     if (refusal)
         return answer(exchange, *refusal, now);
+    recordTaken(exchange);
     if (findOrigin(exchange, now))
         continueAdmission(exchange, now);
 }
 
 void Gateway::continueAdmission(Exchange &exchange, TimeMs now)
 {
-    exchange.phase = ExchangePhase::Queued;
+    exchange.enter(ExchangePhase::Queued, now);
     if (takeQuota(exchange, true, now) == LimitOutcome::Within)
         dispatch(exchange, now);
 }
@@ -265,8 +265,9 @@
     exchange.prefillTokens = choice.prefillTokens;
     exchange.foundNoQueue = choice.waitMs < NoQueueMs && !choice.fetch;
     exchange.fetch = choice.fetch;
-    exchange.phase
-        = exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent;
+    recordExpectedEnd(exchange, now);
+    exchange.enter(
+        exchange.phase == ExchangePhase::Streaming ? ExchangePhase::Streaming : ExchangePhase::Sent, now);
     exchange.drawUntil.reset();
     exchange.tried.insert(choice.endpoint);
     exchange.relay = relayFor(exchange, now);
@@ -356,6 +357,7 @@
 void Gateway::answer(Exchange &exchange, const OwnAnswer &own, TimeMs now)
 {
     counters_.add(own.reason);
+    recordRefusal(exchange, own.reason, now);
     AnswerCaller action;
     action.caller = exchange.caller;
     action.status = own.status;
@@ -372,6 +374,8 @@
          {"status", own.status},
          {"retry_after_ms", own.retryAfter.count},
          {"after_ms", (now - exchange.arrivedAt).count},
+         {"phase", toText(exchange.phase)},
+         {"phase_ms", (now - exchange.phaseSince).count},
          {"sends", exchange.sends},
          {"tokens", exchange.request->promptTokens + exchange.request->outputTokens},
          {"rejections", exchange.rejections},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/retryledger.h"
 #include "gateway/requests/returnschedule.h"
+#include "gateway/requests/stoprecord.h"
 #include "gateway/requests/streamdurations.h"
 #include "gateway/requests/streamorigins.h"
 #include "gateway/rollout/rolloutcontroller.h"
@@ -111,6 +112,10 @@
     bool isIdle() const { return exchanges_.empty(); }
     /// Returns the number of open requests in each phase, for the log.
     boost::json::object openByPhase() const;
+    /// Returns what became of requests since the stop signal, for the log.
+    boost::json::object sinceSignal() const;
+    /// Logs the requests that the exit cuts off, up to a bound.
+    void logOpenAtExit(TimeMs now) const;
     /// Returns the report for the other daemons. The caller fills in the wall-clock time, the CPU usage, and
     /// whether it can read the store.
     PeerReport report(bool isFull, TimeMs now);
@@ -208,6 +213,14 @@
     /// Time at which the final response is due: at the caller's deadline, or before the exit.
     TimeMs deadlineOf(const Exchange &exchange) const;
 
+    // What a stop leaves in the log (stoplog.cpp).
+    void recordTakenBefore(TimeMs signalledAt); ///< Before the event loop handled the signal.
+    void recordTaken(const Exchange &exchange);
+    void recordExpectedEnd(Exchange &exchange, TimeMs now);
+    void recordAnswer(TimeMs now);
+    void recordRefusal(const Exchange &exchange, GatewayRefusal reason, TimeMs now);
+    boost::json::object openFields(const Exchange &exchange, TimeMs now) const;
+
     // Streams that callers resume (resumptions.cpp).
     bool isResumption(const Exchange &exchange) const;
     /// Returns true for a request that begins a stream. One that resumes a stream continues its admission
@@ -479,6 +492,7 @@
     TimeMs startedAt_; ///< Time at which the first configuration was read.
     TimeMs confirmedAt_; ///< The configuration was known to be the newest at or after this time.
     std::optional<Departure> departure_;
+    StopRecord stop_;
     StreamDurations streamDurations_;
     std::map<ServiceName, TimeMs> oldestSent_; ///< Arrival of a request in phase Sent, while leaving.
 
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -15,6 +15,9 @@
 constexpr std::array<const char *, static_cast<size_t>(GatewayRetry::Count)> RetryNames = {
     "connect_failed", "not_executed", "wrong_instance", "broken", "server_error", "stream_resumed", "moved"};
 
+constexpr std::array<const char *, static_cast<size_t>(ExchangePhase::Count)> PhaseNames
+    = {"arrived", "awaiting_start", "awaiting_origin", "awaiting_limit", "queued", "sent", "streaming"};
+
 constexpr std::array<const char *, static_cast<size_t>(GatewayCount::Count)> CountNames
     = {"requests",
        "attempts",
@@ -81,6 +84,11 @@
     return RetryNames[static_cast<size_t>(reason)];
 }
 
+const char *toText(ExchangePhase phase)
+{
+    return PhaseNames[static_cast<size_t>(phase)];
+}
+
 const char *toText(GatewayCount count)
 {
     return CountNames[static_cast<size_t>(count)];
@@ -97,6 +105,9 @@
     for (size_t i = 0; i < RetryNames.size(); ++i)
         out += fmt::format("cranberry_gateway_retries_total{{reason=\"{}\"}} {}\n", RetryNames[i],
                            counters.retries[i]);
+    for (size_t i = 0; i < PhaseNames.size(); ++i)
+        out += fmt::format("cranberry_gateway_ended_for_exit_total{{phase=\"{}\"}} {}\n", PhaseNames[i],
+                           counters.endedForExit[i]);
     return out;
 }
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -42,6 +42,19 @@
     Count
 };
 
+/// State of a request between its arrival and its final response. Each has a counter of the requests that got
+/// this response in it because the process exits.
+enum class ExchangePhase : uint8_t {
+    Arrived, ///< Its admission is not decided yet.
+    AwaitingStart, ///< Waits for this daemon's first reads of the store.
+    AwaitingOrigin, ///< Waits for the other daemons' word where the stream that it resumes began.
+    AwaitingLimit, ///< Waits for units of its organisation's limit from other daemons.
+    Queued, ///< Waits for a free slot at an endpoint.
+    Sent, ///< An attempt is open or repeated, nothing was sent to the caller yet.
+    Streaming, ///< The head of the response was sent to the caller.
+    Count
+};
+
 enum class GatewayCount : uint8_t {
     Requests,
     Attempts,
@@ -102,19 +115,23 @@
 
 const char *toText(GatewayRefusal reason);
 const char *toText(GatewayRetry reason);
+const char *toText(ExchangePhase phase);
 const char *toText(GatewayCount count);
 
 /// Event counters of one daemon, all exported as metrics.
 struct GatewayCounters {
     std::array<uint64_t, static_cast<size_t>(GatewayRefusal::Count)> refusals = {};
     std::array<uint64_t, static_cast<size_t>(GatewayRetry::Count)> retries = {};
+    std::array<uint64_t, static_cast<size_t>(ExchangePhase::Count)> endedForExit = {};
     std::array<uint64_t, static_cast<size_t>(GatewayCount::Count)> counts = {};
 
     void add(GatewayRefusal reason) { ++refusals[static_cast<size_t>(reason)]; }
     void add(GatewayRetry reason) { ++retries[static_cast<size_t>(reason)]; }
+    void addEndedForExit(ExchangePhase phase) { ++endedForExit[static_cast<size_t>(phase)]; }
     void add(GatewayCount count, uint64_t by = 1) { counts[static_cast<size_t>(count)] += by; }
     uint64_t of(GatewayRefusal reason) const { return refusals[static_cast<size_t>(reason)]; }
     uint64_t of(GatewayRetry reason) const { return retries[static_cast<size_t>(reason)]; }
+    uint64_t endedForExitIn(ExchangePhase phase) const { return endedForExit[static_cast<size_t>(phase)]; }
     uint64_t of(GatewayCount count) const { return counts[static_cast<size_t>(count)]; }
 };
 
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -214,9 +214,11 @@
         return;
     gateway.sendUsage(now);
     runActions();
+    gateway.logOpenAtExit(now);
     log.write(LogPriority::State, "stopped",
               {{"open_requests", callers.size()},
                {"phases", gateway.openByPhase()},
+               {"since_signal", gateway.sinceSignal()},
                {"unwritten_responses", unwritten},
                {"relayed_for_others", relay.openCalls()},
                {"after_ms", (now - stopStartedAt).count}});
--- a/src/gateway/limits/limits.cpp
+++ b/src/gateway/limits/limits.cpp
@@ -105,7 +105,7 @@
 
 void Gateway::awaitUnits(Exchange &exchange, TimeMs now)
 {
-    exchange.phase = ExchangePhase::AwaitingLimit;
+    exchange.enter(ExchangePhase::AwaitingLimit, now);
     exchange.unitRequest = nextUnitRequest_++;
     exchange.unitRequestUntil = now + TransferTimeout;
     ++exchange.limitWaits;
@@ -183,9 +183,9 @@
 void Gateway::continueWithinLimit(Exchange &exchange, TimeMs now)
 {
     unitRequests_.erase(exchange.unitRequest);
-    exchange.phase = ExchangePhase::Queued;
     if (const std::optional<OwnAnswer> refusal = checkRequest(exchange, now))
         return answer(exchange, *refusal, now);
+    exchange.enter(ExchangePhase::Queued, now);
     dispatch(exchange, now);
 }
 
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -155,7 +155,7 @@
     if (bytes.empty())
         return inOrder;
     if (exchange.phase != ExchangePhase::Streaming) {
-        exchange.phase = ExchangePhase::Streaming;
+        exchange.enter(ExchangePhase::Streaming, now);
         exchange.callerFirstEventAt = now;
         countUsage(exchange, now);
         actions_.emplace_back(
@@ -213,6 +213,7 @@
     countLateStream(*exchange);
     streamDurations_.record(exchange->service, exchange->callerFirstEventAt - exchange->arrivedAt,
                             now - exchange->callerFirstEventAt, exchange->events, now);
+    recordAnswer(now);
     log(LogPriority::Ordinary, "stream_whole", *exchange,
         {{"after_ms", (now - exchange->arrivedAt).count},
          {"longest_pause_ms", exchange->longestPause.count}});
@@ -262,6 +263,7 @@
         return giveUp(exchange, GatewayRefusal::EndpointBroken, now);
     }
     counters_.add(GatewayCount::AnswersPassed);
+    recordAnswer(now);
     const bool failed = exchange.head.status >= FirstServerError;
     log(failed ? LogPriority::Failure : LogPriority::Ordinary, "answered", exchange,
         {{"status", exchange.head.status}, {"after_ms", (now - exchange.arrivedAt).count}});
--- a/src/gateway/requests/leaving.cpp
+++ b/src/gateway/requests/leaving.cpp
@@ -18,6 +18,8 @@
 
 void Gateway::startLeaving(TimeMs signalledAt, DurationMs grace)
 {
+    if (!departure_)
+        recordTakenBefore(signalledAt);
     departure_ = departureOf(signalledAt, grace);
 }
 
@@ -112,25 +114,6 @@
     }
 }
 
-const char *toText(ExchangePhase phase)
-{
-    switch (phase) {
-    case ExchangePhase::AwaitingStart:
-        return "awaiting_start";
-    case ExchangePhase::AwaitingOrigin:
-        return "awaiting_origin";
-    case ExchangePhase::AwaitingLimit:
-        return "awaiting_limit";
-    case ExchangePhase::Queued:
-        return "queued";
-    case ExchangePhase::Sent:
-        return "sent";
-    case ExchangePhase::Streaming:
-        return "streaming";
-    }
-    return "";
-}
-
 boost::json::object Gateway::openByPhase() const
 {
     std::map<ExchangePhase, int64_t> counts;
--- a/src/gateway/requests/resumptions.cpp
+++ b/src/gateway/requests/resumptions.cpp
@@ -82,7 +82,7 @@
 
 void Gateway::askForOrigin(Exchange &exchange, TimeMs now)
 {
-    exchange.phase = ExchangePhase::AwaitingOrigin;
+    exchange.enter(ExchangePhase::AwaitingOrigin, now);
     exchange.originSearch = OriginSearch{nextOriginSearch_++, {}, {}, now, now + QueryRepeatTime};
     OriginSearch &search = *exchange.originSearch;
     originSearches_[search.number] = exchange.caller;
--- a/src/gateway/requests/waiting.cpp
+++ b/src/gateway/requests/waiting.cpp
@@ -86,7 +86,7 @@
     const WaitingRequest waiting = waitingRequest(exchange);
     const std::vector<const WaitingRequest *> ahead = queue_.ahead(waiting, now, shares_);
     const bool isBehindOthers = hasOthers(ahead, exchange.organisation);
-    exchange.phase = ExchangePhase::Queued;
+    exchange.enter(ExchangePhase::Queued, now);
     if (isRestTooLong(exchange, now))
         return giveUp(exchange, GatewayRefusal::EndpointsResting, now);
     const LimitedQueue limited = limitedQueue(exchange.service, now);
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -228,3 +228,60 @@
     CHECK(estimate->mostEvents == 11);
     CHECK_FALSE(durations.estimate(service, TimeMs{61500}));
 }
+
+// Guards against an exit of which the log doesn't tell what it cut off and when that came.
+TEST_CASE("a stream that is open at the exit has a line, also if it came before the signal was handled")
+{
+    StoppingFixture fixture;
+    const TimeMs signalledAt = fixture.now;
+    fixture.pass({500});
+    fixture.longRequest("/draft/1");
+    fixture.head(fixture.lastSent().attempt, 200, true);
+    fixture.pass({200});
+    fixture.events(fixture.lastSent().attempt, 1, 3);
+    fixture.gateway.startLeaving(signalledAt, Grace);
+    fixture.pass({1000});
+    fixture.gateway.logOpenAtExit(fixture.now);
+    boost::json::object line = fixture.log.lines.back();
+    CHECK(line["event"] == "open_at_exit");
+    CHECK(line["phase"] == "streaming");
+    CHECK(line["phase_ms"] == 1000);
+    CHECK(line["after_ms"] == 1200);
+    CHECK(line["arrived_after_signal_ms"] == 500);
+    CHECK(line["events"] == 3);
+    CHECK(line["stream_began"] == true);
+    CHECK(fixture.gateway.sinceSignal().at("taken") == 1);
+}
+
+// Guards against an exit with so many open requests that their lines displace the others.
+TEST_CASE("the lines of open requests are bounded")
+{
+    StoppingFixture fixture;
+    fixture.awaitingStart();
+    for (int i = 0; i < 59; ++i)
+        fixture.longRequest("/lookup/1");
+    fixture.gateway.logOpenAtExit(fixture.now);
+    CHECK(fixture.log.count("open_at_exit") == 50);
+    CHECK(fixture.log.lines.back()["count"] == 10);
+}
+
+// Guards against final responses of which neither log nor counters tell that they are due to the exit.
+TEST_CASE("requests that end for the exit are counted by phase")
+{
+    StoppingFixture fixture;
+    fixture.queued();
+    fixture.pass({100});
+    fixture.gateway.startLeaving(fixture.now, Grace);
+    fixture.pass({1000});
+    fixture.longRequest("/lookup/1");
+    CHECK(fixture.log.lines.back()["phase"] == "arrived");
+    fixture.pass(fixture.gateway.departure()->answersDueAt - fixture.now);
+    const GatewayCounters &counters = fixture.gateway.counters();
+    CHECK(counters.endedForExitIn(ExchangePhase::Arrived) == 1);
+    CHECK(counters.endedForExitIn(ExchangePhase::Queued) == 1);
+    CHECK(counters.endedForExitIn(ExchangePhase::Sent) == 4);
+    const boost::json::object since = fixture.gateway.sinceSignal();
+    CHECK(since.at("last_answer_ms").as_int64() >= 7334);
+    CHECK(since.at("last_answer_ms").as_int64() < 7667);
+    CHECK(since.at("refused") == boost::json::object{{"leaving", 1}});
+}
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -27,6 +27,20 @@
     CHECK(traceRequest("unknown", lines).empty());
 }
 
+// Guards against a trace that hides that the request's daemon stopped long after its last line.
+TEST_CASE("a request's trace has the stop of its daemon")
+{
+    const std::vector<std::string> lines{
+        R"({"time_ms":1000,"instance":"a","event":"send","request":"r1"})",
+        R"({"time_ms":5000,"instance":"a","event":"stopping"})",
+        R"({"time_ms":5000,"instance":"a","event":"store_lost"})",
+        R"({"time_ms":12300,"instance":"b","event":"stopped"})",
+        R"({"time_ms":12300,"instance":"a","event":"stopped","after_ms":7300})"};
+    const std::vector<std::string> trace = traceRequest("r1", lines);
+    REQUIRE(trace.size() == 3);
+    CHECK(trace[2] == "+11300 ms   a stopped after_ms=7300");
+}
+
 TEST_CASE("all attempts of one request are traced together")
 {
     // A request that crashes engines is retried under other ids at other daemons. The trace of one attempt
--- a/tools/trace.cpp
+++ b/tools/trace.cpp
@@ -14,6 +14,9 @@
 /// Context events this long before a request's first line may explain its course.
 constexpr int64_t ContextBeforeMs = 3000;
 constexpr int64_t ContextAfterMs = 500;
+/// Start and stop of a daemon are context for longer: a stop takes as long as its grace, and a request that
+/// it cuts off may have had its last line before.
+constexpr int64_t LifeContextMs = 30000;
 
 struct LogLine {
     int64_t timeMs = 0;
@@ -58,6 +61,11 @@
     return true;
 }
 
+bool isOfDaemonsLife(const std::string &event)
+{
+    return event == "started" || event == "stopping" || event == "stopped";
+}
+
 // Parses the log lines and sorts them by time.
 std::vector<LogLine> readLines(const std::vector<std::string> &lines)
 {
@@ -115,8 +123,10 @@
     for (const LogLine &line : all) {
         const bool isOwnEvent = line.request == request;
         const bool isOtherAttempt = !isOwnEvent && !digest.empty() && line.digest == digest;
-        const bool isInWindow
-            = line.timeMs >= first - ContextBeforeMs && line.timeMs <= last + ContextAfterMs;
+        const bool isOfLife = isOfDaemonsLife(line.event);
+        const int64_t before = isOfLife ? LifeContextMs : ContextBeforeMs;
+        const int64_t after = isOfLife ? LifeContextMs : ContextAfterMs;
+        const bool isInWindow = line.timeMs >= first - before && line.timeMs <= last + after;
         const bool isContext = line.request.empty() && line.digest.empty() && isInWindow
             && instances.contains(line.instance)
             && (line.endpoint.empty() || endpoints.contains(line.endpoint));
