Tests with real processes: what is open at a daemon's exit, a signal that is taken late, a grace that a reload makes shorter

`late` stops a daemon whose process is halted for 0.6 s when the signal comes; `exit` holds calls that run, streams without an event, queued calls and an answer that its caller reads late at a daemon's exit, and stops another one whose grace a reload has set from 8 to 3 s. `exit`: 11 calls that ran, two streams without an event and both requests of the shorter grace got no answer (curl: 52), that daemon ended after 7.3 s, and 3,942,123 of 5,000,000 bytes of the answer that is read late arrived. Queued calls had their 503 before, too. The stand-in of the deployment can pad its plain answers (`answerBytes`).

--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -20,7 +20,8 @@
 // Faults of all endpoints: tokens, tokenMs (a stream's length and interval), workMs, full (answers "not
 // executed"), dropAnswers (the next N calls run, then their connections are closed), cutAfter (the next
 // stream is cut in the middle of an event after N events), newFails (endpoints of another version than the
-// first answer 500), advertiseOffset (endpoints are listed at ports this much higher, where a proxy listens).
+// first answer 500), advertiseOffset (endpoints are listed at ports this much higher, where a proxy listens),
+// answerBytes (plain responses are padded to this size).
 // A request whose body is "crash", or whose prompt has a part "bad0", crashes the endpoint that runs it, with
 // all its other requests; the endpoint returns under another id after crashMs.
 
@@ -28,6 +29,7 @@
 #include "standin.h"
 #include "storestate.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fmt/format.h>
@@ -318,7 +320,9 @@
                 ++droppedAnswers_;
                 return exchange->abort();
             }
-            exchange->respond(200, headers, "answer to " + id);
+            std::string body = "answer to " + id;
+            body.resize(std::max(body.size(), static_cast<size_t>(standin_.fault("answerBytes"))), '.');
+            exchange->respond(200, headers, body);
         });
     }
 
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -6,6 +6,7 @@
 
 store=127.0.0.1:21000
 daemons="1 2 3"
+held=()
 
 settings() { # NUMBER
     cat <<SETTINGS
@@ -40,7 +41,8 @@
     begin_run
     touch "$run_dir/deployment.log"
     start deployment "$build/standin-deployment" --listen "$store" --name deployment --log "$run_dir/deployment.log"
-    wait_for "the stand-in" curl -sf -X POST --data-binary "@$root/examples/platform/configuration.json" "http://$store/configure"
+    sed -E "${configuration_edit:-}" "$root/examples/platform/configuration.json" >"$run_dir/configuration.json"
+    wait_for "the stand-in" curl -sf -X POST --data-binary "@$run_dir/configuration.json" "http://$store/configure"
     for i in $daemons; do start_daemon "$i"; done
     for i in $daemons; do wait_for "daemon $i" curl -sf "http://127.0.0.1:2120$i/ready"; done
 }
@@ -88,6 +90,33 @@
     exec 8>&-
 }
 
+now_ms() { date +%s%3N; }
+
+sleep_until() { # TIME_MS
+    local left=$(($1 - $(now_ms)))
+    [ "$left" -le 0 ] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+}
+
+# Calls in the background; the file NAME.got has the end of the body, curl's exit code and the status.
+hold() { # DAEMON NAME PATH [CURL OPTIONS...]
+    local daemon=$1 name=$2 path=$3
+    shift 3
+    call "$daemon" "$name" "$path" -D "$run_dir/$name.head" "$@" -w '\n%{exitcode} %{http_code}' >"$run_dir/$name.got" &
+    held+=("$!")
+}
+
+# The exit codes and statuses of all held calls whose names match; one line for each kind.
+outcomes() { # PATTERN
+    for file in "$run_dir"/$1.got; do awk '{ print (NF > 2 ? "body" : "nothing"), $(NF - 1), $NF }' "$file"; done | sort | uniq -c |
+        awk '{ $1 = $1 "x"; print }'
+}
+
+# Waits for the end of a daemon; prints how long after a time it came.
+ended_after() { # DAEMON TIME_MS
+    while kill -0 "${pids[daemon-$1]}" 2>/dev/null && [ $(($(now_ms) - $2)) -lt 9000 ]; do sleep 0.02; done
+    echo $(($(now_ms) - $2))
+}
+
 case $1 in
 calm)
     # Nothing goes wrong: every kind of request is served by every daemon, and what is not allowed is refused.
@@ -178,6 +207,98 @@
     expect "the stream is whole" "$(grep -o 'token 100' "$run_dir/long.out")" "token 100"
     wait_for "its end" bash -c "! kill -0 ${pids[daemon-1]} 2>/dev/null"
     ;;
+late)
+    # The signal is taken 600 ms late. Streams that are sent more than 3 s after it would be cut by the exit without an
+    # excuse, so they are refused; those before it are taken.
+    begin
+    wait_for "addresses of all daemons" addresses 2 3
+    for n in $(seq 10); do expect "a short stream" "$(status 1 "seen-$n" /draft/1)" 200; done | sort | uniq -c
+    kill -STOP "${pids[daemon-1]}"
+    kill -TERM "${pids[daemon-1]}"
+    signalled=$(now_ms)
+    sleep 0.6
+    kill -CONT "${pids[daemon-1]}"
+    sleep_until $((signalled + 1500))
+    expect "a stream 1.5 s after the signal" "$(status 1 taken /draft/1)" 200
+    for after in 3100 3200 3300 3400 3500; do
+        sleep_until $((signalled + after))
+        hold 1 "refused-$after" /draft/1
+    done
+    wait "${held[@]}"
+    expect "streams 3.1 to 3.5 s after it" "$(outcomes 'refused-*')" "5x body 0 503"
+    age=$(sed -n 's/.*"event":"stopping".*"signal_age_ms":\([0-9]*\).*/\1/p' "$run_dir/daemon-1.out")
+    expect "the log says how late the signal was taken ($age ms)" "$((age >= 600))" 1
+    took=$(ended_after 1 "$signalled")
+    expect "ends within the grace ($took ms)" "$((took < 8000))" 1
+    ;;
+exit)
+    # What is open when the grace ends was closed without an answer: calls that run, a stream without an event, answers
+    # that are half read; with a grace that a reload made shorter, by SIGKILL.
+    configuration_edit='s/"TimeoutMs": [0-9]+/"TimeoutMs": 20000/'
+    begin
+    wait_for "addresses of all daemons" addresses 2 3
+    fault workMs 20000
+    fault tokenMs 20000
+    settings 2 | sed 's/"stopGraceSeconds":8/"stopGraceSeconds":3/' >"$run_dir/settings-2.json"
+    kill -HUP "${pids[daemon-2]}"
+    wait_for "the reload" grep -q '"event":"reloaded"' "$run_dir/daemon-2.out"
+    hold 2 short-order /order/1
+    hold 2 short-stream /draft/1
+    sleep 0.5
+    signalled=$(now_ms)
+    kill -TERM "${pids[daemon-2]}"
+    took=$(ended_after 2 "$signalled")
+    wait "${held[@]}"
+    expect "answers within the shorter grace" "$(outcomes 'short-*')" "2x body 0 502"
+    expect "ends within the shorter grace ($took ms)" "$((took < 3000))" 1
+
+    held=()
+    signalled=$(($(now_ms) + 1500))
+    fault workMs $((signalled + 6200 - $(now_ms)))
+    fault answerBytes 5000000
+    # The kernel holds less than the answer, so the rest stays in the daemon until the caller reads.
+    python3 - $((signalled + 7400)) >"$run_dir/reader.out" <<'READER' &
+import socket, sys, time
+caller = socket.socket()
+caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+caller.connect(("127.0.0.1", 21101))
+caller.sendall(b"POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: reader\r\nAuthorization: Bearer key-a\r\n"
+               b"X-Deadline-Ms: 12000\r\nContent-Length: 0\r\n\r\n")
+time.sleep(int(sys.argv[1]) / 1000 - time.time())
+answer = b""
+try:
+    while part := caller.recv(1 << 20):
+        answer += part
+except OSError as error:
+    print(type(error).__name__, end=" ")
+head, _, body = answer.partition(b"\r\n\r\n")
+print(head[:12].decode(), len(body))
+READER
+    held+=("$!")
+    wait_for "the reader's request" grep -q 'run id=reader ' "$run_dir/deployment.log"
+    fault workMs 20000
+    hold 1 stream-1 /draft/1
+    hold 1 stream-2 /review/1
+    for n in 1 2 3 4 5; do
+        hold 1 "order-$n" /order/1
+        hold 1 "lookup-$n" /lookup/1
+    done
+    hold 1 order-6 /order/1
+    wait_for "all slots taken" eval '[ "$(grep -c "run id=\(order\|lookup\)-" "$run_dir/deployment.log")" = 11 ]'
+    for n in 1 2 3; do hold 1 "queued-$n" /order/1; done
+    sleep_until "$signalled"
+    kill -TERM "${pids[daemon-1]}"
+    took=$(ended_after 1 "$signalled")
+    wait "${held[@]}"
+    expect "a queued call" "$(outcomes 'queued-*')" "3x body 0 503"
+    expect "is told when to return" "$(cat "$run_dir"/queued-*.head | grep -ic '^retry-after: [0-9]')" 3
+    expect "and did not run" "$(grep -c 'run id=queued' "$run_dir/deployment.log" || true)" 0
+    expect "calls that run" "$(outcomes 'order-*'; outcomes 'lookup-*')" "6x body 0 502
+5x body 0 502"
+    expect "streams without an event" "$(outcomes 'stream-*')" "2x body 0 502"
+    expect "an answer that is read late" "$(cat "$run_dir/reader.out")" "HTTP/1.1 200 5000000"
+    expect "ends within the grace ($took ms)" "$((took < 8000))" 1
+    ;;
 kill)
     # A daemon is killed, the duties' holder among them. The others serve on, callers are sent to them, and the
     # duties go on under a higher token.
