cranberryd: a planned stop hands over a second before its end, not in the tick that ends everything

What callers saw: streams that outlast `drainLimitMs` were left to their witness, which begins again without the text so far, and a caller could be sent to a daemon that did not have the request. Cause: a planned stop's handover was due at its end. Its copies left in the tick in which all requests were ended, so one lost message or one successor that does not answer meant that nobody held the text. Now the last second (of a shorter stop: its second half) is for handing over; copies are repeated and successors replaced in it. At the end nothing is handed over any more, and callers that read an answer of another daemon are redirected or told "unknown".

--- a/src/daemon/drain.cpp
+++ b/src/daemon/drain.cpp
@@ -2,6 +2,7 @@
 #include "daemon/world.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberry {
 
@@ -9,6 +10,8 @@
 
 constexpr int64_t HandoverDelayPercent = 40;
 constexpr DurationMs FinalAnswerReserve{300}; ///< Reserved at the end of a notice for sending final replies.
+/// Reserved at the end of a planned drain for handing requests over: enough for three successors in turn.
+constexpr DurationMs HandoverReserve{1000};
 constexpr DurationMs SuccessorTimeout{300};
 constexpr DurationMs CopyRetryInterval{150};
 constexpr DurationMs IdleBeforeStop{800}; ///< Time for the marks to reach the other daemons.
@@ -58,6 +61,17 @@
     return request.phase < RequestPhase::Moving && (request.spec->idempotent || request.once.mayMove());
 }
 
+void redirectFollowers(World &world)
+{
+    const Member *successor = world.members.find(world.drain.successor);
+    if (!successor)
+        return;
+    for (const std::pair<const CallerId, Follower> &entry : world.followers)
+        world.actions.push_back(
+            CallerMoved{entry.first, entry.second.request, successor->info.callerAddress});
+    world.followers.clear();
+}
+
 // Hands the requests that this daemon cannot finish over to the successor. The grant of keyed work moves at
 // its register when the successor queries it; from now on this daemon never dispatches that work.
 void handOver(World &world)
@@ -74,14 +88,7 @@
                 sendHandover(world, request, world.drain.successor);
         }
     }
-    const Member *successor = world.members.find(world.drain.successor);
-    for (const std::pair<const CallerId, Follower> &entry : world.followers) {
-        if (successor)
-            world.actions.push_back(
-                CallerMoved{entry.first, entry.second.request, successor->info.callerAddress});
-    }
-    if (successor)
-        world.followers.clear();
+    redirectFollowers(world);
 }
 
 // Forwards the witness copies to the successor, to which the DaemonMoved mark directs later fetches.
@@ -147,6 +154,14 @@
     }
 }
 
+// Ends the callers that read answers of other daemons and could not be redirected.
+void endFollowers(World &world)
+{
+    redirectFollowers(world);
+    for (const std::pair<const CallerId, Follower> &entry : std::exchange(world.followers, {}))
+        refuseCaller(world, entry.first, {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
+}
+
 void stop(World &world)
 {
     if (world.drain.stopped)
@@ -160,13 +175,15 @@
 void startDrain(World &world, std::optional<DurationMs> notice)
 {
     Drain &drain = world.drain;
-    const TimeMs endsAt
-        = world.now + (notice ? std::max(DurationMs{0}, *notice - FinalAnswerReserve) : world.drainLimit);
+    const DurationMs limit
+        = notice ? std::max(DurationMs{0}, *notice - FinalAnswerReserve) : world.drainLimit;
+    const TimeMs endsAt = world.now + limit;
     if (drain.active && endsAt >= drain.endsAt)
         return;
     drain.active = true;
     drain.endsAt = endsAt;
-    drain.handoverAt = notice ? world.now + *notice * HandoverDelayPercent / 100 : endsAt;
+    drain.handoverAt = notice ? world.now + *notice * HandoverDelayPercent / 100
+                              : endsAt - std::min(HandoverReserve, limit / 2);
     drain.idleSince = world.now;
     addMark(world, {MarkKind::DaemonLeaving, {}, world.self(), {}}, {});
     world.nextGossipAt = world.now; // Sends the mark at once instead of at the next round.
@@ -182,14 +199,17 @@
     forwardWitnessCopies(world);
     if (drain.registerMoved && needsAnotherSuccessor(world))
         chooseSuccessor(world); // For requests only: the DaemonMoved mark of the register is written once.
-    if (world.now >= drain.handoverAt && drain.successor && isOn(Safeguard::HandoverOnReclaim))
+    if (world.now >= drain.handoverAt && world.now < drain.endsAt && drain.successor
+        && isOn(Safeguard::HandoverOnReclaim))
         handOver(world);
 
     const bool alone = world.members.aliveCount() == 0;
     if (hasOpenWork(world) || (!drain.registerMoved && !alone))
         drain.idleSince = world.now;
-    if (world.now >= drain.endsAt)
+    if (world.now >= drain.endsAt) {
         endOpenRequests(world);
+        endFollowers(world);
+    }
     if (world.now >= drain.endsAt || world.now - drain.idleSince >= IdleBeforeStop)
         stop(world);
 }
--- a/tests/onedaemon.cpp
+++ b/tests/onedaemon.cpp
@@ -21,9 +21,10 @@
         endpoints);
 }
 
-DaemonOptions daemonOptions()
+DaemonOptions daemonOptions(DurationMs drainLimit)
 {
     DaemonOptions out;
+    out.drainLimit = drainLimit;
     out.member.incarnation = {7};
     out.member.instance = {"entry-0"};
     out.member.failureDomain = {"leioa"};
@@ -32,7 +33,7 @@
 
 } // namespace
 
-OneDaemon::OneDaemon() : daemon_(daemonOptions())
+OneDaemon::OneDaemon(DurationMs drainLimit) : daemon_(daemonOptions(drainLimit))
 {
     step(Tick{});
     step(ConfigurationReceived{{1}, configurationText()});
@@ -49,13 +50,23 @@
     return spec;
 }
 
-CallerId OneDaemon::submit(const std::string &body)
+CallerId OneDaemon::submit(const std::string &body, bool idempotent)
 {
     const CallerId caller{++callers_};
-    step(CallerSubmit{caller, specOf(body)});
+    RequestSpec spec = specOf(body);
+    spec.idempotent = idempotent;
+    step(CallerSubmit{caller, std::move(spec)});
     return caller;
 }
 
+void OneDaemon::pass(DurationMs duration)
+{
+    for (const TimeMs until = now_ + duration; now_ < until;) {
+        now_ = now_ + TickInterval;
+        step(Tick{});
+    }
+}
+
 void OneDaemon::takeOver(const std::string &body)
 {
     RequestCopy copy;
@@ -102,6 +113,8 @@
             refusals[refused->caller] = refused->refusal;
         else if (const CallerEnd *end = std::get_if<CallerEnd>(&action))
             answered.insert(end->caller);
+        else if (std::holds_alternative<Stopped>(action))
+            stopped = true;
     }
 }
 
--- a/tests/onedaemon.h
+++ b/tests/onedaemon.h
@@ -13,9 +13,11 @@
 class OneDaemon
 {
 public:
-    OneDaemon();
+    explicit OneDaemon(DurationMs drainLimit = DurationMs{120000});
 
-    CallerId submit(const std::string &body);
+    CallerId submit(const std::string &body, bool idempotent = true);
+    void drain(std::optional<DurationMs> notice) { step(DrainRequested{notice}); }
+    void pass(DurationMs duration);
     /// Delivers a handover of a request from another daemon.
     void takeOver(const std::string &body);
     /// Advances the time by `duration` and fails up to `maxFailures` attempts for `body` with `phase`. The
@@ -25,6 +27,7 @@
 
     std::map<CallerId, Refusal> refusals;
     std::set<CallerId> answered;
+    bool stopped = false; ///< The daemon has asked for the end of its process.
     size_t failedAttempts = 0; ///< Number of attempts failed so far.
     FailurePhase phase = FailurePhase::EndpointExited;
 
