cranberryd: what waits in the queue at the end of a stop is reported as not run

What callers saw: "unknown" for requests that were never sent to an endpoint. Who may not repeat its work took it for lost. Cause: at the end of a stop each open request got the same outcome. Now unkeyed work that never left the daemon, and was handed to nobody, is "not run". Evidence: daemonstops_test, 64 requests at endpoints and four in the queue: the four were "unknown" before, are "not run" after; the 64 stay "unknown".

--- a/src/daemon/drain.cpp
+++ b/src/daemon/drain.cpp
@@ -137,9 +137,17 @@
     return true;
 }
 
+// Only unkeyed work that never left this daemon has certainly not run: a successor may have begun the rest.
+Outcome finalOutcome(const Request &request)
+{
+    const bool neverSent = request.once.mayRefuseAtOnce() && !request.possiblyRan && !request.attempt.value
+        && request.phase != RequestPhase::Moving;
+    return neverSent ? Outcome::NotRun : Outcome::Unknown;
+}
+
 // Ends the requests that are still open when the notice expires and no successor acknowledged them.
-// Idempotent work is left to its witness; for the rest the callers receive outcome Unknown instead of a
-// broken connection.
+// Idempotent work is left to its witness; for the rest the callers receive its outcome instead of a broken
+// connection.
 void endOpenRequests(World &world)
 {
     std::vector<RequestId> open;
@@ -150,7 +158,7 @@
     for (const RequestId &id : open) {
         Request &request = world.requests.at(id);
         if (!leaveToWitness(world, request))
-            endWithRefusal(world, request, {Outcome::Unknown, RefusalReason::OwnerGone, DurationMs{0}});
+            endWithRefusal(world, request, {finalOutcome(request), RefusalReason::OwnerGone, DurationMs{0}});
     }
 }
 
--- a/tests/daemonstops_test.cpp
+++ b/tests/daemonstops_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr DurationMs DrainLimit{3000};
+constexpr size_t AllSlots = 64; ///< Of OneDaemon's endpoints.
 
 } // namespace
 
@@ -33,6 +34,24 @@
     }
 }
 
+// Guards against callers that are told "unknown", and so must not repeat their work, for requests that never
+// left.
+TEST_CASE("at the end of a stop what was never sent is reported as not run")
+{
+    OneDaemon daemon(DrainLimit);
+    std::vector<CallerId> callers;
+    for (size_t i = 0; i < AllSlots + 4; ++i)
+        callers.push_back(daemon.submit("work " + std::to_string(i), false));
+    daemon.drain({});
+    daemon.pass(DrainLimit + TickInterval);
+    CHECK(daemon.stopped);
+    for (size_t i = 0; i < callers.size(); ++i) {
+        CAPTURE(i);
+        REQUIRE(daemon.refusals.contains(callers[i]));
+        CHECK(daemon.refusals[callers[i]].outcome == (i < AllSlots ? Outcome::Unknown : Outcome::NotRun));
+    }
+}
+
 // Guards against an operator's second signal that closes connections without a word.
 TEST_CASE("a stop at once ends all requests with a final response")
 {
