Streams after a stop signal are judged by what most of the newest took, not by the longest

What callers saw: hundreds of streams that were sent away by stopping daemons although nearly all would have ended in time: by the longest first event, the longest interval and all tokens that a request may use, at once. Now each figure is one that four of five streams stay below, the share of the stated tokens that streams use is one of them, and requests that still wait for their first event are samples, not a lower bound: one that hangs no longer stops all.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -207,6 +207,8 @@
     bool mayExitBefore(const Exchange &exchange, TimeMs now) const;
     bool endsBeforeExit(const Exchange &exchange, TimeMs now) const; ///< Also true if no exit is due.
     std::optional<DurationMs> expectedRest(const Exchange &exchange, TimeMs now) const;
+    uint64_t statedEvents(const Exchange &exchange) const;
+    void recordStreamDuration(const Exchange &exchange, TimeMs now);
     void tickLeaving(TimeMs now);
     void refuseUnfinishable(TimeMs now);
     static TimeMs callersDeadline(const Exchange &exchange);
@@ -494,7 +496,8 @@
     std::optional<Departure> departure_;
     StopRecord stop_;
     StreamDurations streamDurations_;
-    std::map<ServiceName, TimeMs> oldestSent_; ///< Arrival of a request in phase Sent, while leaving.
+    /// Of the services with requests in phase Sent, while leaving; renewed in each tick.
+    std::map<ServiceName, std::optional<StreamEstimate>> streamEstimates_;
 
     EndpointFleet fleet_;
     PeerTable peers_;
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -211,8 +211,7 @@
     recordProof(*exchange, now);
     counters_.add(GatewayCount::StreamsWhole);
     countLateStream(*exchange);
-    streamDurations_.record(exchange->service, exchange->callerFirstEventAt - exchange->arrivedAt,
-                            now - exchange->callerFirstEventAt, exchange->events, now);
+    recordStreamDuration(*exchange, now);
     recordAnswer(now);
     log(LogPriority::Ordinary, "stream_whole", *exchange,
         {{"after_ms", (now - exchange->arrivedAt).count},
--- a/src/gateway/requests/leaving.cpp
+++ b/src/gateway/requests/leaving.cpp
@@ -63,36 +63,53 @@
     return left && now + *left < departure_->answersDueAt;
 }
 
-// Returns the time that a stream takes that is sent now. Requests that wait for their first event show at
-// once that engines have become slower, before any of them has ended.
+// Returns the time that a stream takes that is sent now. Requests that wait for their first event show that
+// engines have become slower before any of them has ended.
 std::optional<DurationMs> Gateway::expectedRest(const Exchange &exchange, TimeMs now) const
 {
-    const ServiceName name = serviceOf(exchange);
-    std::optional<StreamEstimate> estimate = streamDurations_.estimate(name, now);
+    const ServiceName service = serviceOf(exchange);
+    const auto found = streamEstimates_.find(service);
+    const std::optional<StreamEstimate> estimate
+        = found != streamEstimates_.end() ? found->second : streamDurations_.estimate(service, {}, now);
     if (!estimate)
         return std::nullopt;
-    if (const auto oldest = oldestSent_.find(name); oldest != oldestSent_.end())
-        estimate->firstEvent = std::max(estimate->firstEvent, now - oldest->second);
-    const ServedService *service = exchange.configuration->findService(name);
-    const bool isStated = service && service->engine && exchange.request->statesTokens;
-    const uint64_t perEvent = isStated ? std::max(service->engine->tokensPerEvent, 1U) : 1;
-    const uint64_t events
-        = isStated ? (exchange.request->outputTokens + perEvent - 1) / perEvent : estimate->mostEvents;
-    return estimate->firstEventAnd(events - std::min(events, exchange.events));
+    const uint64_t stated = statedEvents(exchange);
+    const double all = stated > 0 ? estimate->usedShare * static_cast<double>(stated)
+                                  : static_cast<double>(estimate->events);
+    const double left = std::max(all - static_cast<double>(exchange.events), 0.0);
+    return estimate->firstEvent + DurationMs{static_cast<int64_t>(left * estimate->eventMs)};
+}
+
+// Returns the largest number of events that the stream may have; 0 if that is not known.
+uint64_t Gateway::statedEvents(const Exchange &exchange) const
+{
+    const ServedService *service = exchange.configuration->findService(serviceOf(exchange));
+    if (!service || !service->engine || !exchange.request->statesTokens)
+        return 0;
+    const uint64_t perEvent = std::max(service->engine->tokensPerEvent, 1U);
+    return (exchange.request->outputTokens + perEvent - 1) / perEvent;
+}
+
+void Gateway::recordStreamDuration(const Exchange &exchange, TimeMs now)
+{
+    streamDurations_.record(exchange.service,
+                            {now, exchange.callerFirstEventAt - exchange.arrivedAt,
+                             now - exchange.callerFirstEventAt, exchange.events, statedEvents(exchange)});
 }
 
 void Gateway::tickLeaving(TimeMs now)
 {
     if (!departure_)
         return;
-    oldestSent_.clear();
+    std::map<ServiceName, std::vector<DurationMs>> waiting;
     for (const std::pair<const CallerId, Exchange> &entry : exchanges_) {
         const Exchange &exchange = entry.second;
-        if (exchange.phase != ExchangePhase::Sent)
-            continue;
-        TimeMs &oldest = oldestSent_.try_emplace(exchange.service, exchange.arrivedAt).first->second;
-        oldest = std::min(oldest, exchange.arrivedAt);
+        if (exchange.phase == ExchangePhase::Sent)
+            waiting[exchange.service].push_back(now - exchange.arrivedAt);
     }
+    streamEstimates_.clear();
+    for (const std::pair<const ServiceName, std::vector<DurationMs>> &each : waiting)
+        streamEstimates_[each.first] = streamDurations_.estimate(each.first, each.second, now);
     refuseUnfinishable(now);
 }
 
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -189,12 +189,13 @@
 }
 
 // Guards against predictions from the time before engines became slow: no stream has ended since.
-TEST_CASE("a request that waits long for its first event shows that streams take longer now")
+TEST_CASE("requests that wait long for their first event show that streams take longer now")
 {
     StoppingFixture fixture;
     for (int i = 0; i < 10; ++i)
         REQUIRE(fixture.playStream(DurationMs{100}, DurationMs{25}, 34));
-    fixture.longRequest("/draft/1");
+    for (int i = 0; i < 10; ++i)
+        fixture.longRequest("/draft/1");
     fixture.pass({6500});
     fixture.gateway.startLeaving(fixture.now, Grace);
     fixture.pass({500});
@@ -213,20 +214,24 @@
     }
 }
 
-// Guards against predictions from few streams, or from those of another hour.
-TEST_CASE("a stream's duration is predicted by the slowest of the newest")
+// Guards against predictions from few streams, from those of another hour, or from a single slow one.
+TEST_CASE("a stream's duration is predicted by what most of the newest took")
 {
     StreamDurations durations;
     const ServiceName service{"model"};
-    for (int64_t i = 1; i <= 7; ++i)
-        durations.record(service, DurationMs{100 * i}, DurationMs{300}, 4, TimeMs{1000});
-    CHECK_FALSE(durations.estimate(service, TimeMs{1000}));
-    durations.record(service, DurationMs{10}, DurationMs{200}, 11, TimeMs{2000});
-    const std::optional<StreamEstimate> estimate = durations.estimate(service, TimeMs{2000});
+    for (int64_t i = 1; i <= 10; ++i) {
+        CHECK(durations.estimate(service, {}, TimeMs{1000}).has_value() == (i > 8));
+        durations.record(service, {TimeMs{1000}, DurationMs{100 * i}, DurationMs{30 * i}, 4, 8});
+    }
+    const std::optional<StreamEstimate> estimate = durations.estimate(service, {}, TimeMs{1000});
     REQUIRE(estimate);
-    CHECK(estimate->firstEventAnd(10) == DurationMs{700 + 10 * 100});
-    CHECK(estimate->mostEvents == 11);
-    CHECK_FALSE(durations.estimate(service, TimeMs{61500}));
+    CHECK(estimate->firstEvent == DurationMs{800});
+    CHECK(estimate->eventMs == doctest::Approx(80));
+    CHECK(estimate->events == 4);
+    CHECK(estimate->usedShare == doctest::Approx(0.5));
+    const std::vector<DurationMs> waiting(10, DurationMs{5000});
+    CHECK(durations.estimate(service, waiting, TimeMs{1000})->firstEvent == DurationMs{5000});
+    CHECK_FALSE(durations.estimate(service, {}, TimeMs{61500}));
 }
 
 // Guards against an exit of which the log doesn't tell what it cut off and when that came.
