A repeat that is left out because of a daemon's exit is named in the log

What could not be told: during a stop a stream broke off, or a request got 502, with no line that says why it was not sent again; only a used-up budget and a quarantine had one. Now `repeat_denied` has the reason `leaving`. No decision changes. Evidence: the new case of stops_test fails without the change; stops_test, gateway_test, gatewaymoves_test, endpointrest_test and operationspage_test pass.

--- a/src/gateway/requests/retries.cpp
+++ b/src/gateway/requests/retries.cpp
@@ -28,8 +28,12 @@
     // it.
     if (exchange.mayHaveRun && !isRetryable(*exchange.route))
         return false;
-    if (deadlineOf(exchange) - now < MinUsefulTime || !endsBeforeExit(exchange, now))
+    if (deadlineOf(exchange) - now < MinUsefulTime)
         return false;
+    if (!endsBeforeExit(exchange, now)) {
+        logDenied(exchange, toText(GatewayRefusal::Leaving));
+        return false;
+    }
     if (isQuarantined(exchange, now)) {
         logDenied(exchange, "quarantined");
         return false;
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -285,3 +285,17 @@
     CHECK(since.at("last_answer_ms").as_int64() < 7667);
     CHECK(since.at("refused") == boost::json::object{{"leaving", 1}});
 }
+
+// Guards against streams that break off during a stop without a word why they were not resumed.
+TEST_CASE("a repeat that would not end before the exit is denied in the log")
+{
+    StoppingFixture fixture;
+    fixture.longRequest("/review/1");
+    fixture.head(fixture.lastSent().attempt, 200, true);
+    fixture.events(fixture.lastSent().attempt, 1, 3);
+    fixture.gateway.startLeaving(fixture.now, Grace);
+    fixture.broken(fixture.lastSent().attempt);
+    CHECK(std::any_of(fixture.log.lines.begin(), fixture.log.lines.end(), [](boost::json::object &line) {
+        return line["event"] == "repeat_denied" && line["reason"] == "leaving";
+    }));
+}
