A generation that was stopped for a move goes on at its source if no target takes it over

What callers saw: a stream that can't be resumed, stopped by the daemon itself for a move off a leaving engine, was cut off when the target had no room (503), was gone meanwhile or refused the handle. Cause: a move that failed after its stream had closed ended as a broken connection, although the source keeps the memory and its reply names the handle. Now the handle is remembered until an attempt is accepted. The handle holds once, so nothing runs twice. If the target received nothing, the unit of the retry budget that the move took pays for it; else another one is taken. Not covered: a move without a reply (its handle is not known), a target that answers 421, and one that received the request and broke off. Evidence: gatewaymoves_test, "goes on at its source": a target without room and one that refuses, both broken before, whole after.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -33,6 +33,12 @@
     std::optional<std::string> handle; ///< Set when the KV cache has arrived at the target.
 };
 
+/// A generation that was stopped for its migration and is still in the memory of its engine.
+struct KeptGeneration {
+    EndpointIncarnation source;
+    MigratedKvCache kvCache;
+};
+
 /// Search for the origin of a stream among the other daemons.
 struct OriginSearch {
     uint64_t number = 0; ///< Of the StreamOriginQuery.
@@ -114,6 +120,7 @@
     uint64_t events = 0; ///< Number of events in all attempts.
     bool isLate = false; ///< The first event or a pause missed its target.
     std::optional<GenerationMigration> migration;
+    std::optional<KeptGeneration> kept; ///< Until another attempt continues it.
     bool migrationDenied = false; ///< The retry budget was used up; logged once.
     std::set<EndpointId> migrationTargets; ///< Targets tried so far.
     std::optional<uint64_t> eventStep; ///< Difference of the ids of two consecutive events.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -434,6 +434,7 @@
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
     void continueAtTarget(Exchange &exchange, TimeMs now);
     void onMigrationFailed(Exchange &exchange, TimeMs now);
+    bool returnToSource(Exchange &exchange, TimeMs now);
     void abortStream(Exchange &exchange, TimeMs now);
 
     // Usage counts (gatewayusage.cpp).
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -83,6 +83,7 @@
     if (event.notExecuted || event.wrongInstance)
         return onRejected(*exchange, now);
     fleet_.accepted(exchange->sentTo, now);
+    exchange->kept.reset();
     if (!event.eventStream)
         countUsage(*exchange, exchange->sentAt);
 }
@@ -108,6 +109,8 @@
         = exchange.head.wrongInstance ? GatewayRetry::WrongInstance : GatewayRetry::NotExecuted;
     if (exchange.rejections <= MaxRejections && (retry(exchange, reason, now) || waitForRest(exchange, now)))
         return;
+    if (!exchange.head.wrongInstance && returnToSource(exchange, now))
+        return;
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
     giveUp(exchange, GatewayRefusal::NotExecuted, now);
@@ -351,6 +354,10 @@
         if (mayRetry(exchange) && retry(exchange, reason, now))
             return;
     }
+    // A target that the request was sent to may have continued it.
+    const bool isStopped = !failure.sent || (exchange.kept && exchange.sentTo == exchange.kept->source);
+    if (isStopped && returnToSource(exchange, now))
+        return;
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
     giveUp(exchange, GatewayRefusal::EndpointBroken, now);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -149,6 +149,8 @@
     if (!exchange || !exchange->migration)
         return;
     GenerationMigration &migration = *exchange->migration;
+    if (!event.handle.empty())
+        exchange->kept = KeptGeneration{exchange->sentTo, {migration.source, event.handle}};
     if (event.outcome != MigrationOutcome::Migrated) {
         log(LogPriority::Failure, "move_failed", *exchange,
             {{"outcome", static_cast<int>(event.outcome)}, {"source_closed", migration.sourceClosed}});
@@ -174,8 +176,11 @@
     const GenerationMigration migration = *exchange.migration;
     cancelAttempt(exchange);
     // A target that has restarted no longer holds the KV cache.
-    if (!fleet_.find(migration.target) || isQuarantined(exchange, now))
-        return abortStream(exchange, now);
+    if (!fleet_.find(migration.target) || isQuarantined(exchange, now)) {
+        if (!returnToSource(exchange, now))
+            abortStream(exchange, now);
+        return;
+    }
     counters_.add(GatewayRetry::Moved);
     PlacementChoice choice;
     choice.endpoint = migration.target.id;
@@ -184,4 +189,30 @@
          MigratedKvCache{migration.source, *migration.handle});
 }
 
+// Continues a generation that no target took over at the engine that stopped it. A stream that can't be
+// resumed would be lost otherwise. Its handle holds once, so the request can't run twice; the engine is asked
+// only if there is time before its exit.
+bool Gateway::returnToSource(Exchange &exchange, TimeMs now)
+{
+    if (!exchange.kept)
+        return false;
+    const KeptGeneration kept = *std::exchange(exchange.kept, std::nullopt);
+    const FleetEndpoint *source = fleet_.find(kept.source);
+    if (!source || source->gone || source->rest.isResting(now)
+        || (source->leavesAt && now + MigrationMargin > *source->leavesAt) || isQuarantined(exchange, now))
+        return false;
+    // If nothing was sent to the target, the migration has paid for this send.
+    const bool isPaid = exchange.sentTo == kept.source;
+    if (!isPaid && !retryBudget_.take(exchange.service, GatewayRetry::Moved, now)) {
+        logDenied(exchange, toText(GatewayRetry::Moved));
+        return false;
+    }
+    counters_.add(GatewayRetry::Moved);
+    log(LogPriority::Failure, "move_returned", exchange, {{"source", kept.source.id.value}});
+    PlacementChoice choice;
+    choice.endpoint = kept.source.id;
+    send(exchange, placementQuery(exchange), choice, now, kept.kvCache);
+    return true;
+}
+
 } // namespace cranberry
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -231,3 +231,52 @@
     pass({100});
     CHECK(moves.empty());
 }
+
+// Guards against a stream that is lost although its source, stopped for a move that found no room, still
+// holds it.
+TEST_CASE_FIXTURE(GatewayFixture, "a generation that was stopped for a failed move goes on at its source")
+{
+    GatewaySettings bounds;
+    bounds.retryLimits = {0.2, 8, {10000}};
+    gateway.applyBounds(bounds);
+    serveForWindow();
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    broken(stream.attempt);
+    SUBCASE("its target had no room")
+    {
+        gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::NoCapacity, "h1"}, now);
+        drainActions();
+    }
+    SUBCASE("its target refuses the handle")
+    {
+        gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::Migrated, "h1"}, now);
+        drainActions();
+        AttemptHead refusal;
+        refusal.attempt = lastSent().attempt;
+        refusal.status = 503;
+        refusal.notExecuted = true;
+        gateway.onHead(refusal, now);
+        drainActions();
+    }
+    CHECK(lastSent().endpoint == stream.source);
+    REQUIRE(lastSent().migratedKvCache);
+    CHECK(lastSent().migratedKvCache->handle == "h1");
+    CHECK(lastSent().resumeAfter == 3);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 4, 100);
+    end(lastSent().attempt);
+    CHECK(streamEnds[stream.caller]);
+}
+
+// Guards against a request that reaches an engine that has restarted or whose time is over.
+TEST_CASE_FIXTURE(GatewayFixture, "a stopped generation does not return to a source that is about to exit")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    broken(stream.attempt);
+    pass({1900});
+    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::NoCapacity, "h1"}, now);
+    drainActions();
+    CHECK(sent.size() == 1);
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK_FALSE(streamEnds[stream.caller]);
+}
