Idle connections are closed: at the end of their keep-alive, and when no endpoint has their address any more

Cause: the HTTP client's pool let an idle connection go only to another request to the same address, or when a partition was detected. Connections to endpoints that are gone, those that the endpoint had closed, and those past their limit stayed.

Evidence: "a connection that is not used again is closed when its keep-alive ends" (http_test) and "idle connections to an address that no endpoint has any more are closed", "the connection of the last stream at a removed endpoint is closed as well" (endpointincarnations_test) fail on the code before: nothing is ever closed.

Change: the client checks its idle connections every 0.5 s and closes those whose time is over or that the server closed. The time is that of the stated Keep-Alive less a second, as before, now at most a minute (and a huge figure can't overflow), or 3 s. This holds for the connections to other daemons as well. The gateway closes the connections to addresses that no listed endpoint has any more, again at the end of the last request there; an address that another endpoint took over stays. While connections are idle the client keeps its io_context at work, so cranberryctl and cranberrybench stop theirs.

--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoints/endpointfleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberry {
 
@@ -102,6 +103,8 @@
     if (isKnown && entry.start > endpoint.entry.start)
         resetForRestart(endpoint, entry.start, now);
     const bool wasLeaving = endpoint.entry.leaving;
+    if (isKnown && endpoint.entry.address != entry.address)
+        formerAddresses_.insert(endpoint.entry.address);
     endpoint.entry = entry;
     endpoint.entry.leaving = entry.leaving || wasLeaving; // A leaving incarnation never returns to service.
     if (endpoint.entry.leaving && !endpoint.leavesAt)
@@ -182,7 +185,10 @@
 {
     const bool inGrace = now - listRegainedAt_ < RelistGrace && listRegainedAt_.count > 0;
     for (std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
-        entry.second.gone = !entry.second.listed && !inGrace;
+        const bool isGone = !entry.second.listed && !inGrace;
+        if (isGone && (!entry.second.gone || entry.second.running == 0))
+            formerAddresses_.insert(entry.second.entry.address);
+        entry.second.gone = isGone;
         if (entry.second.gone && !entry.second.leavesAt)
             entry.second.leavesAt = now - ListReadDelay + drainTime_;
     }
@@ -198,6 +204,18 @@
         [](const std::pair<const EndpointId, FleetEndpoint> &entry) { return !entry.second.listed; });
 }
 
+std::vector<Address> EndpointFleet::takeFormerAddresses()
+{
+    if (formerAddresses_.empty())
+        return {};
+    for (const std::pair<const EndpointId, FleetEndpoint> &entry : endpoints_) {
+        if (!entry.second.gone)
+            formerAddresses_.erase(entry.second.entry.address);
+    }
+    const std::set<Address> former = std::exchange(formerAddresses_, {});
+    return {former.begin(), former.end()};
+}
+
 bool EndpointFleet::isSilent(const FleetEndpoint &endpoint, TimeMs now) const
 {
     return endpoint.streaming > 0 && now - std::max(endpoint.lastByteAt, resumedAt_) > SilentStreamsTimeout;
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -240,6 +240,9 @@
     /// Returns nullptr also if this is not the newest known incarnation.
     const FleetEndpoint *find(const EndpointIncarnation &incarnation) const;
     const std::map<EndpointId, FleetEndpoint> &all() const { return endpoints_; }
+    /// Returns the addresses that no listed endpoint has any more, since the last call. That of an endpoint
+    /// with open requests is returned again at their end.
+    std::vector<Address> takeFormerAddresses();
     /// Number of requests that the service's endpoints can run concurrently.
     uint32_t totalSlots(const ServiceName &service, TimeMs now) const;
     /// Number of endpoints that take requests without a rate limit.
@@ -317,6 +320,7 @@
     PartUses partUses_;
     size_t servingDaemons_ = 1;
     std::map<EndpointId, RemovedEndpoint> removed_; ///< Endpoints that were removed recently.
+    std::set<Address> formerAddresses_; ///< Not yet taken; another endpoint may have them now.
     std::map<ServiceName, std::set<SoftwareVersion>> inactiveVersions_;
     struct BrittleService {
         uint32_t maxRejections = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -437,6 +437,8 @@
 void Gateway::tick(TimeMs now)
 {
     fleet_.tick(now);
+    if (std::vector<Address> former = fleet_.takeFormerAddresses(); !former.empty())
+        actions_.emplace_back(CloseIdleConnections{std::move(former)});
     tickEndpointLimits(now);
     updateBrittleServices(now);
     quarantine_.tick(now);
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -2,12 +2,15 @@
 
 #include "io/socketoptions.h"
 
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
 #include <cstring>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -24,6 +27,10 @@
 /// Subtracted from the server's Keep-Alive timeout, so that no request is sent while the server closes the
 /// connection.
 constexpr std::chrono::milliseconds IdleMargin{1000};
+/// Idle limit for servers that state a longer Keep-Alive timeout: a descriptor is not held for hours.
+constexpr std::chrono::seconds MaxIdleLimit{60};
+/// Interval at which idle connections are checked.
+constexpr std::chrono::milliseconds IdleCheckInterval{500};
 constexpr size_t ReadBytes = 16U << 10;
 /// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
 /// instead of filling the memory.
@@ -37,6 +44,12 @@
     StreamPtr stream;
     std::chrono::steady_clock::time_point idleSince;
     std::chrono::milliseconds idleLimit;
+
+    /// Returns whether its time is not over and the server has not closed it.
+    bool isUsable(std::chrono::steady_clock::time_point now) const
+    {
+        return now - idleSince < idleLimit && isReusable(stream->socket().native_handle());
+    }
 };
 
 std::chrono::milliseconds toChrono(DurationMs duration)
@@ -51,8 +64,9 @@
     const size_t start = text.find("timeout=");
     if (start == std::string::npos)
         return DefaultIdleLimit;
-    const int64_t seconds = std::strtol(text.c_str() + start + std::strlen("timeout="), nullptr, 10);
-    return std::chrono::milliseconds(seconds * 1000) - IdleMargin;
+    const std::chrono::seconds stated{
+        std::strtol(text.c_str() + start + std::strlen("timeout="), nullptr, 10)};
+    return std::clamp(stated, std::chrono::seconds(0), MaxIdleLimit) - IdleMargin;
 }
 
 HttpFailure connectFailureOf(beast::error_code code)
@@ -66,13 +80,16 @@
 
 } // namespace
 
-struct HttpClient::State {
-    explicit State(asio::io_context &io) : io(io) { }
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
+    explicit State(asio::io_context &io) : io(io), idleTimer(io) { }
 
     StreamPtr takeIdle(const Address &address);
     void putIdle(const Address &address, StreamPtr stream, std::chrono::milliseconds limit);
+    void checkIdleLater();
 
     asio::io_context &io;
+    asio::steady_timer idleTimer;
+    bool isTimerSet = false;
     std::map<Address, std::vector<IdleConnection>> idle;
     std::map<uint64_t, std::shared_ptr<ClientCall>> calls;
     uint64_t next = 1;
@@ -279,12 +296,11 @@
 
 StreamPtr HttpClient::State::takeIdle(const Address &address)
 {
-    std::vector<IdleConnection> &idleConnections = idle[address];
-    while (!idleConnections.empty()) {
-        IdleConnection last = std::move(idleConnections.back());
-        idleConnections.pop_back();
-        const bool reusable = isReusable(last.stream->socket().native_handle());
-        if (reusable && std::chrono::steady_clock::now() - last.idleSince < last.idleLimit)
+    const auto found = idle.find(address);
+    while (found != idle.end() && !found->second.empty()) {
+        IdleConnection last = std::move(found->second.back());
+        found->second.pop_back();
+        if (last.isUsable(std::chrono::steady_clock::now()))
             return std::move(last.stream);
     }
     return nullptr;
@@ -296,6 +312,30 @@
     stream->expires_never();
     if (idleConnections.size() < MaxIdlePerAddress)
         idleConnections.push_back({std::move(stream), std::chrono::steady_clock::now(), limit});
+    checkIdleLater();
+}
+
+// Connections that are not used again, and those that the server closed, hold descriptors: after enough
+// replaced servers none would be left for callers.
+void HttpClient::State::checkIdleLater()
+{
+    if (std::exchange(isTimerSet, true))
+        return;
+    idleTimer.expires_after(IdleCheckInterval);
+    idleTimer.async_wait([weak = weak_from_this()](beast::error_code code) {
+        const std::shared_ptr<State> state = weak.lock();
+        if (code || !state)
+            return;
+        state->isTimerSet = false;
+        const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+        for (std::pair<const Address, std::vector<IdleConnection>> &each : state->idle)
+            std::erase_if(each.second, [now](const IdleConnection &one) { return !one.isUsable(now); });
+        std::erase_if(state->idle, [](const std::pair<const Address, std::vector<IdleConnection>> &each) {
+            return each.second.empty();
+        });
+        if (!state->idle.empty())
+            state->checkIdleLater();
+    });
 }
 
 HttpClient::HttpClient(asio::io_context &io) : state_(std::make_shared<State>(io)) { }
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -52,8 +52,9 @@
     std::string body;
 };
 
-/// HTTP/1.1 client on Boost.Beast with a pool of idle connections. All member functions must be called on the
-/// io_context's thread.
+/// HTTP/1.1 client on Boost.Beast with a pool of idle connections, which are closed at the end of the
+/// keep-alive that the server stated, at most a minute, or after 3 s. Until then the io_context has work. All
+/// member functions must be called on the io_context's thread.
 class HttpClient
 {
 public:
--- a/tests/endpointincarnations_test.cpp
+++ b/tests/endpointincarnations_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 using namespace cranberry;
 
@@ -15,6 +16,36 @@
 
 } // namespace
 
+// Guards against a daemon that has no descriptor left after its endpoints were replaced again and again.
+TEST_CASE_FIXTURE(GatewayFixture, "idle connections to an address that no endpoint has any more are closed")
+{
+    const Address moved = endpoints[0].address;
+    const Address removed = endpoints[3].address;
+    endpoints[0].address.port = 9;
+    endpoints[4].id.value = "p3"; // Takes over the address.
+    endpoints.erase(endpoints.begin() + 3);
+    pass({500});
+    CHECK(std::set<Address>(closed.begin(), closed.end()) == std::set<Address>{moved, removed});
+    CHECK(closed.size() == 2);
+}
+
+// A connection that was in use while its endpoint was removed is kept for reuse afterwards.
+TEST_CASE_FIXTURE(GatewayFixture, "the connection of the last stream at a removed endpoint is closed as well")
+{
+    request(Review);
+    const SendAttempt stream = lastSent();
+    head(stream.attempt, 200, true);
+    events(stream.attempt, 1, 1);
+    std::erase_if(endpoints, [&stream](const EndpointEntry &each) { return each.id == stream.endpoint; });
+    pass({500});
+    CHECK(closed == std::vector<Address>{stream.address});
+    closed.clear();
+    events(stream.attempt, 2, 34);
+    end(stream.attempt);
+    pass({500});
+    CHECK(closed == std::vector<Address>{stream.address});
+}
+
 TEST_CASE("a daemon that has just started does not take endpoints for old")
 {
     // Guards against a version on trial that passes for watched since the daemon that watched it was killed.
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -242,6 +242,8 @@
             moves.push_back(*move);
         else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
             probes.push_back(*probe);
+        else if (const CloseIdleConnections *close = std::get_if<CloseIdleConnections>(&action))
+            closed.insert(closed.end(), close->addresses.begin(), close->addresses.end());
         else if (const SendToPeer *word = std::get_if<SendToPeer>(&action)) {
             if (const QuotaRequest *ask = std::get_if<QuotaRequest>(&word->message))
                 asks.emplace_back(word->to, *ask);
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -65,6 +65,7 @@
     std::vector<AttemptId> cancelled;
     std::vector<MigrateGeneration> moves;
     std::vector<ProbeEngine> probes;
+    std::vector<Address> closed; ///< Addresses to which the idle connections were closed.
     std::vector<std::pair<Address, QuotaRequest>> asks;
     std::map<CallerId, AnswerCaller> answers;
     std::map<CallerId, std::string> streamed;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,6 +2,7 @@
 #include "io/httpclient.h"
 #include "io/httpserver.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -214,3 +215,81 @@
     CHECK(refused == 1);
     CHECK(handled == 2 * methods.size() - 1);
 }
+
+namespace {
+
+/// Answers each request at once and never closes a connection.
+class KeepingServer
+{
+public:
+    KeepingServer(boost::asio::io_context &io, const std::string &headers)
+        : acceptor_(io, {boost::asio::ip::make_address(serverAddress.host), serverAddress.port}),
+          answer_("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + headers + "\r\n")
+    {
+        accept();
+    }
+
+    size_t open = 0;
+
+private:
+    struct Connection {
+        boost::asio::ip::tcp::socket socket;
+        std::array<char, 1024> bytes{};
+    };
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code code, boost::asio::ip::tcp::socket socket) {
+            if (code)
+                return;
+            ++open;
+            read(std::make_shared<Connection>(Connection{std::move(socket)}));
+            accept();
+        });
+    }
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        connection->socket.async_read_some(boost::asio::buffer(connection->bytes),
+                                           [this, connection](boost::system::error_code code, size_t) {
+                                               if (code) {
+                                                   --open;
+                                                   return;
+                                               }
+                                               boost::asio::write(connection->socket,
+                                                                  boost::asio::buffer(answer_));
+                                               read(connection);
+                                           });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string answer_;
+};
+
+/// Returns how many connections are open so long after three requests at the same time.
+std::vector<size_t> openConnections(const std::string &headers, const std::vector<int> &afterMs)
+{
+    boost::asio::io_context io;
+    KeepingServer server(io, headers);
+    HttpClient client(io);
+    for (int i = 0; i < 3; ++i) {
+        HttpCall call;
+        call.address = serverAddress;
+        client.fetch(std::move(call), [](const HttpResponse &) {});
+    }
+    std::vector<size_t> open;
+    const auto start = std::chrono::steady_clock::now();
+    for (const int ms : afterMs) {
+        io.run_until(start + std::chrono::milliseconds(ms));
+        io.restart();
+        open.push_back(server.open);
+    }
+    return open;
+}
+
+} // namespace
+
+// Guards against descriptors that are used up by connections which nobody uses any more.
+TEST_CASE("a connection that is not used again is closed when its keep-alive ends")
+{
+    CHECK(openConnections("Keep-Alive: timeout=2\r\n", {600, 2000}) == std::vector<size_t>{3, 0});
+    CHECK(openConnections("", {2000, 4000}) == std::vector<size_t>{3, 0});
+}
--- a/tools/cranberryctl.cpp
+++ b/tools/cranberryctl.cpp
@@ -34,7 +34,10 @@
     call.request = {method, target, {{"Content-Type", "application/json"}}, body};
     call.progressTimeout = {15000};
     call.freshConnection = true;
-    client.fetch(std::move(call), [&out](const HttpResponse &response) { out = response; });
+    client.fetch(std::move(call), [&out, &io](const HttpResponse &response) {
+        out = response;
+        io.stop();
+    });
     io.run();
     return out;
 }
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -30,7 +30,8 @@
     HttpCall call;
     call.address = daemon;
     call.request.target = "/v1/entries?session=true&organisation=" + organisation;
-    http.fetch(std::move(call), [&out](const HttpResponse &response) {
+    http.fetch(std::move(call), [&out, &io](const HttpResponse &response) {
+        io.stop();
         json::error_code code;
         const json::value body = json::parse(response.body, code);
         if (code || !body.is_object() || !body.as_object().contains("entries"))
@@ -135,6 +136,8 @@
         if (log_)
             log_ << fmt::format("{} {} {} {}\n", job.nonIdempotent ? "once" : "any", toText(result.outcome),
                                 job.chat ? "chat" : job.prompt, result.reason);
+        if (totals_.size() == static_cast<size_t>(options_.jobs))
+            io_.stop();
     }
 
     int summary()
