--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -398,9 +398,9 @@
 TEST_CASE_FIXTURE(GatewayFixture,
                   "a leaving daemon continues to serve, but starts no stream that it could not finish")
 {
-    // The daemon is asked to stop. New requests are still served, streams as long as the newest ones were short.
-    // Three seconds later a new stream is refused with 503 and a short Retry-After, since its caller uses an
-    // outdated entry answer.
+    // The daemon is asked to stop. New requests are still served, streams as long as the newest ones were
+    // short. Three seconds later a new stream is refused with 503 and a short Retry-After, since its caller
+    // uses an outdated entry answer.
     for (int i = 0; i < 8; ++i) {
         request(Model);
         head(lastSent().attempt, 200, true);
