A stopping daemon doesn't give up an engine that pauses if the stream can't be resumed before the exit

Cause: an engine without an event for longer than GapTargetMs is given up where the stream can go on elsewhere. Since a repeat also has to end before the exit, but canContinueElsewhere didn't ask this: the attempt was cancelled first and its repeat refused after that. Now it asks the same, so the stream waits for its engine. No unit test was run. A repeat that is refused because its service is out of reach has the same form and isn't changed.

--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -410,7 +410,8 @@
 bool Gateway::canContinueElsewhere(Exchange &exchange, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
-    if (isQuarantined(exchange, now) || !place(exchange, question, now).choice)
+    if (isQuarantined(exchange, now) || !endsBeforeExit(exchange, now)
+        || !place(exchange, question, now).choice)
         return false;
     const bool isAllowed = retryBudget_.allows(exchange.service, GatewayRetry::StreamResumed, now);
     if (!isAllowed)
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -299,6 +299,19 @@
     expect "an answer that is read late" "$(cat "$run_dir/reader.out")" "HTTP/1.1 200 5000000"
     expect "ends within the grace ($took ms)" "$((took < 8000))" 1
     ;;
+silent)
+    # An engine's events come seldom while its daemon stops. A stream that can't be resumed before the exit was cut.
+    begin
+    wait_for "addresses of all daemons" addresses 1 3
+    fault tokens 6
+    fault tokenMs 1000
+    hold 1 stream-1 /review/1
+    hold 1 stream-2 /review/1
+    sleep 1.2
+    kill -TERM "${pids[daemon-1]}"
+    wait "${held[@]}"
+    expect "streams are whole" "$(outcomes 'stream-*') $(cat "$run_dir"/stream-*.got | grep -o 'token 6' | wc -l)" "2x body 0 200 2"
+    ;;
 kill)
     # A daemon is killed, the duties' holder among them. The others serve on, callers are sent to them, and the
     # duties go on under a higher token.
