cranberryd: a second signal ends requests with a final response instead of closed connections

What callers saw: an operator's second SIGTERM closed each connection 50 ms later, in the middle of streams, without a word. Cause: the second signal stopped the process directly; only the drain's end knew the open requests. Now it shortens the drain to nothing: in the next tick callers are told where to read on, or the outcome. A further signal stops the process directly. Evidence: process_test.sh stopnow (new, real processes): the stream ended without `event: moved` before, with it after.

--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -123,16 +123,18 @@
     });
 }
 
-// The first signal starts a drain; a second one stops the daemon immediately.
+// The first signal starts a drain; a second one ends all requests with a final response and stops the daemon
+// in the next tick. A further one doesn't wait for that.
 void Server::onSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &code, int) {
         if (code)
             return;
-        if (daemon_.world().drain.active)
+        if (stopsNow_)
             return stop();
+        stopsNow_ = daemon_.world().drain.active;
         logChange("draining", "instance={} planned=true", settings_.instance.value);
-        post(DrainRequested{});
+        post(DrainRequested{stopsNow_ ? std::optional(DurationMs{0}) : std::nullopt});
         onSignal();
     });
 }
--- a/src/daemon/io/server.h
+++ b/src/daemon/io/server.h
@@ -51,6 +51,7 @@
     std::unique_ptr<class AdminApi> admin_;
     std::deque<Event> pendingEvents_;
     bool processingEvents_ = false;
+    bool stopsNow_ = false; ///< A signal has come during the drain.
     uint64_t ticks_ = 0;
 };
 
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -81,6 +81,23 @@
     done
     expect "the drained daemon has ended" "$(kill -0 "${pids[daemon-$number]}" 2>/dev/null && echo runs || echo ended)" ended
     ;;
+stopnow)
+    # An entry gets a second signal with a stream open. The stream's caller is told where to read on; its connection is
+    # not just closed.
+    begin 400 10
+    number=$(entry_number 1)
+    body='{"model":"redactor","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"hi"}]}'
+    curl -sN -H 'X-Organisation: diputacion' -d "$body" \
+        "http://127.0.0.1:$((17099 + number))/v1/chat/completions" >"$run_dir/stream" &
+    stream_pid=$!
+    sleep 1
+    kill -TERM "${pids[daemon-$number]}"
+    sleep 0.2
+    kill -TERM "${pids[daemon-$number]}"
+    wait "$stream_pid" || true
+    expect "the stream was open" "$(grep -c '^id: ' "$run_dir/stream" | grep -c '..')" 1
+    expect "its caller is told where to read on" "$(grep -c '^event: moved' "$run_dir/stream")" 1
+    ;;
 reclaim)
     # The whole failure domain leioa is reclaimed with four seconds of notice: two entries, three engines, one portal.
     # At the end of the notice all of it is killed. Streams are two seconds long; every job is answered whole.
