A stopping daemon leaves a request at an engine that is about to leave if no repeat would end in time

The same form as the pausing engine: a request without an event at an engine that leaves within half a second is cancelled to be sent elsewhere; near the exit the repeat is refused only afterwards, and the caller gets 502 though the engine might have answered.

--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -81,7 +81,8 @@
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
     return exchange.phase == ExchangePhase::Sent && !exchange.streaming && mayRetry(exchange)
         && exchange.sends + 1 < exchange.route->attempts && exchange.route->kind == RouteKind::Streaming
-        && endpoint && endpoint->leavesAt && now + MigrationMargin > *endpoint->leavesAt;
+        && endpoint && endpoint->leavesAt && now + MigrationMargin > *endpoint->leavesAt
+        && endsBeforeExit(exchange, now);
 }
 
 bool Gateway::shouldMigrate(const Exchange &exchange, TimeMs now) const
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -203,6 +203,23 @@
     CHECK(fixture.statusOf(caller) == 503);
 }
 
+// Guards against a stream that is cut since its engine pauses, by a repeat that is refused only afterwards.
+TEST_CASE("a stopping daemon keeps to a pausing engine if nothing else would end in time")
+{
+    StoppingFixture fixture;
+    fixture.serveForWindow();
+    const CallerId caller = fixture.longRequest("/review/1");
+    const AttemptId attempt = fixture.lastSent().attempt;
+    fixture.head(attempt, 200, true);
+    fixture.events(attempt, 1, 2);
+    fixture.gateway.startLeaving(fixture.now, Grace);
+    fixture.pass({3000});
+    CHECK_FALSE(fixture.streamEnds.contains(caller));
+    fixture.events(attempt, 3, 4);
+    fixture.end(attempt);
+    CHECK(fixture.streamEnds[caller]);
+}
+
 // Guards against a margin that is longer than a short grace.
 TEST_CASE("the last answers and the exit lie in the last sixth of any grace")
 {
