A server that stops accepting while a connection is being accepted does not accept in a loop

Found by the review, by reading: a completion that is queued when the acceptor is closed starts the next accept on a closed acceptor, whose failure starts the next one: a whole core until the exit. No run showed it; no test of its own.

--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -351,7 +351,7 @@
 void HttpServer::Listener::accept()
 {
     acceptor.async_accept(io, [self = shared_from_this()](beast::error_code code, tcp::socket socket) {
-        if (code == asio::error::operation_aborted)
+        if (code == asio::error::operation_aborted || !self->acceptor.is_open())
             return;
         if (!code) {
             ++self->counters.connections;
