A stop signal that comes while its handler is installed reaches the event loop, and has a time

Found by the review, by reading: the handler could run before the previous one was known, so the event loop was never told, and before the clock's first reading, so the signal passed for as old as the machine. Both only in the first moment of a process.

--- a/src/gateway/io/stopsignal.cpp
+++ b/src/gateway/io/stopsignal.cpp
@@ -35,11 +35,14 @@
 
 void noteStopSignals()
 {
+    steadyNow(); // A signal that comes before the first tick has a time, too.
     for (WatchedSignal &each : watched) {
+        // The new handler may run before the call that installs it returns.
+        ::sigaction(each.number, nullptr, &each.previous);
         struct sigaction action = {};
         action.sa_handler = onStopSignal;
         ::sigfillset(&action.sa_mask);
-        ::sigaction(each.number, &action, &each.previous);
+        ::sigaction(each.number, &action, nullptr);
     }
 }
 
