--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -81,6 +81,11 @@
 void GatewayServer::State::tick()
 {
     const TimeMs now = steadyNow();
+    // Before the core's tick: a shorter grace may make the last answers due at once.
+    if (now >= settingsCheckAt) {
+        settingsCheckAt = now + SettingsCheckInterval;
+        reloadIfChanged(false);
+    }
     fleet.beforeStoreTick(now);
     sync.tick(now);
     sendOutgoing();
@@ -99,10 +104,6 @@
         flushAt = now + LogFlushInterval;
         log.flush();
     }
-    if (now >= settingsCheckAt) {
-        settingsCheckAt = now + SettingsCheckInterval;
-        reloadIfChanged(false);
-    }
     if (stopping)
         checkStopped(now);
     timer.expires_after(std::chrono::milliseconds(TimerInterval.count));
@@ -196,7 +197,8 @@
     sendReports(ReportSchedule::toAll(gateway.peers()), now);
 }
 
-// Exits when nothing is left to do, else once the core has given its last answers and they are written.
+// Exits when nothing is left to do, else once the core has given its last answers, these are written and no
+// stream is open any more.
 void GatewayServer::State::checkStopped(TimeMs now)
 {
     const Departure &departure = *gateway.departure();
@@ -210,7 +212,7 @@
     if (sync.leaveAtOnce(now))
         return runStoreCalls();
     const size_t unwritten = callerServer->unwrittenResponses();
-    if (unwritten > 0 && now < departure.exitsAt)
+    if ((unwritten > 0 || !gateway.isIdle()) && now < departure.exitsAt)
         return;
     gateway.sendUsage(now);
     runActions();
