--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -344,11 +344,15 @@
             if (standin_.fault("cutAfter") > 0 && id > standin_.fault("cutAfter") && !wasStreamCut_) {
                 wasStreamCut_ = true;
                 exchange->write(fmt::format("id: {}\nda", id));
+                standin_.log(fmt::format("cut id={}", headerOf(exchange->request().headers, "X-Request-Id")));
                 return standin_.after(20, [exchange] { exchange->abort(); });
             }
             exchange->write(fmt::format("id: {}\ndata: token {}\n\n", id, id));
-            if (id >= positiveOr(standin_.fault("tokens"), 10))
+            if (id >= positiveOr(standin_.fault("tokens"), 10)) {
+                standin_.log(
+                    fmt::format("done id={}", headerOf(exchange->request().headers, "X-Request-Id")));
                 return exchange->finish();
+            }
             streamNextToken(exchange, isClosed, id + 1);
         });
     }
