An exit waits for what a relay has not written; a silent engine is not given up for a service out of reach

Both by reading. A daemon that carries requests for others waited only for its own callers' responses. And a stream was cancelled to go on elsewhere although its repeat is refused while the service is out of reach: the same form as the pausing engine at a stopping daemon (stops_test).

--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -211,7 +211,7 @@
     // The call that ends the lease leaves before the next tick.
     if (sync.leaveAtOnce(now))
         return runStoreCalls();
-    const size_t unwritten = callerServer->unwrittenResponses();
+    const size_t unwritten = callerServer->unwrittenResponses() + relayServer->unwrittenResponses();
     if ((unwritten > 0 || !gateway.isIdle()) && now < departure.exitsAt)
         return;
     gateway.sendUsage(now);
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -410,7 +410,7 @@
 bool Gateway::canContinueElsewhere(Exchange &exchange, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
-    if (isQuarantined(exchange, now) || !endsBeforeExit(exchange, now)
+    if (isQuarantined(exchange, now) || isOutOfReach(exchange.service, now) || !endsBeforeExit(exchange, now)
         || !place(exchange, question, now).choice)
         return false;
     const bool isAllowed = retryBudget_.allows(exchange.service, GatewayRetry::StreamResumed, now);
