cranberryd: "not run" at the end of a stop is said of nothing that was at another daemon

Found by the review, by reading: work that a daemon took over from another one that stopped, or of which a witness may hold a copy, was told "not run" when it waited in the queue at the end of the next stop, although its predecessor may have begun it (all daemons stopped in turn). No test shows the sequence; daemonstops_test passes.

--- a/src/daemon/drain.cpp
+++ b/src/daemon/drain.cpp
@@ -137,11 +137,12 @@
     return true;
 }
 
-// Only unkeyed work that never left this daemon has certainly not run: a successor may have begun the rest.
+// Only unkeyed work that never left this daemon, and never was at another one, has certainly not run.
 Outcome finalOutcome(const Request &request)
 {
     const bool neverSent = request.once.mayRefuseAtOnce() && !request.possiblyRan && !request.attempt.value
-        && request.phase != RequestPhase::Moving;
+        && request.phase != RequestPhase::Moving && !request.movedFrom.value && request.text.empty()
+        && !(request.spec->idempotent && request.witness.value);
     return neverSent ? Outcome::NotRun : Outcome::Unknown;
 }
 
