--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -336,6 +336,8 @@
     }
     exchange.mayHaveRun = true;
     ++exchange.sends;
+    if (exchange.kept && exchange.sentTo != exchange.kept->source)
+        exchange.kept.reset(); // Another engine may have continued it.
 }
 
 void Gateway::continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now)
