--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -182,6 +182,7 @@
 {
     if (stopping)
         return;
+    reloadIfChanged(false);
     stopping = true;
     const TimeMs now = steadyNow();
     stopStartedAt = stopSignalledAt().value_or(now);
