--- a/src/gateway/requests/leaving.cpp
+++ b/src/gateway/requests/leaving.cpp
@@ -90,8 +90,11 @@
     return (exchange.request->outputTokens + perEvent - 1) / perEvent;
 }
 
+// A resumption has fewer events than its request states.
 void Gateway::recordStreamDuration(const Exchange &exchange, TimeMs now)
 {
+    if (isResumption(exchange))
+        return;
     streamDurations_.record(exchange.service,
                             {now, exchange.callerFirstEventAt - exchange.arrivedAt,
                              now - exchange.callerFirstEventAt, exchange.events, statedEvents(exchange)});
--- a/src/gateway/requests/streamdurations.cpp
+++ b/src/gateway/requests/streamdurations.cpp
@@ -52,9 +52,10 @@
     }
     if (events.size() < SamplesNeeded)
         return std::nullopt;
-    firstEvents.insert(firstEvents.end(), waiting.begin(), waiting.end());
     StreamEstimate out;
     out.firstEvent = quantileOf(firstEvents);
+    firstEvents.insert(firstEvents.end(), waiting.begin(), waiting.end());
+    out.firstEvent = std::max(out.firstEvent, quantileOf(firstEvents)); // A short wait is not yet over.
     out.eventMs = quantileOf(intervals);
     out.events = quantileOf(events);
     if (!shares.empty())
--- a/src/gateway/requests/streamdurations.h
+++ b/src/gateway/requests/streamdurations.h
@@ -32,7 +32,7 @@
 public:
     void record(const ServiceName &service, const StreamSample &sample);
     /// `waiting`: how long open requests have waited for their first event so far; they count as samples of
-    /// it. Returns nothing while too few recent streams are known.
+    /// it if that makes the prediction longer. Returns nothing while too few recent streams are known.
     std::optional<StreamEstimate> estimate(const ServiceName &service, const std::vector<DurationMs> &waiting,
                                            TimeMs now) const;
 
