A request's body exists once, from the parser to its last attempt

One body stood in it up to four times: in the exchange, the caller's request, each attempt's message and a relay's copy.

Change: Body, an immutable text that its copies share; the client writes from it (span_body).

--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/body.h"
 #include "common/types.h"
 
 #include <string>
@@ -24,7 +25,7 @@
     std::string method = "GET";
     std::string target = "/";
     HttpHeaders headers;
-    std::string body;
+    Body body;
 };
 
 /// A parsed request target: the path as received and the percent-decoded query fields.
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/body.h"
 #include "common/clock.h"
 
 #include <compare>
@@ -143,7 +144,7 @@
     ServiceName service;
     std::string path; ///< Request target relative to the service, for plain HTTP services.
     std::string method; ///< HTTP method, for plain HTTP services.
-    std::string body; ///< As received.
+    Body body; ///< As received.
     std::string prompt; ///< Text of all messages, for prefix matching and the cost estimate.
     bool stream = false;
     bool idempotent = true;
--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -34,7 +34,7 @@
 std::string engineBody(const StartAttempt &attempt)
 {
     json::error_code code;
-    json::value body = json::parse(attempt.spec->body, code);
+    json::value body = json::parse(attempt.spec->body.text(), code);
     if (code || !body.is_object())
         return attempt.spec->body;
     json::object &object = body.as_object();
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -21,7 +21,7 @@
     std::string path;
     std::string host;
     HttpHeaders forwarded; ///< Headers that are forwarded to the endpoint unchanged.
-    std::string body;
+    Body body;
     std::string key; ///< Empty: no key was sent.
     std::optional<DurationMs> deadline; ///< How long the caller waits from the time it sent the request.
     bool statesTokens = false;
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -115,7 +115,7 @@
             message_.set(http::field::host, toText(call_.address));
         for (const HttpHeader &header : call_.request.headers)
             message_.insert(header.name, header.value);
-        message_.body() = std::move(call_.request.body);
+        message_.body() = {call_.request.body.text().data(), call_.request.body.size()};
         // `prepare_payload` throws for methods that have no body.
         const http::verb method = message_.method();
         const bool usuallyHasBody = method == http::verb::post || method == http::verb::put
@@ -281,7 +281,7 @@
     std::function<void()> onFinished_;
     KeepConnection keepConnection_;
     StreamPtr stream_;
-    http::request<http::string_body> message_;
+    http::request<http::span_body<const char>> message_; ///< Its body is that of `call_`.
     http::response_parser<http::buffer_body> parser_;
     beast::flat_buffer buffer_{MaxUnparsedBytes};
     std::vector<char> chunk_;
--- a/standins/deployment.cpp
+++ b/standins/deployment.cpp
@@ -91,11 +91,11 @@
         if (target.path == "/usage" || target.path == "/scale") {
             standin_.log(fmt::format("duty {} holder={} token={} {}", target.path,
                                      headerOf(request.headers, "X-Duty-Holder"),
-                                     headerOf(request.headers, "X-Fence-Token"), request.body));
+                                     headerOf(request.headers, "X-Fence-Token"), request.body.text()));
             return exchange->respond(200, {}, "");
         }
         if (target.path == "/configure") {
-            store_.put("op/config", base64Encoded(request.body));
+            store_.put("op/config", base64Encoded(request.body.text()));
             return exchange->respond(200, {}, "");
         }
         if (target.path == "/leave") {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -278,8 +278,8 @@
     call.puts.push_back({StoreSpace::Control, "leader", "node-1", 77});
     const HttpRequest request = platform::StoreCodec::encode(call);
     CHECK(request.target == "/kv-txn");
-    CHECK(request.body.find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
-    CHECK(request.body.find("\"Key\":\"own/leader\"") != std::string::npos);
+    CHECK(request.body.text().find("\"Value\":\"bm9kZS0x\"") != std::string::npos);
+    CHECK(request.body.text().find("\"Key\":\"own/leader\"") != std::string::npos);
     const StoreReply conflict = codec.decode(
         call, 412, {}, R"({"Items":[{"Key":"own/leader","Value":"bm9kZS0x","Revision":412,"Lease":77}]})");
     CHECK(conflict.outcome == StoreOutcome::Conflict);
@@ -351,7 +351,7 @@
     StoreCall call;
     call.verb = StoreVerb::Write;
     call.rolloutStatus = RolloutStatus{{"s"}, {"v2"}, RolloutStage::Emptying};
-    const std::string body = platform::StoreCodec::encode(call).body;
+    const std::string body = platform::StoreCodec::encode(call).body.text();
     CHECK(body.find("status/rollout/s") != std::string::npos);
     CHECK(platform::encodeRolloutStatus(*call.rolloutStatus)
           == R"({"Service":"s","Target":"v2","State":"running"})");
