A line of a chunked body ends at the header's limit; each part of a request has an end

Cause: Beast's composed reads ask the parser for more until a line is whole, in a buffer without a bound. A maximum alone is no mend: the read throws.

Change: the connection reads and parses itself (httpconnection, split from httpserver) and refuses with 431 what waits to be parsed beyond the header's limit. An event of "readable" is tied to its request: requests in one buffer are now served without a pause between them.

--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "common/httpfields.h"
+#include "io/bytebudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace cranberry {
 
+class HttpListener;
+
 /// One request and its response. All member functions must be called on the io_context's thread.
 class HttpExchange
 {
@@ -38,13 +42,31 @@
     bool respondsToTimeouts = false; ///< Responds with 408 after the read timeout, instead of only closing.
 };
 
+/// What the header of a request decides before its body is read.
+struct HeadVerdict {
+    HttpHandler refuse; ///< Responds in place of the handler; null: the body is read.
+    std::string owner; ///< Whose bytes the body counts as.
+};
+
+/// The part of its process's memory and descriptors that a server may use.
+struct HttpServerShare {
+    ByteBudgetPtr bytes; ///< Null: no bound.
+    size_t maxConnections = std::numeric_limits<size_t>::max();
+    size_t copiesOfBody = 1; ///< How often the handler's process keeps a body.
+    /// Called for requests of which a part of the body is still to come. Null: every body is read.
+    std::function<HeadVerdict(const HttpRequest &head)> checkHead;
+    DurationMs retryAfter{1000}; ///< For requests that are refused for lack of memory.
+};
+
 /// Counts connections, and by cause the requests that did not reach the handler.
 struct HttpServerCounters {
     uint64_t connections = 0;
     uint64_t badRequests = 0;
     uint64_t tooLarge = 0;
     uint64_t timeouts = 0;
-    size_t open = 0; ///< Connections that are open now.
+    uint64_t noMemory = 0; ///< Refused, or given up for others, because the byte budget was used up.
+    uint64_t unreadBodies = 0; ///< Refused by their header, before their body was read.
+    uint64_t noConnection = 0; ///< Connections closed to make room for new ones, or not accepted.
 };
 
 /// HTTP/1.1 server on Boost.Beast. The interface does not expose Beast's types, since Beast is slow to
@@ -54,9 +76,12 @@
 public:
     /// Starts to listen; throws boost::system::system_error if it can't bind to `address`.
     HttpServer(boost::asio::io_context &io, const Address &address, const HttpServerLimits &limits,
-               HttpHandler handler);
+               HttpHandler handler, HttpServerShare share = {});
     ~HttpServer();
 
+    /// The clock of the byte budget.
+    static TimeMs now();
+
     const HttpServerCounters &counters() const;
     void stopAccepting();
     /// Takes effect with the next request of each connection.
@@ -72,9 +97,7 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
 private:
-    friend class HttpConnection;
-    struct Listener;
-    std::shared_ptr<Listener> listener_;
+    std::shared_ptr<HttpListener> listener_;
 };
 
 } // namespace cranberry
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -4,9 +4,11 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace cranberry;
 
@@ -293,3 +295,94 @@
     CHECK(openConnections("Keep-Alive: timeout=2\r\n", {600, 2000}) == std::vector<size_t>{3, 0});
     CHECK(openConnections("", {2000, 4000}) == std::vector<size_t>{3, 0});
 }
+
+namespace {
+
+/// Sends one request byte for byte, and returns what came back until the server closed.
+std::string rawResponse(boost::asio::io_context &io, const std::string &text)
+{
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(serverAddress.host), serverAddress.port});
+    boost::asio::async_write(socket, boost::asio::buffer(text), [](boost::system::error_code, size_t) {});
+    std::string received;
+    bool isClosed = false;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(received),
+                            [&isClosed](boost::system::error_code, size_t) { isClosed = true; });
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!isClosed && std::chrono::steady_clock::now() < until)
+        io.run_one_for(std::chrono::milliseconds(100));
+    return received;
+}
+
+} // namespace
+
+// Guards against memory that grows with a line that has no end: the body's limit does not apply to it.
+TEST_CASE("lines of a chunked body that don't end are refused at the header's limit")
+{
+    const std::string endless(64U << 10, 'a');
+    for (const std::string &begin :
+         {"0\r\nX-Trailer: " + endless, "1;" + endless, std::string(64U << 10, '0')}) {
+        boost::asio::io_context io;
+        HttpServer server(io, serverAddress, {}, [](const HttpExchangePtr &) { FAIL("was handled"); });
+        const std::string response
+            = rawResponse(io, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+        CHECK(response.starts_with("HTTP/1.1 431"));
+        CHECK(server.counters().tooLarge == 1);
+    }
+}
+
+// Guards against bodies that are taken for nothing, and against responses that a reset discards.
+TEST_CASE("a request that its header refuses gets its response before its body is read")
+{
+    boost::asio::io_context io;
+    HttpServerShare share;
+    share.checkHead = [](const HttpRequest &head) -> HeadVerdict {
+        if (head.target == "/known")
+            return {};
+        return {[](const HttpExchangePtr &exchange) { exchange->respond(404, {}, "unknown"); }, {}};
+    };
+    HttpServer server(
+        io, serverAddress, {},
+        [](const HttpExchangePtr &exchange) { exchange->respond(200, {}, exchange->request().body); }, share);
+    const std::string length = " HTTP/1.1\r\nConnection: close\r\nContent-Length: 1000000\r\n";
+    CHECK(rawResponse(io, "POST /other" + length + "\r\nbegin").starts_with("HTTP/1.1 404"));
+    CHECK(
+        rawResponse(io, "POST /other" + length + "Expect: 100-continue\r\n\r\n").starts_with("HTTP/1.1 404"));
+    CHECK(server.counters().unreadBodies == 2);
+    const std::string whole = rawResponse(
+        io, "POST /known" + length + "Expect: 100-continue\r\n\r\n" + std::string(1000000, 'b'));
+    CHECK(whole.starts_with("HTTP/1.1 100"));
+    CHECK(whole.find("HTTP/1.1 200") != std::string::npos);
+    CHECK(whole.size() > 1000000);
+}
+
+// Guards against a body that is kept several times, or counted after its last copy has gone.
+TEST_CASE("a body exists once, and its bytes are free when the last copy ends")
+{
+    constexpr size_t Size = 1U << 20;
+    boost::asio::io_context io;
+    HttpServerShare share;
+    share.bytes = std::make_shared<ByteBudget>(8 * Size);
+    Body kept;
+    HttpServer server(
+        io, serverAddress, {},
+        [&kept](const HttpExchangePtr &exchange) {
+            kept = exchange->request().body;
+            CHECK(&kept.text() == &exchange->request().body.text());
+            exchange->respond(200, {}, "");
+        },
+        share);
+    const std::string head = "POST / HTTP/1.1\r\nConnection: close\r\n";
+    for (const std::string &body : {fmt::format("Content-Length: {}\r\n\r\n", Size) + std::string(Size, 'b'),
+                                    fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n", Size)
+                                        + std::string(Size, 'b') + "\r\n0\r\n\r\n"}) {
+        rawResponse(io, head + body);
+        CHECK(kept.size() == Size);
+        CHECK(share.bytes->used() >= Size);
+        CHECK(share.bytes->used() < 2 * Size);
+        kept = {};
+        for (int i = 0; i < 100 && share.bytes->used() > 0; ++i)
+            io.run_one_for(std::chrono::milliseconds(100)); // Until the connection is closed.
+        CHECK(share.bytes->used() == 0);
+    }
+}
