One budget of bytes for all clients of a process; who makes no progress gives way

Refusing the newest would hand the room to the crowd.

Cause: a bound for each client and none for all, and a process that does not know its memory.

Half of the memory is one budget for all its servers (gatewayservers) and those of cranberryd. A claim that does not fit ends holders without progress for 100 ms, most bytes times time first, and only if that makes enough room; else it is refused at once with 503 and Retry-After: nothing was sent, so the promise is true. Small claims keep a quarter, other organisations half of the room for large ones. Addresses, readiness and metrics take bodies of 4 KB. Large blocks go back to the system when they are freed. docs/design/clients.md has the table of resources and the ways weighed.

--- a/src/daemon/cranberryd.cpp
+++ b/src/daemon/cranberryd.cpp
@@ -1,4 +1,5 @@
 #include "daemon/io/server.h"
+#include "io/processlimits.h"
 #include "io/settingsfile.h"
 
 #include <fmt/format.h>
@@ -35,5 +36,6 @@
 
 int main(int argc, const char **argv)
 {
+    cranberry::returnFreedMemory();
     return cranberry::run(argc, argv);
 }
--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/io/adminapi.h"
 #include "daemon/io/logging.h"
+#include "io/processlimits.h"
 
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -13,6 +14,7 @@
 
 constexpr uint64_t TicksPerKeepAlive = 10;
 constexpr DurationMs StopGrace{50};
+constexpr size_t CopiesOfBody = 2; ///< The body as received and the text of its messages.
 
 uint64_t randomNonZero()
 {
@@ -158,6 +160,9 @@
     out += fmt::format("cranberry_http_connections_total {}\ncranberry_http_bad_requests_total {}\n"
                        "cranberry_http_too_large_total {}\ncranberry_http_timeouts_total {}\n",
                        http.connections, http.badRequests, http.tooLarge, http.timeouts);
+    out += fmt::format("cranberry_http_no_memory_total {}\ncranberry_http_no_connection_total {}\n"
+                       "cranberry_client_bytes {}\ncranberry_client_bytes_limit {}\n",
+                       http.noMemory, http.noConnection, bytes_->used(), bytes_->limit());
     out += fmt::format("cranberry_platform_reads_total {}\ncranberry_platform_writes_total {}\n"
                        "cranberry_platform_failures_total {}\ncranberry_peer_bytes_sent_total {}\n",
                        platform_.reads(), platform_.writes(), platform_.failures(), peers_->bytesSent());
@@ -182,11 +187,17 @@
     limits.maxBodyBytes = settings_.maxBodyBytes;
     admin_ = std::make_unique<AdminApi>(*this);
     try {
-        callerServer_
-            = std::make_unique<HttpServer>(io_, settings_.callerAddress, limits,
-                                           [this](const HttpExchangePtr &e) { callers_.onRequest(e); });
+        const ProcessLimits processLimits
+            = cranberry::processLimits(settings_.memoryMb, settings_.maxDescriptors);
+        HttpServerShare share;
+        share.bytes = bytes_ = std::make_shared<ByteBudget>(clientBytes(processLimits));
+        share.copiesOfBody = CopiesOfBody;
+        callerServer_ = std::make_unique<HttpServer>(
+            io_, settings_.callerAddress, limits, [this](const HttpExchangePtr &e) { callers_.onRequest(e); },
+            share);
         adminServer_ = std::make_unique<HttpServer>(
-            io_, settings_.adminAddress, limits, [this](const HttpExchangePtr &e) { admin_->onRequest(e); });
+            io_, settings_.adminAddress, limits, [this](const HttpExchangePtr &e) { admin_->onRequest(e); },
+            share);
     } catch (const boost::system::system_error &error) {
         logChange("cannotListen", "error=\"{}\"", error.what());
         return 1;
--- a/src/daemon/io/server.h
+++ b/src/daemon/io/server.h
@@ -46,6 +46,7 @@
     EndpointLink endpoints_;
     CallerApi callers_;
     std::unique_ptr<PeerLink> peers_;
+    ByteBudgetPtr bytes_; ///< What this process keeps for its clients.
     std::unique_ptr<HttpServer> callerServer_;
     std::unique_ptr<HttpServer> adminServer_;
     std::unique_ptr<class AdminApi> admin_;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -17,6 +17,8 @@
     reader.optional("answerKeepMs", settings.answerRetention);
     reader.optional("drainLimitMs", settings.drainLimit);
     reader.optional("maxBodyBytes", settings.maxBodyBytes, 1024, 1U << 28);
+    reader.optional("memoryMb", settings.memoryMb, 16, 1U << 24);
+    reader.optional("maxDescriptors", settings.maxDescriptors, 64, 1U << 24);
     for (const std::pair<const boost::json::value *, std::string> &element :
          reader.elements("peers", false)) {
         const boost::json::string *peer = element.first->if_string();
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,6 +18,8 @@
     DurationMs answerRetention{30000};
     DurationMs drainLimit{120000};
     uint32_t maxBodyBytes = 4U << 20;
+    uint32_t memoryMb = 0; ///< Memory that this daemon may use; 0: what the system reports.
+    uint32_t maxDescriptors = 0; ///< Open descriptors that it may have; 0: the process's limit.
 };
 
 Result<Settings> parseSettings(const std::string &text);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -32,6 +32,8 @@
     seconds = static_cast<double>(settings.repeatWindow.count) / 1000;
     reader.optional("repeatWindowSeconds", seconds, 1, 3600);
     settings.repeatWindow.count = static_cast<int64_t>(seconds * 1000);
+    reader.optional("memoryMb", settings.memoryMb, 16, 1U << 24);
+    reader.optional("maxDescriptors", settings.maxDescriptors, 64, 1U << 24);
     reader.optional("cores", settings.cores, 0.001, 4096);
     reader.optional("drainMs", settings.drainTime);
     reader.optional("entryKeepMs", settings.entryListTtl);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -27,6 +27,8 @@
     /// How long callers may cache the entry answer. Some cache it three times as long, and the last of them
     /// must have left a stopping daemon well before its grace time ends.
     DurationMs entryListTtl{1000};
+    uint32_t memoryMb = 0; ///< Memory that this daemon may use; 0: what the system reports.
+    uint32_t maxDescriptors = 0; ///< Open descriptors that it may have; 0: the process's limit.
     double cores = 1; ///< CPU cores of the instance that this daemon may use.
     DurationMs drainTime{2000}; ///< Minimum time for which a leaving endpoint continues to serve.
     double repeatRatio = 0.2; ///< Retries per request of a service, over all daemons.
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -79,6 +79,7 @@
     text
         += fmt::format("cranberry_gateway_peer_bytes_sent_total {}\ncranberry_gateway_store_calls_total {}\n",
                        peerBytesSent, storeCalls);
+    text += serverMetrics();
     exchange->respond(200, {{"Content-Type", "text/plain"}}, text);
 }
 
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -26,11 +26,6 @@
     return seed >> 1U; // JSON decoders keep 63 bits.
 }
 
-Address withPort(const Address &address, uint32_t port)
-{
-    return {address.host, static_cast<uint16_t>(port)};
-}
-
 GatewaySettings coreSettings(const GatewayDaemonSettings &given, Incarnation incarnation, uint64_t seed)
 {
     GatewaySettings out;
@@ -70,7 +65,9 @@
       usageCopy(gateway.counters(), log), usageReporter(settings.usageDue, log),
       checkpointReader({settings.instance, incarnation}, gateway.counters(), log),
       checkpointWriter(gateway.counters(), log), engineSizing(settings.firstStart, log),
-      rolloutController(log), storeCodec(log), endpoints(io), relays(io),
+      rolloutController(log), storeCodec(log),
+      processLimits(cranberry::processLimits(settings.memoryMb, settings.maxDescriptors)),
+      bytes(std::make_shared<ByteBudget>(clientBytes(processLimits))), endpoints(io), relays(io),
       relay(endpoints, gateway, [this] { runActions(); }), store(io), leaderCallClient(io)
 {
     rolloutController.setBounds({settings.exposeShare, settings.exposeSlack});
@@ -102,6 +99,7 @@
     sendReports(fleet.dueReports(now), now);
     if (now >= flushAt) {
         flushAt = now + LogFlushInterval;
+        reportMemory();
         log.flush();
     }
     if (stopping)
@@ -239,25 +237,8 @@
 {
     State &state = *state_;
     const GatewayDaemonSettings &settings = state.settings;
-    const HttpServerLimits limits;
     try {
-        state.callerServer
-            = std::make_unique<HttpServer>(state.io, settings.callerAddress, limits,
-                                           [&state](const HttpExchangePtr &each) { state.onCaller(each); });
-        state.otherServers.push_back(std::make_unique<HttpServer>(
-            state.io, settings.readinessAddress, limits,
-            [&state](const HttpExchangePtr &each) { state.onReadinessRequest(each); }));
-        state.otherServers.push_back(std::make_unique<HttpServer>(
-            state.io, settings.entryAddress, limits,
-            [&state](const HttpExchangePtr &each) { state.onEntryRequest(each); }));
-        if (settings.metricsPort != 0) {
-            state.otherServers.push_back(std::make_unique<HttpServer>(
-                state.io, withPort(settings.callerAddress, settings.metricsPort), limits,
-                [&state](const HttpExchangePtr &each) { state.onMetrics(each); }));
-        }
-        state.relayServer = std::make_unique<HttpServer>(
-            state.io, settings.peerAddress, EndpointRelay::limitsFor({}),
-            [&state](const HttpExchangePtr &each) { state.relay.onRequest(each); });
+        state.startServers();
         state.openPeerSocket();
     } catch (const boost::system::system_error &error) {
         state.log.write(LogPriority::State, "cannot_listen", {{"error", error.what()}});
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -16,6 +16,7 @@
 #include "io/httpclient.h"
 #include "io/httpserver.h"
 #include "io/latency.h"
+#include "io/processlimits.h"
 #include "platform/leadertasks.h"
 #include "platform/requests.h"
 #include "platform/storecodec.h"
@@ -38,8 +39,16 @@
 struct GatewayServer::State {
     State(GatewayDaemonSettings given, std::string file);
 
+    // Servers.
+    void startServers();
+    std::unique_ptr<HttpServer> startServer(const Address &address, const HttpServerLimits &limits,
+                                            void (State::*handler)(const HttpExchangePtr &));
+    std::string serverMetrics() const;
+    void reportMemory();
+
     // Callers.
     void onCaller(const HttpExchangePtr &exchange);
+    void onRelayRequest(const HttpExchangePtr &exchange) { relay.onRequest(exchange); }
     void onEntryRequest(const HttpExchangePtr &exchange);
     void onReadinessRequest(const HttpExchangePtr &exchange);
     void onMetrics(const HttpExchangePtr &exchange);
@@ -117,6 +126,9 @@
     EngineSizing engineSizing;
     RolloutController rolloutController;
     platform::StoreCodec storeCodec;
+    ProcessLimits processLimits;
+    ByteBudgetPtr bytes; ///< What this process keeps for its clients.
+    uint64_t reportedRefusals = 0; ///< Refusals of `bytes` that the log has told.
     HttpClient endpoints;
     HttpClient relays; ///< To the daemons that carry attempts for this one.
     EndpointRelay relay; ///< Carries attempts of other daemons.
@@ -125,7 +137,9 @@
     LatencyHistograms latency;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> relayServer;
-    std::vector<std::unique_ptr<HttpServer>> otherServers;
+    std::unique_ptr<HttpServer> entryServer;
+    std::unique_ptr<HttpServer> readinessServer;
+    std::unique_ptr<HttpServer> metricsServer; ///< Null: metrics are disabled.
 
     std::map<CallerId, HttpExchangePtr> callers;
     std::map<CallerId, TimeMs> arrivals;
