Connections of clients leave descriptors for endpoints, peers and the store; no accept loop

Cause: no bound for connections; accept without a descriptor was tried again at once.

A relay declines requests before its connections run out, so that the asking daemon gets its 503 and not a closed connection.

Evidence: crowd_callers_idle, _headers, crowd_entry_idle, crowd_peers_idle, crowd_readiness_idle, crowd_own_idle: 420 to 500 of 500 descriptors on where 300 are allowed.

--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -189,12 +189,15 @@
     try {
         const ProcessLimits processLimits
             = cranberry::processLimits(settings_.memoryMb, settings_.maxDescriptors);
+        const ConnectionLimits connections = connectionLimits(processLimits);
         HttpServerShare share;
         share.bytes = bytes_ = std::make_shared<ByteBudget>(clientBytes(processLimits));
         share.copiesOfBody = CopiesOfBody;
+        share.maxConnections = connections.callers;
         callerServer_ = std::make_unique<HttpServer>(
             io_, settings_.callerAddress, limits, [this](const HttpExchangePtr &e) { callers_.onRequest(e); },
             share);
+        share.maxConnections = connections.other;
         adminServer_ = std::make_unique<HttpServer>(
             io_, settings_.adminAddress, limits, [this](const HttpExchangePtr &e) { admin_->onRequest(e); },
             share);
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -21,8 +21,6 @@
 constexpr const char *UnframedHeader = "Cranberry-Relay-Unframed";
 constexpr std::array OutcomeNames = {"reached", "unreached", "exited", "unavailable"};
 
-/// Requests that are carried for other daemons at the same time. Each takes two descriptors.
-constexpr size_t MaxOpenCalls = 500;
 constexpr DurationMs EndpointConnectTimeout{350};
 /// The other daemon ends a request by closing its connection; this is only a backstop.
 constexpr DurationMs RelayBackstop{3'600'000};
@@ -115,6 +113,11 @@
     return out;
 }
 
+void EndpointRelay::setMaxConnections(size_t connections)
+{
+    maxOpenCalls_ = std::min(MaxOpenCalls, connections - connections / 4);
+}
+
 void EndpointRelay::onRequest(const HttpExchangePtr &exchange)
 {
     const HttpRequest &request = exchange->request();
@@ -124,7 +127,7 @@
     passed->isProbe = !headerOf(request.headers, FreshHeader).empty();
     const std::string method = headerOf(request.headers, MethodHeader);
     const std::optional<Address> target = gateway_.relayTarget(passed->endpoint);
-    if (!target || method.empty() || openCalls_ >= MaxOpenCalls)
+    if (!target || method.empty() || openCalls_ >= maxOpenCalls_)
         return respond(exchange, RelayOutcome::Unavailable);
     if (gateway_.wantsNothing(passed->endpoint, steadyNow()))
         return respond(exchange, RelayOutcome::EndpointUnreached);
--- a/src/gateway/io/endpointrelay.h
+++ b/src/gateway/io/endpointrelay.h
@@ -37,10 +37,15 @@
 
     void onRequest(const HttpExchangePtr &exchange);
     size_t openCalls() const { return openCalls_; }
+    /// Sets how many connections other daemons may open: some are left for declining further requests.
+    void setMaxConnections(size_t connections);
     /// Limits for a server whose requests carry callers' requests within `limits`.
     static HttpServerLimits limitsFor(const CallerLimits &limits);
 
 private:
+    /// Requests that are carried for other daemons at the same time. Each takes two descriptors.
+    static constexpr size_t MaxOpenCalls = 500;
+
     /// A request that is being passed on.
     struct Passed {
         HttpExchangePtr exchange;
@@ -59,6 +64,7 @@
     Gateway &gateway_;
     std::function<void()> runActions_;
     size_t openCalls_ = 0;
+    size_t maxOpenCalls_ = MaxOpenCalls;
 };
 
 } // namespace cranberry
--- a/src/gateway/io/gatewayservers.cpp
+++ b/src/gateway/io/gatewayservers.cpp
@@ -22,10 +22,12 @@
 
 std::unique_ptr<HttpServer> GatewayServer::State::startServer(const Address &address,
                                                               const HttpServerLimits &limits,
+                                                              size_t maxConnections,
                                                               void (State::*handler)(const HttpExchangePtr &))
 {
     HttpServerShare share;
     share.bytes = bytes;
+    share.maxConnections = maxConnections;
     share.retryAfter = NoRoomRetryAfter;
     return std::make_unique<HttpServer>(
         io, address, limits, [this, handler](const HttpExchangePtr &each) { (this->*handler)(each); },
@@ -34,15 +36,18 @@
 
 void GatewayServer::State::startServers()
 {
+    const ConnectionLimits connections = connectionLimits(processLimits);
     HttpServerLimits withoutBody;
     withoutBody.maxBodyBytes = MaxIgnoredBody;
-    callerServer = startServer(settings.callerAddress, {}, &State::onCaller);
+    callerServer = startServer(settings.callerAddress, {}, connections.callers, &State::onCaller);
     readinessServer
-        = startServer(settings.readinessAddress, withoutBody, &State::onReadinessRequest);
-    entryServer = startServer(settings.entryAddress, withoutBody, &State::onEntryRequest);
+        = startServer(settings.readinessAddress, withoutBody, connections.other, &State::onReadinessRequest);
+    entryServer = startServer(settings.entryAddress, withoutBody, connections.entry, &State::onEntryRequest);
     if (settings.metricsPort != 0)
-        metricsServer = startServer(withPort(settings.callerAddress, settings.metricsPort), withoutBody, &State::onMetrics);
-    relayServer = startServer(settings.peerAddress, EndpointRelay::limitsFor({}),
+        metricsServer = startServer(withPort(settings.callerAddress, settings.metricsPort), withoutBody,
+                                    connections.other, &State::onMetrics);
+    relay.setMaxConnections(connections.relay);
+    relayServer = startServer(settings.peerAddress, EndpointRelay::limitsFor({}), connections.relay,
                               &State::onRelayRequest);
 }
 
