Responses that are kept until they are complete count as their callers' bytes

Change: what the core keeps of a response is a claim on the byte budget. Without room the attempt ends as if the response were too large: 502, for it ran.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,8 @@
     void onHead(const AttemptHead &event, TimeMs now);
     void onData(const AttemptData &event, TimeMs now);
     void onEnd(const AttemptEnd &event, TimeMs now);
+    /// The process has no memory left for a response that is kept until it is complete.
+    void onNoRoomForResponse(AttemptId attempt, TimeMs now);
     void onConnectionFailed(const AttemptConnectionFailed &event, TimeMs now);
     void onGenerationMigrated(const GenerationMigrated &event, TimeMs now);
     void onEngineProbed(const EngineProbed &event, TimeMs now);
@@ -110,6 +112,8 @@
     /// Returns whether it takes requests: its configuration was confirmed recently and it is not leaving.
     bool isReady(TimeMs now) const;
     bool isIdle() const { return exchanges_.empty(); }
+    /// Returns the size of the response that is kept until it is complete.
+    size_t keptResponseBytes(AttemptId attempt) const;
     /// Returns the number of open requests in each phase, for the log.
     boost::json::object openByPhase() const;
     /// Returns what became of requests since the stop signal, for the log.
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -15,6 +15,8 @@
 constexpr DurationMs AttemptBackstop{3'600'000};
 /// A caller with more unsent bytes than this is considered gone.
 constexpr size_t MaxUnsentBytes = 4U << 20;
+/// Smaller responses are covered by what each connection counts.
+constexpr size_t MinCountedResponse = 8U << 10;
 
 /// Returns the status of a complete response; 0 if it is incomplete.
 int completeStatus(const HttpResponse &response)
@@ -52,6 +54,20 @@
     runActions();
 }
 
+// A response that is kept until it is complete counts as its caller's bytes.
+void GatewayServer::State::accountResponse(AttemptId attempt)
+{
+    const auto found = calls.find(attempt);
+    const size_t kept = gateway.keptResponseBytes(attempt);
+    if (found == calls.end() || kept <= MinCountedResponse)
+        return;
+    ByteClaim &claim = found->second.response;
+    if (claim.bytes() == 0)
+        claim = ByteClaim(bytes);
+    if (!claim.growTo(kept, nullptr, HttpServer::now()))
+        gateway.onNoRoomForResponse(attempt, steadyNow());
+}
+
 void GatewayServer::State::onEntryRequest(const HttpExchangePtr &exchange)
 {
     const std::vector<Address> addresses = entryAddresses(steadyNow());
@@ -169,6 +185,7 @@
         return sendThroughRelay(action, std::move(call), std::move(callbacks));
     callbacks.onData = [this, attempt](const char *data, size_t size) {
         gateway.onData({attempt, std::string(data, size)}, steadyNow());
+        accountResponse(attempt);
         runActions();
     };
     callbacks.onDone = [this, attempt](HttpFailure failure) {
@@ -180,7 +197,7 @@
                                        steadyNow());
         runActions();
     };
-    calls[attempt] = {endpoints.start(std::move(call), std::move(callbacks)), false};
+    calls[attempt] = {endpoints.start(std::move(call), std::move(callbacks)), false, {}};
 }
 
 // The endpoint's response comes back as it is. Whether the relay reached the endpoint is known from its own
@@ -202,6 +219,7 @@
     callbacks.onData = [this, attempt, outcome](const char *data, size_t size) {
         if (*outcome == RelayOutcome::Reached) {
             gateway.onData({attempt, std::string(data, size)}, steadyNow());
+            accountResponse(attempt);
             runActions();
         }
     };
@@ -215,7 +233,7 @@
                 {attempt, relayed == RelayFailure::None, ConnectFailure::TimedOut, relayed}, steadyNow());
         runActions();
     };
-    calls[attempt] = {relays.start(std::move(call), std::move(callbacks)), true};
+    calls[attempt] = {relays.start(std::move(call), std::move(callbacks)), true, {}};
 }
 
 void GatewayServer::State::run(CancelSent &action)
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -50,6 +50,7 @@
     // Callers.
     void onCaller(const HttpExchangePtr &exchange);
     void onRelayRequest(const HttpExchangePtr &exchange) { relay.onRequest(exchange); }
+    void accountResponse(AttemptId attempt);
     void onEntryRequest(const HttpExchangePtr &exchange);
     void onReadinessRequest(const HttpExchangePtr &exchange);
     void onMetrics(const HttpExchangePtr &exchange);
@@ -147,6 +148,7 @@
     struct AttemptCall {
         uint64_t call = 0;
         bool isRelayed = false; ///< A call of `relays`, else of `endpoints`.
+        ByteClaim response; ///< For what is kept of the response until it is complete.
     };
     std::map<AttemptId, AttemptCall> calls;
     uint64_t nextCaller = 1;
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -32,6 +32,18 @@
     return found == attempts_.end() ? nullptr : &exchanges_.at(found->second);
 }
 
+size_t Gateway::keptResponseBytes(AttemptId attempt) const
+{
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? 0 : exchanges_.at(found->second).body.capacity();
+}
+
+void Gateway::onNoRoomForResponse(AttemptId attempt, TimeMs now)
+{
+    if (findByAttempt(attempt))
+        cancelAsFailed(attempt, now);
+}
+
 void Gateway::releaseFetch(Exchange &exchange)
 {
     if (exchange.fetch)
