What the header decides is answered before the body is read

Such a request can't reach an endpoint without its body. The body's bytes count for the organisation of its key. Quota (429) and the queue are decided after the body as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,9 +77,8 @@
     return !departure_ && fleet_.hasList() && isFresh(now, settings_.revokeBound - RevokeMargin);
 }
 
-// Checks a request against the configuration: its route, its key and its deadline. Runs again when the
-// request leaves the queue, so that a route or key that was removed in the meantime is not used.
-std::optional<Gateway::OwnAnswer> Gateway::checkRequest(Exchange &exchange, TimeMs now) const
+// Checks a request against the configuration: its route, its key and its deadline.
+std::optional<Gateway::OwnAnswer> Gateway::checkHead(Exchange &exchange, TimeMs now) const
 {
     if (!hasStoreState())
         return OwnAnswer{503, GatewayRefusal::NoConfiguration, DefaultRetryAfter};
@@ -96,8 +95,16 @@
     exchange.callerWaitsUntil = exchange.arrivedAt + request.deadline.value_or(exchange.route->timeout);
     if (departure_ && exchange.sends == 0 && mayExitBefore(exchange, now))
         return OwnAnswer{503, GatewayRefusal::Leaving, ElsewhereRetryAfter};
-    if (const std::optional<OwnAnswer> refusal = checkKey(exchange, certain, now))
+    return checkKey(exchange, certain, now);
+}
+
+// Runs again when the request leaves the queue, so that a route or key that was removed in the meantime is
+// not used.
+std::optional<Gateway::OwnAnswer> Gateway::checkRequest(Exchange &exchange, TimeMs now) const
+{
+    if (const std::optional<OwnAnswer> refusal = checkHead(exchange, now))
         return refusal;
+    const CallerRequest &request = *exchange.request;
     if (!exchange.digest)
         exchange.digest = digestOf(exchange.organisation, request.path, request.body);
     setParts(exchange);
@@ -170,7 +177,7 @@
 
 // ---- Callers ----
 
-void Gateway::onRequest(const RequestArrived &event, TimeMs now)
+Exchange &Gateway::addExchange(const RequestArrived &event, TimeMs now)
 {
     counters_.add(GatewayCount::Requests);
     Exchange &exchange = exchanges_[event.caller];
@@ -178,6 +185,33 @@
     exchange.request = event.request;
     exchange.arrivedAt = exchange.phaseSince = now;
     exchange.lastEvent = event.request->resumeAfter;
+    return exchange;
+}
+
+// Until this daemon has read the store, a request may wait, and its body is needed.
+Gateway::RequestHead Gateway::examineHead(const CallerRequestPtr &request, TimeMs now) const
+{
+    if (!hasStoreState())
+        return {};
+    Exchange exchange;
+    exchange.request = request;
+    exchange.arrivedAt = now;
+    const bool isRefused = checkHead(exchange, now).has_value();
+    return {isRefused, exchange.organisation};
+}
+
+void Gateway::refuseByHead(const RequestArrived &event, TimeMs now)
+{
+    Exchange &exchange = addExchange(event, now);
+    const std::optional<OwnAnswer> refusal = checkHead(exchange, now);
+    countOffered(exchange, now);
+    answer(exchange, refusal.value_or(OwnAnswer{503, GatewayRefusal::StaleConfiguration, DefaultRetryAfter}),
+           now);
+}
+
+void Gateway::onRequest(const RequestArrived &event, TimeMs now)
+{
+    Exchange &exchange = addExchange(event, now);
     if (hasStoreState() || awaitingStart_.size() >= MaxAwaitingStart)
         return admit(exchange, now);
     exchange.enter(ExchangePhase::AwaitingStart, now);
@@ -189,12 +223,7 @@
 void Gateway::admit(Exchange &exchange, TimeMs now)
 {
     const std::optional<OwnAnswer> refusal = checkRequest(exchange, now);
-    // Refused requests count for the retry budget, too. Otherwise a store outage, in which keys are refused,
-    // would leave no retries for migrating streams from engines that are reclaimed just after it.
-    if (exchange.route) {
-        exchange.service = pickService(exchange);
-        retryBudget_.countRequest(exchange.service, now);
-    }
+    countOffered(exchange, now);
     if (refusal)
         return answer(exchange, *refusal, now);
     recordTaken(exchange);
@@ -202,6 +231,16 @@
         continueAdmission(exchange, now);
 }
 
+// Refused requests count for the retry budget, too. Otherwise a store outage, in which keys are refused,
+// would leave no retries for migrating streams from engines that are reclaimed just after it.
+void Gateway::countOffered(Exchange &exchange, TimeMs now)
+{
+    if (!exchange.route)
+        return;
+    exchange.service = pickService(exchange);
+    retryBudget_.countRequest(exchange.service, now);
+}
+
 void Gateway::continueAdmission(Exchange &exchange, TimeMs now)
 {
     exchange.enter(ExchangePhase::Queued, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,6 +59,14 @@
 
     // Events of callers.
     void onRequest(const RequestArrived &event, TimeMs now);
+    /// What the header of a request decides.
+    struct RequestHead {
+        bool isRefused = false;
+        OrganisationName organisation; ///< Empty: none is known.
+    };
+    RequestHead examineHead(const CallerRequestPtr &request, TimeMs now) const;
+    /// Responds to a request that its header refuses; its body was not read.
+    void refuseByHead(const RequestArrived &event, TimeMs now);
     void onCallerGone(const RequestCallerGone &event, TimeMs now);
 
     // Events of endpoints.
@@ -181,6 +189,7 @@
     };
 
     // Checks of a request, when it is read and again when it leaves the queue.
+    std::optional<OwnAnswer> checkHead(Exchange &exchange, TimeMs now) const;
     std::optional<OwnAnswer> checkRequest(Exchange &exchange, TimeMs now) const;
     void setParts(Exchange &exchange) const;
     std::string quarantinedPart(const Exchange &exchange, TimeMs now) const;
@@ -188,6 +197,8 @@
     bool isFresh(TimeMs now, DurationMs bound) const;
     bool isStoreIncomplete(TimeMs now) const;
     bool hasStoreState() const { return configuration_ && fleet_.hasList(); }
+    Exchange &addExchange(const RequestArrived &event, TimeMs now);
+    void countOffered(Exchange &exchange, TimeMs now);
     void admit(Exchange &exchange, TimeMs now);
     void continueAdmission(Exchange &exchange, TimeMs now);
     void admitAwaiting(TimeMs now);
--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -118,23 +118,38 @@
     maxOpenCalls_ = std::min(MaxOpenCalls, connections - connections / 4);
 }
 
+std::optional<RelayOutcome> EndpointRelay::problemOf(const HttpRequest &request) const
+{
+    const EndpointId endpoint{headerOf(request.headers, EndpointHeader)};
+    if (!gateway_.relayTarget(endpoint) || headerOf(request.headers, MethodHeader).empty()
+        || openCalls_ >= maxOpenCalls_)
+        return RelayOutcome::Unavailable;
+    if (gateway_.wantsNothing(endpoint, steadyNow()))
+        return RelayOutcome::EndpointUnreached;
+    return std::nullopt;
+}
+
+HeadVerdict EndpointRelay::onHead(const HttpRequest &head)
+{
+    const std::optional<RelayOutcome> problem = problemOf(head);
+    if (!problem)
+        return {};
+    return {[problem](const HttpExchangePtr &exchange) { respond(exchange, *problem); }, {}};
+}
+
 void EndpointRelay::onRequest(const HttpExchangePtr &exchange)
 {
     const HttpRequest &request = exchange->request();
+    if (const std::optional<RelayOutcome> problem = problemOf(request))
+        return respond(exchange, *problem);
     const std::shared_ptr<Passed> passed = std::make_shared<Passed>();
     passed->exchange = exchange;
     passed->endpoint.value = headerOf(request.headers, EndpointHeader);
     passed->isProbe = !headerOf(request.headers, FreshHeader).empty();
-    const std::string method = headerOf(request.headers, MethodHeader);
-    const std::optional<Address> target = gateway_.relayTarget(passed->endpoint);
-    if (!target || method.empty() || openCalls_ >= maxOpenCalls_)
-        return respond(exchange, RelayOutcome::Unavailable);
-    if (gateway_.wantsNothing(passed->endpoint, steadyNow()))
-        return respond(exchange, RelayOutcome::EndpointUnreached);
     HttpCall call;
-    call.address = *target;
+    call.address = *gateway_.relayTarget(passed->endpoint);
     call.request = request;
-    call.request.method = method;
+    call.request.method = headerOf(request.headers, MethodHeader);
     call.request.headers = forwardedHeaders(request.headers);
     call.connectTimeout = EndpointConnectTimeout;
     call.progressTimeout = RelayBackstop;
--- a/src/gateway/io/endpointrelay.h
+++ b/src/gateway/io/endpointrelay.h
@@ -36,6 +36,8 @@
     { }
 
     void onRequest(const HttpExchangePtr &exchange);
+    /// Declines a request that the header shows not to be for an endpoint of this daemon's list.
+    HeadVerdict onHead(const HttpRequest &head);
     size_t openCalls() const { return openCalls_; }
     /// Sets how many connections other daemons may open: some are left for declining further requests.
     void setMaxConnections(size_t connections);
@@ -56,6 +58,8 @@
     };
     using PassedPtr = std::shared_ptr<Passed>;
 
+    /// Why a request is not passed on; nothing: it is.
+    std::optional<RelayOutcome> problemOf(const HttpRequest &request) const;
     HttpCallbacks callbacksFor(const PassedPtr &passed);
     void finish(const Passed &passed, HttpFailure failure);
     void confirmRefusal(const Passed &passed);
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -32,16 +32,7 @@
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
             BOOST_LEAF_ASSIGN(const CallerRequestPtr request, platform::decodeRequest(exchange->request()));
-            const CallerId caller{nextCaller++};
-            callers[caller] = exchange;
-            arrivals[caller] = now;
-            exchange->onClosed([this, caller] {
-                callers.erase(caller);
-                arrivals.erase(caller);
-                gateway.onCallerGone({caller}, steadyNow());
-                runActions();
-            });
-            gateway.onRequest({caller, request}, now);
+            gateway.onRequest({addCaller(exchange, now), request}, now);
             return {};
         },
         [&](const FieldError &error) {
@@ -54,6 +45,44 @@
     runActions();
 }
 
+CallerId GatewayServer::State::addCaller(const HttpExchangePtr &exchange, TimeMs now)
+{
+    const CallerId caller{nextCaller++};
+    callers[caller] = exchange;
+    arrivals[caller] = now;
+    exchange->onClosed([this, caller] {
+        callers.erase(caller);
+        arrivals.erase(caller);
+        gateway.onCallerGone({caller}, steadyNow());
+        runActions();
+    });
+    return caller;
+}
+
+// A header that can't be decoded refuses the request, too.
+HeadVerdict GatewayServer::State::onCallerHead(const HttpRequest &head)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<HeadVerdict> {
+            BOOST_LEAF_ASSIGN(const CallerRequestPtr request, platform::decodeRequest(head));
+            Gateway::RequestHead known = gateway.examineHead(request, steadyNow());
+            if (!known.isRefused)
+                return HeadVerdict{nullptr, std::move(known.organisation.value)};
+            return HeadVerdict{
+                [this, request](const HttpExchangePtr &exchange) { refuseCaller(request, exchange); }, {}};
+        },
+        [&] {
+            return HeadVerdict{[this](const HttpExchangePtr &exchange) { onCaller(exchange); }, {}};
+        });
+}
+
+void GatewayServer::State::refuseCaller(const CallerRequestPtr &request, const HttpExchangePtr &exchange)
+{
+    const TimeMs now = steadyNow();
+    gateway.refuseByHead({addCaller(exchange, now), request}, now);
+    runActions();
+}
+
 // A response that is kept until it is complete counts as its caller's bytes.
 void GatewayServer::State::accountResponse(AttemptId attempt)
 {
--- a/src/gateway/io/gatewayservers.cpp
+++ b/src/gateway/io/gatewayservers.cpp
@@ -29,6 +29,10 @@
     share.bytes = bytes;
     share.maxConnections = maxConnections;
     share.retryAfter = NoRoomRetryAfter;
+    if (handler == &State::onCaller)
+        share.checkHead = [this](const HttpRequest &head) { return onCallerHead(head); };
+    if (handler == &State::onRelayRequest)
+        share.checkHead = [this](const HttpRequest &head) { return relay.onHead(head); };
     return std::make_unique<HttpServer>(
         io, address, limits, [this, handler](const HttpExchangePtr &each) { (this->*handler)(each); },
         std::move(share));
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -49,6 +49,9 @@
 
     // Callers.
     void onCaller(const HttpExchangePtr &exchange);
+    HeadVerdict onCallerHead(const HttpRequest &head);
+    void refuseCaller(const CallerRequestPtr &request, const HttpExchangePtr &exchange);
+    CallerId addCaller(const HttpExchangePtr &exchange, TimeMs now);
     void onRelayRequest(const HttpExchangePtr &exchange) { relay.onRequest(exchange); }
     void accountResponse(AttemptId attempt);
     void onEntryRequest(const HttpExchangePtr &exchange);
