Log lines about a request hold at most 512 bytes of a text

A client chooses its request id, up to the header's limit, and each refusal of it was a line: 200 a second times 16 KB. The number of lines had a bound, their length had none. Found by reading; not played.

--- a/src/gateway/io/logsink.cpp
+++ b/src/gateway/io/logsink.cpp
@@ -16,8 +16,24 @@
 constexpr uint32_t FailuresPerSecond = 200;
 /// Buffered bytes beyond which lines are dropped: the reader is gone or far behind.
 constexpr size_t MaxPendingLogBytes = 256U << 10;
+/// Bytes of a text in a line about a request. Clients choose some of them, such as request ids.
+constexpr size_t MaxTextBytes = 512;
 constexpr int64_t MsPerSecond = 1000;
 
+bool concernsRequest(LogPriority weight)
+{
+    return weight != LogPriority::State;
+}
+
+void clipTexts(boost::json::object &fields)
+{
+    for (boost::json::key_value_pair &field : fields) {
+        boost::json::string *text = field.value().if_string();
+        if (text && text->size() > MaxTextBytes)
+            text->resize(MaxTextBytes);
+    }
+}
+
 } // namespace
 
 LogSink::LogSink(std::string instance, WallClock clock)
@@ -60,6 +76,8 @@
         ++droppedLines_;
         return;
     }
+    if (concernsRequest(weight))
+        clipTexts(fields);
     append(event, std::move(fields), nowMs);
 }
 
