--- a/tests/operationspage_test.cpp
+++ b/tests/operationspage_test.cpp
@@ -60,6 +60,8 @@
         size_t at = 0;
         while ((at = code.find("LogPriority::", at)) != std::string::npos) {
             const size_t quote = code.find('"', at);
+            if (quote == std::string::npos)
+                break; // No text follows that could be an event's name.
             const size_t end = code.find('"', quote + 1);
             const std::string event = code.substr(quote + 1, end - quote - 1);
             at = end;
