An organisation that has its part of the memory ends no request of another one

What callers saw: nothing yet; found by reading the byte budget once more. An organisation over its half of the room for large bodies made others' slow requests give way and was refused all the same.

Cause: one search for both shortages. Change: what is missing of the owner's part is looked for among its own holders, and what is missing of the sum after that among all.

--- a/src/io/bytebudget.cpp
+++ b/src/io/bytebudget.cpp
@@ -6,22 +6,33 @@
 
 namespace cranberry {
 
+namespace {
+
+size_t excess(size_t sum, size_t limit)
+{
+    return sum > limit ? sum - limit : 0;
+}
+
+} // namespace
+
+size_t ByteBudget::heldBy(const std::string &owner) const
+{
+    const auto found = byOwner_.find(owner);
+    return found == byOwner_.end() ? 0 : found->second;
+}
+
+// An owner that has its part can only make room with bytes of its own.
 bool ByteBudget::take(size_t bytes, size_t total, const std::string &owner, const ByteHolder *self,
                       TimeMs now)
 {
-    const bool isLarge = total > SmallClaim;
     const size_t most = maxUsed(total);
-    const auto owned = byOwner_.find(owner);
-    const size_t before = owned == byOwner_.end() ? 0 : owned->second;
-    const size_t missing = used_ + bytes > most ? used_ + bytes - most : 0;
-    const size_t missingOfOwner
-        = isLarge && before + bytes > maxOfOwner() ? before + bytes - maxOfOwner() : 0;
-    // Who gives way may be another owner's; then the claim is refused all the same.
-    if (std::max(missing, missingOfOwner) > 0 && total <= most)
-        makeRoom(std::max(missing, missingOfOwner), self, now);
-    const auto left = byOwner_.find(owner);
-    const size_t after = left == byOwner_.end() ? 0 : left->second;
-    if (used_ + bytes > most || (isLarge && after + bytes > maxOfOwner())) {
+    const size_t mostOfOwner = total > SmallClaim ? maxOfOwner() : limit_;
+    bool fits = total <= std::min(most, mostOfOwner);
+    if (const size_t missing = excess(heldBy(owner) + bytes, mostOfOwner); fits && missing > 0)
+        fits = makeRoom(missing, &owner, self, now);
+    if (const size_t missing = excess(used_ + bytes, most); fits && missing > 0)
+        fits = makeRoom(missing, nullptr, self, now);
+    if (!fits) {
         ++counters_.refused;
         return false;
     }
@@ -35,7 +46,7 @@
     used_ += bytes;
     byOwner_[owner] += bytes;
     if (used_ > limit_)
-        makeRoom(used_ - limit_, nullptr, now);
+        makeRoom(used_ - limit_, nullptr, nullptr, now);
 }
 
 void ByteBudget::release(size_t bytes, const std::string &owner)
@@ -48,7 +59,7 @@
 }
 
 // Returns false, with nothing freed, if the slow holders don't have that many bytes.
-bool ByteBudget::makeRoom(size_t missing, const ByteHolder *self, TimeMs now)
+bool ByteBudget::makeRoom(size_t missing, const std::string *owner, const ByteHolder *self, TimeMs now)
 {
     struct Candidate {
         ByteHolder *holder;
@@ -60,7 +71,8 @@
     for (const std::pair<ByteHolder *const, TimeMs> &each : yielding_) {
         const DurationMs slowFor = now - each.second;
         const size_t bytes = each.first->heldBytes();
-        if (each.first == self || slowFor < MinSlowTime || bytes == 0)
+        const bool isAsked = !owner || each.first->owner() == *owner;
+        if (each.first == self || !isAsked || slowFor < MinSlowTime || bytes == 0)
             continue;
         candidates.push_back({each.first, bytes, static_cast<int64_t>(bytes) * slowFor.count});
         sum += bytes;
--- a/src/io/bytebudget.h
+++ b/src/io/bytebudget.h
@@ -16,6 +16,8 @@
 public:
     virtual ~ByteHolder() = default;
     virtual size_t heldBytes() const = 0;
+    /// Whose bytes they are.
+    virtual const std::string &owner() const = 0;
     /// Frees what it holds, before it returns.
     virtual void giveWay() = 0;
 };
@@ -59,7 +61,9 @@
     /// Takes bytes that exist already, and makes as much room as it can.
     void takeAnyway(size_t bytes, const std::string &owner, TimeMs now);
     void release(size_t bytes, const std::string &owner);
-    bool makeRoom(size_t missing, const ByteHolder *self, TimeMs now);
+    /// `owner`: only its holders give way; null: all do.
+    bool makeRoom(size_t missing, const std::string *owner, const ByteHolder *self, TimeMs now);
+    size_t heldBy(const std::string &owner) const;
 
     size_t maxUsed(size_t claim) const { return claim <= SmallClaim ? limit_ : limit_ / 4 * 3; }
     size_t maxOfOwner() const { return limit_ / 2; }
@@ -90,6 +94,7 @@
     void set(size_t bytes, TimeMs now);
     void release();
     size_t bytes() const { return bytes_; }
+    const std::string &owner() const { return owner_; }
 
     ByteClaim(ByteClaim &&other) noexcept { *this = std::move(other); }
     ByteClaim &operator=(ByteClaim &&other) noexcept;
--- a/tests/bytebudget_test.cpp
+++ b/tests/bytebudget_test.cpp
@@ -17,6 +17,7 @@
 struct Holder : ByteHolder {
     Holder(const ByteBudgetPtr &budget, std::string owner) : claim(budget, std::move(owner)) { }
     size_t heldBytes() const override { return claim.bytes(); }
+    const std::string &owner() const override { return claim.owner(); }
     void giveWay() override
     {
         gaveWay = true;
@@ -95,6 +96,25 @@
     CHECK(same.grow(ByteBudget::SmallClaim, Later));
 }
 
+// Guards against an organisation that has its part and ends the requests of others for more.
+TEST_CASE("an owner that has its part makes room with its own holders alone")
+{
+    Fixture f;
+    Holder first{f.budget, "a"};
+    CHECK(f.larger.grow(Large, Start));
+    CHECK(f.slow.grow(Large, Start));
+    CHECK(first.grow(Large, Start));
+    f.budget->setYielding(f.larger, TimeMs{0});
+    f.budget->setYielding(f.slow, Start);
+    Holder second{f.budget, "a"};
+    CHECK(second.grow(Large, Later));
+    CHECK(f.slow.gaveWay);
+    CHECK(!f.larger.gaveWay);
+    Holder third{f.budget, "a"};
+    CHECK(!third.grow(Large, Later));
+    CHECK(!f.larger.gaveWay);
+}
+
 TEST_CASE("bytes that exist already are counted, and others give way to them")
 {
     Fixture f;
