A client that reads nothing gives way, also if what was stuck first is small

What callers saw: nothing yet; found by reading the connection once more. Up to 4 MiB of a stream wait for each client that reads nothing, counted, but such a client was not among those that give way if the write that was stuck began with less than 8 KB: others were refused for it until the write's time-out.

Cause: who yields was noted when a write starts, not when what waits behind it grows. Change: noted with each growth, from the start of the stuck write.

Evidence: http_test, "a client that does not read its response gives way": both checks fail on the version before.

--- a/src/io/httpconnection.cpp
+++ b/src/io/httpconnection.cpp
@@ -476,15 +476,17 @@
 
 void HttpConnection::flush()
 {
-    if (phase_ == Phase::Closed || !accountUnsent() || busy_ || out_.empty())
+    if (phase_ == Phase::Closed || !accountUnsent() || out_.empty())
         return;
-    busy_ = true;
-    writing_.swap(out_);
+    if (!std::exchange(busy_, true)) {
+        writing_.swap(out_);
+        writeStartedAt_ = HttpServer::now();
+        stream_.expires_after(WriteTimeout);
+        asio::async_write(stream_, asio::buffer(writing_),
+                          [self = shared_from_this()](ErrorCode code, size_t) { self->onWritten(code); });
+    }
     if (unsent_.bytes() > 0)
-        budget_.setYielding(*this, HttpServer::now());
-    stream_.expires_after(WriteTimeout);
-    asio::async_write(stream_, asio::buffer(writing_),
-                      [self = shared_from_this()](ErrorCode code, size_t) { self->onWritten(code); });
+        budget_.setYielding(*this, writeStartedAt_);
 }
 
 void HttpConnection::onWritten(ErrorCode code)
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -108,6 +108,7 @@
     Phase phase_ = Phase::Idle;
     std::optional<TimeMs> idleSince_;
     std::optional<TimeMs> slowSince_;
+    TimeMs writeStartedAt_; ///< Start of the newest write.
     size_t bytesSinceProgress_ = 0;
     size_t lingeredBytes_ = 0;
     uint64_t requests_ = 0; ///< That reached the handler.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -386,3 +386,35 @@
         CHECK(share.bytes->used() == 0);
     }
 }
+
+// Guards against memory that clients hold by reading nothing: what was stuck first may have been small.
+TEST_CASE("a client that does not read its response gives way")
+{
+    constexpr size_t Size = 1U << 20;
+    boost::asio::io_context io;
+    HttpServerShare share;
+    share.bytes = std::make_shared<ByteBudget>(2 * Size);
+    HttpExchangePtr open;
+    bool isClosed = false;
+    HttpServer server(
+        io, serverAddress, {},
+        [&](const HttpExchangePtr &exchange) {
+            open = exchange;
+            exchange->onClosed([&isClosed] { isClosed = true; });
+            exchange->beginStream(200, {});
+        },
+        share);
+    boost::asio::ip::tcp::socket client(io);
+    client.connect({boost::asio::ip::make_address(serverAddress.host), serverAddress.port});
+    boost::asio::write(client, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    while (!open)
+        io.run_one_for(std::chrono::milliseconds(100));
+    while (open->pendingBytes() < Size + Size / 4) {
+        open->write(std::string(4000, 's'));
+        io.poll();
+    }
+    ByteClaim other(share.bytes, "other");
+    const TimeMs later = HttpServer::now() + ByteBudget::MinSlowTime;
+    CHECK(other.growTo(Size, nullptr, later));
+    CHECK(isClosed);
+}
