Clients that send ahead, or read nothing, do not keep all connections from others

Cause, traced: all 93 connections were serving, none idle and none slow, since each had its next request in the buffer. A write that is stuck was not taken for slow either.

Change: at the bound a client whose next request is there before its response is told Connection: close; ordinary clients wait for the response. A write without progress counts as slow.

--- a/src/io/httpconnection.cpp
+++ b/src/io/httpconnection.cpp
@@ -405,7 +405,10 @@
 {
     for (const HttpHeader &header : headers)
         message.insert(header.name, header.value);
-    keepAlive_ = keepAlive_ && !listener_->closeAfterResponses;
+    // At the bound of connections, a client that sends its next requests ahead makes room for others.
+    const bool makesRoom
+        = buffer_.size() > 0 && listener_->connections.size() >= listener_->share.maxConnections;
+    keepAlive_ = keepAlive_ && !listener_->closeAfterResponses && !makesRoom;
     message.keep_alive(keepAlive_);
 }
 
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -43,8 +43,8 @@
     void giveWay() override;
     /// Since when it waits for a request, or for the client to close it.
     const std::optional<TimeMs> &idleSince() const { return idleSince_; }
-    /// Since when the request that is being read has made no progress.
-    const std::optional<TimeMs> &slowSince() const { return slowSince_; }
+    /// Since when neither the request that is being read nor the write under way has made progress.
+    std::optional<TimeMs> slowSince() const { return busy_ ? std::optional(writeStartedAt_) : slowSince_; }
 
 private:
     enum class Phase : uint8_t {
@@ -107,7 +107,7 @@
 
     Phase phase_ = Phase::Idle;
     std::optional<TimeMs> idleSince_;
-    std::optional<TimeMs> slowSince_;
+    std::optional<TimeMs> slowSince_; ///< Of the request that is being read.
     TimeMs writeStartedAt_; ///< Start of the newest write.
     size_t bytesSinceProgress_ = 0;
     size_t lingeredBytes_ = 0;
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -82,7 +82,7 @@
 }
 
 // Closes the connection that has waited for a request for the longest time, else the one whose request
-// arrives most slowly. Returns false if there is none.
+// arrives, or whose response is read, most slowly. Returns false if there is none.
 bool HttpListener::closeOneConnection()
 {
     const TimeMs now = HttpServer::now();
