A relay's server says of what it refuses that it was not accepted

A relay without memory for a request refused it with 503 and no word of the relay, so the asking daemon took it for one that may have reached an endpoint: 502 for a request that must not be repeated, although nothing was sent.

Cause: responses that the server gives itself (413, 431, 503) lack the header that tells a relay's outcome. Change: a server's share has headers for them; the relay states its own share.

--- a/src/gateway/io/endpointrelay.cpp
+++ b/src/gateway/io/endpointrelay.cpp
@@ -129,7 +129,16 @@
     return std::nullopt;
 }
 
-HeadVerdict EndpointRelay::onHead(const HttpRequest &head)
+HttpServerShare EndpointRelay::share(ByteBudgetPtr bytes)
+{
+    HttpServerShare out;
+    out.bytes = std::move(bytes);
+    out.checkHead = [this](const HttpRequest &head) { return onHead(head); };
+    out.refusalHeaders = {outcomeHeader(RelayOutcome::Unavailable)};
+    return out;
+}
+
+HeadVerdict EndpointRelay::onHead(const HttpRequest &head) const
 {
     const std::optional<RelayOutcome> problem = problemOf(head);
     if (!problem)
--- a/src/gateway/io/endpointrelay.h
+++ b/src/gateway/io/endpointrelay.h
@@ -36,8 +36,9 @@
     { }
 
     void onRequest(const HttpExchangePtr &exchange);
-    /// Declines a request that the header shows not to be for an endpoint of this daemon's list.
-    HeadVerdict onHead(const HttpRequest &head);
+    /// For the server of `onRequest`: what it refuses itself was not accepted, as the asking daemon must
+    /// know.
+    HttpServerShare share(ByteBudgetPtr bytes);
     size_t openCalls() const { return openCalls_; }
     /// Sets how many connections other daemons may open: some are left for declining further requests.
     void setMaxConnections(size_t connections);
@@ -58,6 +59,7 @@
     };
     using PassedPtr = std::shared_ptr<Passed>;
 
+    HeadVerdict onHead(const HttpRequest &head) const;
     /// Why a request is not passed on; nothing: it is.
     std::optional<RelayOutcome> problemOf(const HttpRequest &request) const;
     HttpCallbacks callbacksFor(const PassedPtr &passed);
--- a/src/gateway/io/gatewayservers.cpp
+++ b/src/gateway/io/gatewayservers.cpp
@@ -22,17 +22,11 @@
 
 std::unique_ptr<HttpServer> GatewayServer::State::startServer(const Address &address,
                                                               const HttpServerLimits &limits,
-                                                              size_t maxConnections,
+                                                              HttpServerShare share,
                                                               void (State::*handler)(const HttpExchangePtr &))
 {
-    HttpServerShare share;
     share.bytes = bytes;
-    share.maxConnections = maxConnections;
     share.retryAfter = NoRoomRetryAfter;
-    if (handler == &State::onCaller)
-        share.checkHead = [this](const HttpRequest &head) { return onCallerHead(head); };
-    if (handler == &State::onRelayRequest)
-        share.checkHead = [this](const HttpRequest &head) { return relay.onHead(head); };
     return std::make_unique<HttpServer>(
         io, address, limits, [this, handler](const HttpExchangePtr &each) { (this->*handler)(each); },
         std::move(share));
@@ -43,16 +37,22 @@
     const ConnectionLimits connections = connectionLimits(processLimits);
     HttpServerLimits withoutBody;
     withoutBody.maxBodyBytes = MaxIgnoredBody;
-    callerServer = startServer(settings.callerAddress, {}, connections.callers, &State::onCaller);
-    readinessServer
-        = startServer(settings.readinessAddress, withoutBody, connections.other, &State::onReadinessRequest);
-    entryServer = startServer(settings.entryAddress, withoutBody, connections.entry, &State::onEntryRequest);
+    HttpServerShare share;
+    share.maxConnections = connections.other;
+    readinessServer = startServer(settings.readinessAddress, withoutBody, share, &State::onReadinessRequest);
     if (settings.metricsPort != 0)
         metricsServer = startServer(withPort(settings.callerAddress, settings.metricsPort), withoutBody,
-                                    connections.other, &State::onMetrics);
+                                    share, &State::onMetrics);
+    share.maxConnections = connections.entry;
+    entryServer = startServer(settings.entryAddress, withoutBody, share, &State::onEntryRequest);
+    share.maxConnections = connections.callers;
+    share.checkHead = [this](const HttpRequest &head) { return onCallerHead(head); };
+    callerServer = startServer(settings.callerAddress, {}, share, &State::onCaller);
+    share = relay.share(bytes);
+    share.maxConnections = connections.relay;
     relay.setMaxConnections(connections.relay);
-    relayServer = startServer(settings.peerAddress, EndpointRelay::limitsFor({}), connections.relay,
-                              &State::onRelayRequest);
+    relayServer
+        = startServer(settings.peerAddress, EndpointRelay::limitsFor({}), share, &State::onRelayRequest);
 }
 
 std::string GatewayServer::State::serverMetrics() const
@@ -84,7 +84,7 @@
     return out;
 }
 
-// One line for all clients together: a crowd does not choose how much is logged.
+// One line for all clients together: they do not choose how much is logged.
 void GatewayServer::State::reportMemory()
 {
     const ByteBudget::Counters &counters = bytes->counters();
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -42,7 +42,7 @@
     // Servers.
     void startServers();
     std::unique_ptr<HttpServer> startServer(const Address &address, const HttpServerLimits &limits,
-                                            size_t maxConnections,
+                                            HttpServerShare share,
                                             void (State::*handler)(const HttpExchangePtr &));
     std::string serverMetrics() const;
     void reportMemory();
--- a/src/io/httpconnection.cpp
+++ b/src/io/httpconnection.cpp
@@ -395,6 +395,8 @@
     keepAlive_ = false;
     finished_ = false;
     headers.push_back({"Content-Type", "application/json"});
+    const HttpHeaders &ofServer = listener_->share.refusalHeaders;
+    headers.insert(headers.end(), ofServer.begin(), ofServer.end());
     respond(status, headers, R"({"outcome":"notRun","reason":")" + reason + R"(","message":")" + why + "\"}");
 }
 
--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -56,6 +56,7 @@
     /// Called for requests of which a part of the body is still to come. Null: every body is read.
     std::function<HeadVerdict(const HttpRequest &head)> checkHead;
     DurationMs retryAfter{1000}; ///< For requests that are refused for lack of memory.
+    HttpHeaders refusalHeaders; ///< Of all responses that the server gives itself.
 };
 
 /// Counts connections, and by cause the requests that did not reach the handler.
--- a/tests/endpointrelay_test.cpp
+++ b/tests/endpointrelay_test.cpp
@@ -17,6 +17,7 @@
 const Address relayAddress{"127.0.0.1", 16990};
 constexpr uint16_t FirstEndpointPort = 16991;
 constexpr int EndpointCount = 3;
+constexpr size_t BudgetBytes = 4U << 20;
 
 int optionOf(int socket, int name)
 {
@@ -83,7 +84,8 @@
     HttpClient client_{io_};
     EndpointRelay relay_{endpoints_, gateway_, [this] { gateway_.takeActions(); }};
     HttpServer relayServer_{io_, relayAddress, EndpointRelay::limitsFor({}),
-                            [this](const HttpExchangePtr &exchange) { relay_.onRequest(exchange); }};
+                            [this](const HttpExchangePtr &exchange) { relay_.onRequest(exchange); },
+                            relay_.share(std::make_shared<ByteBudget>(BudgetBytes))};
 
 private:
     static GatewaySettings settings()
@@ -122,6 +124,18 @@
     CHECK(headerOf(withoutRelayHeaders(reply.response.headers), "Cranberry-Relay-Outcome").empty());
 }
 
+// Guards against requests that are lost because the relay has no memory for them: nothing was sent to an
+// endpoint.
+TEST_CASE("a relay that refuses a request before it reads it says that it did not accept it")
+{
+    RelayFixture fixture({0}, [](const HttpExchangePtr &exchange) { exchange->respond(200, {}, ""); });
+    HttpRequest large = request;
+    large.body = std::string(EndpointRelay::limitsFor({}).maxBodyBytes, 'b');
+    const RelayFixture::Reply reply = fixture.ask(large, "endpoint-0");
+    CHECK(reply.outcome == RelayOutcome::Unavailable);
+    CHECK(relayFailureOf(reply.response.failure, reply.outcome) == RelayFailure::Unavailable);
+}
+
 TEST_CASE("a response that ends with its connection is known as such behind a relay")
 {
     const HttpHeaders fromRelay{{"Transfer-Encoding", "chunked"},
