What connections need is no part of an organisation's room for bodies

Bytes of connections, headers and unsent responses counted for the owner without a name, which is also that of callers without a key: on a deployment without keys, idle connections took from their half of the room for large bodies. Who gave way for an owner was asked for all its bytes, also those that did not count for it.

Change: a claim without an owner counts for the sum alone; a holder tells what it holds for an owner.

--- a/src/io/bytebudget.cpp
+++ b/src/io/bytebudget.cpp
@@ -22,44 +22,50 @@
 }
 
 // An owner that has its part can only make room with bytes of its own.
-bool ByteBudget::take(size_t bytes, size_t total, const std::string &owner, const ByteHolder *self,
-                      TimeMs now)
+bool ByteBudget::take(size_t bytes, size_t total, const Owner &owner, const ByteHolder *self, TimeMs now)
 {
     const size_t most = maxUsed(total);
-    const size_t mostOfOwner = total > SmallClaim ? maxOfOwner() : limit_;
+    const size_t mostOfOwner = owner && total > SmallClaim ? maxOfOwner() : limit_;
     bool fits = total <= std::min(most, mostOfOwner);
-    if (const size_t missing = excess(heldBy(owner) + bytes, mostOfOwner); fits && missing > 0)
-        fits = makeRoom(missing, &owner, self, now);
+    if (const size_t missing = owner ? excess(heldBy(*owner) + bytes, mostOfOwner) : 0; fits && missing > 0)
+        fits = makeRoom(missing, owner, self, now);
     if (const size_t missing = excess(used_ + bytes, most); fits && missing > 0)
-        fits = makeRoom(missing, nullptr, self, now);
+        fits = makeRoom(missing, std::nullopt, self, now);
     if (!fits) {
         ++counters_.refused;
         return false;
     }
-    used_ += bytes;
-    byOwner_[owner] += bytes;
+    add(bytes, owner);
     return true;
 }
 
-void ByteBudget::takeAnyway(size_t bytes, const std::string &owner, TimeMs now)
+void ByteBudget::takeAnyway(size_t bytes, const Owner &owner, TimeMs now)
 {
-    used_ += bytes;
-    byOwner_[owner] += bytes;
+    add(bytes, owner);
     if (used_ > limit_)
-        makeRoom(used_ - limit_, nullptr, nullptr, now);
+        makeRoom(used_ - limit_, std::nullopt, nullptr, now);
 }
 
-void ByteBudget::release(size_t bytes, const std::string &owner)
+void ByteBudget::add(size_t bytes, const Owner &owner)
+{
+    used_ += bytes;
+    if (owner)
+        byOwner_[*owner] += bytes;
+}
+
+void ByteBudget::release(size_t bytes, const Owner &owner)
 {
     used_ -= bytes;
-    const auto owned = byOwner_.find(owner);
+    if (!owner)
+        return;
+    const auto owned = byOwner_.find(*owner);
     owned->second -= bytes;
     if (owned->second == 0)
         byOwner_.erase(owned);
 }
 
 // Returns false, with nothing freed, if the slow holders don't have that many bytes.
-bool ByteBudget::makeRoom(size_t missing, const std::string *owner, const ByteHolder *self, TimeMs now)
+bool ByteBudget::makeRoom(size_t missing, const Owner &owner, const ByteHolder *self, TimeMs now)
 {
     struct Candidate {
         ByteHolder *holder;
@@ -70,9 +76,8 @@
     size_t sum = 0;
     for (const std::pair<ByteHolder *const, TimeMs> &each : yielding_) {
         const DurationMs slowFor = now - each.second;
-        const size_t bytes = each.first->heldBytes();
-        const bool isAsked = !owner || each.first->owner() == *owner;
-        if (each.first == self || !isAsked || slowFor < MinSlowTime || bytes == 0)
+        const size_t bytes = owner ? each.first->heldFor(*owner) : each.first->heldBytes();
+        if (each.first == self || slowFor < MinSlowTime || bytes == 0)
             continue;
         candidates.push_back({each.first, bytes, static_cast<int64_t>(bytes) * slowFor.count});
         sum += bytes;
--- a/src/io/bytebudget.h
+++ b/src/io/bytebudget.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cranberry {
@@ -16,8 +17,8 @@
 public:
     virtual ~ByteHolder() = default;
     virtual size_t heldBytes() const = 0;
-    /// Whose bytes they are.
-    virtual const std::string &owner() const = 0;
+    /// Those of them that count as this owner's.
+    virtual size_t heldFor(const std::string &owner) const = 0;
     /// Frees what it holds, before it returns.
     virtual void giveWay() = 0;
 };
@@ -55,14 +56,16 @@
 
 private:
     friend class ByteClaim;
+    using Owner = std::optional<std::string>; ///< Nothing: the bytes count for the sum alone.
 
     /// Makes room if necessary. `total` is the size of the claim with these bytes, `self` does not give way.
-    bool take(size_t bytes, size_t total, const std::string &owner, const ByteHolder *self, TimeMs now);
+    bool take(size_t bytes, size_t total, const Owner &owner, const ByteHolder *self, TimeMs now);
     /// Takes bytes that exist already, and makes as much room as it can.
-    void takeAnyway(size_t bytes, const std::string &owner, TimeMs now);
-    void release(size_t bytes, const std::string &owner);
-    /// `owner`: only its holders give way; null: all do.
-    bool makeRoom(size_t missing, const std::string *owner, const ByteHolder *self, TimeMs now);
+    void takeAnyway(size_t bytes, const Owner &owner, TimeMs now);
+    void add(size_t bytes, const Owner &owner);
+    void release(size_t bytes, const Owner &owner);
+    /// With an owner, only its holders give way.
+    bool makeRoom(size_t missing, const Owner &owner, const ByteHolder *self, TimeMs now);
     size_t heldBy(const std::string &owner) const;
 
     size_t maxUsed(size_t claim) const { return claim <= SmallClaim ? limit_ : limit_ / 4 * 3; }
@@ -82,7 +85,8 @@
 {
 public:
     ByteClaim() = default; ///< Of no budget: everything is granted.
-    explicit ByteClaim(ByteBudgetPtr budget, std::string owner = {})
+    /// Without an owner, the bytes count for the sum alone.
+    explicit ByteClaim(ByteBudgetPtr budget, std::optional<std::string> owner = std::nullopt)
         : budget_(std::move(budget)), owner_(std::move(owner))
     { }
     ~ByteClaim() { release(); }
@@ -94,7 +98,7 @@
     void set(size_t bytes, TimeMs now);
     void release();
     size_t bytes() const { return bytes_; }
-    const std::string &owner() const { return owner_; }
+    size_t bytesOf(const std::string &owner) const { return owner_ == owner ? bytes_ : 0; }
 
     ByteClaim(ByteClaim &&other) noexcept { *this = std::move(other); }
     ByteClaim &operator=(ByteClaim &&other) noexcept;
@@ -103,7 +107,7 @@
 
 private:
     ByteBudgetPtr budget_;
-    std::string owner_;
+    std::optional<std::string> owner_;
     size_t bytes_ = 0;
 };
 
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -39,7 +39,7 @@
     bool hasUnwrittenResponse() const { return finished_ && phase_ != Phase::Closed && pendingBytes() > 0; }
 
     size_t heldBytes() const override;
-    const std::string &owner() const override { return body_.owner(); }
+    size_t heldFor(const std::string &owner) const override { return body_.bytesOf(owner); }
     void giveWay() override;
     /// Since when it waits for a request, or for the client to close it.
     const std::optional<TimeMs> &idleSince() const { return idleSince_; }
--- a/tests/bytebudget_test.cpp
+++ b/tests/bytebudget_test.cpp
@@ -17,7 +17,7 @@
 struct Holder : ByteHolder {
     Holder(const ByteBudgetPtr &budget, std::string owner) : claim(budget, std::move(owner)) { }
     size_t heldBytes() const override { return claim.bytes(); }
-    const std::string &owner() const override { return claim.owner(); }
+    size_t heldFor(const std::string &owner) const override { return claim.bytesOf(owner); }
     void giveWay() override
     {
         gaveWay = true;
@@ -115,6 +115,17 @@
     CHECK(!f.larger.gaveWay);
 }
 
+// Guards against callers without a key that get no room for bodies because of what connections need.
+TEST_CASE("bytes without an owner are no part of an owner's")
+{
+    Fixture f;
+    ByteClaim connections(f.budget);
+    CHECK(connections.growTo(Large, nullptr, Start));
+    Holder keyless{f.budget, ""};
+    CHECK(keyless.grow(2 * Large, Start));
+    CHECK(!f.newest.grow(Large, Start)); // The sum is full.
+}
+
 TEST_CASE("bytes that exist already are counted, and others give way to them")
 {
     Fixture f;
