--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -187,8 +187,7 @@
     limits.maxBodyBytes = settings_.maxBodyBytes;
     admin_ = std::make_unique<AdminApi>(*this);
     try {
-        const ProcessLimits processLimits
-            = cranberry::processLimits(settings_.memoryMb, settings_.maxDescriptors);
+        const ProcessLimits processLimits = findProcessLimits(settings_.memoryMb, settings_.maxDescriptors);
         const ConnectionLimits connections = connectionLimits(processLimits);
         HttpServerShare share;
         share.bytes = bytes_ = std::make_shared<ByteBudget>(clientBytes(processLimits));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,6 +200,7 @@
     return {isRefused, exchange.organisation};
 }
 
+// Whatever has changed since its header was examined, it can't be served without its body.
 void Gateway::refuseByHead(const RequestArrived &event, TimeMs now)
 {
     Exchange &exchange = addExchange(event, now);
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -66,7 +66,7 @@
       checkpointReader({settings.instance, incarnation}, gateway.counters(), log),
       checkpointWriter(gateway.counters(), log), engineSizing(settings.firstStart, log),
       rolloutController(log), storeCodec(log),
-      processLimits(cranberry::processLimits(settings.memoryMb, settings.maxDescriptors)),
+      processLimits(findProcessLimits(settings.memoryMb, settings.maxDescriptors)),
       bytes(std::make_shared<ByteBudget>(clientBytes(processLimits))), endpoints(io), relays(io),
       relay(endpoints, gateway, [this] { runActions(); }), store(io), leaderCallClient(io)
 {
--- a/src/io/httpconnection.cpp
+++ b/src/io/httpconnection.cpp
@@ -43,11 +43,11 @@
 }
 
 // Serialises a complete message, or only the header of a chunked one, with Beast's serializer.
-template <typename Body>
-std::string serialised(http::response<Body> &message, bool headerOnly)
+template <typename MessageBody>
+std::string serialised(http::response<MessageBody> &message, bool headerOnly)
 {
     std::string out;
-    http::response_serializer<Body> serializer(message);
+    http::response_serializer<MessageBody> serializer(message);
     serializer.split(headerOnly);
     beast::error_code code;
     while (!code && !(headerOnly ? serializer.is_header_done() : serializer.is_done())) {
@@ -202,36 +202,40 @@
 {
     isHeadChecked_ = true;
     const HttpServerShare &share = listener_->share;
-    std::string owner;
+    HeadVerdict verdict;
     if (share.checkHead) {
-        request_ = takeHead();
-        HeadVerdict verdict = share.checkHead(request_);
-        if (verdict.refuse) {
-            ++counters_.unreadBodies;
-            endReading();
-            keepAlive_ = false;
-            verdict.refuse(shared_from_this());
-            return false;
-        }
-        owner = std::move(verdict.owner);
+        request_ = parsedHead();
+        verdict = share.checkHead(request_);
     }
-    const size_t before = body_.bytes();
-    body_ = ByteClaim(share.bytes, std::move(owner));
-    const size_t length
-        = std::max<size_t>(parser_->content_length().value_or(0) * share.copiesOfBody, before);
-    if (!body_.growTo(length, this, HttpServer::now())) {
-        refuseForMemory(length);
+    if (verdict.refuse) {
+        ++counters_.unreadBodies;
+        endReading();
+        keepAlive_ = false;
+        verdict.refuse(shared_from_this());
         return false;
     }
-    if (boost::algorithm::iequals(parser_->get()[http::field::expect], "100-continue")) {
-        constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        ErrorCode ignored;
-        stream_.socket().non_blocking(true, ignored);
-        stream_.socket().send(asio::buffer(Continue), 0, ignored);
+    const size_t received = body_.bytes();
+    const size_t announced = parser_->content_length().value_or(0) * share.copiesOfBody;
+    const size_t claim = std::max(announced, received);
+    body_ = ByteClaim(share.bytes, std::move(verdict.owner));
+    if (!body_.growTo(claim, this, HttpServer::now())) {
+        refuseForMemory(claim);
+        return false;
     }
+    if (boost::algorithm::iequals(parser_->get()[http::field::expect], "100-continue"))
+        sendContinue();
     return true;
 }
 
+// Nothing else is being written, so these few bytes fit the socket's buffer.
+void HttpConnection::sendContinue()
+{
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    ErrorCode ignored;
+    stream_.socket().non_blocking(true, ignored);
+    stream_.socket().send(asio::buffer(Continue), 0, ignored);
+}
+
 // Claims the room that the received bytes may need in the body, whose length may not be known.
 bool HttpConnection::growBody()
 {
@@ -321,7 +325,7 @@
     body_.release();
 }
 
-HttpRequest HttpConnection::takeHead()
+HttpRequest HttpConnection::parsedHead() const
 {
     const http::request<http::string_body> &message = parser_->get();
     HttpRequest out;
@@ -329,13 +333,13 @@
     out.target = std::string(message.target());
     for (const http::fields::value_type &field : message)
         out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    keepAlive_ = message.keep_alive();
     return out;
 }
 
 void HttpConnection::onRequest()
 {
-    request_ = takeHead();
+    request_ = parsedHead();
+    keepAlive_ = parser_->get().keep_alive();
     std::string text = std::move(parser_->get().body());
     if (parser_->get().method() == http::verb::trace && !text.empty()) {
         ++counters_.badRequests;
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -66,6 +66,7 @@
     void parse();
     bool onHeader(size_t size);
     bool admitBody();
+    void sendContinue();
     bool growBody();
     void awaitBytes();
     void onReadFailed(ErrorCode code);
@@ -73,7 +74,7 @@
     void onRequest();
     void startReadTimer();
     void endReading();
-    HttpRequest takeHead();
+    HttpRequest parsedHead() const;
     void refuseForMemory(size_t claim);
     void refuse(int status, const std::string &why);
     void refuse(int status, HttpHeaders headers, const std::string &reason, const std::string &why);
--- a/src/io/processlimits.cpp
+++ b/src/io/processlimits.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-ProcessLimits processLimits(uint32_t memoryMb, uint32_t descriptors)
+ProcessLimits findProcessLimits(uint32_t memoryMb, uint32_t descriptors)
 {
     ProcessLimits out;
     out.memoryBytes = memoryMb > 0
--- a/src/io/processlimits.h
+++ b/src/io/processlimits.h
@@ -12,7 +12,7 @@
 };
 
 /// Connections that each kind of server may have open. What is left belongs to the process's own connections:
-/// a caller's request in progress needs one to an endpoint, a relayed one two.
+/// each request in progress, a caller's or a relayed one, needs one to an endpoint.
 struct ConnectionLimits {
     size_t callers = 0;
     size_t entry = 0;
@@ -21,7 +21,7 @@
 };
 
 /// Takes 0 as "not stated": the process's resource limits and the instance's memory apply then.
-ProcessLimits processLimits(uint32_t memoryMb, uint32_t descriptors);
+ProcessLimits findProcessLimits(uint32_t memoryMb, uint32_t descriptors);
 /// Returns the bytes that may be kept for clients. The rest is for the process itself, for what the system
 /// has received and nobody has read, and for what allocators waste.
 size_t clientBytes(const ProcessLimits &limits);
--- a/tests/bytebudget_test.cpp
+++ b/tests/bytebudget_test.cpp
@@ -141,7 +141,7 @@
 // Guards against a daemon that refuses a single request inside the callers' limits on the smallest instance.
 TEST_CASE("the smallest instance has room for a body of 4 MiB and descriptors for endpoints")
 {
-    const ProcessLimits limits = processLimits(120, 1000);
+    const ProcessLimits limits = findProcessLimits(120, 1000);
     const ByteBudget budget(clientBytes(limits));
     CHECK(budget.limit() < limits.memoryBytes);
     CHECK(budget.canEverFit(4U << 20));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -49,6 +49,30 @@
     CHECK(gateway.isIdle());
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "a request that its header refuses is known before its body is read")
+{
+    // Bodies that are taken for requests which can't be served fill the memory that others need.
+    const auto examine = [this](const std::string &path, const std::string &key) {
+        CallerRequest head = makeRequest(path);
+        head.key = key;
+        return gateway.examineHead(std::make_shared<CallerRequest>(head), now);
+    };
+    CHECK(!examine(Order, "key-a").isRefused);
+    CHECK(examine(Order, "key-a").organisation.value == "a");
+    CHECK(examine(Order, "no such key").isRefused);
+    CHECK(examine("/unknown/1", "key-a").isRefused);
+    gateway.refuseByHead({{77}, std::make_shared<CallerRequest>(makeRequest("/unknown/1"))}, now);
+    // Also one that is no longer refused: it has no body that could be sent.
+    gateway.refuseByHead({{78}, std::make_shared<CallerRequest>(makeRequest(Order))}, now);
+    drainActions();
+    CHECK(statusOf({77}) == 404);
+    CHECK(statusOf({78}) == 503);
+    CHECK(sent.empty());
+    CHECK(gateway.isIdle());
+    startAgain();
+    CHECK(!examine("/unknown/1", "key-a").isRefused); // The store may know the route.
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "unknown routes and keys are final only while the configuration is fresh")
 {
     // A caller uses a route or key that was just added, and this daemon does not know it yet since it can't
