--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -140,6 +140,42 @@
     expect "serves on after both" "$(status 1 reloaded /order/1)" 200
     expect "metrics" "$(curl -s http://127.0.0.1:21501/metrics | grep -c 'refusals_total{reason="unknown_route"} 1')" 1
     ;;
+keys)
+    # The last organisation is taken away. Read as "asks for no keys", an empty list let any key in, also one that no
+    # configuration ever held (ROUTE).
+    begin
+    configure() { # PYTHON_STATEMENT on the configuration c
+        python3 -c "import json, sys; c = json.load(open(sys.argv[1])); $1; json.dump(c, open(sys.argv[2], 'w'))" \
+            "$run_dir/configuration.json" "$run_dir/changed.json"
+        curl -sf -X POST --data-binary "@$run_dir/changed.json" "http://$store/configure"
+    }
+    answers() { # KEY DAEMON STATUS
+        [ "$(key=$1 status "$2" "k$((++calls))" /order/1)" = "$3" ]
+    }
+    calls=0
+    for i in $daemons; do expect "its key at $i" "$(status "$i" "before-$i" /order/1)" 200; done
+    configure "c['Version'] = 2; c['Tenants'] = []"
+    for i in $daemons; do
+        wait_for "the key that was taken away is refused at $i" answers key-a "$i" 401
+        expect "a key that never was, at $i" "$(key=never status "$i" "never-$i" /order/1)" 401
+        expect "no key at $i" "$(key= status "$i" "none-$i" /order/1)" 401
+    done
+    kill_processes daemon-3
+    start_daemon 3
+    wait_for "daemon 3" curl -sf http://127.0.0.1:21203/ready
+    expect "a daemon that starts with the empty list" "$(status 3 started /order/1)" 401
+    configure "c['Version'] = 3; c['Tenants'] = [{'Name': 'org-b', 'ApiKeys': ['', 'key-b']}, {'Name': 'org-c', 'ApiKeys': []}, {'Name': 'org-d'}]"
+    wait_for "a list with an empty key" answers key-b 1 200
+    expect "an empty key" "$(key= status 1 empty-key /order/1)" 401
+    expect "a key of nobody" "$(key=never status 1 nobody /order/1)" 401
+    configure "c['Version'] = 4; c['Tenants'] = None"
+    wait_for "the list that is no list" grep -q '"event":"configuration_unreadable".*Tenants' "$run_dir/daemon-1.out"
+    expect "the list before it holds" "$(key=key-b status 1 held /order/1) $(key=never status 1 still-nobody /order/1)" "200 401"
+    expect "no request without a valid key ran" "$(grep -cE 'run id=(never|none|started|empty|nobody|still)' "$run_dir/deployment.log" || true)" 0
+    configure "c['Version'] = 5; del c['Tenants']"
+    wait_for "a configuration that asks for no keys" answers never 1 200
+    wait_for "the line that says so" grep -q '"event":"keys_not_required"' "$run_dir/daemon-1.out"
+    ;;
 rollout)
     # An operator orders another version, which fails every request. A part of the requests goes there, the version is
     # rolled back, the operator can read it, and from then on none goes there any more.
