Replies that the gateway collects have one sum for all calls, and a bound of their kind

Cause: HttpClient::fetch kept up to 16 MiB of each reply, and nothing counted the sum over calls: reports that are asked for after a broken attempt, moves of streams, relayed ones, the store, the duties. Change: fetch claims what it keeps in a byte budget (an eighth of the memory for endpoints, another for the store); who is slow gives way, largest first. Reports and moves end at 256 KB, duties at 64 KB.

--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -17,6 +17,8 @@
 constexpr size_t MaxUnsentBytes = 4U << 20;
 /// Smaller responses are covered by what each connection counts.
 constexpr size_t MinCountedResponse = 8U << 10;
+/// A report lists each run of its engine in some 60 bytes; replies to other short calls are smaller.
+constexpr size_t MaxShortReply = 256U << 10;
 
 /// Returns the status of a complete response; 0 if it is incomplete.
 int completeStatus(const HttpResponse &response)
@@ -281,6 +283,7 @@
     call.connectTimeout = std::min(ConnectTimeout, order.timeout);
     call.progressTimeout = order.timeout;
     call.totalTimeout = order.timeout;
+    call.maxBodyBytes = MaxShortReply;
     if (order.relay) {
         call.address = *order.relay;
         addRelayHeaders(call.request, order.endpoint, call.freshConnection);
--- a/src/gateway/io/gatewaypeers.cpp
+++ b/src/gateway/io/gatewaypeers.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr size_t MaxLeaderReply = 64U << 10; ///< Only its status is used.
 constexpr DurationMs CoresInterval{500};
 constexpr double CoresWeight = 0.2; ///< Weight of the newest sample: a mean over about 2.5 s.
 
@@ -68,6 +69,7 @@
     call.progressTimeout = order.timeout;
     call.totalTimeout = order.timeout;
     call.resetOnAbort = true;
+    call.maxBodyBytes = MaxLeaderReply;
     leaderCallClient.fetch(std::move(call), [onReply = std::move(onReply)](const HttpResponse &response) {
         onReply(
             platform::decodeLeaderCallStatus(response.failure == HttpFailure::None ? response.status : 0));
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -67,8 +67,11 @@
       checkpointWriter(gateway.counters(), log), engineSizing(settings.firstStart, log),
       rolloutController(log), storeCodec(log),
       processLimits(findProcessLimits(settings.memoryMb, settings.maxDescriptors)),
-      bytes(std::make_shared<ByteBudget>(clientBytes(processLimits))), endpoints(io), relays(io),
-      relay(endpoints, gateway, [this] { runActions(); }), store(io), leaderCallClient(io)
+      bytes(std::make_shared<ByteBudget>(clientBytes(processLimits))),
+      endpointReplies(std::make_shared<ByteBudget>(replyBytes(processLimits))),
+      storeReplies(std::make_shared<ByteBudget>(replyBytes(processLimits))), endpoints(io, endpointReplies),
+      relays(io, endpointReplies), relay(endpoints, gateway, [this] { runActions(); }),
+      store(io, storeReplies), leaderCallClient(io, storeReplies)
 {
     rolloutController.setBounds({settings.exposeShare, settings.exposeSlack});
 }
--- a/src/gateway/io/gatewayservers.cpp
+++ b/src/gateway/io/gatewayservers.cpp
@@ -62,6 +62,12 @@
                       "cranberry_gateway_client_bytes_refused_total {}\n"
                       "cranberry_gateway_client_bytes_gave_way_total {}\n",
                       bytes->used(), bytes->limit(), bytes->counters().refused, bytes->counters().gaveWay);
+    const std::pair<const char *, const ByteBudgetPtr &> replies[]
+        = {{"endpoints", endpointReplies}, {"store", storeReplies}};
+    for (const auto &[source, budget] : replies)
+        out += fmt::format("cranberry_gateway_reply_bytes{{from=\"{0}\"}} {1}\n"
+                           "cranberry_gateway_replies_without_room_total{{from=\"{0}\"}} {2}\n",
+                           source, budget->used(), budget->counters().refused + budget->counters().gaveWay);
     const std::pair<const char *, const HttpServer *> servers[] = {{"callers", callerServer.get()},
                                                                    {"entry", entryServer.get()},
                                                                    {"readiness", readinessServer.get()},
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -134,6 +134,8 @@
     ProcessLimits processLimits;
     ByteBudgetPtr bytes; ///< What this process keeps for its clients.
     uint64_t reportedRefusals = 0; ///< Refusals of `bytes` that the log has told.
+    ByteBudgetPtr endpointReplies; ///< To calls that are no attempts, also over relays.
+    ByteBudgetPtr storeReplies; ///< Of their own, so that no endpoint keeps this daemon from the store.
     HttpClient endpoints;
     HttpClient relays; ///< To the daemons that carry attempts for this one.
     EndpointRelay relay; ///< Carries attempts of other daemons.
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -35,8 +35,6 @@
 /// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
 /// instead of filling the memory.
 constexpr size_t MaxUnparsedBytes = 128U << 10;
-/// Body of a response that is collected as a whole; the largest ones are pages of the store, of about 1 MB.
-constexpr size_t MaxFetchedBody = 16U << 20;
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
@@ -81,13 +79,16 @@
 } // namespace
 
 struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
-    explicit State(asio::io_context &io) : io(io), idleTimer(io) { }
+    State(asio::io_context &io, ByteBudgetPtr replies)
+        : io(io), replies(std::move(replies)), idleTimer(io) { }
 
     StreamPtr takeIdle(const Address &address);
     void putIdle(const Address &address, StreamPtr stream, std::chrono::milliseconds limit);
     void checkIdleLater();
+    void cancel(uint64_t call);
 
     asio::io_context &io;
+    ByteBudgetPtr replies; ///< Null: no bound.
     asio::steady_timer idleTimer;
     bool isTimerSet = false;
     std::map<Address, std::vector<IdleConnection>> idle;
@@ -338,7 +339,9 @@
     });
 }
 
-HttpClient::HttpClient(asio::io_context &io) : state_(std::make_shared<State>(io)) { }
+HttpClient::HttpClient(asio::io_context &io, ByteBudgetPtr replies)
+    : state_(std::make_shared<State>(io, std::move(replies)))
+{ }
 
 HttpClient::~HttpClient()
 {
@@ -371,16 +374,21 @@
     return id;
 }
 
-void HttpClient::cancel(uint64_t call)
+void HttpClient::State::cancel(uint64_t call)
 {
-    auto found = state_->calls.find(call);
-    if (found == state_->calls.end())
+    const auto found = calls.find(call);
+    if (found == calls.end())
         return;
     const std::shared_ptr<ClientCall> running = found->second;
-    state_->calls.erase(found);
+    calls.erase(found);
     running->cancel();
 }
 
+void HttpClient::cancel(uint64_t call)
+{
+    state_->cancel(call);
+}
+
 void HttpClient::closeIdle(const Address &address)
 {
     state_->idle.erase(address);
@@ -412,21 +420,112 @@
                           });
 }
 
+namespace {
+
+TimeMs steadyTime()
+{
+    const std::chrono::steady_clock::duration sinceEpoch
+        = std::chrono::steady_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
+}
+
+/// A response that is being collected. Servers that answer many calls without end would fill the memory of
+/// their caller together, so its bytes are of the client's budget, and the slow ones give way.
+class FetchedResponse : public ByteHolder, public std::enable_shared_from_this<FetchedResponse>
+{
+public:
+    using Receiver = std::function<void(const HttpResponse &)>;
+
+    FetchedResponse(ByteBudgetPtr budget, size_t maxBytes, Receiver onDone)
+        : budget_(std::move(budget)), claim_(budget_), maxBytes_(maxBytes), startedAt_(steadyTime()),
+          onDone_(std::move(onDone))
+    { }
+    ~FetchedResponse() override
+    {
+        if (budget_)
+            budget_->clearYielding(*this);
+    }
+
+    size_t heldBytes() const override { return claim_.bytes(); }
+    size_t heldFor(const std::string &) const override { return 0; }
+    void giveWay() override
+    {
+        free();
+        cancel_();
+    }
+
+    /// Set once; ends the call without its callbacks, and reports the failure later.
+    void setCancel(std::function<void()> cancel) { cancel_ = std::move(cancel); }
+    void setHead(int status, const HttpHeaders &headers)
+    {
+        response_.status = status;
+        response_.headers = headers;
+    }
+    void append(const char *data, size_t size)
+    {
+        const size_t needed = response_.body.size() + size;
+        if (needed > response_.body.capacity()) {
+            const size_t capacity = std::min(std::max(2 * response_.body.capacity(), needed), maxBytes_);
+            if (!claim_.growTo(capacity, this, steadyTime()))
+                return giveWay();
+            response_.body.reserve(capacity);
+        }
+        response_.body.append(data, size);
+        if (budget_)
+            budget_->setYielding(*this, startedAt_);
+    }
+    void finish(HttpFailure failure)
+    {
+        response_.failure = failure;
+        if (budget_)
+            budget_->clearYielding(*this);
+        onDone_(response_);
+    }
+
+private:
+    void free()
+    {
+        response_ = {};
+        response_.body.shrink_to_fit();
+        claim_.release();
+        budget_->clearYielding(*this);
+    }
+
+    ByteBudgetPtr budget_; ///< Null: no bound.
+    ByteClaim claim_;
+    size_t maxBytes_;
+    TimeMs startedAt_;
+    HttpResponse response_;
+    Receiver onDone_;
+    std::function<void()> cancel_;
+};
+
+} // namespace
+
 void HttpClient::fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone)
 {
     call.maxBodyBytes = call.maxBodyBytes > 0 ? call.maxBodyBytes : MaxFetchedBody;
-    std::shared_ptr<HttpResponse> response = std::make_shared<HttpResponse>();
+    const std::shared_ptr<FetchedResponse> response
+        = std::make_shared<FetchedResponse>(state_->replies, call.maxBodyBytes, std::move(onDone));
     HttpCallbacks callbacks;
-    callbacks.onHead = [response](int status, const HttpHeaders &headers) {
-        response->status = status;
-        response->headers = headers;
-    };
-    callbacks.onData = [response](const char *data, size_t size) { response->body.append(data, size); };
-    callbacks.onDone = [response, onDone = std::move(onDone)](HttpFailure failure) {
-        response->failure = failure;
-        onDone(*response);
-    };
-    start(std::move(call), std::move(callbacks));
+    callbacks.onHead
+        = [response](int status, const HttpHeaders &headers) { response->setHead(status, headers); };
+    // The call may end here, and its callbacks with it.
+    callbacks.onData
+        = [response](const char *data, size_t size) { std::shared_ptr(response)->append(data, size); };
+    callbacks.onDone = [response](HttpFailure failure) { response->finish(failure); };
+    const uint64_t id = start(std::move(call), std::move(callbacks));
+    response->setCancel([weak = std::weak_ptr<State>(state_), id, waiting = std::weak_ptr(response)] {
+        const std::shared_ptr<State> state = weak.lock();
+        const std::shared_ptr<FetchedResponse> given = waiting.lock();
+        if (!state || !given)
+            return;
+        asio::post(state->io, [weak, given] {
+            if (weak.lock())
+                given->finish(HttpFailure::Interrupted);
+        });
+        state->cancel(id);
+    });
 }
 
 } // namespace cranberry
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/httpfields.h"
+#include "io/bytebudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -55,19 +56,28 @@
 /// HTTP/1.1 client on Boost.Beast with a pool of idle connections, which are closed at the end of the
 /// keep-alive that the server stated, at most a minute, or after 3 s. Until then the io_context has work. All
 /// member functions must be called on the io_context's thread.
+///
+/// Servers may send bytes without end. What a call keeps besides its body has a bound; the bodies that
+/// `fetch` collects have one each, and one sum for all calls.
 class HttpClient
 {
 public:
-    explicit HttpClient(boost::asio::io_context &io);
+    /// `replies`: for the bodies that `fetch` collects; null: their sum has no bound.
+    explicit HttpClient(boost::asio::io_context &io, ByteBudgetPtr replies = nullptr);
     ~HttpClient();
 
     uint64_t start(HttpCall call, HttpCallbacks callbacks);
     void cancel(uint64_t call); ///< No callback is called afterwards.
+    /// Collects the body, up to `maxBodyBytes` of the call, or `MaxFetchedBody`. A longer one, or one for
+    /// which the budget has no room, ends the call as Interrupted.
     void fetch(HttpCall call, std::function<void(const HttpResponse &)> onDone);
     void closeIdle(const Address &address); ///< Closes the connections that are not in use.
     /// Opens a connection and keeps it idle for a later call. `onDone` gets None, Refused or NotSent.
     void connect(const Address &address, DurationMs timeout, std::function<void(HttpFailure)> onDone);
 
+    /// For the largest replies: pages of a store.
+    static constexpr size_t MaxFetchedBody = 16U << 20;
+
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
--- a/src/io/processlimits.cpp
+++ b/src/io/processlimits.cpp
@@ -50,6 +50,11 @@
     return limits.memoryBytes / 2;
 }
 
+size_t replyBytes(const ProcessLimits &limits)
+{
+    return limits.memoryBytes / 8;
+}
+
 ConnectionLimits connectionLimits(const ProcessLimits &limits)
 {
     const size_t files = std::min(FileDescriptors, limits.descriptors / 2);
--- a/src/io/processlimits.h
+++ b/src/io/processlimits.h
@@ -25,6 +25,8 @@
 /// Returns the bytes that may be kept for clients. The rest is for the process itself, for what the system
 /// has received and nobody has read, and for what allocators waste.
 size_t clientBytes(const ProcessLimits &limits);
+/// Returns the part of the memory for replies of one kind of servers that are collected: an eighth.
+size_t replyBytes(const ProcessLimits &limits);
 ConnectionLimits connectionLimits(const ProcessLimits &limits);
 /// Lets the allocator give large blocks back to the system as soon as they are freed.
 void returnFreedMemory();
