A call keeps at most 16 KB of what can't be parsed yet

Cause: up to 128 KB of each call waited for the end of a line that does not come, and as many calls as there are descriptors may do so at once. Change: 16 KB, as much as one read; a header has 8 KB at most, a longer line is no answer. The sum over all calls is bounded by the descriptors.

--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -33,8 +33,8 @@
 constexpr std::chrono::milliseconds IdleCheckInterval{500};
 constexpr size_t ReadBytes = 16U << 10;
 /// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
-/// instead of filling the memory.
-constexpr size_t MaxUnparsedBytes = 128U << 10;
+/// instead of filling the memory. As many calls as there are descriptors may each keep that much.
+constexpr size_t MaxUnparsedBytes = 16U << 10;
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 
