cranberryd: answers of endpoints count in the process's byte budget, from the first byte on

Cause: the text of an attempt, an unfinished line, and the text of requests that are kept were limited by nothing; the platform's watch kept a line until it ended. Change: each attempt claims four times its text (the core's copy and a caller's, with spare room) in the clients' budget, and fails when there is no room, as any other broken attempt; kept answers are claimed by the core's sum at each tick. The watch keeps no more of a line than a part of the word that it looks for.

--- a/src/daemon/dispatch.cpp
+++ b/src/daemon/dispatch.cpp
@@ -198,6 +198,16 @@
     closeAttempt(world, request);
 }
 
+size_t keptAnswerBytes(const World &world)
+{
+    size_t bytes = 0;
+    for (const std::pair<const RequestId, Request> &each : world.requests)
+        bytes += each.second.phase == RequestPhase::Running ? 0 : each.second.text.capacity();
+    for (const std::pair<const RequestId, WitnessRecord> &each : world.witnessRecords)
+        bytes += each.second.copy.text.capacity();
+    return bytes;
+}
+
 void onEndpointData(World &world, const EndpointData &event)
 {
     Request *request = findByAttempt(world, event.attempt);
--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -1,6 +1,8 @@
 #include "daemon/io/endpointlink.h"
 
 #include "common/fields.h"
+#include "daemon/io/logging.h"
+#include "io/httpserver.h"
 
 #include <array>
 #include <boost/json.hpp>
@@ -14,6 +16,8 @@
 /// An endpoint whose process runs accepts a connection within milliseconds. An endpoint on an unresponsive
 /// instance does not count as exited, and its callers should not wait for the probe.
 constexpr DurationMs HealthProbeTimeout{200};
+/// The core's text and that of a caller that gets it as a whole, each with the spare room of its string.
+constexpr size_t AnswerCopies = 4;
 
 } // namespace
 
@@ -23,8 +27,13 @@
     uint64_t call = 0;
     bool model = false;
     EndpointEnd end;
-    std::string buffer;
-    std::string text; ///< Text collected from one read and passed on in one event.
+    std::string buffer; ///< The line that is not complete yet.
+    std::string text; ///< Collected, and not passed on yet.
+    size_t passedOn = 0; ///< Bytes of the text that the core has, with those of earlier attempts.
+    size_t resentBytes = 0; ///< Of the request's body, if it holds text of earlier attempts.
+    ByteClaim claim; ///< For all of these.
+
+    size_t keptBytes() const { return AnswerCopies * (passedOn + text.size() + buffer.size()) + resentBytes; }
     uint32_t tokens = 0; ///< Number of tokens in `text`.
     bool sawEndMarker = false; ///< The engine's end marker, [DONE], was received.
     bool reportedNotRun = false;
@@ -55,11 +64,13 @@
 
 void EndpointLink::start(const StartAttempt &attempt)
 {
-    std::shared_ptr<ActiveAttempt> active = std::make_shared<ActiveAttempt>();
+    const ActiveAttemptPtr active = std::make_shared<ActiveAttempt>();
     active->id = attempt.attempt;
     active->address = attempt.address;
     active->end.attempt = attempt.attempt;
     active->model = attempt.kind == ServiceKind::Model;
+    active->passedOn = attempt.prefix.size();
+    active->claim = ByteClaim(bytes_);
     active->retryable = attempt.spec->idempotent;
     HttpCall call;
     call.address = attempt.address;
@@ -73,10 +84,16 @@
                         attempt.spec->path,
                         {{"Content-Type", "application/json"}},
                         attempt.spec->body};
+    if (!attempt.prefix.empty()) {
+        active->resentBytes = call.request.body.size();
+        active->claim.set(active->keptBytes(), HttpServer::now());
+    }
     HttpCallbacks callbacks;
     callbacks.onHead
         = [this, active](int status, const HttpHeaders &headers) { onHead(*active, status, headers); };
-    callbacks.onData = [this, active](const char *data, size_t size) { onData(*active, data, size); };
+    // The attempt may end here, and its callbacks with it.
+    callbacks.onData
+        = [this, active](const char *data, size_t size) { onData(ActiveAttemptPtr(active), data, size); };
     callbacks.onDone = [this, active](HttpFailure failure) { onDone(active, failure); };
     activeAttempts_[attempt.attempt] = active;
     active->call = http_.start(std::move(call), std::move(callbacks));
@@ -88,6 +105,14 @@
     if (found == activeAttempts_.end())
         return;
     http_.cancel(found->second->call);
+    end(attempt);
+}
+
+// What the core has of the text is counted from its next tick on.
+void EndpointLink::end(AttemptId attempt)
+{
+    const auto found = activeAttempts_.find(attempt);
+    ended_.push_back(std::move(found->second->claim));
     activeAttempts_.erase(found);
 }
 
@@ -100,14 +125,29 @@
         active.model = false; // Error bodies are passed on unchanged.
 }
 
-void EndpointLink::onData(ActiveAttempt &active, const char *data, size_t size)
+void EndpointLink::onData(const ActiveAttemptPtr &active, const char *data, size_t size)
 {
-    if (active.reportedNotRun)
-        return;
-    if (!active.model) {
-        active.text.append(data, size);
+    if (active->reportedNotRun)
         return;
-    }
+    if (!active->claim.growTo(active->keptBytes() + AnswerCopies * size, nullptr, HttpServer::now()))
+        return giveUp(*active);
+    if (active->model)
+        onModelData(*active, data, size);
+    else
+        active->text.append(data, size);
+}
+
+void EndpointLink::giveUp(const ActiveAttempt &active)
+{
+    ++noRoom_;
+    logChange("answerTooLarge", "endpoint={} bytes={}", toText(active.address), active.claim.bytes());
+    const AttemptId id = active.id;
+    cancel(id);
+    sink_(EndpointFailed{id, FailurePhase::AfterSend});
+}
+
+void EndpointLink::onModelData(ActiveAttempt &active, const char *data, size_t size)
+{
     active.buffer.append(data, size);
     size_t start = 0;
     for (size_t end = active.buffer.find('\n'); end != std::string::npos;
@@ -118,6 +158,7 @@
     active.buffer.erase(0, start);
     if (active.text.empty())
         return;
+    active.passedOn += active.text.size();
     EndpointData event{active.id, std::move(active.text), active.tokens};
     active.text.clear();
     active.tokens = 0;
@@ -166,10 +207,10 @@
 
 // A stream is complete only with the engine's end marker; without this check, a connection that is closed
 // cleanly in the middle of a response would look like a short response.
-void EndpointLink::onDone(const std::shared_ptr<ActiveAttempt> &finished, HttpFailure failure)
+void EndpointLink::onDone(const ActiveAttemptPtr &finished, HttpFailure failure)
 {
     ActiveAttempt &active = *finished;
-    activeAttempts_.erase(active.id);
+    end(active.id);
     const bool truncated = active.model && !active.sawEndMarker;
     const bool serverError = active.retryable && active.end.status >= 500;
     if (active.reportedNotRun && failure == HttpFailure::None)
@@ -189,7 +230,7 @@
 
 // Probes whether the endpoint's process exited or only the connection failed. A request that crashes one
 // endpoint after another must not be retried, but a request whose connection failed must be.
-void EndpointLink::probeEndpoint(const std::shared_ptr<ActiveAttempt> &active)
+void EndpointLink::probeEndpoint(const ActiveAttemptPtr &active)
 {
     HttpCall call;
     call.address = active->address;
@@ -200,7 +241,7 @@
     call.totalTimeout = HealthProbeTimeout;
     HttpCallbacks callbacks;
     callbacks.onDone = [this, id = active->id](HttpFailure failure) {
-        activeAttempts_.erase(id);
+        end(id);
         const bool exited = failure == HttpFailure::Refused;
         sink_(EndpointFailed{id, exited ? FailurePhase::EndpointExited : FailurePhase::AfterSend});
     };
--- a/src/daemon/io/endpointlink.h
+++ b/src/daemon/io/endpointlink.h
@@ -9,28 +9,44 @@
 
 /// Runs attempts at endpoints over HTTP. Model engines get OpenAI chat-completion requests; requests to plain
 /// services are forwarded unchanged.
+///
+/// An attempt's text is kept until its request is answered. Its bytes are of the process's budget, and an
+/// attempt for whose text there is no room fails: an endpoint may answer without end.
 class EndpointLink
 {
 public:
     using Sink = std::function<void(Event)>;
 
-    EndpointLink(HttpClient &http, Sink sink) : http_(http), sink_(std::move(sink)) { }
+    EndpointLink(HttpClient &http, ByteBudgetPtr bytes, Sink sink)
+        : http_(http), bytes_(std::move(bytes)), sink_(std::move(sink))
+    { }
 
     void start(const StartAttempt &attempt);
     void cancel(AttemptId attempt);
+    /// Releases the claims of attempts that have ended, once their text is counted where it is kept.
+    void releaseEnded() { ended_.clear(); }
+    /// Returns the number of attempts that failed for lack of room.
+    uint64_t noRoom() const { return noRoom_; }
 
 private:
     struct ActiveAttempt;
+    using ActiveAttemptPtr = std::shared_ptr<ActiveAttempt>;
 
     void onHead(ActiveAttempt &active, int status, const HttpHeaders &headers);
-    void onData(ActiveAttempt &active, const char *data, size_t size);
+    void onData(const ActiveAttemptPtr &active, const char *data, size_t size);
+    void onModelData(ActiveAttempt &active, const char *data, size_t size);
+    void giveUp(const ActiveAttempt &active);
+    void end(AttemptId attempt);
     void onLine(ActiveAttempt &active, const std::string &line);
-    void onDone(const std::shared_ptr<ActiveAttempt> &active, HttpFailure failure);
-    void probeEndpoint(const std::shared_ptr<ActiveAttempt> &active);
+    void onDone(const ActiveAttemptPtr &active, HttpFailure failure);
+    void probeEndpoint(const ActiveAttemptPtr &active);
 
     HttpClient &http_;
+    ByteBudgetPtr bytes_;
     Sink sink_;
-    std::map<AttemptId, std::shared_ptr<ActiveAttempt>> activeAttempts_;
+    std::map<AttemptId, ActiveAttemptPtr> activeAttempts_;
+    std::vector<ByteClaim> ended_;
+    uint64_t noRoom_ = 0;
 };
 
 /// Returns the request body for an engine. It asks for a streamed response; if the attempt has a `prefix`, it
--- a/src/daemon/io/platform.cpp
+++ b/src/daemon/io/platform.cpp
@@ -222,7 +222,8 @@
     callbacks.onDone = [this, weak](HttpFailure) {
         if (!weak.lock())
             return;
-        watchBuffer_.clear();
+        watchTail_.clear();
+        watchLineHasEvents_ = false;
         runAfter(WatchRetryInterval, [this] { watch(); });
     };
     http_.start(std::move(call), std::move(callbacks));
@@ -230,12 +231,22 @@
 
 void Platform::onWatchData(const char *data, size_t size)
 {
-    watchBuffer_.append(data, size);
-    const size_t end = watchBuffer_.rfind('\n');
-    if (end == std::string::npos)
-        return;
-    const bool changed = watchBuffer_.find("\"events\"") < end;
-    watchBuffer_.erase(0, end + 1);
+    // Only whether a complete line has events counts, so no more is kept of a line than may be a part of that
+    // word: lines need not end.
+    constexpr std::string_view EventsField = "\"events\"";
+    bool changed = false;
+    for (std::string_view rest(data, size); !rest.empty();) {
+        const size_t end = std::min(rest.find('\n'), rest.size());
+        watchTail_.append(rest.substr(0, end));
+        watchLineHasEvents_ = watchLineHasEvents_ || watchTail_.find(EventsField) != std::string::npos;
+        if (end == rest.size()) {
+            watchTail_.erase(0, watchTail_.size() - std::min(watchTail_.size(), EventsField.size() - 1));
+            break;
+        }
+        changed = changed || std::exchange(watchLineHasEvents_, false);
+        watchTail_.clear();
+        rest.remove_prefix(end + 1);
+    }
     if (!changed)
         return;
     readConfiguration([this](const std::optional<StoredConfiguration> &stored) {
--- a/src/daemon/io/platform.h
+++ b/src/daemon/io/platform.h
@@ -62,7 +62,8 @@
     std::function<bool()> isWatcher_;
     bool hasRead_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    std::string watchBuffer_;
+    std::string watchTail_; ///< The end of what was read of the current line.
+    bool watchLineHasEvents_ = false;
     std::map<std::string, DurationMs> noticesSeen_;
     bool reachable_ = false;
     uint64_t reads_ = 0;
--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/io/adminapi.h"
 #include "daemon/io/logging.h"
-#include "io/processlimits.h"
 
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -48,11 +47,15 @@
 
 Server::Server(Settings settings)
     : settings_(std::move(settings)), timer_(io_), signals_(io_, SIGTERM, SIGINT),
-      daemon_(identityOf(settings_)), http_(io_),
+      daemon_(identityOf(settings_)),
+      processLimits_(findProcessLimits(settings_.memoryMb, settings_.maxDescriptors)),
+      bytes_(std::make_shared<ByteBudget>(clientBytes(processLimits_))), keptAnswers_(bytes_),
+      platformReplies_(std::make_shared<ByteBudget>(replyBytes(processLimits_))),
+      http_(io_, platformReplies_),
       platform_(
           io_, http_, settings_.platformAddress, [this](Event event) { post(std::move(event)); },
           [this] { return isWatcher(daemon_.world()); }),
-      endpoints_(http_, [this](Event event) { post(std::move(event)); }),
+      endpoints_(http_, bytes_, [this](Event event) { post(std::move(event)); }),
       callers_([this](Event event) { post(std::move(event)); }, [this] { return now(); })
 { }
 
@@ -118,6 +121,8 @@
         if (code)
             return;
         post(Tick{});
+        keptAnswers_.set(keptAnswerBytes(daemon_.world()), now());
+        endpoints_.releaseEnded();
         if (++ticks_ % TicksPerKeepAlive == 0)
             callers_.tick();
         admin_->tick();
@@ -163,6 +168,7 @@
     out += fmt::format("cranberry_http_no_memory_total {}\ncranberry_http_no_connection_total {}\n"
                        "cranberry_client_bytes {}\ncranberry_client_bytes_limit {}\n",
                        http.noMemory, http.noConnection, bytes_->used(), bytes_->limit());
+    out += fmt::format("cranberry_answers_without_room_total {}\n", endpoints_.noRoom());
     out += fmt::format("cranberry_platform_reads_total {}\ncranberry_platform_writes_total {}\n"
                        "cranberry_platform_failures_total {}\ncranberry_peer_bytes_sent_total {}\n",
                        platform_.reads(), platform_.writes(), platform_.failures(), peers_->bytesSent());
@@ -187,10 +193,9 @@
     limits.maxBodyBytes = settings_.maxBodyBytes;
     admin_ = std::make_unique<AdminApi>(*this);
     try {
-        const ProcessLimits processLimits = findProcessLimits(settings_.memoryMb, settings_.maxDescriptors);
-        const ConnectionLimits connections = connectionLimits(processLimits);
+        const ConnectionLimits connections = connectionLimits(processLimits_);
         HttpServerShare share;
-        share.bytes = bytes_ = std::make_shared<ByteBudget>(clientBytes(processLimits));
+        share.bytes = bytes_;
         share.copiesOfBody = CopiesOfBody;
         share.maxConnections = connections.callers;
         callerServer_ = std::make_unique<HttpServer>(
--- a/src/daemon/io/server.h
+++ b/src/daemon/io/server.h
@@ -6,6 +6,7 @@
 #include "daemon/io/peerlink.h"
 #include "daemon/io/platform.h"
 #include "daemon/settings.h"
+#include "io/processlimits.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <deque>
@@ -41,12 +42,15 @@
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
     Daemon daemon_;
+    ProcessLimits processLimits_;
+    ByteBudgetPtr bytes_; ///< What this process keeps for its clients, answers of endpoints included.
+    ByteClaim keptAnswers_; ///< Of requests whose attempts have ended.
+    ByteBudgetPtr platformReplies_;
     HttpClient http_;
     Platform platform_;
     EndpointLink endpoints_;
     CallerApi callers_;
     std::unique_ptr<PeerLink> peers_;
-    ByteBudgetPtr bytes_; ///< What this process keeps for its clients.
     std::unique_ptr<HttpServer> callerServer_;
     std::unique_ptr<HttpServer> adminServer_;
     std::unique_ptr<class AdminApi> admin_;
--- a/src/daemon/world.h
+++ b/src/daemon/world.h
@@ -113,6 +113,9 @@
 // dispatch.cpp: selects endpoints, starts attempts and handles their results.
 void dispatchQueue(World &world);
 void enqueue(World &world, Request &request);
+/// Returns the bytes of the answers that are kept, and of other daemons' copies; without those of attempts
+/// that run.
+size_t keptAnswerBytes(const World &world);
 void onEndpointData(World &world, const EndpointData &event);
 void onEndpointEnd(World &world, const EndpointEnd &event);
 void onEndpointFailed(World &world, const EndpointFailed &event);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -77,7 +77,7 @@
                                           });
     HttpClient client(io);
     std::optional<FailurePhase> phase;
-    EndpointLink link(client, [&](const Event &event) {
+    EndpointLink link(client, nullptr, [&](const Event &event) {
         if (const EndpointFailed *failed = std::get_if<EndpointFailed>(&event))
             phase = failed->phase;
         io.stop();
