A test of requests that come late in the grace of a stop, until the process is gone

Report of another operator: in calm, requests that came late in the grace were taken, passed on and cut at its end without an answer, among them some that may not be repeated (LOST). Here it does not happen: a request is taken only if its deadline ends by 11/12 of the grace (mayExitBefore), and what is still open then gets its answer. gateway_process_grace plays it: graces of 8 and 2.5 s, 40 connections each that were open before the signal and send their first request at their own moment until the process is gone, clients on new ones beside them, with and without a deadline, calls that take 1.3 of 1.6 s, streams. No answer in part; nothing that got no answer, or 503, ran.

--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -267,6 +267,40 @@
     took=$(ended_after 1 "$signalled")
     expect "ends within the grace ($took ms)" "$((took < 8000))" 1
     ;;
+grace)
+    # In calm, requests that come late in the grace of a stop were taken and cut at its end without an answer, among
+    # them some that may not be repeated (LOST): over connections that were open before the signal, and new ones.
+    configuration_edit='s/"TimeoutMs": 1500/"TimeoutMs": 1600/'
+    begin
+    wait_for "addresses of all daemons" addresses 1 3
+    fault workMs 1300
+    fault tokenMs 40
+    for n in $(seq 10); do
+        for i in 1 2; do hold $i "seen-$i-$n" /draft/1; done
+    done
+    wait "${held[@]}"
+    settings 2 | sed 's/"stopGraceSeconds":8/"stopGraceSeconds":2.5/' >"$run_dir/settings-2.json"
+    kill -HUP "${pids[daemon-2]}"
+    wait_for "the reload" grep -q '"event":"reloaded"' "$run_dir/daemon-2.out"
+    start late-1 python3 "$root/tests/lateclients.py" --to 21101 --name late-1 --seconds 9
+    start late-2 python3 "$root/tests/lateclients.py" --to 21102 --name late-2 --seconds 3.5
+    sleep 0.6
+    for i in 1 2; do kill -TERM "${pids[daemon-$i]}"; done
+    signalled=$(now_ms)
+    for i in 2 1; do
+        took=$(ended_after $i "$signalled")
+        expect "daemon $i ends within its grace ($took ms)" "$((took < (i == 1 ? 8000 : 2500)))" 1
+    done
+    wait_for "the clients" bash -c "! kill -0 ${pids[late-1]} 2>/dev/null"
+    for i in 1 2; do
+        awk '{ print $2 }' "$run_dir/late-$i.out" | sort | uniq -c | tr '\n' ' '
+        expect "requests that came late at $i" "$(($(grep -c . "$run_dir/late-$i.out") >= 40))" 1
+        expect "no answer in part at $i" "$(awk '$2 == "half"' "$run_dir/late-$i.out")" ""
+        for id in $(awk '$2 == "cut" || $2 == 503 { print $1 }' "$run_dir/late-$i.out"); do
+            expect "what got no answer, or 503, did not run" "$id $(runs_of "$id")" "$id 0"
+        done | sort | uniq -c | sed 's/ late-[0-9-]* 0//' | tail -n 1
+    done
+    ;;
 exit)
     # What is open when the grace ends was closed without an answer: calls that run, a stream without an event, answers
     # that are half read; with a grace that a reload made shorter, by SIGKILL.
