--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -418,3 +418,44 @@
     CHECK(other.growTo(Size, nullptr, later));
     CHECK(isClosed);
 }
+
+TEST_CASE(
+    "a reply that stalls gives way to others, and a call without room for its reply ends as interrupted")
+{
+    // Servers that stop within their replies would hold all of the room that a process has for replies.
+    boost::asio::io_context io;
+    static constexpr size_t Size = 200U << 10;
+    const ByteBudgetPtr replies = std::make_shared<ByteBudget>(2 * Size);
+    HttpServer server(io, serverAddress, {}, [](const HttpExchangePtr &exchange) {
+        exchange->beginStream(200, {});
+        exchange->write(std::string(Size, 'r'));
+        if (exchange->request().target == "/whole")
+            exchange->finish();
+    });
+    HttpClient client(io, replies);
+    std::vector<std::string> ends;
+    const auto fetch = [&](const std::string &target) {
+        HttpCall call;
+        call.address = serverAddress;
+        call.request = {"GET", target, {}, {}};
+        call.maxBodyBytes = Size;
+        client.fetch(std::move(call), [&ends, target](const HttpResponse &response) {
+            const bool isWhole = response.failure == HttpFailure::None && response.body.size() == Size;
+            ends.push_back(target + (isWhole ? " whole" : " interrupted"));
+        });
+    };
+    fetch("/stalls");
+    io.run_for(std::chrono::milliseconds(2 * ByteBudget::MinSlowTime.count));
+    CHECK(ends.empty());
+    CHECK(replies->used() == Size);
+    fetch("/whole");
+    io.run_for(std::chrono::milliseconds(500));
+    CHECK(ends == std::vector<std::string>{"/stalls interrupted", "/whole whole"});
+    CHECK(replies->used() == 0);
+    ByteClaim all(replies);
+    all.set(2 * Size, HttpServer::now());
+    fetch("/whole");
+    io.run_for(std::chrono::milliseconds(500));
+    CHECK(ends.back() == "/whole interrupted");
+    CHECK(ends.size() == 3);
+}
