Entries of other writers are read up to 64 KB; a longer one is unreadable, as others are

What callers saw (report of another operator): machines that read a list with an odd entry end, or stop following it. Here: with entries of 1 MiB among the servers' and the members', requests are refused as stale_configuration, and a new configuration does not come. Cause: each read parsed each entry whatever its size; a list of numbers takes twelve times its text and more, and each read of the list the longer.

--- a/src/gateway/peers/memberentry.cpp
+++ b/src/gateway/peers/memberentry.cpp
@@ -14,6 +14,7 @@
 /// Maximum number of members sent to peers while no daemon serves. Enough to tolerate the loss of some, and
 /// few enough that the list soon stays the same when hundreds of daemons start.
 constexpr size_t MaxMembersAtStart = 24;
+constexpr size_t MaxMemberBytes = 64U << 10; ///< An entry has a few hundred.
 
 } // namespace
 
@@ -29,6 +30,9 @@
 
 std::optional<MemberEntry> memberFromText(const std::string &instance, const std::string &text)
 {
+    // Parsed, another writer's text may take many times its size, with each read.
+    if (text.size() > MaxMemberBytes)
+        return std::nullopt;
     return boost::leaf::try_handle_all(
         [&]() -> Result<std::optional<MemberEntry>> {
             BOOST_LEAF_ASSIGN(const json::value value, parseJson(text));
--- a/standins/storestate.cpp
+++ b/standins/storestate.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t PageItems = 500;
+constexpr size_t PageBytes = 1U << 20; ///< A page has at least one item, whatever its size.
 
 } // namespace
 
@@ -58,12 +59,14 @@
 {
     expireLeases(nowMs);
     json::array items;
+    size_t bytes = 0;
     bool truncated = false;
     for (auto item = content_.items.lower_bound(prefix);
          item != content_.items.end() && item->first.starts_with(prefix); ++item) {
         if (item->first <= after)
             continue;
-        truncated = items.size() == PageItems;
+        bytes += item->first.size() + item->second.value.size();
+        truncated = items.size() == PageItems || (bytes > PageBytes && !items.empty());
         if (truncated)
             break;
         items.push_back(describe(item->first, item->second));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -457,6 +457,19 @@
     CHECK_FALSE(entryFrom(twice));
 }
 
+TEST_CASE("an endpoint's entry that is long is rejected")
+{
+    // Parsed, a list of numbers takes twelve times its text.
+    const std::string entry
+        = R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":4,"State":"ready",
+"ColdRemainingMs":0,"Seq":1,"Models":")";
+    const auto isRead = [](const std::string &id, const std::string &text) {
+        return valueOf<EndpointEntry>([&] { return platform::decodeEndpoint(id, text); }).has_value();
+    };
+    CHECK(isRead("i-1", entry + std::string(60'000, 'm') + "\"}"));
+    CHECK(!isRead("i-1", entry + std::string(70'000, 'm') + "\"}"));
+}
+
 TEST_CASE("an unreadable entry is logged once per revision")
 {
     RecordingLog log;
