An endpoint's id has no control characters

What callers saw: nothing yet. The id of an entry, which another writer may choose, is sent to the endpoint in a header as it is; with a line break it begins another header (a tenant's name), or another request. Cause: ids were taken from the store's keys unchecked. Change: such an entry is unreadable.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -457,9 +457,10 @@
     CHECK_FALSE(entryFrom(twice));
 }
 
-TEST_CASE("an endpoint's entry that is long is rejected")
+TEST_CASE("an endpoint's entry that is long, or whose id would end a header, is rejected")
 {
-    // Parsed, a list of numbers takes twelve times its text.
+    // Parsed, a list of numbers takes twelve times its text; an id with a line break would begin a header of
+    // another request.
     const std::string entry
         = R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":4,"State":"ready",
 "ColdRemainingMs":0,"Seq":1,"Models":")";
@@ -468,6 +469,8 @@
     };
     CHECK(isRead("i-1", entry + std::string(60'000, 'm') + "\"}"));
     CHECK(!isRead("i-1", entry + std::string(70'000, 'm') + "\"}"));
+    CHECK(!isRead("i-1\r\nX-Tenant: other", entry + "\"}"));
+    CHECK(!isRead(std::string("i\0", 2), entry + "\"}"));
 }
 
 TEST_CASE("an unreadable entry is logged once per revision")
