A time in a report that does not fit a time is cut

What callers saw: nothing yet. A report whose leaves_ms is 1e300 converts to a time that overflows: the engine counts as gone long ago (on arm64; elsewhere the conversion gives the smallest number), and its streams are moved.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -473,6 +473,17 @@
     CHECK(!isRead(std::string("i\0", 2), entry + "\"}"));
 }
 
+TEST_CASE("a time in a report that is too large for a time is cut")
+{
+    for (const char *number : {"1e300", "-1e300", "1e18"}) {
+        const EngineProbed probed = platform::decodeProbe(
+            {"i-1"}, 200, {}, std::string(R"({"State":"draining","leaves_ms":)") + number + "}");
+        REQUIRE(probed.leavesAfter);
+        CHECK(probed.leavesAfter->count >= 0);
+        CHECK(probed.leavesAfter->count <= 1'000'000'000);
+    }
+}
+
 TEST_CASE("an unreadable entry is logged once per revision")
 {
     RecordingLog log;
