Ticks, datagrams and reads of the store go on after a handler that throws

What callers would see: a daemon that lives and follows nothing. Change: these steps come at the end of the scope; a reply of the store that a library can't take counts as none. Evidence: none of a throw, no input is known; platform_test and odd_entries passed.

--- a/src/gateway/io/gatewaypeers.cpp
+++ b/src/gateway/io/gatewaypeers.cpp
@@ -1,6 +1,7 @@
 // Connections to the store, to the receiver of leader calls, and to the other daemons.
 
 #include "gateway/io/gatewaystate.h"
+#include "io/onexit.h"
 
 #include <sys/resource.h>
 
@@ -38,14 +39,25 @@
     call.progressTimeout = order.timeout;
     call.totalTimeout = order.timeout;
     store.fetch(std::move(call), [this, order, onReply = std::move(onReply)](const HttpResponse &response) {
-        const bool isComplete = response.failure == HttpFailure::None;
-        StoreReply reply
-            = storeCodec.decode(order, isComplete ? response.status : 0, response.headers, response.body);
+        StoreReply reply = decodeStoreReply(order, response);
         sync.checkEra(reply, steadyNow());
         onReply(reply);
     });
 }
 
+// What a library throws on an item counts as a reply that can't be read: a call without a reply would keep
+// its kind from being sent again.
+StoreReply GatewayServer::State::decodeStoreReply(const StoreCall &order, const HttpResponse &response)
+{
+    const bool isComplete = response.failure == HttpFailure::None;
+    try {
+        return storeCodec.decode(order, isComplete ? response.status : 0, response.headers, response.body);
+    } catch (const std::exception &error) {
+        log.write(LogPriority::Failure, "handler_failed", {{"error", error.what()}});
+        return storeCodec.decode(order, 0, {}, {});
+    }
+}
+
 void GatewayServer::State::runStoreCalls()
 {
     for (const StoreCall &order : sync.takeCalls()) {
@@ -192,9 +204,10 @@
                                   [this](boost::system::error_code code, size_t size) {
                                       if (code == boost::asio::error::operation_aborted)
                                           return;
+                                      // Also if a library throws on a datagram.
+                                      const OnExit receivesNext([this] { receive(); });
                                       if (!code)
                                           onDatagram({datagram.data(), size});
-                                      receive();
                                   });
 }
 
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/io/stopsignal.h"
 #include "io/commandline.h"
+#include "io/onexit.h"
 
 #include <random>
 #include <sys/random.h>
@@ -80,6 +81,9 @@
 
 void GatewayServer::State::tick()
 {
+    // Also if a library throws on somebody's input: without its ticks the daemon would follow nothing any
+    // more.
+    const OnExit armsTimer([this] { armTick(); });
     const TimeMs now = steadyNow();
     // Before the core's tick: a shorter grace may make the last answers due at once.
     if (now >= settingsCheckAt) {
@@ -107,6 +111,10 @@
     }
     if (stopping)
         checkStopped(now);
+}
+
+void GatewayServer::State::armTick()
+{
     timer.expires_after(std::chrono::milliseconds(TimerInterval.count));
     timer.async_wait([this](boost::system::error_code code) {
         if (!code)
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -87,6 +87,7 @@
     // The store.
     void runStoreCalls();
     void callStore(const StoreCall &order, std::function<void(const StoreReply &)> onReply);
+    StoreReply decodeStoreReply(const StoreCall &order, const HttpResponse &response);
     void processUpdates();
 
     // Tasks of the leader.
@@ -108,6 +109,7 @@
     bool measureCores(TimeMs now); ///< Returns true if a measurement was due.
 
     void tick();
+    void armTick();
     void runLoop();
     void waitForSignal();
     void reloadIfChanged(bool wasRequested);
