cranberryd writes complete answers to their end before it exits

What callers saw: in a stop, a caller that reads a large answer late gets it in part; also one that must not be repeated. Cause: the core's work ends when an answer is complete, and the process ended 50 ms later, whatever was not written. Change: it waits for complete responses for as long as the drain may last; after a notice 200 ms, since the instance goes 300 ms after the last work. A third signal ends it as before.

--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -13,6 +13,8 @@
 
 constexpr uint64_t TicksPerKeepAlive = 10;
 constexpr DurationMs StopGrace{50};
+/// A notice's drain ends 300 ms before the instance does.
+constexpr DurationMs LastWritesTime{200};
 constexpr size_t CopiesOfBody = 2; ///< The body as received and the text of its messages.
 
 uint64_t randomNonZero()
@@ -149,12 +151,22 @@
 void Server::stop()
 {
     logChange("stopped", "instance={}", settings_.instance.value);
-    // Accepts no new connections and waits for StopGrace, so that requests already received on open
-    // connections can be redirected to other daemons and pending output can be written.
     callerServer_->stopAccepting();
+    exitWhenWritten(std::exchange(hasStopped_, true) ? now() : daemon_.world().drain.endsAt + LastWritesTime);
+}
+
+// In StopGrace, requests already received on open connections are redirected to other daemons. A complete
+// response that its caller reads slowly is written to its end, for as long as the drain may last.
+void Server::exitWhenWritten(TimeMs latest)
+{
     std::shared_ptr<boost::asio::steady_timer> timer
         = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(StopGrace.count));
-    timer->async_wait([this, timer](const boost::system::error_code &) { io_.stop(); });
+    timer->async_wait([this, timer, latest](const boost::system::error_code &) {
+        if (callerServer_->unwrittenResponses() == 0 || now() >= latest)
+            io_.stop();
+        else
+            exitWhenWritten(latest);
+    });
 }
 
 std::string Server::metrics() const
--- a/src/daemon/io/server.h
+++ b/src/daemon/io/server.h
@@ -36,6 +36,7 @@
     void onSignal();
     std::string metrics() const;
     void stop();
+    void exitWhenWritten(TimeMs latest);
 
     Settings settings_;
     boost::asio::io_context io_;
@@ -56,6 +57,7 @@
     std::unique_ptr<class AdminApi> admin_;
     std::deque<Event> pendingEvents_;
     bool processingEvents_ = false;
+    bool hasStopped_ = false; ///< The core has no more work; or it was told to end without that.
     bool stopsNow_ = false; ///< A signal has come during the drain.
     uint64_t ticks_ = 0;
 };
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -81,6 +81,35 @@
     done
     expect "the drained daemon has ended" "$(kill -0 "${pids[daemon-$number]}" 2>/dev/null && echo runs || echo ended)" ended
     ;;
+unread)
+    # A stop while a caller reads a large answer late: what its socket did not hold was lost when the process ended.
+    begin 10 4
+    number=$(entry_number 1)
+    python3 - $((17099 + number)) >"$run_dir/reader.out" <<'READER' &
+import socket, sys, time
+body = b"b" * 4000000
+caller = socket.socket()
+caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+caller.connect(("127.0.0.1", int(sys.argv[1])))
+caller.sendall(b"POST /v1/services/portal/x HTTP/1.1\r\nHost: x\r\nX-Organisation: diputacion\r\n"
+               b"Content-Length: %d\r\n\r\n" % len(body) + body)
+time.sleep(4)
+answer = b""
+try:
+    while len(answer) < len(body) and (part := caller.recv(1 << 20)):
+        answer += part
+except OSError as error:
+    print(type(error).__name__, end=" ")
+print(answer[9:12].decode(), len(answer) >= len(body))
+READER
+    sleep 2
+    kill -TERM "${pids[daemon-$number]}"
+    for _ in $(seq 100); do
+        grep -q . "$run_dir/reader.out" && break
+        sleep 0.1
+    done
+    expect "the answer is whole" "$(cat "$run_dir/reader.out")" "200 True"
+    ;;
 stopnow)
     # An entry gets a second signal with a stream open. The stream's caller is told where to read on; its connection is
     # not just closed.
