--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -108,7 +108,7 @@
     end(attempt);
 }
 
-// What the core has of the text is counted from its next tick on.
+// What the core keeps of the text is counted a few ticks later.
 void EndpointLink::end(AttemptId attempt)
 {
     const auto found = activeAttempts_.find(attempt);
--- a/src/daemon/io/server.cpp
+++ b/src/daemon/io/server.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/io/adminapi.h"
 #include "daemon/io/logging.h"
+#include "io/steadyclock.h"
 
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -65,9 +66,7 @@
 
 TimeMs Server::now() const
 {
-    const std::chrono::steady_clock::duration sinceEpoch
-        = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
+    return steadyTime();
 }
 
 // Events posted while actions are being performed are queued, so that the core is never reentered.
@@ -123,10 +122,11 @@
         if (code)
             return;
         post(Tick{});
-        keptAnswers_.set(keptAnswerBytes(daemon_.world()), now());
-        endpoints_.releaseEnded();
-        if (++ticks_ % TicksPerKeepAlive == 0)
+        if (++ticks_ % TicksPerKeepAlive == 0) {
             callers_.tick();
+            keptAnswers_.set(keptAnswerBytes(daemon_.world()), now());
+            endpoints_.releaseEnded();
+        }
         admin_->tick();
         tick();
     });
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "io/httpclient.h"
 
 #include "io/socketoptions.h"
+#include "io/steadyclock.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -422,16 +423,9 @@
 
 namespace {
 
-TimeMs steadyTime()
-{
-    const std::chrono::steady_clock::duration sinceEpoch
-        = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
-}
-
 /// A response that is being collected. Servers that answer many calls without end would fill the memory of
 /// their caller together, so its bytes are of the client's budget, and the slow ones give way.
-class FetchedResponse : public ByteHolder, public std::enable_shared_from_this<FetchedResponse>
+class FetchedResponse : public ByteHolder
 {
 public:
     using Receiver = std::function<void(const HttpResponse &)>;
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "io/httpconnection.h"
 #include "io/httpserialise.h"
 #include "io/socketoptions.h"
+#include "io/steadyclock.h"
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
@@ -640,9 +641,7 @@
 
 TimeMs HttpServer::now()
 {
-    const std::chrono::steady_clock::duration sinceEpoch
-        = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
+    return steadyTime();
 }
 
 HttpServer::~HttpServer()
