cranberryd: an answer of a plain service counts twice while it arrives, not four times

What callers saw: nothing landed. Cause: counted each answer four times. That is what a stream's text takes, which the core and a caller keep while it arrives; a plain answer stands once, with the spare room of its string, until it is complete. Change: twice for plain services, four times for streams; the complete answer is moved, not copied, to the core.

--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -16,8 +16,10 @@
 /// An endpoint whose process runs accepts a connection within milliseconds. An endpoint on an unresponsive
 /// instance does not count as exited, and its callers should not wait for the probe.
 constexpr DurationMs HealthProbeTimeout{200};
-/// The core's text and that of a caller that gets it as a whole, each with the spare room of its string.
-constexpr size_t AnswerCopies = 4;
+/// A string's text with its spare room.
+constexpr size_t TextCopies = 2;
+/// A stream's text is kept by the core and by a caller that gets it as a whole.
+constexpr size_t StreamCopies = 2 * TextCopies;
 
 } // namespace
 
@@ -33,7 +35,8 @@
     size_t resentBytes = 0; ///< Of the request's body, if it holds text of earlier attempts.
     ByteClaim claim; ///< For all of these.
 
-    size_t keptBytes() const { return AnswerCopies * (passedOn + text.size() + buffer.size()) + resentBytes; }
+    size_t copies() const { return model ? StreamCopies : TextCopies; }
+    size_t keptBytes() const { return copies() * (passedOn + text.size() + buffer.size()) + resentBytes; }
     uint32_t tokens = 0; ///< Number of tokens in `text`.
     bool sawEndMarker = false; ///< The engine's end marker, [DONE], was received.
     bool reportedNotRun = false;
@@ -129,7 +132,7 @@
 {
     if (active->reportedNotRun)
         return;
-    if (!active->claim.growTo(active->keptBytes() + AnswerCopies * size, nullptr, HttpServer::now()))
+    if (!active->claim.growTo(active->keptBytes() + active->copies() * size, nullptr, HttpServer::now()))
         return giveUp(*active);
     if (active->model)
         onModelData(*active, data, size);
@@ -224,7 +227,7 @@
     if (serverError)
         return sink_(EndpointFailed{active.id, FailurePhase::AfterSend});
     if (!active.text.empty())
-        sink_(EndpointData{active.id, active.text, 0});
+        sink_(EndpointData{active.id, std::move(active.text), 0});
     sink_(active.end);
 }
 
