--- a/tests/faultyservers_test.sh
+++ b/tests/faultyservers_test.sh
@@ -7,7 +7,7 @@
 
 process=$1
 kind=$2
-first_port=21701
+first_port=21031 # Below those of the soak and of the review.
 count=24
 callers=24
 path=/faulty/1
