--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -16,9 +16,9 @@
 /// An endpoint whose process runs accepts a connection within milliseconds. An endpoint on an unresponsive
 /// instance does not count as exited, and its callers should not wait for the probe.
 constexpr DurationMs HealthProbeTimeout{200};
-/// A string's text with its spare room.
+/// Bytes that are held for each byte of a text: a string grows to twice its size.
 constexpr size_t TextCopies = 2;
-/// A stream's text is kept by the core and by a caller that gets it as a whole.
+/// The core keeps a stream's text, and so does a caller that gets it as a whole.
 constexpr size_t StreamCopies = 2 * TextCopies;
 
 } // namespace
@@ -34,13 +34,13 @@
     size_t passedOn = 0; ///< Bytes of the text that the core has, with those of earlier attempts.
     size_t resentBytes = 0; ///< Of the request's body, if it holds text of earlier attempts.
     ByteClaim claim; ///< For all of these.
-
-    size_t copies() const { return model ? StreamCopies : TextCopies; }
-    size_t keptBytes() const { return copies() * (passedOn + text.size() + buffer.size()) + resentBytes; }
     uint32_t tokens = 0; ///< Number of tokens in `text`.
     bool sawEndMarker = false; ///< The engine's end marker, [DONE], was received.
     bool reportedNotRun = false;
     bool retryable = false;
+
+    size_t copies() const { return model ? StreamCopies : TextCopies; }
+    size_t keptBytes() const { return copies() * (passedOn + text.size() + buffer.size()) + resentBytes; }
 };
 
 std::string engineBody(const StartAttempt &attempt)
@@ -94,7 +94,7 @@
     HttpCallbacks callbacks;
     callbacks.onHead
         = [this, active](int status, const HttpHeaders &headers) { onHead(*active, status, headers); };
-    // The attempt may end here, and its callbacks with it.
+    // Holds the attempt, which may end here, and its callbacks with it.
     callbacks.onData
         = [this, active](const char *data, size_t size) { onData(ActiveAttemptPtr(active), data, size); };
     callbacks.onDone = [this, active](HttpFailure failure) { onDone(active, failure); };
--- a/src/daemon/io/server.h
+++ b/src/daemon/io/server.h
@@ -57,7 +57,7 @@
     std::unique_ptr<class AdminApi> admin_;
     std::deque<Event> pendingEvents_;
     bool processingEvents_ = false;
-    bool hasStopped_ = false; ///< The core has no more work; or it was told to end without that.
+    bool hasStopped_ = false; ///< stop() was called; the second time it waits for no caller.
     bool stopsNow_ = false; ///< A signal has come during the drain.
     uint64_t ticks_ = 0;
 };
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -504,7 +504,7 @@
     HttpCallbacks callbacks;
     callbacks.onHead
         = [response](int status, const HttpHeaders &headers) { response->setHead(status, headers); };
-    // The call may end here, and its callbacks with it.
+    // Holds the response: the call may end here, and its callbacks with it.
     callbacks.onData
         = [response](const char *data, size_t size) { std::shared_ptr(response)->append(data, size); };
     callbacks.onDone = [response](HttpFailure failure) { response->finish(failure); };
