--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -1,12 +1,17 @@
 #include "io/httpclient.h"
 
+#include "io/httpserialise.h"
+#include "io/httpsocket.h"
 #include "io/socketoptions.h"
 #include "io/steadyclock.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <cstdlib>
 #include <cstring>
 #include <map>
@@ -32,12 +37,12 @@
 constexpr std::chrono::seconds MaxIdleLimit{60};
 /// Interval at which idle connections are checked.
 constexpr std::chrono::milliseconds IdleCheckInterval{500};
-constexpr size_t ReadBytes = 16U << 10;
+constexpr size_t ReadBytes = 4U << 10;
 /// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
 /// instead of filling the memory. As many calls as there are descriptors may each keep that much.
 constexpr size_t MaxUnparsedBytes = 16U << 10;
 
-using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+using StreamPtr = std::unique_ptr<HttpStream>;
 
 struct IdleConnection {
     StreamPtr stream;
@@ -90,7 +95,7 @@
 
     asio::io_context &io;
     ByteBudgetPtr replies; ///< Null: no bound.
-    asio::steady_timer idleTimer;
+    HttpTimer idleTimer;
     bool isTimerSet = false;
     std::map<Address, std::vector<IdleConnection>> idle;
     std::map<uint64_t, std::shared_ptr<ClientCall>> calls;
@@ -110,20 +115,7 @@
         : call_(std::move(call)), callbacks_(std::move(callbacks)), onFinished_(std::move(onFinished)),
           keepConnection_(std::move(keepConnection))
     {
-        message_.version(11);
-        message_.method_string(call_.request.method);
-        message_.target(call_.request.target);
-        if (headerOf(call_.request.headers, "Host").empty())
-            message_.set(http::field::host, toText(call_.address));
-        for (const HttpHeader &header : call_.request.headers)
-            message_.insert(header.name, header.value);
-        message_.body() = {call_.request.body.text().data(), call_.request.body.size()};
-        // `prepare_payload` throws for methods that have no body.
-        const http::verb method = message_.method();
-        const bool usuallyHasBody = method == http::verb::post || method == http::verb::put
-            || method == http::verb::options || method == http::verb::patch;
-        if (usuallyHasBody || !message_.body().empty())
-            message_.content_length(message_.body().size());
+        head_ = headOf(call_);
         parser_.body_limit(boost::none);
         if (call_.totalTimeout.count > 0)
             deadline_ = std::chrono::steady_clock::now() + toChrono(call_.totalTimeout);
@@ -138,7 +130,7 @@
 
     void connect(asio::io_context &io)
     {
-        stream_ = std::make_unique<beast::tcp_stream>(io);
+        stream_ = std::make_unique<HttpStream>(io);
         beast::error_code code;
         const asio::ip::address ip = asio::ip::make_address(call_.address.host, code);
         if (code) {
@@ -189,68 +181,103 @@
             write();
     }
 
+    static std::string headOf(const HttpCall &call)
+    {
+        http::request<http::empty_body> message;
+        message.version(11);
+        message.method_string(call.request.method);
+        message.target(call.request.target);
+        if (headerOf(call.request.headers, "Host").empty())
+            message.set(http::field::host, toText(call.address));
+        for (const HttpHeader &header : call.request.headers)
+            message.insert(header.name, header.value);
+        // `prepare_payload` throws for methods that have no body.
+        const http::verb method = message.method();
+        const bool usuallyHasBody = method == http::verb::post || method == http::verb::put
+            || method == http::verb::options || method == http::verb::patch;
+        if (usuallyHasBody || call.request.body.size() > 0)
+            message.content_length(call.request.body.size());
+        return serialised(message, true);
+    }
+
     void write()
     {
         expireAfter(call_.progressTimeout);
-        http::async_write(*stream_, message_, [self = shared_from_this()](beast::error_code code, size_t) {
+        const std::string &body = call_.request.body.text();
+        const std::array<asio::const_buffer, 2> message{asio::buffer(head_), asio::buffer(body)};
+        asio::async_write(*stream_, message, [self = shared_from_this()](beast::error_code code, size_t) {
             self->written_ = !code;
         });
         // Reads at once: an endpoint may respond before it has received the complete body, and a failed write
         // also makes the read fail.
-        readHead();
+        read();
     }
 
-    void readHead()
+    void read()
     {
+        if (buffer_.size() == MaxUnparsedBytes)
+            return done(HttpFailure::Interrupted);
         expireAfter(call_.progressTimeout);
-        http::async_read_header(*stream_, buffer_, parser_,
-                                [self = shared_from_this()](beast::error_code code, size_t) {
-                                    if (!self->finished_)
-                                        self->onHead(code);
-                                });
+        stream_->async_read_some(
+            buffer_.prepare(std::min(ReadBytes, MaxUnparsedBytes - buffer_.size())),
+            [self = shared_from_this()](beast::error_code code, size_t size) { self->onRead(code, size); });
     }
 
-    void onHead(beast::error_code code)
+    void onRead(beast::error_code code, size_t size)
     {
+        if (finished_)
+            return;
+        buffer_.commit(size);
+        if (code == asio::error::eof && parser_.got_some()) {
+            code = {};
+            parser_.put_eof(code);
+            return code ? done(failureOf(code)) : onResponseComplete();
+        }
         if (code)
             return done(failureOf(code));
+        parse();
+    }
+
+    void parse()
+    {
+        while (!finished_ && !parser_.is_done()) {
+            if (buffer_.size() == 0)
+                return read();
+            const bool wasHeaderDone = parser_.is_header_done();
+            parser_.get().body().data = chunk_.data();
+            parser_.get().body().size = chunk_.size();
+            beast::error_code code;
+            buffer_.consume(parser_.put(buffer_.data(), code));
+            if (code == http::error::need_more)
+                return read();
+            if (code && code != http::error::need_buffer)
+                return done(failureOf(code));
+            if (wasHeaderDone)
+                passBody(chunk_.size() - parser_.get().body().size);
+            else if (parser_.is_header_done())
+                passHead();
+        }
+        if (!finished_)
+            onResponseComplete();
+    }
+
+    void passHead()
+    {
         HttpHeaders headers;
         for (const http::fields::value_type &field : parser_.get())
             headers.push_back({std::string(field.name_string()), std::string(field.value())});
         idleLimit_ = idleLimitOf(headers);
         if (callbacks_.onHead)
             callbacks_.onHead(static_cast<int>(parser_.get().result_int()), headers);
-        if (!finished_)
-            readBody();
     }
 
-    void readBody()
+    void passBody(size_t size)
     {
-        if (parser_.is_done())
-            return onResponseComplete();
-        parser_.get().body().data = chunk_.data();
-        parser_.get().body().size = chunk_.size();
-        expireAfter(call_.progressTimeout);
-        http::async_read_some(*stream_, buffer_, parser_,
-                              [self = shared_from_this()](beast::error_code code, size_t) {
-                                  if (!self->finished_)
-                                      self->onBody(code);
-                              });
-    }
-
-    void onBody(beast::error_code code)
-    {
-        const size_t size = chunk_.size() - parser_.get().body().size;
         received_ += size;
         if (call_.maxBodyBytes > 0 && received_ > call_.maxBodyBytes)
             return done(HttpFailure::Interrupted);
         if (size > 0 && callbacks_.onData)
             callbacks_.onData(chunk_.data(), size);
-        if (finished_)
-            return;
-        if (code && code != http::error::need_buffer)
-            return done(failureOf(code));
-        readBody();
     }
 
     static HttpFailure failureOf(beast::error_code code)
@@ -283,7 +310,7 @@
     std::function<void()> onFinished_;
     KeepConnection keepConnection_;
     StreamPtr stream_;
-    http::request<http::span_body<const char>> message_; ///< Its body is that of `call_`.
+    std::string head_; ///< Of the request.
     http::response_parser<http::buffer_body> parser_;
     beast::flat_buffer buffer_{MaxUnparsedBytes};
     std::vector<char> chunk_;
@@ -403,7 +430,7 @@
         asio::post(state_->io, [onDone = std::move(onDone)] { onDone(HttpFailure::NotSent); });
         return;
     }
-    std::shared_ptr<beast::tcp_stream> stream = std::make_shared<beast::tcp_stream>(state_->io);
+    std::shared_ptr<HttpStream> stream = std::make_shared<HttpStream>(state_->io);
     stream->expires_after(toChrono(timeout));
     stream->async_connect(tcp::endpoint(ip, address.port),
                           [stream, address, weak = std::weak_ptr<State>(state_),
@@ -413,8 +440,7 @@
                                   return;
                               if (!error) {
                                   setSocketOptions(stream->socket().native_handle());
-                                  state->putIdle(address,
-                                                 std::make_unique<beast::tcp_stream>(std::move(*stream)),
+                                  state->putIdle(address, std::make_unique<HttpStream>(std::move(*stream)),
                                                  DefaultIdleLimit);
                               }
                               onDone(connectFailureOf(error));
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -3,7 +3,6 @@
 #include "io/httplistener.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -21,11 +20,9 @@
                        public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    using Socket = boost::asio::ip::tcp::socket;
+    static void start(HttpSocket socket, const std::shared_ptr<HttpListener> &listener);
 
-    static void start(Socket socket, const std::shared_ptr<HttpListener> &listener);
-
-    HttpConnection(Socket socket, std::shared_ptr<HttpListener> listener);
+    HttpConnection(HttpSocket socket, std::shared_ptr<HttpListener> listener);
     ~HttpConnection() override;
 
     const HttpRequest &request() const override { return request_; }
@@ -87,8 +84,8 @@
     void linger();
     void close();
 
-    boost::beast::tcp_stream stream_;
-    boost::asio::steady_timer readTimer_;
+    HttpStream stream_;
+    HttpTimer readTimer_;
     bool readTimedOut_ = false;
     std::shared_ptr<HttpListener> listener_;
     HttpServerCounters &counters_; ///< Owned by the listener.
--- a/src/io/httplistener.h
+++ b/src/io/httplistener.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "io/httpserver.h"
+#include "io/httpsocket.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 namespace cranberry {
@@ -28,16 +27,14 @@
     bool closeAfterResponses = false;
 
 private:
-    using Socket = boost::asio::ip::tcp::socket;
-
     void accept();
-    void onAccepted(boost::system::error_code code, Socket socket);
+    void onAccepted(boost::system::error_code code, HttpSocket socket);
     void acceptLater();
     bool closeOneConnection();
 
     boost::asio::io_context &io_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer acceptTimer_;
+    HttpAcceptor acceptor_;
+    HttpTimer acceptTimer_;
 };
 
 } // namespace cranberry
--- a/src/io/httpserialise.h
+++ b/src/io/httpserialise.h
@@ -17,12 +17,12 @@
         out.append(static_cast<const char *>(buffer.data()), buffer.size());
 }
 
-/// Serialises a complete message, or only the header of a chunked one, with Beast's serializer.
-template <typename MessageBody>
-std::string serialised(boost::beast::http::response<MessageBody> &message, bool headerOnly)
+/// Serialises a complete message, or only its header, with Beast's serializer.
+template <bool IsRequest, typename MessageBody>
+std::string serialised(boost::beast::http::message<IsRequest, MessageBody> &message, bool headerOnly)
 {
     std::string out;
-    boost::beast::http::response_serializer<MessageBody> serializer(message);
+    boost::beast::http::serializer<IsRequest, MessageBody> serializer(message);
     serializer.split(headerOnly);
     boost::beast::error_code code;
     while (!code && !(headerOnly ? serializer.is_header_done() : serializer.is_done())) {
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -62,7 +62,7 @@
 {
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
     acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.set_option(HttpAcceptor::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen(ListenBacklog);
     accept();
@@ -77,12 +77,13 @@
 
 void HttpListener::accept()
 {
-    acceptor_.async_accept(io_, [self = shared_from_this()](boost::system::error_code code, Socket socket) {
-        self->onAccepted(code, std::move(socket));
-    });
+    acceptor_.async_accept(io_,
+                           [self = shared_from_this()](boost::system::error_code code, HttpSocket socket) {
+                               self->onAccepted(code, std::move(socket));
+                           });
 }
 
-void HttpListener::onAccepted(boost::system::error_code code, Socket socket)
+void HttpListener::onAccepted(boost::system::error_code code, HttpSocket socket)
 {
     if (code == asio::error::operation_aborted || !acceptor_.is_open())
         return;
@@ -134,7 +135,7 @@
 
 // ---- A connection ----
 
-void HttpConnection::start(Socket socket, const std::shared_ptr<HttpListener> &listener)
+void HttpConnection::start(HttpSocket socket, const std::shared_ptr<HttpListener> &listener)
 {
     const std::shared_ptr<HttpConnection> connection
         = std::make_shared<HttpConnection>(std::move(socket), listener);
@@ -144,7 +145,7 @@
     connection->close();
 }
 
-HttpConnection::HttpConnection(Socket socket, std::shared_ptr<HttpListener> listener)
+HttpConnection::HttpConnection(HttpSocket socket, std::shared_ptr<HttpListener> listener)
     : stream_(std::move(socket)), readTimer_(stream_.get_executor()), listener_(std::move(listener)),
       counters_(listener_->counters), budget_(*listener_->share.bytes), connection_(listener_->share.bytes),
       head_(listener_->share.bytes), unsent_(listener_->share.bytes), unread_(listener_->share.bytes)
@@ -526,7 +527,7 @@
 void HttpConnection::watchClose()
 {
     const uint64_t request = ++requests_;
-    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), request](ErrorCode code) {
+    stream_.socket().async_wait(HttpSocket::wait_read, [self = shared_from_this(), request](ErrorCode code) {
         if (code || self->finished_ || self->phase_ != Phase::Serving || self->requests_ != request)
             return;
         ErrorCode ignored;
@@ -584,7 +585,7 @@
     stream_.socket().cancel(ignored);
     if (keepAlive_)
         return readNext();
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.socket().shutdown(HttpSocket::shutdown_send, ignored);
     stream_.expires_after(LingerTimeout);
     phase_ = Phase::Lingering;
     request_ = {};
@@ -620,7 +621,7 @@
     budget_.clearYielding(*this);
     listener_->connections.erase(this);
     ErrorCode ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.socket().shutdown(HttpSocket::shutdown_both, ignored);
     stream_.close();
     for (ByteClaim *claim : {&connection_, &head_, &unsent_, &unread_})
         claim->release();
