--- a/tests/review_test.sh
+++ b/tests/review_test.sh
@@ -1,16 +1,48 @@
 #!/usr/bin/env bash
-# The review's cases that hold, in a tree of their own: review/build.sh names its sources one by one, so a source that
-# the HTTP server begins to need leaves the cases unrunnable, and every one of them "broken".
-# Usage: review_test.sh BUILD build|CASE
+# The review's cases that hold, as strangers run them: a copy of the sources in a folder of its own, the deploy file's
+# build, review/build.sh, the case. Usage: review_test.sh BUILD build|CASE
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-tree=$1/review-tree
-if [ "$2" = build ]; then
+tree="$1/review tree"
+strangers=$1/strangers
+
+build_command() {
+    sed -n 's/^build = "\(.*\)"$/\1/p' "$root/deploy/system.toml"
+}
+
+# What a copy of the tree may bring along: a build of another folder, and a daemon of another kind of machine.
+carry_over_build() {
+    for folder in target "target/build-$(uname -m)"; do
+        mkdir -p "$tree/$folder"
+        echo "CMAKE_HOME_DIRECTORY:INTERNAL=/elsewhere" >"$tree/$folder/CMakeCache.txt"
+        printf 'another machine' >"$tree/$folder/cranberrygated"
+        chmod +x "$tree/$folder/cranberrygated"
+    done
+}
+
+# Guards against "build first": one of the two builds ends without its programs. Both run at the same time, without a
+# home.
+build_as_stranger() {
     rm -rf "$tree"
-    mkdir -p "$tree/target"
-    cp -r "$root/review" "$tree"
-    ln -s "$root/src" "$root/standins" "$tree"
-    ln -s "$1/cranberrygated" "$tree/target/cranberrygated"
-    exec "$tree/review/build.sh"
-fi
-exec "$tree/review/$2/run.sh"
+    mkdir -p "$tree" "$strangers"
+    for each in CMakeLists.txt deploy platform review src standins; do cp -r "$root/$each" "$tree"; done
+    carry_over_build
+    cd "$tree"
+    env -i PATH="$PATH" HOME=/nonexistent review/build.sh >"$strangers/review.txt" 2>&1 &
+    local review=$!
+    env -i PATH="$PATH" HOME=/nonexistent sh -c "$(build_command)" >"$strangers/deploy.txt" 2>&1 ||
+        fail "the deploy file's build" "$strangers/deploy.txt"
+    wait "$review" || fail "review/build.sh" "$strangers/review.txt"
+    ./target/cranberrygated --help >/dev/null || fail "the daemon does not start" "$strangers/deploy.txt"
+}
+
+fail() { # WHAT LOG
+    echo "FAILED: $1"
+    tail -n 20 "$2"
+    exit 1
+}
+
+case $2 in
+build) build_as_stranger ;;
+*) exec "$tree/review/$2/run.sh" ;;
+esac
