--- a/tests/review_test.sh
+++ b/tests/review_test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The review's cases that hold, as strangers run them: a copy of the sources in a folder of its own, the deploy file's
-# build, review/build.sh, the case. Usage: review_test.sh BUILD build|CASE
+# build, review/build.sh, the case. Usage: review_test.sh BUILD build|packages|CASE
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 tree="$1/review tree"
@@ -44,5 +44,6 @@
 
 case $2 in
 build) build_as_stranger ;;
+packages) exec python3 "$root/tests/buildpackages.py" "$tree" "$root/deploy/system.toml" ;;
 *) exec "$tree/review/$2/run.sh" ;;
 esac
