odd_entries asks for endpoints that the daemon has to choose

The test waits until a request reaches an endpoint that was replaced, to see that the daemon still follows its list. It asked for endpoint 3, in another failure domain than the daemon's; at equal load the daemon prefers its own domain, so that calls one after the other may all go to endpoint 4 (1,196 of 1,196 in a run that failed). The daemon had logged the new endpoint 41 ms after its start. Now it asks for the only endpoint of the daemon's own domain: as strict (listed, and sent requests), and sure to be chosen.

--- a/tests/oddentries_test.sh
+++ b/tests/oddentries_test.sh
@@ -13,7 +13,7 @@
     grep -o "run id=$1-[0-9]* endpoint=[^ ]*" "$run_dir/deployment.log" | cut -d= -f3 | sort -u | tr '\n' ' '
 }
 
-follows() { # ID_PREFIX ENDPOINT: the list names it, and it is sent requests
+follows() { # ID_PREFIX ENDPOINT: the list names it, and it is sent requests; it has to be the only one of the daemon's zone
     [[ " $(ran_at "$1-$((++looks))") " == *" $2 "* ]]
 }
 
@@ -31,7 +31,7 @@
 check "beside them" beside
 curl -sf -X POST "http://$store/replace?endpoint=3"
 curl -sf -X POST "http://$store/replace?endpoint=4"
-wait_for "an endpoint that was replaced beside them" follows replaced i-3.1
+wait_for "an endpoint that was replaced beside them" follows replaced i-4.1
 sed -i 's/"Version": 1/"Version": 2/; s|/lookup/|/found/|' "$run_dir/configuration.json"
 curl -sf -X POST --data-binary "@$run_dir/configuration.json" "http://$store/configure"
 wait_for "a configuration beside them" eval '[ "$(ordinary_status old -d x)" = 404 ]'
@@ -48,8 +48,8 @@
 wait_for "a process that starts beside them" curl -sf http://127.0.0.1:21201/ready
 check "started beside them" started
 odd --remove >/dev/null
-curl -sf -X POST "http://$store/replace?endpoint=3"
-wait_for "an endpoint that was replaced after them" follows after i-3.2
+curl -sf -X POST "http://$store/replace?endpoint=4"
+wait_for "an endpoint that was replaced after them" follows after i-4.2
 check "after them" after
 peak_kb=$(awk '$1 == "VmHWM:" { print $2 }' "/proc/${pids[daemon]}/status")
 expect "memory of at most $memory_mb MB ($peak_kb KB)" "$((peak_kb <= memory_mb * 1024))" 1
