The response to HEAD ends with its header

Callers saw: a HEAD request to a healthy endpoint got no answer before its deadline, and cost the endpoint a failure. Cause: the client waited for as many bytes as the response's Content-Length says; in a response to HEAD that is the length of a GET. Change: such a response has no body.

--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -117,6 +117,7 @@
     {
         head_ = headOf(call_);
         parser_.body_limit(boost::none);
+        parser_.skip(call_.request.method == "HEAD"); // A length in its response is that of a GET.
         if (call_.totalTimeout.count > 0)
             deadline_ = std::chrono::steady_clock::now() + toChrono(call_.totalTimeout);
         chunk_.resize(ReadBytes);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -459,3 +459,98 @@
     CHECK(ends.back() == "/whole interrupted");
     CHECK(ends.size() == 3);
 }
+
+namespace {
+
+/// Sends `answer` on each connection once a request has come, and closes or resets it.
+class CutServer
+{
+public:
+    CutServer(boost::asio::io_context &io, std::string answer, bool resets)
+        : acceptor_(io, {boost::asio::ip::make_address(serverAddress.host), serverAddress.port}),
+          answer_(std::move(answer)), resets_(resets)
+    {
+        acceptor_.async_accept([this](boost::system::error_code code, Socket socket) {
+            if (!code)
+                respond(std::make_shared<Socket>(std::move(socket)));
+        });
+    }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+    void respond(const std::shared_ptr<Socket> &socket)
+    {
+        socket->async_read_some(boost::asio::buffer(request_), [this, socket](auto, size_t) {
+            boost::asio::async_write(*socket, boost::asio::buffer(answer_), [this, socket](auto, size_t) {
+                if (resets_)
+                    socket->set_option(boost::asio::socket_base::linger(true, 0));
+                socket->close();
+            });
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string answer_;
+    bool resets_;
+    std::array<char, 4096> request_;
+};
+
+HttpResponse responseTo(const std::string &answer, bool resets, const std::string &method = "GET")
+{
+    boost::asio::io_context io;
+    CutServer server(io, answer, resets);
+    HttpClient client(io);
+    std::optional<HttpResponse> received;
+    HttpCall call;
+    call.address = serverAddress;
+    call.request.method = method;
+    client.fetch(std::move(call), [&](const HttpResponse &response) {
+        received = response;
+        io.stop();
+    });
+    io.run_for(std::chrono::seconds(10));
+    REQUIRE(received);
+    return *received;
+}
+
+} // namespace
+
+// Guards against an answer that was cut short and is taken for whole, by any caller of the client: attempts,
+// relays, peers, the store, duties, the platform.
+TEST_CASE("an answer with framing that is cut at any byte fails its call")
+{
+    const std::string answers[]
+        = {"HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Name: value\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\nX-Name: value\nContent-Length: 5\n\nwhole",
+           "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nwhole\r\n0\r\nX-Sum: 1\r\n\r\n"};
+    for (const std::string &answer : answers) {
+        for (size_t cut = 0; cut < answer.size(); ++cut) {
+            CAPTURE(answer.substr(0, cut));
+            CHECK(responseTo(answer.substr(0, cut), false).failure != HttpFailure::None);
+            CHECK(responseTo(answer.substr(0, cut), true).failure != HttpFailure::None);
+        }
+    }
+    CHECK(responseTo(answers[0], false).body == "whole");
+    CHECK(responseTo(answers[5], false).body == "whole");
+    CHECK(responseTo("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", false).failure
+          != HttpFailure::None);
+    CHECK(responseTo("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nwhole", false).failure
+          != HttpFailure::None);
+    CHECK(responseTo("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwhole", false).failure
+          != HttpFailure::None);
+    CHECK(responseTo("HTTP/1.1 204 No Content\r\n\r\n", false).failure == HttpFailure::None);
+    CHECK(responseTo("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", false).failure
+          == HttpFailure::None);
+}
+
+// Guards against calls that wait for a body that does not come: a HEAD request gets the length of a GET.
+TEST_CASE("the response to HEAD ends with its header")
+{
+    const HttpResponse response = responseTo("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", false, "HEAD");
+    CHECK(response.failure == HttpFailure::None);
+    CHECK(response.body.empty());
+}
