A store's reply without its results is no reply

Seen by a daemon: a reply of the store without framing that is cut short looks like a whole one with an empty body. A write then counted as done with revision 0 ("the key does not exist"), a conflict as one without items, an object without a list as an empty list. Class: an end that is believed without a proof of it.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -311,6 +311,30 @@
     CHECK(codec.decode(call, 200, {}, "not json").outcome == StoreOutcome::NoReply);
 }
 
+// Guards against a list that is taken for empty, or a write for one without a revision, when a reply without
+// framing is cut short: its end then looks like that of a whole one.
+TEST_CASE("a reply of the store that is cut at any byte is no reply")
+{
+    RecordingLog log;
+    platform::StoreCodec codec(log);
+    const std::string replies[] = {R"({"Items":[],"Truncated":false,"CurrentRev":7})", R"({"Revision":7})",
+                                   R"({"Lease":3,"TtlMs":5000})"};
+    const StoreVerb verbs[] = {StoreVerb::List, StoreVerb::Write, StoreVerb::GrantLease};
+    for (size_t i = 0; i < std::size(verbs); ++i) {
+        StoreCall call;
+        call.verb = verbs[i];
+        for (size_t cut = 0; cut < replies[i].size(); ++cut) {
+            CAPTURE(replies[i].substr(0, cut));
+            CHECK(codec.decode(call, 200, {}, replies[i].substr(0, cut)).outcome == StoreOutcome::NoReply);
+            CHECK(codec.decode(call, 412, {}, replies[i].substr(0, cut)).outcome == StoreOutcome::NoReply);
+        }
+        CHECK(codec.decode(call, 200, {}, replies[i]).outcome == StoreOutcome::Done);
+    }
+    StoreCall list;
+    list.verb = StoreVerb::List;
+    CHECK(codec.decode(list, 200, {}, "{}").outcome == StoreOutcome::NoReply);
+}
+
 TEST_CASE("an invalid roll-out order is rejected with the field's name, and the previous order stays")
 {
     const auto errorOf = [](const std::string &text) {
