A response without length or chunks reaches its caller without them (gateway)

An endpoint that answers without framing and whose connection is closed in the middle of the body, or right behind the head, while its process runs on. Cause: "closed" was taken for "whole". Gateway::mayBeBrokenOff asks whether the endpoint's process runs; a connection may end while it does, and by its bytes that end can't be told from a cut. Statuses other than 200, and codings that are not chunks (gzip), were not even asked for; a stream got its last chunk. Change: what came without framing is passed on without framing: the answer states no length, the stream has no chunks, both end with the connection, and are reset if they break off, also when the process is killed. A stream that its caller gets in chunks and whose last endpoint stated no end is broken off visibly. The endpoint is still asked as before, so that a crash is told from an end. Tests: cut_plain, cut_stream, cut_relay (real daemons; every byte of eight framings, closed and reset; relays: the asking daemon reaches no endpoint).

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -36,7 +36,13 @@
 
 bool isFramed(const HttpHeaders &headers)
 {
-    return !headerOf(headers, "Content-Length").empty() || !headerOf(headers, "Transfer-Encoding").empty();
+    constexpr std::string_view Chunked = "chunked";
+    if (!headerOf(headers, "Content-Length").empty())
+        return true;
+    const std::string codings = headerOf(headers, "Transfer-Encoding");
+    const size_t lastCoding = codings.find_last_of(", \t");
+    return boost::algorithm::iequals(codings.substr(lastCoding == std::string::npos ? 0 : lastCoding + 1),
+                                     Chunked);
 }
 
 HttpTarget parseTarget(const std::string &target)
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -17,8 +17,8 @@
 
 /// Returns the value of the first header with this name (compared case-insensitively), or an empty string.
 std::string headerOf(const HttpHeaders &headers, const std::string &name);
-/// Returns whether the headers of a message state its length, or that it comes in chunks. A message without
-/// either ends with its connection.
+/// Returns whether the headers of a message state its length, or that it comes in chunks; other transfer
+/// codings have no end of their own. A message without either ends with its connection.
 bool isFramed(const HttpHeaders &headers);
 
 struct HttpRequest {
--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -44,12 +44,14 @@
 }
 
 // Where a response ends with its connection, the exit of the endpoint's process looks like the end of the
-// response. A stream that ends inside an event has been broken off in any case.
+// response. A stream that ends inside an event has been broken off in any case. That the process runs on does
+// not show that the response is whole (framingOf).
 bool Gateway::mayBeBrokenOff(const Exchange &exchange) const
 {
     const bool isBroken = exchange.head.eventStream
         && (exchange.splitter.hasPartialEvent() || exchange.phase != ExchangePhase::Streaming);
-    return exchange.head.isUnframed && !isBroken && !exchange.migration && fleet_.find(exchange.sentTo);
+    return exchange.head.isUnframed && !exchange.endpointRanOn && !isBroken && !exchange.migration
+        && fleet_.find(exchange.sentTo);
 }
 
 void Gateway::awaitEndpointState(Exchange &exchange, TimeMs now)
@@ -76,7 +78,7 @@
     if (!exchange)
         return;
     if (isComplete) {
-        exchange->head.isUnframed = false;
+        exchange->endpointRanOn = true;
         return onEnd({attempt}, now);
     }
     const AttemptConnectionFailed failure{attempt, true};
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,6 +90,7 @@
     uint64_t contextTokens = 0; ///< Counted at the endpoint, without shared prompt parts.
     bool foundNoQueue = false; ///< No queue was known at the endpoint when the attempt was sent.
     AttemptHead head;
+    bool endpointRanOn = false; ///< Its process was asked after the end of an unframed response, and runs.
     std::string body; ///< Body of a response that is buffered until it is complete.
     EventSplitter splitter;
     std::optional<uint64_t> lastEvent; ///< Last event that the caller has, from this daemon or from before.
@@ -98,6 +99,7 @@
     std::optional<SoftwareVersion> streamVersion;
     std::optional<StreamKey> stream; ///< Unset for a resumption whose caller does not name the stream.
     std::optional<OriginSearch> originSearch; ///< Set in phase AwaitingOrigin.
+    ResponseFraming callerFraming = ResponseFraming::Stated; ///< Of the stream that the caller receives.
     TimeMs callerFirstEventAt; ///< Time of the first event of all attempts.
     TimeMs newestEventAt;
     DurationMs longestPause; ///< Between two events, also of different attempts.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -387,6 +387,7 @@
     bool mayBeBrokenOff(const Exchange &exchange) const;
     void awaitEndpointState(Exchange &exchange, TimeMs now);
     void probeProcess(const FleetEndpoint &endpoint, TimeMs now);
+    static ResponseFraming framingOf(const Exchange &exchange);
     void endUnframedResponse(AttemptId attempt, bool isComplete, TimeMs now);
     bool probeThroughRelay(const EndpointId &id, TimeMs now);
     void onProcessProbed(const EngineProbed &event, TimeMs now);
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -22,6 +22,7 @@
     = {"requests",
        "attempts",
        "answers_passed",
+       "answers_without_end",
        "streams_whole",
        "streams_broken",
        "callers_gone",
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -59,6 +59,7 @@
     Requests,
     Attempts,
     AnswersPassed,
+    AnswersWithoutEnd,
     StreamsWhole,
     StreamsBroken,
     CallersGone,
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -79,7 +79,9 @@
     bool wrongInstance = false; ///< Another endpoint runs at that address.
     bool matchesRequest = true; ///< The response carries the id of this request.
     bool eventStream = false;
-    bool isUnframed = false; ///< The response has neither a length nor chunks and ends with its connection.
+    /// The response has neither a length nor chunks and ends with its connection: where it was cut short
+    /// looks like its end.
+    bool isUnframed = false;
     std::optional<RequestRate> limit; ///< Maximum rate that the endpoint accepts from all daemons together.
     std::optional<FieldError> limitError; ///< The stated limit can't be parsed.
     /// The endpoint crashes if it has to reject more requests than this in a second for lack of room.
@@ -523,17 +525,25 @@
 // ---- Actions of the gateway ----
 
 /// Sends a complete response of the gateway itself or of an endpoint.
+/// What tells a caller where its response ends.
+enum class ResponseFraming : uint8_t {
+    Stated, ///< A length or a last chunk.
+    EndsWithConnection ///< Nothing else; for endpoints' responses whose end is not known.
+};
+
 struct AnswerCaller {
     CallerId caller;
     int status = 500;
     HttpHeaders headers;
     std::string body;
+    ResponseFraming framing = ResponseFraming::Stated;
 };
 
 struct BeginCallerStream {
     CallerId caller;
     int status = 200;
     HttpHeaders headers;
+    ResponseFraming framing = ResponseFraming::Stated;
 };
 
 struct CallerStreamData {
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -160,8 +160,12 @@
 
 void GatewayServer::State::run(AnswerCaller &action)
 {
-    if (const HttpExchangePtr exchange = removeCaller(action.caller))
-        exchange->respond(action.status, action.headers, action.body);
+    const HttpExchangePtr exchange = removeCaller(action.caller);
+    if (!exchange)
+        return;
+    if (action.framing == ResponseFraming::EndsWithConnection)
+        exchange->endWithConnection();
+    exchange->respond(action.status, action.headers, action.body);
 }
 
 void GatewayServer::State::run(BeginCallerStream &action)
@@ -170,6 +174,8 @@
     if (found == callers.end())
         return;
     latency.firstToken(steadyNow() - arrivals[action.caller]);
+    if (action.framing == ResponseFraming::EndsWithConnection)
+        found->second->endWithConnection();
     found->second->beginStream(action.status, action.headers);
 }
 
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -87,6 +87,7 @@
     if (exchange->relay)
         relays_.reached(exchange->service, *exchange->relay);
     exchange->head = event;
+    exchange->endpointRanOn = false;
     if (!event.wrongInstance) {
         recordLimit(*exchange, now);
         recordBrittleness(*exchange, now);
@@ -172,9 +173,10 @@
     if (exchange.phase != ExchangePhase::Streaming) {
         exchange.enter(ExchangePhase::Streaming, now);
         exchange.callerFirstEventAt = now;
+        exchange.callerFraming = framingOf(exchange);
         countUsage(exchange, now);
-        actions_.emplace_back(
-            BeginCallerStream{exchange.caller, exchange.head.status, exchange.head.headers});
+        actions_.emplace_back(BeginCallerStream{exchange.caller, exchange.head.status, exchange.head.headers,
+                                                exchange.callerFraming});
         log(LogPriority::Ordinary, "first_event", exchange, {{"after_ms", (now - exchange.arrivedAt).count}});
     }
     if (!exchange.streamVersion) {
@@ -225,6 +227,8 @@
     clearSuspicion(*exchange, now);
     recordProof(*exchange, now);
     counters_.add(GatewayCount::StreamsWhole);
+    if (exchange->head.isUnframed)
+        counters_.add(GatewayCount::AnswersWithoutEnd);
     countLateStream(*exchange);
     recordStreamDuration(*exchange, now);
     recordAnswer(now);
@@ -232,11 +236,21 @@
         {{"after_ms", (now - exchange->arrivedAt).count},
          {"longest_pause_ms", exchange->longestPause.count}});
     detach(*exchange);
-    actions_.emplace_back(EndCallerStream{exchange->caller, true});
+    // A last chunk would vouch for an end that ended with its connection.
+    const bool isEndKnown = framingOf(*exchange) == ResponseFraming::Stated
+        || exchange->callerFraming == ResponseFraming::EndsWithConnection;
+    actions_.emplace_back(EndCallerStream{exchange->caller, isEndKnown});
     finish(*exchange);
     runQueue(now);
 }
 
+// What ended with its connection may have been cut short, also while the process of its endpoint runs on. The
+// caller gets it as it came, without a length or a last chunk that would vouch for its end.
+ResponseFraming Gateway::framingOf(const Exchange &exchange)
+{
+    return exchange.head.isUnframed ? ResponseFraming::EndsWithConnection : ResponseFraming::Stated;
+}
+
 // Forwards a complete response. A server error (5xx) is retried where the route allows it.
 void Gateway::forwardFullResponse(Exchange &exchange, TimeMs now)
 {
@@ -277,12 +291,14 @@
         return giveUp(exchange, GatewayRefusal::EndpointBroken, now);
     }
     counters_.add(GatewayCount::AnswersPassed);
+    if (exchange.head.isUnframed)
+        counters_.add(GatewayCount::AnswersWithoutEnd);
     recordAnswer(now);
     const bool failed = exchange.head.status >= FirstServerError;
     log(failed ? LogPriority::Failure : LogPriority::Ordinary, "answered", exchange,
         {{"status", exchange.head.status}, {"after_ms", (now - exchange.arrivedAt).count}});
-    actions_.emplace_back(
-        AnswerCaller{exchange.caller, exchange.head.status, exchange.head.headers, std::move(exchange.body)});
+    actions_.emplace_back(AnswerCaller{exchange.caller, exchange.head.status, exchange.head.headers,
+                                       std::move(exchange.body), framingOf(exchange)});
     finish(exchange);
     runQueue(now);
 }
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -28,6 +28,7 @@
     const HttpRequest &request() const override { return request_; }
     void respond(int status, const HttpHeaders &headers, const std::string &body) override;
     void beginStream(int status, const HttpHeaders &headers) override;
+    void endWithConnection() override;
     void write(const std::string &data) override;
     void finish() override;
     void abort() override { close(); }
@@ -81,7 +82,9 @@
     bool accountUnsent();
     void flush();
     void onWritten(ErrorCode code);
+    void endResponse();
     void linger();
+    void setResetsOnClose(bool resets);
     void close();
 
     HttpStream stream_;
@@ -115,6 +118,7 @@
     bool busy_ = false;
     bool finished_ = false;
     bool chunked_ = false;
+    bool endsWithConnection_ = false; ///< The response has no framing of its own.
     bool keepAlive_ = true;
 };
 
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -216,7 +216,7 @@
 {
     phase_ = Phase::Reading;
     idleSince_.reset();
-    finished_ = chunked_ = readTimedOut_ = isHeadChecked_ = false;
+    finished_ = chunked_ = endsWithConnection_ = readTimedOut_ = isHeadChecked_ = false;
     keepAlive_ = true;
     body_ = {};
     bytesSinceProgress_ = 0;
@@ -489,7 +489,8 @@
     http::response<http::string_body> message{static_cast<http::status>(status), 11};
     setHeaders(message, headers);
     message.body() = body;
-    message.prepare_payload();
+    if (!endsWithConnection_)
+        message.prepare_payload();
     out_ += serialised(message, false);
     finish();
 }
@@ -498,17 +499,35 @@
 {
     http::response<http::empty_body> message{static_cast<http::status>(status), 11};
     setHeaders(message, headers);
-    message.chunked(true);
+    chunked_ = !endsWithConnection_;
+    message.chunked(chunked_);
     out_ += serialised(message, true);
-    chunked_ = true;
     flush();
 }
 
+void HttpConnection::endWithConnection()
+{
+    endsWithConnection_ = true;
+    keepAlive_ = false;
+    setResetsOnClose(true);
+}
+
+// A caller takes an ordinary close for the end of a response without framing, also one by the system when the
+// process is killed. A reset can't be taken for it.
+void HttpConnection::setResetsOnClose(bool resets)
+{
+    ErrorCode ignored;
+    stream_.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void HttpConnection::write(const std::string &data)
 {
     if (phase_ == Phase::Closed || data.empty())
         return;
-    append(out_, http::make_chunk(asio::buffer(data)));
+    if (chunked_)
+        append(out_, http::make_chunk(asio::buffer(data)));
+    else
+        out_ += data;
     flush();
 }
 
@@ -519,6 +538,8 @@
     if (chunked_)
         append(out_, http::make_chunk_last());
     finished_ = true;
+    if (!busy_ && out_.empty())
+        return endResponse();
     flush();
 }
 
@@ -580,11 +601,19 @@
         stream_.expires_never();
         return;
     }
+    endResponse();
+}
+
+// All of the response is written.
+void HttpConnection::endResponse()
+{
     onClosed_ = nullptr;
     ErrorCode ignored;
     stream_.socket().cancel(ignored);
     if (keepAlive_)
         return readNext();
+    if (std::exchange(endsWithConnection_, false))
+        setResetsOnClose(false);
     stream_.socket().shutdown(HttpSocket::shutdown_send, ignored);
     stream_.expires_after(LingerTimeout);
     phase_ = Phase::Lingering;
@@ -621,7 +650,8 @@
     budget_.clearYielding(*this);
     listener_->connections.erase(this);
     ErrorCode ignored;
-    stream_.socket().shutdown(HttpSocket::shutdown_both, ignored);
+    if (!endsWithConnection_)
+        stream_.socket().shutdown(HttpSocket::shutdown_both, ignored);
     stream_.close();
     for (ByteClaim *claim : {&connection_, &head_, &unsent_, &unread_})
         claim->release();
--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -22,6 +22,9 @@
     virtual void respond(int status, const HttpHeaders &headers, const std::string &body) = 0;
     /// Starts a chunked response; any number of write() calls and one finish() follow.
     virtual void beginStream(int status, const HttpHeaders &headers) = 0;
+    /// The response, which is still to begin, states no length and has no chunks: it ends with its
+    /// connection. If it is not completed, the connection is reset, also when the process ends.
+    virtual void endWithConnection() = 0;
     virtual void write(const std::string &data) = 0;
     virtual void finish() = 0;
     virtual void abort() = 0; ///< Closes the connection without the last chunk.
--- /dev/null
+++ b/tests/cutanswers_test.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Guards against an answer that its endpoint cut short and that reaches its caller as a whole one: cut at every byte of
+# head and body, with and without framing, closed and reset. Usage: cutanswers_test.sh plain|stream|relay
+set -euo pipefail
+source "$(dirname "$0")/../scripts/lib.sh"
+source "$(dirname "$0")/limitedprocess.sh"
+
+case=$1
+first_port=21031 # Below those of the soak and of the review.
+count=24
+kind=plain
+memory_mb=260
+descriptors=4100
+path=/cut/1
+configuration_edit="c['Routes'].append(dict(c['Routes'][3], Name='cut', Prefix='/cut/', Service='svc-cut', TimeoutMs=3000))
+c['Services'].append({'Name': 'svc-cut', 'MaxConnections': 100})"
+
+# Ports of the stand-in's endpoints and of those that cut their answers.
+all_endpoint_ports=21001-$((first_port + count - 1))
+
+begin_run
+case $case in
+plain | stream)
+    if [ "$case" = stream ]; then
+        kind=stream
+        configuration_edit="c['Routes'].append(dict(c['Routes'][0], Name='cut', Prefix='/cut/', Service='svc-cut'))
+c['Services'].append(dict(c['Services'][0], Name='svc-cut'))"
+    fi
+    start_gateway
+    ;;
+relay)
+    # The daemon that is asked reaches no endpoint, its peer does.
+    echo refused >"$run_dir/links"
+    preload=(env LD_PRELOAD="$build/liblinkfaults.so" LINK_FAULT_FILE="$run_dir/links" LINK_FAULT_PORTS="$all_endpoint_ports")
+    start_gateway
+    sed -E 's/(21[1-5]0)1/\12/g; s/entry-1/entry-2/' "$run_dir/settings.json" >"$run_dir/settings-2.json"
+    start peer "$build/cranberrygated" --settings "$run_dir/settings-2.json"
+    wait_for "the peer" curl -sf "http://127.0.0.1:21202/ready"
+    ;;
+esac
+to=21101
+store_port=${store##*:}
+start endpoints python3 "$root/tests/cutanswers.py" "$kind" --port $first_port --count $count --to $to --path "$path" \
+    --store "$store_port"
+wait_for "the endpoints" grep -q ready "$run_dir/endpoints.out"
+for _ in $(seq 900); do
+    ! grep -q '^played' "$run_dir/endpoints.out" || break
+    sleep 0.1
+done
+cat "$run_dir/endpoints.out"
+expect "no caller believed an answer that is not whole" "$(grep -c '^WRONG' "$run_dir/endpoints.out" || true)" 0
+expect "all places were played" "$(grep -oE '^played ([0-9]+) of \1 ' "$run_dir/endpoints.out" | wc -l)" 1
+expect "whole answers arrive" "$(grep -c "'whole': " "$run_dir/endpoints.out" || true)" 1
+expect "whole answers without framing arrive as they came" "$(grep -c "'whole, without framing': " "$run_dir/endpoints.out" || true)" 1
+if [ "$case" = relay ]; then
+    relayed=$(curl -s http://127.0.0.1:21502/metrics | awk '$1 == "cranberry_gateway_relayed_for_peers_total" { print $2 }')
+    expect "the peer carried them ($relayed)" "$((relayed > 500))" 1
+fi
--- a/tests/endpointcrashes_test.cpp
+++ b/tests/endpointcrashes_test.cpp
@@ -180,6 +180,55 @@
     CHECK(statusOf(order) == 502);
 }
 
+// Guards against a short answer that its caller takes for whole: an endpoint that runs on may have closed the
+// connection in the middle of its answer.
+TEST_CASE_FIXTURE(GatewayFixture, "a response without framing reaches its caller without framing")
+{
+    const auto head = [this](bool isStream, bool isUnframed) {
+        AttemptHead out;
+        out.attempt = lastSent().attempt;
+        out.status = 200;
+        out.eventStream = isStream;
+        out.isUnframed = isUnframed;
+        gateway.onHead(out, now);
+    };
+    const auto endpointRunsOn = [this] {
+        gateway.onEngineProbed({lastSent().endpoint, {}, true, false, {}, EndpointProcess::Running, true},
+                               now);
+        drainActions();
+    };
+    const CallerId order = request("/order/1");
+    head(false, true);
+    data(lastSent().attempt, "half of an ans");
+    end(lastSent().attempt);
+    endpointRunsOn();
+    CHECK(answers.at(order).framing == ResponseFraming::EndsWithConnection);
+    CHECK(answers.at(order).body == "half of an ans");
+
+    const CallerId framed = request("/order/1");
+    head(false, false);
+    end(lastSent().attempt);
+    CHECK(answers.at(framed).framing == ResponseFraming::Stated);
+
+    const CallerId stream = request("/review/1");
+    head(true, true);
+    events(lastSent().attempt, 1, 3);
+    CHECK(streamFramings.at(stream) == ResponseFraming::EndsWithConnection);
+
+    // Its caller has been told of chunks, and the endpoint that goes on states no end.
+    const CallerId resumed = request("/review/1");
+    head(true, false);
+    events(lastSent().attempt, 1, 3);
+    gateway.onConnectionFailed({lastSent().attempt, true}, now);
+    drainActions();
+    head(true, true);
+    events(lastSent().attempt, 4, 6);
+    end(lastSent().attempt);
+    endpointRunsOn();
+    CHECK(streamFramings.at(resumed) == ResponseFraming::Stated);
+    CHECK_FALSE(streamEnds.at(resumed));
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a stream that ends inside an event is resumed, whatever its framing")
 {
     request("/review/1");
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -230,6 +230,8 @@
     for (const GatewayAction &action : gateway.takeActions()) {
         if (const AnswerCaller *answer = std::get_if<AnswerCaller>(&action))
             answers[answer->caller] = *answer;
+        else if (const BeginCallerStream *begin = std::get_if<BeginCallerStream>(&action))
+            streamFramings[begin->caller] = begin->framing;
         else if (const CallerStreamData *streamData = std::get_if<CallerStreamData>(&action))
             streamed[streamData->caller] += streamData->bytes;
         else if (const EndCallerStream *streamEnd = std::get_if<EndCallerStream>(&action))
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -68,6 +68,7 @@
     std::vector<Address> closed; ///< Addresses to which the idle connections were closed.
     std::vector<std::pair<Address, QuotaRequest>> asks;
     std::map<CallerId, AnswerCaller> answers;
+    std::map<CallerId, ResponseFraming> streamFramings;
     std::map<CallerId, std::string> streamed;
     std::map<CallerId, bool> streamEnds; ///< True: whole.
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -554,3 +554,69 @@
     CHECK(response.failure == HttpFailure::None);
     CHECK(response.body.empty());
 }
+
+namespace {
+
+using IoHandler = std::function<void(boost::asio::io_context &, const HttpExchangePtr &)>;
+
+/// All bytes of a response whose handler is `handler`, and how its connection ended.
+std::pair<std::string, boost::system::error_code> bytesFrom(const IoHandler &handler)
+{
+    boost::asio::io_context io;
+    const HttpServer server(io, serverAddress, {},
+                            [&](const HttpExchangePtr &exchange) { handler(io, exchange); });
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(serverAddress.host), serverAddress.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string received;
+    boost::system::error_code end;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(received),
+                            [&](boost::system::error_code code, size_t) {
+                                end = code;
+                                io.stop();
+                            });
+    io.run_for(std::chrono::seconds(10));
+    return {received, end};
+}
+
+} // namespace
+
+// Guards against a length or a last chunk that vouches for an end which nobody knows, and against an ordinary
+// close where the end is known to be missing.
+TEST_CASE("a response that ends with its connection states no end, and is reset if it breaks off")
+{
+    const auto [answer, answerEnd]
+        = bytesFrom([](boost::asio::io_context &, const HttpExchangePtr &exchange) {
+              exchange->endWithConnection();
+              exchange->respond(200, {}, "as it came");
+          });
+    CHECK(answer == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nas it came");
+    CHECK(answerEnd == boost::asio::error::eof);
+    const auto [stream, streamEnd]
+        = bytesFrom([](boost::asio::io_context &, const HttpExchangePtr &exchange) {
+              exchange->endWithConnection();
+              exchange->beginStream(200, {});
+              exchange->write("event");
+              exchange->finish();
+          });
+    CHECK(stream == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nevent");
+    CHECK(streamEnd == boost::asio::error::eof);
+    const auto [late, lateEnd] = bytesFrom([](boost::asio::io_context &io, const HttpExchangePtr &exchange) {
+        exchange->endWithConnection();
+        exchange->beginStream(200, {});
+        exchange->write("event");
+        const std::shared_ptr<boost::asio::steady_timer> timer
+            = std::make_shared<boost::asio::steady_timer>(io, std::chrono::milliseconds(50));
+        timer->async_wait([timer, exchange](const boost::system::error_code &) { exchange->finish(); });
+    });
+    CHECK(late == stream);
+    CHECK(lateEnd == boost::asio::error::eof);
+    const auto [broken, brokenEnd]
+        = bytesFrom([](boost::asio::io_context &, const HttpExchangePtr &exchange) {
+              exchange->endWithConnection();
+              exchange->beginStream(200, {});
+              exchange->write("eve");
+              exchange->abort();
+          });
+    CHECK(brokenEnd == boost::asio::error::connection_reset);
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -170,6 +170,27 @@
     CHECK_FALSE(head.matchesRequest);
 }
 
+// Guards against a length that vouches for an answer that was cut short.
+TEST_CASE("a response without a length or chunks is known as unframed, whatever its status")
+{
+    CallerRequest request;
+    const auto isUnframed = [&request](int status, const HttpHeaders &headers) {
+        return platform::decodeHead({1}, request, status, headers).isUnframed;
+    };
+    CHECK(isUnframed(200, {}));
+    CHECK(isUnframed(201, {}));
+    CHECK(isUnframed(404, {}));
+    CHECK(isUnframed(200, {{"Transfer-Encoding", "gzip"}}));
+    CHECK(isUnframed(200, {{"Transfer-Encoding", "chunked, gzip"}}));
+    CHECK_FALSE(isUnframed(200, {{"Transfer-Encoding", "gzip, Chunked"}}));
+    CHECK_FALSE(isUnframed(200, {{"transfer-encoding", "chunked"}}));
+    CHECK_FALSE(isUnframed(200, {{"Content-Length", "0"}}));
+    CHECK_FALSE(isUnframed(204, {}));
+    CHECK_FALSE(isUnframed(304, {}));
+    request.method = "HEAD";
+    CHECK_FALSE(isUnframed(200, {}));
+}
+
 TEST_CASE("an invalid Server-Limit header gives an error and no limit")
 {
     const CallerRequestPtr request = *decoded(makeHttp());
