cranberryd passes on a plain answer without length or chunks as it came

Callers saw: a 200 with X-Answer-Length and X-Answer-Digest of an answer that had been cut short. Cause: EndpointLink took the close of a plain answer without framing for its end and asked nobody. Change: the endpoint's process is asked, as after a break (gone: the attempt has failed); if it runs, the answer goes to its caller without length and digest and ends with the connection. Copies that other daemons keep carry the same mark (peers.proto, a new field; an older daemon leaves it out). Engines' streams end with [DONE], as before.

--- a/src/common/types.h
+++ b/src/common/types.h
@@ -164,6 +164,7 @@
     std::string finishReason;
     uint64_t length = 0;
     uint64_t digest = 0; ///< XXH3 of the complete text.
+    bool isUnframed = false; ///< Its endpoint stated no end: it is whole, or cut short.
 
     friend bool operator==(const AnswerEnd &, const AnswerEnd &) = default;
 };
--- a/src/daemon/dispatch.cpp
+++ b/src/daemon/dispatch.cpp
@@ -233,8 +233,8 @@
 
     request->phase = RequestPhase::Ended;
     request->endedAt = world.now;
-    request->end = {event.status, event.contentType, event.finishReason, request->text.size(),
-                    digestOf(request->text)};
+    request->end = {event.status,         event.contentType,       event.finishReason,
+                    request->text.size(), digestOf(request->text), event.isUnframed};
     reportFinished(world, *request);
     acceptIfSafe(world, *request);
     deliver(world, *request);
--- a/src/daemon/io/callerapi.cpp
+++ b/src/daemon/io/callerapi.cpp
@@ -351,9 +351,13 @@
         caller->exchange->finish();
         return close(action.caller);
     }
-    HttpHeaders headers = {{"X-Request-Id", caller->requestId},
-                           {"X-Answer-Length", std::to_string(end.length)},
-                           {"X-Answer-Digest", digestText(end.digest)}};
+    HttpHeaders headers = {{"X-Request-Id", caller->requestId}};
+    if (end.isUnframed) {
+        caller->exchange->endWithConnection();
+    } else {
+        headers.push_back({"X-Answer-Length", std::to_string(end.length)});
+        headers.push_back({"X-Answer-Digest", digestText(end.digest)});
+    }
     if (end.finishReason.empty()) {
         headers.push_back(
             {"Content-Type", end.contentType.empty() ? "application/octet-stream" : end.contentType});
--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -28,6 +28,7 @@
     Address address;
     uint64_t call = 0;
     bool model = false;
+    bool hasBody = true; ///< Responses to HEAD have none.
     EndpointEnd end;
     std::string buffer; ///< The line that is not complete yet.
     std::string text; ///< Collected, and not passed on yet.
@@ -74,6 +75,7 @@
     active->model = attempt.kind == ServiceKind::Model;
     active->passedOn = attempt.prefix.size();
     active->claim = ByteClaim(bytes_);
+    active->hasBody = attempt.spec->method != "HEAD";
     active->retryable = attempt.spec->idempotent;
     HttpCall call;
     call.address = attempt.address;
@@ -126,6 +128,9 @@
     active.reportedNotRun = status == 503 && headerOf(headers, "X-Not-Run") == "true";
     if (status != 200)
         active.model = false; // Error bodies are passed on unchanged.
+    // A stream of an engine has an end marker.
+    active.end.isUnframed
+        = active.hasBody && status != 204 && status != 304 && !active.model && !isFramed(headers);
 }
 
 void EndpointLink::onData(const ActiveAttemptPtr &active, const char *data, size_t size)
@@ -223,9 +228,16 @@
     if (failure == HttpFailure::ProgressTimeout)
         return sink_(EndpointFailed{active.id, FailurePhase::Silent});
     if (failure == HttpFailure::Interrupted || truncated)
-        return probeEndpoint(finished);
+        return probeEndpoint(finished, false);
     if (serverError)
         return sink_(EndpointFailed{active.id, FailurePhase::AfterSend});
+    if (active.end.isUnframed)
+        return probeEndpoint(finished, true);
+    pass(active);
+}
+
+void EndpointLink::pass(ActiveAttempt &active)
+{
     if (!active.text.empty())
         sink_(EndpointData{active.id, std::move(active.text), 0});
     sink_(active.end);
@@ -233,7 +245,10 @@
 
 // Probes whether the endpoint's process exited or only the connection failed. A request that crashes one
 // endpoint after another must not be retried, but a request whose connection failed must be.
-void EndpointLink::probeEndpoint(const ActiveAttemptPtr &active)
+//
+// A response without framing ends with its connection, as it also does when the process exits. If that runs,
+// it is passed on as it came.
+void EndpointLink::probeEndpoint(const ActiveAttemptPtr &active, bool mayBeWhole)
 {
     HttpCall call;
     call.address = active->address;
@@ -243,10 +258,12 @@
     call.progressTimeout = HealthProbeTimeout;
     call.totalTimeout = HealthProbeTimeout;
     HttpCallbacks callbacks;
-    callbacks.onDone = [this, id = active->id](HttpFailure failure) {
-        end(id);
+    callbacks.onDone = [this, active, mayBeWhole](HttpFailure failure) {
+        end(active->id);
+        if (mayBeWhole && failure == HttpFailure::None)
+            return pass(*active);
         const bool exited = failure == HttpFailure::Refused;
-        sink_(EndpointFailed{id, exited ? FailurePhase::EndpointExited : FailurePhase::AfterSend});
+        sink_(EndpointFailed{active->id, exited ? FailurePhase::EndpointExited : FailurePhase::AfterSend});
     };
     activeAttempts_[active->id] = active;
     active->call = http_.start(std::move(call), std::move(callbacks));
--- a/src/daemon/io/endpointlink.h
+++ b/src/daemon/io/endpointlink.h
@@ -39,7 +39,8 @@
     void end(AttemptId attempt);
     void onLine(ActiveAttempt &active, const std::string &line);
     void onDone(const ActiveAttemptPtr &active, HttpFailure failure);
-    void probeEndpoint(const ActiveAttemptPtr &active);
+    void probeEndpoint(const ActiveAttemptPtr &active, bool mayBeWhole);
+    void pass(ActiveAttempt &active);
 
     HttpClient &http_;
     ByteBudgetPtr bytes_;
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -200,6 +200,7 @@
     std::string contentType;
     std::string finishReason;
     uint32_t cachedTokens = 0; ///< Prompt tokens found in the engine's prefix cache.
+    bool isUnframed = false; ///< The response ended with its connection: whole, or cut short.
 };
 
 /// How far an attempt had got when it failed. Decides whether it may be retried.
--- a/src/daemon/peercodec.cpp
+++ b/src/daemon/peercodec.cpp
@@ -51,11 +51,13 @@
     to.set_finish_reason(from.finishReason);
     to.set_length(from.length);
     to.set_digest(from.digest);
+    to.set_unframed(from.isUnframed);
 }
 
 AnswerEnd get(const wire::AnswerEnd &from)
 {
-    return {from.status(), from.content_type(), from.finish_reason(), from.length(), from.digest()};
+    return {from.status(), from.content_type(), from.finish_reason(),
+            from.length(), from.digest(),       from.unframed()};
 }
 
 // A value above `last` comes from a newer version or from corrupt data; it is decoded as `fallback`.
--- a/tests/cutanswers_test.sh
+++ b/tests/cutanswers_test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Guards against an answer that its endpoint cut short and that reaches its caller as a whole one: cut at every byte of
-# head and body, with and without framing, closed and reset. Usage: cutanswers_test.sh plain|stream|relay
+# head and body, with and without framing, closed and reset. Usage: cutanswers_test.sh plain|stream|relay|own
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
@@ -37,12 +37,32 @@
     start peer "$build/cranberrygated" --settings "$run_dir/settings-2.json"
     wait_for "the peer" curl -sf "http://127.0.0.1:21202/ready"
     ;;
+own)
+    start_own_daemon
+    path=/v1/services/cut/x
+    count=150 # An endpoint that failed is left alone for a while.
+    ;;
 esac
-to=21101
-store_port=${store##*:}
+if [ "$case" = own ]; then
+    to=17100
+    store_port=0
+    python3 - "$root/examples/normativa-clara.json" "$run_dir/cut.json" $first_port $count <<'EDIT'
+import json, sys
+c = json.load(open(sys.argv[1]))
+plain = next(s for s in c["services"] if s["kind"] == "plain")
+template = plain["endpoints"][0]
+c["services"].append(dict(plain, name="cut", endpoints=[
+    dict(template, name=f"c-{n}", address=f"127.0.0.1:{int(sys.argv[3]) + n}") for n in range(int(sys.argv[4]))]))
+json.dump(c, open(sys.argv[2], "w"))
+EDIT
+else
+    to=21101
+    store_port=${store##*:}
+fi
 start endpoints python3 "$root/tests/cutanswers.py" "$kind" --port $first_port --count $count --to $to --path "$path" \
     --store "$store_port"
 wait_for "the endpoints" grep -q ready "$run_dir/endpoints.out"
+[ "$case" != own ] || "$build/cranberryctl" --daemon 127.0.0.1:17200 apply "$run_dir/cut.json" >"$run_dir/apply.out"
 for _ in $(seq 900); do
     ! grep -q '^played' "$run_dir/endpoints.out" || break
     sleep 0.1
