--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -196,7 +196,7 @@
         const http::verb method = message.method();
         const bool usuallyHasBody = method == http::verb::post || method == http::verb::put
             || method == http::verb::options || method == http::verb::patch;
-        if (usuallyHasBody || call.request.body.size() > 0)
+        if (usuallyHasBody || !call.request.body.empty())
             message.content_length(call.request.body.size());
         return serialised(message, true);
     }
