--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -45,6 +45,14 @@
                                      Chunked);
 }
 
+bool endsWithConnection(const std::string &method, int status, const HttpHeaders &headers)
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    const bool hasBody = method != "HEAD" && status != NoContent && status != NotModified;
+    return hasBody && !isFramed(headers);
+}
+
 HttpTarget parseTarget(const std::string &target)
 {
     HttpTarget out;
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -20,6 +20,9 @@
 /// Returns whether the headers of a message state its length, or that it comes in chunks; other transfer
 /// codings have no end of their own. A message without either ends with its connection.
 bool isFramed(const HttpHeaders &headers);
+/// Returns whether a response has a body that ends with its connection. The end of such a body can't be told
+/// from a cut.
+bool endsWithConnection(const std::string &method, int status, const HttpHeaders &headers);
 
 struct HttpRequest {
     std::string method = "GET";
--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -28,7 +28,7 @@
     Address address;
     uint64_t call = 0;
     bool model = false;
-    bool hasBody = true; ///< Responses to HEAD have none.
+    std::string method; ///< Of the request.
     EndpointEnd end;
     std::string buffer; ///< The line that is not complete yet.
     std::string text; ///< Collected, and not passed on yet.
@@ -75,7 +75,7 @@
     active->model = attempt.kind == ServiceKind::Model;
     active->passedOn = attempt.prefix.size();
     active->claim = ByteClaim(bytes_);
-    active->hasBody = attempt.spec->method != "HEAD";
+    active->method = attempt.spec->method;
     active->retryable = attempt.spec->idempotent;
     HttpCall call;
     call.address = attempt.address;
@@ -129,8 +129,7 @@
     if (status != 200)
         active.model = false; // Error bodies are passed on unchanged.
     // A stream of an engine has an end marker.
-    active.end.isUnframed
-        = active.hasBody && status != 204 && status != 304 && !active.model && !isFramed(headers);
+    active.end.isUnframed = !active.model && endsWithConnection(active.method, status, headers);
 }
 
 void EndpointLink::onData(const ActiveAttemptPtr &active, const char *data, size_t size)
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -226,19 +226,19 @@
     fleet_.succeeded(exchange->sentTo);
     clearSuspicion(*exchange, now);
     recordProof(*exchange, now);
-    counters_.add(GatewayCount::StreamsWhole);
+    // A last chunk would vouch for an end that ended with its connection.
+    const bool isEndKnown = framingOf(*exchange) == ResponseFraming::Stated
+        || exchange->callerFraming == ResponseFraming::EndsWithConnection;
+    counters_.add(isEndKnown ? GatewayCount::StreamsWhole : GatewayCount::StreamsBroken);
     if (exchange->head.isUnframed)
         counters_.add(GatewayCount::AnswersWithoutEnd);
     countLateStream(*exchange);
     recordStreamDuration(*exchange, now);
     recordAnswer(now);
-    log(LogPriority::Ordinary, "stream_whole", *exchange,
+    log(LogPriority::Ordinary, isEndKnown ? "stream_whole" : "stream_without_end", *exchange,
         {{"after_ms", (now - exchange->arrivedAt).count},
          {"longest_pause_ms", exchange->longestPause.count}});
     detach(*exchange);
-    // A last chunk would vouch for an end that ended with its connection.
-    const bool isEndKnown = framingOf(*exchange) == ResponseFraming::Stated
-        || exchange->callerFraming == ResponseFraming::EndsWithConnection;
     actions_.emplace_back(EndCallerStream{exchange->caller, isEndKnown});
     finish(*exchange);
     runQueue(now);
--- a/src/io/httpsocket.h
+++ b/src/io/httpsocket.h
@@ -8,8 +8,8 @@
 
 namespace cranberry {
 
-/// Sockets and timers of the HTTP client and server. They run on an io_context and nothing else: executors of
-/// any type double the time that their sources take to compile.
+/// Sockets and timers of the HTTP client and server. They run on an io_context and nothing else: with
+/// executors of any type their sources take longer to compile.
 using HttpExecutor = boost::asio::io_context::executor_type;
 using HttpSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, HttpExecutor>;
 using HttpAcceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, HttpExecutor>;
