Names and sentences that had to be read twice

isEndKnown was true where the end is not known and the caller's stream states none either: mayEnd. The review's test has no word of the users' pages.

--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -226,26 +226,26 @@
     fleet_.succeeded(exchange->sentTo);
     clearSuspicion(*exchange, now);
     recordProof(*exchange, now);
-    // A last chunk would vouch for an end that ended with its connection.
-    const bool isEndKnown = framingOf(*exchange) == ResponseFraming::Stated
+    // A last chunk would tell the caller that its stream is complete, which is not known of an unframed one.
+    const bool mayEnd = framingOf(*exchange) == ResponseFraming::Stated
         || exchange->callerFraming == ResponseFraming::EndsWithConnection;
-    counters_.add(isEndKnown ? GatewayCount::StreamsWhole : GatewayCount::StreamsBroken);
+    counters_.add(mayEnd ? GatewayCount::StreamsWhole : GatewayCount::StreamsBroken);
     if (exchange->head.isUnframed)
         counters_.add(GatewayCount::AnswersWithoutEnd);
     countLateStream(*exchange);
     recordStreamDuration(*exchange, now);
     recordAnswer(now);
-    log(LogPriority::Ordinary, isEndKnown ? "stream_whole" : "stream_without_end", *exchange,
+    log(LogPriority::Ordinary, mayEnd ? "stream_whole" : "stream_without_end", *exchange,
         {{"after_ms", (now - exchange->arrivedAt).count},
          {"longest_pause_ms", exchange->longestPause.count}});
     detach(*exchange);
-    actions_.emplace_back(EndCallerStream{exchange->caller, isEndKnown});
+    actions_.emplace_back(EndCallerStream{exchange->caller, mayEnd});
     finish(*exchange);
     runQueue(now);
 }
 
-// What ended with its connection may have been cut short, also while the process of its endpoint runs on. The
-// caller gets it as it came, without a length or a last chunk that would vouch for its end.
+// A response without framing may have been cut short, also while the process of its endpoint runs on. The
+// caller gets it without framing as well: a length or a last chunk would state that it is complete.
 ResponseFraming Gateway::framingOf(const Exchange &exchange)
 {
     return exchange.head.isUnframed ? ResponseFraming::EndsWithConnection : ResponseFraming::Stated;
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -650,7 +650,7 @@
     budget_.clearYielding(*this);
     listener_->connections.erase(this);
     ErrorCode ignored;
-    if (!endsWithConnection_)
+    if (!endsWithConnection_) // A shutdown would look like the end of such a response.
         stream_.socket().shutdown(HttpSocket::shutdown_both, ignored);
     stream_.close();
     for (ByteClaim *claim : {&connection_, &head_, &unsent_, &unread_})
--- a/tests/review_test.sh
+++ b/tests/review_test.sh
@@ -1,10 +1,9 @@
 #!/usr/bin/env bash
-# The review's cases that hold, as strangers run them: a copy of the sources in a folder of its own, the deploy file's
-# build, review/build.sh, the case. Usage: review_test.sh BUILD build|packages|CASE
+# The review's cases that hold, in a fresh copy of the sources: the deploy file's build, review/build.sh, the case. Usage: review_test.sh BUILD build|packages|CASE
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 tree="$1/review tree"
-strangers=$1/strangers
+logs=$1/review-logs
 
 build_command() {
     sed -n 's/^build = "\(.*\)"$/\1/p' "$root/deploy/system.toml"
@@ -22,18 +21,18 @@
 
 # Guards against "build first": one of the two builds ends without its programs. Both run at the same time, without a
 # home, and with warnings that the sources do not avoid, as newer compilers have them.
-build_as_stranger() {
+build_fresh_copy() {
     rm -rf "$tree"
-    mkdir -p "$tree" "$strangers"
+    mkdir -p "$tree" "$logs"
     for each in CMakeLists.txt deploy platform review src standins; do cp -r "$root/$each" "$tree"; done
     carry_over_build
     cd "$tree"
-    env -i PATH="$PATH" HOME=/nonexistent review/build.sh >"$strangers/review.txt" 2>&1 &
+    env -i PATH="$PATH" HOME=/nonexistent review/build.sh >"$logs/review.txt" 2>&1 &
     local review=$!
-    env -i PATH="$PATH" HOME=/nonexistent CXXFLAGS=-Wframe-larger-than=64 sh -c "$(build_command)" >"$strangers/deploy.txt" 2>&1 ||
-        fail "the deploy file's build" "$strangers/deploy.txt"
-    wait "$review" || fail "review/build.sh" "$strangers/review.txt"
-    ./target/cranberrygated --help >/dev/null || fail "the daemon does not start" "$strangers/deploy.txt"
+    env -i PATH="$PATH" HOME=/nonexistent CXXFLAGS=-Wframe-larger-than=64 sh -c "$(build_command)" >"$logs/deploy.txt" 2>&1 ||
+        fail "the deploy file's build" "$logs/deploy.txt"
+    wait "$review" || fail "review/build.sh" "$logs/review.txt"
+    ./target/cranberrygated --help >/dev/null || fail "the daemon does not start" "$logs/deploy.txt"
 }
 
 fail() { # WHAT LOG
@@ -43,7 +42,7 @@
 }
 
 case $2 in
-build) build_as_stranger ;;
+build) build_fresh_copy ;;
 packages) exec python3 "$root/tests/buildpackages.py" "$tree" "$root/deploy/system.toml" ;;
 *) exec "$tree/review/$2/run.sh" ;;
 esac
