Logs tell how a stream ended and whether its move was open

What on-call engineers could not tell: `stream_whole` said neither how the endpoint's bytes ended, nor how many events there were, nor whether the stream was to be moved; a source that closed before the reply to its move left no line at all; the outcome of a move was a number.

Added: `events`, `end` and `move_open` in `stream_whole`; `events` in `stream_broken`; `moved` and `move_source_closed`; the outcome's name and the events that the engine says it has made (`Created`) in `moved` and `move_failed`; the count sources_closed_in_move. No decision changes.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "gateway/endpoints/endpointfleet.h"
 #include "gateway/gatewaycounters.h"
 #include "gateway/requests/eventstream.h"
+#include "gateway/requests/streamend.h"
 
 namespace cranberry {
 
@@ -18,7 +19,7 @@
     EndpointIncarnation target;
     Address source;
     TimeMs startedAt;
-    bool sourceClosed = false; ///< The stream has ended at the source, as it does when the generation stops.
+    std::optional<StreamEnd> sourceEnd; ///< How the stream has ended at the source, as it does when it stops.
     std::optional<std::string> handle; ///< Set when the KV cache has arrived at the target.
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -465,6 +465,7 @@
     /// `others`: streams that are to be migrated as well.
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
     void continueAtTarget(Exchange &exchange, TimeMs now);
+    void recordSourceEnd(Exchange &exchange, StreamEnd end, TimeMs now);
     void onMigrationFailed(Exchange &exchange, TimeMs now);
     bool returnToSource(Exchange &exchange, TimeMs now);
     void abortStream(Exchange &exchange, TimeMs now);
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -25,6 +25,7 @@
        "answers_without_end",
        "streams_whole",
        "streams_broken",
+       "sources_closed_in_move",
        "callers_gone",
        "retries_denied",
        "rests_asked",
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -62,6 +62,7 @@
     AnswersWithoutEnd,
     StreamsWhole,
     StreamsBroken,
+    SourcesClosedInMove, ///< Streams that ended at their source before the reply to their move.
     CallersGone,
     RetriesDenied, ///< The shared retry budget was used up.
     RestsAsked, ///< Requests that an endpoint turned away with a rest.
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -112,8 +112,11 @@
     AttemptId attempt; ///< Attempt whose generation was to be migrated.
     MigrationOutcome outcome = MigrationOutcome::NoReply;
     std::string handle; ///< Identifies the KV cache at the target; valid once.
+    std::optional<uint64_t> eventsMade = std::nullopt; ///< By the generation until it stopped.
 };
 
+const char *toText(MigrationOutcome outcome);
+
 /// Why a new connection could not be established.
 enum class ConnectFailure : uint8_t {
     None, ///< It was established.
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -217,10 +217,10 @@
         return forwardFullResponse(*exchange, now);
     // A generation that was stopped for its migration ends its stream without the last event. It continues at
     // the target.
-    if (exchange->migration && exchange->migration->handle) {
-        exchange->migration->sourceClosed = true;
+    if (exchange->migration)
+        recordSourceEnd(*exchange, exchange->head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated, now);
+    if (exchange->migration && exchange->migration->handle)
         return continueAtTarget(*exchange, now);
-    }
     if (exchange->splitter.hasPartialEvent() || exchange->phase != ExchangePhase::Streaming)
         return onConnectionFailed({event.attempt, true}, now);
     fleet_.succeeded(exchange->sentTo);
@@ -237,7 +237,10 @@
     recordAnswer(now);
     log(LogPriority::Ordinary, mayEnd ? "stream_whole" : "stream_without_end", *exchange,
         {{"after_ms", (now - exchange->arrivedAt).count},
-         {"longest_pause_ms", exchange->longestPause.count}});
+         {"longest_pause_ms", exchange->longestPause.count},
+         {"events", exchange->events},
+         {"end", toText(exchange->head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated)},
+         {"move_open", exchange->migration.has_value()}});
     detach(*exchange);
     actions_.emplace_back(EndCallerStream{exchange->caller, mayEnd});
     finish(*exchange);
@@ -316,7 +319,7 @@
     if (!exchange)
         return;
     if (exchange->migration && event.sent) {
-        exchange->migration->sourceClosed = true;
+        recordSourceEnd(*exchange, StreamEnd::Broken, now);
         if (exchange->migration->handle)
             continueAtTarget(*exchange, now);
         return;
@@ -405,7 +408,9 @@
 {
     counters_.add(GatewayCount::StreamsBroken);
     log(LogPriority::Failure, "stream_broken", exchange,
-        {{"after_ms", (now - exchange.arrivedAt).count}, {"last_event", exchange.lastEvent.value_or(0)}});
+        {{"after_ms", (now - exchange.arrivedAt).count},
+         {"last_event", exchange.lastEvent.value_or(0)},
+         {"events", exchange.events}});
     actions_.emplace_back(EndCallerStream{exchange.caller, false});
     finish(exchange);
     runQueue(now);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <array>
 #include <utility>
 
 namespace cranberry {
@@ -17,9 +18,15 @@
 constexpr size_t MaxMigrations = 4; ///< Migration attempts per request, each to another target.
 /// Event interval assumed for a stream of which only the first event has been received.
 constexpr double DefaultEventIntervalMs = 60;
+constexpr std::array OutcomeNames = {"migrated", "no_such_generation", "no_capacity", "refused", "no_reply"};
 
 } // namespace
 
+const char *toText(MigrationOutcome outcome)
+{
+    return OutcomeNames.at(static_cast<size_t>(outcome));
+}
+
 void Gateway::probeEngines(TimeMs now)
 {
     for (const EndpointEntry &entry : fleet_.dueProbes(now)) {
@@ -154,19 +161,42 @@
         exchange->kept = KeptGeneration{exchange->sentTo, {migration.source, event.handle}};
     if (event.outcome != MigrationOutcome::Migrated) {
         log(LogPriority::Failure, "move_failed", *exchange,
-            {{"outcome", static_cast<int>(event.outcome)}, {"source_closed", migration.sourceClosed}});
+            {{"outcome", toText(event.outcome)},
+             {"after_ms", (now - migration.startedAt).count},
+             {"events", exchange->events},
+             {"events_made", event.eventsMade.value_or(0)},
+             {"has_handle", !event.handle.empty()},
+             {"source_closed", migration.sourceEnd.has_value()}});
         return onMigrationFailed(*exchange, now);
     }
     migration.handle = event.handle;
-    if (migration.sourceClosed)
+    log(LogPriority::Failure, "moved", *exchange,
+        {{"after_ms", (now - migration.startedAt).count},
+         {"events", exchange->events},
+         {"events_made", event.eventsMade.value_or(0)},
+         {"source_closed", migration.sourceEnd.has_value()}});
+    if (migration.sourceEnd)
         continueAtTarget(*exchange, now);
 }
 
+void Gateway::recordSourceEnd(Exchange &exchange, StreamEnd end, TimeMs now)
+{
+    GenerationMigration &migration = *exchange.migration;
+    migration.sourceEnd = end;
+    if (migration.handle)
+        return;
+    counters_.add(GatewayCount::SourcesClosedInMove);
+    log(LogPriority::Failure, "move_source_closed", exchange,
+        {{"after_ms", (now - migration.startedAt).count},
+         {"end", toText(end)},
+         {"events", exchange.events}});
+}
+
 // If the generation stopped but its KV cache did not arrive at the target, its stream has ended and is
 // resumed where possible. If the generation still runs, the stream just continues.
 void Gateway::onMigrationFailed(Exchange &exchange, TimeMs now)
 {
-    const bool closed = exchange.migration->sourceClosed;
+    const bool closed = exchange.migration->sourceEnd.has_value();
     exchange.migration.reset();
     if (closed)
         onConnectionFailed({exchange.attempt, true}, now);
