--- a/tests/limitedprocess.sh
+++ b/tests/limitedprocess.sh
@@ -6,6 +6,7 @@
 body_bytes=$((1 << 20))
 store=127.0.0.1:21000
 configuration_edit="" # Python statements on the configuration c.
+more_settings="" # Of the process, each with a comma behind it.
 preload=() # Words before the command of the process.
 
 expect() { # WHAT GOT WANTED
@@ -28,7 +29,7 @@
 }
 
 with_limits() { # BINARY SETTINGS
-    sed 's/^{/{"memoryMb":'$memory_mb',"maxDescriptors":'$descriptors',/' <<<"$2" >"$run_dir/settings.json"
+    sed 's/^{/{"memoryMb":'$memory_mb',"maxDescriptors":'$descriptors','"$more_settings"'/' <<<"$2" >"$run_dir/settings.json"
     ulimit -Sn "$descriptors"
     start daemon ${preload[@]+"${preload[@]}"} "$build/$1" --settings "$run_dir/settings.json"
     ulimit -Sn "$(ulimit -Hn)"
--- /dev/null
+++ b/tests/movingengines.py
@@ -0,0 +1,229 @@
+#!/usr/bin/env python3
+"""Engines on loopback that stop streams for a move, and callers that check what they get.
+
+Usage: movingengines.py CASE --port FIRST --count N --callers N --to PORT --store PORT [--seed S] [--path PATH]
+CASE is chunked or unframed, the framing of the streams. Each stream draws the order in which its engine answers the
+move and closes the stream. Half of the engines leave while the streams run. Prints "ready", then "played" with what the
+callers got by order; ends with 1 if a stream reached its caller out of order, or as complete before its last event.
+"""
+import argparse
+import asyncio
+import base64
+import collections
+import dataclasses
+import itertools
+import json
+import random
+import re
+import socket
+import struct
+import sys
+
+EVENTS = 60
+EVENT_S = 0.05
+LEAVE_AT_S = 0.8  # After the first caller.
+LEAVES_AFTER_MS = 1500
+PLAY_S = 20
+# What an engine does when it is asked to move a run: how long after the close of its stream it replies (negative:
+# before), what it replies, and whether the stream stops inside an event.
+ORDERS = {"close-0": (0, 200, False), "close-10": (0.01, 200, False), "close-100": (0.1, 200, False),
+          "reply-0": (-0.001, 200, False), "reply-100": (-0.1, 200, False), "inside": (0.01, 200, True),
+          "full-close": (0.01, 503, False), "full-reply": (-0.05, 503, False), "ended": (0.01, 404, False),
+          "lost": (0, 0, False)}
+MOVED = [name for name, (_, status, _) in ORDERS.items() if status == 200]
+
+
+@dataclasses.dataclass
+class Run:
+    order: str
+    last: int = EVENTS
+    made: int = 0
+    stopped: bool = False
+    writer: asyncio.StreamWriter = None
+    handle: str = ""
+    moved: bool = False
+
+
+def event(number):
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+class Engines:
+    def __init__(self, arguments):
+        self.arguments, self.runs, self.draining = arguments, {}, set()
+        self.random, self.handles = random.Random(arguments.seed), itertools.count(1)
+
+    def ports(self):
+        return range(self.arguments.port, self.arguments.port + self.arguments.count)
+
+    async def on_connection(self, reader, writer):
+        try:
+            while await self.on_request(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def on_request(self, reader, writer):
+        first, *rest = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        request = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in rest)}
+        body = await reader.readexactly(int(request.get("content-length", 0)))
+        path = first.split()[1]
+        if path == "/kv-move":
+            return await self.move(json.loads(body), writer)
+        if path in ("/report", "/health"):
+            return self.reply(writer, 200, {})
+        return await self.stream(request, writer)
+
+    def reply(self, writer, status, body, *headers):
+        text = json.dumps(body).encode()
+        lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(text)}", *headers]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + text)
+        return True
+
+    async def stream(self, request, writer):
+        identity, after = request["x-request-id"], int(request.get("last-event-id", 0))
+        run = self.runs.get(identity) or Run(self.random.choice(list(ORDERS)))
+        self.runs[identity] = run
+        if "kv-from" in request:
+            handle, run.handle = run.handle, ""
+            if not handle or request["kv-from"].partition("/")[2] != handle:
+                return self.reply(writer, 503, {}, "X-Not-Executed: 1", f"X-Request-Id: {identity}")
+            run.moved = True
+        chunked = self.arguments.case == "chunked"
+        lines = ["HTTP/1.1 200 OK", "X-Server-Stamp: stamp", f"X-Request-Id: {identity}", "Content-Type: text/event-stream"]
+        lines += ["Transfer-Encoding: chunked"] if chunked else []
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        run.stopped, run.writer, run.made = False, writer, after
+        while run.made < run.last and run.writer is writer and not run.stopped:
+            run.made += 1
+            self.send(writer, event(run.made))
+            await asyncio.sleep(EVENT_S)
+        if run.writer is writer and not run.stopped:
+            run.writer = None
+            if chunked:
+                writer.write(b"0\r\n\r\n")
+        while run.writer is writer:  # Stopped: the move closes it.
+            await asyncio.sleep(EVENT_S)
+        return False
+
+    def send(self, writer, piece):
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if self.arguments.case == "chunked" else piece)
+
+    async def move(self, order, writer):
+        run = self.runs.get(order["Id"])
+        if not run or not run.writer or run.stopped:
+            return self.reply(writer, 404, {})
+        delay, status, inside = ORDERS[run.order]
+        source, run.stopped = run.writer, True
+        if status == 404:  # It ends by itself, at this moment.
+            run.last = run.made
+            if self.arguments.case == "chunked":
+                source.write(b"0\r\n\r\n")
+        if inside:
+            self.send(source, event(run.made + 1)[:9])
+        if delay >= 0:
+            self.close(run, source)
+            await asyncio.sleep(delay)
+        if not status:
+            return False
+        run.handle = f"h{next(self.handles)}" if status != 404 else ""
+        self.reply(writer, status, {"Handle": run.handle, "Created": run.made} if run.handle else {})
+        if delay < 0:
+            await asyncio.sleep(-delay)
+            self.close(run, source)
+        return True
+
+    @staticmethod
+    def close(run, source):
+        source.close()
+        if run.writer is source:
+            run.writer = None
+
+    async def publish(self):
+        puts = [{"Key": f"servers/m-{port}", "Value": self.entry(port), "Lease": 0} for port in self.ports()]
+        body = json.dumps({"Precondition": [], "Puts": puts, "Deletes": []}).encode()
+        await exchange(self.arguments.store, b"POST /kv-txn HTTP/1.1\r\nHost: store\r\nConnection: close\r\n"
+                                             b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def entry(self, port):
+        out = {"Service": "svc-moves", "Address": f"127.0.0.1:{port}", "Zone": "zone-0", "Version": "v1",
+               "ColdRemainingMs": 0, "born": 1, "Slots": 64, "State": "ready", "Seq": 1}
+        if port in self.draining:
+            out.update(State="draining", leaves_ms=LEAVES_AFTER_MS, Seq=2)
+        return base64.b64encode(json.dumps(out).encode()).decode()
+
+    async def leave(self):
+        self.draining.update(itertools.islice(self.ports(), self.arguments.count // 2))
+        await self.publish()
+
+
+async def exchange(port, request):
+    """All bytes of the response, and whether its connection was closed rather than reset."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    received = b""
+    try:
+        writer.write(request)
+        while piece := await reader.read(1 << 16):
+            received += piece
+        return received, True
+    except OSError:
+        return received, False
+    finally:
+        writer.close()
+
+
+def stream_of(response, was_closed):
+    """The status, the ids of the events, and whether the response is complete by its framing."""
+    head, _, rest = response.partition(b"\r\n\r\n")
+    status = int(head.split()[1]) if head else 0
+    complete, body = was_closed, rest
+    if re.search(rb"(?im)^transfer-encoding: *chunked", head):
+        complete, body = rest.endswith(b"\r\n0\r\n\r\n"), re.sub(rb"(?m)^[0-9a-f]+\r\n|\r\n", b"", rest)
+    return status, [int(each) for each in re.findall(rb"id: (\d+)\ndata: token \d+\n\n", body)], complete
+
+
+async def one_caller(arguments, engines, number, got):
+    await asyncio.sleep(0.004 * number)
+    identity = f"move-{number:04}"
+    request = (f"POST {arguments.path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {identity}\r\n"
+               f"Authorization: Bearer key-a\r\nX-Deadline-Ms: 12000\r\nX-Token-Count: 10,{3 * EVENTS}\r\n"
+               "Connection: close\r\nContent-Length: 1\r\n\r\nx").encode()
+    response, was_closed = await exchange(arguments.to, request)
+    status, events, complete = stream_of(response, was_closed)
+    run = engines.runs.get(identity, Run("none"))
+    name = run.order if run.moved or run.stopped else "stays"
+    if events != list(range(1, len(events) + 1)):
+        got[name, "OUT OF ORDER"] += 1
+    elif complete and status == 200 and len(events) < run.last:
+        got[name, "ENDED EARLY"] += 1
+    else:
+        got[name, "whole" if complete and status == 200 else "broken off"] += 1
+
+
+async def play(arguments):
+    engines, got = Engines(arguments), collections.Counter()
+    for port in engines.ports():
+        await asyncio.start_server(engines.on_connection, "127.0.0.1", port)
+    await engines.publish()
+    print("ready", flush=True)
+    await asyncio.sleep(2)
+    callers = [asyncio.create_task(one_caller(arguments, engines, number, got)) for number in range(arguments.callers)]
+    await asyncio.sleep(LEAVE_AT_S)
+    await engines.leave()
+    _, late = await asyncio.wait(callers, timeout=PLAY_S)
+    for (order, outcome), count in sorted(got.items()):
+        print(f"{order}: {outcome} {count}", flush=True)
+    moved = sum(run.moved for run in engines.runs.values())
+    wrong = sum(count for (_, outcome), count in got.items() if outcome.isupper())
+    print(f"played: {sum(got.values())} of {arguments.callers}, moved {moved}, wrong {wrong}", flush=True)
+    return 0 if not wrong and not late and moved else 1
+
+
+parser = argparse.ArgumentParser()
+parser.add_argument("case", choices=["chunked", "unframed"])
+for name, default in {"port": 0, "count": 8, "callers": 120, "to": 0, "store": 0, "seed": 1}.items():
+    parser.add_argument("--" + name, type=int, default=default)
+parser.add_argument("--path", default="/moves/1")
+sys.exit(asyncio.run(play(parser.parse_args())))
--- /dev/null
+++ b/tests/streamends_test.cpp
@@ -0,0 +1,194 @@
+#include "gatewayfixture.h"
+
+#include <array>
+#include <fmt/format.h>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr uint64_t AllEvents = 20;
+constexpr uint64_t EventsAtEnd = 4; ///< That the source has sent when its stream ends.
+
+enum class Cut : uint8_t { LastChunk, Close, CloseInsideEvent, ChunksWithoutEnd, Reset };
+enum class Reply : uint8_t { Handle, Ended, InProgress, NoRoomWithHandle, NoRoom, None };
+enum class Moment : uint8_t { EndFirst, ReplyFirst, EndLate };
+
+constexpr std::array Cuts
+    = {Cut::LastChunk, Cut::Close, Cut::CloseInsideEvent, Cut::ChunksWithoutEnd, Cut::Reset};
+constexpr std::array Replies
+    = {Reply::Handle, Reply::Ended, Reply::InProgress, Reply::NoRoomWithHandle, Reply::NoRoom, Reply::None};
+constexpr std::array Moments = {Moment::EndFirst, Moment::ReplyFirst, Moment::EndLate};
+
+/// One way in which a stream that is to be moved ends at its source.
+struct Cell {
+    Cut cut = Cut::LastChunk;
+    Reply reply = Reply::None;
+    Moment moment = Moment::EndFirst;
+    bool isResumable = false;
+    bool endedItself = false; ///< The generation was complete; else it was stopped.
+
+    bool isClean() const { return cut == Cut::LastChunk || cut == Cut::Close; }
+    uint64_t total() const
+    {
+        if (!endedItself)
+            return AllEvents;
+        return isClean() ? EventsAtEnd : EventsAtEnd + 1;
+    }
+    /// A stopped stream has no last chunk, and some replies say themselves which of the two it was.
+    bool isPossible() const
+    {
+        if (reply == Reply::Handle || reply == Reply::NoRoomWithHandle)
+            return !endedItself;
+        return reply == Reply::Ended || cut == Cut::LastChunk ? endedItself : true;
+    }
+    bool mustBeWhole() const
+    {
+        return isResumable || reply == Reply::Handle || reply == Reply::NoRoomWithHandle
+            || (endedItself && (cut == Cut::LastChunk || (cut == Cut::Close && reply == Reply::Ended)));
+    }
+    std::string text() const
+    {
+        return fmt::format("cut {} reply {} moment {} resumable {} ended itself {}", static_cast<int>(cut),
+                           static_cast<int>(reply), static_cast<int>(moment), isResumable, endedItself);
+    }
+};
+
+/// Plays one cell: an engine that leaves, and engines that continue whatever is sent to them.
+class CellPlay : public GatewayFixture
+{
+public:
+    explicit CellPlay(const Cell &cell) : cell_(cell) { }
+
+    CallerId play()
+    {
+        GatewaySettings bounds;
+        bounds.retryLimits = {0.2, 8, {10000}};
+        gateway.applyBounds(bounds);
+        configuration->services[0].engine->migratesGenerations = true;
+        serveForWindow();
+        CallerRequest wanted = makeRequest(cell_.isResumable ? "/review/1" : "/draft/1");
+        wanted.outputTokens = 300;
+        const CallerId caller = request(wanted);
+        source_ = lastSent().attempt;
+        AttemptHead first;
+        first.attempt = source_;
+        first.status = 200;
+        first.eventStream = true;
+        first.isUnframed = cell_.cut == Cut::Close || cell_.cut == Cut::CloseInsideEvent;
+        gateway.onHead(first, now);
+        events(source_, 1, 1);
+        pass({100});
+        events(source_, 2, 3);
+        for (EndpointEntry &entry : endpoints) {
+            if (entry.id == lastSent().endpoint) {
+                entry.leaving = true;
+                entry.leavesAfter = DurationMs{2000};
+            }
+        }
+        listEndpoints();
+        pass({25});
+        REQUIRE(moves.size() == 1);
+        endAndReply();
+        for (int step = 0; step < 200 && !streamEnds.contains(caller); ++step) {
+            serve();
+            pass({25});
+        }
+        return caller;
+    }
+
+private:
+    void endAndReply()
+    {
+        if (cell_.moment == Moment::EndFirst)
+            endSource();
+        reply(cell_.reply);
+        if (cell_.moment == Moment::EndFirst)
+            return;
+        if (cell_.moment == Moment::EndLate)
+            serve();
+        endSource();
+    }
+
+    void endSource()
+    {
+        events(source_, EventsAtEnd, EventsAtEnd);
+        if (cell_.cut == Cut::CloseInsideEvent)
+            data(source_, "id: 5\nda");
+        if (cell_.cut == Cut::ChunksWithoutEnd || cell_.cut == Cut::Reset)
+            broken(source_);
+        else
+            end(source_);
+    }
+
+    void reply(Reply reply)
+    {
+        constexpr std::array Outcomes
+            = {MigrationOutcome::Migrated,   MigrationOutcome::NoSuchGeneration, MigrationOutcome::Refused,
+               MigrationOutcome::NoCapacity, MigrationOutcome::NoCapacity,       MigrationOutcome::NoReply};
+        const bool hasHandle = reply == Reply::Handle || reply == Reply::NoRoomWithHandle;
+        gateway.onGenerationMigrated(
+            {source_, Outcomes.at(static_cast<size_t>(reply)), hasHandle ? "h1" : ""}, now);
+        drainActions();
+    }
+
+    // The engine that is asked again to stop the generation no longer knows it.
+    void serve()
+    {
+        for (; repliedMoves_ < moves.size(); ++repliedMoves_)
+            reply(Reply::Ended);
+        for (; repliedProbes_ < probes.size(); ++repliedProbes_) {
+            const ProbeEngine probe = probes[repliedProbes_];
+            gateway.onEngineProbed(
+                {probe.endpoint, {}, true, false, {}, EndpointProcess::Running, probe.afterConnectionFailure},
+                now);
+            drainActions();
+        }
+        for (; servedAttempts_ < sent.size(); ++servedAttempts_) {
+            const SendAttempt next = sent[servedAttempts_];
+            head(next.attempt, 200, true);
+            events(next.attempt, next.resumeAfter.value_or(0) + 1, cell_.total());
+            end(next.attempt);
+        }
+    }
+
+    Cell cell_;
+    AttemptId source_;
+    size_t repliedMoves_ = 1;
+    size_t repliedProbes_ = 0;
+    size_t servedAttempts_ = 1;
+};
+
+std::string eventsUpTo(uint64_t last)
+{
+    std::string out;
+    for (uint64_t id = 1; id <= last; ++id)
+        out += fmt::format("id: {}\ndata: {}\n\n", id, id);
+    return out;
+}
+
+} // namespace
+
+// Guards against a stream that ends as complete before its last event because this system has stopped its
+// generation.
+TEST_CASE("the end of a stream that was asked to stop is complete only if the generation was")
+{
+    size_t played = 0;
+    for (size_t i = 0; i < Cuts.size() * Replies.size() * Moments.size() * 4; ++i) {
+        const Cell cell{Cuts.at(i % Cuts.size()), Replies.at(i / 5 % Replies.size()),
+                        Moments.at(i / 30 % Moments.size()), i / 90 % 2 == 1, i / 180 == 1};
+        if (!cell.isPossible())
+            continue;
+        ++played;
+        CAPTURE(cell.text());
+        CellPlay play(cell);
+        const CallerId caller = play.play();
+        REQUIRE(play.streamEnds.contains(caller));
+        const std::string received = play.streamed[caller];
+        CHECK(eventsUpTo(cell.total()).starts_with(received));
+        CHECK(play.streamEnds.at(caller) == cell.mustBeWhole());
+        if (play.streamEnds.at(caller))
+            CHECK(received == eventsUpTo(cell.total()));
+    }
+    CHECK(played > 200);
+}
