A stream that was asked to stop ends only as the reply to its move says

What callers saw: a stream of an engine that leaves ended as complete at the event at which this system had stopped it for a move: without framing by a clean close, on landings up to by a last chunk.

Cause: the end of a source's stream and the reply to its move come on two connections. onEnd asked for the reply's handle alone; while it was not there, a close without framing was the stream's own end, and nobody was asked since a move was open. A move that failed was forgotten: after 503 with the handle, or no reply, the close that followed was believed as well, in both orders. Class: an end that is believed without a proof of it.

A call that reached no engine is told from one without a reply. onEnd does one thing.

Why it works: a stopped stream is closed without its end, so no end is believed before the reply says that the generation had ended by itself (404 to the first call).

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -44,19 +44,16 @@
 }
 
 // Where a response ends with its connection, the exit of the endpoint's process looks like the end of the
-// response. A stream that ends inside an event has been broken off in any case. That the process runs on does
-// not show that the response is whole (framingOf).
+// response. That the process runs on does not show that the response is whole (framingOf).
 bool Gateway::mayBeBrokenOff(const Exchange &exchange) const
 {
-    const bool isBroken = exchange.head.eventStream
-        && (exchange.splitter.hasPartialEvent() || exchange.phase != ExchangePhase::Streaming);
-    return exchange.head.isUnframed && !exchange.endpointRanOn && !isBroken && !exchange.migration
-        && fleet_.find(exchange.sentTo);
+    return exchange.processCheck != ProcessCheck::RanOn && fleet_.find(exchange.sentTo);
 }
 
 void Gateway::awaitEndpointState(Exchange &exchange, TimeMs now)
 {
     const FleetEndpoint &endpoint = *fleet_.find(exchange.sentTo);
+    exchange.processCheck = ProcessCheck::Asked;
     if (!endpoint.rest.mayCall(now))
         return endUnframedResponse(exchange.attempt, false, now);
     InterruptedAttempt attempt = interruptedAttempt(exchange);
@@ -78,7 +75,7 @@
     if (!exchange)
         return;
     if (isComplete) {
-        exchange->endpointRanOn = true;
+        exchange->processCheck = ProcessCheck::RanOn;
         return onEnd({attempt}, now);
     }
     const AttemptConnectionFailed failure{attempt, true};
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,6 +23,9 @@
     std::optional<std::string> handle; ///< Set when the KV cache has arrived at the target.
 };
 
+/// Question whether the process of an endpoint outlived the end of a response that states no end.
+enum class ProcessCheck : uint8_t { NotAsked, Asked, RanOn };
+
 /// A generation that was stopped for its migration and is still in the memory of its engine.
 struct KeptGeneration {
     EndpointIncarnation source;
@@ -91,7 +94,7 @@
     uint64_t contextTokens = 0; ///< Counted at the endpoint, without shared prompt parts.
     bool foundNoQueue = false; ///< No queue was known at the endpoint when the attempt was sent.
     AttemptHead head;
-    bool endpointRanOn = false; ///< Its process was asked after the end of an unframed response, and runs.
+    ProcessCheck processCheck = ProcessCheck::NotAsked;
     std::string body; ///< Body of a response that is buffered until it is complete.
     EventSplitter splitter;
     std::optional<uint64_t> lastEvent; ///< Last event that the caller has, from this daemon or from before.
@@ -113,6 +116,7 @@
     uint64_t events = 0; ///< Number of events in all attempts.
     bool isLate = false; ///< The first event or a pause missed its target.
     std::optional<GenerationMigration> migration;
+    StopState stop = StopState::NotAsked; ///< Of this attempt's generation, but for the open migration.
     std::optional<KeptGeneration> kept; ///< Until another attempt continues it.
     bool migrationDenied = false; ///< The retry budget was used up; logged once.
     std::set<EndpointId> migrationTargets; ///< Targets tried so far.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -313,6 +313,7 @@
     exchange.relay = relayFor(exchange, now);
     exchange.body.clear();
     exchange.splitter.clear();
+    exchange.stop = StopState::NotAsked;
     exchange.attemptEvents = 0;
     exchange.hasProvenParts = false;
     exchange.startIsEvaluated = exchange.eventIntervalIsEvaluated = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -361,6 +361,10 @@
     void forwardFullResponse(Exchange &exchange, TimeMs now);
     void passFullResponse(Exchange &exchange, TimeMs now); ///< Without a retry.
     bool forwardEvents(Exchange &exchange, TimeMs now);
+    static StreamEnd streamEndOf(const Exchange &exchange);
+    void endStream(Exchange &exchange, StreamEnd end, TimeMs now);
+    void completeStream(Exchange &exchange, StreamEnd end, TimeMs now);
+    void interruptAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void attemptFailed(Exchange &exchange, bool sent, TimeMs now);
     void closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -105,7 +105,8 @@
     NoSuchGeneration, ///< The generation has not started or is complete.
     NoCapacity, ///< The generation has stopped, its KV cache is still at the source.
     Refused, ///< Another migration is in progress.
-    NoReply
+    NoReply, ///< The generation may have stopped.
+    Unreached ///< The engine was not asked.
 };
 
 struct GenerationMigrated {
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -308,10 +308,15 @@
     order.call.address = action.source;
     order.call.request = platform::encodeMigration(action);
     callEndpoint(std::move(order), [this, action](const HttpResponse &reply) {
-        const bool isReached = !action.relay || relayOutcomeOf(reply.headers) == RelayOutcome::Reached;
-        gateway.onGenerationMigrated(
-            platform::decodeMigrationReply(action.attempt, isReached ? completeStatus(reply) : 0, reply.body),
-            steadyNow());
+        const std::optional<RelayOutcome> outcome
+            = action.relay ? relayOutcomeOf(reply.headers) : RelayOutcome::Reached;
+        const int status = outcome == RelayOutcome::Reached ? completeStatus(reply) : 0;
+        GenerationMigrated migrated = platform::decodeMigrationReply(action.attempt, status, reply.body);
+        const bool isAsked = action.relay ? relayFailureOf(reply.failure, outcome) == RelayFailure::None
+                                          : mayHaveArrived(reply.failure);
+        if (!isAsked)
+            migrated.outcome = MigrationOutcome::Unreached;
+        gateway.onGenerationMigrated(migrated, steadyNow());
     });
 }
 
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -87,7 +87,7 @@
     if (exchange->relay)
         relays_.reached(exchange->service, *exchange->relay);
     exchange->head = event;
-    exchange->endpointRanOn = false;
+    exchange->processCheck = ProcessCheck::NotAsked;
     if (!event.wrongInstance) {
         recordLimit(*exchange, now);
         recordBrittleness(*exchange, now);
@@ -211,39 +211,62 @@
     Exchange *exchange = findByAttempt(event.attempt);
     if (!exchange)
         return;
-    if (mayBeBrokenOff(*exchange))
+    if (exchange->head.eventStream)
+        return endStream(*exchange, streamEndOf(*exchange), now);
+    if (exchange->head.isUnframed && mayBeBrokenOff(*exchange))
         return awaitEndpointState(*exchange, now);
-    if (!exchange->head.eventStream)
-        return forwardFullResponse(*exchange, now);
-    // A generation that was stopped for its migration ends its stream without the last event. It continues at
-    // the target.
-    if (exchange->migration)
-        recordSourceEnd(*exchange, exchange->head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated, now);
-    if (exchange->migration && exchange->migration->handle)
-        return continueAtTarget(*exchange, now);
-    if (exchange->splitter.hasPartialEvent() || exchange->phase != ExchangePhase::Streaming)
-        return onConnectionFailed({event.attempt, true}, now);
-    fleet_.succeeded(exchange->sentTo);
-    clearSuspicion(*exchange, now);
-    recordProof(*exchange, now);
+    forwardFullResponse(*exchange, now);
+}
+
+// Returns how a stream ended whose bytes are complete according to their framing.
+StreamEnd Gateway::streamEndOf(const Exchange &exchange)
+{
+    if (exchange.splitter.hasPartialEvent() || exchange.phase != ExchangePhase::Streaming)
+        return StreamEnd::Broken;
+    return exchange.head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated;
+}
+
+void Gateway::endStream(Exchange &exchange, StreamEnd end, TimeMs now)
+{
+    switch (verdictOf(end, exchange.stop, exchange.migration.has_value())) {
+    case EndVerdict::AwaitMove:
+        recordSourceEnd(exchange, end, now);
+        if (exchange.migration->handle)
+            continueAtTarget(exchange, now);
+        return;
+    case EndVerdict::AskProcess:
+        if (mayBeBrokenOff(exchange))
+            return awaitEndpointState(exchange, now);
+        return completeStream(exchange, end, now);
+    case EndVerdict::Interrupted:
+        return interruptAttempt(exchange, {exchange.attempt, true}, now);
+    case EndVerdict::Complete:
+        return completeStream(exchange, end, now);
+    }
+}
+
+void Gateway::completeStream(Exchange &exchange, StreamEnd end, TimeMs now)
+{
+    fleet_.succeeded(exchange.sentTo);
+    clearSuspicion(exchange, now);
+    recordProof(exchange, now);
     // A last chunk would tell the caller that its stream is complete, which is not known of an unframed one.
-    const bool mayEnd = framingOf(*exchange) == ResponseFraming::Stated
-        || exchange->callerFraming == ResponseFraming::EndsWithConnection;
+    const bool mayEnd
+        = end == StreamEnd::Stated || exchange.callerFraming == ResponseFraming::EndsWithConnection;
     counters_.add(mayEnd ? GatewayCount::StreamsWhole : GatewayCount::StreamsBroken);
-    if (exchange->head.isUnframed)
+    if (end == StreamEnd::Closed)
         counters_.add(GatewayCount::AnswersWithoutEnd);
-    countLateStream(*exchange);
-    recordStreamDuration(*exchange, now);
+    countLateStream(exchange);
+    recordStreamDuration(exchange, now);
     recordAnswer(now);
-    log(LogPriority::Ordinary, mayEnd ? "stream_whole" : "stream_without_end", *exchange,
-        {{"after_ms", (now - exchange->arrivedAt).count},
-         {"longest_pause_ms", exchange->longestPause.count},
-         {"events", exchange->events},
-         {"end", toText(exchange->head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated)},
-         {"move_open", exchange->migration.has_value()}});
-    detach(*exchange);
-    actions_.emplace_back(EndCallerStream{exchange->caller, mayEnd});
-    finish(*exchange);
+    log(LogPriority::Ordinary, mayEnd ? "stream_whole" : "stream_without_end", exchange,
+        {{"after_ms", (now - exchange.arrivedAt).count},
+         {"longest_pause_ms", exchange.longestPause.count},
+         {"events", exchange.events},
+         {"end", toText(end)}});
+    detach(exchange);
+    actions_.emplace_back(EndCallerStream{exchange.caller, mayEnd});
+    finish(exchange);
     runQueue(now);
 }
 
@@ -318,12 +341,8 @@
     Exchange *exchange = findByAttempt(event.attempt);
     if (!exchange)
         return;
-    if (exchange->migration && event.sent) {
-        recordSourceEnd(*exchange, StreamEnd::Broken, now);
-        if (exchange->migration->handle)
-            continueAtTarget(*exchange, now);
-        return;
-    }
+    if (exchange->migration && event.sent)
+        return endStream(*exchange, StreamEnd::Broken, now);
     if (exchange->relay && event.relay != RelayFailure::None)
         counters_.add(GatewayCount::RelaysFailed);
     if (exchange->relay && event.relay == RelayFailure::Unavailable)
@@ -332,10 +351,15 @@
         relays_.unreached(exchange->service, *exchange->relay, now);
     if (!event.sent && !exchange->relay)
         recordConnectFailure({exchange->sentTo.id, event.connect}, now);
-    const bool waits = event.sent && recordInterruptedAttempt(*exchange, now);
-    closeFailedAttempt(*exchange, event, now);
+    interruptAttempt(*exchange, event, now);
+}
+
+void Gateway::interruptAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now)
+{
+    const bool waits = failure.sent && recordInterruptedAttempt(exchange, now);
+    closeFailedAttempt(exchange, failure, now);
     if (!waits)
-        continueAfterFailure(*exchange, event, now);
+        continueAfterFailure(exchange, failure, now);
 }
 
 void Gateway::attemptFailed(Exchange &exchange, bool sent, TimeMs now)
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -18,7 +18,8 @@
 constexpr size_t MaxMigrations = 4; ///< Migration attempts per request, each to another target.
 /// Event interval assumed for a stream of which only the first event has been received.
 constexpr double DefaultEventIntervalMs = 60;
-constexpr std::array OutcomeNames = {"migrated", "no_such_generation", "no_capacity", "refused", "no_reply"};
+constexpr std::array OutcomeNames
+    = {"migrated", "no_such_generation", "no_capacity", "refused", "no_reply", "unreached"};
 
 } // namespace
 
@@ -94,8 +95,8 @@
 
 bool Gateway::shouldMigrate(const Exchange &exchange, TimeMs now) const
 {
-    if (!exchange.streaming || exchange.migrationTargets.size() >= MaxMigrations
-        || isQuarantined(exchange, now))
+    if (!exchange.streaming || exchange.processCheck == ProcessCheck::Asked
+        || exchange.migrationTargets.size() >= MaxMigrations || isQuarantined(exchange, now))
         return false;
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
     if (!endpoint || !endpoint->leavesAt)
@@ -167,6 +168,7 @@
              {"events_made", event.eventsMade.value_or(0)},
              {"has_handle", !event.handle.empty()},
              {"source_closed", migration.sourceEnd.has_value()}});
+        exchange->stop = stopAfterReply(exchange->stop, event);
         return onMigrationFailed(*exchange, now);
     }
     migration.handle = event.handle;
@@ -187,19 +189,17 @@
         return;
     counters_.add(GatewayCount::SourcesClosedInMove);
     log(LogPriority::Failure, "move_source_closed", exchange,
-        {{"after_ms", (now - migration.startedAt).count},
-         {"end", toText(end)},
-         {"events", exchange.events}});
+        {{"after_ms", (now - migration.startedAt).count}, {"end", toText(end)}, {"events", exchange.events}});
 }
 
-// If the generation stopped but its KV cache did not arrive at the target, its stream has ended and is
-// resumed where possible. If the generation still runs, the stream just continues.
+// If the generation stopped but its KV cache did not arrive at the target, its stream is resumed where
+// possible. If the generation still runs, the stream just continues.
 void Gateway::onMigrationFailed(Exchange &exchange, TimeMs now)
 {
-    const bool closed = exchange.migration->sourceEnd.has_value();
+    const std::optional<StreamEnd> end = exchange.migration->sourceEnd;
     exchange.migration.reset();
-    if (closed)
-        onConnectionFailed({exchange.attempt, true}, now);
+    if (end)
+        endStream(exchange, *end, now);
 }
 
 void Gateway::continueAtTarget(Exchange &exchange, TimeMs now)
--- a/src/gateway/requests/streamend.cpp
+++ b/src/gateway/requests/streamend.cpp
@@ -1,7 +1,6 @@
 #include "gateway/requests/streamend.h"
 
 #include <array>
-#include <cstddef>
 
 namespace cranberry {
 
@@ -11,6 +10,30 @@
 
 } // namespace
 
+EndVerdict verdictOf(StreamEnd end, StopState stop, bool isMoveOpen)
+{
+    if (isMoveOpen)
+        return EndVerdict::AwaitMove;
+    switch (end) {
+    case StreamEnd::Stated:
+        return stop == StopState::Stopped ? EndVerdict::Interrupted : EndVerdict::Complete;
+    case StreamEnd::Closed:
+        return stop == StopState::NotAsked ? EndVerdict::AskProcess : EndVerdict::Interrupted;
+    case StreamEnd::Broken:
+        break;
+    }
+    return EndVerdict::Interrupted;
+}
+
+StopState stopAfterReply(StopState before, const GenerationMigrated &reply)
+{
+    if (!reply.handle.empty())
+        return StopState::Stopped;
+    const bool isTold
+        = reply.outcome == MigrationOutcome::NoSuchGeneration || reply.outcome == MigrationOutcome::Unreached;
+    return isTold || before == StopState::Stopped ? before : StopState::Unknown;
+}
+
 const char *toText(StreamEnd end)
 {
     return EndNames.at(static_cast<size_t>(end));
--- a/src/gateway/requests/streamend.h
+++ b/src/gateway/requests/streamend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/gatewayevents.h"
+
 #include <cstdint>
 
 namespace cranberry {
@@ -11,6 +13,29 @@
     Broken ///< Inside an event, before the end that the framing asks for, or by a reset.
 };
 
+/// What is known of a generation that its engine was asked to stop, from the replies so far.
+enum class StopState : uint8_t {
+    NotAsked, ///< Or it had ended by itself.
+    Unknown, ///< The reply did not come, or does not tell.
+    Stopped ///< It is in its engine's memory.
+};
+
+/// What the end of an attempt's event stream says about the stream.
+enum class EndVerdict : uint8_t {
+    Complete,
+    AskProcess, ///< Complete unless the endpoint's process has exited.
+    AwaitMove, ///< The reply to the open move tells.
+    Interrupted
+};
+
+/// A generation that was asked to stop closes its stream without an end, on another connection than the
+/// reply: until the reply says that it had ended by itself, no end is its own.
+EndVerdict verdictOf(StreamEnd end, StopState stop, bool isMoveOpen);
+
+/// Returns what is known after the reply to a further request to stop. An engine that knows no such
+/// generation may have stopped it for an earlier request.
+StopState stopAfterReply(StopState before, const GenerationMigrated &reply);
+
 const char *toText(StreamEnd end);
 
 } // namespace cranberry
