The end of an unframed response of a replaced process is not believed

What callers saw: a response without framing, cut off by the end of its endpoint's process, as a complete one, where the list named the process that came after it before the connection's end was read.

Cause: the process is asked whether it outlived the end; for an incarnation that another one had replaced nobody was asked, and the end was believed. Class: an end that is believed without a proof.

Change: a process that was replaced has exited; the attempt has failed.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -44,22 +44,18 @@
 }
 
 // Where a response ends with its connection, the exit of the endpoint's process looks like the end of the
-// response. That the process runs on does not show that the response is whole (framingOf).
-bool Gateway::mayBeBrokenOff(const Exchange &exchange) const
-{
-    return exchange.processCheck != ProcessCheck::RanOn && fleet_.find(exchange.sentTo);
-}
-
+// response. That the process runs on does not show that the response is whole (framingOf). A process that
+// another one has replaced has exited.
 void Gateway::awaitEndpointState(Exchange &exchange, TimeMs now)
 {
-    const FleetEndpoint &endpoint = *fleet_.find(exchange.sentTo);
+    const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
     exchange.processCheck = ProcessCheck::Asked;
-    if (!endpoint.rest.mayCall(now))
+    if (!endpoint || !endpoint->rest.mayCall(now))
         return endUnframedResponse(exchange.attempt, false, now);
     InterruptedAttempt attempt = interruptedAttempt(exchange);
     attempt.ended = exchange.attempt;
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        probeProcess(endpoint, now);
+        probeProcess(*endpoint, now);
 }
 
 void Gateway::probeProcess(const FleetEndpoint &endpoint, TimeMs now)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -388,7 +388,6 @@
     bool recordInterruptedAttempt(Exchange &exchange, TimeMs now);
     static InterruptedAttempt interruptedAttempt(const Exchange &exchange);
     /// The response ended with its connection, as it also does when its endpoint crashes.
-    bool mayBeBrokenOff(const Exchange &exchange) const;
     void awaitEndpointState(Exchange &exchange, TimeMs now);
     void probeProcess(const FleetEndpoint &endpoint, TimeMs now);
     static ResponseFraming framingOf(const Exchange &exchange);
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -213,7 +213,7 @@
         return;
     if (exchange->head.eventStream)
         return endStream(*exchange, streamEndOf(*exchange), now);
-    if (exchange->head.isUnframed && mayBeBrokenOff(*exchange))
+    if (exchange->head.isUnframed && exchange->processCheck != ProcessCheck::RanOn)
         return awaitEndpointState(*exchange, now);
     forwardFullResponse(*exchange, now);
 }
@@ -235,7 +235,7 @@
             continueAtTarget(exchange, now);
         return;
     case EndVerdict::AskProcess:
-        if (mayBeBrokenOff(exchange))
+        if (exchange.processCheck != ProcessCheck::RanOn)
             return awaitEndpointState(exchange, now);
         return completeStream(exchange, end, now);
     case EndVerdict::Interrupted:
--- a/tests/streamends_test.cpp
+++ b/tests/streamends_test.cpp
@@ -192,3 +192,63 @@
     }
     CHECK(played > 200);
 }
+
+/// Begins a stream on a route that may be resumed, and brings its first events.
+struct BegunStream {
+    CallerId caller;
+    SendAttempt first;
+};
+
+static BegunStream beginStream(GatewayFixture &fixture, uint64_t events, bool isUnframed = false)
+{
+    fixture.serveForWindow();
+    BegunStream out;
+    out.caller = fixture.request("/review/1");
+    out.first = fixture.lastSent();
+    AttemptHead head;
+    head.attempt = out.first.attempt;
+    head.status = 200;
+    head.eventStream = true;
+    head.isUnframed = isUnframed;
+    fixture.gateway.onHead(head, fixture.now);
+    fixture.events(out.first.attempt, 1, events);
+    return out;
+}
+
+static AttemptHead streamHead(AttemptId attempt, bool isUnframed)
+{
+    AttemptHead out;
+    out.attempt = attempt;
+    out.status = 200;
+    out.eventStream = true;
+    out.isUnframed = isUnframed;
+    return out;
+}
+
+// Guards against an end that is believed of a process that another one has replaced.
+TEST_CASE_FIXTURE(GatewayFixture, "the end of an unframed response of a replaced process is not believed")
+{
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    listEndpoints();
+    const auto replaceAll = [this] {
+        for (EndpointEntry &entry : endpoints)
+            ++entry.start.unixMs;
+        listEndpoints();
+    };
+    const BegunStream stream = beginStream(*this, 3, true);
+    replaceAll();
+    end(stream.first.attempt);
+    CHECK_FALSE(streamEnds.contains(stream.caller));
+    CHECK(lastSent().resumeAfter == 3);
+
+    const CallerId order = request("/order/1");
+    AttemptHead answer = streamHead(lastSent().attempt, true);
+    answer.eventStream = false;
+    gateway.onHead(answer, now);
+    data(lastSent().attempt, "half of an ans");
+    replaceAll();
+    end(lastSent().attempt);
+    CHECK(statusOf(order) == 502);
+}
+
