A continuation begins at the event that follows in its service's streams

What callers saw: event 3 after event 1 where a stream broke after its first event and the next endpoint went on one too far; the stream was broken off only at the following event, and a caller that resumed from there never got event 2. The same at a caller's own resumption.

Cause: the step between ids was learned from the first two ids, whatever they were, also across two attempts.

Change: complete streams show their service's step; the first event of a continuation has to be that much further. A service whose streams differ has none, and its continuations are checked as before.

Before: "a continuation begins at the service's usual next event" failed, the caller had event 3 after 1; "a caller's resumption ..." failed for the same reason (shown here with the first stream's id in Resumes). After: both hold. What remains: before a daemon has seen a stream of two events end, it knows no step.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/peers/relaycontacts.h"
 #include "gateway/requests/admissionqueue.h"
 #include "gateway/requests/departure.h"
+#include "gateway/requests/eventsteps.h"
 #include "gateway/requests/gatewayretrybudget.h"
 #include "gateway/requests/retryledger.h"
 #include "gateway/requests/returnschedule.h"
@@ -361,6 +362,8 @@
     void forwardFullResponse(Exchange &exchange, TimeMs now);
     void passFullResponse(Exchange &exchange, TimeMs now); ///< Without a retry.
     bool forwardEvents(Exchange &exchange, TimeMs now);
+    /// Returns whether the event follows the last one that the caller has.
+    bool isNextEvent(const Exchange &exchange, uint64_t id) const;
     static StreamEnd streamEndOf(const Exchange &exchange);
     void endStream(Exchange &exchange, StreamEnd end, TimeMs now);
     void completeStream(Exchange &exchange, StreamEnd end, TimeMs now);
@@ -561,6 +564,7 @@
         transfersReceived_; ///< Sender, whether it is a deposit, number.
     uint64_t nextUnitRequest_ = 1;
     StreamOrigins origins_;
+    EventSteps eventSteps_;
     VersionHistory versions_;
     std::map<uint64_t, CallerId> originSearches_; ///< Open searches, with the waiting caller.
     uint64_t nextOriginSearch_ = 1;
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -156,11 +156,10 @@
     const uint64_t eventsBefore = exchange.events;
     while (std::optional<StreamEvent> event = exchange.splitter.next()) {
         if (event->id && exchange.lastEvent) {
-            const uint64_t step = *event->id - *exchange.lastEvent;
-            inOrder = *event->id > *exchange.lastEvent && exchange.eventStep.value_or(step) == step;
+            inOrder = isNextEvent(exchange, *event->id);
             if (!inOrder)
                 break;
-            exchange.eventStep = step;
+            exchange.eventStep = *event->id - *exchange.lastEvent;
         }
         if (event->id)
             exchange.lastEvent = event->id;
@@ -206,6 +205,14 @@
     return inOrder;
 }
 
+bool Gateway::isNextEvent(const Exchange &exchange, uint64_t id) const
+{
+    const bool isContinued = exchange.attemptEvents == 0;
+    const std::optional<uint64_t> step
+        = exchange.eventStep || !isContinued ? exchange.eventStep : eventSteps_.usual(exchange.service);
+    return id > *exchange.lastEvent && id - *exchange.lastEvent == step.value_or(id - *exchange.lastEvent);
+}
+
 void Gateway::onEnd(const AttemptEnd &event, TimeMs now)
 {
     Exchange *exchange = findByAttempt(event.attempt);
@@ -256,6 +263,8 @@
     counters_.add(mayEnd ? GatewayCount::StreamsWhole : GatewayCount::StreamsBroken);
     if (end == StreamEnd::Closed)
         counters_.add(GatewayCount::AnswersWithoutEnd);
+    if (exchange.eventStep)
+        eventSteps_.record(exchange.service, *exchange.eventStep);
     countLateStream(exchange);
     recordStreamDuration(exchange, now);
     recordAnswer(now);
--- a/tests/streamends_test.cpp
+++ b/tests/streamends_test.cpp
@@ -252,3 +252,75 @@
     CHECK(statusOf(order) == 502);
 }
 
+// Guards against a gap where a stream goes on after its first event: one event alone does not tell the next
+// one's id.
+TEST_CASE_FIXTURE(GatewayFixture, "a continuation begins at the service's usual next event")
+{
+    const CallerId usual = request("/review/1");
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 4);
+    end(lastSent().attempt);
+    REQUIRE(streamEnds.at(usual));
+    const BegunStream stream = beginStream(*this, 1);
+    broken(stream.first.attempt);
+    REQUIRE(lastSent().resumeAfter == 1);
+    head(lastSent().attempt, 200, true);
+    SUBCASE("one event too far")
+    {
+        events(lastSent().attempt, 3, 4);
+        CHECK(streamed[stream.caller] == eventsUpTo(1));
+        REQUIRE(streamEnds.contains(stream.caller));
+        CHECK_FALSE(streamEnds.at(stream.caller));
+    }
+    SUBCASE("the next event")
+    {
+        events(lastSent().attempt, 2, 4);
+        end(lastSent().attempt);
+        CHECK(streamed[stream.caller] == eventsUpTo(4));
+        CHECK(streamEnds.at(stream.caller));
+    }
+}
+
+// Guards against a gap where a caller resumes a stream and the endpoint goes on too far.
+TEST_CASE_FIXTURE(GatewayFixture, "a caller's resumption begins at the event after its last one")
+{
+    serveForWindow();
+    const CallerRequest begun = makeRequest("/review/1");
+    request(begun);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 1, 4);
+    end(lastSent().attempt);
+    CallerRequest again = makeRequest("/review/1");
+    again.resumeAfter = 3;
+    again.resumes = begun.id;
+    const size_t before = sent.size();
+    const CallerId caller = request(again);
+    pass({300});
+    REQUIRE(sent.size() == before + 1);
+    const SendAttempt first = lastSent();
+    head(first.attempt, 200, true);
+    events(first.attempt, 5, 6);
+    CHECK(streamed[caller].empty());
+    CHECK(cancelled.back() == first.attempt);
+}
+
+// Guards against a service whose streams count in steps of their own: none of them is cut for that.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "a service without a usual step between events has continuations of any step")
+{
+    for (const char *second : {"id: 2\ndata: 2\n\n", "id: 7\ndata: 7\n\n"}) {
+        request("/review/1");
+        head(lastSent().attempt, 200, true);
+        events(lastSent().attempt, 1, 1);
+        data(lastSent().attempt, second);
+        end(lastSent().attempt);
+    }
+    const BegunStream stream = beginStream(*this, 1);
+    broken(stream.first.attempt);
+    head(lastSent().attempt, 200, true);
+    events(lastSent().attempt, 3, 3);
+    events(lastSent().attempt, 5, 5);
+    end(lastSent().attempt);
+    CHECK(streamEnds.at(stream.caller));
+}
+
