A stream of events without ids is not continued elsewhere

What callers saw: two runs joined, a b a b c, ended as complete, where a stream without ids broke and was sent again.

Cause: without an id of the last event the next endpoint begins anew; nothing asked whether the caller had events.

Change: such a stream is broken off visibly, and not moved (repeat_denied, no_event_ids). A block without id and data is a comment: it is passed on, and counts as no event.

Before: "a stream of events without ids is not continued elsewhere" failed: it was moved, and sent again after its break. After: it holds, also that a comment changes nothing.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -114,6 +114,7 @@
     bool eventIntervalIsEvaluated = false; ///< This attempt's event interval is counted in a trial.
     TrialRole trialRole = TrialRole::Ordinary; ///< Role of this attempt.
     uint64_t events = 0; ///< Number of events in all attempts.
+    bool hasEventsWithoutId = false;
     bool isLate = false; ///< The first event or a pause missed its target.
     std::optional<GenerationMigration> migration;
     StopState stop = StopState::NotAsked; ///< Of this attempt's generation, but for the open migration.
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -161,9 +161,12 @@
                 break;
             exchange.eventStep = *event->id - *exchange.lastEvent;
         }
+        bytes += event->text;
+        if (event->isComment)
+            continue;
         if (event->id)
             exchange.lastEvent = event->id;
-        bytes += event->text;
+        exchange.hasEventsWithoutId = exchange.hasEventsWithoutId || !event->id;
         ++exchange.events;
         ++exchange.attemptEvents;
     }
@@ -478,8 +481,8 @@
 bool Gateway::canContinueElsewhere(Exchange &exchange, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
-    if (isQuarantined(exchange, now) || isOutOfReach(exchange.service, now) || !endsBeforeExit(exchange, now)
-        || !place(exchange, question, now).choice)
+    if (exchange.hasEventsWithoutId || isQuarantined(exchange, now) || isOutOfReach(exchange.service, now)
+        || !endsBeforeExit(exchange, now) || !place(exchange, question, now).choice)
         return false;
     const bool isAllowed = retryBudget_.allows(exchange.service, GatewayRetry::StreamResumed, now);
     if (!isAllowed)
--- a/src/gateway/requests/eventstream.cpp
+++ b/src/gateway/requests/eventstream.cpp
@@ -30,6 +30,12 @@
     return std::nullopt;
 }
 
+bool hasDataField(std::string_view event)
+{
+    constexpr std::string_view LaterField = "\ndata";
+    return event.starts_with(LaterField.substr(1)) || event.find(LaterField) != std::string_view::npos;
+}
+
 // Returns the position after the blank line that ends the first event. Lines may end in LF or CRLF.
 size_t endOfEvent(const std::string &buffer)
 {
@@ -50,6 +56,7 @@
     StreamEvent event;
     event.text = buffer_.substr(0, end);
     event.id = idOf(event.text);
+    event.isComment = !event.id && !hasDataField(event.text);
     buffer_.erase(0, end);
     return event;
 }
--- a/src/gateway/requests/eventstream.h
+++ b/src/gateway/requests/eventstream.h
@@ -11,6 +11,7 @@
 struct StreamEvent {
     std::string text; ///< Includes the blank line that ends the event.
     std::optional<uint64_t> id;
+    bool isComment = false; ///< Neither an id nor data: it tells the caller nothing.
 };
 
 /// Splits a byte stream into complete events. An incomplete event is never returned.
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -95,7 +95,7 @@
 
 bool Gateway::shouldMigrate(const Exchange &exchange, TimeMs now) const
 {
-    if (!exchange.streaming || exchange.processCheck == ProcessCheck::Asked
+    if (!exchange.streaming || exchange.hasEventsWithoutId || exchange.processCheck == ProcessCheck::Asked
         || exchange.migrationTargets.size() >= MaxMigrations || isQuarantined(exchange, now))
         return false;
     const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
--- a/src/gateway/requests/retries.cpp
+++ b/src/gateway/requests/retries.cpp
@@ -28,6 +28,11 @@
     // it.
     if (exchange.mayHaveRun && !isRetryable(*exchange.route))
         return false;
+    // Which of its events the caller has could not be told to another endpoint.
+    if (exchange.hasEventsWithoutId) {
+        logDenied(exchange, "no_event_ids");
+        return false;
+    }
     if (deadlineOf(exchange) - now < MinUsefulTime)
         return false;
     if (!endsBeforeExit(exchange, now)) {
--- a/tests/streamends_test.cpp
+++ b/tests/streamends_test.cpp
@@ -324,3 +324,36 @@
     CHECK(streamEnds.at(stream.caller));
 }
 
+// Guards against two runs that are joined: without ids nobody knows which events the caller has.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream of events without ids is not continued elsewhere")
+{
+    serveForWindow();
+    configuration->services[0].engine->migratesGenerations = true;
+    CallerRequest wanted = makeRequest("/review/1");
+    wanted.outputTokens = 300;
+    const CallerId caller = request(wanted);
+    const SendAttempt first = lastSent();
+    const size_t before = sent.size();
+    head(first.attempt, 200, true);
+    data(first.attempt, ": a comment\n\n");
+    SUBCASE("events without ids")
+    {
+        data(first.attempt, "data: a\n\ndata: b\n\n");
+        for (EndpointEntry &entry : endpoints)
+            entry.leaving = entry.leaving || entry.id == first.endpoint;
+        listEndpoints();
+        pass({100});
+        CHECK(moves.empty());
+        broken(first.attempt);
+        CHECK(sent.size() == before);
+        REQUIRE(streamEnds.contains(caller));
+        CHECK_FALSE(streamEnds.at(caller));
+    }
+    SUBCASE("a comment is no event")
+    {
+        events(first.attempt, 1, 2);
+        broken(first.attempt);
+        CHECK(sent.size() == before + 1);
+        CHECK(lastSent().resumeAfter == 2);
+    }
+}
