A continuation that brings less than the stream must have is no end

What callers saw: a stream that ended as complete at event 3 because the endpoint that was to continue it answered with an empty stream, or because a move's target ended before the events that the source had made.

Cause: only the first attempt was asked whether it had brought an event; `Created` in the reply to a move was not read.

Change: an unframed stream without an event ends nothing; a moved generation has at least the events that its source made (first attempts only: an engine that began in the middle may count from there). An empty stream with a last chunk is still believed: where the stream broke after its last event it is the truth.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -114,6 +114,7 @@
     bool eventIntervalIsEvaluated = false; ///< This attempt's event interval is counted in a trial.
     TrialRole trialRole = TrialRole::Ordinary; ///< Role of this attempt.
     uint64_t events = 0; ///< Number of events in all attempts.
+    uint64_t eventsMade = 0; ///< Number that its generation had made when it moved; 0: not known.
     bool hasEventsWithoutId = false;
     bool isLate = false; ///< The first event or a pause missed its target.
     std::optional<GenerationMigration> migration;
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -231,7 +231,9 @@
 // Returns how a stream ended whose bytes are complete according to their framing.
 StreamEnd Gateway::streamEndOf(const Exchange &exchange)
 {
-    if (exchange.splitter.hasPartialEvent() || exchange.phase != ExchangePhase::Streaming)
+    const bool isEmpty = exchange.attemptEvents == 0
+        && (exchange.head.isUnframed || exchange.phase != ExchangePhase::Streaming);
+    if (exchange.splitter.hasPartialEvent() || isEmpty || exchange.events < exchange.eventsMade)
         return StreamEnd::Broken;
     return exchange.head.isUnframed ? StreamEnd::Closed : StreamEnd::Stated;
 }
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -172,6 +172,9 @@
         return onMigrationFailed(*exchange, now);
     }
     migration.handle = event.handle;
+    // An engine that began in the middle of a stream may count from there.
+    if (exchange->sends == 0 && !exchange->request->resumeAfter)
+        exchange->eventsMade = event.eventsMade.value_or(0);
     log(LogPriority::Failure, "moved", *exchange,
         {{"after_ms", (now - migration.startedAt).count},
          {"events", exchange->events},
--- a/tests/streamends_test.cpp
+++ b/tests/streamends_test.cpp
@@ -225,6 +225,62 @@
     return out;
 }
 
+// Guards against a stream that ends as complete because the endpoint that is to continue it sends nothing.
+TEST_CASE_FIXTURE(GatewayFixture, "an unframed continuation without an event is no end of the stream")
+{
+    const BegunStream stream = beginStream(*this, 3, true);
+    broken(stream.first.attempt);
+    REQUIRE(sent.back().resumeAfter == 3);
+    const SendAttempt second = lastSent();
+    gateway.onHead(streamHead(second.attempt, true), now);
+    end(second.attempt);
+    gateway.onEngineProbed({second.endpoint, {}, true, false, {}, EndpointProcess::Running, true}, now);
+    drainActions();
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK_FALSE(streamEnds.at(stream.caller));
+}
+
+// Guards against a moved stream that ends as complete at the target before the events that its source had
+// made.
+TEST_CASE_FIXTURE(GatewayFixture, "a moved stream has at least the events that its source made")
+{
+    configuration->services[0].engine->migratesGenerations = true;
+    CallerRequest wanted = makeRequest("/draft/1");
+    wanted.outputTokens = 300;
+    const CallerId caller = request(wanted);
+    const SendAttempt source = lastSent();
+    head(source.attempt, 200, true);
+    events(source.attempt, 1, 3);
+    for (EndpointEntry &entry : endpoints) {
+        if (entry.id == source.endpoint) {
+            entry.leaving = true;
+            entry.leavesAfter = DurationMs{2000};
+        }
+    }
+    listEndpoints();
+    pass({25});
+    REQUIRE(moves.size() == 1);
+    broken(source.attempt);
+    gateway.onGenerationMigrated({source.attempt, MigrationOutcome::Migrated, "h1", 6}, now);
+    drainActions();
+    REQUIRE(sent.size() == 2);
+    head(lastSent().attempt, 200, true);
+    uint64_t last = 0;
+    SUBCASE("the target brings none") { }
+    SUBCASE("it brings some of them")
+    {
+        last = 5;
+    }
+    SUBCASE("it brings all of them")
+    {
+        last = 6;
+    }
+    events(lastSent().attempt, 4, last);
+    end(lastSent().attempt);
+    REQUIRE(streamEnds.contains(caller));
+    CHECK(streamEnds.at(caller) == (last == 6));
+}
+
 // Guards against an end that is believed of a process that another one has replaced.
 TEST_CASE_FIXTURE(GatewayFixture, "the end of an unframed response of a replaced process is not believed")
 {
