A process that accepts a connection and closes it is asked again before an end is believed

What callers saw: an engine's process is killed, and all streams without framing that it had end as complete, several at once, at whichever event they were.

Cause: after such an end the engine's process is asked on a new connection; one that was accepted and then closed without a reply passed for a process with too many connections, which runs. But the kernel closes the sockets of a killed process one by one, the listening one often last: it still accepts the question that the first closed stream brings on, and closes it with itself. Class: an end that is believed without a proof.

Change: an endpoint that closes the question's connection is asked once more. A killed process refuses that, as its listening socket was gone before it closed what it had accepted; one with too many connections accepts again. An accepted question without any reply proves nothing now. endpointcrashes_test asked that the first accepted and closed connection be enough for a complete stream; that was wrong, and it now asks that the second is, that a refused second one is a crash, and that silence is no proof.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -39,7 +39,7 @@
     attempt.retryAfterProbe
         = quarantine_.suspects().isSuspected(exchange.digest) && !isQuarantined(exchange, now);
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        probeProcess(*endpoint, now);
+        probeProcess(*endpoint, false, now);
     return attempt.retryAfterProbe;
 }
 
@@ -55,14 +55,26 @@
     InterruptedAttempt attempt = interruptedAttempt(exchange);
     attempt.ended = exchange.attempt;
     if (endpointQuestions_.add(exchange.sentTo, attempt, now))
-        probeProcess(*endpoint, now);
+        probeProcess(*endpoint, false, now);
 }
 
-void Gateway::probeProcess(const FleetEndpoint &endpoint, TimeMs now)
+void Gateway::probeProcess(const FleetEndpoint &endpoint, bool isRepeat, TimeMs now)
 {
     fleet_.takeCall(endpoint.entry.id, now);
     actions_.emplace_back(ProbeEngine{endpoint.entry.id, endpoint.entry.address, ProcessProbeTimeout, true,
-                                      relayFor(endpoint.entry.service, now)});
+                                      relayFor(endpoint.entry.service, now), isRepeat});
+}
+
+// The sockets of a killed process are closed one by one, the listening one often last: meanwhile connections
+// are still accepted, and closed with it. A process with too many connections closes new ones as well, but
+// accepts the next one.
+bool Gateway::repeatProbe(const EngineProbed &event, TimeMs now)
+{
+    const FleetEndpoint *endpoint = fleet_.find(event.endpoint);
+    if (event.process != EndpointProcess::Closed || event.isRepeat || !endpoint)
+        return false;
+    probeProcess(*endpoint, true, now);
+    return true;
 }
 
 void Gateway::endUnframedResponse(AttemptId attempt, bool isComplete, TimeMs now)
@@ -112,6 +124,8 @@
 // has its own connections only; members may also be missing from the list for a while.
 void Gateway::onProcessProbed(const EngineProbed &event, TimeMs now)
 {
+    if (repeatProbe(event, now))
+        return;
     EngineProbed result = event;
     if (!event.relay) {
         const bool isRefused = event.process == EndpointProcess::Exited;
@@ -136,6 +150,7 @@
     // A connection that broke at an endpoint that only others reach broke with this daemon's own path.
     const FleetEndpoint *endpoint = fleet_.find(probe->incarnation);
     const bool isOwnPath = probe->process == EndpointProcess::Unknown
+        || probe->process == EndpointProcess::Closed
         || (probe->process == EndpointProcess::Running && endpoint
             && paths_.isDoubtful(endpoint->entry.service));
     for (const InterruptedAttempt &attempt : probe->attempts) {
@@ -153,10 +168,8 @@
     else
         counters_.add(probe->process == EndpointProcess::Running ? GatewayCount::EndpointsOutlivedBreaks
                                                                  : GatewayCount::BreaksUnexplained);
-    // An endpoint with too many connections resets new ones, so it runs.
-    const bool isAccepted = !event.relay && event.connect == ConnectFailure::None;
     const bool isRunning = probe->process == EndpointProcess::Running
-        || (probe->process == EndpointProcess::Unknown && isAccepted);
+        || (probe->process == EndpointProcess::Closed && event.isRepeat);
     for (const InterruptedAttempt &attempt : probe->attempts) {
         if (attempt.ended)
             endUnframedResponse(*attempt.ended, isRunning, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -392,7 +392,8 @@
     static InterruptedAttempt interruptedAttempt(const Exchange &exchange);
     /// The response ended with its connection, as it also does when its endpoint crashes.
     void awaitEndpointState(Exchange &exchange, TimeMs now);
-    void probeProcess(const FleetEndpoint &endpoint, TimeMs now);
+    void probeProcess(const FleetEndpoint &endpoint, bool isRepeat, TimeMs now);
+    bool repeatProbe(const EngineProbed &event, TimeMs now);
     static ResponseFraming framingOf(const Exchange &exchange);
     void endUnframedResponse(AttemptId attempt, bool isComplete, TimeMs now);
     bool probeThroughRelay(const EndpointId &id, TimeMs now);
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -136,6 +136,7 @@
 enum class EndpointProcess : uint8_t {
     Unknown, ///< No reply: the endpoint may be unreachable, frozen or without power.
     Running, ///< It replied, whatever the reply was.
+    Closed, ///< It accepted the connection and closed it without a reply.
     Exited ///< The instance is up and refuses the connection: no process listens there.
 };
 
@@ -148,6 +149,7 @@
     std::optional<DurationMs> leavesAfter;
     EndpointProcess process = EndpointProcess::Unknown;
     bool afterConnectionFailure = false; ///< Copied from the ProbeEngine action.
+    bool isRepeat = false; ///< Copied from the ProbeEngine action.
     ConnectFailure connect = ConnectFailure::None; ///< Of this daemon's own connection.
     std::optional<Address> relay = std::nullopt; ///< Copied from the ProbeEngine action.
     RelayFailure relayFailure = RelayFailure::None;
@@ -586,6 +588,7 @@
     /// endpoint that exited from a broken keep-alive connection.
     bool afterConnectionFailure = false;
     std::optional<Address> relay = std::nullopt; ///< Daemon that probes instead of this one.
+    bool isRepeat = false; ///< The endpoint closed the first probe's connection without a reply.
 };
 
 /// Closes the connections to these endpoints that are not in use.
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -332,6 +332,7 @@
         const int status = outcome == RelayOutcome::Reached ? completeStatus(reply) : 0;
         EngineProbed probed = platform::decodeProbe(action.endpoint, status, reply.headers, reply.body);
         probed.afterConnectionFailure = action.afterConnectionFailure;
+        probed.isRepeat = action.isRepeat;
         probed.relay = action.relay;
         if (action.relay) {
             probed.relayFailure = relayFailureOf(reply.failure, outcome);
@@ -341,6 +342,8 @@
             probed.connect = connectFailureOf(reply.failure);
             if (reply.failure == HttpFailure::Refused)
                 probed.process = EndpointProcess::Exited;
+            else if (reply.failure == HttpFailure::Interrupted)
+                probed.process = EndpointProcess::Closed;
         }
         gateway.onEngineProbed(probed, steadyNow());
     });
--- a/tests/endpointcrashes_test.cpp
+++ b/tests/endpointcrashes_test.cpp
@@ -157,18 +157,49 @@
     }
     SUBCASE("it does not reply")
     {
-        gateway.onEngineProbed(
-            {first.endpoint, {}, false, false, {}, EndpointProcess::Unknown, true, ConnectFailure::TimedOut},
-            now);
+        gateway.onEngineProbed({first.endpoint,
+                                {},
+                                false,
+                                false,
+                                {},
+                                EndpointProcess::Unknown,
+                                true,
+                                false,
+                                ConnectFailure::TimedOut},
+                               now);
         drainActions();
         CHECK(streamEnds.count(stream) == 0);
         CHECK(lastSent().resumeAfter == 3);
     }
     SUBCASE("it accepts the connection and resets it")
+    {
+        gateway.onEngineProbed({first.endpoint, {}, false, false, {}, EndpointProcess::Closed, true}, now);
+        drainActions();
+        CHECK(streamEnds.count(stream) == 0);
+        REQUIRE(probes.size() == 2);
+        CHECK(probes[1].afterConnectionFailure);
+        REQUIRE(probes[1].isRepeat);
+        SUBCASE("and does so again: it has too many connections")
+        {
+            gateway.onEngineProbed(
+                {first.endpoint, {}, false, false, {}, EndpointProcess::Closed, true, true}, now);
+            drainActions();
+            CHECK(streamEnds.at(stream));
+        }
+        SUBCASE("and nobody listens any more: the sockets of a killed process are closed one by one")
+        {
+            endpointEnded(first.endpoint);
+            CHECK(streamEnds.count(stream) == 0);
+            CHECK(lastSent().endpoint != first.endpoint);
+            CHECK(lastSent().resumeAfter == 3);
+        }
+    }
+    SUBCASE("it accepts the connection and says nothing")
     {
         gateway.onEngineProbed({first.endpoint, {}, false, false, {}, EndpointProcess::Unknown, true}, now);
         drainActions();
-        CHECK(streamEnds.at(stream));
+        CHECK(streamEnds.count(stream) == 0);
+        CHECK(lastSent().resumeAfter == 3);
     }
     const CallerId order = request("/order/1");
     const SendAttempt sentOrder = lastSent();
--- a/tests/movingengines.py
+++ b/tests/movingengines.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Engines on loopback that stop streams for a move, and callers that check what they get.
 
-Usage: movingengines.py CASE --port FIRST --count N --callers N --to PORT --store PORT [--seed S] [--path PATH]
+Usage: movingengines.py CASE --port FIRST --count N --callers N --to PORT [PORT] --store PORT [--seed S] [--path PATH]
 CASE is chunked or unframed, the framing of the streams. Each stream draws the order in which its engine answers the
-move and closes the stream. Half of the engines leave while the streams run. Prints "ready", then "played" with what the
-callers got by order; ends with 1 if a stream reached its caller out of order, or as complete before its last event.
+move and closes the stream. Half of the engines leave while the streams run; in case killed, which is unframed, they
+have a process of their own that is killed instead. Prints "ready", "leave" and then "played" with what the callers got by
+order; ends with 1 if a stream reached its caller out of order, or as complete before its last event.
 """
 import argparse
 import asyncio
@@ -13,10 +14,10 @@
 import dataclasses
 import itertools
 import json
+import os
 import random
 import re
-import socket
-import struct
+import signal
 import sys
 
 EVENTS = 60
@@ -52,9 +53,12 @@
     def __init__(self, arguments):
         self.arguments, self.runs, self.draining = arguments, {}, set()
         self.random, self.handles = random.Random(arguments.seed), itertools.count(1)
+        self.ports = range(arguments.port, arguments.port + arguments.count)
+        self.leaving, self.staying = self.ports[:arguments.count // 2], self.ports[arguments.count // 2:]
 
-    def ports(self):
-        return range(self.arguments.port, self.arguments.port + self.arguments.count)
+    async def listen(self, ports):
+        for port in ports:
+            await asyncio.start_server(self.on_connection, "127.0.0.1", port)
 
     async def on_connection(self, reader, writer):
         try:
@@ -142,7 +146,7 @@
             run.writer = None
 
     async def publish(self):
-        puts = [{"Key": f"servers/m-{port}", "Value": self.entry(port), "Lease": 0} for port in self.ports()]
+        puts = [{"Key": f"servers/m-{port}", "Value": self.entry(port), "Lease": 0} for port in self.ports]
         body = json.dumps({"Precondition": [], "Puts": puts, "Deletes": []}).encode()
         await exchange(self.arguments.store, b"POST /kv-txn HTTP/1.1\r\nHost: store\r\nConnection: close\r\n"
                                              b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
@@ -155,7 +159,7 @@
         return base64.b64encode(json.dumps(out).encode()).decode()
 
     async def leave(self):
-        self.draining.update(itertools.islice(self.ports(), self.arguments.count // 2))
+        self.draining.update(self.leaving)
         await self.publish()
 
 
@@ -190,7 +194,7 @@
     request = (f"POST {arguments.path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {identity}\r\n"
                f"Authorization: Bearer key-a\r\nX-Deadline-Ms: 12000\r\nX-Token-Count: 10,{3 * EVENTS}\r\n"
                "Connection: close\r\nContent-Length: 1\r\n\r\nx").encode()
-    response, was_closed = await exchange(arguments.to, request)
+    response, was_closed = await exchange(arguments.to[number % len(arguments.to)], request)
     status, events, complete = stream_of(response, was_closed)
     run = engines.runs.get(identity, Run("none"))
     name = run.order if run.moved or run.stopped else "stays"
@@ -202,28 +206,43 @@
         got[name, "whole" if complete and status == 200 else "broken off"] += 1
 
 
-async def play(arguments):
-    engines, got = Engines(arguments), collections.Counter()
-    for port in engines.ports():
-        await asyncio.start_server(engines.on_connection, "127.0.0.1", port)
+def start_victims(engines):
+    victims = os.fork()
+    if victims:
+        return victims
+    loop = asyncio.new_event_loop()
+    loop.run_until_complete(engines.listen(engines.leaving))
+    loop.run_forever()
+
+
+async def play(arguments, engines, victims):
+    got = collections.Counter()
+    await engines.listen(engines.staying if victims else engines.ports)
     await engines.publish()
     print("ready", flush=True)
     await asyncio.sleep(2)
     callers = [asyncio.create_task(one_caller(arguments, engines, number, got)) for number in range(arguments.callers)]
     await asyncio.sleep(LEAVE_AT_S)
-    await engines.leave()
+    print("leave", flush=True)
+    if victims:
+        os.kill(victims, signal.SIGKILL)
+    else:
+        await engines.leave()
     _, late = await asyncio.wait(callers, timeout=PLAY_S)
     for (order, outcome), count in sorted(got.items()):
         print(f"{order}: {outcome} {count}", flush=True)
     moved = sum(run.moved for run in engines.runs.values())
     wrong = sum(count for (_, outcome), count in got.items() if outcome.isupper())
     print(f"played: {sum(got.values())} of {arguments.callers}, moved {moved}, wrong {wrong}", flush=True)
-    return 0 if not wrong and not late and moved else 1
+    return 0 if not wrong and not late else 1
 
 
 parser = argparse.ArgumentParser()
-parser.add_argument("case", choices=["chunked", "unframed"])
-for name, default in {"port": 0, "count": 8, "callers": 120, "to": 0, "store": 0, "seed": 1}.items():
+parser.add_argument("case", choices=["chunked", "unframed", "killed"])
+parser.add_argument("--to", type=int, nargs="+")
+for name, default in {"port": 0, "count": 8, "callers": 120, "store": 0, "seed": 1}.items():
     parser.add_argument("--" + name, type=int, default=default)
 parser.add_argument("--path", default="/moves/1")
-sys.exit(asyncio.run(play(parser.parse_args())))
+given = parser.parse_args()
+all_engines = Engines(given)
+sys.exit(asyncio.run(play(given, all_engines, start_victims(all_engines) if given.case == "killed" else 0)))
--- a/tests/movingengines_test.sh
+++ b/tests/movingengines_test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against a stream that was stopped for a move and whose close is read before the reply: it must not reach its
-# caller as complete. Usage: movingengines_test.sh chunked|unframed [SEED]
+# Guards against a stream that was stopped for a move and whose close is read before the reply, or whose process was
+# killed: it must not reach its caller as complete. Usage: movingengines_test.sh chunked|unframed|relay|killed [SEED]
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
@@ -12,9 +12,31 @@
 c['Services'].append(dict(c['Services'][0], Name='svc-moves'))
 c['Services'][-1]['Engine'] = dict(c['Services'][0]['Engine'], Moves=True)"
 
+case=$1
+framing=$1
+callers_of=(21101)
 begin_run
+if [ "$case" = relay ]; then
+    # The daemon that is asked reaches no endpoint, its peer does.
+    framing=unframed
+    echo refused >"$run_dir/links"
+    preload=(env LD_PRELOAD="$build/liblinkfaults.so" LINK_FAULT_FILE="$run_dir/links" LINK_FAULT_PORTS=21001-21038)
+fi
 start_gateway
-start engines python3 "$root/tests/movingengines.py" "$1" --port 21031 --to 21101 --store "${store##*:}" --seed "${2:-1}"
+if [ "$case" = relay ] || [ "$case" = killed ]; then
+    sed -E 's/(21[1-5]0)1/\12/g; s/entry-1/entry-2/' "$run_dir/settings.json" >"$run_dir/settings-2.json"
+    start peer "$build/cranberrygated" --settings "$run_dir/settings-2.json"
+    wait_for "the peer" curl -sf "http://127.0.0.1:21202/ready"
+fi
+[ "$case" != killed ] || callers_of+=(21102)
+start engines python3 "$root/tests/movingengines.py" "$framing" --port 21031 --to "${callers_of[@]}" --store "${store##*:}" \
+    --seed "${2:-1}"
+if [ "$case" = killed ]; then
+    wait_for "the kill of half of the engines" grep -q leave "$run_dir/engines.out"
+    sleep 0.5
+    kill_processes peer
+    unset "pids[peer]"
+fi
 for _ in $(seq 400); do
     ! grep -q '^played' "$run_dir/engines.out" || break
     sleep 0.1
@@ -25,5 +47,5 @@
 done
 cp "$run_dir/daemon.out" "${KEEP_LOG:-/dev/null}"
 expect "all streams have ended" "$(grep -oE '^played: ([0-9]+) of \1,' "$run_dir/engines.out" | wc -l)" 1
-expect "streams were moved" "$(grep -cE 'moved [1-9]' "$run_dir/engines.out" || true)" 1
+[ "$case" = killed ] || expect "streams were moved" "$(grep -cE 'moved [1-9]' "$run_dir/engines.out" || true)" 1
 expect "no stream is out of order or ends early" "$(grep -cE 'OUT OF ORDER|ENDED EARLY' "$run_dir/engines.out" || true)" 0
