cranberryd: an engine's stream with a damaged event or an error in it is not complete

What callers saw: an answer that lacks a piece and ends as complete. An event that could not be read was passed over, and so was an error that an engine reports inside its stream, or an event whose "data:" has no space behind it.

Cause: lines that were not understood were ignored; the end marker after them was believed.

Change: the attempt is broken off at such an event, so the answer goes on elsewhere after the text so far (unreadableEvent in the log). The space is optional.

--- a/src/daemon/io/endpointlink.cpp
+++ b/src/daemon/io/endpointlink.cpp
@@ -4,6 +4,7 @@
 #include "daemon/io/logging.h"
 #include "io/httpserver.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -148,21 +149,33 @@
 {
     ++noRoom_;
     logChange("answerTooLarge", "endpoint={} bytes={}", toText(active.address), active.claim.bytes());
-    const AttemptId id = active.id;
-    cancel(id);
-    sink_(EndpointFailed{id, FailurePhase::AfterSend});
+    cancelAsFailed(active.id);
+}
+
+void EndpointLink::cancelAsFailed(AttemptId attempt)
+{
+    cancel(attempt);
+    sink_(EndpointFailed{attempt, FailurePhase::AfterSend});
 }
 
 void EndpointLink::onModelData(ActiveAttempt &active, const char *data, size_t size)
 {
     active.buffer.append(data, size);
     size_t start = 0;
-    for (size_t end = active.buffer.find('\n'); end != std::string::npos;
+    bool isReadable = true;
+    for (size_t end = active.buffer.find('\n'); isReadable && end != std::string::npos;
          end = active.buffer.find('\n', start)) {
-        onLine(active, active.buffer.substr(start, end - start));
+        isReadable = onLine(active, std::string_view(active.buffer).substr(start, end - start));
         start = end + 1;
     }
     active.buffer.erase(0, start);
+    passText(active);
+    if (!isReadable && activeAttempts_.contains(active.id))
+        onUnreadable(active);
+}
+
+void EndpointLink::passText(ActiveAttempt &active)
+{
     if (active.text.empty())
         return;
     active.passedOn += active.text.size();
@@ -172,22 +185,31 @@
     sink_(std::move(event));
 }
 
-void EndpointLink::onLine(ActiveAttempt &active, const std::string &line)
+// What the line would have added is missing, so what follows does not continue the text.
+void EndpointLink::onUnreadable(const ActiveAttempt &active)
 {
-    constexpr size_t PrefixSize = 6;
-    if (!line.starts_with("data: "))
-        return;
-    if (line.compare(PrefixSize, 6, "[DONE]") == 0) {
+    logChange("unreadableEvent", "endpoint={} bytes={}", toText(active.address), active.passedOn);
+    cancelAsFailed(active.id);
+}
+
+bool EndpointLink::onLine(ActiveAttempt &active, std::string_view line)
+{
+    constexpr std::string_view DataField = "data:";
+    if (!line.starts_with(DataField))
+        return true;
+    line.remove_prefix(DataField.size());
+    line.remove_prefix(std::min(line.find_first_not_of(" \r"), line.size()));
+    if (line.starts_with("[DONE]"))
         active.sawEndMarker = true;
-        return;
-    }
+    if (line.empty() || active.sawEndMarker)
+        return true;
     constexpr size_t ScratchBytes = 4096;
     std::array<unsigned char, ScratchBytes> scratch;
     json::monotonic_resource memory(scratch.data(), scratch.size());
     json::error_code code;
-    const json::value chunk = json::parse(json::string_view(line).substr(PrefixSize), code, &memory);
-    if (code || !chunk.is_object())
-        return;
+    const json::value chunk = json::parse(json::string_view(line), code, &memory);
+    if (code || !chunk.is_object() || chunk.as_object().contains("error"))
+        return false;
     const json::value *usage = chunk.as_object().if_contains("usage");
     if (usage && usage->is_object()) {
         const json::value *details = usage->as_object().if_contains("prompt_tokens_details");
@@ -198,7 +220,7 @@
     const json::value *choices = chunk.as_object().if_contains("choices");
     if (!choices || !choices->is_array() || choices->as_array().empty()
         || !choices->as_array().front().is_object())
-        return;
+        return true;
     const json::object &choice = choices->as_array().front().as_object();
     const json::value *delta = choice.if_contains("delta");
     const json::value *content
@@ -210,6 +232,7 @@
     const json::value *reason = choice.if_contains("finish_reason");
     if (reason && reason->is_string())
         active.end.finishReason = std::string(reason->as_string());
+    return true;
 }
 
 // A stream is complete only with the engine's end marker; without this check, a connection that is closed
--- a/src/daemon/io/endpointlink.h
+++ b/src/daemon/io/endpointlink.h
@@ -37,7 +37,11 @@
     void onModelData(ActiveAttempt &active, const char *data, size_t size);
     void giveUp(const ActiveAttempt &active);
     void end(AttemptId attempt);
-    void onLine(ActiveAttempt &active, const std::string &line);
+    /// Returns false if the line is damaged or says that the engine failed.
+    bool onLine(ActiveAttempt &active, std::string_view line);
+    void passText(ActiveAttempt &active);
+    void onUnreadable(const ActiveAttempt &active);
+    void cancelAsFailed(AttemptId attempt);
     void onDone(const ActiveAttemptPtr &active, HttpFailure failure);
     void probeEndpoint(const ActiveAttemptPtr &active, bool mayBeWhole);
     void pass(ActiveAttempt &active);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -97,6 +97,64 @@
 
 } // namespace
 
+namespace {
+
+struct EngineResult {
+    std::string text;
+    bool isWhole = false;
+};
+
+/// Returns what the endpoint link makes of an engine's complete response with these bytes.
+EngineResult resultOfEngineStream(const std::string &stream)
+{
+    boost::asio::io_context io;
+    HttpServer server(io, serverAddress, {}, [&stream](const HttpExchangePtr &exchange) {
+        exchange->respond(200, {{"Content-Type", "text/event-stream"}}, stream);
+    });
+    HttpClient client(io);
+    EngineResult out;
+    EndpointLink link(client, nullptr, [&](const Event &event) {
+        if (const EndpointData *data = std::get_if<EndpointData>(&event)) {
+            out.text += data->text;
+            return;
+        }
+        out.isWhole = std::holds_alternative<EndpointEnd>(event);
+        io.stop();
+    });
+    StartAttempt attempt;
+    attempt.attempt = {1};
+    attempt.address = serverAddress;
+    attempt.progressTimeout = {2000};
+    attempt.kind = ServiceKind::Model;
+    std::shared_ptr<RequestSpec> spec = std::make_shared<RequestSpec>();
+    spec->body = "{}";
+    attempt.spec = spec;
+    link.start(attempt);
+    io.run_for(std::chrono::seconds(5));
+    return out;
+}
+
+} // namespace
+
+// Guards against an answer that lacks a piece and ends as complete, since a damaged event was passed over.
+TEST_CASE("an engine's stream with a damaged event or an error is not complete")
+{
+    const std::string first = R"(data: {"choices":[{"delta":{"content":"a"}}]})";
+    const std::string last = R"(data:{"choices":[{"delta":{"content":"c"}}]})";
+    const std::string end = "\n\n" + last + "\n\ndata: [DONE]\n\n";
+    for (const char *damaged : {R"(data: {"choices":[{"delta":{"content":"b"}}])", "data: 7", "data: \"b\"",
+                                R"(data: {"error":{"message":"out of memory"}})"}) {
+        const EngineResult result = resultOfEngineStream(first + "\n\n" + damaged + end);
+        CHECK_MESSAGE(!result.isWhole, damaged);
+        CHECK(result.text == "a");
+    }
+    for (const char *harmless : {": still here", "event: more", "data:", "data: {}", "id: 7"}) {
+        const EngineResult result = resultOfEngineStream(first + "\n\n" + harmless + end);
+        CHECK_MESSAGE(result.isWhole, harmless);
+        CHECK(result.text == "ac");
+    }
+}
+
 TEST_CASE("an endpoint crash is distinguished from an aborted connection")
 {
     // Both look the same on the request's connection; only a new connection shows the difference. If an abort
