--- a/tests/movingengines.py
+++ b/tests/movingengines.py
@@ -2,7 +2,7 @@
 """Engines on loopback that stop streams for a move, and callers that check what they get.
 
 Usage: movingengines.py CASE --port FIRST --count N --callers N --to PORT [PORT] --store PORT [--seed S] [--path PATH]
-CASE is chunked or unframed, the framing of the streams. Each stream draws the order in which its engine answers the
+CASE is chunked or unframed, the framing of the streams; ending is chunked with a last chunk also where a run stops. Each stream draws the order in which its engine answers the
 move and closes the stream. Half of the engines leave while the streams run; in case killed, which is unframed, they
 have a process of their own that is killed instead. Prints "ready", "leave" and then "played" with what the callers got by
 order; ends with 1 if a stream reached its caller out of order, or as complete before its last event.
@@ -31,7 +31,6 @@
           "reply-0": (-0.001, 200, False), "reply-100": (-0.1, 200, False), "inside": (0.01, 200, True),
           "full-close": (0.01, 503, False), "full-reply": (-0.05, 503, False), "ended": (0.01, 404, False),
           "lost": (0, 0, False)}
-MOVED = [name for name, (_, status, _) in ORDERS.items() if status == 200]
 
 
 @dataclasses.dataclass
@@ -53,6 +52,9 @@
     def __init__(self, arguments):
         self.arguments, self.runs, self.draining = arguments, {}, set()
         self.random, self.handles = random.Random(arguments.seed), itertools.count(1)
+        self.chunked, self.ends = arguments.case in ("chunked", "ending"), arguments.case == "ending"
+        # Where every stream has a last chunk, a run whose reply is lost can't be told from one that is complete.
+        self.orders = [name for name in ORDERS if not self.ends or name not in ("lost", "inside")]
         self.ports = range(arguments.port, arguments.port + arguments.count)
         self.leaving, self.staying = self.ports[:arguments.count // 2], self.ports[arguments.count // 2:]
 
@@ -88,16 +90,15 @@
 
     async def stream(self, request, writer):
         identity, after = request["x-request-id"], int(request.get("last-event-id", 0))
-        run = self.runs.get(identity) or Run(self.random.choice(list(ORDERS)))
+        run = self.runs.get(identity) or Run(self.random.choice(self.orders))
         self.runs[identity] = run
         if "kv-from" in request:
             handle, run.handle = run.handle, ""
             if not handle or request["kv-from"].partition("/")[2] != handle:
                 return self.reply(writer, 503, {}, "X-Not-Executed: 1", f"X-Request-Id: {identity}")
             run.moved = True
-        chunked = self.arguments.case == "chunked"
         lines = ["HTTP/1.1 200 OK", "X-Server-Stamp: stamp", f"X-Request-Id: {identity}", "Content-Type: text/event-stream"]
-        lines += ["Transfer-Encoding: chunked"] if chunked else []
+        lines += ["Transfer-Encoding: chunked"] if self.chunked else []
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         run.stopped, run.writer, run.made = False, writer, after
         while run.made < run.last and run.writer is writer and not run.stopped:
@@ -106,14 +107,14 @@
             await asyncio.sleep(EVENT_S)
         if run.writer is writer and not run.stopped:
             run.writer = None
-            if chunked:
+            if self.chunked:
                 writer.write(b"0\r\n\r\n")
         while run.writer is writer:  # Stopped: the move closes it.
             await asyncio.sleep(EVENT_S)
         return False
 
     def send(self, writer, piece):
-        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if self.arguments.case == "chunked" else piece)
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if self.chunked else piece)
 
     async def move(self, order, writer):
         run = self.runs.get(order["Id"])
@@ -123,8 +124,8 @@
         source, run.stopped = run.writer, True
         if status == 404:  # It ends by itself, at this moment.
             run.last = run.made
-            if self.arguments.case == "chunked":
-                source.write(b"0\r\n\r\n")
+        if self.ends or (self.chunked and status == 404):
+            source.write(b"0\r\n\r\n")
         if inside:
             self.send(source, event(run.made + 1)[:9])
         if delay >= 0:
@@ -238,7 +239,7 @@
 
 
 parser = argparse.ArgumentParser()
-parser.add_argument("case", choices=["chunked", "unframed", "killed"])
+parser.add_argument("case", choices=["chunked", "unframed", "ending", "killed"])
 parser.add_argument("--to", type=int, nargs="+")
 for name, default in {"port": 0, "count": 8, "callers": 120, "store": 0, "seed": 1}.items():
     parser.add_argument("--" + name, type=int, default=default)
--- a/tests/movingengines_test.sh
+++ b/tests/movingengines_test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Guards against a stream that was stopped for a move and whose close is read before the reply, or whose process was
-# killed: it must not reach its caller as complete. Usage: movingengines_test.sh chunked|unframed|relay|killed [SEED]
+# killed: it must not reach its caller as complete. Usage: movingengines_test.sh chunked|unframed|ending|relay|killed [SEED]
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
