--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -144,12 +144,12 @@
     const std::string end = "\n\n" + last + "\n\ndata: [DONE]\n\n";
     for (const char *damaged : {R"(data: {"choices":[{"delta":{"content":"b"}}])", "data: 7", "data: \"b\"",
                                 R"(data: {"error":{"message":"out of memory"}})"}) {
-        const EngineResult result = resultOfEngineStream(first + "\n\n" + damaged + end);
+        const EngineResult result = resultOfEngineStream(fmt::format("{}\n\n{}{}", first, damaged, end));
         CHECK_MESSAGE(!result.isWhole, damaged);
         CHECK(result.text == "a");
     }
     for (const char *harmless : {": still here", "event: more", "data:", "data: {}", "id: 7"}) {
-        const EngineResult result = resultOfEngineStream(first + "\n\n" + harmless + end);
+        const EngineResult result = resultOfEngineStream(fmt::format("{}\n\n{}{}", first, harmless, end));
         CHECK_MESSAGE(result.isWhole, harmless);
         CHECK(result.text == "ac");
     }
