A status is from 100 to 599: any other head is no answer

What callers saw: an endpoint in trouble sent an answer whose status was 000, and its caller got "HTTP/1.1 000 <unknown-status>" with the endpoint's stamp and body. 001, 007, 099, 600, 700 and 999 the same.

Cause: the HTTP parser asks for three digits and nothing else; the client passed on whatever they said.

Evidence: http_test, "an answer has a status from 100 to 599", failed on for each of the seven, with a length and without (14 of 14 checks).

Change: responseKindOf (RFC 9110, 15.) decides in HttpClient right behind the parser, once for all who read answers: attempts, relays, reports, moves, the store, duties, cranberryd, tools. A head that is none fails the call as one that is malformed, so nothing of it is passed on.

Why it works: no reader sees a head that the client has not passed. A request that may not be repeated gets 502 and is not sent again, as with any malformed answer.

After: the same test holds; its controls, 200 to 599, are served; eight statuses that the parser itself refuses stay so.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -53,6 +53,13 @@
     return hasBody && !isFramed(headers);
 }
 
+ResponseKind responseKindOf(int status)
+{
+    constexpr int MinStatus = 100;
+    constexpr int MaxStatus = 599;
+    return status < MinStatus || status > MaxStatus ? ResponseKind::Malformed : ResponseKind::Final;
+}
+
 HttpTarget parseTarget(const std::string &target)
 {
     HttpTarget out;
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -24,6 +24,14 @@
 /// from a cut.
 bool endsWithConnection(const std::string &method, int status, const HttpHeaders &headers);
 
+enum class ResponseKind : uint8_t {
+    Final,
+    Malformed ///< No response, whatever its head says besides.
+};
+
+/// Decides what the head of a received response is (RFC 9110, 15.).
+ResponseKind responseKindOf(int status);
+
 struct HttpRequest {
     std::string method = "GET";
     std::string target = "/";
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -264,12 +264,15 @@
 
     void passHead()
     {
+        const int status = static_cast<int>(parser_.get().result_int());
         HttpHeaders headers;
         for (const http::fields::value_type &field : parser_.get())
             headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        if (responseKindOf(status) == ResponseKind::Malformed)
+            return done(HttpFailure::Interrupted);
         idleLimit_ = idleLimitOf(headers);
         if (callbacks_.onHead)
-            callbacks_.onHead(static_cast<int>(parser_.get().result_int()), headers);
+            callbacks_.onHead(status, headers);
     }
 
     void passBody(size_t size)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -520,13 +520,20 @@
 
 namespace {
 
-/// Sends `answer` on each connection once a request has come, and closes or resets it.
+enum class ServerEnd : uint8_t {
+    Close, ///< A reset, too, if the request was not read to its end.
+    Reset,
+    HalfClose, ///< Closes its own side and reads no further.
+    HalfCloseThenReset
+};
+
+/// Sends `answer` on each connection once the begin of a request has come, and ends the connection so.
 class CutServer
 {
 public:
-    CutServer(boost::asio::io_context &io, std::string answer, bool resets)
-        : acceptor_(io, {boost::asio::ip::make_address(serverAddress.host), serverAddress.port}),
-          answer_(std::move(answer)), resets_(resets)
+    CutServer(boost::asio::io_context &io, std::string answer, ServerEnd end, DurationMs endsAfter = {0})
+        : acceptor_(io, {boost::asio::ip::make_address(serverAddress.host), serverAddress.port}), timer_(io),
+          answer_(std::move(answer)), end_(end), endsAfter_(endsAfter)
     {
         acceptor_.async_accept([this](boost::system::error_code code, Socket socket) {
             if (!code)
@@ -540,28 +547,43 @@
     {
         socket->async_read_some(boost::asio::buffer(request_), [this, socket](auto, size_t) {
             boost::asio::async_write(*socket, boost::asio::buffer(answer_), [this, socket](auto, size_t) {
-                if (resets_)
-                    socket->set_option(boost::asio::socket_base::linger(true, 0));
-                socket->close();
+                timer_.expires_after(std::chrono::milliseconds(endsAfter_.count));
+                timer_.async_wait([this, socket](auto) { end(socket); });
             });
         });
     }
+    void end(const std::shared_ptr<Socket> &socket)
+    {
+        if (end_ == ServerEnd::HalfClose || end_ == ServerEnd::HalfCloseThenReset)
+            socket->shutdown(Socket::shutdown_send);
+        if (end_ == ServerEnd::HalfClose) {
+            halfClosed_ = socket;
+            return;
+        }
+        if (end_ != ServerEnd::Close)
+            socket->set_option(boost::asio::socket_base::linger(true, 0));
+        socket->close();
+    }
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
     std::string answer_;
-    bool resets_;
+    ServerEnd end_;
+    DurationMs endsAfter_;
+    std::shared_ptr<Socket> halfClosed_;
     std::array<char, 4096> request_;
 };
 
-HttpResponse responseTo(const std::string &answer, bool resets, const std::string &method = "GET")
+HttpResponse responseTo(const HttpRequest &request, const std::string &answer, ServerEnd end,
+                        DurationMs endsAfter = {0})
 {
     boost::asio::io_context io;
-    CutServer server(io, answer, resets);
+    CutServer server(io, answer, end, endsAfter);
     HttpClient client(io);
     std::optional<HttpResponse> received;
     HttpCall call;
     call.address = serverAddress;
-    call.request.method = method;
+    call.request = request;
     client.fetch(std::move(call), [&](const HttpResponse &response) {
         received = response;
         io.stop();
@@ -571,6 +593,11 @@
     return *received;
 }
 
+HttpResponse responseTo(const std::string &answer, bool resets, const std::string &method = "GET")
+{
+    return responseTo({method, "/", {}, {}}, answer, resets ? ServerEnd::Reset : ServerEnd::Close);
+}
+
 } // namespace
 
 // Guards against an answer that was cut short and is taken for whole, by any caller of the client: attempts,
@@ -605,6 +632,52 @@
           == HttpFailure::None);
 }
 
+namespace {
+
+constexpr int Fails = 0;
+
+/// An answer byte for byte, and the status of the response that it is; `Fails` if it is none.
+struct AnswerCase {
+    std::string bytes;
+    int status;
+    std::string body = "whole";
+};
+
+std::string answerWith(const std::string &status, const std::string &lines, const std::string &body = "whole")
+{
+    return fmt::format("HTTP/1.1 {} Reason\r\n{}\r\n{}", status, lines, body);
+}
+
+const std::string fiveBytes = "Content-Length: 5\r\n";
+const std::string inChunks = "5\r\nwhole\r\n0\r\n\r\n";
+
+void checkAnswers(const std::vector<AnswerCase> &cases)
+{
+    for (const AnswerCase &each : cases) {
+        CAPTURE(each.bytes);
+        const HttpResponse response = responseTo(each.bytes, false);
+        CHECK((response.failure == HttpFailure::None) == (each.status != Fails));
+        if (each.status == Fails)
+            continue;
+        CHECK(response.status == each.status);
+        CHECK(response.body == each.body);
+        CHECK(headerOf(response.headers, "X-Interim").empty());
+    }
+}
+
+} // namespace
+
+// Guards against a number that is no status and is taken for an answer's.
+TEST_CASE("an answer has a status from 100 to 599")
+{
+    for (const char *status : {"000", "001", "007", "099", "600", "700", "999"})
+        checkAnswers({{answerWith(status, fiveBytes), Fails}, {answerWith(status, ""), Fails}});
+    for (const int status : {200, 201, 299, 400, 404, 500, 599})
+        checkAnswers({{answerWith(std::to_string(status), fiveBytes), status}});
+    for (const char *status : {"20", "2000", "-20", "2x0", "+20", "0x1", "", " 200"})
+        checkAnswers({{answerWith(status, fiveBytes), Fails}});
+}
+
 // Guards against calls that wait for a body that does not come: a HEAD request gets the length of a GET.
 TEST_CASE("the response to HEAD ends with its header")
 {
