An interim response is not the answer: the next head is

What callers saw: an endpoint sent 102 (or 100, 103, 199) and the right answer behind it; the caller got the 102 as its answer, with Content-Length: 0, or 502 where the 102 did not carry the request's id. 101, 102, 103 or 199 alone were passed on as answers as well.

Cause: the parser calls a 1xx a complete response without a body, and the client took the first complete response for the answer.

Change: responseKindOf tells interim from final (RFC 9110, 15.2), and the client reads on with a new parser behind an interim head. 101 is malformed: nobody here asks for another protocol. All interim responses of a call have a bound of 256 KiB, since a server that sends them without end would keep its call, each of them counting as progress.

Why it works: a call ends with a head that is final, or fails: an end of the connection behind an interim head is one before any head.

After: the same test holds, with a thousand interim responses before an answer as a control.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -56,8 +56,12 @@
 ResponseKind responseKindOf(int status)
 {
     constexpr int MinStatus = 100;
+    constexpr int SwitchingProtocols = 101; // Nobody here asks for another protocol.
+    constexpr int MinFinalStatus = 200;
     constexpr int MaxStatus = 599;
-    return status < MinStatus || status > MaxStatus ? ResponseKind::Malformed : ResponseKind::Final;
+    if (status < MinStatus || status > MaxStatus || status == SwitchingProtocols)
+        return ResponseKind::Malformed;
+    return status < MinFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
 }
 
 HttpTarget parseTarget(const std::string &target)
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -26,6 +26,7 @@
 
 enum class ResponseKind : uint8_t {
     Final,
+    Interim, ///< Another one follows.
     Malformed ///< No response, whatever its head says besides.
 };
 
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -41,6 +41,8 @@
 /// Bytes that wait to be parsed: a status line, a chunk's size line or trailers that don't end fail the call
 /// instead of filling the memory. As many calls as there are descriptors may each keep that much.
 constexpr size_t MaxUnparsedBytes = 16U << 10;
+/// Of interim responses: a server that sends them without end has no answer.
+constexpr size_t MaxInterimBytes = 256U << 10;
 
 using StreamPtr = std::unique_ptr<HttpStream>;
 
@@ -116,8 +118,7 @@
           keepConnection_(std::move(keepConnection))
     {
         head_ = headOf(call_);
-        parser_.body_limit(boost::none);
-        parser_.skip(call_.request.method == "HEAD"); // A length in its response is that of a GET.
+        awaitHead();
         if (call_.totalTimeout.count > 0)
             deadline_ = std::chrono::steady_clock::now() + toChrono(call_.totalTimeout);
         chunk_.resize(ReadBytes);
@@ -201,6 +202,13 @@
         return serialised(message, true);
     }
 
+    void awaitHead()
+    {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        parser_->skip(call_.request.method == "HEAD"); // A length in its response is that of a GET.
+    }
+
     void write()
     {
         expireAfter(call_.progressTimeout);
@@ -229,9 +237,9 @@
         if (finished_)
             return;
         buffer_.commit(size);
-        if (code == asio::error::eof && parser_.got_some()) {
+        if (code == asio::error::eof && parser_->got_some()) {
             code = {};
-            parser_.put_eof(code);
+            parser_->put_eof(code);
             return code ? done(failureOf(code)) : onResponseComplete();
         }
         if (code)
@@ -241,35 +249,48 @@
 
     void parse()
     {
-        while (!finished_ && !parser_.is_done()) {
+        while (!finished_ && !parser_->is_done()) {
             if (buffer_.size() == 0)
                 return read();
-            const bool wasHeaderDone = parser_.is_header_done();
-            parser_.get().body().data = chunk_.data();
-            parser_.get().body().size = chunk_.size();
+            const bool wasHeaderDone = parser_->is_header_done();
+            parser_->get().body().data = chunk_.data();
+            parser_->get().body().size = chunk_.size();
             beast::error_code code;
-            buffer_.consume(parser_.put(buffer_.data(), code));
+            const size_t used = parser_->put(buffer_.data(), code);
+            buffer_.consume(used);
+            headBytes_ += wasHeaderDone ? 0 : used;
             if (code == http::error::need_more)
                 return read();
             if (code && code != http::error::need_buffer)
                 return done(failureOf(code));
             if (wasHeaderDone)
-                passBody(chunk_.size() - parser_.get().body().size);
-            else if (parser_.is_header_done())
-                passHead();
+                passBody(chunk_.size() - parser_->get().body().size);
+            else if (parser_->is_header_done())
+                onHead();
         }
         if (!finished_)
             onResponseComplete();
     }
 
-    void passHead()
+    // The one place where it is decided whether a head is the answer's.
+    void onHead()
+    {
+        const int status = static_cast<int>(parser_->get().result_int());
+        switch (responseKindOf(status)) {
+        case ResponseKind::Malformed:
+            return done(HttpFailure::Interrupted);
+        case ResponseKind::Interim:
+            return headBytes_ > MaxInterimBytes ? done(HttpFailure::Interrupted) : awaitHead();
+        case ResponseKind::Final:
+            passHead(status);
+        }
+    }
+
+    void passHead(int status)
     {
-        const int status = static_cast<int>(parser_.get().result_int());
         HttpHeaders headers;
-        for (const http::fields::value_type &field : parser_.get())
+        for (const http::fields::value_type &field : parser_->get())
             headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        if (responseKindOf(status) == ResponseKind::Malformed)
-            return done(HttpFailure::Interrupted);
         idleLimit_ = idleLimitOf(headers);
         if (callbacks_.onHead)
             callbacks_.onHead(status, headers);
@@ -292,7 +313,7 @@
     void onResponseComplete()
     {
         // Bytes after the response belong to no request, so the connection can't be reused.
-        if (parser_.get().keep_alive() && buffer_.size() == 0 && written_)
+        if (parser_->get().keep_alive() && buffer_.size() == 0 && written_)
             keepConnection_(std::move(stream_), idleLimit_);
         done(HttpFailure::None);
     }
@@ -315,10 +336,11 @@
     KeepConnection keepConnection_;
     StreamPtr stream_;
     std::string head_; ///< Of the request.
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_; ///< Always set; one for each head.
     beast::flat_buffer buffer_{MaxUnparsedBytes};
     std::vector<char> chunk_;
     size_t received_ = 0; ///< Bytes of the body.
+    size_t headBytes_ = 0; ///< Of all interim heads and the final one.
     std::optional<std::chrono::steady_clock::time_point> deadline_;
     std::chrono::milliseconds idleLimit_ = DefaultIdleLimit;
     bool written_ = false;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -678,6 +678,29 @@
         checkAnswers({{answerWith(status, fiveBytes), Fails}});
 }
 
+// Guards against an interim response that is taken for the answer, and against a lost answer behind one.
+TEST_CASE("the answer is the first response that is not interim")
+{
+    const std::string answer = answerWith("200", fiveBytes);
+    const std::string chunked = answerWith("201", "Transfer-Encoding: chunked\r\n", inChunks);
+    for (const char *status : {"100", "102", "103", "199"}) {
+        const std::string interim = answerWith(status, "X-Interim: 1\r\n", "");
+        checkAnswers({{interim, Fails},
+                      {interim + interim, Fails},
+                      {interim + answer.substr(0, answer.size() - 1), Fails},
+                      {interim + answer, 200},
+                      {interim + interim + chunked, 201},
+                      {interim + answerWith("204", "", ""), 204, ""}});
+    }
+    const std::string interim = answerWith("103", "X-Interim: 1\r\n", "");
+    std::string endless;
+    while (endless.size() <= 256U << 10)
+        endless += interim;
+    checkAnswers({{endless + answer, Fails}, {endless.substr(0, 1000 * interim.size()) + answer, 200}});
+    const std::string switching = answerWith("101", "Upgrade: other\r\nConnection: Upgrade\r\n", "");
+    checkAnswers({{switching, Fails}, {switching + answer, Fails}, {answer, 200}});
+}
+
 // Guards against calls that wait for a body that does not come: a HEAD request gets the length of a GET.
 TEST_CASE("the response to HEAD ends with its header")
 {
