A reset that meets the write of a request is not the end of its response

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, ended by an ordinary close. Streams of events the same.

Cause: a socket reports a lost connection once. The client writes and reads at the same time; if the write takes the report, the read that follows sees an end of file, and an end of file ends a response without framing. An answer was believed by that sign alone.

Change: at an end of file the client asks how its write went. One that failed has lost the connection, unless with EPIPE, as behind a side that the server closed in order.

Why it works: without a real end of the server's side, a read sees an end of file only if the write got the error, and such a write's result is never EPIPE nor that of the client's own close.

--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -215,13 +215,20 @@
         const std::string &body = call_.request.body.text();
         const std::array<asio::const_buffer, 2> message{asio::buffer(head_), asio::buffer(body)};
         asio::async_write(*stream_, message, [self = shared_from_this()](beast::error_code code, size_t) {
-            self->written_ = !code;
+            self->onWritten(code);
         });
-        // Reads at once: an endpoint may respond before it has received the complete body, and a failed write
-        // also makes the read fail.
+        // Reads at once: an endpoint may respond before it has received the complete body. A failed write
+        // also makes the read fail, or leaves it an end of file.
         read();
     }
 
+    void onWritten(beast::error_code code)
+    {
+        writeResult_ = code;
+        if (isAtEndOfFile_ && !finished_)
+            onEndOfFile();
+    }
+
     void read()
     {
         if (buffer_.size() == MaxUnparsedBytes)
@@ -237,16 +244,38 @@
         if (finished_)
             return;
         buffer_.commit(size);
-        if (code == asio::error::eof && parser_->got_some()) {
-            code = {};
-            parser_->put_eof(code);
-            return code ? done(failureOf(code)) : onResponseComplete();
-        }
+        if (code == asio::error::eof && parser_->got_some())
+            return onEndOfFile();
         if (code)
             return done(failureOf(code));
         parse();
     }
 
+    // A socket reports that its connection is lost only once. If a write takes the report, the read sees an
+    // end of file, as behind a response that its server ended. So the write's result is awaited; one that has
+    // not failed by then is ended by closing the socket.
+    void onEndOfFile()
+    {
+        if (!writeResult_) {
+            isAtEndOfFile_ = true;
+            return closeConnection();
+        }
+        if (hasLostConnection())
+            return done(HttpFailure::Interrupted);
+        beast::error_code code;
+        parser_->put_eof(code);
+        return code ? done(failureOf(code)) : onResponseComplete();
+    }
+
+    // Once the server has ended its response, a write that it refuses fails with EPIPE.
+    bool hasLostConnection() const
+    {
+        const bool isOwnClose = isAtEndOfFile_
+            && (*writeResult_ == asio::error::operation_aborted
+                || *writeResult_ == asio::error::bad_descriptor);
+        return *writeResult_ && *writeResult_ != asio::error::broken_pipe && !isOwnClose;
+    }
+
     void parse()
     {
         while (!finished_ && !parser_->is_done()) {
@@ -310,10 +339,12 @@
         return code == beast::error::timeout ? HttpFailure::ProgressTimeout : HttpFailure::Interrupted;
     }
 
+    bool isWritten() const { return writeResult_ && !*writeResult_; }
+
     void onResponseComplete()
     {
         // Bytes after the response belong to no request, so the connection can't be reused.
-        if (parser_->get().keep_alive() && buffer_.size() == 0 && written_)
+        if (parser_->get().keep_alive() && buffer_.size() == 0 && isWritten())
             keepConnection_(std::move(stream_), idleLimit_);
         done(HttpFailure::None);
     }
@@ -343,7 +374,8 @@
     size_t headBytes_ = 0; ///< Of all interim heads and the final one.
     std::optional<std::chrono::steady_clock::time_point> deadline_;
     std::chrono::milliseconds idleLimit_ = DefaultIdleLimit;
-    bool written_ = false;
+    std::optional<beast::error_code> writeResult_; ///< Of the request; unset while it is being written.
+    bool isAtEndOfFile_ = false; ///< Waits for the write's result.
     bool finished_ = false;
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -701,6 +701,34 @@
     checkAnswers({{switching, Fails}, {switching + answer, Fails}, {answer, 200}});
 }
 
+// Guards against a part of an answer that is taken for whole: a reset that meets the write of the request
+// leaves the read an end of file.
+TEST_CASE("an answer without framing whose connection is reset while the request is written is not whole")
+{
+    const HttpRequest upload{"POST", "/", {}, std::string(12U << 20, 'b')};
+    const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    const std::string framed = answerWith("200", fiveBytes);
+    const std::string chunked = answerWith("200", "Transfer-Encoding: chunked\r\n", inChunks);
+    for (const int afterMs : {0, 0, 0, 0, 0, 0, 1, 3, 10, 50, 300}) {
+        CAPTURE(afterMs);
+        const DurationMs after{afterMs};
+        for (const ServerEnd end : {ServerEnd::Reset, ServerEnd::Close}) {
+            CHECK(responseTo(upload, unframed, end, after).failure == HttpFailure::Interrupted);
+            CHECK(responseTo(upload, framed.substr(0, framed.size() - 1), end, after).failure
+                  == HttpFailure::Interrupted);
+            CHECK(responseTo(upload, chunked.substr(0, chunked.size() - 1), end, after).failure
+                  == HttpFailure::Interrupted);
+            CHECK(responseTo(upload, framed, end, after).body == "whole");
+            CHECK(responseTo(upload, framed, end, after).failure == HttpFailure::None);
+            CHECK(responseTo(upload, chunked, end, after).failure == HttpFailure::None);
+        }
+        for (const ServerEnd end : {ServerEnd::HalfClose, ServerEnd::HalfCloseThenReset}) {
+            CHECK(responseTo(upload, unframed, end, after).failure == HttpFailure::None);
+            CHECK(responseTo(upload, unframed, end, after).body == "whole");
+        }
+    }
+}
+
 // Guards against calls that wait for a body that does not come: a HEAD request gets the length of a GET.
 TEST_CASE("the response to HEAD ends with its header")
 {
