An answer whose transfer coding nobody undoes is no answer

What callers saw: an endpoint sent chunks under "Transfer-Encoding: chunked, chunked" (or "chunked, identity", "xchunked", "gzip"); callers got the chunks' own lines as part of the body, with a length. Under "gzip, chunked" they got a gzip body without the field that says so.

Cause: the field is one of the connection and is taken off on the way, whether or not its coding was undone. It was read twice: the parser undoes chunks if the first "chunked" of a line is its last coding, whatever stands before or in its parameters; isFramed looked for the last word. For "chunked, chunked" and "chunked;q=1" the two differed.

Change: transferCodingOf reads all lines of the field, and both isFramed and the client's decision on a head go by it. The one coding that is undone here is "chunked", once and without parameters (RFC 9112, 6.1, 7.1); anything else, also an empty field, is malformed, whatever the status. No request of ours offers other codings (TE).

Why it works: what is passed on has no transfer coding left in it, and the parser and isFramed agree on each value that is.

After: the same test holds; "chunked" in any case, with blanks and empty list elements is served, and so is a body with a Content-Encoding, which belongs to the body.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -1,6 +1,9 @@
 #include "common/httpfields.h"
 
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <charconv>
 
 namespace cranberry {
@@ -34,15 +37,33 @@
     return {};
 }
 
+// RFC 9112, 6.1, 7.1. A list may have empty elements (RFC 9110, 5.6.1).
+TransferCoding transferCodingOf(const HttpHeaders &headers)
+{
+    size_t lines = 0;
+    std::vector<std::string> codings;
+    for (const HttpHeader &header : headers) {
+        if (!boost::algorithm::iequals(header.name, "Transfer-Encoding"))
+            continue;
+        ++lines;
+        std::vector<std::string> elements;
+        boost::algorithm::split(elements, header.value, boost::algorithm::is_any_of(","));
+        for (std::string &element : elements) {
+            boost::algorithm::trim_if(element, boost::algorithm::is_any_of(" \t"));
+            if (!element.empty())
+                codings.push_back(std::move(element));
+        }
+    }
+    if (lines == 0)
+        return TransferCoding::None;
+    const bool isChunked = codings.size() == 1 && boost::algorithm::iequals(codings.front(), "chunked");
+    return isChunked ? TransferCoding::Chunked : TransferCoding::Unsupported;
+}
+
 bool isFramed(const HttpHeaders &headers)
 {
-    constexpr std::string_view Chunked = "chunked";
-    if (!headerOf(headers, "Content-Length").empty())
-        return true;
-    const std::string codings = headerOf(headers, "Transfer-Encoding");
-    const size_t lastCoding = codings.find_last_of(", \t");
-    return boost::algorithm::iequals(codings.substr(lastCoding == std::string::npos ? 0 : lastCoding + 1),
-                                     Chunked);
+    return !headerOf(headers, "Content-Length").empty()
+        || transferCodingOf(headers) == TransferCoding::Chunked;
 }
 
 bool endsWithConnection(const std::string &method, int status, const HttpHeaders &headers)
@@ -53,7 +74,7 @@
     return hasBody && !isFramed(headers);
 }
 
-ResponseKind responseKindOf(int status)
+ResponseKind responseKindOf(int status, const HttpHeaders &headers)
 {
     constexpr int MinStatus = 100;
     constexpr int SwitchingProtocols = 101; // Nobody here asks for another protocol.
@@ -61,7 +82,10 @@
     constexpr int MaxStatus = 599;
     if (status < MinStatus || status > MaxStatus || status == SwitchingProtocols)
         return ResponseKind::Malformed;
-    return status < MinFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
+    if (status < MinFinalStatus)
+        return ResponseKind::Interim;
+    const bool hasCoding = transferCodingOf(headers) == TransferCoding::Unsupported;
+    return hasCoding ? ResponseKind::Malformed : ResponseKind::Final;
 }
 
 HttpTarget parseTarget(const std::string &target)
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -17,8 +17,17 @@
 
 /// Returns the value of the first header with this name (compared case-insensitively), or an empty string.
 std::string headerOf(const HttpHeaders &headers, const std::string &name);
-/// Returns whether the headers of a message state its length, or that it comes in chunks; other transfer
-/// codings have no end of their own. A message without either ends with its connection.
+
+/// What all `Transfer-Encoding` lines of a message together name.
+enum class TransferCoding : uint8_t {
+    None,
+    Chunked, ///< This one, once and without parameters.
+    Unsupported ///< Any other, which nobody here undoes: what is left isn't the sender's body.
+};
+
+TransferCoding transferCodingOf(const HttpHeaders &headers);
+/// Returns whether the headers of a message state its length, or that it comes in chunks. A message without
+/// either ends with its connection.
 bool isFramed(const HttpHeaders &headers);
 /// Returns whether a response has a body that ends with its connection. The end of such a body can't be told
 /// from a cut.
@@ -30,8 +39,8 @@
     Malformed ///< No response, whatever its head says besides.
 };
 
-/// Decides what the head of a received response is (RFC 9110, 15.).
-ResponseKind responseKindOf(int status);
+/// Decides what the head of a received response is (RFC 9110, 15.; RFC 9112, 6.1).
+ResponseKind responseKindOf(int status, const HttpHeaders &headers);
 
 struct HttpRequest {
     std::string method = "GET";
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -305,21 +305,21 @@
     void onHead()
     {
         const int status = static_cast<int>(parser_->get().result_int());
-        switch (responseKindOf(status)) {
+        HttpHeaders headers;
+        for (const http::fields::value_type &field : parser_->get())
+            headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        switch (responseKindOf(status, headers)) {
         case ResponseKind::Malformed:
             return done(HttpFailure::Interrupted);
         case ResponseKind::Interim:
             return headBytes_ > MaxInterimBytes ? done(HttpFailure::Interrupted) : awaitHead();
         case ResponseKind::Final:
-            passHead(status);
+            return passHead(status, headers);
         }
     }
 
-    void passHead(int status)
+    void passHead(int status, const HttpHeaders &headers)
     {
-        HttpHeaders headers;
-        for (const http::fields::value_type &field : parser_->get())
-            headers.push_back({std::string(field.name_string()), std::string(field.value())});
         idleLimit_ = idleLimitOf(headers);
         if (callbacks_.onHead)
             callbacks_.onHead(status, headers);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -701,6 +701,31 @@
     checkAnswers({{switching, Fails}, {switching + answer, Fails}, {answer, 200}});
 }
 
+// Guards against a body that is passed on with its coding left in it and the field that names the coding
+// removed.
+TEST_CASE("an answer has no transfer coding but chunked")
+{
+    for (const char *codings :
+         {"chunked, chunked", "chunked, identity", "identity", "xchunked", "chun ked", "gzip",
+          "gzip, chunked", "chunked;q=1", "chunked;", "chunked gzip", "\"chunked\"", ""}) {
+        const std::string field = fmt::format("Transfer-Encoding: {}\r\n", codings);
+        checkAnswers({{answerWith("200", field, inChunks), Fails},
+                      {answerWith("200", field + fiveBytes), Fails},
+                      {answerWith("500", field, inChunks), Fails}});
+    }
+    const std::string gzip = "Transfer-Encoding: gzip\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    checkAnswers({{answerWith("200", gzip + chunked, inChunks), Fails},
+                  {answerWith("200", chunked + gzip, inChunks), Fails},
+                  {answerWith("200", chunked + fiveBytes, inChunks), Fails},
+                  {answerWith("200", fiveBytes + chunked, inChunks), Fails},
+                  {answerWith("200", chunked, inChunks), 200},
+                  {answerWith("500", "transfer-encoding:  Chunked \r\n", inChunks), 500},
+                  {answerWith("200", "Content-Encoding: gzip\r\n"), 200}});
+    for (const char *list : {", chunked,", ",chunked", "chunked,", "chunked ,", "\t, ,\tCHUNKED\t, ,"})
+        checkAnswers({{answerWith("200", fmt::format("Transfer-Encoding: {}\r\n", list), inChunks), 200}});
+}
+
 // Guards against a part of an answer that is taken for whole: a reset that meets the write of the request
 // leaves the read an end of file.
 TEST_CASE("an answer without framing whose connection is reset while the request is written is not whole")
