An answer whose head has a folded line is no answer

What callers saw: an endpoint sent a line that begins with a blank behind its stamp (" Content-Length: 4"); the caller got one line with both, a stamp that isn't the server's.

Cause: the parser joins such a line to the one before it, as old HTTP allowed, and the client has no sign of it left.

Change: the client looks at the bytes of each head for a line that begins with a blank, and takes none with one (RFC 9112, 5.2 lets a proxy send 502 or put blanks in its place; a stamp with blanks in it would still be another one).

Why it works: the parser takes a field only with all lines that are folded into it, so that none is missed between two reads; the test moves the place over the client's read size. Bodies and trailers are not looked at: those aren't passed on as fields.

After: the same test holds; blanks behind a colon, and a body that begins with blanks, are served.

Kept beside it, and held by already: 72 lines whose name has a blank, a control byte, DEL, 0xff, a bare CR or a parenthesis, is empty or has no colon, at the front and at the end of a head, with and without a length.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -74,6 +74,11 @@
     return hasBody && !isFramed(headers);
 }
 
+bool hasFoldedLine(std::string_view lines)
+{
+    return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 ResponseKind responseKindOf(int status, const HttpHeaders &headers)
 {
     constexpr int MinStatus = 100;
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -4,6 +4,7 @@
 #include "common/types.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cranberry {
@@ -39,7 +40,11 @@
     Malformed ///< No response, whatever its head says besides.
 };
 
-/// Decides what the head of a received response is (RFC 9110, 15.; RFC 9112, 6.1).
+/// Returns whether a line of a head begins with a blank: parsers take it for a part of the line before it, so
+/// that the value there isn't the sender's (RFC 9112, 5.2). `lines`: whole lines, as received.
+bool hasFoldedLine(std::string_view lines);
+
+/// Decides what the head of a received response is, apart from folded lines (RFC 9110, 15.; RFC 9112, 6.1).
 ResponseKind responseKindOf(int status, const HttpHeaders &headers);
 
 struct HttpRequest {
--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -16,6 +16,7 @@
 #include <cstring>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -286,8 +287,9 @@
             parser_->get().body().size = chunk_.size();
             beast::error_code code;
             const size_t used = parser_->put(buffer_.data(), code);
+            if (!wasHeaderDone)
+                noteHead({static_cast<const char *>(buffer_.data().data()), used});
             buffer_.consume(used);
-            headBytes_ += wasHeaderDone ? 0 : used;
             if (code == http::error::need_more)
                 return read();
             if (code && code != http::error::need_buffer)
@@ -301,6 +303,13 @@
             onResponseComplete();
     }
 
+    // The parser takes whole fields, each with the lines that are folded into it.
+    void noteHead(std::string_view lines)
+    {
+        headBytes_ += lines.size();
+        isFolded_ = isFolded_ || hasFoldedLine(lines);
+    }
+
     // The one place where it is decided whether a head is the answer's.
     void onHead()
     {
@@ -308,7 +317,7 @@
         HttpHeaders headers;
         for (const http::fields::value_type &field : parser_->get())
             headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        switch (responseKindOf(status, headers)) {
+        switch (isFolded_ ? ResponseKind::Malformed : responseKindOf(status, headers)) {
         case ResponseKind::Malformed:
             return done(HttpFailure::Interrupted);
         case ResponseKind::Interim:
@@ -372,6 +381,7 @@
     std::vector<char> chunk_;
     size_t received_ = 0; ///< Bytes of the body.
     size_t headBytes_ = 0; ///< Of all interim heads and the final one.
+    bool isFolded_ = false; ///< One of these heads has a folded line.
     std::optional<std::chrono::steady_clock::time_point> deadline_;
     std::chrono::milliseconds idleLimit_ = DefaultIdleLimit;
     std::optional<beast::error_code> writeResult_; ///< Of the request; unset while it is being written.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -726,6 +726,45 @@
         checkAnswers({{answerWith("200", fmt::format("Transfer-Encoding: {}\r\n", list), inChunks), 200}});
 }
 
+// Guards against a line that becomes part of the value before it: a server's stamp would be another one.
+TEST_CASE("an answer whose head has a folded line is none")
+{
+    for (const char *folded : {" Content-Length: 4", "\tX-Other: 1", " more", " ", "\t", " \t more"}) {
+        const std::string line = fmt::format("{}\r\n", folded);
+        checkAnswers(
+            {{answerWith("200", "X-Server-Stamp: 1\r\n" + line + fiveBytes), Fails},
+             {answerWith("200", fiveBytes + "X-Server-Stamp: 1\r\n" + line), Fails},
+             {answerWith("200", line + fiveBytes), Fails},
+             {answerWith("103", "X-Interim: 1\r\n" + line, "") + answerWith("200", fiveBytes), Fails}});
+    }
+    checkAnswers({{answerWith("200", "X-Server-Stamp: \t 1 \r\n" + fiveBytes), 200},
+                  {answerWith("200", fiveBytes, " \tabc"), 200, " \tabc"},
+                  {answerWith("200", "", "\r\n abc"), 200, "\r\n abc"}});
+    // Between two reads of the client.
+    for (size_t size = 4030; size < 4070; ++size) {
+        const std::string lines = fmt::format("X-Name: {}\r\nX-Server-Stamp: 1\r\n", std::string(size, 'a'));
+        checkAnswers({{answerWith("200", lines + " more\r\n" + fiveBytes), Fails},
+                      {answerWith("200", lines + fiveBytes), 200}});
+    }
+}
+
+// Guards against a line that is passed on, or a body that is framed by it, although its name is none.
+TEST_CASE("an answer whose head has a field without a proper name is none")
+{
+    std::vector<std::string> lines = {": 1", "X-Name"};
+    for (const char byte : {' ', '\t', '\0', '\x01', '\x0b', '\x1f', '\x7f', '\xff', '\r', '('}) {
+        for (const char *around :
+             {"X-{}Name: 1", "X-Name{}: 1", "{}X-Name: 1", "Content-Length{}: 4", "Content{}-Length: 4",
+              "Transfer-Encoding{}: chunked", "Transfer{}-Encoding: chunked"})
+            lines.push_back(fmt::format(fmt::runtime(around), byte));
+    }
+    for (const std::string &line : lines)
+        checkAnswers({{answerWith("200", line + "\r\n" + fiveBytes), Fails},
+                      {answerWith("200", fiveBytes + line + "\r\n"), Fails},
+                      {answerWith("200", line + "\r\n"), Fails}});
+    checkAnswers({{answerWith("200", "X-!#$%&'*+.^_`|~Name: 1\r\n" + fiveBytes), 200}});
+}
+
 // Guards against a part of an answer that is taken for whole: a reset that meets the write of the request
 // leaves the read an end of file.
 TEST_CASE("an answer without framing whose connection is reset while the request is written is not whole")
