--- a/tests/cutanswers.py
+++ b/tests/cutanswers.py
@@ -187,9 +187,14 @@
     return 0 if all_played and got["whole"] and got["whole, without framing"] and not got["WRONG"] else 1
 
 
-parser = argparse.ArgumentParser()
-parser.add_argument("kind", choices=FRAMINGS)
-for name in ("port", "count", "to", "store"):
-    parser.add_argument("--" + name, type=int, default=0)
-parser.add_argument("--path")
-sys.exit(asyncio.run(play(parser.parse_args())))
+def arguments_for(kinds):
+    parser = argparse.ArgumentParser()
+    parser.add_argument("kind", choices=kinds)
+    for name in ("port", "count", "to", "store", "plays"):
+        parser.add_argument("--" + name, type=int, default=0)
+    parser.add_argument("--path")
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(play(arguments_for(FRAMINGS))))
