Answers that held before: their lengths, chunks, trailers, values and versions, kept as tests

What stands in trailers under no proper name, lengths and sizes of chunks that are no numbers, control bytes in a reason or a value, odd versions; a control beside each kind. The stand-ins start in one place, and HttpClient's page says what a head and an end are.

--- a/src/io/httpclient.cpp
+++ b/src/io/httpclient.cpp
@@ -268,7 +268,7 @@
         return code ? done(failureOf(code)) : onResponseComplete();
     }
 
-    // Once the server has ended its response, a write that it refuses fails with EPIPE.
+    // A write that the server refuses behind the end of its response fails with EPIPE.
     bool hasLostConnection() const
     {
         const bool isOwnClose = isAtEndOfFile_
--- a/src/io/httpclient.h
+++ b/src/io/httpclient.h
@@ -57,6 +57,9 @@
 /// keep-alive that the server stated, at most a minute, or after 3 s. Until then the io_context has work. All
 /// member functions must be called on the io_context's thread.
 ///
+/// A head that is no response fails its call, interim responses are passed over (`responseKindOf`), and a
+/// response without framing ends only where its server closed the connection in order.
+///
 /// Servers may send bytes without end. What a call keeps besides its body has a bound; the bodies that
 /// `fetch` collects have one each, and one sum for all calls.
 class HttpClient
--- a/tests/brokenanswers.py
+++ b/tests/brokenanswers.py
@@ -149,12 +149,7 @@
 
 async def play(arguments):
     endpoints, got = BrokenEndpoints(arguments), collections.Counter()
-    for port in range(arguments.port, arguments.port + arguments.count):
-        await asyncio.start_server(endpoints.on_connection, "127.0.0.1", port)
-    if arguments.store:
-        await endpoints.publish()
-    print("ready", flush=True)
-    await asyncio.sleep(2)
+    await endpoints.start()
     plays = [(name, number) for number in range(arguments.plays) for name in endpoints.cases]
     waiting = iter(plays)
 
--- a/tests/cutanswers.py
+++ b/tests/cutanswers.py
@@ -73,6 +73,14 @@
         self.left = iter(self.places)
         self.played = 0
 
+    async def start(self):
+        for port in range(self.arguments.port, self.arguments.port + self.arguments.count):
+            await asyncio.start_server(self.on_connection, "127.0.0.1", port)
+        if self.arguments.store:
+            await self.publish()
+        print("ready", flush=True)
+        await asyncio.sleep(2)
+
     async def on_connection(self, reader, writer):
         try:
             while await self.on_request(reader, writer):
@@ -173,12 +181,7 @@
 
 async def play(arguments):
     endpoints, got = Endpoints(arguments), collections.Counter()
-    for port in range(arguments.port, arguments.port + arguments.count):
-        await asyncio.start_server(endpoints.on_connection, "127.0.0.1", port)
-    if arguments.store:
-        await endpoints.publish()
-    print("ready", flush=True)
-    await asyncio.sleep(2)
+    await endpoints.start()
     numbers = itertools.count()
     callers = [asyncio.create_task(one_caller(arguments, endpoints, numbers, got)) for _ in range(CALLERS)]
     await asyncio.wait(callers, timeout=PLAY_S)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -649,6 +649,7 @@
 }
 
 const std::string fiveBytes = "Content-Length: 5\r\n";
+const std::string chunkedField = "Transfer-Encoding: chunked\r\n";
 const std::string inChunks = "5\r\nwhole\r\n0\r\n\r\n";
 
 void checkAnswers(const std::vector<AnswerCase> &cases)
@@ -682,14 +683,14 @@
 TEST_CASE("the answer is the first response that is not interim")
 {
     const std::string answer = answerWith("200", fiveBytes);
-    const std::string chunked = answerWith("201", "Transfer-Encoding: chunked\r\n", inChunks);
+    const std::string chunked = answerWith("201", chunkedField, inChunks);
     for (const char *status : {"100", "102", "103", "199"}) {
         const std::string interim = answerWith(status, "X-Interim: 1\r\n", "");
         checkAnswers({{interim, Fails},
                       {interim + interim, Fails},
                       {interim + answer.substr(0, answer.size() - 1), Fails},
                       {interim + answer, 200},
-                      {interim + interim + chunked, 201},
+                      {fmt::format("{}{}{}", interim, interim, chunked), 201},
                       {interim + answerWith("204", "", ""), 204, ""}});
     }
     const std::string interim = answerWith("103", "X-Interim: 1\r\n", "");
@@ -714,12 +715,11 @@
                       {answerWith("500", field, inChunks), Fails}});
     }
     const std::string gzip = "Transfer-Encoding: gzip\r\n";
-    const std::string chunked = "Transfer-Encoding: chunked\r\n";
-    checkAnswers({{answerWith("200", gzip + chunked, inChunks), Fails},
-                  {answerWith("200", chunked + gzip, inChunks), Fails},
-                  {answerWith("200", chunked + fiveBytes, inChunks), Fails},
-                  {answerWith("200", fiveBytes + chunked, inChunks), Fails},
-                  {answerWith("200", chunked, inChunks), 200},
+    checkAnswers({{answerWith("200", gzip + chunkedField, inChunks), Fails},
+                  {answerWith("200", chunkedField + gzip, inChunks), Fails},
+                  {answerWith("200", chunkedField + fiveBytes, inChunks), Fails},
+                  {answerWith("200", fiveBytes + chunkedField, inChunks), Fails},
+                  {answerWith("200", chunkedField, inChunks), 200},
                   {answerWith("500", "transfer-encoding:  Chunked \r\n", inChunks), 500},
                   {answerWith("200", "Content-Encoding: gzip\r\n"), 200}});
     for (const char *list : {", chunked,", ",chunked", "chunked,", "chunked ,", "\t, ,\tCHUNKED\t, ,"})
@@ -732,8 +732,8 @@
     for (const char *folded : {" Content-Length: 4", "\tX-Other: 1", " more", " ", "\t", " \t more"}) {
         const std::string line = fmt::format("{}\r\n", folded);
         checkAnswers(
-            {{answerWith("200", "X-Server-Stamp: 1\r\n" + line + fiveBytes), Fails},
-             {answerWith("200", fiveBytes + "X-Server-Stamp: 1\r\n" + line), Fails},
+            {{answerWith("200", fmt::format("X-Server-Stamp: 1\r\n{}{}", line, fiveBytes)), Fails},
+             {answerWith("200", fmt::format("{}X-Server-Stamp: 1\r\n{}", fiveBytes, line)), Fails},
              {answerWith("200", line + fiveBytes), Fails},
              {answerWith("103", "X-Interim: 1\r\n" + line, "") + answerWith("200", fiveBytes), Fails}});
     }
@@ -743,7 +743,7 @@
     // Between two reads of the client.
     for (size_t size = 4030; size < 4070; ++size) {
         const std::string lines = fmt::format("X-Name: {}\r\nX-Server-Stamp: 1\r\n", std::string(size, 'a'));
-        checkAnswers({{answerWith("200", lines + " more\r\n" + fiveBytes), Fails},
+        checkAnswers({{answerWith("200", fmt::format("{} more\r\n{}", lines, fiveBytes)), Fails},
                       {answerWith("200", lines + fiveBytes), 200}});
     }
 }
@@ -759,10 +759,32 @@
             lines.push_back(fmt::format(fmt::runtime(around), byte));
     }
     for (const std::string &line : lines)
-        checkAnswers({{answerWith("200", line + "\r\n" + fiveBytes), Fails},
-                      {answerWith("200", fiveBytes + line + "\r\n"), Fails},
-                      {answerWith("200", line + "\r\n"), Fails}});
-    checkAnswers({{answerWith("200", "X-!#$%&'*+.^_`|~Name: 1\r\n" + fiveBytes), 200}});
+        checkAnswers(
+            {{answerWith("200", fmt::format("{}\r\n{}", line, fiveBytes)), Fails},
+             {answerWith("200", fmt::format("{}{}\r\n", fiveBytes, line)), Fails},
+             {answerWith("200", line + "\r\n"), Fails},
+             {answerWith("200", chunkedField, fmt::format("5\r\nwhole\r\n0\r\n{}\r\n\r\n", line)), Fails}});
+    checkAnswers({{answerWith("200", "X-!#$%&'*+.^_`|~Name: 1\r\n" + fiveBytes), 200},
+                  {answerWith("200", chunkedField, "5\r\nwhole\r\n0\r\nX-Sum: 1\r\n\r\n"), 200}});
+}
+
+// Guards against a body that is framed by something that is no number, and against bytes that are no reason
+// or value.
+TEST_CASE("an answer with a length, a size of a chunk or a value that is none fails")
+{
+    for (const char *length : {"+5", "-1", "0x5", "5x", "5, 6", "5;", "5 6", "99999999999999999999"})
+        checkAnswers({{answerWith("200", fmt::format("Content-Length: {}\r\n", length)), Fails}});
+    for (const char *size : {"-5", "0x5", "+5", "5g", "", "fffffffffffffffff"})
+        checkAnswers(
+            {{answerWith("200", chunkedField, fmt::format("{}\r\nwhole\r\n0\r\n\r\n", size)), Fails}});
+    checkAnswers({{answerWith("200", chunkedField, "5\r\nwhole0\r\n\r\n"), Fails},
+                  {answerWith("200", chunkedField, "005\r\nwhole\r\n0\r\n\r\n"), 200}});
+    for (const char byte : {'\0', '\x01', '\x1f', '\x7f', '\r'}) {
+        checkAnswers({{answerWith("200", fmt::format("X-Name: a{}b\r\n{}", byte, fiveBytes)), Fails},
+                      {fmt::format("HTTP/1.1 200 O{}K\r\n{}\r\nwhole", byte, fiveBytes), Fails}});
+    }
+    for (const char *version : {"HTTP/1.7", "HTTP/2", "HTTP/11", "http/1.1", "HTTP 1.1", "ICY"})
+        checkAnswers({{fmt::format("{} 200 OK\r\n{}\r\nwhole", version, fiveBytes), Fails}});
 }
 
 // Guards against a part of an answer that is taken for whole: a reset that meets the write of the request
@@ -772,7 +794,7 @@
     const HttpRequest upload{"POST", "/", {}, std::string(12U << 20, 'b')};
     const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
     const std::string framed = answerWith("200", fiveBytes);
-    const std::string chunked = answerWith("200", "Transfer-Encoding: chunked\r\n", inChunks);
+    const std::string chunked = answerWith("200", chunkedField, inChunks);
     for (const int afterMs : {0, 0, 0, 0, 0, 0, 1, 3, 10, 50, 300}) {
         CAPTURE(afterMs);
         const DurationMs after{afterMs};
