A message whose last coding is "chunked" is framed, whatever stands before it

The test is right (RFC 9112, 6.3: the last coding decides). No caller saw it: the client lets no such head through.

Change: one function reads the field; transferCodingOf asks whether "chunked" stands there alone, isFramed whether it is the last one.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <charconv>
+#include <optional>
 
 namespace cranberry {
 
@@ -26,6 +27,32 @@
     return out;
 }
 
+/// Returns the codings that all `Transfer-Encoding` lines name, in order; nothing without such a line. Empty
+/// elements of a list name none (RFC 9110, 5.6.1).
+std::optional<std::vector<std::string>> transferCodings(const HttpHeaders &headers)
+{
+    std::optional<std::vector<std::string>> out;
+    for (const HttpHeader &header : headers) {
+        if (!boost::algorithm::iequals(header.name, "Transfer-Encoding"))
+            continue;
+        if (!out)
+            out.emplace();
+        std::vector<std::string> elements;
+        boost::algorithm::split(elements, header.value, boost::algorithm::is_any_of(","));
+        for (std::string &element : elements) {
+            boost::algorithm::trim_if(element, boost::algorithm::is_any_of(" \t"));
+            if (!element.empty())
+                out->push_back(std::move(element));
+        }
+    }
+    return out;
+}
+
+bool isChunked(const std::string &coding)
+{
+    return boost::algorithm::iequals(coding, "chunked");
+}
+
 } // namespace
 
 std::string headerOf(const HttpHeaders &headers, const std::string &name)
@@ -37,33 +64,21 @@
     return {};
 }
 
-// RFC 9112, 6.1, 7.1. A list may have empty elements (RFC 9110, 5.6.1).
 TransferCoding transferCodingOf(const HttpHeaders &headers)
 {
-    size_t lines = 0;
-    std::vector<std::string> codings;
-    for (const HttpHeader &header : headers) {
-        if (!boost::algorithm::iequals(header.name, "Transfer-Encoding"))
-            continue;
-        ++lines;
-        std::vector<std::string> elements;
-        boost::algorithm::split(elements, header.value, boost::algorithm::is_any_of(","));
-        for (std::string &element : elements) {
-            boost::algorithm::trim_if(element, boost::algorithm::is_any_of(" \t"));
-            if (!element.empty())
-                codings.push_back(std::move(element));
-        }
-    }
-    if (lines == 0)
+    const std::optional<std::vector<std::string>> codings = transferCodings(headers);
+    if (!codings)
         return TransferCoding::None;
-    const bool isChunked = codings.size() == 1 && boost::algorithm::iequals(codings.front(), "chunked");
-    return isChunked ? TransferCoding::Chunked : TransferCoding::Unsupported;
+    return codings->size() == 1 && isChunked(codings->front()) ? TransferCoding::Chunked
+                                                               : TransferCoding::Unsupported;
 }
 
 bool isFramed(const HttpHeaders &headers)
 {
-    return !headerOf(headers, "Content-Length").empty()
-        || transferCodingOf(headers) == TransferCoding::Chunked;
+    if (!headerOf(headers, "Content-Length").empty())
+        return true;
+    const std::optional<std::vector<std::string>> codings = transferCodings(headers);
+    return codings && !codings->empty() && isChunked(codings->back());
 }
 
 bool endsWithConnection(const std::string &method, int status, const HttpHeaders &headers)
