Test: engines whose reply to a move is late, lost once or never comes (red)

What callers see: a stream without resumption is closed before its end, although its engine holds its memory. The stand-in answers calls to copy and calls to stop by PROTOCOL.md: without Last the run goes on, called again it copies what is new, 409 while a call is in progress; each of nine orders draws which replies are late or missing. It also counts runs that go on at two engines, and copies that nobody frees.

--- a/tests/movingengines.py
+++ b/tests/movingengines.py
@@ -2,10 +2,12 @@
 """Engines on loopback that stop streams for a move, and callers that check what they get.
 
 Usage: movingengines.py CASE --port FIRST --count N --callers N --to PORT [PORT] --store PORT [--seed S] [--path PATH]
-CASE is chunked or unframed, the framing of the streams; ending is chunked with a last chunk also where a run stops. Each stream draws the order in which its engine answers the
+CASE is chunked or unframed, the framing of the streams; ending is chunked with a last chunk also where a run stops; late is
+chunked, with replies that come late, once only, or never. Each stream draws the order in which its engine answers the
 move and closes the stream. Half of the engines leave while the streams run; in case killed, which is unframed, they
 have a process of their own that is killed instead. Prints "ready", "leave" and then "played" with what the callers got by
-order; ends with 1 if a stream reached its caller out of order, or as complete before its last event.
+order; ends with 1 if a stream reached its caller out of order, as complete before its last event, or from two engines at once,
+in case late also if it was broken off.
 """
 import argparse
 import asyncio
@@ -25,12 +27,25 @@
 LEAVE_AT_S = 0.8  # After the first caller.
 LEAVES_AFTER_MS = 1500
 PLAY_S = 20
-# What an engine does when it is asked to move a run: how long after the close of its stream it replies (negative:
-# before), what it replies, and whether the stream stops inside an event.
-ORDERS = {"close-0": (0, 200, False), "close-10": (0.01, 200, False), "close-100": (0.1, 200, False),
-          "reply-0": (-0.001, 200, False), "reply-100": (-0.1, 200, False), "inside": (0.01, 200, True),
-          "full-close": (0.01, 503, False), "full-reply": (-0.05, 503, False), "ended": (0.01, 404, False),
-          "lost": (0, 0, False)}
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """What an engine does when it is asked to move a run."""
+    reply_s: float = 0  # From the close of the stream to the reply, where the run is to stop; negative: before.
+    status: int = 200
+    inside: bool = False  # The stream stops inside an event.
+    copy_s: float = 0  # Until the reply where the run goes on.
+    lost: range = range(0)  # The calls, counted from 0, whose reply never comes.
+    loses_stops: bool = False  # No reply to a call that stops the run.
+
+
+ORDERS = {"close-0": Order(), "close-10": Order(0.01), "close-100": Order(0.1), "reply-0": Order(-0.001),
+          "reply-100": Order(-0.1), "inside": Order(0.01, inside=True), "full-close": Order(0.01, 503),
+          "full-reply": Order(-0.05, 503), "ended": Order(0.01, 404), "lost": Order(lost=range(99))}
+LATE_ORDERS = {"late-800": Order(0.8), "late-1300": Order(1.3), "late-1800": Order(1.8), "slow-copy": Order(0.1, copy_s=0.9),
+               "lost": Order(lost=range(99)), "lost-first": Order(lost=range(1)), "lost-second": Order(lost=range(1, 2)),
+               "lost-stop": Order(loses_stops=True), "close-10": Order(0.01)}
 
 
 @dataclasses.dataclass
@@ -40,8 +55,12 @@
     made: int = 0
     stopped: bool = False
     writer: asyncio.StreamWriter = None
+    source: asyncio.StreamWriter = None  # Of the stream that was stopped.
+    busy: bool = False  # A call is in progress.
     handle: str = ""
     moved: bool = False
+    calls: int = 0
+    ran_twice: bool = False
 
 
 def event(number):
@@ -50,11 +69,12 @@
 
 class Engines:
     def __init__(self, arguments):
-        self.arguments, self.runs, self.draining = arguments, {}, set()
+        self.arguments, self.runs, self.draining, self.released = arguments, {}, set(), set()
         self.random, self.handles = random.Random(arguments.seed), itertools.count(1)
-        self.chunked, self.ends = arguments.case in ("chunked", "ending"), arguments.case == "ending"
+        self.chunked, self.ends = arguments.case in ("chunked", "ending", "late"), arguments.case == "ending"
+        self.table = LATE_ORDERS if arguments.case == "late" else ORDERS
         # Where every stream has a last chunk, a run whose reply is lost can't be told from one that is complete.
-        self.orders = [name for name in ORDERS if not self.ends or name not in ("lost", "inside")]
+        self.orders = [name for name in self.table if not self.ends or name not in ("lost", "inside")]
         self.ports = range(arguments.port, arguments.port + arguments.count)
         self.leaving, self.staying = self.ports[:arguments.count // 2], self.ports[arguments.count // 2:]
 
@@ -80,6 +100,9 @@
             return await self.move(json.loads(body), writer)
         if path in ("/report", "/health"):
             return self.reply(writer, 200, {})
+        if path.startswith("/kv-handle/"):
+            self.released.add(path.rpartition("/")[2])
+            return self.reply(writer, 200, {})
         return await self.stream(request, writer)
 
     def reply(self, writer, status, body, *headers):
@@ -96,7 +119,7 @@
             handle, run.handle = run.handle, ""
             if not handle or request["kv-from"].partition("/")[2] != handle:
                 return self.reply(writer, 503, {}, "X-Not-Executed: 1", f"X-Request-Id: {identity}")
-            run.moved = True
+            run.moved, run.ran_twice = True, run.ran_twice or (run.writer is not None and not run.stopped)
         lines = ["HTTP/1.1 200 OK", "X-Server-Stamp: stamp", f"X-Request-Id: {identity}", "Content-Type: text/event-stream"]
         lines += ["Transfer-Encoding: chunked"] if self.chunked else []
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
@@ -118,28 +141,46 @@
 
     async def move(self, order, writer):
         run = self.runs.get(order["Id"])
-        if not run or not run.writer or run.stopped:
+        if run and run.busy:
+            return self.reply(writer, 409, {})
+        if not run or not (run.writer or run.stopped):
             return self.reply(writer, 404, {})
-        delay, status, inside = ORDERS[run.order]
-        source, run.stopped = run.writer, True
-        if status == 404:  # It ends by itself, at this moment.
-            run.last = run.made
-        if self.ends or (self.chunked and status == 404):
-            source.write(b"0\r\n\r\n")
-        if inside:
-            self.send(source, event(run.made + 1)[:9])
-        if delay >= 0:
-            self.close(run, source)
-            await asyncio.sleep(delay)
-        if not status:
+        todo, call, run.calls = self.table[run.order], run.calls, run.calls + 1
+        run.busy = True
+        try:
+            status = await (self.stop(run, todo) if order.get("Last") else self.copy(run, todo))
+        finally:
+            run.busy = False
+        if call in todo.lost or (todo.loses_stops and order.get("Last")):
             return False
-        run.handle = f"h{next(self.handles)}" if status != 404 else ""
-        self.reply(writer, status, {"Handle": run.handle, "Created": run.made} if run.handle else {})
-        if delay < 0:
-            await asyncio.sleep(-delay)
-            self.close(run, source)
+        if status == 404:
+            return self.reply(writer, status, {})
+        run.handle = run.handle or f"h{next(self.handles)}"
+        self.reply(writer, status, {"Handle": run.handle, "Created": run.made})
+        if todo.reply_s < 0 and order.get("Last"):
+            await asyncio.sleep(-todo.reply_s)
+            self.close(run, run.source)
         return True
 
+    async def copy(self, run, todo):
+        await asyncio.sleep(todo.copy_s)
+        return 200 if run.writer or run.stopped else 404
+
+    async def stop(self, run, todo):
+        if run.stopped:  # Asked again: the memory is still there, unless the run ended by itself.
+            return 404 if todo.status == 404 else 200
+        run.source, run.stopped = run.writer, True
+        if todo.status == 404:  # It ends by itself, at this moment.
+            run.last = run.made
+        if self.ends or (self.chunked and todo.status == 404):
+            run.source.write(b"0\r\n\r\n")
+        if todo.inside:
+            self.send(run.source, event(run.made + 1)[:9])
+        if todo.reply_s >= 0:
+            self.close(run, run.source)
+            await asyncio.sleep(todo.reply_s)
+        return todo.status
+
     @staticmethod
     def close(run, source):
         source.close()
@@ -199,12 +240,15 @@
     status, events, complete = stream_of(response, was_closed)
     run = engines.runs.get(identity, Run("none"))
     name = run.order if run.moved or run.stopped else "stays"
-    if events != list(range(1, len(events) + 1)):
+    if run.ran_twice:
+        got[name, "RAN TWICE"] += 1
+    elif events != list(range(1, len(events) + 1)):
         got[name, "OUT OF ORDER"] += 1
     elif complete and status == 200 and len(events) < run.last:
         got[name, "ENDED EARLY"] += 1
     else:
-        got[name, "whole" if complete and status == 200 else "broken off"] += 1
+        is_whole = complete and status == 200
+        got[name, "whole" if is_whole else "BROKEN OFF" if arguments.case == "late" else "broken off"] += 1
 
 
 def start_victims(engines):
@@ -233,13 +277,14 @@
     for (order, outcome), count in sorted(got.items()):
         print(f"{order}: {outcome} {count}", flush=True)
     moved = sum(run.moved for run in engines.runs.values())
+    left = sum(bool(run.handle) and run.handle not in engines.released for run in engines.runs.values())
     wrong = sum(count for (_, outcome), count in got.items() if outcome.isupper())
-    print(f"played: {sum(got.values())} of {arguments.callers}, moved {moved}, wrong {wrong}", flush=True)
+    print(f"played: {sum(got.values())} of {arguments.callers}, moved {moved}, copies left {left}, wrong {wrong}", flush=True)
     return 0 if not wrong and not late else 1
 
 
 parser = argparse.ArgumentParser()
-parser.add_argument("case", choices=["chunked", "unframed", "ending", "killed"])
+parser.add_argument("case", choices=["chunked", "unframed", "ending", "late", "killed"])
 parser.add_argument("--to", type=int, nargs="+")
 for name, default in {"port": 0, "count": 8, "callers": 120, "store": 0, "seed": 1}.items():
     parser.add_argument("--" + name, type=int, default=default)
--- a/tests/movingengines_test.sh
+++ b/tests/movingengines_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a stream that was stopped for a move and whose close is read before the reply, or whose process was
-# killed: it must not reach its caller as complete. Usage: movingengines_test.sh chunked|unframed|ending|relay|killed [SEED]
+# killed: it must not reach its caller as complete; and against one that is lost with a late or missing reply (late).
+# Usage: movingengines_test.sh chunked|unframed|ending|late|relay|killed [SEED]
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
@@ -48,4 +49,5 @@
 cp "$run_dir/daemon.out" "${KEEP_LOG:-/dev/null}"
 expect "all streams have ended" "$(grep -oE '^played: ([0-9]+) of \1,' "$run_dir/engines.out" | wc -l)" 1
 [ "$case" = killed ] || expect "streams were moved" "$(grep -cE 'moved [1-9]' "$run_dir/engines.out" || true)" 1
-expect "no stream is out of order or ends early" "$(grep -cE 'OUT OF ORDER|ENDED EARLY' "$run_dir/engines.out" || true)" 0
+expect "no stream is out of order, ends early or is lost" \
+    "$(grep -cE 'OUT OF ORDER|ENDED EARLY|RAN TWICE|BROKEN OFF' "$run_dir/engines.out" || true)" 0
