A run on a leaving engine is stopped only once a copy of it can be named

What callers saw: streams without resumption that were closed midway, several of one daemon at one engine at once.

Cause: a move was one call that stops the run first and names its copy last. If the reply came after 1.2 s or not at all, the engine had closed the stream as it was asked to, and nobody knew the handle of its memory. The class: an order that can't be taken back, given before what its reply names is known.

Change: PROTOCOL.md's call without `Last` comes first: the run goes on while its memory is copied, behind whatever copies are queued. Only with the handle in hand is it asked to stop; that call copies what is new. A call without a reply is made again after 400 ms, since the first one may still be answered (both stay open). When the source has closed the stream and no reply follows within 150 ms, the stream goes on from the copy, which reads what it lacks; a target that refuses leaves the source, as before. 404 after the stop: the copy is kept until the stream's own end has been seen. A copy that nobody continues is freed.

Why it works: until the copy is known, nothing was stopped, so no reply that is missing costs anything; from then on no reply is needed.

The tests of moves answer the copy first, and ask for more than before; endpointrest_test asks for one move whose call is repeated in place of one call.

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -86,6 +86,8 @@
         exchange->processCheck = ProcessCheck::RanOn;
         return onEnd({attempt}, now);
     }
+    if (exchange->isStoppingForMove())
+        return continueAtTarget(*exchange, now);
     const AttemptConnectionFailed failure{attempt, true};
     closeFailedAttempt(*exchange, failure, now);
     continueAfterFailure(*exchange, failure, now);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,8 +19,18 @@
     EndpointIncarnation target;
     Address source;
     TimeMs startedAt;
+    MigrationStep step = MigrationStep::Copy;
+    TimeMs stepSince;
+    uint32_t calls = 0; ///< Made in this step.
+    TimeMs calledAt; ///< Time of the newest call.
+    std::set<MigrationCallId> openCalls;
+    std::optional<std::string> handle; ///< Of the copy at the target; set in step Stop.
+    bool isStopped = false; ///< By the word of the source.
+    bool hasEnded = false; ///< The source does not know the generation any more.
     std::optional<StreamEnd> sourceEnd; ///< How the stream has ended at the source, as it does when it stops.
-    std::optional<std::string> handle; ///< Set when the KV cache has arrived at the target.
+    TimeMs sourceEndedAt;
+
+    bool isStopping() const { return step == MigrationStep::Stop; }
 };
 
 /// Question whether the process of an endpoint outlived the end of a response that states no end.
@@ -125,6 +135,8 @@
     std::optional<uint64_t> eventStep; ///< Difference of the ids of two consecutive events.
     std::optional<TimeMs> expectedEndAt; ///< As predicted at the newest send after a stop signal.
 
+    /// Its engine was asked to stop it, for a copy that can be continued.
+    bool isStoppingForMove() const { return migration && migration->isStopping(); }
     /// Going on in the same phase does not change `phaseSince`.
     void enter(ExchangePhase next, TimeMs now)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -471,9 +471,17 @@
     bool shouldMigrate(const Exchange &exchange, TimeMs now) const;
     /// `others`: streams that are to be migrated as well.
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
+    void callSource(Exchange &exchange, TimeMs now);
+    void advanceMigration(Exchange &exchange, TimeMs now);
+    void repeatCall(Exchange &exchange, TimeMs now);
+    void endWithoutReply(Exchange &exchange, TimeMs now);
+    void onCopyReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now);
+    void onStopReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now);
+    void logMoveFailed(const Exchange &exchange, const GenerationMigrated &reply, TimeMs now) const;
+    void recordEventsMade(Exchange &exchange, const GenerationMigrated &reply) const;
     void continueAtTarget(Exchange &exchange, TimeMs now);
     void recordSourceEnd(Exchange &exchange, StreamEnd end, TimeMs now);
-    void onMigrationFailed(Exchange &exchange, TimeMs now);
+    void releaseCopy(const Exchange &exchange, const GenerationMigration &migration);
     bool returnToSource(Exchange &exchange, TimeMs now);
     void abortStream(Exchange &exchange, TimeMs now);
 
@@ -577,6 +585,7 @@
     /// Requests that yield to others (see `yieldsToOthers`) are not sent before this time.
     std::map<ServiceName, TimeMs> nextYieldingSendAt_;
     uint64_t nextAttempt_ = 1;
+    uint64_t nextMigrationCall_ = 1;
     uint64_t reports_ = 0;
     size_t entryCount_ = 0; ///< Number of addresses in the newest entry answer.
     std::vector<Address>
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -26,6 +26,8 @@
        "streams_whole",
        "streams_broken",
        "sources_closed_in_move",
+       "move_calls_repeated",
+       "moves_without_reply",
        "callers_gone",
        "retries_denied",
        "rests_asked",
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -63,6 +63,8 @@
     StreamsWhole,
     StreamsBroken,
     SourcesClosedInMove, ///< Streams that ended at their source before the reply to their move.
+    MoveCallsRepeated, ///< Calls to copy a stream's KV cache that were made again for want of a reply.
+    MovesWithoutReply, ///< Streams that went on from a copy though the call that stopped them had no reply.
     CallersGone,
     RetriesDenied, ///< The shared retry budget was used up.
     RestsAsked, ///< Requests that an endpoint turned away with a rest.
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -99,13 +99,26 @@
     AttemptId attempt;
 };
 
-/// Outcome of a request to migrate a generation's KV cache to another engine.
+/// Number of a call to an engine that copies a generation's KV cache.
+struct MigrationCallId {
+    uint64_t value = 0;
+    friend constexpr std::strong_ordering operator<=>(MigrationCallId, MigrationCallId) = default;
+};
+
+/// What is asked of the engine of a generation that is to be migrated, in this order. It is asked to stop
+/// only once the copy at the target can be named, so that no missing reply loses the generation.
+enum class MigrationStep : uint8_t {
+    Copy, ///< Copy the KV cache, and run on.
+    Stop ///< Stop, and copy what the copy lacks.
+};
+
+/// Outcome of a call to copy a generation's KV cache to another engine.
 enum class MigrationOutcome : uint8_t {
-    Migrated, ///< The generation has stopped, its KV cache is at the target.
+    Migrated, ///< Its KV cache is at the target; if it was to stop, it has.
     NoSuchGeneration, ///< The generation has not started or is complete.
-    NoCapacity, ///< The generation has stopped, its KV cache is still at the source.
-    Refused, ///< Another migration is in progress.
-    NoReply, ///< The generation may have stopped.
+    NoCapacity, ///< Its KV cache is only at the source; if it was to stop, it has.
+    Refused, ///< Another call is in progress.
+    NoReply, ///< If it was to stop, it may have.
     Unreached ///< The engine was not asked.
 };
 
@@ -113,10 +126,13 @@
     AttemptId attempt; ///< Attempt whose generation was to be migrated.
     MigrationOutcome outcome = MigrationOutcome::NoReply;
     std::string handle; ///< Identifies the KV cache at the target; valid once.
-    std::optional<uint64_t> eventsMade = std::nullopt; ///< By the generation until it stopped.
+    std::optional<uint64_t> eventsMade = std::nullopt; ///< By the generation until the copy, or its stop.
+    MigrationCallId call;
+    MigrationStep step = MigrationStep::Copy;
 };
 
 const char *toText(MigrationOutcome outcome);
+const char *toText(MigrationStep step);
 
 /// Why a new connection could not be established.
 enum class ConnectFailure : uint8_t {
@@ -568,7 +584,7 @@
     std::string handle;
 };
 
-/// Stops a generation and copies its KV cache to another engine.
+/// Copies a generation's KV cache to another engine.
 struct MigrateGeneration {
     AttemptId attempt;
     Address source;
@@ -577,6 +593,15 @@
     DurationMs timeout;
     std::optional<Address> relay; ///< Daemon that passes the call on.
     EndpointId sourceId;
+    MigrationCallId call;
+    MigrationStep step = MigrationStep::Copy;
+};
+
+/// Frees a copy that nobody will continue.
+struct ReleaseKvCache {
+    MigratedKvCache kvCache;
+    EndpointId sourceId;
+    std::optional<Address> relay; ///< Daemon that passes the call on.
 };
 
 /// Requests an engine's state.
@@ -638,7 +663,7 @@
 };
 
 using GatewayAction = std::variant<AnswerCaller, BeginCallerStream, CallerStreamData, EndCallerStream,
-                                   SendAttempt, CancelSent, MigrateGeneration, ProbeEngine, ProbePath,
-                                   ProbeRelay, CloseIdleConnections, SendToPeer>;
+                                   SendAttempt, CancelSent, MigrateGeneration, ReleaseKvCache, ProbeEngine,
+                                   ProbePath, ProbeRelay, CloseIdleConnections, SendToPeer>;
 
 } // namespace cranberry
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -19,6 +19,7 @@
 constexpr size_t MinCountedResponse = 8U << 10;
 /// A report lists each run of its engine in some 60 bytes; replies to other short calls are smaller.
 constexpr size_t MaxShortReply = 256U << 10;
+constexpr DurationMs ReleaseTimeout{500};
 
 /// Returns the status of a complete response; 0 if it is incomplete.
 int completeStatus(const HttpResponse &response)
@@ -316,10 +317,21 @@
                                           : mayHaveArrived(reply.failure);
         if (!isAsked)
             migrated.outcome = MigrationOutcome::Unreached;
+        migrated.call = action.call;
+        migrated.step = action.step;
         gateway.onGenerationMigrated(migrated, steadyNow());
     });
 }
 
+// Without a reply the copy is freed after a while all the same.
+void GatewayServer::State::run(ReleaseKvCache &action)
+{
+    EndpointCall order{action.sourceId, {}, ReleaseTimeout, action.relay};
+    order.call.address = action.kvCache.source;
+    order.call.request = platform::encodeRelease(action);
+    callEndpoint(std::move(order), [](const HttpResponse &) {});
+}
+
 void GatewayServer::State::run(ProbeEngine &action)
 {
     EndpointCall order{action.endpoint, {}, action.timeout, action.relay};
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -68,6 +68,7 @@
     void run(SendAttempt &action);
     void run(CancelSent &action);
     void run(MigrateGeneration &action);
+    void run(ReleaseKvCache &action);
     void run(ProbeEngine &action);
     void run(ProbePath &action);
     void run(ProbeRelay &action);
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -54,6 +54,8 @@
 // Removes the open attempt from the bookkeeping of this daemon.
 void Gateway::detach(Exchange &exchange)
 {
+    if (exchange.migration)
+        releaseCopy(exchange, *exchange.migration);
     exchange.migration.reset();
     releaseFetch(exchange);
     fleet_.firstByte(exchange.sentTo, exchange.prefillTokens);
@@ -240,10 +242,11 @@
 
 void Gateway::endStream(Exchange &exchange, StreamEnd end, TimeMs now)
 {
-    switch (verdictOf(end, exchange.stop, exchange.migration.has_value())) {
+    const bool awaitsReply = exchange.isStoppingForMove() && !exchange.migration->hasEnded;
+    switch (verdictOf(end, exchange.stop, awaitsReply)) {
     case EndVerdict::AwaitMove:
         recordSourceEnd(exchange, end, now);
-        if (exchange.migration->handle)
+        if (exchange.migration->isStopped)
             continueAtTarget(exchange, now);
         return;
     case EndVerdict::AskProcess:
@@ -251,6 +254,8 @@
             return awaitEndpointState(exchange, now);
         return completeStream(exchange, end, now);
     case EndVerdict::Interrupted:
+        if (exchange.isStoppingForMove())
+            return continueAtTarget(exchange, now);
         return interruptAttempt(exchange, {exchange.attempt, true}, now);
     case EndVerdict::Complete:
         return completeStream(exchange, end, now);
@@ -464,14 +469,19 @@
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
         const bool isSilentStream = exchange.streaming && exchange.route->resumable
-            && exchange.sends + 1 < exchange.route->attempts
+            && !exchange.isStoppingForMove() && exchange.sends + 1 < exchange.route->attempts
             && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now);
         if (fleet_.isSuperseded(exchange.sentTo, now) || isSilentStream || isLostInPartition(exchange, now))
             silent.push_back(entry.first);
     }
     for (AttemptId attempt : silent) {
         Exchange *exchange = findByAttempt(attempt);
-        if (exchange && (fleet_.isSuperseded(exchange->sentTo, now) || canContinueElsewhere(*exchange, now)))
+        if (!exchange)
+            continue;
+        const bool hasRestarted = fleet_.isSuperseded(exchange->sentTo, now);
+        if (hasRestarted && exchange->isStoppingForMove())
+            continueAtTarget(*exchange, now);
+        else if (hasRestarted || canContinueElsewhere(*exchange, now))
             cancelAsFailed(attempt, now);
     }
 }
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -11,15 +11,20 @@
 constexpr DurationMs MigrationMargin{500};
 /// Copying the KV cache of one generation takes milliseconds, but the copies of a whole engine are queued.
 constexpr DurationMs MigrationTimeout{1200};
+/// A call without a reply is made again after this time, in case the reply was lost: an engine that is still
+/// at work says so.
+constexpr DurationMs RepeatTime{400};
+constexpr uint32_t MaxCalls = 4; ///< In each step of a migration.
 /// An engine replies from memory. A later reply is useless, since reclaim notices are seconds long.
 constexpr DurationMs ProbeTimeout{500};
-/// Time for the last bytes of the stopped stream, which arrive after the reply to the migration request.
+/// The last bytes of a stopped stream and the reply to the call that stopped it arrive on two connections.
 constexpr DurationMs LastBytesTimeout{150};
 constexpr size_t MaxMigrations = 4; ///< Migration attempts per request, each to another target.
 /// Event interval assumed for a stream of which only the first event has been received.
 constexpr double DefaultEventIntervalMs = 60;
 constexpr std::array OutcomeNames
     = {"migrated", "no_such_generation", "no_capacity", "refused", "no_reply", "unreached"};
+constexpr std::array StepNames = {"copy", "stop"};
 
 } // namespace
 
@@ -28,6 +33,11 @@
     return OutcomeNames.at(static_cast<size_t>(outcome));
 }
 
+const char *toText(MigrationStep step)
+{
+    return StepNames.at(static_cast<size_t>(step));
+}
+
 void Gateway::probeEngines(TimeMs now)
 {
     for (const EndpointEntry &entry : fleet_.dueProbes(now)) {
@@ -55,31 +65,33 @@
     fleet_.setLeaving(incarnation, after, now);
 }
 
-// Stops streams on an engine that leaves before they end, and continues them at another engine from the
-// copied KV cache. This is the same generation, so it is allowed also for streams that can't be resumed.
-// Streams on versions that a roll-out replaces run to their end: no other engine of their version will last
-// longer.
+// Continues streams on an engine that leaves before they end at another engine, from the copied KV cache.
+// This is the same generation, so it is allowed also for streams that can't be resumed. Streams on versions
+// that a roll-out replaces run to their end: no other engine of their version will last longer.
 void Gateway::migrateFromLeavingEngines(TimeMs now)
 {
     std::vector<CallerId> toMigrate;
     std::vector<AttemptId> unstarted;
-    std::vector<CallerId> late;
+    std::vector<CallerId> migrating;
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
-        if (!exchange.migration && shouldMigrate(exchange, now))
+        if (exchange.migration)
+            migrating.push_back(entry.second);
+        else if (shouldMigrate(exchange, now))
             toMigrate.push_back(entry.second);
         if (isTooLateToStart(exchange, now))
             unstarted.push_back(entry.first);
-        if (exchange.migration && exchange.migration->handle
-            && now - exchange.migration->startedAt > MigrationTimeout + LastBytesTimeout)
-            late.push_back(entry.second);
     }
     for (size_t i = 0; i < toMigrate.size(); ++i)
         startMigration(exchanges_.at(toMigrate[i]), toMigrate.size() - i - 1, now);
     for (AttemptId attempt : unstarted)
         cancelAsFailed(attempt, now);
-    for (CallerId id : late)
-        continueAtTarget(exchanges_.at(id), now);
+    // The end of one stream may end others, which waited for it.
+    for (CallerId id : migrating) {
+        const auto found = exchanges_.find(id);
+        if (found != exchanges_.end() && found->second.migration)
+            advanceMigration(found->second, now);
+    }
 }
 
 // Returns whether a request that still waits at a leaving engine has to be sent elsewhere. It has no KV cache
@@ -139,7 +151,7 @@
     migration.target = target->incarnation();
     exchange.migrationTargets.insert(migration.target.id);
     migration.source = source->entry.address;
-    migration.startedAt = now;
+    migration.startedAt = migration.stepSince = now;
     exchange.migration = migration;
     fleet_.reserve(migration.target, now);
     log(LogPriority::Failure, "move", exchange,
@@ -147,67 +159,190 @@
          {"target", migration.target.id.value},
          {"events", exchange.events},
          {"leaves_in_ms", (source->leavesAt.value_or(now) - now).count}});
-    actions_.emplace_back(MigrateGeneration{exchange.attempt, migration.source, target->entry.address,
-                                            exchange.request->id, MigrationTimeout,
-                                            relayFor(exchange.service, now), source->entry.id});
+    callSource(exchange, now);
+}
+
+void Gateway::callSource(Exchange &exchange, TimeMs now)
+{
+    GenerationMigration &migration = *exchange.migration;
+    const FleetEndpoint *target = fleet_.find(migration.target);
+    migration.calledAt = now;
+    ++migration.calls;
+    if (!target)
+        return;
+    const MigrationCallId call{nextMigrationCall_++};
+    migration.openCalls.insert(call);
+    actions_.emplace_back(MigrateGeneration{
+        exchange.attempt, migration.source, target->entry.address, exchange.request->id, MigrationTimeout,
+        relayFor(exchange.service, now), exchange.sentTo.id, call, migration.step});
+}
+
+// Makes a call without a reply again, and goes on without a reply where the copy is known.
+void Gateway::advanceMigration(Exchange &exchange, TimeMs now)
+{
+    const GenerationMigration &migration = *exchange.migration;
+    if (migration.hasEnded)
+        return;
+    const DurationMs endedFor = migration.sourceEnd ? now - migration.sourceEndedAt : DurationMs{0};
+    const bool saysItsEnd = migration.sourceEnd == StreamEnd::Stated;
+    const bool areBytesMissing
+        = migration.isStopped && now - migration.stepSince > MigrationTimeout + LastBytesTimeout;
+    if (areBytesMissing || (endedFor > LastBytesTimeout && !saysItsEnd))
+        return continueAtTarget(exchange, now);
+    if (endedFor > MigrationTimeout)
+        return endWithoutReply(exchange, now);
+    if (migration.isStopped || now - migration.calledAt < RepeatTime)
+        return;
+    if (migration.calls < MaxCalls)
+        return repeatCall(exchange, now);
+    // The generation runs on, so another target may be tried.
+    if (migration.openCalls.empty() && !migration.isStopping())
+        exchange.migration.reset();
+}
+
+void Gateway::repeatCall(Exchange &exchange, TimeMs now)
+{
+    if (!fleet_.takeCall(exchange.sentTo.id, now))
+        return;
+    counters_.add(GatewayCount::MoveCallsRepeated);
+    log(LogPriority::Failure, "move_asked_again", exchange,
+        {{"step", toText(exchange.migration->step)},
+         {"calls", exchange.migration->calls},
+         {"after_ms", (now - exchange.migration->startedAt).count}});
+    callSource(exchange, now);
+}
+
+// Its last chunk says that the stream is complete, and no reply says otherwise.
+void Gateway::endWithoutReply(Exchange &exchange, TimeMs now)
+{
+    const StreamEnd end = *exchange.migration->sourceEnd;
+    exchange.stop = StopState::Unknown;
+    releaseCopy(exchange, *exchange.migration);
+    exchange.migration.reset();
+    endStream(exchange, end, now);
+}
+
+void Gateway::onGenerationMigrated(const GenerationMigrated &reply, TimeMs now)
+{
+    Exchange *exchange = findByAttempt(reply.attempt);
+    if (!exchange || !exchange->migration || exchange->migration->openCalls.erase(reply.call) == 0
+        || exchange->migration->isStopped || exchange->migration->hasEnded)
+        return;
+    if (reply.step == MigrationStep::Stop)
+        onStopReply(*exchange, reply, now);
+    else if (!exchange->migration->isStopping())
+        onCopyReply(*exchange, reply, now);
+}
+
+// The generation runs on, whatever the reply is. It is stopped once its copy can be named.
+void Gateway::onCopyReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now)
+{
+    GenerationMigration &migration = *exchange.migration;
+    switch (reply.outcome) {
+    case MigrationOutcome::Migrated:
+        migration.handle = reply.handle;
+        migration.step = MigrationStep::Stop;
+        migration.stepSince = now;
+        migration.calls = 0;
+        recordEventsMade(exchange, reply);
+        log(LogPriority::Failure, "move_copied", exchange,
+            {{"after_ms", (now - migration.startedAt).count},
+             {"events", exchange.events},
+             {"events_made", reply.eventsMade.value_or(0)}});
+        return callSource(exchange, now);
+    case MigrationOutcome::NoSuchGeneration:
+    case MigrationOutcome::NoCapacity:
+        logMoveFailed(exchange, reply, now);
+        exchange.migration.reset();
+        return;
+    case MigrationOutcome::Refused:
+    case MigrationOutcome::NoReply:
+    case MigrationOutcome::Unreached:
+        return logMoveFailed(exchange, reply, now);
+    }
 }
 
-void Gateway::onGenerationMigrated(const GenerationMigrated &event, TimeMs now)
+// A reply with a handle says that the generation has stopped. The copy is at the target also if there was no
+// room for what it lacks.
+void Gateway::onStopReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now)
 {
-    Exchange *exchange = findByAttempt(event.attempt);
-    if (!exchange || !exchange->migration)
+    GenerationMigration &migration = *exchange.migration;
+    if (reply.handle.empty()) {
+        logMoveFailed(exchange, reply, now);
+        const bool mayHaveStopped = !migration.openCalls.empty();
+        exchange.stop = stopAfterReply(mayHaveStopped ? StopState::Unknown : exchange.stop, reply);
+        migration.hasEnded = reply.outcome == MigrationOutcome::NoSuchGeneration;
+        if (migration.hasEnded && migration.sourceEnd)
+            endStream(exchange, *migration.sourceEnd, now);
         return;
-    GenerationMigration &migration = *exchange->migration;
-    if (!event.handle.empty())
-        exchange->kept = KeptGeneration{exchange->sentTo, {migration.source, event.handle}};
-    if (event.outcome != MigrationOutcome::Migrated) {
-        log(LogPriority::Failure, "move_failed", *exchange,
-            {{"outcome", toText(event.outcome)},
-             {"after_ms", (now - migration.startedAt).count},
-             {"events", exchange->events},
-             {"events_made", event.eventsMade.value_or(0)},
-             {"has_handle", !event.handle.empty()},
-             {"source_closed", migration.sourceEnd.has_value()}});
-        exchange->stop = stopAfterReply(exchange->stop, event);
-        return onMigrationFailed(*exchange, now);
     }
-    migration.handle = event.handle;
-    // An engine that began in the middle of a stream may count from there.
-    if (exchange->sends == 0 && !exchange->request->resumeAfter)
-        exchange->eventsMade = event.eventsMade.value_or(0);
-    log(LogPriority::Failure, "moved", *exchange,
-        {{"after_ms", (now - migration.startedAt).count},
-         {"events", exchange->events},
-         {"events_made", event.eventsMade.value_or(0)},
+    exchange.kept = KeptGeneration{exchange.sentTo, {migration.source, reply.handle}};
+    migration.handle = reply.handle;
+    migration.isStopped = true;
+    recordEventsMade(exchange, reply);
+    log(LogPriority::Failure, "moved", exchange,
+        {{"outcome", toText(reply.outcome)},
+         {"after_ms", (now - migration.startedAt).count},
+         {"stop_ms", (now - migration.stepSince).count},
+         {"events", exchange.events},
+         {"events_made", reply.eventsMade.value_or(0)},
          {"source_closed", migration.sourceEnd.has_value()}});
     if (migration.sourceEnd)
-        continueAtTarget(*exchange, now);
+        continueAtTarget(exchange, now);
+}
+
+void Gateway::logMoveFailed(const Exchange &exchange, const GenerationMigrated &reply, TimeMs now) const
+{
+    const GenerationMigration &migration = *exchange.migration;
+    log(LogPriority::Failure, "move_failed", exchange,
+        {{"step", toText(reply.step)},
+         {"outcome", toText(reply.outcome)},
+         {"after_ms", (now - migration.startedAt).count},
+         {"events", exchange.events},
+         {"events_made", reply.eventsMade.value_or(0)},
+         {"has_handle", !reply.handle.empty()},
+         {"source_closed", migration.sourceEnd.has_value()}});
+}
+
+// An engine that began in the middle of a stream may count from there.
+void Gateway::recordEventsMade(Exchange &exchange, const GenerationMigrated &reply) const
+{
+    if (exchange.sends == 0 && !exchange.request->resumeAfter)
+        exchange.eventsMade = reply.eventsMade.value_or(exchange.eventsMade);
 }
 
 void Gateway::recordSourceEnd(Exchange &exchange, StreamEnd end, TimeMs now)
 {
     GenerationMigration &migration = *exchange.migration;
     migration.sourceEnd = end;
-    if (migration.handle)
+    migration.sourceEndedAt = now;
+    if (migration.isStopped)
         return;
     counters_.add(GatewayCount::SourcesClosedInMove);
     log(LogPriority::Failure, "move_source_closed", exchange,
         {{"after_ms", (now - migration.startedAt).count}, {"end", toText(end)}, {"events", exchange.events}});
 }
 
-// If the generation stopped but its KV cache did not arrive at the target, its stream is resumed where
-// possible. If the generation still runs, the stream just continues.
-void Gateway::onMigrationFailed(Exchange &exchange, TimeMs now)
+// A copy that nobody continues takes memory and a slot of its engine for seconds.
+void Gateway::releaseCopy(const Exchange &exchange, const GenerationMigration &migration)
 {
-    const std::optional<StreamEnd> end = exchange.migration->sourceEnd;
-    exchange.migration.reset();
-    if (end)
-        endStream(exchange, *end, now);
+    if (migration.handle)
+        actions_.emplace_back(
+            ReleaseKvCache{{migration.source, *migration.handle}, exchange.sentTo.id, exchange.relay});
 }
 
+// The source has stopped, or its stream has ended since it was asked to: what the copy lacks is read again.
 void Gateway::continueAtTarget(Exchange &exchange, TimeMs now)
 {
-    const GenerationMigration migration = *exchange.migration;
+    const GenerationMigration migration = *std::exchange(exchange.migration, std::nullopt);
+    if (!migration.isStopped) {
+        counters_.add(GatewayCount::MovesWithoutReply);
+        exchange.kept = KeptGeneration{exchange.sentTo, {migration.source, *migration.handle}};
+        log(LogPriority::Failure, "moved_without_reply", exchange,
+            {{"after_ms", (now - migration.startedAt).count},
+             {"stop_ms", (now - migration.stepSince).count},
+             {"events", exchange.events}});
+    }
     cancelAttempt(exchange);
     // A target that has restarted no longer holds the KV cache.
     if (!fleet_.find(migration.target) || isQuarantined(exchange, now)) {
--- a/src/gateway/requests/streamend.cpp
+++ b/src/gateway/requests/streamend.cpp
@@ -16,7 +16,7 @@
         return EndVerdict::AwaitMove;
     switch (end) {
     case StreamEnd::Stated:
-        return stop == StopState::Stopped ? EndVerdict::Interrupted : EndVerdict::Complete;
+        return EndVerdict::Complete;
     case StreamEnd::Closed:
         return stop == StopState::NotAsked ? EndVerdict::AskProcess : EndVerdict::Interrupted;
     case StreamEnd::Broken:
@@ -27,11 +27,9 @@
 
 StopState stopAfterReply(StopState before, const GenerationMigrated &reply)
 {
-    if (!reply.handle.empty())
-        return StopState::Stopped;
     const bool isTold
         = reply.outcome == MigrationOutcome::NoSuchGeneration || reply.outcome == MigrationOutcome::Unreached;
-    return isTold || before == StopState::Stopped ? before : StopState::Unknown;
+    return isTold ? before : StopState::Unknown;
 }
 
 const char *toText(StreamEnd end)
--- a/src/gateway/requests/streamend.h
+++ b/src/gateway/requests/streamend.h
@@ -13,11 +13,11 @@
     Broken ///< Inside an event, before the end that the framing asks for, or by a reset.
 };
 
-/// What is known of a generation that its engine was asked to stop, from the replies so far.
+/// What is known of a generation that its engine was asked to stop, from the replies without a handle. A
+/// reply with a handle says that it is in its engine's memory, and it is continued from there.
 enum class StopState : uint8_t {
     NotAsked, ///< Or it had ended by itself.
-    Unknown, ///< The reply did not come, or does not tell.
-    Stopped ///< It is in its engine's memory.
+    Unknown ///< The reply did not come, or does not tell.
 };
 
 /// What the end of an attempt's event stream says about the stream.
@@ -32,7 +32,7 @@
 /// reply: until the reply says that it had ended by itself, no end is its own.
 EndVerdict verdictOf(StreamEnd end, StopState stop, bool isMoveOpen);
 
-/// Returns what is known after the reply to a further request to stop. An engine that knows no such
+/// Returns what is known after a further reply without a handle. An engine that knows no such
 /// generation may have stopped it for an earlier request.
 StopState stopAfterReply(StopState before, const GenerationMigrated &reply);
 
--- a/tests/endpointlimits_test.cpp
+++ b/tests/endpointlimits_test.cpp
@@ -502,14 +502,18 @@
     pass({25});
     REQUIRE(moves.size() == 2);
     const size_t before = sent.size();
-    for (const MigrateGeneration &move : std::vector<MigrateGeneration>(moves)) {
-        broken(move.attempt);
-        gateway.onGenerationMigrated({move.attempt, MigrationOutcome::Migrated, "h1"}, now);
-        drainActions();
+    for (const MigrateGeneration &copy : std::vector<MigrateGeneration>(moves)) {
+        replyTo(copy, MigrationOutcome::Migrated, "h1");
+        CHECK(moves.back().step == MigrationStep::Stop);
+        CHECK(moves.back().attempt == copy.attempt);
+        broken(copy.attempt);
+        replyToMove(MigrationOutcome::Migrated, "h1");
     }
     CHECK(sent.size() == before + 2);
     pass({500});
-    CHECK(moves.size() == 2);
+    CHECK(std::count_if(moves.begin(), moves.end(),
+                        [](const MigrateGeneration &move) { return move.step == MigrationStep::Copy; })
+          == 2);
 }
 
 // Guards against limit messages that are altered by the encoding, or that crash the process.
--- a/tests/endpointrest_test.cpp
+++ b/tests/endpointrest_test.cpp
@@ -201,5 +201,13 @@
         events(attempt.attempt, id, id);
         pass({100});
     }
-    CHECK(moves.size() == 1);
+    // One move, whose call has no reply and is made again.
+    REQUIRE(moves.size() >= 1);
+    for (const MigrateGeneration &move : moves) {
+        CHECK(move.attempt == attempt.attempt);
+        CHECK(move.target == moves[0].target);
+        CHECK(move.step == MigrationStep::Copy);
+    }
+    replyToMove(MigrationOutcome::Migrated, "h1");
+    CHECK(moves.back().step == MigrationStep::Stop);
 }
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -205,6 +205,20 @@
     drainActions();
 }
 
+void GatewayFixture::replyToMove(MigrationOutcome outcome, const std::string &handle,
+                                 std::optional<uint64_t> eventsMade)
+{
+    REQUIRE_FALSE(moves.empty());
+    replyTo(MigrateGeneration(moves.back()), outcome, handle, eventsMade);
+}
+
+void GatewayFixture::replyTo(const MigrateGeneration &call, MigrationOutcome outcome,
+                             const std::string &handle, std::optional<uint64_t> eventsMade)
+{
+    gateway.onGenerationMigrated({call.attempt, outcome, handle, eventsMade, call.call, call.step}, now);
+    drainActions();
+}
+
 void GatewayFixture::endpointEnded(const EndpointId &endpoint)
 {
     gateway.onEngineProbed({endpoint, {}, false, false, {}, EndpointProcess::Exited, true}, now);
@@ -242,6 +256,8 @@
             cancelled.push_back(cancel->attempt);
         else if (const MigrateGeneration *move = std::get_if<MigrateGeneration>(&action))
             moves.push_back(*move);
+        else if (const ReleaseKvCache *release = std::get_if<ReleaseKvCache>(&action))
+            releases.push_back(*release);
         else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
             probes.push_back(*probe);
         else if (const CloseIdleConnections *close = std::get_if<CloseIdleConnections>(&action))
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -57,6 +57,11 @@
     void data(AttemptId attempt, const std::string &bytes);
     void end(AttemptId attempt);
     void broken(AttemptId attempt, bool sent = true);
+    /// Replies to the newest call to copy a generation's KV cache, or to a given one.
+    void replyToMove(MigrationOutcome outcome, const std::string &handle = "",
+                     std::optional<uint64_t> eventsMade = std::nullopt);
+    void replyTo(const MigrateGeneration &call, MigrationOutcome outcome, const std::string &handle = "",
+                 std::optional<uint64_t> eventsMade = std::nullopt);
     /// It says so when it is asked after a break: nobody listens there.
     void endpointEnded(const EndpointId &endpoint);
 
@@ -64,6 +69,7 @@
     std::vector<SendAttempt> sent;
     std::vector<AttemptId> cancelled;
     std::vector<MigrateGeneration> moves;
+    std::vector<ReleaseKvCache> releases;
     std::vector<ProbeEngine> probes;
     std::vector<Address> closed; ///< Addresses to which the idle connections were closed.
     std::vector<std::pair<Address, QuotaRequest>> asks;
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfixture.h"
 
+#include <algorithm>
+
 using namespace cranberry;
 
 namespace {
@@ -38,20 +40,45 @@
     return out;
 }
 
+/// Replies that the copy is at the target, upon which the generation is asked to stop.
+void copyAndStop(GatewayFixture &fixture)
+{
+    REQUIRE(fixture.moves.back().step == MigrationStep::Copy);
+    fixture.replyToMove(MigrationOutcome::Migrated, "h1");
+    REQUIRE(fixture.moves.back().step == MigrationStep::Stop);
+}
+
+/// Checks that the stream was continued at that engine from the copy, and lets it end there.
+void checkContinued(GatewayFixture &fixture, const LeavingStream &stream, const EndpointId &at,
+                    uint64_t after)
+{
+    const SendAttempt next = fixture.lastSent();
+    CHECK(next.endpoint == at);
+    CHECK(next.resumeAfter == after);
+    REQUIRE(next.migratedKvCache);
+    CHECK(next.migratedKvCache->handle == "h1");
+    fixture.head(next.attempt, 200, true);
+    fixture.events(next.attempt, after + 1, 100);
+    fixture.end(next.attempt);
+    REQUIRE(fixture.streamEnds.contains(stream.caller));
+    CHECK(fixture.streamEnds[stream.caller]);
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(GatewayFixture, "a stream that can't be resumed survives the reclaim of its engine")
 {
-    // The failure domain is reclaimed before the stream would end. The generation is stopped, its KV cache is
-    // copied to another engine, and the generation continues there. The caller receives one complete stream.
+    // The failure domain is reclaimed before the stream would end. Its KV cache is copied to another engine,
+    // the generation is stopped, and continues there. The caller receives one complete stream.
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
     REQUIRE(moves.size() == 1);
     CHECK(moves[0].attempt == stream.attempt);
+    copyAndStop(*this);
+    REQUIRE(moves.size() == 2);
     events(stream.attempt, 4, 4);
     broken(stream.attempt);
     CHECK_FALSE(streamEnds.contains(stream.caller));
-    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::Migrated, "h1"}, now);
-    drainActions();
+    replyToMove(MigrationOutcome::Migrated, "h1");
     REQUIRE(sent.size() == 2);
     CHECK(lastSent().endpoint != stream.source);
     CHECK(lastSent().resumeAfter == 4);
@@ -104,8 +131,8 @@
 TEST_CASE_FIXTURE(GatewayFixture, "the last events of a migrated generation may arrive after its KV cache")
 {
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
-    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::Migrated, "h1"}, now);
-    drainActions();
+    copyAndStop(*this);
+    replyToMove(MigrationOutcome::Migrated, "h1");
     CHECK(sent.size() == 1);
     events(stream.attempt, 4, 6);
     broken(stream.attempt);
@@ -113,24 +140,154 @@
     CHECK(lastSent().resumeAfter == 6);
 }
 
-TEST_CASE_FIXTURE(GatewayFixture, "a migration without reply loses only a stream that has stopped")
+// Guards against a stream that was stopped for a move and is lost with the reply that names its memory.
+TEST_CASE_FIXTURE(GatewayFixture, "a generation is not asked to stop before its copy can be named")
 {
-    // The reply to the migration is lost. If the stream continues, nothing has happened. If it has ended, the
-    // generation has stopped and its KV cache cannot be located: the caller receives a broken stream, and the
-    // request does not run twice.
-    const LeavingStream going = startLeavingStream(*this, PlainStream);
-    gateway.onGenerationMigrated({going.attempt, MigrationOutcome::NoReply, {}}, now);
-    events(going.attempt, 4, 5);
-    CHECK(streamed[going.caller].find("id: 5") != std::string::npos);
-    CHECK_FALSE(streamEnds.contains(going.caller));
-    pass({25});
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    MigrationOutcome outcome = MigrationOutcome::NoReply;
+    SUBCASE("no reply") { }
+    SUBCASE("the engine is not reached")
+    {
+        outcome = MigrationOutcome::Unreached;
+    }
+    SUBCASE("an earlier call is in progress")
+    {
+        outcome = MigrationOutcome::Refused;
+    }
+    for (uint64_t id = 4; id <= 90; ++id) {
+        events(stream.attempt, id, id);
+        pass({25});
+        if (id % 8 == 0)
+            replyToMove(outcome);
+    }
+    CHECK(moves.size() > 4);
+    CHECK(std::all_of(moves.begin(), moves.end(),
+                      [](const MigrateGeneration &move) { return move.step == MigrationStep::Copy; }));
+    end(stream.attempt);
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK(streamEnds[stream.caller]);
+    CHECK(sent.size() == 1);
+}
+
+// Guards against a stream that waits for a reply that is late or lost, although its copy is known.
+TEST_CASE_FIXTURE(GatewayFixture, "a stopped generation goes on from its copy without a reply")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    const EndpointId target = sent.front().endpoint == endpoints[0].id ? endpoints[1].id : endpoints[0].id;
+    SUBCASE("the source closes the stream")
+    {
+        broken(stream.attempt);
+    }
+    SUBCASE("the reply is lost, and the source closes the stream later")
+    {
+        replyToMove(MigrationOutcome::NoReply);
+        events(stream.attempt, 4, 4);
+        pass({300});
+        broken(stream.attempt);
+    }
+    SUBCASE("a call is in progress")
+    {
+        broken(stream.attempt);
+        replyToMove(MigrationOutcome::Refused);
+    }
+    CHECK(sent.size() == 1);
+    CHECK_FALSE(streamEnds.contains(stream.caller));
+    pass({200});
+    REQUIRE(sent.size() == 2);
+    CHECK(moves.front().target == moves.back().target);
+    CHECK(gateway.counters().of(GatewayCount::MovesWithoutReply) == 1);
+    checkContinued(*this, stream, lastSent().endpoint, *lastSent().resumeAfter);
+    CHECK(lastSent().endpoint != stream.source);
+    CHECK((lastSent().endpoint == target || lastSent().endpoint == endpoints[2].id));
+}
+
+// Guards against a reply that is lost once: the engine is asked again, and names the copy.
+TEST_CASE_FIXTURE(GatewayFixture, "a call to an engine whose reply is lost is made again")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    pass({450});
     REQUIRE(moves.size() == 2);
-    broken(going.attempt);
-    gateway.onGenerationMigrated({going.attempt, MigrationOutcome::NoReply, {}}, now);
-    drainActions();
-    REQUIRE(streamEnds.contains(going.caller));
-    CHECK_FALSE(streamEnds[going.caller]);
+    CHECK(moves[1].step == MigrationStep::Copy);
+    CHECK(moves[1].target == moves[0].target);
+    SUBCASE("the second call is answered")
+    {
+        replyToMove(MigrationOutcome::Migrated, "h1");
+        REQUIRE(moves.size() == 3);
+    }
+    SUBCASE("the first one is answered late, and the second one not at all")
+    {
+        replyTo(MigrateGeneration(moves[0]), MigrationOutcome::Migrated, "h1");
+        REQUIRE(moves.size() == 3);
+        replyTo(MigrateGeneration(moves[1]), MigrationOutcome::NoReply);
+    }
+    SUBCASE("both are answered")
+    {
+        replyTo(MigrateGeneration(moves[1]), MigrationOutcome::Migrated, "h1");
+        replyTo(MigrateGeneration(moves[0]), MigrationOutcome::Migrated, "h1");
+        REQUIRE(moves.size() == 3);
+    }
+    CHECK(moves[2].step == MigrationStep::Stop);
+    replyToMove(MigrationOutcome::Migrated, "h1", 3);
+    broken(stream.attempt);
+    REQUIRE(sent.size() == 2);
+    checkContinued(*this, stream, lastSent().endpoint, 3);
+}
+
+// Guards against a copy that takes memory and a slot of its engine although nobody will continue it.
+TEST_CASE_FIXTURE(GatewayFixture, "a copy that nobody continues is freed")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    SUBCASE("the generation had ended, as its engine says")
+    {
+        replyToMove(MigrationOutcome::NoSuchGeneration);
+        end(stream.attempt);
+        CHECK(streamEnds[stream.caller]);
+    }
+    SUBCASE("its stream has its end, and no reply says otherwise")
+    {
+        end(stream.attempt);
+        CHECK_FALSE(streamEnds.contains(stream.caller));
+        pass({1250});
+        REQUIRE(streamEnds.contains(stream.caller));
+        CHECK(streamEnds[stream.caller]);
+    }
+    SUBCASE("its caller has gone")
+    {
+        gateway.onCallerGone({stream.caller}, now);
+        drainActions();
+    }
     CHECK(sent.size() == 1);
+    REQUIRE(releases.size() == 1);
+    CHECK(releases[0].kvCache.handle == "h1");
+    CHECK(releases[0].sourceId == stream.source);
+}
+
+// Guards against a stream that is lost when its engine loses it while it is asked to stop.
+TEST_CASE_FIXTURE(GatewayFixture, "a generation that its engine does not know any more goes on from its copy")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    replyToMove(MigrationOutcome::NoSuchGeneration);
+    broken(stream.attempt);
+    REQUIRE(sent.size() == 2);
+    checkContinued(*this, stream, lastSent().endpoint, 3);
+    CHECK(releases.empty());
+}
+
+// Guards against a stream that is resumed elsewhere, with its prompt read again, while its copy arrives.
+TEST_CASE_FIXTURE(GatewayFixture, "a stopped generation is not taken for a silent one")
+{
+    serveForWindow();
+    const LeavingStream stream = startLeavingStream(*this, Model);
+    copyAndStop(*this);
+    pass({900});
+    CHECK(sent.size() == 1);
+    replyToMove(MigrationOutcome::Migrated, "h1");
+    broken(stream.attempt);
+    REQUIRE(sent.size() == 2);
+    checkContinued(*this, stream, lastSent().endpoint, 3);
 }
 
 TEST_CASE_FIXTURE(GatewayFixture, "a reclaim during an outage of the store is learned from the engine")
@@ -185,10 +342,11 @@
 TEST_CASE_FIXTURE(GatewayFixture, "a migration rejected for lack of capacity tries another engine")
 {
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
-    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::NoCapacity, "h1"}, now);
+    replyToMove(MigrationOutcome::NoCapacity);
     events(stream.attempt, 4, 4);
     pass({25});
     REQUIRE(moves.size() == 2);
+    CHECK(moves[1].step == MigrationStep::Copy);
     CHECK(moves[1].target != moves[0].target);
 }
 
@@ -198,9 +356,9 @@
     // answers that it did not run the request. But the request has run at the source: sent to a third engine,
     // it would run twice.
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
     broken(stream.attempt);
-    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::Migrated, "h1"}, now);
-    drainActions();
+    replyToMove(MigrationOutcome::Migrated, "h1");
     REQUIRE(sent.size() == 2);
     AttemptHead head;
     head.attempt = lastSent().attempt;
@@ -241,42 +399,49 @@
     gateway.applyBounds(bounds);
     serveForWindow();
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
     broken(stream.attempt);
-    SUBCASE("its target had no room")
+    SUBCASE("its target had no room for what the copy lacked")
     {
-        gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::NoCapacity, "h1"}, now);
-        drainActions();
+        replyToMove(MigrationOutcome::NoCapacity, "h1");
     }
-    SUBCASE("its target refuses the handle")
+    SUBCASE("the copy is complete")
     {
-        gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::Migrated, "h1"}, now);
-        drainActions();
-        AttemptHead refusal;
-        refusal.attempt = lastSent().attempt;
-        refusal.status = 503;
-        refusal.notExecuted = true;
-        gateway.onHead(refusal, now);
-        drainActions();
+        replyToMove(MigrationOutcome::Migrated, "h1");
     }
-    CHECK(lastSent().endpoint == stream.source);
-    REQUIRE(lastSent().migratedKvCache);
-    CHECK(lastSent().migratedKvCache->handle == "h1");
-    CHECK(lastSent().resumeAfter == 3);
-    head(lastSent().attempt, 200, true);
-    events(lastSent().attempt, 4, 100);
-    end(lastSent().attempt);
-    CHECK(streamEnds[stream.caller]);
+    SUBCASE("no reply came")
+    {
+        pass({200});
+    }
+    REQUIRE(sent.size() == 2);
+    CHECK(lastSent().endpoint != stream.source);
+    AttemptHead refusal;
+    refusal.attempt = lastSent().attempt;
+    refusal.status = 503;
+    refusal.notExecuted = true;
+    gateway.onHead(refusal, now);
+    drainActions();
+    REQUIRE(sent.size() == 3);
+    checkContinued(*this, stream, stream.source, 3);
 }
 
 // Guards against a request that reaches an engine that has restarted or whose time is over.
 TEST_CASE_FIXTURE(GatewayFixture, "a stopped generation does not return to a source that is about to exit")
 {
     const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    pass({1300});
+    replyToMove(MigrationOutcome::NoCapacity, "h1");
     broken(stream.attempt);
-    pass({1900});
-    gateway.onGenerationMigrated({stream.attempt, MigrationOutcome::NoCapacity, "h1"}, now);
+    REQUIRE(sent.size() == 2);
+    pass({600});
+    AttemptHead refusal;
+    refusal.attempt = lastSent().attempt;
+    refusal.status = 503;
+    refusal.notExecuted = true;
+    gateway.onHead(refusal, now);
     drainActions();
-    CHECK(sent.size() == 1);
+    CHECK(sent.size() == 2);
     REQUIRE(streamEnds.contains(stream.caller));
     CHECK_FALSE(streamEnds[stream.caller]);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -152,6 +152,29 @@
     CHECK(out.body == "body");
 }
 
+// Guards against a generation that is stopped by the call that is only to copy its KV cache.
+TEST_CASE("a call to copy a KV cache stops the generation only in the second step")
+{
+    MigrateGeneration call;
+    call.requestId = "9c41";
+    call.target = {"10.0.0.3", 8080};
+    HttpRequest out = platform::encodeMigration(call);
+    CHECK(out.method == "POST");
+    CHECK(out.target == "/kv-move");
+    CHECK(out.body == R"({"Id":"9c41","Target":"10.0.0.3:8080"})");
+    call.step = MigrationStep::Stop;
+    out = platform::encodeMigration(call);
+    CHECK(out.body == R"({"Id":"9c41","Target":"10.0.0.3:8080","Last":true})");
+    const GenerationMigrated reply
+        = platform::decodeMigrationReply({1}, 200, R"({"Handle":"h1","Created":7})");
+    CHECK(reply.outcome == MigrationOutcome::Migrated);
+    CHECK(reply.handle == "h1");
+    CHECK(reply.eventsMade == 7);
+    const HttpRequest release = platform::encodeRelease({{{"10.0.0.2", 8080}, "h1"}, {}, {}});
+    CHECK(release.method == "DELETE");
+    CHECK(release.target == "/kv-handle/h1");
+}
+
 TEST_CASE("the head of an engine's response tells whether the request ran there")
 {
     const CallerRequestPtr request = *decoded(makeHttp());
--- a/tests/streamends_test.cpp
+++ b/tests/streamends_test.cpp
@@ -42,11 +42,6 @@
             return !endedItself;
         return reply == Reply::Ended || cut == Cut::LastChunk ? endedItself : true;
     }
-    bool mustBeWhole() const
-    {
-        return isResumable || reply == Reply::Handle || reply == Reply::NoRoomWithHandle
-            || (endedItself && (cut == Cut::LastChunk || (cut == Cut::Close && reply == Reply::Ended)));
-    }
     std::string text() const
     {
         return fmt::format("cut {} reply {} moment {} resumable {} ended itself {}", static_cast<int>(cut),
@@ -89,6 +84,9 @@
         listEndpoints();
         pass({25});
         REQUIRE(moves.size() == 1);
+        replyToMove(MigrationOutcome::Migrated, "h1", 3);
+        REQUIRE(moves.back().step == MigrationStep::Stop);
+        repliedMoves_ = moves.size();
         endAndReply();
         for (int step = 0; step < 200 && !streamEnds.contains(caller); ++step) {
             serve();
@@ -127,9 +125,7 @@
             = {MigrationOutcome::Migrated,   MigrationOutcome::NoSuchGeneration, MigrationOutcome::Refused,
                MigrationOutcome::NoCapacity, MigrationOutcome::NoCapacity,       MigrationOutcome::NoReply};
         const bool hasHandle = reply == Reply::Handle || reply == Reply::NoRoomWithHandle;
-        gateway.onGenerationMigrated(
-            {source_, Outcomes.at(static_cast<size_t>(reply)), hasHandle ? "h1" : ""}, now);
-        drainActions();
+        replyToMove(Outcomes.at(static_cast<size_t>(reply)), hasHandle ? "h1" : "");
     }
 
     // The engine that is asked again to stop the generation no longer knows it.
@@ -154,7 +150,7 @@
 
     Cell cell_;
     AttemptId source_;
-    size_t repliedMoves_ = 1;
+    size_t repliedMoves_ = 0;
     size_t repliedProbes_ = 0;
     size_t servedAttempts_ = 1;
 };
@@ -170,8 +166,8 @@
 } // namespace
 
 // Guards against a stream that ends as complete before its last event because this system has stopped its
-// generation.
-TEST_CASE("the end of a stream that was asked to stop is complete only if the generation was")
+// generation, and against one that is lost with the reply.
+TEST_CASE("a stream that was asked to stop reaches its caller whole, whatever its end and the reply")
 {
     size_t played = 0;
     for (size_t i = 0; i < Cuts.size() * Replies.size() * Moments.size() * 4; ++i) {
@@ -186,9 +182,8 @@
         REQUIRE(play.streamEnds.contains(caller));
         const std::string received = play.streamed[caller];
         CHECK(eventsUpTo(cell.total()).starts_with(received));
-        CHECK(play.streamEnds.at(caller) == cell.mustBeWhole());
-        if (play.streamEnds.at(caller))
-            CHECK(received == eventsUpTo(cell.total()));
+        CHECK(play.streamEnds.at(caller));
+        CHECK(received == eventsUpTo(cell.total()));
     }
     CHECK(played > 200);
 }
@@ -260,9 +255,9 @@
     listEndpoints();
     pass({25});
     REQUIRE(moves.size() == 1);
+    replyToMove(MigrationOutcome::Migrated, "h1", 3);
     broken(source.attempt);
-    gateway.onGenerationMigrated({source.attempt, MigrationOutcome::Migrated, "h1", 6}, now);
-    drainActions();
+    replyToMove(MigrationOutcome::Migrated, "h1", 6);
     REQUIRE(sent.size() == 2);
     head(lastSent().attempt, 200, true);
     uint64_t last = 0;
