A stopped run whose target was replaced goes on at its source

What callers saw: a stream that was moved was broken off when another instance answered 421 at the target's address.

Cause: 421 says "not run", as 503 with X-Not-Executed does, but only after the latter was the source asked, which keeps the memory. The test asked for the break: it guarded against a second run at a third engine.

Change: both go back to the source with the handle, which holds once. The test now asks that no third engine gets it and that the source continues it, and that it is broken off visibly if the source refuses, too: stricter than before.

Measured: gatewaymoves_test fails without the change (no third send), passes with it.

--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -124,7 +124,7 @@
         = exchange.head.wrongInstance ? GatewayRetry::WrongInstance : GatewayRetry::NotExecuted;
     if (exchange.rejections <= MaxRejections && (retry(exchange, reason, now) || waitForRest(exchange, now)))
         return;
-    if (!exchange.head.wrongInstance && returnToSource(exchange, now))
+    if (returnToSource(exchange, now))
         return;
     if (exchange.phase == ExchangePhase::Streaming)
         return abortStream(exchange, now);
