A move whose target is gone before the stop begins anew at another target

What callers see: nothing yet, found while the steps were read again. A target that restarts or leaves the list between copy and stop has lost the copy; the source was never asked, but the move stayed open, so no other target was tried until the engine left. Now a move that has stopped nothing is dropped and begins anew.

Measured: the new case of gatewaymoves_test fails without the change (no second target), passes with it.

--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -166,6 +166,11 @@
 {
     GenerationMigration &migration = *exchange.migration;
     const FleetEndpoint *target = fleet_.find(migration.target);
+    const bool mayHaveStopped = migration.isStopping() && migration.calls > 0;
+    if (!target && !mayHaveStopped) {
+        exchange.migration.reset();
+        return;
+    }
     migration.calledAt = now;
     ++migration.calls;
     if (!target)
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -246,6 +246,27 @@
     checkContinued(*this, stream, lastSent().endpoint, 3);
 }
 
+// Guards against a run that is stopped for a target that has lost its copy.
+TEST_CASE_FIXTURE(GatewayFixture, "a generation whose target restarts is copied to another one")
+{
+    for (EndpointEntry &entry : endpoints)
+        entry.start.unixMs = 1000;
+    listEndpoints();
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    REQUIRE(moves.size() == 1);
+    for (EndpointEntry &entry : endpoints) {
+        if (entry.address == moves[0].target)
+            ++entry.start.unixMs;
+    }
+    listEndpoints();
+    replyToMove(MigrationOutcome::Migrated, "h1");
+    pass({50});
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[1].step == MigrationStep::Copy);
+    CHECK(moves[1].target != moves[0].target);
+    CHECK_FALSE(streamEnds.contains(stream.caller));
+}
+
 // Guards against a copy that takes memory and a slot of its engine although nobody will continue it.
 TEST_CASE_FIXTURE(GatewayFixture, "a copy that nobody continues is freed")
 {
