A copy that finds no room costs no retry

What callers saw: streams that their engine's exit cut, beside `repeat_denied` with reason `moved` and many `move_failed` with `no_capacity`.

Cause: each target tried took a unit of the retry budget, also where no request was sent anywhere.

Change: the unit belongs to the request until something is sent to another engine, or to the source again.

Measured: with two units in the budget a second target is tried and the stream is whole; without the change it is not (gatewaymoves_test).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -130,6 +130,7 @@
     std::optional<GenerationMigration> migration;
     StopState stop = StopState::NotAsked; ///< Of this attempt's generation, but for the open migration.
     std::optional<KeptGeneration> kept; ///< Until another attempt continues it.
+    bool hasMoveUnit = false; ///< A unit of the retry budget for the next send to another engine.
     bool migrationDenied = false; ///< The retry budget was used up; logged once.
     std::set<EndpointId> migrationTargets; ///< Targets tried so far.
     std::optional<uint64_t> eventStep; ///< Difference of the ids of two consecutive events.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -471,6 +471,7 @@
     bool shouldMigrate(const Exchange &exchange, TimeMs now) const;
     /// `others`: streams that are to be migrated as well.
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
+    bool takeMoveUnit(Exchange &exchange, TimeMs now);
     void callSource(Exchange &exchange, TimeMs now);
     void advanceMigration(Exchange &exchange, TimeMs now);
     void repeatCall(Exchange &exchange, TimeMs now);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -138,7 +138,7 @@
     const FleetEndpoint *target = result.choice ? fleet_.find(result.choice->endpoint) : nullptr;
     if (!source || !target || !fleet_.takeCall(source->entry.id, now))
         return;
-    if (!retryBudget_.take(exchange.service, GatewayRetry::Moved, now)) {
+    if (!takeMoveUnit(exchange, now)) {
         drawRetries(exchange.service, static_cast<uint32_t>(others) + 1, now);
         // Tried again with each tick, but logged only once.
         if (!std::exchange(exchange.migrationDenied, true)) {
@@ -162,6 +162,15 @@
     callSource(exchange, now);
 }
 
+// Copies are no requests, so only what is sent afterwards uses the unit. Copies that find no room would use
+// up the units of streams that still can be moved otherwise.
+bool Gateway::takeMoveUnit(Exchange &exchange, TimeMs now)
+{
+    if (!exchange.hasMoveUnit)
+        exchange.hasMoveUnit = retryBudget_.take(exchange.service, GatewayRetry::Moved, now);
+    return exchange.hasMoveUnit;
+}
+
 void Gateway::callSource(Exchange &exchange, TimeMs now)
 {
     GenerationMigration &migration = *exchange.migration;
@@ -356,6 +365,7 @@
         return;
     }
     counters_.add(GatewayRetry::Moved);
+    exchange.hasMoveUnit = false;
     PlacementChoice choice;
     choice.endpoint = migration.target.id;
     choice.isReserved = true;
@@ -375,13 +385,12 @@
     if (!source || source->gone || source->rest.isResting(now)
         || (source->leavesAt && now + MigrationMargin > *source->leavesAt) || isQuarantined(exchange, now))
         return false;
-    // If nothing was sent to the target, the migration has paid for this send.
-    const bool isPaid = exchange.sentTo == kept.source;
-    if (!isPaid && !retryBudget_.take(exchange.service, GatewayRetry::Moved, now)) {
+    if (!takeMoveUnit(exchange, now)) {
         logDenied(exchange, toText(GatewayRetry::Moved));
         return false;
     }
     counters_.add(GatewayRetry::Moved);
+    exchange.hasMoveUnit = false;
     log(LogPriority::Failure, "move_returned", exchange, {{"source", kept.source.id.value}});
     PlacementChoice choice;
     choice.endpoint = kept.source.id;
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -246,6 +246,26 @@
     checkContinued(*this, stream, lastSent().endpoint, 3);
 }
 
+// Guards against copies that find no room and use up the retries of streams that could still be moved.
+TEST_CASE_FIXTURE(GatewayFixture, "a copy that could not be made costs no retry")
+{
+    GatewaySettings bounds;
+    bounds.retryLimits = {0, 2, {10000}};
+    gateway.applyBounds(bounds);
+    serveForWindow();
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    REQUIRE(moves.size() == 1);
+    replyToMove(MigrationOutcome::NoCapacity);
+    pass({50});
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[1].step == MigrationStep::Copy);
+    copyAndStop(*this);
+    broken(stream.attempt);
+    replyToMove(MigrationOutcome::Migrated, "h1");
+    REQUIRE(sent.size() == 2);
+    checkContinued(*this, stream, lastSent().endpoint, 3);
+}
+
 // Guards against a run that is stopped for a target that has lost its copy.
 TEST_CASE_FIXTURE(GatewayFixture, "a generation whose target restarts is copied to another one")
 {
