The log tells who closed a caller's connection, and why

Seen: whatever the daemon closes below its decisions (memory used up, bytes unread or sent ahead, a new connection, a write without progress) reached the log as caller_gone without a cause, as if the caller had left.

Cause: a connection closed at a dozen places, none of which said why, and the core's event had nothing but the caller's id.

Change: HttpConnection::close(cause) is the only place that closes and the only one that sets the cause; HttpExchange::closeCause() tells it, so that the type of onClosed's callback stays. CloseCause is in common/, as core and io both use it. caller_gone has closed_by, cause, phase, sends, events and attempt, and each cause a counter (cranberry_gateway_connections_closed_total). Where the gateway closed and an endpoint may have run the request, the line has the new priority Lost, which the sink still counts with failures. The write timeout is a limit of the server, so that a test can play it.

A client that closes and one that closes its sending side alone look the same to a server: both are client_closed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -260,7 +260,7 @@
     }
 }
 
-// The caller disconnected: its request is cancelled at once, whether it is sent or queued.
+// The connection closed: its request is cancelled at once, whether it is sent or queued.
 void Gateway::onCallerGone(const RequestCallerGone &event, TimeMs now)
 {
     const auto found = exchanges_.find(event.caller);
@@ -268,7 +268,17 @@
         return;
     Exchange &exchange = found->second;
     counters_.add(GatewayCount::CallersGone);
-    log(LogPriority::Ordinary, "caller_gone", exchange, {{"after_ms", (now - exchange.arrivedAt).count}});
+    counters_.add(event.cause);
+    const bool isPassedOn = exchange.attempt.value != 0 || exchange.mayHaveRun;
+    const bool isLost = isPassedOn && !isByClient(event.cause);
+    log(isLost ? LogPriority::Lost : LogPriority::Ordinary, "caller_gone", exchange,
+        {{"closed_by", isByClient(event.cause) ? "caller" : "gateway"},
+         {"cause", toText(event.cause)},
+         {"after_ms", (now - exchange.arrivedAt).count},
+         {"phase", toText(exchange.phase)},
+         {"sends", exchange.sends},
+         {"events", exchange.events},
+         {"attempt", exchange.attempt.value}});
     if (exchange.attempt.value != 0)
         cancelAttempt(exchange);
     finish(exchange);
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -112,6 +112,9 @@
     for (size_t i = 0; i < PhaseNames.size(); ++i)
         out += fmt::format("cranberry_gateway_ended_for_exit_total{{phase=\"{}\"}} {}\n", PhaseNames[i],
                            counters.endedForExit[i]);
+    for (size_t i = 0; i < CloseCauseNames.size(); ++i)
+        out += fmt::format("cranberry_gateway_connections_closed_total{{cause=\"{}\"}} {}\n",
+                           CloseCauseNames[i], counters.closed[i]);
     return out;
 }
 
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/closecause.h"
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -127,14 +129,18 @@
     std::array<uint64_t, static_cast<size_t>(GatewayRefusal::Count)> refusals = {};
     std::array<uint64_t, static_cast<size_t>(GatewayRetry::Count)> retries = {};
     std::array<uint64_t, static_cast<size_t>(ExchangePhase::Count)> endedForExit = {};
+    /// Callers' connections that closed before their response was complete.
+    std::array<uint64_t, static_cast<size_t>(CloseCause::Count)> closed = {};
     std::array<uint64_t, static_cast<size_t>(GatewayCount::Count)> counts = {};
 
     void add(GatewayRefusal reason) { ++refusals[static_cast<size_t>(reason)]; }
     void add(GatewayRetry reason) { ++retries[static_cast<size_t>(reason)]; }
+    void add(CloseCause cause) { ++closed[static_cast<size_t>(cause)]; }
     void addEndedForExit(ExchangePhase phase) { ++endedForExit[static_cast<size_t>(phase)]; }
     void add(GatewayCount count, uint64_t by = 1) { counts[static_cast<size_t>(count)] += by; }
     uint64_t of(GatewayRefusal reason) const { return refusals[static_cast<size_t>(reason)]; }
     uint64_t of(GatewayRetry reason) const { return retries[static_cast<size_t>(reason)]; }
+    uint64_t of(CloseCause cause) const { return closed[static_cast<size_t>(cause)]; }
     uint64_t endedForExitIn(ExchangePhase phase) const { return endedForExit[static_cast<size_t>(phase)]; }
     uint64_t of(GatewayCount count) const { return counts[static_cast<size_t>(count)]; }
 };
--- a/src/gateway/gatewayevents.h
+++ b/src/gateway/gatewayevents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/closecause.h"
 #include "common/fields.h"
 #include "gateway/callerrequest.h"
 #include "gateway/duties/usageledger.h"
@@ -61,6 +62,7 @@
 
 struct RequestCallerGone {
     CallerId caller;
+    CloseCause cause = CloseCause::ClientClosed;
 };
 
 /// What an endpoint says of itself in a response.
--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -54,9 +54,10 @@
     callers[caller] = exchange;
     arrivals[caller] = now;
     exchange->onClosed([this, caller] {
+        const CloseCause cause = callers.at(caller)->closeCause();
         callers.erase(caller);
         arrivals.erase(caller);
-        gateway.onCallerGone({caller}, steadyNow());
+        gateway.onCallerGone({caller, cause}, steadyNow());
         runActions();
     });
     return caller;
@@ -188,7 +189,7 @@
     const HttpExchangePtr exchange = found->second;
     exchange->write(action.bytes);
     if (exchange->pendingBytes() > MaxUnsentBytes)
-        exchange->abort();
+        exchange->close(CloseCause::UnsentBytes);
 }
 
 void GatewayServer::State::run(EndCallerStream &action)
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -31,8 +31,9 @@
     void endWithConnection() override;
     void write(const std::string &data) override;
     void finish() override;
-    void abort() override { close(); }
+    void close(CloseCause cause) override;
     void onClosed(std::function<void()> callback) override { onClosed_ = std::move(callback); }
+    CloseCause closeCause() const override { return closeCause_; }
     size_t pendingBytes() const override { return out_.size() + writing_.size(); }
     bool hasUnwrittenResponse() const { return finished_ && phase_ != Phase::Closed && pendingBytes() > 0; }
 
@@ -79,13 +80,13 @@
     template <typename Message>
     void setHeaders(Message &message, const HttpHeaders &headers);
     void watchClose();
+    std::optional<CloseCause> causeToClose();
     bool accountUnsent();
     void flush();
     void onWritten(ErrorCode code);
     void endResponse();
     void linger();
     void setResetsOnClose(bool resets);
-    void close();
 
     HttpStream stream_;
     HttpTimer readTimer_;
@@ -107,6 +108,7 @@
     ByteClaim unread_; ///< Bytes of further requests in the socket, while this one is served.
 
     Phase phase_ = Phase::Idle;
+    CloseCause closeCause_ = CloseCause::NoRequest;
     std::optional<TimeMs> idleSince_;
     std::optional<TimeMs> slowSince_; ///< Of the request that is being read.
     TimeMs writeStartedAt_; ///< Start of the newest write.
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -9,8 +9,10 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <cerrno>
 #include <chrono>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -24,7 +26,6 @@
     = 1024; ///< A full queue drops SYNs, which clients retransmit only after a second.
 /// Pause before the next try to accept while the process has no descriptor left.
 constexpr std::chrono::milliseconds AcceptPause{50};
-constexpr std::chrono::seconds WriteTimeout{20};
 /// Time for the client to close the connection after the last response. Closing a socket with unread bytes
 /// would reset the connection and discard a response that is still in transit.
 constexpr std::chrono::seconds LingerTimeout{1};
@@ -129,7 +130,7 @@
     if (!chosen)
         return false;
     ++counters.noConnection;
-    chosen->abort();
+    chosen->close(CloseCause::MadeRoom);
     return true;
 }
 
@@ -142,7 +143,7 @@
     if (connection->connection_.growTo(ConnectionBytes, connection.get(), HttpServer::now()))
         return connection->readNext();
     ++listener->counters.noMemory;
-    connection->close();
+    connection->close(CloseCause::NoRequest);
 }
 
 HttpConnection::HttpConnection(HttpSocket socket, std::shared_ptr<HttpListener> listener)
@@ -194,7 +195,7 @@
     buffer_.commit(size);
     switch (phase_) {
     case Phase::Idle:
-        return code ? close() : beginRequest();
+        return code ? close(CloseCause::NoRequest) : beginRequest();
     case Phase::Reading:
         budget_.clearYielding(*this);
         bytesSinceProgress_ += size;
@@ -358,15 +359,15 @@
     if (readTimedOut_) {
         ++counters_.timeouts;
         if (!listener_->limits.respondsToTimeouts)
-            return close();
+            return close(CloseCause::NoRequest);
         return refuse(408, "the request took too long to arrive");
     }
     if (code != asio::error::eof)
-        return close();
+        return close(CloseCause::NoRequest);
     parser_->put_eof(code);
     if (code && code != http::error::end_of_stream)
         return onMalformed(code);
-    close();
+    close(CloseCause::NoRequest);
 }
 
 void HttpConnection::onMalformed(ErrorCode code)
@@ -435,7 +436,7 @@
 void HttpConnection::giveWay()
 {
     if (phase_ != Phase::Reading)
-        return close();
+        return close(CloseCause::GaveWay);
     // Its read is under way and uses the buffer.
     endReading();
     head_.release();
@@ -551,13 +552,25 @@
     stream_.socket().async_wait(HttpSocket::wait_read, [self = shared_from_this(), request](ErrorCode code) {
         if (code || self->finished_ || self->phase_ != Phase::Serving || self->requests_ != request)
             return;
-        ErrorCode ignored;
-        if (self->stream_.socket().available(ignored) == 0
-            || !self->unread_.growTo(UnreadBytes, self.get(), HttpServer::now()))
-            self->close();
+        if (const std::optional<CloseCause> cause = self->causeToClose())
+            self->close(*cause);
     });
 }
 
+// Of a readable socket: a client that has gone, or one whose bytes sent ahead have no room.
+std::optional<CloseCause> HttpConnection::causeToClose()
+{
+    ErrorCode ignored;
+    if (stream_.socket().available(ignored) > 0) {
+        return unread_.growTo(UnreadBytes, this, HttpServer::now()) ? std::nullopt
+                                                                    : std::optional(CloseCause::NoRoomAhead);
+    }
+    char byte = 0;
+    const bool isReset = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+        && errno == ECONNRESET;
+    return isReset ? CloseCause::ClientReset : CloseCause::ClientClosed;
+}
+
 // Returns false if the connection was closed because its client leaves too much unread.
 bool HttpConnection::accountUnsent()
 {
@@ -566,7 +579,7 @@
         return true;
     unsent_.set(pending, HttpServer::now());
     if (phase_ != Phase::Closed && budget_.used() > budget_.limit() && pending > ByteBudget::SmallClaim)
-        close();
+        close(CloseCause::UnsentBytes);
     return phase_ != Phase::Closed;
 }
 
@@ -577,7 +590,7 @@
     if (!std::exchange(busy_, true)) {
         writing_.swap(out_);
         writeStartedAt_ = HttpServer::now();
-        stream_.expires_after(WriteTimeout);
+        stream_.expires_after(std::chrono::milliseconds(listener_->limits.writeTimeout.count));
         asio::async_write(stream_, asio::buffer(writing_),
                           [self = shared_from_this()](ErrorCode code, size_t) { self->onWritten(code); });
     }
@@ -592,8 +605,12 @@
     if (writing_.capacity() > ConnectionBytes / 4)
         writing_.shrink_to_fit();
     budget_.clearYielding(*this);
-    if (code || phase_ == Phase::Closed)
-        return close();
+    if (code == boost::beast::error::timeout)
+        return close(CloseCause::WriteTimedOut);
+    if (code)
+        return close(CloseCause::ClientReset);
+    if (phase_ == Phase::Closed)
+        return;
     if (!out_.empty())
         return flush();
     unsent_.release();
@@ -633,16 +650,18 @@
                             [self = shared_from_this()](ErrorCode code, size_t size) {
                                 self->lingeredBytes_ += size;
                                 if (code || self->lingeredBytes_ > self->listener_->limits.maxBodyBytes)
-                                    self->close();
+                                    self->close(CloseCause::NoRequest);
                                 else
                                     self->linger();
                             });
 }
 
-void HttpConnection::close()
+// The only place at which a connection closes.
+void HttpConnection::close(CloseCause cause)
 {
     if (phase_ == Phase::Closed)
         return;
+    closeCause_ = cause;
     if (phase_ == Phase::Reading || phase_ == Phase::GivingWay)
         endReading();
     phase_ = Phase::Closed;
--- a/src/io/httpserver.h
+++ b/src/io/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/closecause.h"
 #include "common/httpfields.h"
 #include "io/bytebudget.h"
 
@@ -27,9 +28,13 @@
     virtual void endWithConnection() = 0;
     virtual void write(const std::string &data) = 0;
     virtual void finish() = 0;
-    virtual void abort() = 0; ///< Closes the connection without the last chunk.
+    /// Closes the connection without the last chunk.
+    virtual void close(CloseCause cause) = 0;
+    void abort() { close(CloseCause::Aborted); }
     /// `callback` is called once if the connection closes before the response is complete.
     virtual void onClosed(std::function<void()> callback) = 0;
+    /// Why the connection closed; NoRequest while it is open.
+    virtual CloseCause closeCause() const = 0;
     /// Bytes of the response that are not yet written to the socket.
     virtual size_t pendingBytes() const = 0;
 };
@@ -43,6 +48,7 @@
     DurationMs readTimeout{10000}; ///< For the header and for the body of a request, each.
     DurationMs idleTimeout{10000}; ///< Maximum time between two requests of a connection.
     bool respondsToTimeouts = false; ///< Responds with 408 after the read timeout, instead of only closing.
+    DurationMs writeTimeout{20000}; ///< For each write of a response.
 };
 
 /// What the header of a request decides before its body is read.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -309,6 +309,30 @@
     CHECK(sent.size() == 5);
 }
 
+// Guards against a connection that the daemon closed and that its log puts down to the caller.
+TEST_CASE_FIXTURE(GatewayFixture, "a closed connection is told with its cause, and by whom")
+{
+    for (size_t i = 0; i < static_cast<size_t>(CloseCause::Count); ++i) {
+        const CloseCause cause = static_cast<CloseCause>(i);
+        const CallerId caller = request(Model);
+        head(lastSent().attempt, 200, true);
+        events(lastSent().attempt, 1, 2);
+        gateway.onCallerGone({caller, cause}, now);
+        drainActions();
+        const boost::json::object &line = log.lines.back();
+        CHECK(line.at("event").as_string() == "caller_gone");
+        CHECK(line.at("cause").as_string() == toText(cause));
+        CHECK(line.at("closed_by").as_string() == (isByClient(cause) ? "caller" : "gateway"));
+        CHECK(line.at("phase").as_string() == "streaming");
+        CHECK(line.at("events").to_number<uint64_t>() == 2);
+        CHECK(line.at("attempt").to_number<uint64_t>() == lastSent().attempt.value);
+        CHECK(gateway.counters().of(cause) == 1);
+        const std::string counter
+            = std::string("connections_closed_total{cause=\"") + toText(cause) + "\"} 1";
+        CHECK(prometheusText(gateway.counters()).find(counter) != std::string::npos);
+    }
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a leaving endpoint gets no new requests")
 {
     endpoints[3].leaving = true;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -475,6 +475,141 @@
     const TimeMs later = HttpServer::now() + ByteBudget::MinSlowTime;
     CHECK(other.growTo(Size, nullptr, later));
     CHECK(isClosed);
+    CHECK(open->closeCause() == CloseCause::GaveWay);
+}
+
+namespace {
+
+using ClientSocket = boost::asio::ip::tcp::socket;
+
+/// A server that keeps its newest exchange open, and one client that has sent a request.
+struct ServedClient {
+    explicit ServedClient(HttpServerShare share = {}, HttpServerLimits limits = {})
+        : server(
+            io, serverAddress, limits, [this](const HttpExchangePtr &exchange) { onRequest(exchange); },
+            std::move(share)),
+          client(io)
+    {
+        client.connect({boost::asio::ip::make_address(serverAddress.host), serverAddress.port});
+        send("GET / HTTP/1.1\r\n\r\n");
+        while (!open)
+            io.run_one_for(std::chrono::milliseconds(100));
+    }
+
+    void send(const std::string &bytes) { boost::asio::write(client, boost::asio::buffer(bytes)); }
+    /// More than the sockets' buffers take.
+    void beginUnreadStream()
+    {
+        open->beginStream(200, {});
+        while (!isClosed && open->pendingBytes() < 4000) {
+            open->write(std::string(64U << 10, 's'));
+            io.poll();
+        }
+    }
+    CloseCause causeOfClose()
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!isClosed && std::chrono::steady_clock::now() < until)
+            io.run_one_for(std::chrono::milliseconds(100));
+        CHECK(isClosed);
+        return open->closeCause();
+    }
+
+    void onRequest(const HttpExchangePtr &exchange)
+    {
+        open = exchange;
+        open->onClosed([this] { isClosed = true; });
+    }
+
+    boost::asio::io_context io;
+    HttpExchangePtr open;
+    bool isClosed = false;
+    HttpServer server;
+    ClientSocket client;
+};
+
+HttpServerShare shareOf(size_t bytes)
+{
+    HttpServerShare share;
+    share.bytes = std::make_shared<ByteBudget>(bytes);
+    return share;
+}
+
+} // namespace
+
+// Guards against a close by the server that is told as one by its client, and the reverse.
+TEST_CASE("a connection that closes while it is served tells who closed it, and why")
+{
+    SUBCASE("the client closes")
+    {
+        ServedClient served;
+        CHECK(served.open->closeCause() == CloseCause::NoRequest);
+        served.client.close();
+        CHECK(served.causeOfClose() == CloseCause::ClientClosed);
+    }
+    SUBCASE("the client closes its sending side")
+    {
+        ServedClient served;
+        served.client.shutdown(ClientSocket::shutdown_send);
+        CHECK(served.causeOfClose() == CloseCause::ClientClosed);
+    }
+    SUBCASE("the client resets the connection")
+    {
+        ServedClient served;
+        served.client.set_option(boost::asio::socket_base::linger(true, 0));
+        served.client.close();
+        CHECK(served.causeOfClose() == CloseCause::ClientReset);
+    }
+    SUBCASE("a write fails")
+    {
+        ServedClient served;
+        served.send("ahead");
+        served.io.run_for(std::chrono::milliseconds(20)); // The close is seen by the write alone.
+        served.client.set_option(boost::asio::socket_base::linger(true, 0));
+        served.client.close();
+        served.open->beginStream(200, {});
+        served.open->write("event");
+        CHECK(served.causeOfClose() == CloseCause::ClientReset);
+    }
+    SUBCASE("the client does not read for the write timeout")
+    {
+        HttpServerLimits limits;
+        limits.writeTimeout = DurationMs{50};
+        ServedClient served({}, limits);
+        served.beginUnreadStream();
+        CHECK(served.causeOfClose() == CloseCause::WriteTimedOut);
+    }
+    SUBCASE("too much of the response is unread")
+    {
+        constexpr size_t Size = 1U << 20;
+        ServedClient served(shareOf(Size));
+        served.open->beginStream(200, {});
+        served.open->write(std::string(16 * Size, 's'));
+        CHECK(served.causeOfClose() == CloseCause::UnsentBytes);
+    }
+    SUBCASE("bytes sent ahead have no room")
+    {
+        ServedClient served(shareOf(ByteBudget::SmallClaim));
+        served.send("GET / HTTP/1.1\r\n\r\n");
+        CHECK(served.causeOfClose() == CloseCause::NoRoomAhead);
+    }
+    SUBCASE("a new connection takes its place")
+    {
+        HttpServerShare share;
+        share.maxConnections = 1;
+        ServedClient served(std::move(share));
+        served.beginUnreadStream();
+        served.io.run_for(std::chrono::milliseconds(2 * ByteBudget::MinSlowTime.count));
+        ClientSocket other(served.io);
+        other.connect({boost::asio::ip::make_address(serverAddress.host), serverAddress.port});
+        CHECK(served.causeOfClose() == CloseCause::MadeRoom);
+    }
+    SUBCASE("the handler aborts it")
+    {
+        ServedClient served;
+        served.open->abort();
+        CHECK(served.causeOfClose() == CloseCause::Aborted);
+    }
 }
 
 TEST_CASE(
--- a/tests/operationspage_test.cpp
+++ b/tests/operationspage_test.cpp
@@ -35,6 +35,12 @@
         CHECK_MESSAGE(page.find(name) != std::string::npos, name);
         CHECK_MESSAGE(metrics.find("retries_total{reason=\"" + name + "\"}") != std::string::npos, name);
     }
+    for (const char *cause : CloseCauseNames) {
+        CHECK_MESSAGE(page.find(cause) != std::string::npos, cause);
+        CHECK_MESSAGE(metrics.find(std::string("connections_closed_total{cause=\"") + cause + "\"}")
+                          != std::string::npos,
+                      cause);
+    }
     for (size_t i = 0; i < static_cast<size_t>(GatewayCount::Count); ++i)
         CHECK(page.find(toText(static_cast<GatewayCount>(i))) != std::string::npos);
 }
