Each request that was passed on is named by its daemon's log, lost ones first

Seen: last lines of lost requests shared the limit of refusals, so that a storm of refusals dropped them. Above 60 ordinary lines a second the others were dropped without a trace: at 148 requests a second, 260 of 1,291 requests were named at all. Lines stayed in the buffer for up to 200 ms, and a kill took them along.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -416,7 +416,8 @@
         action.headers.push_back({"Retry-After", secondsText(own.retryAfter)});
     action.headers.push_back({"Content-Type", "application/json"});
     action.body = json::serialize(json::object{{"reason", toText(own.reason)}});
-    log(LogPriority::Failure, "refused", exchange,
+    const bool isLost = exchange.mayHaveRun && (own.status == 502 || own.status == 504);
+    log(isLost ? LogPriority::Lost : LogPriority::Failure, "refused", exchange,
         {{"part", own.reason == GatewayRefusal::Quarantined ? quarantinedPart(exchange, now) : ""},
          {"reason", toText(own.reason)},
          {"service", exchange.service.value},
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -109,6 +109,7 @@
         reportMemory();
         log.flush();
     }
+    log.flushUrgent();
     if (stopping)
         checkStopped(now);
 }
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -278,7 +278,8 @@
     countLateStream(exchange);
     recordStreamDuration(exchange, now);
     recordAnswer(now);
-    log(LogPriority::Ordinary, mayEnd ? "stream_whole" : "stream_without_end", exchange,
+    log(mayEnd ? LogPriority::Ordinary : LogPriority::Lost, mayEnd ? "stream_whole" : "stream_without_end",
+        exchange,
         {{"after_ms", (now - exchange.arrivedAt).count},
          {"longest_pause_ms", exchange.longestPause.count},
          {"events", exchange.events},
@@ -450,7 +451,7 @@
 void Gateway::abortStream(Exchange &exchange, TimeMs now)
 {
     counters_.add(GatewayCount::StreamsBroken);
-    log(LogPriority::Failure, "stream_broken", exchange,
+    log(LogPriority::Lost, "stream_broken", exchange,
         {{"after_ms", (now - exchange.arrivedAt).count},
          {"last_event", exchange.lastEvent.value_or(0)},
          {"events", exchange.events}});
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -333,6 +333,39 @@
     }
 }
 
+// Guards against a last line of a request that an endpoint ran which is thinned out like a refusal's.
+TEST_CASE_FIXTURE(GatewayFixture, "the last line of a lost request has its own priority")
+{
+    const CallerId byCaller = request(Order);
+    gateway.onCallerGone({byCaller, CloseCause::ClientReset}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Ordinary);
+    const CallerId byGateway = request(Order);
+    gateway.onCallerGone({byGateway, CloseCause::GaveWay}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Lost);
+
+    request(PlainStream);
+    const AttemptId stream = lastSent().attempt;
+    head(stream, 200, true);
+    events(stream, 1, 1);
+    broken(stream);
+    CHECK(log.priorityOf("stream_broken") == LogPriority::Lost);
+
+    request(Order);
+    broken(lastSent().attempt);
+    CHECK(log.lines.back().at("status").to_number<int>() == 502);
+    CHECK(log.priorityOf("refused") == LogPriority::Lost);
+
+    const CallerId unknown = request("/nowhere/1");
+    CHECK(statusOf(unknown) == 404);
+    CHECK(log.priorityOf("refused") == LogPriority::Failure);
+
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    gateway.onCallerGone({waiting, CloseCause::MadeRoom}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Ordinary);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a leaving endpoint gets no new requests")
 {
     endpoints[3].leaving = true;
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -56,6 +56,16 @@
         }));
 }
 
+LogPriority RecordingLog::priorityOf(const std::string &event) const
+{
+    for (size_t i = lines.size(); i-- > 0;) {
+        if (lines[i].at("event").as_string() == event)
+            return priorities[i];
+    }
+    FAIL("no line of this event: ", event);
+    return LogPriority::State;
+}
+
 void answerDraws(Gateway &gateway, FakeStore &store, TimeMs now)
 {
     store.faults.delay = {0};
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -13,14 +13,19 @@
 class RecordingLog : public DecisionLog
 {
 public:
-    void write(LogPriority, const char *event, boost::json::object fields) override
+    void write(LogPriority weight, const char *event, boost::json::object fields) override
     {
         fields["event"] = event;
         lines.push_back(std::move(fields));
+        priorities.push_back(weight);
     }
     size_t count(const std::string &event) const;
 
+    /// Returns the priority of the newest line of this event.
+    LogPriority priorityOf(const std::string &event) const;
+
     std::vector<boost::json::object> lines;
+    std::vector<LogPriority> priorities; ///< Of each of `lines`.
 };
 
 /// Carries out a daemon's draws of retries at once.
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -70,3 +70,20 @@
     CHECK(trace[1] == " +3200 ms b version_suspected service=\"s\" answers=29 bad=10");
     CHECK(trace[2] == " +3300 ms a rollout_stage service=\"s\" stage=\"rolled_back\" why=\"bad\"");
 }
+
+// Guards against a request that looks unknown since its lines were thinned out.
+TEST_CASE("a request's trace has the lines that name it in brief")
+{
+    const std::string longId(80, 'x');
+    const std::vector<std::string> lines{
+        R"({"time_ms":2000,"instance":"entry-1","event":"in_brief","requests":["send i-1 r1","answered i-2 r2"]})",
+        R"({"time_ms":2300,"instance":"entry-1","event":"lost_in_brief","requests":["stream_broken i-1 r1"]})",
+        R"({"time_ms":2400,"instance":"entry-1","event":"in_brief","requests":["send - )"
+            + longId.substr(0, 64) + R"(",7,"nothing"],"unnamed":3})"};
+    const std::vector<std::string> trace = traceRequest("r1", lines);
+    REQUIRE(trace.size() == 2);
+    CHECK(trace[0] == "    +0 ms * entry-1 send endpoint=\"i-1\" in_brief=true");
+    CHECK(trace[1] == "  +300 ms * entry-1 stream_broken endpoint=\"i-1\" in_brief=true");
+    CHECK(traceRequest(longId, lines).size() == 1);
+    CHECK(traceRequest("nothing", lines).empty());
+}
--- a/tools/trace.cpp
+++ b/tools/trace.cpp
@@ -26,6 +26,7 @@
     std::string endpoint;
     std::string digest; ///< The same for all attempts of one request.
     std::string service;
+    bool isInBrief = false; ///< One of several requests of a line.
     std::string otherFields; ///< All other fields, formatted for output.
 };
 
@@ -35,17 +36,52 @@
     return value && value->is_string() ? std::string(value->as_string()) : std::string();
 }
 
-bool readLine(const std::string &text, LogLine &out)
+/// Bytes of a request's id that a line in brief has at most.
+constexpr size_t BriefIdBytes = 64;
+
+// One line for each request that a line names in brief: texts of event, endpoint and request.
+void addNamedInBrief(const json::object &object, const LogLine &brief, std::vector<LogLine> &out)
+{
+    const json::value *requests = object.if_contains("requests");
+    if (!requests || !requests->is_array())
+        return;
+    for (const json::value &each : requests->as_array()) {
+        if (!each.is_string())
+            continue;
+        const std::string text(each.as_string());
+        const size_t first = text.find(' ');
+        const size_t second = first == std::string::npos ? first : text.find(' ', first + 1);
+        if (second == std::string::npos)
+            continue;
+        LogLine line;
+        line.timeMs = brief.timeMs;
+        line.instance = brief.instance;
+        line.event = text.substr(0, first);
+        line.endpoint = text.substr(first + 1, second - first - 1);
+        line.request = text.substr(second + 1);
+        line.isInBrief = true;
+        line.otherFields = fmt::format(" endpoint=\"{}\" in_brief=true", line.endpoint);
+        out.push_back(std::move(line));
+    }
+}
+
+bool isOf(const LogLine &line, const std::string &request)
+{
+    return line.request == request || (line.isInBrief && line.request == request.substr(0, BriefIdBytes));
+}
+
+void readLine(const std::string &text, std::vector<LogLine> &all)
 {
     const size_t brace = text.find('{');
     if (brace == std::string::npos)
-        return false;
+        return;
     json::error_code code;
     const json::value value = json::parse(std::string_view(text).substr(brace), code);
     const json::object *object = code ? nullptr : value.if_object();
     const json::value *time = object ? object->if_contains("time_ms") : nullptr;
     if (!time || !time->is_number())
-        return false;
+        return;
+    LogLine out;
     out.timeMs = time->to_number<int64_t>();
     out.instance = textAt(*object, "instance");
     out.event = textAt(*object, "event");
@@ -53,12 +89,14 @@
     out.endpoint = textAt(*object, "endpoint");
     out.digest = textAt(*object, "digest");
     out.service = textAt(*object, "service");
+    if (out.event == "in_brief" || out.event == "lost_in_brief")
+        return addNamedInBrief(*object, out, all);
     for (const json::key_value_pair &field : *object) {
         const std::string name(field.key());
         if (name != "time_ms" && name != "instance" && name != "event" && name != "request")
             out.otherFields += fmt::format(" {}={}", name, json::serialize(field.value()));
     }
-    return true;
+    all.push_back(std::move(out));
 }
 
 bool isOfDaemonsLife(const std::string &event)
@@ -70,11 +108,8 @@
 std::vector<LogLine> readLines(const std::vector<std::string> &lines)
 {
     std::vector<LogLine> all;
-    for (const std::string &text : lines) {
-        LogLine line;
-        if (readLine(text, line))
-            all.push_back(std::move(line));
-    }
+    for (const std::string &text : lines)
+        readLine(text, all);
     std::stable_sort(all.begin(), all.end(),
                      [](const LogLine &a, const LogLine &b) { return a.timeMs < b.timeMs; });
     return all;
@@ -108,7 +143,7 @@
     int64_t first = 0;
     int64_t last = 0;
     for (const LogLine &line : all) {
-        if (line.request != request)
+        if (!isOf(line, request))
             continue;
         first = first == 0 ? line.timeMs : first;
         last = line.timeMs;
@@ -121,7 +156,7 @@
 
     std::vector<std::string> out;
     for (const LogLine &line : all) {
-        const bool isOwnEvent = line.request == request;
+        const bool isOwnEvent = isOf(line, request);
         const bool isOtherAttempt = !isOwnEvent && !digest.empty() && line.digest == digest;
         const bool isOfLife = isOfDaemonsLife(line.event);
         const int64_t before = isOfLife ? LifeContextMs : ContextBeforeMs;
