Lines for answers that were not written whole and for connections that were short

Seen: a connection that closes after the core has handed over the whole answer, and before all of it is written, left the log at "answered".

Change: until the last byte is written, a close is told as answer_unwritten, with closed_by, cause and the request, and counted by its cause; closed by the gateway it is a lost request. connections_short tells once in 200 ms at most how many connections were closed for new ones or not accepted, as client_bytes_short does for bytes.

--- a/src/gateway/io/gatewaycallers.cpp
+++ b/src/gateway/io/gatewaycallers.cpp
@@ -20,6 +20,8 @@
 /// A report lists each run of its engine in some 60 bytes; replies to other short calls are smaller.
 constexpr size_t MaxShortReply = 256U << 10;
 constexpr DurationMs ReleaseTimeout{500};
+/// Of a request whose last bytes are being written; callers choose its id.
+constexpr size_t MaxLoggedId = 512;
 
 /// Returns the status of a complete response; 0 if it is incomplete.
 int completeStatus(const HttpResponse &response)
@@ -35,7 +37,7 @@
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
             BOOST_LEAF_ASSIGN(const CallerRequestPtr request, platform::decodeRequest(exchange->request()));
-            gateway.onRequest({addCaller(exchange, now), request}, now);
+            gateway.onRequest({addCaller(exchange, request, now), request}, now);
             return {};
         },
         [&](const FieldError &error) {
@@ -48,11 +50,12 @@
     runActions();
 }
 
-CallerId GatewayServer::State::addCaller(const HttpExchangePtr &exchange, TimeMs now)
+CallerId GatewayServer::State::addCaller(const HttpExchangePtr &exchange, const CallerRequestPtr &request,
+                                         TimeMs now)
 {
     const CallerId caller{nextCaller++};
     callers[caller] = exchange;
-    arrivals[caller] = now;
+    arrivals[caller] = {now, request};
     exchange->onClosed([this, caller] {
         const CloseCause cause = callers.at(caller)->closeCause();
         callers.erase(caller);
@@ -83,7 +86,7 @@
 void GatewayServer::State::refuseCaller(const CallerRequestPtr &request, const HttpExchangePtr &exchange)
 {
     const TimeMs now = steadyNow();
-    gateway.refuseByHead({addCaller(exchange, now), request}, now);
+    gateway.refuseByHead({addCaller(exchange, request, now), request}, now);
     runActions();
 }
 
@@ -153,13 +156,32 @@
     if (found == callers.end())
         return nullptr;
     HttpExchangePtr exchange = found->second;
-    latency.fullResponse(steadyNow() - arrivals[caller]);
+    const Arrival arrival = arrivals.at(caller);
+    latency.fullResponse(steadyNow() - arrival.at);
     callers.erase(found);
     arrivals.erase(caller);
-    exchange->onClosed(nullptr);
+    watchLastBytes(exchange, arrival.request->id.substr(0, MaxLoggedId));
     return exchange;
 }
 
+// Until the whole response is written, its connection may still close. Without a line of its own, the log
+// would tell of a whole answer that its caller does not have.
+void GatewayServer::State::watchLastBytes(const HttpExchangePtr &exchange, std::string requestId)
+{
+    const std::weak_ptr<HttpExchange> watched = exchange;
+    exchange->onClosed([this, watched, id = std::move(requestId)] {
+        const HttpExchangePtr closed = watched.lock();
+        const CloseCause cause = closed ? closed->closeCause() : CloseCause::Aborted;
+        if (cause == CloseCause::Aborted)
+            return; // By the core's order, which has its own line.
+        gateway.counters().add(cause);
+        log.write(isByClient(cause) ? LogPriority::Ordinary : LogPriority::Lost, "answer_unwritten",
+                  {{"closed_by", isByClient(cause) ? "caller" : "gateway"},
+                   {"cause", toText(cause)},
+                   {"request", id}});
+    });
+}
+
 void GatewayServer::State::run(AnswerCaller &action)
 {
     const HttpExchangePtr exchange = removeCaller(action.caller);
@@ -175,7 +197,7 @@
     const auto found = callers.find(action.caller);
     if (found == callers.end())
         return;
-    latency.firstToken(steadyNow() - arrivals[action.caller]);
+    latency.firstToken(steadyNow() - arrivals.at(action.caller).at);
     if (action.framing == ResponseFraming::EndsWithConnection)
         found->second->endWithConnection();
     found->second->beginStream(action.status, action.headers);
--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -107,6 +107,7 @@
     if (now >= flushAt) {
         flushAt = now + LogFlushInterval;
         reportMemory();
+        reportConnections();
         log.flush();
     }
     log.flushUrgent();
--- a/src/gateway/io/gatewayservers.cpp
+++ b/src/gateway/io/gatewayservers.cpp
@@ -106,4 +106,23 @@
     reportedRefusals = refusals;
 }
 
+// As above.
+void GatewayServer::State::reportConnections()
+{
+    const uint64_t ofCallers = callerServer->counters().noConnection;
+    uint64_t closings = 0;
+    for (const HttpServer *each : {callerServer.get(), entryServer.get(), readinessServer.get(),
+                                   metricsServer.get(), relayServer.get()})
+        closings += each ? each->counters().noConnection : 0;
+    if (closings == reportedClosings)
+        return;
+    log.write(LogPriority::Failure, "connections_short",
+              {{"open_callers", callerServer->openConnections()},
+               {"max_callers", connectionLimits(processLimits).callers},
+               {"closed_callers", ofCallers},
+               {"closed_others", closings - ofCallers},
+               {"since_last_line", closings - reportedClosings}});
+    reportedClosings = closings;
+}
+
 } // namespace cranberry
--- a/src/gateway/io/gatewaystate.h
+++ b/src/gateway/io/gatewaystate.h
@@ -46,12 +46,14 @@
                                             void (State::*handler)(const HttpExchangePtr &));
     std::string serverMetrics() const;
     void reportMemory();
+    void reportConnections();
 
     // Callers.
     void onCaller(const HttpExchangePtr &exchange);
     HeadVerdict onCallerHead(const HttpRequest &head);
     void refuseCaller(const CallerRequestPtr &request, const HttpExchangePtr &exchange);
-    CallerId addCaller(const HttpExchangePtr &exchange, TimeMs now);
+    CallerId addCaller(const HttpExchangePtr &exchange, const CallerRequestPtr &request, TimeMs now);
+    void watchLastBytes(const HttpExchangePtr &exchange, std::string requestId);
     void onRelayRequest(const HttpExchangePtr &exchange) { relay.onRequest(exchange); }
     void accountResponse(AttemptId attempt);
     void onEntryRequest(const HttpExchangePtr &exchange);
@@ -137,6 +139,7 @@
     ProcessLimits processLimits;
     ByteBudgetPtr bytes; ///< What this process keeps for its clients.
     uint64_t reportedRefusals = 0; ///< Refusals of `bytes` that the log has told.
+    uint64_t reportedClosings = 0; ///< For want of connections, as far as the log has told them.
     ByteBudgetPtr endpointReplies; ///< To calls that are no attempts, also over relays.
     ByteBudgetPtr storeReplies; ///< Of their own, so that no endpoint keeps this daemon from the store.
     HttpClient endpoints;
@@ -152,7 +155,11 @@
     std::unique_ptr<HttpServer> metricsServer; ///< Null: metrics are disabled.
 
     std::map<CallerId, HttpExchangePtr> callers;
-    std::map<CallerId, TimeMs> arrivals;
+    struct Arrival {
+        TimeMs at;
+        CallerRequestPtr request;
+    };
+    std::map<CallerId, Arrival> arrivals;
     struct AttemptCall {
         uint64_t call = 0;
         bool isRelayed = false; ///< A call of `relays`, else of `endpoints`.
--- a/tests/crowd_test.sh
+++ b/tests/crowd_test.sh
@@ -45,6 +45,10 @@
 cat "$run_dir/crowd.out"
 
 peak() { sed -n "s/.*peak_$1=\([0-9]*\).*/\1/p" "$run_dir/crowd.out"; }
+if [ "$door $kind" = "callers idle" ]; then
+    told=$(grep -c '"event":"connections_short"' "$run_dir/daemon.out" || true)
+    expect "the log tells that connections were short ($told lines)" "$((told > 0 && told < 60))" 1
+fi
 expect "the process lives" "$(kill -0 "$pid" 2>/dev/null && echo lives)" lives
 expect "memory of at most $memory_mb MB ($(peak kb) KB)" "$(($(peak kb) <= memory_mb * 1024))" 1
 expect "sockets leave $file_descriptors of $descriptors descriptors ($(peak descriptors) open)" \
--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -692,6 +692,28 @@
     expect "refused at once" "$(status 1 last-2 /order/1)" 503
     expect "told when to return" "$(($(sed -n 's/^Retry-After: \([0-9]*\).*/\1/p' "$run_dir/head") >= 29))" 1
     ;;
+unwritten)
+    # A caller resets its connection while the end of its answer is not written: the log does not leave it at "answered".
+    daemons=1
+    begin
+    fault answerBytes 4000000
+    python3 - <<'CALLER'
+import socket, struct, time
+caller = socket.socket()
+caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+caller.connect(("127.0.0.1", 21101))
+caller.sendall(b"POST /lookup/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: late\r\nAuthorization: Bearer key-a\r\n"
+               b"X-Deadline-Ms: 12000\r\nContent-Length: 1\r\n\r\nx")
+time.sleep(2)  # Longer than the endpoint takes.
+caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+caller.close()
+CALLER
+    told='"event":"answer_unwritten","closed_by":"caller","cause":"client_reset","request":"late"'
+    wait_for "the line" grep -q "$told" "$run_dir/daemon-1.out"
+    expect "it was answered before" "$(grep -c '"event":"answered".*"request":"late"' "$run_dir/daemon-1.out")" 1
+    expect "it is counted by its cause" \
+        "$(curl -s http://127.0.0.1:21501/metrics | grep -c 'connections_closed_total{cause="client_reset"} 1$')" 1
+    ;;
 unread)
     # Nobody reads the daemon's standard output. It serves on; lines are dropped and counted, nothing blocks.
     begin
