--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -107,8 +107,10 @@
     if (now >= flushAt) {
         flushAt = now + LogFlushInterval;
         reportMemory();
+        reportConnections();
         log.flush();
     }
+    log.flushUrgent();
     if (stopping)
         checkStopped(now);
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -309,6 +309,63 @@
     CHECK(sent.size() == 5);
 }
 
+// Guards against a connection that the daemon closed and that its log puts down to the caller.
+TEST_CASE_FIXTURE(GatewayFixture, "a closed connection is told with its cause, and by whom")
+{
+    for (size_t i = 0; i < static_cast<size_t>(CloseCause::Count); ++i) {
+        const CloseCause cause = static_cast<CloseCause>(i);
+        const CallerId caller = request(Model);
+        head(lastSent().attempt, 200, true);
+        events(lastSent().attempt, 1, 2);
+        gateway.onCallerGone({caller, cause}, now);
+        drainActions();
+        const boost::json::object &line = log.lines.back();
+        CHECK(line.at("event").as_string() == "caller_gone");
+        CHECK(line.at("cause").as_string() == toText(cause));
+        CHECK(line.at("closed_by").as_string() == (isByClient(cause) ? "caller" : "gateway"));
+        CHECK(line.at("phase").as_string() == "streaming");
+        CHECK(line.at("events").to_number<uint64_t>() == 2);
+        CHECK(line.at("attempt").to_number<uint64_t>() == lastSent().attempt.value);
+        CHECK(gateway.counters().of(cause) == 1);
+        const std::string counter
+            = std::string("connections_closed_total{cause=\"") + toText(cause) + "\"} 1";
+        CHECK(prometheusText(gateway.counters()).find(counter) != std::string::npos);
+    }
+}
+
+// Guards against a last line of a request that an endpoint ran which is thinned out like a refusal's.
+TEST_CASE_FIXTURE(GatewayFixture, "the last line of a lost request has its own priority")
+{
+    const CallerId byCaller = request(Order);
+    gateway.onCallerGone({byCaller, CloseCause::ClientReset}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Ordinary);
+    const CallerId byGateway = request(Order);
+    gateway.onCallerGone({byGateway, CloseCause::GaveWay}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Lost);
+
+    request(PlainStream);
+    const AttemptId stream = lastSent().attempt;
+    head(stream, 200, true);
+    events(stream, 1, 1);
+    broken(stream);
+    CHECK(log.priorityOf("stream_broken") == LogPriority::Lost);
+
+    request(Order);
+    broken(lastSent().attempt);
+    CHECK(log.lines.back().at("status").to_number<int>() == 502);
+    CHECK(log.priorityOf("refused") == LogPriority::Lost);
+
+    const CallerId unknown = request("/nowhere/1");
+    CHECK(statusOf(unknown) == 404);
+    CHECK(log.priorityOf("refused") == LogPriority::Failure);
+
+    for (int i = 0; i < 4; ++i)
+        request(Order);
+    const CallerId waiting = request(Order);
+    gateway.onCallerGone({waiting, CloseCause::MadeRoom}, now);
+    CHECK(log.priorityOf("caller_gone") == LogPriority::Ordinary);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "a leaving endpoint gets no new requests")
 {
     endpoints[3].leaving = true;
