Test: each stream that a killed daemon had is named by its log

Guards against requests that leave no line at their daemon. 90 streams amid which the daemon is killed 0.5 s after the last has begun.

--- a/tests/gateway_process_test.sh
+++ b/tests/gateway_process_test.sh
@@ -76,6 +76,11 @@
     [ "$(curl -s "http://127.0.0.1:2130$1/resolve?Name=desk.example" | grep -o '127.0.0.1:2110' | wc -l)" = "$2" ]
 }
 
+# True if so many streams of the case "named" have begun.
+named_streams() { # COUNT
+    [ "$(grep -oE 'run id=named-[0-9]+' "$run_dir/deployment.log" | sort -u | wc -l)" = "$1" ]
+}
+
 # True if the reports of all windows together count so many requests.
 usage_reported() { # COUNT
     grep -o 'WindowId":[0-9]*,"Counts":{"org-a":[0-9]*' "$run_dir/deployment.log" | sort -u >"$run_dir/usage"
@@ -692,6 +697,20 @@
     expect "refused at once" "$(status 1 last-2 /order/1)" 503
     expect "told when to return" "$(($(sed -n 's/^Retry-After: \([0-9]*\).*/\1/p' "$run_dir/head") >= 29))" 1
     ;;
+named)
+    # A daemon is killed amid more streams than its log has lines for: each of them is named there all the same.
+    daemons=1
+    begin
+    fault tokens 60
+    fault tokenMs 50
+    for i in $(seq -w 90); do call 1 "named-$i" /draft/1 >/dev/null & done
+    wait_for "the streams" named_streams 90
+    sleep 0.5 # Longer than lines stay in the buffer.
+    kill_processes daemon-1
+    wait
+    expect "all streams ran" "$(grep -oE 'run id=named-[0-9]+' "$run_dir/deployment.log" | sort -u | wc -l)" 90
+    expect "the log names each" "$(grep -oE 'named-[0-9]+' "$run_dir/daemon-1.out" | sort -u | wc -l)" 90
+    ;;
 unwritten)
     # A caller resets its connection while the end of its answer is not written: the log does not leave it at "answered".
     daemons=1
