Each step of a move has an end of its own, and waits only for a reply that can come

Whatever the state, a stream that has its last chunk is complete at its deadline, not broken off. - an unframed stream that ended while it was copied is not asked to stop any more while its process is asked.

The class: a wait whose end depends on a message that may never come. They share one piece of state, so they go in together.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -456,6 +456,8 @@
 {
     if (exchange.phase == ExchangePhase::AwaitingStart)
         return answer(exchange, {503, GatewayRefusal::NoConfiguration, DefaultRetryAfter}, now);
+    if (exchange.migration && exchange.migration->sourceEnd == StreamEnd::Stated)
+        return endWithoutReply(exchange, now);
     const bool isForExit = now < callersDeadline(exchange);
     if (exchange.attempt.value != 0) {
         if (!isForExit && !isUnheard(exchange))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -365,6 +365,7 @@
     /// Returns whether the event follows the last one that the caller has.
     bool isNextEvent(const Exchange &exchange, uint64_t id) const;
     static StreamEnd streamEndOf(const Exchange &exchange);
+    static bool awaitsMove(const Exchange &exchange, StreamEnd end);
     void endStream(Exchange &exchange, StreamEnd end, TimeMs now);
     void completeStream(Exchange &exchange, StreamEnd end, TimeMs now);
     void interruptAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
@@ -473,7 +474,10 @@
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
     bool takeMoveUnit(Exchange &exchange, TimeMs now);
     void callSource(Exchange &exchange, TimeMs now);
+    DurationMs copyTimeout(const Exchange &exchange, TimeMs now) const;
     void advanceMigration(Exchange &exchange, TimeMs now);
+    void advanceEnded(Exchange &exchange, TimeMs now);
+    bool isSourceLost(const Exchange &exchange, TimeMs now) const;
     void repeatCall(Exchange &exchange, TimeMs now);
     void endWithoutReply(Exchange &exchange, TimeMs now);
     void onCopyReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now);
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -242,8 +242,7 @@
 
 void Gateway::endStream(Exchange &exchange, StreamEnd end, TimeMs now)
 {
-    const bool awaitsReply = exchange.isStoppingForMove() && !exchange.migration->hasEnded;
-    switch (verdictOf(end, exchange.stop, awaitsReply)) {
+    switch (verdictOf(end, exchange.stop, awaitsMove(exchange, end))) {
     case EndVerdict::AwaitMove:
         recordSourceEnd(exchange, end, now);
         if (exchange.migration->isStopped)
@@ -262,6 +261,19 @@
     }
 }
 
+// Returns whether a reply to the open move may still say what this end means. A stream that breaks off while
+// its copy is made may be continued from the copy.
+bool Gateway::awaitsMove(const Exchange &exchange, StreamEnd end)
+{
+    if (!exchange.migration || exchange.migration->hasEnded)
+        return false;
+    const GenerationMigration &migration = *exchange.migration;
+    if (!migration.isStopping())
+        return end == StreamEnd::Broken && !migration.openCalls.empty();
+    const bool mayHaveStopped = exchange.stop == StopState::Unknown && end != StreamEnd::Stated;
+    return migration.isStopped || !migration.openCalls.empty() || mayHaveStopped;
+}
+
 void Gateway::completeStream(Exchange &exchange, StreamEnd end, TimeMs now)
 {
     fleet_.succeeded(exchange.sentTo);
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -9,12 +9,12 @@
 
 /// Time left for the migration itself and for events that are still in flight.
 constexpr DurationMs MigrationMargin{500};
-/// Copying the KV cache of one generation takes milliseconds, but the copies of a whole engine are queued.
-constexpr DurationMs MigrationTimeout{1200};
+/// Of a call that stops a generation: its copy is at the target, and what is new takes milliseconds.
+constexpr DurationMs StopTimeout{1200};
 /// A call without a reply is made again after this time, in case the reply was lost: an engine that is still
 /// at work says so.
 constexpr DurationMs RepeatTime{400};
-constexpr uint32_t MaxCalls = 4; ///< In each step of a migration.
+constexpr uint32_t MaxCalls = 4; ///< Without a reply, in each step of a migration.
 /// An engine replies from memory. A later reply is useless, since reclaim notices are seconds long.
 constexpr DurationMs ProbeTimeout{500};
 /// The last bytes of a stopped stream and the reply to the call that stopped it arrive on two connections.
@@ -186,26 +186,30 @@
         return;
     const MigrationCallId call{nextMigrationCall_++};
     migration.openCalls.insert(call);
-    actions_.emplace_back(MigrateGeneration{
-        exchange.attempt, migration.source, target->entry.address, exchange.request->id, MigrationTimeout,
-        relayFor(exchange.service, now), exchange.sentTo.id, call, migration.step});
+    const DurationMs timeout = migration.isStopping() ? StopTimeout : copyTimeout(exchange, now);
+    actions_.emplace_back(MigrateGeneration{exchange.attempt, migration.source, target->entry.address,
+                                            exchange.request->id, timeout, relayFor(exchange.service, now),
+                                            exchange.sentTo.id, call, migration.step});
+}
+
+// The copies of a whole engine wait for each other, and the generation runs on meanwhile. A call that is
+// given up leaves its copy behind, and another target needs all of it again, behind the others.
+DurationMs Gateway::copyTimeout(const Exchange &exchange, TimeMs now) const
+{
+    const FleetEndpoint *source = fleet_.find(exchange.sentTo);
+    const TimeMs exitsAt = source && source->leavesAt ? *source->leavesAt : now;
+    return std::max(StopTimeout, exitsAt - now - MigrationMargin);
 }
 
 // Makes a call without a reply again, and goes on without a reply where the copy is known.
 void Gateway::advanceMigration(Exchange &exchange, TimeMs now)
 {
     const GenerationMigration &migration = *exchange.migration;
-    if (migration.hasEnded)
-        return;
-    const DurationMs endedFor = migration.sourceEnd ? now - migration.sourceEndedAt : DurationMs{0};
-    const bool saysItsEnd = migration.sourceEnd == StreamEnd::Stated;
-    const bool areBytesMissing
-        = migration.isStopped && now - migration.stepSince > MigrationTimeout + LastBytesTimeout;
-    if (areBytesMissing || (endedFor > LastBytesTimeout && !saysItsEnd))
+    if (migration.sourceEnd)
+        return advanceEnded(exchange, now);
+    if (isSourceLost(exchange, now))
         return continueAtTarget(exchange, now);
-    if (endedFor > MigrationTimeout)
-        return endWithoutReply(exchange, now);
-    if (migration.isStopped || now - migration.calledAt < RepeatTime)
+    if (migration.isStopped || migration.hasEnded || now - migration.calledAt < RepeatTime)
         return;
     if (migration.calls < MaxCalls)
         return repeatCall(exchange, now);
@@ -214,6 +218,36 @@
         exchange.migration.reset();
 }
 
+// The stream has ended at its source, and the reply that says what that means has not come.
+void Gateway::advanceEnded(Exchange &exchange, TimeMs now)
+{
+    const GenerationMigration &migration = *exchange.migration;
+    if (migration.sourceEnd == StreamEnd::Stated) {
+        if (migration.openCalls.empty() || now - migration.sourceEndedAt > StopTimeout)
+            endWithoutReply(exchange, now);
+        return;
+    }
+    if (now - migration.sourceEndedAt <= LastBytesTimeout)
+        return;
+    if (migration.isStopping())
+        return continueAtTarget(exchange, now);
+    interruptAttempt(exchange, {exchange.attempt, true}, now);
+}
+
+// Returns whether a generation that was asked to stop sends nothing any more, without an end of its stream:
+// its source has stopped it or does not know it, or answers nobody.
+bool Gateway::isSourceLost(const Exchange &exchange, TimeMs now) const
+{
+    const GenerationMigration &migration = *exchange.migration;
+    if (!migration.isStopping() || now - migration.stepSince <= StopTimeout + LastBytesTimeout)
+        return false;
+    if (migration.isStopped || migration.hasEnded)
+        return exchange.processCheck != ProcessCheck::Asked;
+    const bool isUnanswered = migration.calls >= MaxCalls && now - migration.calledAt > StopTimeout;
+    const DurationMs pause = std::max(exchange.route->gapTarget, StopTimeout);
+    return isUnanswered && (!fleet_.find(exchange.sentTo) || fleet_.isSilent(exchange.sentTo, pause, now));
+}
+
 void Gateway::repeatCall(Exchange &exchange, TimeMs now)
 {
     if (!fleet_.takeCall(exchange.sentTo.id, now))
@@ -255,8 +289,14 @@
     switch (reply.outcome) {
     case MigrationOutcome::Migrated:
         migration.handle = reply.handle;
+        // Its stream has ended, and whether as complete is being found out.
+        if (exchange.processCheck == ProcessCheck::Asked) {
+            releaseCopy(exchange, migration);
+            exchange.migration.reset();
+            return;
+        }
         migration.step = MigrationStep::Stop;
-        migration.stepSince = now;
+        migration.stepSince = migration.sourceEndedAt = now;
         migration.calls = 0;
         recordEventsMade(exchange, reply);
         log(LogPriority::Failure, "move_copied", exchange,
@@ -267,9 +307,13 @@
     case MigrationOutcome::NoSuchGeneration:
     case MigrationOutcome::NoCapacity:
         logMoveFailed(exchange, reply, now);
+        if (migration.sourceEnd)
+            return interruptAttempt(exchange, {exchange.attempt, true}, now);
         exchange.migration.reset();
         return;
-    case MigrationOutcome::Refused:
+    case MigrationOutcome::Refused: // The copy is in progress, so no reply is missing.
+        migration.calls = 1;
+        return logMoveFailed(exchange, reply, now);
     case MigrationOutcome::NoReply:
     case MigrationOutcome::Unreached:
         return logMoveFailed(exchange, reply, now);
@@ -345,7 +389,7 @@
             ReleaseKvCache{{migration.source, *migration.handle}, exchange.sentTo.id, exchange.relay});
 }
 
-// The source has stopped, or its stream has ended since it was asked to: what the copy lacks is read again.
+// The source has stopped, or its stream has ended since it was to stop: what the copy lacks is read again.
 void Gateway::continueAtTarget(Exchange &exchange, TimeMs now)
 {
     const GenerationMigration migration = *std::exchange(exchange.migration, std::nullopt);
--- a/tests/endpointrest_test.cpp
+++ b/tests/endpointrest_test.cpp
@@ -203,6 +203,7 @@
     }
     // One move, whose call has no reply and is made again.
     REQUIRE(moves.size() >= 1);
+    CHECK(moves.size() <= 4);
     for (const MigrateGeneration &move : moves) {
         CHECK(move.attempt == attempt.attempt);
         CHECK(move.target == moves[0].target);
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -246,6 +246,151 @@
     checkContinued(*this, stream, lastSent().endpoint, 3);
 }
 
+// Guards against a copy behind others that is given up and begun anew at target after target.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "a copy that takes long is waited for while the engine says that it is made")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    CHECK(moves.front().timeout.count >= 1200);
+    const size_t first = moves.size();
+    for (int i = 0; i < 8; ++i) {
+        pass({425});
+        replyToMove(MigrationOutcome::Refused);
+        events(stream.attempt, static_cast<uint64_t>(4 + i), static_cast<uint64_t>(4 + i));
+    }
+    CHECK(moves.size() == first + 8);
+    for (const MigrateGeneration &move : moves)
+        CHECK(move.target == moves.front().target);
+    replyTo(MigrateGeneration(moves.front()), MigrationOutcome::Migrated, "h1");
+    CHECK(moves.back().step == MigrationStep::Stop);
+}
+
+// Guards against a stream that is lost although the reply with the handle of its copy is under way.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream that breaks off while its copy is made goes on from the copy")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    broken(stream.attempt);
+    CHECK_FALSE(streamEnds.contains(stream.caller));
+    pass({25});
+    SUBCASE("the reply comes, and its engine is gone")
+    {
+        replyToMove(MigrationOutcome::Migrated, "h1", 3);
+        pass({200});
+        REQUIRE(sent.size() == 2);
+        checkContinued(*this, stream, lastSent().endpoint, 3);
+    }
+    SUBCASE("the reply comes, and its engine stops it")
+    {
+        replyToMove(MigrationOutcome::Migrated, "h1", 3);
+        replyToMove(MigrationOutcome::Migrated, "h1", 3);
+        REQUIRE(sent.size() == 2);
+        checkContinued(*this, stream, lastSent().endpoint, 3);
+    }
+    SUBCASE("there is no room")
+    {
+        replyToMove(MigrationOutcome::NoCapacity);
+        pass({25});
+        REQUIRE(streamEnds.contains(stream.caller));
+        CHECK_FALSE(streamEnds[stream.caller]);
+    }
+    SUBCASE("the reply does not come")
+    {
+        pass({200});
+        REQUIRE(streamEnds.contains(stream.caller));
+        CHECK_FALSE(streamEnds[stream.caller]);
+    }
+}
+
+// Guards against a stream that waits for its deadline at an engine that sends nothing more, its copy known.
+TEST_CASE("a generation whose engine falls silent when asked to stop goes on from its copy")
+{
+    enum class Silence : uint8_t { NoReply, Unlisted, EndMissing };
+    for (const char *path : {Model, PlainStream}) {
+        for (const Silence silence : {Silence::NoReply, Silence::Unlisted, Silence::EndMissing}) {
+            CAPTURE(path);
+            CAPTURE(static_cast<int>(silence));
+            GatewayFixture fixture;
+            fixture.serveForWindow();
+            const LeavingStream stream = startLeavingStream(fixture, path);
+            copyAndStop(fixture);
+            if (silence == Silence::EndMissing)
+                fixture.replyToMove(MigrationOutcome::NoSuchGeneration);
+            if (silence == Silence::Unlisted) {
+                std::erase_if(fixture.endpoints,
+                              [&](const EndpointEntry &each) { return each.id == stream.source; });
+                fixture.listEndpoints();
+            }
+            fixture.pass({4000});
+            REQUIRE(fixture.sent.size() == 2);
+            checkContinued(fixture, stream, fixture.lastSent().endpoint, 3);
+        }
+    }
+}
+
+// Guards against a stream that waits for a reply that nobody will give.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream whose engine was never asked to stop ends by itself")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    replyToMove(MigrationOutcome::Unreached);
+    end(stream.attempt);
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK(streamEnds[stream.caller]);
+    CHECK(releases.size() == 1);
+}
+
+// Guards against a stream with all its events that is broken off at its deadline for want of a reply.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream that has its end is complete at its deadline")
+{
+    const LeavingStream stream = startLeavingStream(*this, PlainStream);
+    copyAndStop(*this);
+    for (uint64_t id = 4; now + DurationMs{25} < TimeMs{100'000} + DurationMs{12'000}; ++id) {
+        events(stream.attempt, id, id);
+        pass({25});
+    }
+    replyToMove(MigrationOutcome::NoReply);
+    end(stream.attempt);
+    pass({100});
+    REQUIRE(streamEnds.contains(stream.caller));
+    CHECK(streamEnds[stream.caller]);
+}
+
+// Guards against an unframed stream that ended by itself and is taken for one that was stopped.
+TEST_CASE_FIXTURE(GatewayFixture, "an unframed stream that ends while it is copied is not stopped any more")
+{
+    configuration->services[0].engine->migratesGenerations = true;
+    CallerRequest wanted = makeRequest(PlainStream);
+    wanted.outputTokens = 300;
+    const CallerId caller = request(wanted);
+    const SendAttempt first = lastSent();
+    AttemptHead begun;
+    begun.attempt = first.attempt;
+    begun.status = 200;
+    begun.eventStream = true;
+    begun.isUnframed = true;
+    gateway.onHead(begun, now);
+    events(first.attempt, 1, 3);
+    for (EndpointEntry &entry : endpoints) {
+        entry.leaving = entry.leaving || entry.id == first.endpoint;
+        entry.leavesAfter = DurationMs{2000};
+    }
+    listEndpoints();
+    pass({25});
+    REQUIRE(moves.size() == 1);
+    end(first.attempt);
+    CHECK_FALSE(streamEnds.contains(caller));
+    replyToMove(MigrationOutcome::Migrated, "h1", 3);
+    CHECK(moves.size() == 1);
+    CHECK(releases.size() == 1);
+    gateway.onEngineProbed({first.endpoint, {}, true, true, DurationMs{1500}, EndpointProcess::Running, true},
+                           now);
+    drainActions();
+    pass({200});
+    CHECK(sent.size() == 1);
+    REQUIRE(streamEnds.contains(caller));
+    CHECK(streamEnds[caller]);
+}
+
 // Guards against copies that find no room and use up the retries of streams that could still be moved.
 TEST_CASE_FIXTURE(GatewayFixture, "a copy that could not be made costs no retry")
 {
