--- a/src/gateway/io/gatewayserver.cpp
+++ b/src/gateway/io/gatewayserver.cpp
@@ -224,7 +224,8 @@
     if (sync.leaveAtOnce(now))
         return runStoreCalls();
     const size_t unwritten = callerServer->unwrittenResponses() + relayServer->unwrittenResponses();
-    if ((unwritten > 0 || !gateway.isIdle()) && now < departure.exitsAt)
+    const bool isDone = unwritten == 0 && gateway.isIdle() && relay.openCalls() == 0;
+    if (!isDone && now < departure.exitsAt)
         return;
     gateway.sendUsage(now);
     runActions();
