The retry budget of cranberryd refills without successes, too

Cause: a retry is paid for from a budget of 20 and a tenth of each success, and waits while it is empty. Nothing else refilled it. When more streams of a daemon have fallen silent than the budget holds and all its other streams have ended, no success comes any more, and the rest waits in the back-off until the deadline. The retry budget's test missed it because other requests go on succeeding in it.

Change: the budget also refills by one a second, up to its burst of 20. Usual for retry budgets: a share of the work and a minimum a second. While all attempts fail, a daemon starts the burst and one retry a second at most.

Not mended: a daemon with many more silent streams than its budget and its remaining seconds together, and no other work at all, still loses the rest (by arithmetic more than about 80 at a deadline of 60 s; not run).

--- a/src/daemon/budgets.cpp
+++ b/src/daemon/budgets.cpp
@@ -9,6 +9,7 @@
 
 constexpr double BurstSeconds = 2;
 constexpr double RetriesPerSuccess = 0.1;
+constexpr double MinRetriesPerSecond = 1;
 constexpr double MaxRetryLevel = 100;
 constexpr DurationMs BackoffBase{25};
 constexpr uint32_t MaxBackoffDoublings = 5;
@@ -38,14 +39,26 @@
     return std::nullopt;
 }
 
-bool RetryBudget::take()
+bool RetryBudget::take(TimeMs now)
 {
+    refill(now);
     if (level_ < 1)
         return false;
     level_ -= 1;
     return true;
 }
 
+// Prevents lost idempotent requests when a burst of failures has emptied the budget and no other work is left
+// whose successes would refill it: the retries that remain would wait until their deadlines. A minimum per
+// second, up to the burst, starts them one by one and adds little load per daemon.
+void RetryBudget::refill(TimeMs now)
+{
+    const double seconds = static_cast<double>((now - refilledAt_).count) / 1000.0;
+    refilledAt_ = now;
+    if (level_ < BurstRetries)
+        level_ = std::min(BurstRetries, level_ + seconds * MinRetriesPerSecond);
+}
+
 void RetryBudget::succeeded()
 {
     level_ = std::min(MaxRetryLevel, level_ + RetriesPerSuccess);
--- a/src/daemon/budgets.h
+++ b/src/daemon/budgets.h
@@ -24,16 +24,22 @@
     std::map<OrganisationName, Bucket> buckets_;
 };
 
-/// Limits retries to a fraction of the successes, so that a failing endpoint does not multiply the load.
+/// Limits retries to a fraction of the successes and a minimum per second, so that a failing endpoint does
+/// not multiply the load.
 class RetryBudget
 {
 public:
-    bool take();
+    bool take(TimeMs now);
     void succeeded();
     double level() const { return level_; }
 
 private:
-    double level_ = 20;
+    void refill(TimeMs now);
+
+    double level_ = BurstRetries;
+    TimeMs refilledAt_;
+
+    static constexpr double BurstRetries = 20;
 };
 
 /// Upper bound of the backoff with full jitter: the base doubled per try, up to a maximum. The caller draws a
--- a/src/daemon/dispatch.cpp
+++ b/src/daemon/dispatch.cpp
@@ -114,8 +114,8 @@
 }
 
 // A retry also waits for the retry budget instead of failing without it. If many streams stall at once, the
-// budget is empty before all of them are retried; giving the rest up lost accepted idempotent requests (4 of
-// 150 streams on a busy machine). Successes refill the budget long before a deadline.
+// budget is empty before all of them are retried; giving the rest up would lose accepted idempotent requests.
+// The budget also refills without successes, so that the wait ends when no other work is left.
 void retryLater(World &world, Request &request, RetryReason reason)
 {
     world.counters.add(reason);
@@ -315,7 +315,7 @@
         }
         tickOnce(world, request);
         if (request.phase == RequestPhase::BackingOff && world.now >= request.retryAt) {
-            if (request.needsRetryBudget && !world.retryBudget.take()) {
+            if (request.needsRetryBudget && !world.retryBudget.take(world.now)) {
                 waitForRetry(world, request);
                 continue;
             }
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -159,19 +159,36 @@
 TEST_CASE("the retry budget is a fraction of the successes")
 {
     RetryBudget budget;
+    const TimeMs now{100'000};
     int taken = 0;
-    while (budget.take())
+    while (budget.take(now))
         ++taken;
     CHECK(taken == 20);
     for (int i = 0; i < 100; ++i)
         budget.succeeded();
     taken = 0;
-    while (budget.take())
+    while (budget.take(now))
         ++taken;
     CHECK(taken >= 9);
     CHECK(taken <= 10);
 }
 
+// Guards against retries that wait for their deadlines because no other work succeeds any more.
+TEST_CASE("the retry budget refills by one a second without successes, up to its burst")
+{
+    RetryBudget budget;
+    const TimeMs emptyAt{100'000};
+    while (budget.take(emptyAt)) { }
+    CHECK_FALSE(budget.take(emptyAt + DurationMs{999}));
+    CHECK(budget.take(emptyAt + DurationMs{1001}));
+    CHECK_FALSE(budget.take(emptyAt + DurationMs{1001}));
+    const TimeMs later{1'000'000};
+    int taken = 0;
+    while (budget.take(later))
+        ++taken;
+    CHECK(taken == 20);
+}
+
 TEST_CASE("selection prefers the endpoint that has cached the prefix unless its backlog is long")
 {
     std::string text
