A retry returns to the failed endpoint if its service has no other one

Callers of a service with a single endpoint, or whose other endpoints are all leaving, saw: an idempotent request whose attempt failed once waits until its deadline, although the endpoint serves other requests again. Found in the code while looking for further ways in which such a request can wait; not seen in a run of processes.

Cause: a retry is never sent to the endpoint of its last failed attempt, and it stays in the queue if there is no other.

Change: if no endpoint can be chosen and the service has none that is neither avoided nor leaving, the failed one may be chosen again. Its pause after a failure still holds, and so do the six tries, the retry budget and the quarantine. While another endpoint exists, also a full or paused one, the failed one is still avoided.

--- a/src/daemon/routing.cpp
+++ b/src/daemon/routing.cpp
@@ -121,6 +121,18 @@
         && state.avoidUntil <= now && state.endpoint.name != query.avoidEndpoint && !leaving;
 }
 
+bool EndpointTable::hasAlternative(const RoutingQuery &query, const MarkTable &marks) const
+{
+    auto service = services_.find(query.service.name);
+    if (service == services_.end())
+        return false;
+    const std::vector<uint32_t> &all = service->second.endpoints;
+    return std::any_of(all.begin(), all.end(), [&](uint32_t index) {
+        const Endpoint &endpoint = endpoints_[index].endpoint;
+        return endpoint.name != query.avoidEndpoint && !marks.isLeaving(endpoint.instance);
+    });
+}
+
 // Returns two usable endpoints drawn at random, which takes few draws if most endpoints are usable. If
 // SampleTries draws don't find two, or in a small service, returns all usable endpoints.
 std::vector<uint32_t> EndpointTable::candidates(const RoutingQuery &query, const MarkTable &marks, TimeMs now,
@@ -146,14 +158,21 @@
     return out;
 }
 
+// A retry may return to the endpoint that failed if the service has no other one. Otherwise it would wait
+// until its deadline, although that endpoint serves other requests. The pause after a failure still applies.
 std::optional<uint32_t> EndpointTable::choose(const RoutingQuery &query, const MarkTable &marks, TimeMs now,
                                               Random &random)
 {
     // Step 1. Collect candidates of this service with a free slot, not leaving and not paused after a
     // failure.
     const std::vector<uint32_t> usable = candidates(query, marks, now, random);
-    if (usable.empty())
-        return std::nullopt;
+    if (usable.empty()) {
+        if (query.avoidEndpoint.value.empty() || hasAlternative(query, marks))
+            return std::nullopt;
+        RoutingQuery anyEndpoint = query;
+        anyEndpoint.avoidEndpoint = {};
+        return choose(anyEndpoint, marks, now, random);
+    }
 
     // Step 2. Compare two random candidates and the endpoint with the longest known prefix; the lowest cost
     // wins.
--- a/src/daemon/routing.h
+++ b/src/daemon/routing.h
@@ -51,7 +51,8 @@
     const RoutingWeights &weights;
     std::vector<uint64_t> prefix; ///< PrefixIndex::blockHashes of the prompt.
     uint64_t workTokens = 0;
-    EndpointName avoidEndpoint; ///< The endpoint of the last failed attempt; not chosen.
+    EndpointName
+        avoidEndpoint; ///< The endpoint of the last failed attempt; chosen only if it is the last one.
 };
 
 /// The endpoints of the active configuration, and endpoint selection.
@@ -86,6 +87,8 @@
                                                ///< removed, so an equal count means no change.
     };
 
+    /// Returns whether the service has an endpoint that is neither to be avoided nor leaving, free or not.
+    bool hasAlternative(const RoutingQuery &query, const MarkTable &marks) const;
     bool isUsable(uint32_t index, const RoutingQuery &query, const MarkTable &marks, TimeMs now) const;
     std::vector<uint32_t> candidates(const RoutingQuery &query, const MarkTable &marks, TimeMs now,
                                      Random &random) const;
--- a/tests/onedaemon.cpp
+++ b/tests/onedaemon.cpp
@@ -6,12 +6,10 @@
 
 namespace {
 
-constexpr size_t EndpointCount = 8;
-
-std::string configurationText()
+std::string configurationText(size_t endpointCount)
 {
     std::string endpoints;
-    for (size_t i = 0; i < EndpointCount; ++i)
+    for (size_t i = 0; i < endpointCount; ++i)
         endpoints += fmt::format(
             R"({}{{"name":"endpoint-{}","instance":"instance-{}","failureDomain":"leioa","address":"10.0.0.1:{}","slots":8}})",
             i == 0 ? "" : ",", i, i, i + 1);
@@ -33,10 +31,10 @@
 
 } // namespace
 
-OneDaemon::OneDaemon(DurationMs drainLimit) : daemon_(daemonOptions(drainLimit))
+OneDaemon::OneDaemon(DurationMs drainLimit, size_t endpoints) : daemon_(daemonOptions(drainLimit))
 {
     step(Tick{});
-    step(ConfigurationReceived{{1}, configurationText()});
+    step(ConfigurationReceived{{1}, configurationText(endpoints)});
 }
 
 RequestSpec OneDaemon::specOf(const std::string &body)
@@ -89,6 +87,7 @@
                 continue;
             }
             ++failedAttempts;
+            failedEndpoints.push_back(attempt.endpoint);
             step(EndpointFailed{attempt.attempt, phase});
         }
     }
--- a/tests/onedaemon.h
+++ b/tests/onedaemon.h
@@ -13,7 +13,7 @@
 class OneDaemon
 {
 public:
-    explicit OneDaemon(DurationMs drainLimit = DurationMs{120000});
+    explicit OneDaemon(DurationMs drainLimit = DurationMs{120000}, size_t endpoints = 8);
 
     CallerId submit(const std::string &body, bool idempotent = true);
     void drain(std::optional<DurationMs> notice) { step(DrainRequested{notice}); }
@@ -29,6 +29,7 @@
     std::set<CallerId> answered;
     bool stopped = false; ///< The daemon has asked for the end of its process.
     size_t failedAttempts = 0; ///< Number of attempts failed so far.
+    std::vector<EndpointName> failedEndpoints; ///< Where they ran, in order.
     FailurePhase phase = FailurePhase::EndpointExited;
 
 private:
--- a/tests/retrybudget_test.cpp
+++ b/tests/retrybudget_test.cpp
@@ -1,4 +1,5 @@
-// Tests the retry budget of the daemon with the project's own interface when it is used up.
+// Tests retries of the daemon with the project's own interface: when the retry budget is used up, and when
+// the service has a single endpoint.
 
 #include "onedaemon.h"
 
@@ -83,3 +84,31 @@
     CHECK(daemon.failedAttempts > Count + Burst);
     CHECK(daemon.failedAttempts <= Count + Burst + Seconds);
 }
+
+// Guards against a retry that waits until its deadline because it avoids the only endpoint of its service.
+TEST_CASE("a request whose only endpoint failed once is retried there")
+{
+    for (const FailurePhase phase : {FailurePhase::Silent, FailurePhase::NotSent, FailurePhase::SaidNotRun,
+                                     FailurePhase::AfterSend, FailurePhase::EndpointExited}) {
+        CAPTURE(static_cast<int>(phase));
+        OneDaemon daemon(DurationMs{120000}, 1);
+        daemon.phase = phase;
+        const CallerId caller = daemon.submit(StreamText);
+        daemon.failAttempts(StreamText, 1, TickInterval);
+        REQUIRE(daemon.failedAttempts == 1);
+        answerFor(daemon, 5);
+        CHECK(daemon.answered.contains(caller));
+    }
+}
+
+// Guards against a retry at the endpoint that failed while another one serves.
+TEST_CASE("a retry avoids the endpoint that failed while the service has another one")
+{
+    OneDaemon daemon(DurationMs{120000}, 2);
+    daemon.phase = FailurePhase::Silent;
+    daemon.submit(StreamText);
+    daemon.failAttempts(StreamText, 3, DurationMs{20000});
+    REQUIRE(daemon.failedEndpoints.size() == 3);
+    CHECK(daemon.failedEndpoints[0] != daemon.failedEndpoints[1]);
+    CHECK(daemon.failedEndpoints[1] != daemon.failedEndpoints[2]);
+}
