--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -296,6 +296,7 @@
             return;
         }
         migration.step = MigrationStep::Stop;
+        // A stream that has ended meanwhile waits for the reply to the stop from now on.
         migration.stepSince = migration.sourceEndedAt = now;
         migration.calls = 0;
         recordEventsMade(exchange, reply);
