Test: broken and cut streams over a relay

What was not played: status 000 and a part of an early 200 that is reset amid an upload (MIXED), over a second hop with streams.

Change: case relay_stream of cutanswers_test.sh, both daemons real: the one that is asked reaches no endpoint.

--- a/tests/cutanswers_test.sh
+++ b/tests/cutanswers_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against an answer that its endpoint cut short and that reaches its caller as a whole one: cut at every byte of
 # head and body, with and without framing, closed and reset. With "broken": against one that is no answer at all, or whose
-# connection is reset while its request is written. Usage: cutanswers_test.sh plain|stream|relay|own [broken]
+# connection is reset while its request is written. Usage: cutanswers_test.sh plain|stream|relay|relay_stream|own [broken]
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
@@ -31,17 +31,19 @@
 configuration_edit="c['Routes'].append(dict($route, Name='cut', Prefix='/cut/', Service='svc-cut', TimeoutMs=3000))
 c['Services'].append({'Name': 'svc-cut', 'MaxConnections': 100})"
 
+if [[ $case == *stream ]]; then
+    kind=stream
+    relayed_min=100
+    configuration_edit="c['Routes'].append(dict($stream_route, Name='cut', Prefix='/cut/', Service='svc-cut'))
+c['Services'].append(dict(c['Services'][0], Name='svc-cut'))"
+fi
+
 begin_run
 case $case in
 plain | stream)
-    if [ "$case" = stream ]; then
-        kind=stream
-        configuration_edit="c['Routes'].append(dict($stream_route, Name='cut', Prefix='/cut/', Service='svc-cut'))
-c['Services'].append(dict(c['Services'][0], Name='svc-cut'))"
-    fi
     start_gateway
     ;;
-relay)
+relay | relay_stream)
     # The daemon that is asked reaches no endpoint, its peer does.
     echo refused >"$run_dir/links"
     preload=(env LD_PRELOAD="$build/liblinkfaults.so" LINK_FAULT_FILE="$run_dir/links" LINK_FAULT_PORTS="$all_endpoint_ports")
@@ -98,7 +100,7 @@
     arrives "whole"
     arrives "whole, without framing"
 fi
-if [ "$case" = relay ]; then
+if [[ $case == relay* ]]; then
     relayed=$(curl -s http://127.0.0.1:21502/metrics | awk '$1 == "cranberry_gateway_relayed_for_peers_total" { print $2 }')
     expect "the peer carried them ($relayed)" "$((relayed > relayed_min))" 1
 fi
