--- a/tests/limitedprocess.sh
+++ b/tests/limitedprocess.sh
@@ -5,6 +5,7 @@
 descriptors=500
 body_bytes=$((1 << 20))
 store=127.0.0.1:21000
+daemon_store="" # Where the process looks for it, if elsewhere.
 configuration_edit="" # Python statements on the configuration c.
 more_settings="" # Of the process, each with a comma behind it.
 preload=() # Words before the command of the process.
@@ -44,7 +45,7 @@
     wait_for "the stand-in" curl -sf -X POST --data-binary "@$run_dir/configuration.json" "http://$store/configure"
     with_limits cranberrygated '{"instance":"entry-1","failureDomain":"zone-0","callerAddress":"127.0.0.1:21101",
  "readinessAddress":"127.0.0.1:21201","entryAddress":"127.0.0.1:21301","peerAddress":"127.0.0.1:21401",
- "metricsPort":21501,"storeAddress":"'$store'","dutyAddress":"'$store'","usageWindowSeconds":1}'
+ "metricsPort":21501,"storeAddress":"'${daemon_store:-$store}'","dutyAddress":"'$store'","usageWindowSeconds":1}'
     wait_for "the daemon" curl -sf "http://127.0.0.1:21201/ready"
 }
 
