--- a/tests/movingengines.py
+++ b/tests/movingengines.py
@@ -10,8 +10,7 @@
 stream draws the order in which its engine answers the move and closes the stream. Half of the engines leave while the
 streams run; in case killed, which is unframed, they have a process of their own that is killed instead. Prints "ready",
 "leave" and then "played" with what the callers got by order; ends with 1 if a stream reached its caller out of order, as
-complete before its last event, or from two engines at once, in cases late, exiting, queued and versions also if it was
-broken off.
+complete before its last event, or from two engines at once, or broken off (but in cases unframed and killed).
 """
 import argparse
 import asyncio
