A request whose framing is not known is refused, and nothing behind its head is read

The server ran the outer request without its body, and then the inner one, which nobody had sent. The same with ten of sixteen other codings.

Cause: nothing of ours decided how a request is framed. The parser expects a body for a length or for chunked as the last coding; for any other coding without a length it ends the request at its head, and the caller's body is read as the next request of the connection.

Change: requestFramingOf decides by the head alone: none, length, chunks or unsupported. Each listener asks it once, before anything else reads the head, and compares it with what the parser will do. Where they differ, or for unsupported, it answers 400 and closes.

Why it works: a request is read on only if the head and the parser agree on where it ends; all listeners are of this one class.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -1,5 +1,6 @@
 #include "common/httpfields.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -48,6 +49,13 @@
     return out;
 }
 
+bool hasHeader(const HttpHeaders &headers, const std::string &name)
+{
+    return std::any_of(headers.begin(), headers.end(), [&name](const HttpHeader &header) {
+        return boost::algorithm::iequals(header.name, name);
+    });
+}
+
 bool isChunked(const std::string &coding)
 {
     return boost::algorithm::iequals(coding, "chunked");
@@ -73,6 +81,17 @@
                                                                : TransferCoding::Unsupported;
 }
 
+RequestFraming requestFramingOf(const HttpHeaders &headers, bool isHttp10)
+{
+    const bool hasLength = hasHeader(headers, "Content-Length");
+    const TransferCoding coding = transferCodingOf(headers);
+    if (coding == TransferCoding::None)
+        return hasLength ? RequestFraming::Length : RequestFraming::None;
+    // Beside a length, another server on the way may have taken the length for the end.
+    return coding == TransferCoding::Chunked && !hasLength && !isHttp10 ? RequestFraming::Chunks
+                                                                        : RequestFraming::Unsupported;
+}
+
 bool isFramed(const HttpHeaders &headers)
 {
     if (!headerOf(headers, "Content-Length").empty())
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -27,6 +27,19 @@
 };
 
 TransferCoding transferCodingOf(const HttpHeaders &headers);
+/// What follows the head of a request.
+enum class RequestFraming : uint8_t {
+    None, ///< The next request.
+    Length, ///< A body of the stated length.
+    Chunks,
+    Unsupported ///< Where the request ends can't be told, so nothing behind its head may be read as a
+                ///< request.
+};
+
+/// Decides by the head alone (RFC 9112, 6.1 and 6.3). `isHttp10`: the request has version HTTP/1.0, whose
+/// senders know no transfer coding.
+RequestFraming requestFramingOf(const HttpHeaders &headers, bool isHttp10);
+
 /// Returns whether the headers of a message state its length, or that it comes in chunks. A message without
 /// either ends with its connection.
 bool isFramed(const HttpHeaders &headers);
--- a/src/io/httpconnection.h
+++ b/src/io/httpconnection.h
@@ -64,6 +64,7 @@
     void beginRequest();
     void parse();
     bool onHeader(size_t size);
+    bool isFramingAgreed() const;
     bool admitBody();
     void sendContinue();
     bool growBody();
--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -252,6 +252,11 @@
 // Returns false if the request was refused.
 bool HttpConnection::onHeader(size_t size)
 {
+    if (!isFramingAgreed()) {
+        ++counters_.badRequests;
+        refuse(400, "a body comes with a length or in chunks");
+        return false;
+    }
     parser_->eager(true);
     if (!head_.growTo(size * HeadCopies, this, HttpServer::now())) {
         refuseForMemory(0);
@@ -263,6 +268,25 @@
     return true;
 }
 
+// Returns whether the parser will end the request where its head says. For a transfer coding that it does not
+// know it expects no body, and the caller's body would be read, and run, as the next request.
+bool HttpConnection::isFramingAgreed() const
+{
+    constexpr unsigned int Http10 = 10;
+    const bool isHttp10 = parser_->get().version() == Http10;
+    switch (requestFramingOf(parsedHead().headers, isHttp10)) {
+    case RequestFraming::None:
+        return !parser_->chunked() && !parser_->content_length();
+    case RequestFraming::Length:
+        return !parser_->chunked() && parser_->content_length();
+    case RequestFraming::Chunks:
+        return parser_->chunked();
+    case RequestFraming::Unsupported:
+        break;
+    }
+    return false;
+}
+
 // Decides on a request whose body is still to come. Nothing is bought for one that can't be served; an
 // announced body gets all of its room now, so that one that is begun can be completed.
 bool HttpConnection::admitBody()
