Fields behind a chunked body are dropped: they are none of the request's

What callers saw: a field in the trailer of a chunked body passed for one of the head: X-Model there reached the server beside the head's own, Connection there closed the caller's connection (played); by reading: Authorization there was the key of a request without one in its head.

Cause: the parser adds a trailer's fields to the head's, and the head was read again once the body was complete. What the head decides before its body is read (tenant, route, room) did not hold for them.

Evidence: "fields behind a chunked body are none of the request's" fails on the commit before (one request of two is handled).

Change: the head is read when it is complete, and only there. Fields behind a body are dropped, as RFC 9110, 6.5.1 allows.

--- a/src/io/httpserver.cpp
+++ b/src/io/httpserver.cpp
@@ -249,9 +249,12 @@
     onRequest();
 }
 
-// Returns false if the request was refused.
+// Returns false if the request was refused. The parser adds the fields behind a chunked body to those of the
+// head, for which nobody has decided anything; so the head is read here, and only here.
 bool HttpConnection::onHeader(size_t size)
 {
+    request_ = parsedHead();
+    keepAlive_ = parser_->get().keep_alive();
     if (!isFramingAgreed()) {
         ++counters_.badRequests;
         refuse(400, "a body comes with a length or in chunks");
@@ -274,7 +277,7 @@
 {
     constexpr unsigned int Http10 = 10;
     const bool isHttp10 = parser_->get().version() == Http10;
-    switch (requestFramingOf(parsedHead().headers, isHttp10)) {
+    switch (requestFramingOf(request_.headers, isHttp10)) {
     case RequestFraming::None:
         return !parser_->chunked() && !parser_->content_length();
     case RequestFraming::Length:
@@ -294,10 +297,8 @@
     isHeadChecked_ = true;
     const HttpServerShare &share = listener_->share;
     HeadVerdict verdict;
-    if (share.checkHead) {
-        request_ = parsedHead();
+    if (share.checkHead)
         verdict = share.checkHead(request_);
-    }
     if (verdict.refuse) {
         ++counters_.unreadBodies;
         endReading();
@@ -313,7 +314,7 @@
         refuseForMemory(claim);
         return false;
     }
-    if (boost::algorithm::iequals(parser_->get()[http::field::expect], "100-continue"))
+    if (boost::algorithm::iequals(headerOf(request_.headers, "Expect"), "100-continue"))
         sendContinue();
     return true;
 }
@@ -429,8 +430,6 @@
 
 void HttpConnection::onRequest()
 {
-    request_ = parsedHead();
-    keepAlive_ = parser_->get().keep_alive();
     std::string text = std::move(parser_->get().body());
     if (parser_->get().method() == http::verb::trace && !text.empty()) {
         ++counters_.badRequests;
--- a/tests/requestframing_test.cpp
+++ b/tests/requestframing_test.cpp
@@ -216,3 +216,21 @@
     CHECK(run > Heads / 20);
     CHECK(run < Heads);
 }
+
+// Guards against fields that stand behind a body and pass for those of the head: what was decided by the
+// head, as the tenant or the route, would not hold for them.
+TEST_CASE("fields behind a chunked body are none of the request's")
+{
+    const std::string text
+        = requestText("1.1", {"X-Model: m", codingLine("chunked"), "Trailer: X-Model, X-New"},
+                      "4\r\nbody\r\n0\r\nX-Model: other\r\nX-New: 1\r\n"
+                      "Connection: close\r\nExpect: 100-continue\r\n\r\n");
+    const WireOutcome outcome = outcomeOf(text + requestText("1.1", {"Content-Length: 0"}, ""));
+    REQUIRE(outcome.handled.size() == 2);
+    CHECK(outcome.handled.front().body.text() == "body");
+    CHECK(headerOf(outcome.handled.front().headers, "X-Model") == "m");
+    for (const std::string name : {"X-New", "Connection", "Expect"}) {
+        CAPTURE(name);
+        CHECK(headerOf(outcome.handled.front().headers, name).empty());
+    }
+}
