A stream goes on at another engine only with a proof that its run has ended

An engine that leaves hangs for 3.5 s, leaves the calls that stop a run unanswered and keeps the run when its connection is closed; after 2.4 s the stream went on from its copy, up to 5.7 s beside the engine before. The same without a move: a resumable stream left an engine that was silent for 700 ms and the route's gap target.

Cause: silence, and then our own close of the connection, stood for the end of a run: in isSourceLost after four unanswered calls, in abandonSilentEndpoints without any question. "Most servers drop a request when its connection closes": some don't.

Change: a stream goes on elsewhere when its engine has closed it after it was asked to stop, says that it has stopped or does not know the run, when another process has its place, or when the engine is not reached. Whether it is reached is asked by a new connection while it is silent, since one that leaves single calls unanswered would pass for unreached. A silent engine that is reached is asked to stop its resumable streams, as one that leaves. Calls that stop a run go on with growing pauses. A line run_left and a counter name the proof.

Two tests asked for the fault (goes on after unanswered calls alone; leaves a silent engine of which nothing else is known).

--- a/src/gateway/endpoints/endpointcrashes.cpp
+++ b/src/gateway/endpoints/endpointcrashes.cpp
@@ -87,7 +87,7 @@
         return onEnd({attempt}, now);
     }
     if (exchange->isStoppingForMove())
-        return continueAtTarget(*exchange, now);
+        return continueAtTarget(*exchange, RunEndProof::StreamClosed, now);
     const AttemptConnectionFailed failure{attempt, true};
     closeFailedAttempt(*exchange, failure, now);
     continueAfterFailure(*exchange, failure, now);
--- a/src/gateway/endpoints/endpointfleet.cpp
+++ b/src/gateway/endpoints/endpointfleet.cpp
@@ -216,15 +216,25 @@
     return {former.begin(), former.end()};
 }
 
+DurationMs EndpointFleet::silenceOf(const FleetEndpoint &endpoint, TimeMs now) const
+{
+    return endpoint.streaming > 0 ? now - std::max(endpoint.lastByteAt, resumedAt_) : DurationMs{0};
+}
+
+DurationMs EndpointFleet::silenceOf(const EndpointIncarnation &incarnation, TimeMs now) const
+{
+    const FleetEndpoint *endpoint = find(incarnation);
+    return endpoint ? silenceOf(*endpoint, now) : DurationMs{0};
+}
+
 bool EndpointFleet::isSilent(const FleetEndpoint &endpoint, TimeMs now) const
 {
-    return endpoint.streaming > 0 && now - std::max(endpoint.lastByteAt, resumedAt_) > SilentStreamsTimeout;
+    return silenceOf(endpoint, now) > SilentStreamsTimeout;
 }
 
 bool EndpointFleet::isSilent(const EndpointIncarnation &incarnation, DurationMs pause, TimeMs now) const
 {
-    const FleetEndpoint *endpoint = find(incarnation);
-    return endpoint && isSilent(*endpoint, now) && now - std::max(endpoint->lastByteAt, resumedAt_) > pause;
+    return silenceOf(incarnation, now) > std::max(pause, SilentStreamsTimeout);
 }
 
 void EndpointFleet::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query, TimeMs now)
--- a/src/gateway/endpoints/endpointfleet.h
+++ b/src/gateway/endpoints/endpointfleet.h
@@ -164,6 +164,9 @@
     /// Records the end of an attempt that held `tokens` of context without shared prompt parts.
     void contextReleased(const EndpointIncarnation &incarnation, const CallerRequest &request,
                          uint64_t tokens);
+    /// Returns the time since the last byte on any of the streams that run at the endpoint; zero without
+    /// such streams.
+    DurationMs silenceOf(const EndpointIncarnation &incarnation, TimeMs now) const;
     /// Returns true if streams run at the endpoint and none of them has received a byte for longer than
     /// `pause`.
     bool isSilent(const EndpointIncarnation &incarnation, DurationMs pause, TimeMs now) const;
@@ -278,6 +281,7 @@
     void recordBrittleRejection(FleetEndpoint &endpoint, TimeMs now) const;
     static bool acceptsRequests(const FleetEndpoint &endpoint, const ServiceName &service);
     static bool isEligible(const FleetEndpoint &endpoint, const PlacementQuery &query);
+    DurationMs silenceOf(const FleetEndpoint &endpoint, TimeMs now) const;
     bool isSilent(const FleetEndpoint &endpoint, TimeMs now) const;
     bool isResponsive(const FleetEndpoint &endpoint, TimeMs now) const;
     struct ChoiceWithCost {
--- a/src/gateway/endpoints/endpointreach.cpp
+++ b/src/gateway/endpoints/endpointreach.cpp
@@ -30,6 +30,7 @@
     if (!endpoint)
         return;
     const ServiceName service = endpoint->entry.service;
+    silentEndpoints_.record({event.endpoint, {}}, event.failure == ConnectFailure::None);
     ServiceContact &contact = contacts_[service];
     const bool wasSilent = contact.silentProbe == event.endpoint;
     if (wasSilent)
@@ -53,6 +54,7 @@
 {
     counters_.add(event.failure == ConnectFailure::Refused ? GatewayCount::EndpointConnectsRefused
                                                            : GatewayCount::EndpointConnectsTimedOut);
+    silentEndpoints_.record({event.endpoint, {}}, false);
     const FleetEndpoint *endpoint = fleet_.find(event.endpoint);
     if (!endpoint || endpoint->entry.leaving || endpoint->gone)
         return;
@@ -104,6 +106,7 @@
         probePath(service, now);
     probeSilentServices(now);
     probeSilentRelays(now);
+    probeSilentEndpoints(now);
 }
 
 // Prefers an endpoint to which no connection has failed: one that crashed shows nothing.
@@ -153,6 +156,39 @@
     }
 }
 
+// Streams that would go on elsewhere wait for the outcome. A probe is a new connection, and no call: an
+// endpoint that leaves single calls unanswered is reached.
+void Gateway::probeSilentEndpoints(TimeMs now)
+{
+    std::set<SilentEndpoints::Path> silent;
+    for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
+        const Exchange &exchange = exchanges_.at(entry.second);
+        if ((mayResumeElsewhere(exchange) || exchange.isStoppingForMove())
+            && fleet_.silenceOf(exchange.sentTo, now) >= SilenceBeforeProbe)
+            silent.insert({exchange.sentTo.id, exchange.relay});
+    }
+    for (const SilentEndpoints::Path &path : silentEndpoints_.takeDueProbes(silent, now)) {
+        const FleetEndpoint *endpoint = fleet_.find(path.endpoint);
+        if (!endpoint)
+            continue;
+        if (path.relay)
+            actions_.emplace_back(
+                ProbeEngine{path.endpoint, endpoint->entry.address, RelayProbeTimeout, false, path.relay});
+        else
+            sendPathProbe(*endpoint);
+    }
+}
+
+SilentEndpoints::Reach Gateway::reachOfSilent(const Exchange &exchange) const
+{
+    return silentEndpoints_.reachOf({exchange.sentTo.id, exchange.relay});
+}
+
+bool Gateway::isUnreached(const Exchange &exchange) const
+{
+    return reachOfSilent(exchange) == SilentEndpoints::Reach::Unreached;
+}
+
 // ---- Relays ----
 
 // Where only a few daemons serve, all of them may be cut off while those on standby are not.
--- /dev/null
+++ b/src/gateway/endpoints/silentendpoints.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "gateway/gatewayevents.h"
+
+#include <compare>
+#include <map>
+#include <set>
+
+namespace cranberry {
+
+/// Tells of endpoints whose streams are silent whether they are reached.
+///
+/// A silent endpoint that accepts connections may still work on its streams, also after their connections are
+/// closed; one that accepts none can't be asked.
+class SilentEndpoints
+{
+public:
+    /// Way of this daemon to an endpoint.
+    struct Path {
+        EndpointId endpoint;
+        std::optional<Address> relay; ///< Daemon that carries its requests.
+
+        friend auto operator<=>(const Path &, const Path &) = default;
+    };
+
+    /// Returns those of the silent paths that are to be probed now; counts them as probed. What is known of
+    /// the other paths is forgotten.
+    std::vector<Path> takeDueProbes(const std::set<Path> &silent, TimeMs now);
+    /// Records the outcome of a probe, or of any other new connection.
+    void record(const Path &path, bool isReached);
+    /// Outcome of the newest new connection since the path fell silent.
+    enum class Reach : uint8_t { Unknown, Reached, Unreached };
+    Reach reachOf(const Path &path) const;
+
+private:
+    struct Silence {
+        TimeMs probedAt;
+        Reach reach = Reach::Unknown;
+    };
+    std::map<Path, Silence> silent_;
+};
+
+} // namespace cranberry
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,10 +14,17 @@
     Loaded ///< The endpoint has the load that the trial requires.
 };
 
-/// Migration of a generation from a leaving engine to another one.
+/// Why a generation is migrated.
+enum class MigrationReason : uint8_t {
+    EngineLeaves,
+    EngineSilent ///< Its engine sends nothing, but is reached.
+};
+
+/// Migration of a generation from its engine to another one.
 struct GenerationMigration {
     EndpointIncarnation target;
     Address source;
+    MigrationReason reason = MigrationReason::EngineLeaves;
     TimeMs startedAt;
     MigrationStep step = MigrationStep::Copy;
     TimeMs stepSince;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/endpoints/endpointpaths.h"
 #include "gateway/endpoints/endpointprobes.h"
 #include "gateway/endpoints/quarantine.h"
+#include "gateway/endpoints/silentendpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaycounters.h"
 #include "gateway/limits/quotas.h"
@@ -373,6 +374,9 @@
     void closeFailedAttempt(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void continueAfterFailure(Exchange &exchange, const AttemptConnectionFailed &failure, TimeMs now);
     void abandonSilentEndpoints(TimeMs now);
+    /// Returns whether a stream in progress may be sent to another endpoint once nothing works on it any
+    /// more.
+    static bool mayResumeElsewhere(const Exchange &exchange);
     bool canContinueElsewhere(Exchange &exchange, TimeMs now);
 
     // Retries (retries.cpp).
@@ -431,6 +435,10 @@
     void sendPathProbe(const FleetEndpoint &endpoint);
     void probeSilentServices(TimeMs now);
     void probeSilentRelays(TimeMs now);
+    void probeSilentEndpoints(TimeMs now);
+    /// Outcome of new connections to the attempt's endpoint since its streams fell silent.
+    SilentEndpoints::Reach reachOfSilent(const Exchange &exchange) const;
+    bool isUnreached(const Exchange &exchange) const;
     void recordContact(const Exchange &exchange, TimeMs now);
     std::vector<const MemberEntry *> relayCandidates(const ServiceName &service, TimeMs now) const;
     /// Returns the daemon that is to carry the request's next attempt; none if its own connections will do.
@@ -470,6 +478,8 @@
     void migrateFromLeavingEngines(TimeMs now);
     bool isTooLateToStart(const Exchange &exchange, TimeMs now) const;
     bool shouldMigrate(const Exchange &exchange, TimeMs now) const;
+    bool endsAfterExit(const Exchange &exchange, const EngineFigures &engine, TimeMs now) const;
+    bool isStalled(const Exchange &exchange, TimeMs now) const;
     /// `others`: streams that are to be migrated as well.
     void startMigration(Exchange &exchange, size_t others, TimeMs now);
     bool takeMoveUnit(Exchange &exchange, TimeMs now);
@@ -477,14 +487,16 @@
     DurationMs copyTimeout(const Exchange &exchange, TimeMs now) const;
     void advanceMigration(Exchange &exchange, TimeMs now);
     void advanceEnded(Exchange &exchange, TimeMs now);
-    bool isSourceLost(const Exchange &exchange, TimeMs now) const;
+    std::optional<RunEndProof> proofOfSourceEnd(const Exchange &exchange, TimeMs now) const;
     void repeatCall(Exchange &exchange, TimeMs now);
     void endWithoutReply(Exchange &exchange, TimeMs now);
     void onCopyReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now);
+    void abandonCopy(Exchange &exchange, MigrationOutcome outcome, TimeMs now);
     void onStopReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now);
     void logMoveFailed(const Exchange &exchange, const GenerationMigrated &reply, TimeMs now) const;
     void recordEventsMade(Exchange &exchange, const GenerationMigrated &reply) const;
-    void continueAtTarget(Exchange &exchange, TimeMs now);
+    void continueAtTarget(Exchange &exchange, RunEndProof proof, TimeMs now);
+    void recordRunLeft(const Exchange &exchange, RunEndProof proof, TimeMs now);
     void recordSourceEnd(Exchange &exchange, StreamEnd end, TimeMs now);
     void releaseCopy(const Exchange &exchange, const GenerationMigration &migration);
     bool returnToSource(Exchange &exchange, TimeMs now);
@@ -560,6 +572,7 @@
     EndpointPaths paths_;
     RelayChoice relays_;
     RelayContacts relayContacts_;
+    SilentEndpoints silentEndpoints_;
     std::map<ServiceName, ServiceContact> contacts_;
     Quarantine quarantine_;
     RolloutView rollouts_;
--- a/src/gateway/gatewaycounters.cpp
+++ b/src/gateway/gatewaycounters.cpp
@@ -18,6 +18,9 @@
 constexpr std::array<const char *, static_cast<size_t>(ExchangePhase::Count)> PhaseNames
     = {"arrived", "awaiting_start", "awaiting_origin", "awaiting_limit", "queued", "sent", "streaming"};
 
+constexpr std::array<const char *, static_cast<size_t>(RunEndProof::Count)> ProofNames
+    = {"stream_closed", "said_stopped", "said_unknown", "replaced", "unreached"};
+
 constexpr std::array<const char *, static_cast<size_t>(GatewayCount::Count)> CountNames
     = {"requests",
        "attempts",
@@ -93,6 +96,11 @@
     return PhaseNames[static_cast<size_t>(phase)];
 }
 
+const char *toText(RunEndProof proof)
+{
+    return ProofNames[static_cast<size_t>(proof)];
+}
+
 const char *toText(GatewayCount count)
 {
     return CountNames[static_cast<size_t>(count)];
@@ -112,6 +120,9 @@
     for (size_t i = 0; i < PhaseNames.size(); ++i)
         out += fmt::format("cranberry_gateway_ended_for_exit_total{{phase=\"{}\"}} {}\n", PhaseNames[i],
                            counters.endedForExit[i]);
+    for (size_t i = 0; i < ProofNames.size(); ++i)
+        out += fmt::format("cranberry_gateway_runs_left_total{{proof=\"{}\"}} {}\n", ProofNames[i],
+                           counters.runsLeft[i]);
     for (size_t i = 0; i < CloseCauseNames.size(); ++i)
         out += fmt::format("cranberry_gateway_connections_closed_total{{cause=\"{}\"}} {}\n",
                            CloseCauseNames[i], counters.closed[i]);
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -57,6 +57,16 @@
     Count
 };
 
+/// Why a stream may go on at another endpoint: the one before works on it no more. Each has its own counter.
+enum class RunEndProof : uint8_t {
+    StreamClosed, ///< Its endpoint was asked to stop it, and closed the stream.
+    SaidStopped, ///< By its endpoint's own word.
+    SaidUnknown, ///< Its endpoint knows no such run.
+    Replaced, ///< Another process has taken its endpoint's place.
+    Unreached, ///< Not known: new connections to its endpoint fail, and nobody can ask.
+    Count
+};
+
 enum class GatewayCount : uint8_t {
     Requests,
     Attempts,
@@ -122,6 +132,7 @@
 const char *toText(GatewayRefusal reason);
 const char *toText(GatewayRetry reason);
 const char *toText(ExchangePhase phase);
+const char *toText(RunEndProof proof);
 const char *toText(GatewayCount count);
 
 /// Event counters of one daemon, all exported as metrics.
@@ -129,17 +140,21 @@
     std::array<uint64_t, static_cast<size_t>(GatewayRefusal::Count)> refusals = {};
     std::array<uint64_t, static_cast<size_t>(GatewayRetry::Count)> retries = {};
     std::array<uint64_t, static_cast<size_t>(ExchangePhase::Count)> endedForExit = {};
+    /// Streams that went on at another endpoint.
+    std::array<uint64_t, static_cast<size_t>(RunEndProof::Count)> runsLeft = {};
     /// Callers' connections that closed before their response was complete.
     std::array<uint64_t, static_cast<size_t>(CloseCause::Count)> closed = {};
     std::array<uint64_t, static_cast<size_t>(GatewayCount::Count)> counts = {};
 
     void add(GatewayRefusal reason) { ++refusals[static_cast<size_t>(reason)]; }
     void add(GatewayRetry reason) { ++retries[static_cast<size_t>(reason)]; }
+    void add(RunEndProof proof) { ++runsLeft[static_cast<size_t>(proof)]; }
     void add(CloseCause cause) { ++closed[static_cast<size_t>(cause)]; }
     void addEndedForExit(ExchangePhase phase) { ++endedForExit[static_cast<size_t>(phase)]; }
     void add(GatewayCount count, uint64_t by = 1) { counts[static_cast<size_t>(count)] += by; }
     uint64_t of(GatewayRefusal reason) const { return refusals[static_cast<size_t>(reason)]; }
     uint64_t of(GatewayRetry reason) const { return retries[static_cast<size_t>(reason)]; }
+    uint64_t of(RunEndProof proof) const { return runsLeft[static_cast<size_t>(proof)]; }
     uint64_t of(CloseCause cause) const { return closed[static_cast<size_t>(cause)]; }
     uint64_t endedForExitIn(ExchangePhase phase) const { return endedForExit[static_cast<size_t>(phase)]; }
     uint64_t of(GatewayCount count) const { return counts[static_cast<size_t>(count)]; }
--- a/src/gateway/requests/attempts.cpp
+++ b/src/gateway/requests/attempts.cpp
@@ -246,7 +246,7 @@
     case EndVerdict::AwaitMove:
         recordSourceEnd(exchange, end, now);
         if (exchange.migration->isStopped)
-            continueAtTarget(exchange, now);
+            continueAtTarget(exchange, RunEndProof::SaidStopped, now);
         return;
     case EndVerdict::AskProcess:
         if (exchange.processCheck != ProcessCheck::RanOn)
@@ -254,7 +254,7 @@
         return completeStream(exchange, end, now);
     case EndVerdict::Interrupted:
         if (exchange.isStoppingForMove())
-            return continueAtTarget(exchange, now);
+            return continueAtTarget(exchange, RunEndProof::StreamClosed, now);
         return interruptAttempt(exchange, {exchange.attempt, true}, now);
     case EndVerdict::Complete:
         return completeStream(exchange, end, now);
@@ -472,18 +472,18 @@
     runQueue(now);
 }
 
-// Moves streams that can continue elsewhere away from an endpoint that fell silent. The others wait, since
-// the endpoint may come back. All attempts at an endpoint that has restarted are cancelled: its previous
-// incarnation sends nothing any more, behind a network partition no TCP reset arrives, and callers would wait
-// until their deadline.
+// Moves streams that can continue elsewhere away from an endpoint that fell silent and is not reached. The
+// others wait, since the endpoint may come back: one that is reached may work on, also when their connections
+// are closed, and the caller would get events of two runs. All attempts at an endpoint that has restarted are
+// cancelled: its previous incarnation sends nothing any more, behind a network partition no TCP reset
+// arrives, and callers would wait until their deadline.
 void Gateway::abandonSilentEndpoints(TimeMs now)
 {
     std::vector<AttemptId> silent;
     for (const std::pair<const AttemptId, CallerId> &entry : attempts_) {
         const Exchange &exchange = exchanges_.at(entry.second);
-        const bool isSilentStream = exchange.streaming && exchange.route->resumable
-            && !exchange.isStoppingForMove() && exchange.sends + 1 < exchange.route->attempts
-            && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now);
+        const bool isSilentStream = mayResumeElsewhere(exchange) && !exchange.isStoppingForMove()
+            && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now) && isUnreached(exchange);
         if (fleet_.isSuperseded(exchange.sentTo, now) || isSilentStream || isLostInPartition(exchange, now))
             silent.push_back(entry.first);
     }
@@ -492,13 +492,21 @@
         if (!exchange)
             continue;
         const bool hasRestarted = fleet_.isSuperseded(exchange->sentTo, now);
-        if (hasRestarted && exchange->isStoppingForMove())
-            continueAtTarget(*exchange, now);
-        else if (hasRestarted || canContinueElsewhere(*exchange, now))
+        if (hasRestarted && exchange->isStoppingForMove()) {
+            continueAtTarget(*exchange, RunEndProof::Replaced, now);
+        } else if (hasRestarted || canContinueElsewhere(*exchange, now)) {
+            if (exchange->streaming)
+                recordRunLeft(*exchange, hasRestarted ? RunEndProof::Replaced : RunEndProof::Unreached, now);
             cancelAsFailed(attempt, now);
+        }
     }
 }
 
+bool Gateway::mayResumeElsewhere(const Exchange &exchange)
+{
+    return exchange.streaming && exchange.route->resumable && exchange.sends + 1 < exchange.route->attempts;
+}
+
 // Returns whether the stream can be resumed at another endpoint now. An overloaded engine looks silent, too:
 // when a service lost a third of its engines, the pauses in its streams exceeded the gap target, and streams
 // were cut once the retry budget was used up. A stream that can't continue elsewhere waits instead, since its
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -14,7 +14,8 @@
 /// A call without a reply is made again after this time, in case the reply was lost: an engine that is still
 /// at work says so.
 constexpr DurationMs RepeatTime{400};
-constexpr uint32_t MaxCalls = 4; ///< Without a reply, in each step of a migration.
+constexpr uint32_t MaxCalls = 4; ///< Without a reply, until another target is tried, or the pauses grow.
+constexpr uint32_t MaxPauseDoublings = 3; ///< Of the time between two calls.
 /// An engine replies from memory. A later reply is useless, since reclaim notices are seconds long.
 constexpr DurationMs ProbeTimeout{500};
 /// The last bytes of a stopped stream and the reply to the call that stopped it arrive on two connections.
@@ -25,6 +26,20 @@
 constexpr std::array OutcomeNames
     = {"migrated", "no_such_generation", "no_capacity", "refused", "no_reply", "unreached"};
 constexpr std::array StepNames = {"copy", "stop"};
+constexpr std::array ReasonNames = {"engine_leaves", "engine_silent"};
+
+const char *toText(MigrationReason reason)
+{
+    return ReasonNames.at(static_cast<size_t>(reason));
+}
+
+/// Returns the time from the newest call until the next one. An engine that has left the first ones
+/// unanswered may have work to do.
+DurationMs repeatPause(const GenerationMigration &migration)
+{
+    const uint32_t beyond = migration.calls - std::min(migration.calls, MaxCalls - 1);
+    return RepeatTime * (int64_t{1} << std::min(beyond, MaxPauseDoublings));
+}
 
 } // namespace
 
@@ -52,6 +67,8 @@
 {
     if (event.afterConnectionFailure)
         onProcessProbed(event, now);
+    if (event.relay && event.relayFailure != RelayFailure::Unavailable)
+        silentEndpoints_.record({event.endpoint, event.relay}, event.relayFailure == RelayFailure::None);
     if (const FleetEndpoint *known = fleet_.find(event.endpoint))
         recordNotice(known->incarnation(), event.notice, "", now);
     const EndpointIncarnation incarnation{event.endpoint, event.start};
@@ -65,9 +82,10 @@
     fleet_.setLeaving(incarnation, after, now);
 }
 
-// Continues streams on an engine that leaves before they end at another engine, from the copied KV cache.
-// This is the same generation, so it is allowed also for streams that can't be resumed. Streams on versions
-// that a roll-out replaces run to their end: no other engine of their version will last longer.
+// Continues streams on an engine that leaves before they end at another engine, from the copied KV cache, and
+// so those on an engine that is silent. This is the same generation, so it is allowed also for streams that
+// can't be resumed. Streams on versions that a roll-out replaces run to their end: no other engine of their
+// version will last longer.
 void Gateway::migrateFromLeavingEngines(TimeMs now)
 {
     std::vector<CallerId> toMigrate;
@@ -110,13 +128,19 @@
     if (!exchange.streaming || exchange.hasEventsWithoutId || exchange.processCheck == ProcessCheck::Asked
         || exchange.migrationTargets.size() >= MaxMigrations || isQuarantined(exchange, now))
         return false;
-    const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
-    if (!endpoint || !endpoint->leavesAt)
-        return false;
     const ServedService *service = exchange.configuration->findService(exchange.service);
     if (!service || !service->engine || !service->engine->migratesGenerations)
         return false;
-    const uint64_t perEvent = std::max(service->engine->tokensPerEvent, 1U);
+    return endsAfterExit(exchange, *service->engine, now) || isStalled(exchange, now);
+}
+
+// Returns whether the generation is expected to run on when its engine exits.
+bool Gateway::endsAfterExit(const Exchange &exchange, const EngineFigures &engine, TimeMs now) const
+{
+    const FleetEndpoint *endpoint = fleet_.find(exchange.sentTo);
+    if (!endpoint || !endpoint->leavesAt)
+        return false;
+    const uint64_t perEvent = std::max(engine.tokensPerEvent, 1U);
     const uint64_t expected = (exchange.request->outputTokens + perEvent - 1) / perEvent;
     const double left = static_cast<double>(expected - std::min(expected, exchange.events));
     const double eventMs = exchange.attemptEvents < 2
@@ -128,6 +152,14 @@
     return now + rest + MigrationMargin > *endpoint->leavesAt && !outlivesExit;
 }
 
+// Returns whether a stream has to leave an engine that sends nothing but is reached. Its word is needed that
+// the generation has stopped: closing the connection does not stop it at every engine.
+bool Gateway::isStalled(const Exchange &exchange, TimeMs now) const
+{
+    return mayResumeElsewhere(exchange) && fleet_.isSilent(exchange.sentTo, exchange.route->gapTarget, now)
+        && reachOfSilent(exchange) == SilentEndpoints::Reach::Reached && endsBeforeExit(exchange, now);
+}
+
 void Gateway::startMigration(Exchange &exchange, size_t others, TimeMs now)
 {
     PlacementQuery question = placementQuery(exchange);
@@ -151,12 +183,14 @@
     migration.target = target->incarnation();
     exchange.migrationTargets.insert(migration.target.id);
     migration.source = source->entry.address;
+    migration.reason = source->leavesAt ? MigrationReason::EngineLeaves : MigrationReason::EngineSilent;
     migration.startedAt = migration.stepSince = now;
     exchange.migration = migration;
     fleet_.reserve(migration.target, now);
     log(LogPriority::Failure, "move", exchange,
         {{"attempt", exchange.attempt.value},
          {"target", migration.target.id.value},
+         {"reason", toText(migration.reason)},
          {"events", exchange.events},
          {"leaves_in_ms", (source->leavesAt.value_or(now) - now).count}});
     callSource(exchange, now);
@@ -201,20 +235,26 @@
     return std::max(StopTimeout, exitsAt - now - MigrationMargin);
 }
 
-// Makes a call without a reply again, and goes on without a reply where the copy is known.
+// Makes a call without a reply again, and goes on without a reply where the generation has ended for sure.
 void Gateway::advanceMigration(Exchange &exchange, TimeMs now)
 {
     const GenerationMigration &migration = *exchange.migration;
     if (migration.sourceEnd)
         return advanceEnded(exchange, now);
-    if (isSourceLost(exchange, now))
-        return continueAtTarget(exchange, now);
-    if (migration.isStopped || migration.hasEnded || now - migration.calledAt < RepeatTime)
+    if (const std::optional<RunEndProof> proof = proofOfSourceEnd(exchange, now))
+        return continueAtTarget(exchange, *proof, now);
+    const bool isSilent = migration.reason == MigrationReason::EngineSilent;
+    if (isSilent && !migration.isStopping() && !isStalled(exchange, now)) {
+        exchange.migrationTargets.erase(migration.target.id);
+        exchange.migration.reset();
+        return;
+    }
+    if (migration.isStopped || migration.hasEnded || now - migration.calledAt < repeatPause(migration))
         return;
-    if (migration.calls < MaxCalls)
+    if (migration.calls < MaxCalls || migration.isStopping() || isSilent)
         return repeatCall(exchange, now);
     // The generation runs on, so another target may be tried.
-    if (migration.openCalls.empty() && !migration.isStopping())
+    if (migration.openCalls.empty())
         exchange.migration.reset();
 }
 
@@ -230,22 +270,28 @@
     if (now - migration.sourceEndedAt <= LastBytesTimeout)
         return;
     if (migration.isStopping())
-        return continueAtTarget(exchange, now);
+        return continueAtTarget(exchange, RunEndProof::StreamClosed, now);
     interruptAttempt(exchange, {exchange.attempt, true}, now);
 }
 
-// Returns whether a generation that was asked to stop sends nothing any more, without an end of its stream:
-// its source has stopped it or does not know it, or answers nobody.
-bool Gateway::isSourceLost(const Exchange &exchange, TimeMs now) const
+// Returns how it is known that a generation that was asked to stop works no more, if its stream has not
+// ended. Silence is no proof: an engine may leave calls unanswered and go on later.
+std::optional<RunEndProof> Gateway::proofOfSourceEnd(const Exchange &exchange, TimeMs now) const
 {
     const GenerationMigration &migration = *exchange.migration;
     if (!migration.isStopping() || now - migration.stepSince <= StopTimeout + LastBytesTimeout)
-        return false;
-    if (migration.isStopped || migration.hasEnded)
-        return exchange.processCheck != ProcessCheck::Asked;
-    const bool isUnanswered = migration.calls >= MaxCalls && now - migration.calledAt > StopTimeout;
+        return std::nullopt;
+    if (migration.isStopped || migration.hasEnded) {
+        if (exchange.processCheck == ProcessCheck::Asked)
+            return std::nullopt;
+        return migration.isStopped ? RunEndProof::SaidStopped : RunEndProof::SaidUnknown;
+    }
+    if (!fleet_.find(exchange.sentTo))
+        return RunEndProof::Replaced;
     const DurationMs pause = std::max(exchange.route->gapTarget, StopTimeout);
-    return isUnanswered && (!fleet_.find(exchange.sentTo) || fleet_.isSilent(exchange.sentTo, pause, now));
+    if (fleet_.isSilent(exchange.sentTo, pause, now) && isUnreached(exchange))
+        return RunEndProof::Unreached;
+    return std::nullopt;
 }
 
 void Gateway::repeatCall(Exchange &exchange, TimeMs now)
@@ -310,8 +356,7 @@
         logMoveFailed(exchange, reply, now);
         if (migration.sourceEnd)
             return interruptAttempt(exchange, {exchange.attempt, true}, now);
-        exchange.migration.reset();
-        return;
+        return abandonCopy(exchange, reply.outcome, now);
     case MigrationOutcome::Refused: // The copy is in progress, so no reply is missing.
         migration.calls = 1;
         return logMoveFailed(exchange, reply, now);
@@ -321,6 +366,16 @@
     }
 }
 
+// No copy was made. A silent stream whose engine does not know the generation is resumed without one.
+void Gateway::abandonCopy(Exchange &exchange, MigrationOutcome outcome, TimeMs now)
+{
+    exchange.migration.reset();
+    if (outcome != MigrationOutcome::NoSuchGeneration || !isStalled(exchange, now))
+        return;
+    recordRunLeft(exchange, RunEndProof::SaidUnknown, now);
+    cancelAsFailed(exchange.attempt, now);
+}
+
 // A reply with a handle says that the generation has stopped. The copy is at the target also if there was no
 // room for what it lacks.
 void Gateway::onStopReply(Exchange &exchange, const GenerationMigrated &reply, TimeMs now)
@@ -347,7 +402,7 @@
          {"events_made", reply.eventsMade.value_or(0)},
          {"source_closed", migration.sourceEnd.has_value()}});
     if (migration.sourceEnd)
-        continueAtTarget(exchange, now);
+        continueAtTarget(exchange, RunEndProof::SaidStopped, now);
 }
 
 void Gateway::logMoveFailed(const Exchange &exchange, const GenerationMigrated &reply, TimeMs now) const
@@ -391,8 +446,9 @@
 }
 
 // The source has stopped, or its stream has ended since it was to stop: what the copy lacks is read again.
-void Gateway::continueAtTarget(Exchange &exchange, TimeMs now)
+void Gateway::continueAtTarget(Exchange &exchange, RunEndProof proof, TimeMs now)
 {
+    recordRunLeft(exchange, proof, now);
     const GenerationMigration migration = *std::exchange(exchange.migration, std::nullopt);
     if (!migration.isStopped) {
         counters_.add(GatewayCount::MovesWithoutReply);
@@ -418,6 +474,16 @@
          MigratedKvCache{migration.source, *migration.handle});
 }
 
+void Gateway::recordRunLeft(const Exchange &exchange, RunEndProof proof, TimeMs now)
+{
+    counters_.add(proof);
+    log(LogPriority::Failure, "run_left", exchange,
+        {{"attempt", exchange.attempt.value},
+         {"proof", toText(proof)},
+         {"events", exchange.events},
+         {"silent_ms", (now - exchange.newestEventAt).count}});
+}
+
 // Continues a generation that no target took over at the engine that stopped it. A stream that can't be
 // resumed would be lost otherwise. Its handle holds once, so the request can't run twice; the engine is asked
 // only if there is time before its exit.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -578,10 +578,13 @@
 
 TEST_CASE_FIXTURE(GatewayFixture, "a silent engine gets no new requests, and resumable streams leave it")
 {
-    // An engine stops sending in the middle of its streams, without a TCP reset. A resumable stream continues
-    // from another engine after a pause; one that can't be resumed waits, since the engine may come back.
+    // An engine stops sending in the middle of its streams, without a TCP reset, and accepts no connections.
+    // A resumable stream continues from another engine after a pause; one that can't be resumed waits, since
+    // the engine may come back.
     const CallerId resumable = request(Model);
     const EndpointId silent = lastSent().endpoint;
+    for (const EndpointEntry &entry : endpoints)
+        pathOutcomes[entry.id] = entry.id == silent ? ConnectFailure::TimedOut : ConnectFailure::None;
     const AttemptId first = lastSent().attempt;
     head(first, 200, true);
     events(first, 1, 2);
--- a/tests/gatewayfixture.cpp
+++ b/tests/gatewayfixture.cpp
@@ -270,7 +270,11 @@
             releases.push_back(*release);
         else if (const ProbeEngine *probe = std::get_if<ProbeEngine>(&action))
             probes.push_back(*probe);
-        else if (const CloseIdleConnections *close = std::get_if<CloseIdleConnections>(&action))
+        else if (const ProbePath *path = std::get_if<ProbePath>(&action)) {
+            const auto outcome = pathOutcomes.find(path->endpoint);
+            if (outcome != pathOutcomes.end())
+                gateway.onEndpointConnected({path->endpoint, outcome->second, true}, now);
+        } else if (const CloseIdleConnections *close = std::get_if<CloseIdleConnections>(&action))
             closed.insert(closed.end(), close->addresses.begin(), close->addresses.end());
         else if (const SendToPeer *word = std::get_if<SendToPeer>(&action)) {
             if (const QuotaRequest *ask = std::get_if<QuotaRequest>(&word->message))
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -94,6 +94,8 @@
     std::vector<EndpointEntry> endpoints;
     std::shared_ptr<ServingConfiguration> configuration;
     bool storeReachable = true;
+    /// Outcome of probes of the paths to endpoints; those to other ones stay open.
+    std::map<EndpointId, ConnectFailure> pathOutcomes;
     FakeStore store{1};
 
 private:
--- a/tests/gatewaymoves_test.cpp
+++ b/tests/gatewaymoves_test.cpp
@@ -302,11 +302,12 @@
 }
 
 // Guards against a stream that waits for its deadline at an engine that sends nothing more, its copy known.
-TEST_CASE("a generation whose engine falls silent when asked to stop goes on from its copy")
+TEST_CASE("a generation whose engine is gone or not reached when asked to stop goes on from its copy")
 {
-    enum class Silence : uint8_t { NoReply, Unlisted, EndMissing };
+    enum class Silence : uint8_t { Unreached, Refused, Unlisted, Replaced, EndMissing };
     for (const char *path : {Model, PlainStream}) {
-        for (const Silence silence : {Silence::NoReply, Silence::Unlisted, Silence::EndMissing}) {
+        for (const Silence silence : {Silence::Unreached, Silence::Refused, Silence::Unlisted,
+                                      Silence::Replaced, Silence::EndMissing}) {
             CAPTURE(path);
             CAPTURE(static_cast<int>(silence));
             GatewayFixture fixture;
@@ -315,6 +316,15 @@
             copyAndStop(fixture);
             if (silence == Silence::EndMissing)
                 fixture.replyToMove(MigrationOutcome::NoSuchGeneration);
+            if (silence == Silence::Unreached || silence == Silence::Unlisted)
+                fixture.pathOutcomes[stream.source] = ConnectFailure::TimedOut;
+            if (silence == Silence::Refused)
+                fixture.pathOutcomes[stream.source] = ConnectFailure::Refused;
+            if (silence == Silence::Replaced) {
+                for (EndpointEntry &each : fixture.endpoints)
+                    each.start.unixMs = each.id == stream.source ? 1000 : 0;
+                fixture.listEndpoints();
+            }
             if (silence == Silence::Unlisted) {
                 std::erase_if(fixture.endpoints,
                               [&](const EndpointEntry &each) { return each.id == stream.source; });
--- a/tests/movingengines.py
+++ b/tests/movingengines.py
@@ -6,11 +6,13 @@
 CASE is chunked or unframed, the framing of the streams; ending is chunked with a last chunk also where a run stops; late is
 chunked, with replies that come late, once only, or never; in exiting, which is chunked, the engines that leave close all
 their connections and stop listening when their notice has passed; queued is exiting, and all copies wait for each other;
-versions is late with callers on kept connections, half of whose bodies are in chunks, and engines that leave twice. Each
-stream draws the order in which its engine answers the move and closes the stream. Half of the engines leave while the
-streams run; in case killed, which is unframed, they have a process of their own that is killed instead. Prints "ready",
-"leave" and then "played" with what the callers got by order; ends with 1 if a stream reached its caller out of order, as
-complete before its last event, or from two engines at once, or broken off (but in cases unframed and killed).
+hanging is chunked: runs hang when they are asked to stop, and the calls get no reply meanwhile, or never; versions is late
+with callers on kept connections, half of whose bodies are in chunks, and engines that leave twice. No run ends when its
+connection closes. Each stream draws the order in which its engine answers the move and closes the stream. Half of the
+engines leave while the streams run; in case killed, which is unframed, they have a process of their own that is killed
+instead. Prints "ready", "leave" and then "played" with what the callers got by order; ends with 1 if a stream reached its
+caller out of order, as complete before its last event, or from two engines at once, or broken off (but in cases unframed
+and killed).
 """
 import argparse
 import asyncio
@@ -24,6 +26,7 @@
 import re
 import signal
 import sys
+import time
 
 EVENT_S = 0.05
 LEAVE_AT_S = 0.8  # After the first caller.
@@ -40,6 +43,7 @@
     copy_s: float = 0  # Until the reply where the run goes on.
     lost: range = range(0)  # The calls, counted from 0, whose reply never comes.
     loses_stops: bool = False  # No reply to a call that stops the run.
+    hang_s: float = 0  # From the first call that stops the run: it makes no events, and no call gets a reply.
     link_s: float = 0  # That the first copy takes on the link of its engine, behind the copies before it.
 
 
@@ -52,7 +56,9 @@
 LATE_ORDERS = {"late-800": Order(0.8), "late-1300": Order(1.3), "late-1800": Order(1.8), "slow-copy": Order(0.1, copy_s=0.9),
                "lost": Order(lost=range(99)), "lost-first": Order(lost=range(1)), "lost-second": Order(lost=range(1, 2)),
                "lost-stop": Order(loses_stops=True), "close-10": Order(0.01)}
-TABLES = {"late": LATE_ORDERS, "versions": LATE_ORDERS, "exiting": EXIT_ORDERS, "queued": QUEUE_ORDERS}
+HANG_ORDERS = {"hangs-3500-lost": Order(hang_s=3.5, loses_stops=True), "hangs-3500": Order(0.01, hang_s=3.5),
+               "hangs-900": Order(0.01, hang_s=0.9), "close-10": Order(0.01), "lost-stop": Order(loses_stops=True)}
+TABLES = {"hanging": HANG_ORDERS, "late": LATE_ORDERS, "versions": LATE_ORDERS, "exiting": EXIT_ORDERS, "queued": QUEUE_ORDERS}
 
 
 @dataclasses.dataclass
@@ -68,6 +74,7 @@
     moved: int = 0  # How often it went on from its memory.
     calls: int = 0
     ran_twice: bool = False
+    hung_until: float = 0
     port: int = 0  # Of the engine that has it.
     copied_to: set = dataclasses.field(default_factory=set)  # Ports.
 
@@ -84,7 +91,7 @@
     def __init__(self, arguments):
         self.arguments, self.runs, self.draining, self.released = arguments, {}, set(), set()
         self.random, self.handles = random.Random(arguments.seed), itertools.count(1)
-        self.chunked = arguments.case in ("chunked", "ending", "late", "exiting", "queued", "versions")
+        self.chunked = arguments.case in ("chunked", "ending", "late", "hanging", "exiting", "queued", "versions")
         self.exits = arguments.case in ("exiting", "queued")
         self.ends, self.listeners, self.open = arguments.case == "ending", [], set()
         self.links = collections.defaultdict(asyncio.Lock)  # Of the engines, by port.
@@ -145,6 +152,9 @@
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         run.stopped, run.writer, run.made, run.port = False, writer, after, port_of(writer)
         while run.made < run.last and run.writer is writer and not run.stopped:
+            if time.monotonic() < run.hung_until:
+                await asyncio.sleep(EVENT_S)
+                continue
             run.made += 1
             self.send(writer, event(run.made))
             await asyncio.sleep(EVENT_S)
@@ -166,6 +176,13 @@
         if not run or not (run.writer or run.stopped):
             return self.reply(writer, 404, {})
         todo, call, run.calls = self.table[run.order], run.calls, run.calls + 1
+        if todo.hang_s and order.get("Last"):
+            run.hung_until = run.hung_until or time.monotonic() + todo.hang_s
+            if (left := run.hung_until - time.monotonic()) > 0:
+                await asyncio.sleep(left)
+                return False
+            if todo.loses_stops:
+                return False
         run.busy, moved_before, target = True, run.moved, int(order["Target"].rpartition(":")[2])
         try:
             status = await (self.stop if order.get("Last") else self.copy)(run, todo, target)
@@ -393,7 +410,7 @@
 
 
 parser = argparse.ArgumentParser()
-parser.add_argument("case", choices=["chunked", "unframed", "ending", "late", "exiting", "queued", "versions", "killed"])
+parser.add_argument("case", choices=["chunked", "unframed", "ending", "late", "hanging", "exiting", "queued", "versions", "killed"])
 parser.add_argument("--to", type=int, nargs="+")
 for name, default in {"port": 0, "count": 8, "callers": 120, "store": 0, "seed": 1, "notice": 1500, "events": 60}.items():
     parser.add_argument("--" + name, type=int, default=default)
--- a/tests/movingengines_test.sh
+++ b/tests/movingengines_test.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Guards against a stream that was stopped for a move and whose close is read before the reply, or whose process was
 # killed: it must not reach its caller as complete; and against one that is lost with a late or missing reply (late), or
-# with its engine, which exits when its notice has passed (exiting, queued), or beside versions and SIGHUP (versions).
-# Usage: movingengines_test.sh chunked|unframed|ending|late|exiting|queued|versions|relay|killed [SEED]
+# with its engine, which exits when its notice has passed (exiting, queued), or beside versions and SIGHUP (versions);
+# and against one that goes on at another engine while its own, which hangs, has not stopped it (hanging).
+# Usage: movingengines_test.sh chunked|unframed|ending|late|hanging|exiting|queued|versions|relay|killed [SEED]
 set -euo pipefail
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$(dirname "$0")/limitedprocess.sh"
