Framing of requests, proofs of ends: wording as a newcomer reads it

The decision on a coding beside a length stands in two steps; the counter of runs left says what it counts also where no target is left. No change of behaviour.

--- a/src/common/httpfields.cpp
+++ b/src/common/httpfields.cpp
@@ -88,8 +88,9 @@
     if (coding == TransferCoding::None)
         return hasLength ? RequestFraming::Length : RequestFraming::None;
     // Beside a length, another server on the way may have taken the length for the end.
-    return coding == TransferCoding::Chunked && !hasLength && !isHttp10 ? RequestFraming::Chunks
-                                                                        : RequestFraming::Unsupported;
+    if (coding == TransferCoding::Unsupported || hasLength || isHttp10)
+        return RequestFraming::Unsupported;
+    return RequestFraming::Chunks;
 }
 
 bool isFramed(const HttpHeaders &headers)
--- a/src/common/httpfields.h
+++ b/src/common/httpfields.h
@@ -27,6 +27,7 @@
 };
 
 TransferCoding transferCodingOf(const HttpHeaders &headers);
+
 /// What follows the head of a request.
 enum class RequestFraming : uint8_t {
     None, ///< The next request.
--- a/src/gateway/gatewaycounters.h
+++ b/src/gateway/gatewaycounters.h
@@ -57,7 +57,8 @@
     Count
 };
 
-/// Why a stream may go on at another endpoint: the one before works on it no more. Each has its own counter.
+/// How it is known that an endpoint no longer works on a stream, which may then go on at another one. Each
+/// has its own counter.
 enum class RunEndProof : uint8_t {
     StreamClosed, ///< Its endpoint was asked to stop it, and closed the stream.
     SaidStopped, ///< By its endpoint's own word.
@@ -140,7 +141,7 @@
     std::array<uint64_t, static_cast<size_t>(GatewayRefusal::Count)> refusals = {};
     std::array<uint64_t, static_cast<size_t>(GatewayRetry::Count)> retries = {};
     std::array<uint64_t, static_cast<size_t>(ExchangePhase::Count)> endedForExit = {};
-    /// Streams that went on at another endpoint.
+    /// Streams that were taken off their endpoint to go on at another one.
     std::array<uint64_t, static_cast<size_t>(RunEndProof::Count)> runsLeft = {};
     /// Callers' connections that closed before their response was complete.
     std::array<uint64_t, static_cast<size_t>(CloseCause::Count)> closed = {};
--- a/src/gateway/requests/migrations.cpp
+++ b/src/gateway/requests/migrations.cpp
@@ -244,6 +244,7 @@
     if (const std::optional<RunEndProof> proof = proofOfSourceEnd(exchange, now))
         return continueAtTarget(exchange, *proof, now);
     const bool isSilent = migration.reason == MigrationReason::EngineSilent;
+    // Its engine is at work again, and was not asked to stop it.
     if (isSilent && !migration.isStopping() && !isStalled(exchange, now)) {
         exchange.migrationTargets.erase(migration.target.id);
         exchange.migration.reset();
