A silent endpoint that is reached is probed less and less

What callers could see: nothing was seen; found by reading the change. Each daemon with a stream at a hung engine opened a connection to it every 0.6 s and kept it for up to 3 s: five from each daemon, beside its streams. With as many daemons as the engine has streams that comes near its connection limit, beyond which it resets others.

Cause: one interval for both outcomes of a probe. Only an endpoint that isn't reached has to be asked often.

Evidence: "a path that is reached is probed less and less" fails on the code before: 20 probes in 12 s instead of 5.

Change: the interval doubles while the path is reached, up to 4.8 s, and is 0.6 s again once it isn't. The first two probes come as before, so an endpoint that was dark from the start is left as soon as before; one that is cut off after seconds of a hang is found up to 4.8 s later.

--- a/src/gateway/endpoints/silentendpoints.cpp
+++ b/src/gateway/endpoints/silentendpoints.cpp
@@ -1,11 +1,15 @@
 #include "gateway/endpoints/silentendpoints.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
 
-/// Time between two probes of one path.
+/// Time between two probes of one path. It doubles while the path is reached: a probe leaves a connection
+/// open for a while, and an endpoint that hangs has as many as daemons have streams there.
 constexpr DurationMs ProbeInterval{600};
+constexpr DurationMs MaxProbeInterval{4800};
 
 } // namespace
 
@@ -16,10 +20,12 @@
     });
     std::vector<Path> due;
     for (const Path &path : silent) {
-        const auto [known, isNew] = silent_.try_emplace(path);
-        if (!isNew && now - known->second.probedAt < ProbeInterval)
+        Silence &silence = silent_[path];
+        if (now < silence.nextProbeAt)
             continue;
-        known->second.probedAt = now;
+        silence.interval = silence.reach == Reach::Reached ? std::min(silence.interval * 2, MaxProbeInterval)
+                                                           : ProbeInterval;
+        silence.nextProbeAt = now + silence.interval;
         due.push_back(path);
     }
     return due;
--- a/src/gateway/endpoints/silentendpoints.h
+++ b/src/gateway/endpoints/silentendpoints.h
@@ -34,7 +34,8 @@
 
 private:
     struct Silence {
-        TimeMs probedAt;
+        TimeMs nextProbeAt;
+        DurationMs interval; ///< Between the newest two probes.
         Reach reach = Reach::Unknown;
     };
     std::map<Path, Silence> silent_;
--- a/tests/silentendpoints_test.cpp
+++ b/tests/silentendpoints_test.cpp
@@ -108,6 +108,29 @@
     CHECK(endpoints.reachOf(direct) == Reach::Unknown); // It has sent something.
 }
 
+// Guards against an engine that hangs and runs out of connections: each daemon with a stream there probes it,
+// and keeps the connection open for a while.
+TEST_CASE("a path that is reached is probed less and less, one that is not as often as at first")
+{
+    for (const bool isReached : {true, false}) {
+        CAPTURE(isReached);
+        SilentEndpoints endpoints;
+        std::vector<TimeMs> probedAt;
+        for (TimeMs now{0}; now < TimeMs{12000}; now = now + DurationMs{25}) {
+            if (endpoints.takeDueProbes({direct}, now).empty())
+                continue;
+            endpoints.record(direct, isReached);
+            probedAt.push_back(now);
+        }
+        REQUIRE(probedAt.size() >= 3);
+        CHECK(probedAt[1] - probedAt[0] <= DurationMs{600});
+        CHECK(probedAt.size() == (isReached ? 5 : 20));
+        endpoints.record(direct, false);
+        endpoints.takeDueProbes({direct}, {20000});
+        CHECK(endpoints.takeDueProbes({direct}, {20600}).size() == 1); // Not reached any more: often again.
+    }
+}
+
 // Guards against two endpoints that work on one stream: the one before was silent, was taken for dead, and
 // kept the run when its connection was closed.
 TEST_CASE("a stream stays at a silent endpoint that is reached and can't be asked to stop it")
